One path from end to end in the agreed shape

Cause: the project is new; the shape has to stand before its parts grow. Change: schema/ with its generator (Go types, msgpack codecs, settings, the settings page), deciding packages with state in shards (membership, submission, job, dispatch), the daemon that connects them, stand-ins, client and replay.

--- /dev/null
+++ b/daemon/convert.go
@@ -0,0 +1,45 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/peer"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
+)
+
+// responseOf encodes an answer for a peer.
+func responseOf(answer submission.Answer) *wire.SubmitResponse {
+	response := &wire.SubmitResponse{
+		Verdict: uint8(verdict.Complete), Results: answer.Outcome.Results, Owner: answer.Owner,
+	}
+	if failure := answer.Outcome.Failure; failure != nil {
+		response.Verdict = uint8(failure.Verdict)
+		response.Code = uint8(failure.Code)
+		response.Reason = failure.Reason
+		response.RetryAfterMS = failure.RetryAfter.Milliseconds()
+	}
+	return response
+}
+
+// outcomeOf decodes a peer's answer.
+func outcomeOf(m *wire.SubmitResponse) submission.Outcome {
+	if verdict.Verdict(m.Verdict) == verdict.Complete {
+		return submission.Outcome{Results: m.Results}
+	}
+	return submission.Outcome{Failure: &verdict.Error{
+		Verdict: verdict.Verdict(m.Verdict), Code: verdict.Code(m.Code), Reason: m.Reason,
+		RetryAfter: time.Duration(m.RetryAfterMS) * time.Millisecond,
+	}}
+}
+
+// verdictOf tells whether a call to a peer may have arrived.
+func verdictOf(err error) verdict.Verdict {
+	var failure *peer.Error
+	if errors.As(err, &failure) {
+		return failure.Verdict
+	}
+	return verdict.MayHaveRun
+}
--- /dev/null
+++ b/daemon/execute.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/dispatch"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/job"
+	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
+)
+
+// running is a job of this VM; each of its tasks carries it as Work.
+type running struct {
+	entry      *submission.Entry
+	job        *job.Job
+	call       *catalog.Call
+	parameters []byte
+	items      [][]byte
+	deadline   *time.Timer // aborts the job
+}
+
+// watchDeadline aborts a job that has not ended at its deadline.
+func (d *Daemon) watchDeadline(run *running, deadline time.Time) {
+	// The timer is set before it runs, since its function reads run.deadline.
+	run.deadline = time.AfterFunc(time.Hour, func() {
+		d.abort(run, verdict.Errorf(verdict.NotRun, verdict.CodeDeadline, "the deadline passed"))
+	})
+	run.deadline.Reset(time.Until(deadline))
+}
+
+// abort ends a job from outside and drops its waiting tasks.
+func (d *Daemon) abort(run *running, failure *verdict.Error) {
+	if outcome, ended := run.job.Abort(failure); ended {
+		d.finish(run, outcome)
+	}
+}
+
+// finish enters the end of a job.
+func (d *Daemon) finish(run *running, outcome submission.Outcome) {
+	run.deadline.Stop()
+	if outcome.Failure != nil {
+		d.dispatcher.Cancel(run.call.Service, run.entry.ID)
+	}
+	d.submissions.Finish(time.Now(), run.entry, outcome)
+}
+
+// place carries out assignments, each on its own goroutine: a task holds its
+// slot until the upstream answers, so their number is bounded by the slots.
+func (d *Daemon) place(assignments []dispatch.Assignment) {
+	for i := range assignments {
+		d.decisions.Placement(&assignments[i])
+		go d.run(assignments[i])
+	}
+}
+
+// run sends one task to its upstream and enters the result.
+func (d *Daemon) run(a dispatch.Assignment) {
+	run := a.Task.Work.(*running)
+	if !run.job.Offer() {
+		d.release(a, dispatch.Result{Ending: dispatch.Skipped})
+		return
+	}
+	d.metrics.starts.Add(1)
+	sent := time.Now()
+	result := d.upstreams.Run(a.Upstream.Address, &api.TaskRequest{
+		Submission: a.Task.Submission.String(), Task: a.Task.Index, Tasks: len(run.items),
+		Service: run.call.Service, Call: run.call.Name,
+		Parameters: run.parameters, Item: run.items[a.Task.Index],
+		TimeoutMS: a.Task.Deadline.Sub(sent).Milliseconds(),
+		MilliCPU:  run.call.Size.MilliCPU, MemoryMB: run.call.Size.MemoryMB, Accelerators: run.call.Size.Accelerators,
+	})
+	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent)}
+	switch failure := result.Failure; {
+	case failure == nil:
+		if outcome, ended := run.job.Complete(a.Task.Index, result.Value); ended {
+			d.finish(run, outcome)
+		}
+	case failure.Verdict == verdict.NotRun:
+		d.metrics.refusals.Add(1)
+		run.job.Refuse()
+		ending.Ending = dispatch.Refused
+	default:
+		if outcome, ended := run.job.Fail(failure); ended {
+			d.finish(run, outcome)
+		}
+	}
+	d.release(a, ending)
+}
+
+// release returns the slot of an assignment and places what it lets through.
+func (d *Daemon) release(a dispatch.Assignment, result dispatch.Result) {
+	next, dropped := d.dispatcher.Finish(time.Now(), a, result)
+	if dropped {
+		d.abort(a.Task.Work.(*running), verdict.Errorf(verdict.NotRun, verdict.CodeUpstreamFailed,
+			"task %d was refused by every upstream that it was offered to", a.Task.Index))
+	}
+	d.place(next)
+}
--- /dev/null
+++ b/daemon/metrics.go
@@ -0,0 +1,34 @@
+package daemon
+
+import "expvar"
+
+// metrics are the counters of one daemon. They are published by the front and
+// not in the global registry, so that several daemons can share a process.
+type metrics struct {
+	vars *expvar.Map
+
+	calls, complete, failed     *expvar.Int
+	forwards, records           *expvar.Int
+	starts, refusals, mayHave   *expvar.Int
+	platformCalls, platformFail *expvar.Int
+}
+
+func newMetrics() *metrics {
+	m := &metrics{vars: new(expvar.Map).Init()}
+	counter := func(name string) *expvar.Int {
+		v := new(expvar.Int)
+		m.vars.Set(name, v)
+		return v
+	}
+	m.calls = counter("calls")
+	m.complete = counter("calls_complete")
+	m.failed = counter("calls_failed")
+	m.mayHave = counter("calls_may_have_run")
+	m.forwards = counter("forwards_sent")
+	m.records = counter("records_sent")
+	m.starts = counter("task_starts_sent")
+	m.refusals = counter("task_starts_refused")
+	m.platformCalls = counter("platform_calls")
+	m.platformFail = counter("platform_failures")
+	return m
+}
--- /dev/null
+++ b/generate.go
@@ -0,0 +1,3 @@
+package mustardstep
+
+//go:generate go run ./internal/schemagen
--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,138 @@
+// Package command holds the subcommands that several programs share: the
+// daemon and the stand-ins. Each parses its settings, calls the library and
+// prints.
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/mustardstep/mustardstep/daemon"
+	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/standin"
+)
+
+// bound is a settings struct that binds itself to a flag set.
+type bound interface{ Bind(*settings.Binder) }
+
+// base implements the parts of subcommands.Command that all commands share.
+type base[S any] struct {
+	name, synopsis string
+	settings       S
+	binder         *settings.Binder
+}
+
+func (c *base[S]) Name() string     { return c.name }
+func (c *base[S]) Synopsis() string { return c.synopsis }
+func (c *base[S]) Usage() string {
+	return fmt.Sprintf("%s [flags]\n  %s.\n  Every flag can be set by the environment variable in brackets.\n\n", c.name, c.synopsis)
+}
+
+func (c *base[S]) SetFlags(f *flag.FlagSet) {
+	c.binder = settings.NewBinder(f)
+	any(&c.settings).(bound).Bind(c.binder)
+}
+
+// resolve reports every bad setting at once.
+func (c *base[S]) resolve(f *flag.FlagSet) bool {
+	if f.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "%s: unexpected argument %q\n", c.name, f.Arg(0))
+		return false
+	}
+	if err := c.binder.Resolve(os.LookupEnv); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return false
+	}
+	return true
+}
+
+// serveCommand runs the daemon.
+type serveCommand struct{ base[settings.DaemonProgram] }
+
+// Serve returns the command that runs the daemon, under a name.
+func Serve(name string) subcommands.Command {
+	return &serveCommand{base[settings.DaemonProgram]{name: name, synopsis: "run the daemon until SIGTERM"}}
+}
+
+func (c *serveCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	log, flush := logging.New(c.settings.Logging, os.Stderr)
+	defer flush()
+	d, err := daemon.New(c.settings, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	return untilSignal(ctx, d.Run)
+}
+
+// checkCommand validates settings.
+type checkCommand struct{ base[settings.DaemonProgram] }
+
+// Check returns the command that validates the daemon's settings.
+func Check() subcommands.Command {
+	return &checkCommand{base[settings.DaemonProgram]{name: "check", synopsis: "validate settings without starting"}}
+}
+
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	log, flush := logging.New(c.settings.Logging, io.Discard)
+	defer flush()
+	if _, err := daemon.New(c.settings, log); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	fmt.Println("settings are valid")
+	return subcommands.ExitSuccess
+}
+
+// standinCommand runs one of the stand-ins.
+type standinCommand struct {
+	base[settings.StandinProgram]
+	run func(context.Context, settings.Standin) error
+}
+
+// StandinUpstreams returns the command that runs stand-in upstreams.
+func StandinUpstreams() subcommands.Command {
+	return &standinCommand{
+		base[settings.StandinProgram]{name: "upstreams", synopsis: "run stand-in upstreams until SIGTERM"},
+		standin.RunUpstreams,
+	}
+}
+
+// StandinPlatform returns the command that runs the platform stand-in.
+func StandinPlatform() subcommands.Command {
+	return &standinCommand{
+		base[settings.StandinProgram]{name: "platform", synopsis: "run the platform stand-in until SIGTERM"},
+		standin.RunPlatform,
+	}
+}
+
+func (c *standinCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	return untilSignal(ctx, func(ctx context.Context) error { return c.run(ctx, c.settings.Standin) })
+}
+
+// untilSignal runs a program until SIGTERM or SIGINT.
+func untilSignal(ctx context.Context, run func(context.Context) error) subcommands.ExitStatus {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/command/suite.go
@@ -0,0 +1,72 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+	"github.com/mustardstep/mustardstep/internal/replay"
+	"github.com/mustardstep/mustardstep/internal/settings"
+)
+
+type suiteCommand struct{ base[settings.ReplayProgram] }
+
+// Suite returns the command that runs a suite of replays.
+func Suite() subcommands.Command {
+	return &suiteCommand{base[settings.ReplayProgram]{name: "suite", synopsis: "run a suite and print its report; exit 0 only where no promise was broken"}}
+}
+
+func (c *suiteCommand) Usage() string { return "suite NAME [flags]\n  " + c.synopsis + ".\n\n" }
+
+func (c *suiteCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	name := f.Arg(0)
+	if f.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "suite: name a suite")
+		return subcommands.ExitUsageError
+	}
+	// Flags may stand behind the name.
+	if err := f.Parse(f.Args()[1:]); err != nil {
+		return subcommands.ExitUsageError
+	}
+	if !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	s := c.settings.Replay
+	report, err := replay.RunSuite(ctx, name, replay.Options{Seed: int64(s.Seed), Seconds: s.Seconds})
+	if report != nil {
+		printReport(report, s.Output)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		if errors.Is(err, replay.ErrBroken) {
+			return subcommands.ExitStatus(exitBroken)
+		}
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// exitBroken is the exit code of a suite in which a promise was broken.
+const exitBroken = 3
+
+func printReport(report *replay.Report, output string) {
+	body, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return
+	}
+	if output == "json" {
+		fmt.Println(string(body))
+		return
+	}
+	var fields map[string]any
+	if json.Unmarshal(body, &fields) == nil {
+		for _, line := range sortedLines(fields) {
+			fmt.Println(line)
+		}
+	}
+}
--- /dev/null
+++ b/internal/layering/layering_test.go
@@ -0,0 +1,35 @@
+// Package layering checks which packages may import which.
+package layering
+
+import (
+	"go/build"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// deciding packages are driven by events and the time, so that any front end
+// can use them: they must reach no network, file, encoding or daemon package.
+var deciding = []string{"membership", "submission", "job", "dispatch"}
+
+var forbidden = []string{
+	"net", "os", "encoding/", "syscall", "github.com/valyala/", "github.com/tinylib/",
+	"github.com/mustardstep/mustardstep/internal/wire", "github.com/mustardstep/mustardstep/internal/api",
+	"github.com/mustardstep/mustardstep/internal/peer", "github.com/mustardstep/mustardstep/internal/upstream",
+	"github.com/mustardstep/mustardstep/internal/platform", "github.com/mustardstep/mustardstep/internal/httpfront",
+	"github.com/mustardstep/mustardstep/daemon",
+}
+
+func TestDecidingPackagesImportNoTransport(t *testing.T) {
+	for _, name := range deciding {
+		pkg, err := build.ImportDir("../../"+name, 0)
+		require.NoError(t, err)
+		for _, imported := range pkg.Imports {
+			for _, prefix := range forbidden {
+				bad := imported == strings.TrimSuffix(prefix, "/") || strings.HasPrefix(imported, strings.TrimSuffix(prefix, "/")+"/")
+				require.Falsef(t, bad, "%s imports %s", name, imported)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/logging/decisions.go
@@ -0,0 +1,55 @@
+package logging
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/mustardstep/mustardstep/dispatch"
+	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
+)
+
+// Decisions logs a line for each routing and placement decision. It is safe
+// for concurrent use; the zero value logs nothing.
+type Decisions struct{ logger *slog.Logger }
+
+// NewDecisions returns a log of decisions, or a silent one where enabled is
+// false.
+func NewDecisions(logger *slog.Logger, enabled bool) Decisions {
+	if !enabled {
+		return Decisions{}
+	}
+	return Decisions{logger}
+}
+
+// Route logs to which VM a submission was sent, and why.
+func (d Decisions) Route(id submission.ID, home, owner, reason string) {
+	if d.logger == nil {
+		return
+	}
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "route",
+		slog.String("caller", id.Caller), slog.String("key", id.Key),
+		slog.String("home", home), slog.String("owner", owner), slog.String("reason", reason))
+}
+
+// Placement logs to which upstream a task was bound, and why.
+func (d Decisions) Placement(a *dispatch.Assignment) {
+	if d.logger == nil {
+		return
+	}
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
+		slog.String("caller", a.Task.Submission.Caller), slog.String("key", a.Task.Submission.Key),
+		slog.Int("task", a.Task.Index), slog.String("upstream", a.Upstream.Name),
+		slog.String("reason", a.Reason.String()), slog.Int64("waited_us", a.Waited.Microseconds()))
+}
+
+// Refusal logs that a submission failed, and why.
+func (d Decisions) Refusal(id submission.ID, failure *verdict.Error) {
+	if d.logger == nil {
+		return
+	}
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "refuse",
+		slog.String("caller", id.Caller), slog.String("key", id.Key),
+		slog.String("verdict", failure.Verdict.String()), slog.String("code", failure.Code.String()),
+		slog.String("reason", failure.Reason))
+}
--- /dev/null
+++ b/internal/peer/transport.go
@@ -0,0 +1,261 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/tinylib/msgp/msgp"
+	"golang.org/x/sync/errgroup"
+)
+
+// Error is a failed call.
+type Error struct {
+	// Verdict is NotRun where the request cannot have reached the peer.
+	Verdict verdict.Verdict
+	// Address is the peer's address.
+	Address string
+	Cause   error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("peer %s: %v", e.Address, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Config holds the settings of a Transport.
+type Config struct {
+	// Hello presents this process to its peers.
+	Hello       wire.Hello
+	DialTimeout time.Duration
+	// MaxFrame is the largest frame, in bytes.
+	MaxFrame int
+	// OnHello is told of every peer that presented itself. It may be called
+	// concurrently.
+	OnHello func(wire.Hello)
+}
+
+type handler func(ctx context.Context, from *wire.Hello, payload []byte) (wire.Message, error)
+
+// shardCount spreads the connections over locks.
+const shardCount = 16
+
+// Transport calls peers and serves their calls. It is safe for concurrent use
+// once its handlers are registered.
+type Transport struct {
+	config   Config
+	handlers map[wire.Kind]handler
+	shards   [shardCount]shard
+}
+
+// shard holds the connections to the peers whose addresses hash to it.
+type shard struct {
+	mu    sync.Mutex // guards links; not held while dialling
+	links map[string]*link
+}
+
+// link is the connection to one address. Its lock makes callers wait for one
+// dial instead of each starting their own.
+type link struct {
+	mu   sync.Mutex // guards conn; held while dialling, by design
+	conn *conn
+}
+
+// New returns a transport without handlers.
+func New(config Config) *Transport {
+	t := &Transport{config: config, handlers: map[wire.Kind]handler{}}
+	for i := range t.shards {
+		t.shards[i].links = map[string]*link{}
+	}
+	return t
+}
+
+// Handle registers the handler of a message. It must be called before Serve.
+func Handle[T any, M interface {
+	*T
+	wire.Message
+}](t *Transport, handle func(ctx context.Context, from *wire.Hello, request M) wire.Message) {
+	t.handlers[M(new(T)).Kind()] = func(ctx context.Context, from *wire.Hello, payload []byte) (wire.Message, error) {
+		request := M(new(T))
+		if _, err := request.UnmarshalMsg(payload); err != nil {
+			return nil, err
+		}
+		return handle(ctx, from, request), nil
+	}
+}
+
+// Serve accepts peers until the context ends. It closes the listener.
+func (t *Transport) Serve(ctx context.Context, listener net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	g.Go(func() error {
+		for {
+			nc, err := listener.Accept()
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return errors.Wrap(err, "accept peer")
+			}
+			g.Go(func() error {
+				t.serveConn(ctx, nc)
+				return nil
+			})
+		}
+	})
+	return g.Wait()
+}
+
+func (t *Transport) serveConn(ctx context.Context, nc net.Conn) {
+	c := newConn(nc, t.config.MaxFrame)
+	stop := context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
+	defer stop()
+	r := bufio.NewReaderSize(nc, bufferSize)
+	first, err := readFrame(r, t.config.MaxFrame)
+	if err == nil && first.kind != wire.KindHello {
+		err = errors.Newf("expected a hello, got kind %d", first.kind)
+	}
+	if err == nil {
+		_, err = c.hello.UnmarshalMsg(first.payload)
+	}
+	if err != nil {
+		c.close(err)
+		return
+	}
+	t.config.OnHello(c.hello)
+	go c.write()
+	if err := c.respond(&t.config.Hello, first.call); err != nil {
+		c.close(err)
+		return
+	}
+	c.close(t.read(ctx, c, r))
+}
+
+// read serves requests and delivers responses until the connection fails.
+func (t *Transport) read(ctx context.Context, c *conn, r *bufio.Reader) error {
+	for {
+		f, err := readFrame(r, t.config.MaxFrame)
+		if err != nil {
+			return err
+		}
+		if f.response {
+			c.deliver(f)
+			continue
+		}
+		go t.serveCall(ctx, c, f)
+	}
+}
+
+func (t *Transport) serveCall(ctx context.Context, c *conn, f frame) {
+	var response wire.Message
+	handle := t.handlers[f.kind]
+	if handle == nil {
+		response = &wire.ErrorResponse{Reason: fmt.Sprintf("message kind %d is unknown to this release", f.kind)}
+	} else if m, err := handle(ctx, &c.hello, f.payload); err != nil {
+		response = &wire.ErrorResponse{Reason: err.Error()}
+	} else {
+		response = m
+	}
+	if err := c.respond(response, f.call); err != nil {
+		c.close(err)
+	}
+}
+
+// Call sends a request to the peer at address and decodes its response. Its
+// errors are of type *Error.
+func (t *Transport) Call(ctx context.Context, address string, request wire.Message, response interface {
+	wire.Message
+	msgp.Unmarshaler
+}) error {
+	c, err := t.connect(ctx, address)
+	if err != nil {
+		return &Error{verdict.NotRun, address, err}
+	}
+	f, sent, err := c.call(ctx, request)
+	if err != nil {
+		v := verdict.NotRun
+		if sent {
+			v = verdict.MayHaveRun
+		}
+		return &Error{v, address, err}
+	}
+	if f.kind == wire.KindErrorResponse {
+		var refusal wire.ErrorResponse
+		if _, err := refusal.UnmarshalMsg(f.payload); err != nil {
+			return &Error{verdict.MayHaveRun, address, err}
+		}
+		return &Error{verdict.NotRun, address, errors.Newf("refused: %s", refusal.Reason)}
+	}
+	if f.kind != response.Kind() {
+		return &Error{verdict.MayHaveRun, address, errors.Newf("unexpected message kind %d", f.kind)}
+	}
+	if _, err := response.UnmarshalMsg(f.payload); err != nil {
+		return &Error{verdict.MayHaveRun, address, err}
+	}
+	return nil
+}
+
+func (t *Transport) link(address string) *link {
+	s := &t.shards[rendezvous.Hash(address)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[address]
+	if l == nil {
+		l = &link{}
+		s.links[address] = l
+	}
+	return l
+}
+
+// connect returns the open connection to an address or dials a new one.
+func (t *Transport) connect(ctx context.Context, address string) (*conn, error) {
+	l := t.link(address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil && l.conn.reason() == nil {
+		return l.conn, nil
+	}
+	c, err := t.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	l.conn = c
+	return c, nil
+}
+
+func (t *Transport) dial(ctx context.Context, address string) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, t.config.DialTimeout)
+	defer cancel()
+	var dialer net.Dialer
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(nc, t.config.MaxFrame)
+	go c.write()
+	go func() {
+		c.close(t.read(context.WithoutCancel(ctx), c, bufio.NewReaderSize(nc, bufferSize)))
+	}()
+	f, _, err := c.call(ctx, &t.config.Hello)
+	if err == nil && f.kind != wire.KindHello {
+		err = errors.Newf("expected a hello, got kind %d", f.kind)
+	}
+	if err == nil {
+		_, err = c.hello.UnmarshalMsg(f.payload)
+	}
+	if err != nil {
+		c.close(err)
+		return nil, err
+	}
+	t.config.OnHello(c.hello)
+	return c, nil
+}
--- /dev/null
+++ b/internal/replay/cluster.go
@@ -0,0 +1,186 @@
+package replay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/examples"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/valyala/fasthttp"
+)
+
+// Layout describes a system of real processes.
+type Layout struct {
+	DataCentres []string
+	// VMs is the number of daemons in each data centre.
+	VMs int
+	// Upstreams is the number of upstreams in each data centre.
+	Upstreams int
+	Slots     int
+	// Speeds of the upstreams relative to the fastest, repeated in turn.
+	Speeds []float64
+	// Dir receives logs and the services file.
+	Dir string
+}
+
+// cluster is a running system.
+type cluster struct {
+	layout    Layout
+	platform  string
+	http      []string // addresses of the daemons for callers
+	processes []*process
+	upstreams []api.VM
+}
+
+// startCluster starts every process and waits until all daemons are ready.
+func startCluster(ctx context.Context, layout Layout) (*cluster, error) {
+	c := &cluster{layout: layout}
+	if err := c.start(ctx); err != nil {
+		c.stop()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *cluster) start(ctx context.Context) error {
+	schema := filepath.Join(c.layout.Dir, "services.yaml")
+	if err := os.WriteFile(schema, examples.RotaDesk, 0o644); err != nil {
+		return err
+	}
+	count := len(c.layout.DataCentres) * c.layout.VMs
+	addresses, err := freeAddresses(1 + 2*count)
+	if err != nil {
+		return err
+	}
+	c.platform = addresses[0]
+	c.http = addresses[1 : 1+count]
+	if err := c.startStandins(ctx); err != nil {
+		return err
+	}
+	if err := c.startDaemons(schema, addresses[1+count:]); err != nil {
+		return err
+	}
+	for _, address := range c.http {
+		if err := awaitHTTP(ctx, address, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startStandins starts the platform, then the upstreams of each data centre.
+func (c *cluster) startStandins(ctx context.Context) error {
+	if err := c.run("platform", "platform", "-listen", c.platform); err != nil {
+		return err
+	}
+	if err := awaitHTTP(ctx, c.platform, "/v1/vms"); err != nil {
+		return err
+	}
+	speeds := make([]string, len(c.layout.Speeds))
+	for i, speed := range c.layout.Speeds {
+		speeds[i] = strconv.FormatFloat(speed, 'g', -1, 64)
+	}
+	for _, dataCentre := range c.layout.DataCentres {
+		err := c.run("upstreams-"+dataCentre, "upstreams", "-platform", c.platform, "-data-centre", dataCentre,
+			"-count", strconv.Itoa(c.layout.Upstreams), "-slots", strconv.Itoa(c.layout.Slots),
+			"-speeds", strings.Join(speeds, ","))
+		if err != nil {
+			return err
+		}
+	}
+	return c.awaitUpstreams(ctx)
+}
+
+// awaitUpstreams waits until every upstream is on the platform's list.
+func (c *cluster) awaitUpstreams(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	directory := platform.NewClient(c.platform, time.Second)
+	expected := len(c.layout.DataCentres) * c.layout.Upstreams
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		list, err := directory.VMs(ctx)
+		if err == nil && len(list.VMs) == expected {
+			c.upstreams = list.VMs
+			return nil
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.New("upstreams did not register")
+		}
+	}
+}
+
+func (c *cluster) startDaemons(schema string, peers []string) error {
+	var seeds []string
+	for i, address := range peers {
+		dataCentre := c.layout.DataCentres[i/c.layout.VMs]
+		seeds = append(seeds, fmt.Sprintf("vm%d=%s/%s", i, dataCentre, address))
+	}
+	for i, address := range peers {
+		err := c.run(fmt.Sprintf("vm%d", i), "daemon",
+			"-vm", fmt.Sprintf("vm%d", i), "-data-centre", c.layout.DataCentres[i/c.layout.VMs],
+			"-http-listen", c.http[i], "-peer-listen", address, "-seeds", strings.Join(seeds, ","),
+			"-platform", c.platform, "-schema-file", schema)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *cluster) run(name string, args ...string) error {
+	p, err := startProcess(name, c.layout.Dir, args...)
+	if err == nil {
+		c.processes = append(c.processes, p)
+	}
+	return err
+}
+
+// stop ends every process, the daemons first, and joins their exit errors.
+func (c *cluster) stop() error {
+	var errs []error
+	for i := len(c.processes) - 1; i >= 0; i-- {
+		if err := c.processes[i].stop(); err != nil {
+			errs = append(errs, errors.Wrap(err, c.processes[i].name))
+		}
+	}
+	c.processes = nil
+	return errors.Join(errs...)
+}
+
+// starts collects the start logs of all upstreams.
+func (c *cluster) starts() ([]api.StartEntry, error) {
+	var all []api.StartEntry
+	for _, vm := range c.upstreams {
+		_, body, err := fasthttp.GetTimeout(nil, "http://"+vm.Address+"/standin/starts", startTimeout)
+		if err != nil {
+			return nil, errors.Wrapf(err, "start log of %s", vm.Name)
+		}
+		var log api.StartLog
+		if err := json.Unmarshal(body, &log); err != nil {
+			return nil, errors.Wrapf(err, "start log of %s", vm.Name)
+		}
+		all = append(all, log.Starts...)
+	}
+	return all, nil
+}
+
+// speedSum returns the summed speed of all slots.
+func (c *cluster) speedSum() float64 {
+	sum := 0.0
+	for i := range c.layout.Upstreams {
+		sum += c.layout.Speeds[i%len(c.layout.Speeds)] * float64(c.layout.Slots)
+	}
+	return sum * float64(len(c.layout.DataCentres))
+}
--- /dev/null
+++ b/internal/replay/load.go
@@ -0,0 +1,127 @@
+package replay
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/client"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/verdict"
+	"golang.org/x/sync/errgroup"
+)
+
+// jobTimeout is the deadline of every replayed job.
+const jobTimeout = 15 * time.Second
+
+// outcome is what became of one job of the trace.
+type outcome struct {
+	job      *TraceJob
+	response time.Duration
+	failure  *verdict.Error // nil where the answer was complete
+	partial  bool
+}
+
+// denial is an answer that said that nothing had run.
+type denial struct {
+	submission string
+	at         time.Time
+}
+
+// load replays a trace and records its outcomes.
+type load struct {
+	addresses []string
+
+	mu       sync.Mutex // guards the fields below
+	clients  map[string]*client.Client
+	denials  []denial
+	attempts int
+}
+
+func newLoad(addresses []string) *load {
+	return &load{addresses: addresses, clients: map[string]*client.Client{}}
+}
+
+// replay makes every call at its time and waits for all answers.
+func (l *load) replay(ctx context.Context, jobs []TraceJob) []outcome {
+	outcomes := make([]outcome, len(jobs))
+	begin := time.Now()
+	var g errgroup.Group
+	for i := range jobs {
+		time.Sleep(time.Until(begin.Add(time.Duration(jobs[i].ArrivalUS) * time.Microsecond)))
+		g.Go(func() error {
+			outcomes[i] = l.call(ctx, &jobs[i])
+			return nil
+		})
+	}
+	// The calls report their failures in the outcomes.
+	_ = g.Wait()
+	return outcomes
+}
+
+func (l *load) call(ctx context.Context, job *TraceJob) outcome {
+	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
+	defer cancel()
+	begin := time.Now()
+	results, err := l.client(job.Caller).Call(ctx, client.Request{
+		Service: job.Service, Call: job.Call, Key: job.Key, Parameters: parametersOf(job),
+	})
+	o := outcome{job: job, response: time.Since(begin), failure: verdict.From(err)}
+	if err == nil {
+		o.partial = !whole(job, results)
+	}
+	return o
+}
+
+func (l *load) client(caller string) *client.Client {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := l.clients[caller]
+	if c == nil {
+		c = client.New(client.Config{Addresses: l.addresses, Caller: caller, Observe: func(a client.Attempt) {
+			l.observe(caller, a)
+		}})
+		l.clients[caller] = c
+	}
+	return c
+}
+
+func (l *load) observe(caller string, a client.Attempt) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.attempts++
+	if a.Failure != nil && a.Failure.Verdict == verdict.NotRun {
+		l.denials = append(l.denials, denial{caller + "/" + a.Key, a.Ended})
+	}
+}
+
+// parametersOf builds the body of a call from its traced tasks.
+func parametersOf(job *TraceJob) map[string]any {
+	items := make([]api.StandinTask, len(job.Tasks))
+	for i, task := range job.Tasks {
+		items[i].RunUS = task.RunUS
+	}
+	switch job.Call {
+	case "heat-alert":
+		return map[string]any{"gallery": "east", "figures": items}
+	case "touch-up":
+		return map[string]any{"figure": "queen", "steps": items}
+	default:
+		return map[string]any{"batches": items}
+	}
+}
+
+// whole tells whether an answer holds each result of its own job, in order.
+func whole(job *TraceJob, results []json.RawMessage) bool {
+	if len(results) != len(job.Tasks) {
+		return false
+	}
+	for i, raw := range results {
+		var result api.StandinResult
+		if json.Unmarshal(raw, &result) != nil || result.Task != i || result.Submission != job.Caller+"/"+job.Key {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/replay/suite.go
@@ -0,0 +1,77 @@
+package replay
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Options are the settings of a suite.
+type Options struct {
+	Seed int64
+	// Seconds is the length of the load.
+	Seconds float64
+}
+
+// ErrBroken is returned with the report of a suite in which a promise was
+// broken.
+var ErrBroken = errors.New("a promise was broken")
+
+// suites are the suites by name.
+var suites = map[string]func(context.Context, Options) (*Report, error){
+	"thin": runThin,
+}
+
+// RunSuite runs a suite on processes of its own.
+func RunSuite(ctx context.Context, name string, options Options) (*Report, error) {
+	run := suites[name]
+	if run == nil {
+		return nil, errors.Newf("unknown suite %q", name)
+	}
+	begin := time.Now()
+	report, err := run(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	report.Suite, report.Seed = name, options.Seed
+	report.ElapsedMS = time.Since(begin).Milliseconds()
+	if report.broken() {
+		return report, ErrBroken
+	}
+	return report, nil
+}
+
+// runThin sends a moderate load through the whole path without faults.
+func runThin(ctx context.Context, options Options) (*Report, error) {
+	dir, err := os.MkdirTemp("", "mustardstep-replay-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	layout := Layout{
+		DataCentres: []string{"casablanca", "rabat"}, VMs: 2, Upstreams: 6, Slots: 8,
+		Speeds: []float64{1, 0.75, 0.5, 0.25}, Dir: dir,
+	}
+	c, err := startCluster(ctx, layout)
+	if err != nil {
+		return nil, err
+	}
+	const meanTaskUS = 50_000
+	const utilization = 0.3
+	jobs := Generate(Shape{
+		Seed: options.Seed, Seconds: options.Seconds, MeanTaskUS: meanTaskUS, Callers: 40,
+		TasksPerSecond: utilization * c.speedSum() * 1e6 / meanTaskUS,
+	})
+	load := newLoad(c.http)
+	outcomes := load.replay(ctx, jobs)
+	starts, err := c.starts()
+	stopErr := c.stop()
+	if err := errors.Join(err, stopErr); err != nil {
+		return nil, err
+	}
+	report := &Report{}
+	judge(report, outcomes, load.denials, starts, c.speedSum())
+	return report, nil
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,106 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/valyala/fasthttp"
+)
+
+// platformServer serves a platform.Memory over HTTP.
+type platformServer struct{ memory *platform.Memory }
+
+// RunPlatform serves the platform's key-value service and VM list until the
+// context ends.
+func RunPlatform(ctx context.Context, s settings.Standin) error {
+	listener, err := net.Listen("tcp", s.Listen)
+	if err != nil {
+		return err
+	}
+	return ServePlatform(ctx, listener, platform.NewMemory())
+}
+
+// ServePlatform serves memory on a listener until the context ends.
+func ServePlatform(ctx context.Context, listener net.Listener, memory *platform.Memory) error {
+	p := &platformServer{memory}
+	return serve(ctx, listener, p.handle)
+}
+
+func (p *platformServer) handle(c *fasthttp.RequestCtx) {
+	args := c.QueryArgs()
+	prefix := string(args.Peek("prefix"))
+	switch string(c.Path()) {
+	case "/v1/kv":
+		response, err := p.memory.Range(c, prefix)
+		answer(c, response, err)
+	case "/v1/kv/txn":
+		var request api.TxnRequest
+		if err := json.Unmarshal(c.PostBody(), &request); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		response, err := p.memory.Txn(c, &request)
+		answer(c, response, err)
+	case "/v1/kv/watch":
+		after := int64(args.GetUintOrZero("after"))
+		wait := time.Duration(args.GetUintOrZero("wait_ms")) * time.Millisecond
+		response, err := p.memory.Watch(c, prefix, after, wait)
+		answer(c, response, err)
+	case "/v1/vms":
+		response, err := p.memory.VMs(c)
+		answer(c, response, err)
+	case "/standin/vms":
+		var vm api.VM
+		if err := json.Unmarshal(c.PostBody(), &vm); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		p.memory.PutVM(vm)
+	default:
+		c.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func answer(c *fasthttp.RequestCtx, value any, err error) {
+	if err == nil {
+		writeJSON(c, fasthttp.StatusOK, value)
+		return
+	}
+	status := fasthttp.StatusServiceUnavailable
+	if verdict.From(err).Code == verdict.CodeTooLarge {
+		status = fasthttp.StatusRequestEntityTooLarge
+	}
+	c.Error(err.Error(), status)
+}
+
+// RegisterVM puts a VM on the list of the platform stand-in at address. An
+// empty address registers nowhere.
+func RegisterVM(address string, vm api.VM) error {
+	if address == "" {
+		return nil
+	}
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return err
+	}
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + "/standin/vms")
+	request.SetBody(body)
+	if err := fasthttp.DoTimeout(request, response, stopTimeout); err != nil {
+		return errors.Wrapf(err, "register %s", vm.Name)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return errors.Newf("register %s: status %d", vm.Name, response.StatusCode())
+	}
+	return nil
+}
