--- /dev/null
+++ b/daemon/acting.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"sync"
+
+	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/ownership"
+)
+
+// acting holds the actions that are under way. It is safe for concurrent use.
+type acting struct {
+	mu      sync.Mutex // guards actions
+	actions map[ownership.Action]bool
+}
+
+// begin enters an action. It returns false where it is under way already.
+func (a *acting) begin(action ownership.Action) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.actions == nil {
+		a.actions = map[ownership.Action]bool{}
+	}
+	if a.actions[action] {
+		return false
+	}
+	a.actions[action] = true
+	return true
+}
+
+func (a *acting) end(action ownership.Action) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.actions, action)
+}
+
+// memberSet is a set of incarnations. It is safe for concurrent use.
+type memberSet struct {
+	mu  sync.Mutex // guards ids
+	ids map[membership.ID]bool
+}
+
+// add reports whether the incarnation is new to the set.
+func (s *memberSet) add(id membership.ID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ids == nil {
+		s.ids = map[membership.ID]bool{}
+	}
+	isNew := !s.ids[id]
+	s.ids[id] = true
+	return isNew
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,8 +23,8 @@
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/internal/upstream"
-	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/ownership"
 	"github.com/mustardstep/mustardstep/submission"
 	"golang.org/x/sync/errgroup"
 )
@@ -43,7 +43,7 @@
 	metrics   *metrics
 
 	catalog     atomic.Pointer[catalog.Catalog]
-	members     *membership.Table
+	node        *ownership.Node
 	submissions *submission.Table
 	dispatcher  *dispatch.Dispatcher
 
@@ -51,7 +51,17 @@
 	peers     *peer.Transport
 	upstreams *upstream.Client
 	directory platform.Directory // nil without a platform
-	ready     atomic.Bool
+	store     platform.Store     // nil without a platform
+
+	acting  acting
+	records recorder
+	jobs    jobSet
+	dropped memberSet
+
+	listed   atomic.Bool  // the platform's list has been read, or there is none
+	draining atomic.Bool  // readiness has fallen
+	stopped  atomic.Bool  // the last task has started
+	forwards atomic.Int64 // calls of peers in progress
 }
 
 // New returns a daemon that is not running yet.
@@ -67,36 +77,43 @@
 		Address:     s.Network.PeerListen,
 	}
 	d := &Daemon{
-		settings:    s,
-		log:         log.With(slog.String("vm", self.VM)),
-		metrics:     newMetrics(),
-		members:     membership.NewTable(self, seeds),
-		submissions: submission.NewTable(s.Jobs.Retention),
-		dispatcher:  dispatch.New(dispatch.Config{MaxQueued: s.Jobs.MaxQueued}),
-		upstreams: upstream.NewClient(upstream.Config{
-			DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
+		settings: s,
+		log:      log.With(slog.String("vm", self.VM)),
+		metrics:  newMetrics(),
+		node: ownership.New(time.Now(), ownership.Config{
+			Membership: membership.Config{
+				Self: self, Seeds: seeds, DataCentres: s.Membership.DataCentres,
+				Interval: s.Membership.Heartbeat, Fence: s.Membership.Fence,
+				Retention: s.Jobs.Retention, RefusalProof: s.Membership.RefusalProof,
+			},
+			JoinTimeout: s.Membership.JoinTimeout, Budget: s.Jobs.Memory, Fanout: s.Membership.Fanout,
 		}),
+		dispatcher: dispatch.New(dispatch.Config{MaxQueued: s.Jobs.MaxQueued}),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
 	if err := d.loadCatalog(); err != nil {
 		return nil, err
 	}
+	d.submissions = d.node.Submissions()
+	d.upstreams = upstream.NewClient(upstream.Config{
+		DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
+		Permit: d.permit,
+	})
 	if s.Platform.Address != "" {
-		d.directory = platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
+		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
+		d.directory, d.store = client, client
 	}
 	d.front = httpfront.New(httpfront.Config{MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars}, d)
 	d.peers = peer.New(peer.Config{
-		Hello: wire.Hello{
-			VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
-			Address: self.Address, Version: Version,
-		},
+		Hello:       d.hello(self),
 		DialTimeout: s.Network.DialTimeout,
 		MaxFrame:    s.Network.MaxFrame,
 		OnHello:     d.heard,
+		OnClose:     d.disconnected,
 	})
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
-	peer.Handle(d.peers, d.handleRecord)
+	d.handleMembers()
 	return d, nil
 }
 
@@ -131,11 +148,14 @@
 		callers.Close()
 		return errors.Wrap(err, "listen for peers")
 	}
-	// Peers are served until the calls in progress have ended.
+	// Peers are served until the last task has started and every answer is
+	// out: a refused connection proves the end of this process.
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return d.peers.Serve(serving, peers) })
 	g.Go(func() error { return d.front.Serve(callers) })
+	g.Go(func() error { return d.keepMembers(serving) })
+	g.Go(func() error { return d.keepHistory(serving) })
 	g.Go(func() error { return d.followUpstreams(serving) })
 	g.Go(func() error {
 		defer stopServing()
@@ -149,28 +169,18 @@
 	return g.Wait()
 }
 
-func (d *Daemon) drain() error {
-	d.ready.Store(false)
-	d.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Jobs.DrainTimeout)
-	defer cancel()
-	return d.front.Shutdown(ctx)
-}
-
 // Catalog implements httpfront.Backend.
 func (d *Daemon) Catalog() *catalog.Catalog { return d.catalog.Load() }
 
 // Ready implements httpfront.Backend.
 func (d *Daemon) Ready() error {
-	if !d.ready.Load() {
-		return errors.New("starting or draining")
+	switch {
+	case d.draining.Load():
+		return errors.New("draining")
+	case !d.node.Ready():
+		return errors.New("joining")
+	case !d.listed.Load():
+		return errors.New("the platform's list has not been read")
 	}
 	return nil
 }
-
-// heard notes a peer that presented itself.
-func (d *Daemon) heard(h wire.Hello) {
-	d.members.Heard(membership.Member{
-		VM: h.VM, Incarnation: h.Incarnation, DataCentre: h.DataCentre, Address: h.Address,
-	})
-}
--- /dev/null
+++ b/daemon/drain.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/verdict"
+)
+
+// drainPoll is the time between looks at what a drain waits for.
+const drainPoll = 5 * time.Millisecond
+
+// jobSet holds the jobs that run on this VM. It is safe for concurrent use.
+type jobSet struct {
+	mu   sync.Mutex // guards jobs
+	jobs map[*running]bool
+}
+
+func (s *jobSet) add(run *running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.jobs == nil {
+		s.jobs = map[*running]bool{}
+	}
+	s.jobs[run] = true
+}
+
+func (s *jobSet) remove(run *running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.jobs, run)
+}
+
+func (s *jobSet) all() []*running {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var runs []*running
+	for run := range s.jobs {
+		runs = append(runs, run)
+	}
+	return runs
+}
+
+// abortAll ends every job of this VM.
+func (d *Daemon) abortAll(failure *verdict.Error) {
+	for _, run := range d.jobs.all() {
+		d.abort(run, failure)
+	}
+}
+
+// drain stops this VM without cutting a request: readiness falls, submissions
+// pass to the next in rank, the calls and jobs in progress end, their answers
+// are handed over, and the end is announced.
+func (d *Daemon) drain() error {
+	d.draining.Store(true)
+	d.log.Info("draining")
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Jobs.DrainTimeout)
+	defer cancel()
+	d.await(ctx, func() bool { return d.node.Leave(time.Now()) })
+	d.act(d.node.Due(time.Now()))
+	pause(ctx, d.settings.Jobs.DrainDelay)
+	err := d.front.Shutdown(ctx)
+	finished := d.await(ctx, func() bool { return d.forwards.Load() == 0 && len(d.jobs.all()) == 0 })
+	if !finished {
+		d.log.Warn("drain timeout", slog.Int("jobs", len(d.jobs.all())))
+	}
+	d.stopped.Store(true)
+	d.handOver(ctx)
+	return err
+}
+
+// handOver gives the answers to the members that follow this one and announces
+// its end.
+func (d *Daemon) handOver(ctx context.Context) {
+	d.toAll(func(m membership.Member) { d.fill(ctx, m) })
+	d.node.Members().End(time.Now())
+	d.toAll(func(m membership.Member) { d.heartbeat(ctx, m) })
+}
+
+// toAll does something for every other member of the data centre at once.
+func (d *Daemon) toAll(do func(membership.Member)) {
+	var wg sync.WaitGroup
+	for _, m := range d.node.Members().Unended() {
+		wg.Go(func() { do(m) })
+	}
+	wg.Wait()
+}
+
+// await waits until a condition holds or the context ends.
+func (d *Daemon) await(ctx context.Context, holds func() bool) bool {
+	for !holds() {
+		if !pause(ctx, drainPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// pause waits for a time. It returns false where the context ends first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -43,7 +43,8 @@
 	if outcome.Failure != nil {
 		d.dispatcher.Cancel(run.call.Service, run.entry.ID)
 	}
-	d.submissions.Finish(time.Now(), run.entry, outcome)
+	d.submissions.Finish(run.entry, outcome)
+	d.jobs.remove(run)
 }
 
 // place carries out assignments, each on its own goroutine: a task holds its
@@ -58,7 +59,7 @@
 // run sends one task to its upstream and enters the result.
 func (d *Daemon) run(a dispatch.Assignment) {
 	run := a.Task.Work.(*running)
-	if !run.job.Offer() {
+	if !d.awaitPermission(run.entry, a.Task.Deadline) || !run.job.Offer() {
 		d.release(a, dispatch.Result{Ending: dispatch.Skipped})
 		return
 	}
--- /dev/null
+++ b/daemon/history.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/ownership"
+)
+
+// historyPrefix is the place of the founders in the platform's service.
+const historyPrefix = "mustardstep/founder/"
+
+// historyPoll is the time between looks at whether the join needs the history.
+const historyPoll = 20 * time.Millisecond
+
+// keepHistory finds out, for an incarnation that meets no admitted member,
+// whether its data centre had members before. Without a platform it takes it
+// that there were none; with one that does not answer, that there were.
+func (d *Daemon) keepHistory(ctx context.Context) error {
+	if d.store == nil {
+		d.node.SetHistory(ownership.HistoryNone)
+		d.act(d.node.Due(time.Now()))
+		return nil
+	}
+	for !d.node.Ready() && pause(ctx, historyPoll) {
+		if d.node.NeedsHistory() {
+			h := d.readHistory(ctx)
+			d.log.Info("history", slog.Bool("lost", h == ownership.HistoryLost))
+			d.node.SetHistory(h)
+			d.act(d.node.Due(time.Now()))
+		}
+	}
+	return nil
+}
+
+// readHistory reads the founder's entry and makes this incarnation the founder
+// where there is none or where it has ended.
+func (d *Daemon) readHistory(ctx context.Context) ownership.History {
+	self := d.node.View().Self
+	key := historyPrefix + self.DataCentre
+	found, err := d.store.Range(ctx, key)
+	if err != nil {
+		d.log.Warn("founder of the data centre", slog.Any("error", err))
+		return ownership.HistoryLost
+	}
+	mine := wire.Founder{Member: encodeMember(self)}
+	var revision int64
+	for _, entry := range found.Entries {
+		var founder wire.Founder
+		if entry.Key != key {
+			continue
+		}
+		if _, err := founder.UnmarshalMsg(entry.Value); err != nil {
+			return ownership.HistoryLost
+		}
+		if d.present(decodeMember(founder.Member)) {
+			return historyOf(founder)
+		}
+		revision, mine.Lost = entry.ModRevision, true
+	}
+	value, err := mine.MarshalMsg(nil)
+	if err != nil {
+		return ownership.HistoryLost
+	}
+	response, err := d.store.Txn(ctx, &api.TxnRequest{
+		Compares: []api.Compare{{Key: key, ModRevision: revision}},
+		Puts:     []api.KeyValue{{Key: key, Value: value}},
+	})
+	if err == nil && !response.Succeeded {
+		return ownership.HistoryUnknown // another incarnation was first; it is read next
+	}
+	if err != nil {
+		return ownership.HistoryLost
+	}
+	return historyOf(mine)
+}
+
+func historyOf(founder wire.Founder) ownership.History {
+	if founder.Lost {
+		return ownership.HistoryLost
+	}
+	return ownership.HistoryNone
+}
+
+// present tells whether an incarnation is one of the members.
+func (d *Daemon) present(m membership.Member) bool {
+	f, known := d.node.View().Fact(m.ID())
+	return known && f.Ended == membership.NotEnded
+}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -9,6 +9,8 @@
 
 	calls, complete, failed     *expvar.Int
 	forwards, records           *expvar.Int
+	recordFrames                *expvar.Int
+	heartbeats, fills           *expvar.Int
 	starts, refusals, mayHave   *expvar.Int
 	platformCalls, platformFail *expvar.Int
 }
@@ -26,6 +28,9 @@
 	m.mayHave = counter("calls_may_have_run")
 	m.forwards = counter("forwards_sent")
 	m.records = counter("records_sent")
+	m.recordFrames = counter("record_frames_sent")
+	m.heartbeats = counter("heartbeats_sent")
+	m.fills = counter("fills_sent")
 	m.starts = counter("task_starts_sent")
 	m.refusals = counter("task_starts_refused")
 	m.platformCalls = counter("platform_calls")
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -2,35 +2,118 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/membership"
 	"github.com/mustardstep/mustardstep/submission"
-	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// record stores the start record at the second in rank, if there is one.
-func (d *Daemon) record(entry *submission.Entry, holder membership.Member) *verdict.Error {
-	if holder.VM == "" {
-		return nil
+// maxBatch is the most records of one message.
+const maxBatch = 512
+
+// recorder batches start records: while one message is on its way to a holder,
+// the records that come up wait for the next.
+type recorder struct {
+	mu      sync.Mutex // guards holders and every queue
+	holders map[membership.ID]*recordQueue
+}
+
+// recordQueue holds what waits for one holder.
+type recordQueue struct {
+	waiting []pendingRecord
+	sending bool
+}
+
+type pendingRecord struct {
+	record submission.Record
+	done   chan<- error // has room for one
+}
+
+// errRefused marks records that their holder did not take.
+var errRefused = errors.New("the holder refused the record")
+
+// record stores a start record at its holder and waits for the answer.
+func (d *Daemon) record(ctx context.Context, r submission.Record, holder membership.Member) error {
+	done := make(chan error, 1)
+	if d.records.add(holder.ID(), pendingRecord{r, done}) {
+		go d.sendRecords(holder)
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// add queues a record and reports whether the caller must send the queue.
+func (r *recorder) add(holder membership.ID, p pendingRecord) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.holders == nil {
+		r.holders = map[membership.ID]*recordQueue{}
+	}
+	q := r.holders[holder]
+	if q == nil {
+		q = &recordQueue{}
+		r.holders[holder] = q
 	}
+	q.waiting = append(q.waiting, p)
+	mustSend := !q.sending
+	q.sending = true
+	return mustSend
+}
+
+// take removes the next batch. An empty one ends the sending.
+func (r *recorder) take(holder membership.ID) []pendingRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	q := r.holders[holder]
+	n := min(len(q.waiting), maxBatch)
+	batch := q.waiting[:n:n]
+	q.waiting = q.waiting[n:]
+	if n == 0 {
+		delete(r.holders, holder)
+	}
+	return batch
+}
+
+// sendRecords sends batches to a holder until none waits.
+func (d *Daemon) sendRecords(holder membership.Member) {
+	for {
+		batch := d.records.take(holder.ID())
+		if len(batch) == 0 {
+			return
+		}
+		err := d.sendBatch(holder, batch)
+		for _, p := range batch {
+			p.done <- err
+		}
+	}
+}
+
+func (d *Daemon) sendBatch(holder membership.Member, batch []pendingRecord) error {
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Network.PeerTimeout)
 	defer cancel()
-	d.metrics.records.Add(1)
-	request := &wire.RecordRequest{Owner: d.settings.Network.VM, Records: []wire.StartRecord{
-		{Caller: entry.ID.Caller, Key: entry.ID.Key, Digest: entry.Digest},
-	}}
+	d.metrics.records.Add(int64(len(batch)))
+	d.metrics.recordFrames.Add(1)
+	records := make([]submission.Record, len(batch))
+	for i, p := range batch {
+		records[i] = p.record
+	}
+	request := &wire.RecordRequest{
+		From: encodeMember(d.node.View().Self), To: uint64(holder.ID()), Records: encodeRecords(time.Now(), records),
+	}
 	var response wire.RecordResponse
-	if err := d.peers.Call(ctx, holder.Address, request, &response); err != nil {
-		return verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "record holder: %v", err).WithRetryAfter(time.Second)
+	if err := d.callMember(ctx, holder, request, &response); err != nil {
+		d.suspect(holder)
+		return err
 	}
 	if !response.Accepted {
-		return verdict.Errorf(verdict.NotRun, verdict.CodeNotReady, "record holder: %s", response.Reason).WithRetryAfter(time.Second)
+		return errRefused
 	}
 	return nil
 }
-
-func (d *Daemon) handleRecord(_ context.Context, _ *wire.Hello, m *wire.RecordRequest) wire.Message {
-	return &wire.RecordResponse{Accepted: true}
-}
--- a/daemon/route.go
+++ b/daemon/route.go
@@ -5,17 +5,26 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/ownership"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// maxHops bounds the forwards of a call while VMs disagree on its owner.
-const maxHops = 3
+const (
+	// maxHops bounds the forwards of a call while VMs disagree on its owner.
+	maxHops = 4
+	// reroutePoll is the longest wait before a call is routed anew.
+	reroutePoll = 20 * time.Millisecond
+	// answerGrace lets the answer that reports a missed deadline, whose
+	// verdict is sharper, arrive.
+	answerGrace = 50 * time.Millisecond
+)
 
 // Submit implements httpfront.Backend.
 func (d *Daemon) Submit(ctx context.Context, r *submission.Request) submission.Answer {
 	d.metrics.calls.Add(1)
-	answer := d.route(ctx, r, 0)
+	answer := d.newRoute(r, 0, 0).run(ctx)
 	switch failure := answer.Outcome.Failure; {
 	case failure == nil:
 		d.metrics.complete.Add(1)
@@ -29,86 +38,211 @@
 	return answer
 }
 
-// route runs a submission here or forwards it to its owner.
-func (d *Daemon) route(ctx context.Context, r *submission.Request, hops uint8) submission.Answer {
-	view := d.members.View()
-	home := view.HomeOf(r.ID.Caller)
-	owner, holder, ok := view.Ranked(home, r.ID.Hash())
-	if !ok {
-		return d.failed(verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "data centre %s has no VM", home))
+// route is the way of one call at this VM. It is used by one goroutine.
+type route struct {
+	d       *Daemon
+	request *submission.Request
+	call    ownership.Call
+	hops    uint8
+	// sent tells that an attempt may have reached another VM.
+	sent bool
+	// failed are members that could not be reached.
+	failed map[membership.Member]bool
+	reason string
+	answer submission.Answer
+}
+
+func (d *Daemon) newRoute(r *submission.Request, hops uint8, pinnedTo uint64) *route {
+	return &route{
+		d: d, request: r, hops: hops, failed: map[membership.Member]bool{},
+		call: ownership.Call{
+			ID: r.ID, Digest: r.Digest(), Fresh: r.FreshKey, PinnedTo: membership.ID(pinnedTo),
+			Expires: r.Deadline.Add(d.settings.Jobs.Retention),
+		},
 	}
-	if owner.VM == view.Self.VM {
-		d.decisions.Route(r.ID, home, owner.VM, "owner")
-		return submission.Answer{Outcome: d.own(ctx, r, holder), Owner: owner.VM}
+}
+
+// run follows the call until it has an answer. While the members change it is
+// routed anew under its one key, which the owner joins to earlier attempts.
+func (t *route) run(ctx context.Context) submission.Answer {
+	ctx, cancel := context.WithDeadline(ctx, t.request.Deadline)
+	defer cancel()
+	for {
+		viewChanged, filled := t.d.node.Members().Changed(), t.d.node.Filled()
+		step := t.d.node.Begin(time.Now(), t.call)
+		if t.take(ctx, step) {
+			return t.answer
+		}
+		timer := time.NewTimer(reroutePoll)
+		select {
+		case <-viewChanged:
+		case <-filled:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return t.expired()
+		}
 	}
-	if hops >= maxHops {
-		return d.failed(verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "owner not settled after %d forwards", hops))
+}
+
+// take carries out a step. It returns true where the call has its answer.
+func (t *route) take(ctx context.Context, step ownership.Step) bool {
+	switch step.Kind {
+	case ownership.Answer:
+		return t.end(step.Outcome)
+	case ownership.Unstarted:
+		t.answer = submission.Answer{Unstarted: true}
+		return true
+	case ownership.Forward:
+		return t.forward(ctx, t.reachable(step.To), 0)
+	case ownership.ForwardPinned:
+		return t.forward(ctx, step.To, step.To.ID())
+	case ownership.Await:
+		return t.await(step.Entry)
+	case ownership.StoreRecord:
+		return t.take(ctx, t.record(ctx, step))
+	case ownership.Run:
+		t.d.decisions.Route(t.request.ID, t.d.settings.Network.DataCentre, t.d.settings.Network.VM, "owner")
+		t.d.start(t.request, step.Entry)
+		return t.await(step.Entry)
+	default:
+		t.reason = step.Reason
+		return false
 	}
-	d.decisions.Route(r.ID, home, owner.VM, "forward")
-	return d.forward(ctx, r, owner.Address, hops+1)
 }
 
-func (d *Daemon) failed(failure *verdict.Error) submission.Answer {
-	return submission.Answer{Outcome: submission.Outcome{Failure: failure}, Owner: d.settings.Network.VM}
+func (t *route) end(outcome submission.Outcome) bool {
+	t.answer = submission.Answer{Outcome: outcome, Owner: t.d.settings.Network.VM}
+	return true
 }
 
-// forward sends a submission to its owner and waits for the answer.
-func (d *Daemon) forward(ctx context.Context, r *submission.Request, address string, hops uint8) submission.Answer {
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
-	d.metrics.forwards.Add(1)
-	request := &wire.SubmitRequest{
-		Caller: r.ID.Caller, Key: r.ID.Key, Service: r.Service, Call: r.Call,
-		Parameters: r.Parameters, TimeoutMS: time.Until(r.Deadline).Milliseconds(), Hops: hops,
+func (t *route) fail(v verdict.Verdict, code verdict.Code, format string, args ...any) bool {
+	return t.end(submission.Outcome{Failure: verdict.Errorf(v, code, format, args...)})
+}
+
+// record stores the start record and returns what follows.
+func (t *route) record(ctx context.Context, step ownership.Step) ownership.Step {
+	if err := t.d.record(ctx, step.Entry.Record, step.To); err != nil {
+		return t.d.node.Unrecorded(step.Entry)
 	}
-	var response wire.SubmitResponse
-	if err := d.peers.Call(ctx, address, request, &response); err != nil {
-		// An earlier attempt under the key may have run even if this one did
-		// not reach the owner. Only a key that is new cannot have been used.
-		v := verdict.MayHaveRun
-		if r.FreshKey {
-			v = verdictOf(err)
+	return t.d.node.Recorded(step.Entry, step.To)
+}
+
+// await waits for the end of a submission, or for the caller's deadline.
+func (t *route) await(entry *submission.Entry) bool {
+	timer := time.NewTimer(time.Until(t.request.Deadline.Add(answerGrace)))
+	defer timer.Stop()
+	select {
+	case <-entry.Done():
+		if entry.Abandoned() {
+			return false
 		}
-		return d.failed(verdict.Errorf(v, verdict.CodeUnreachable, "owner of the submission: %v", err))
+		return t.end(entry.Outcome())
+	case <-timer.C:
+		return t.fail(verdict.MayHaveRun, verdict.CodeDeadline, "the submission is still running")
 	}
-	return submission.Answer{Outcome: outcomeOf(&response), Owner: response.Owner}
 }
 
-// handleSubmit serves a forwarded submission.
-func (d *Daemon) handleSubmit(ctx context.Context, _ *wire.Hello, m *wire.SubmitRequest) wire.Message {
-	r := &submission.Request{
-		ID:      submission.ID{Caller: m.Caller, Key: m.Key},
-		Service: m.Service, Call: m.Call, Parameters: m.Parameters,
-		Deadline: time.Now().Add(time.Duration(m.TimeoutMS) * time.Millisecond),
+// expired answers a call whose deadline passed while it was routed.
+func (t *route) expired() submission.Answer {
+	v := verdict.MayHaveRun
+	if t.call.Fresh && !t.sent || t.d.node.NotRun(time.Now(), t.call) {
+		v = verdict.NotRun
 	}
-	return responseOf(d.route(ctx, r, m.Hops))
+	t.fail(v, verdict.CodeDeadline, "the deadline passed: %s", t.reason)
+	return t.answer
 }
 
-// Cancel implements httpfront.Backend.
-func (d *Daemon) Cancel(ctx context.Context, id submission.ID) *verdict.Error {
-	return d.routeCancel(ctx, id, 0)
+// reachable returns the owner, or another member of its data centre where the
+// owner of another one could not be reached; that one knows better who owns.
+func (t *route) reachable(owner membership.Member) membership.Member {
+	view := t.d.node.View()
+	if owner.DataCentre == view.Self.DataCentre || !t.failed[owner] {
+		return owner
+	}
+	for _, m := range view.Members(owner.DataCentre) {
+		if !t.failed[m] {
+			return m
+		}
+	}
+	return membership.Member{}
 }
 
-func (d *Daemon) routeCancel(ctx context.Context, id submission.ID, hops uint8) *verdict.Error {
-	view := d.members.View()
-	owner, _, ok := view.Ranked(view.HomeOf(id.Caller), id.Hash())
-	if ok && owner.VM == view.Self.VM {
-		return d.cancelOwned(id)
+// forward sends the call to a member and takes its answer. It returns false
+// where the call is to be routed anew.
+func (t *route) forward(ctx context.Context, to membership.Member, pinnedTo membership.ID) bool {
+	if to.VM == "" {
+		return t.unreachable()
 	}
-	if !ok || hops >= maxHops {
-		return verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "no owner of the submission")
+	if t.hops >= maxHops {
+		t.answer = submission.Answer{Unsettled: true}
+		return true
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Network.PeerTimeout)
+	t.d.metrics.forwards.Add(1)
+	t.d.decisions.Route(t.request.ID, to.DataCentre, to.VM, "forward")
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), t.request.Deadline.Add(answerGrace))
 	defer cancel()
-	request := &wire.CancelRequest{Caller: id.Caller, Key: id.Key, Hops: hops + 1}
+	r := t.request
+	request := &wire.SubmitRequest{
+		Caller: r.ID.Caller, Key: r.ID.Key, Service: r.Service, Call: r.Call, Parameters: r.Parameters,
+		TimeoutMS: time.Until(r.Deadline).Milliseconds(), Hops: t.hops + 1,
+		Fresh: r.FreshKey && !t.sent, PinnedTo: uint64(pinnedTo),
+	}
 	var response wire.SubmitResponse
-	if err := d.peers.Call(ctx, owner.Address, request, &response); err != nil {
-		return verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "owner of the submission: %v", err)
+	err := t.d.callMember(ctx, to, request, &response)
+	if err != nil {
+		return t.unanswered(ctx, to, err)
+	}
+	if response.Unsettled {
+		t.reason = "the members disagree on the owner"
+		return false
+	}
+	if response.Unstarted {
+		return t.take(ctx, t.d.node.Unstarted(r.ID, to))
+	}
+	t.answer = submission.Answer{Outcome: outcomeOf(&response), Owner: response.Owner}
+	return true
+}
+
+// unanswered judges a forward that got no answer.
+func (t *route) unanswered(ctx context.Context, to membership.Member, err error) bool {
+	if verdictOf(err) != verdict.NotRun {
+		t.sent, t.call.Fresh = true, false
+	}
+	t.failed[to] = true
+	t.reason = err.Error()
+	if ctx.Err() != nil {
+		return t.fail(t.verdict(), verdict.CodeDeadline, "owner of the submission: %v", err)
 	}
-	return outcomeOf(&response).Failure
+	t.d.suspect(to)
+	return false
 }
 
-func (d *Daemon) handleCancel(ctx context.Context, _ *wire.Hello, m *wire.CancelRequest) wire.Message {
-	failure := d.routeCancel(ctx, submission.ID{Caller: m.Caller, Key: m.Key}, m.Hops)
-	return responseOf(submission.Answer{Outcome: submission.Outcome{Failure: failure}, Owner: d.settings.Network.VM})
+// unreachable answers a call whose home data centre cannot be reached.
+func (t *route) unreachable() bool {
+	return t.end(submission.Outcome{Failure: verdict.Errorf(t.verdict(), verdict.CodeUnreachable,
+		"no VM of the caller's home data centre can be reached: %s", t.reason).WithRetryAfter(time.Second)})
+}
+
+// verdict covers all that this VM knows of: an earlier attempt may have run
+// unless the key is fresh.
+func (t *route) verdict() verdict.Verdict {
+	if t.call.Fresh && !t.sent {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
+// handleSubmit serves a forwarded submission.
+func (d *Daemon) handleSubmit(ctx context.Context, _ *wire.Hello, m *wire.SubmitRequest) wire.Message {
+	d.forwards.Add(1)
+	defer d.forwards.Add(-1)
+	r := &submission.Request{
+		ID:      submission.ID{Caller: m.Caller, Key: m.Key},
+		Service: m.Service, Call: m.Call, Parameters: m.Parameters, FreshKey: m.Fresh,
+		Deadline: time.Now().Add(time.Duration(m.TimeoutMS) * time.Millisecond),
+	}
+	return responseOf(d.newRoute(r, m.Hops, m.PinnedTo).run(ctx))
 }
--- a/daemon/seeds.go
+++ b/daemon/seeds.go
@@ -5,12 +5,13 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/membership"
 )
 
 // parseSeeds reads entries of the form name=data-centre/host:port.
-func parseSeeds(texts []string) ([]membership.Member, error) {
-	var seeds []membership.Member
+func parseSeeds(texts []string) ([]membership.Seed, error) {
+	var seeds []membership.Seed
 	var errs []error
 	for _, text := range texts {
 		vm, rest, hasName := strings.Cut(text, "=")
@@ -20,7 +21,23 @@
 			errs = append(errs, errors.Newf("-seeds: %q is not name=data-centre/host:port", text))
 			continue
 		}
-		seeds = append(seeds, membership.Member{VM: vm, DataCentre: dataCentre, Address: address})
+		seeds = append(seeds, membership.Seed{VM: vm, DataCentre: dataCentre, Address: address})
 	}
 	return seeds, errors.Join(errs...)
 }
+
+// followList takes the entry VMs of the platform's list.
+func (d *Daemon) followList(vms []api.VM) {
+	var live []membership.Seed
+	var gone []string
+	for _, vm := range vms {
+		switch {
+		case vm.Role != api.RoleEntry:
+		case vm.State == api.VMGone:
+			gone = append(gone, vm.Name)
+		default:
+			live = append(live, membership.Seed{VM: vm.Name, DataCentre: vm.DataCentre, Address: vm.Address})
+		}
+	}
+	d.node.Members().Listed(live, gone)
+}
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -15,34 +15,51 @@
 // followUpstreams reads the platform's list until the context ends.
 func (d *Daemon) followUpstreams(ctx context.Context) error {
 	if d.directory == nil {
-		d.ready.Store(true)
+		d.listed.Store(true)
 		return nil
 	}
 	ticker := time.NewTicker(d.settings.Platform.ListInterval)
 	defer ticker.Stop()
+	list := d.readDirectory(ctx)
 	for {
-		d.readDirectory(ctx)
+		changed := d.node.Members().Changed()
+		d.divideUpstreams(list)
 		select {
+		case <-changed:
 		case <-ticker.C:
+			if next := d.readDirectory(ctx); next != nil {
+				list = next
+			}
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// readDirectory applies the platform's list. A failure keeps the last one.
-func (d *Daemon) readDirectory(ctx context.Context) {
+// divideUpstreams takes this VM's share of the upstreams on the list. A VM that
+// has not joined takes none.
+func (d *Daemon) divideUpstreams(list *api.VMList) {
+	view := d.node.View()
+	if list == nil || !view.Admitted(view.Self.ID()) {
+		return
+	}
+	for service, upstreams := range selectUpstreams(view, list.VMs) {
+		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
+	}
+	d.listed.Store(true)
+}
+
+// readDirectory reads the platform's list. It returns nil where that fails.
+func (d *Daemon) readDirectory(ctx context.Context) *api.VMList {
 	d.metrics.platformCalls.Add(1)
 	list, err := d.directory.VMs(ctx)
 	if err != nil {
 		d.metrics.platformFail.Add(1)
 		d.log.Warn("platform list", slog.Any("error", err))
-		return
-	}
-	for service, upstreams := range selectUpstreams(d.members.View(), list.VMs) {
-		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
+		return nil
 	}
-	d.ready.Store(true)
+	d.followList(list.VMs)
+	return list
 }
 
 // selectUpstreams returns, by service, the upstreams of this data centre that
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,9 @@
 	// OnHello is told of every peer that presented itself. It may be called
 	// concurrently.
 	OnHello func(wire.Hello)
+	// OnClose is told of the end of a connection to a peer that presented
+	// itself. It may be nil, and may be called concurrently.
+	OnClose func(wire.Hello)
 }
 
 type handler func(ctx context.Context, from *wire.Hello, payload []byte) (wire.Message, error)
@@ -52,6 +56,7 @@
 // once its handlers are registered.
 type Transport struct {
 	config   Config
+	hello    atomic.Pointer[wire.Hello]
 	handlers map[wire.Kind]handler
 	shards   [shardCount]shard
 }
@@ -62,22 +67,41 @@
 	links map[string]*link
 }
 
-// link is the connection to one address. Its lock makes callers wait for one
-// dial instead of each starting their own.
+// link is the connection to one address.
 type link struct {
-	mu   sync.Mutex // guards conn; held while dialling, by design
-	conn *conn
+	current atomic.Pointer[conn] // nil before the first dial
+
+	mu sync.Mutex // makes callers wait for one dial; held while dialling, by design
 }
 
 // New returns a transport without handlers.
 func New(config Config) *Transport {
 	t := &Transport{config: config, handlers: map[wire.Kind]handler{}}
+	t.hello.Store(&config.Hello)
 	for i := range t.shards {
 		t.shards[i].links = map[string]*link{}
 	}
 	return t
 }
 
+// Present changes how this process presents itself on new connections.
+func (t *Transport) Present(hello wire.Hello) { t.hello.Store(&hello) }
+
+// Drop closes the connection to an address, which ends the calls on it.
+func (t *Transport) Drop(address string, reason error) {
+	l := t.link(address)
+	if c := l.current.Load(); c != nil {
+		c.close(reason)
+	}
+}
+
+// closed tells of the end of a connection.
+func (t *Transport) closed(c *conn) {
+	if t.config.OnClose != nil {
+		t.config.OnClose(c.hello)
+	}
+}
+
 // Handle registers the handler of a message. It must be called before Serve.
 func Handle[T any, M interface {
 	*T
@@ -133,11 +157,12 @@
 	}
 	t.config.OnHello(c.hello)
 	go c.write()
-	if err := c.respond(&t.config.Hello, first.call); err != nil {
+	if err := c.respond(t.hello.Load(), first.call); err != nil {
 		c.close(err)
 		return
 	}
 	c.close(t.read(ctx, c, r))
+	t.closed(c)
 }
 
 // read serves requests and delivers responses until the connection fails.
@@ -170,6 +195,12 @@
 	}
 }
 
+// Connect opens a connection to an address, whose peer presents itself.
+func (t *Transport) Connect(ctx context.Context, address string) error {
+	_, err := t.connect(ctx, address)
+	return err
+}
+
 // Call sends a request to the peer at address and decodes its response. Its
 // errors are of type *Error.
 func (t *Transport) Call(ctx context.Context, address string, request wire.Message, response interface {
@@ -221,14 +252,14 @@
 	l := t.link(address)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != nil && l.conn.reason() == nil {
-		return l.conn, nil
+	if c := l.current.Load(); c != nil && c.reason() == nil {
+		return c, nil
 	}
 	c, err := t.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	l.conn = c
+	l.current.Store(c)
 	return c, nil
 }
 
@@ -245,7 +276,7 @@
 	go func() {
 		c.close(t.read(context.WithoutCancel(ctx), c, bufio.NewReaderSize(nc, bufferSize)))
 	}()
-	f, _, err := c.call(ctx, &t.config.Hello)
+	f, _, err := c.call(ctx, t.hello.Load())
 	if err == nil && f.kind != wire.KindHello {
 		err = errors.Newf("expected a hello, got kind %d", f.kind)
 	}
@@ -257,5 +288,9 @@
 		return nil, err
 	}
 	t.config.OnHello(c.hello)
+	go func() {
+		<-c.closed
+		t.closed(c)
+	}()
 	return c, nil
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -12,6 +12,10 @@
 	Retention time.Duration
 	// MaxQueued: most tasks waiting per service on one VM, in tasks.
 	MaxQueued int
+	// Memory: memory for records and answers of submissions, in bytes.
+	Memory int
+	// DrainDelay: time between the fall of readiness and the end of the listener for callers.
+	DrainDelay time.Duration
 	// DrainTimeout: longest time that a planned stop waits for requests in progress.
 	DrainTimeout time.Duration
 }
@@ -27,6 +31,12 @@
 	bind(b, &s.MaxQueued, definition[int]{
 		flag: "max-queued", env: "MUSTARDSTEP_MAX_QUEUED", help: "most tasks waiting per service on one VM", unit: "tasks", fallback: "100000", min: bound[int](1), max: bound[int](10000000),
 	})
+	bind(b, &s.Memory, definition[int]{
+		flag: "submission-memory", env: "MUSTARDSTEP_SUBMISSION_MEMORY", help: "memory for records and answers of submissions", unit: "bytes", fallback: "67108864", min: bound[int](1048576), max: bound[int](17179869184),
+	})
+	bind(b, &s.DrainDelay, definition[time.Duration]{
+		flag: "drain-delay", env: "MUSTARDSTEP_DRAIN_DELAY", help: "time between the fall of readiness and the end of the listener for callers", unit: "", fallback: "500ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
 	bind(b, &s.DrainTimeout, definition[time.Duration]{
 		flag: "drain-timeout", env: "MUSTARDSTEP_DRAIN_TIMEOUT", help: "longest time that a planned stop waits for requests in progress", unit: "", fallback: "30s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
@@ -55,6 +65,44 @@
 	})
 }
 
+// Membership holds the timing of the protocol between the daemons.
+type Membership struct {
+	// DataCentres: all data centres, the same on every VM, separated by commas; empty takes those of the seeds.
+	DataCentres []string
+	// Heartbeat: time between heartbeats.
+	Heartbeat time.Duration
+	// Fanout: peers of the data centre that get a heartbeat each time, in peers.
+	Fanout int
+	// Fence: silence that, together with the platform's list, proves that a VM has ended.
+	Fence time.Duration
+	// RefusalProof: take a refused connection within the data centre as proof that a process has ended; turn it off where a relay or a firewall stands between VMs.
+	RefusalProof bool
+	// JoinTimeout: time after which a join that is not complete is started anew.
+	JoinTimeout time.Duration
+}
+
+// Bind declares the settings on the binder.
+func (s *Membership) Bind(b *Binder) {
+	bind(b, &s.DataCentres, definition[[]string]{
+		flag: "data-centres", env: "MUSTARDSTEP_DATA_CENTRES", help: "all data centres, the same on every VM, separated by commas; empty takes those of the seeds", unit: "",
+	})
+	bind(b, &s.Heartbeat, definition[time.Duration]{
+		flag: "heartbeat", env: "MUSTARDSTEP_HEARTBEAT", help: "time between heartbeats", unit: "", fallback: "1s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.Fanout, definition[int]{
+		flag: "heartbeat-fanout", env: "MUSTARDSTEP_HEARTBEAT_FANOUT", help: "peers of the data centre that get a heartbeat each time", unit: "peers", fallback: "6", min: bound[int](1), max: bound[int](1000),
+	})
+	bind(b, &s.Fence, definition[time.Duration]{
+		flag: "fence", env: "MUSTARDSTEP_FENCE", help: "silence that, together with the platform's list, proves that a VM has ended", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.RefusalProof, definition[bool]{
+		flag: "refusal-proof", env: "MUSTARDSTEP_REFUSAL_PROOF", help: "take a refused connection within the data centre as proof that a process has ended; turn it off where a relay or a firewall stands between VMs", unit: "", fallback: "true",
+	})
+	bind(b, &s.JoinTimeout, definition[time.Duration]{
+		flag: "join-timeout", env: "MUSTARDSTEP_JOIN_TIMEOUT", help: "time after which a join that is not complete is started anew", unit: "", fallback: "5s", min: bound[time.Duration](time.Duration(50000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+}
+
 // Network holds the identity and the addresses of a daemon.
 type Network struct {
 	// VM: name of this VM.
@@ -236,16 +284,18 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
-	Jobs     Jobs
-	Logging  Logging
-	Network  Network
-	Platform Platform
+	Jobs       Jobs
+	Logging    Logging
+	Membership Membership
+	Network    Network
+	Platform   Platform
 }
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
+	s.Membership.Bind(b)
 	s.Network.Bind(b)
 	s.Platform.Bind(b)
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -24,6 +24,10 @@
 	MaxConns int
 	// MaxBody is the largest result of a task, in bytes.
 	MaxBody int
+	// Permit is asked right before a request is written. It returns the time
+	// by which the write must have ended, or false where nothing may be sent.
+	// Nil permits everything.
+	Permit func() (until time.Time, ok bool)
 }
 
 // shardCount spreads the upstreams over locks.
@@ -70,7 +74,10 @@
 		MaxConns: c.config.MaxConns,
 		Dial: func(address string) (net.Conn, error) {
 			conn, err := net.DialTimeout("tcp", address, c.config.DialTimeout)
-			return conn, errors.Mark(err, errDial)
+			if err != nil {
+				return nil, errors.Mark(err, errDial)
+			}
+			return c.guard(conn), nil
 		},
 		MaxResponseBodySize: c.config.MaxBody,
 		// A task must never be sent twice, so the library may not retry.
@@ -115,7 +122,7 @@
 
 // transportFailure judges an error without an answer.
 func transportFailure(address string, err error) *verdict.Error {
-	if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.Is(err, errDial) || errors.Is(err, errNotPermitted) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "upstream %s: %v", address, err)
 	}
 	return verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "upstream %s: %v", address, err)
--- a/internal/wire/membership_codec_gen.go
+++ b/internal/wire/membership_codec_gen.go
@@ -58,6 +58,599 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *Fact) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "m"
+	o = append(o, 0x84, 0xa1, 0x6d)
+	o, err = z.Member.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendBool(o, z.Admitted)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Leaving)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendUint8(o, z.Ended)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Fact) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "m":
+			bts, err = z.Member.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Member")
+				return
+			}
+		case "j":
+			z.Admitted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Admitted")
+				return
+			}
+		case "l":
+			z.Leaving, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Leaving")
+				return
+			}
+		case "e":
+			z.Ended, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ended")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Fact) Msgsize() (s int) {
+	s = 1 + 2 + z.Member.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint8Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *FillRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "f"
+	o = append(o, 0x87, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.To)
+	// string "j"
+	o = append(o, 0xa1, 0x6a)
+	o = msgp.AppendBool(o, z.Admitted)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
+	for za0001 := range z.Records {
+		o, err = z.Records[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
+	}
+	// string "z"
+	o = append(o, 0xa1, 0x7a)
+	o = msgp.AppendBool(o, z.Last)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Departed)))
+	for za0002 := range z.Departed {
+		o = msgp.AppendUint64(o, z.Departed[za0002])
+	}
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Gaps)))
+	for za0003 := range z.Gaps {
+		o, err = z.Gaps[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Gaps", za0003)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FillRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
+				return
+			}
+		case "j":
+			z.Admitted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Admitted")
+				return
+			}
+		case "r":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Records")
+				return
+			}
+			if cap(z.Records) >= int(zb0002) {
+				z.Records = (z.Records)[:zb0002]
+			} else {
+				z.Records = make([]StartRecord, zb0002)
+			}
+			for za0001 := range z.Records {
+				bts, err = z.Records[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Records", za0001)
+					return
+				}
+			}
+		case "z":
+			z.Last, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Last")
+				return
+			}
+		case "d":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Departed")
+				return
+			}
+			if cap(z.Departed) >= int(zb0003) {
+				z.Departed = (z.Departed)[:zb0003]
+			} else {
+				z.Departed = make([]uint64, zb0003)
+			}
+			for za0002 := range z.Departed {
+				z.Departed[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Departed", za0002)
+					return
+				}
+			}
+		case "g":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Gaps")
+				return
+			}
+			if cap(z.Gaps) >= int(zb0004) {
+				z.Gaps = (z.Gaps)[:zb0004]
+			} else {
+				z.Gaps = make([]Gap, zb0004)
+			}
+			for za0003 := range z.Gaps {
+				bts, err = z.Gaps[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Gaps", za0003)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *FillRequest) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Records {
+		s += z.Records[za0001].Msgsize()
+	}
+	s += 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize + (len(z.Departed) * (msgp.Uint64Size)) + 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Gaps {
+		s += z.Gaps[za0003].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z FillResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "a"
+	o = append(o, 0x81, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Accepted)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *FillResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z FillResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Founder) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "m"
+	o = append(o, 0x82, 0xa1, 0x6d)
+	o, err = z.Member.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Member")
+		return
+	}
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Lost)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Founder) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "m":
+			bts, err = z.Member.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Member")
+				return
+			}
+		case "l":
+			z.Lost, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Lost")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Founder) Msgsize() (s int) {
+	s = 1 + 2 + z.Member.Msgsize() + 2 + msgp.BoolSize
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Gap) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "a"
+	o = append(o, 0x85, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.All)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendUint64(o, z.First)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Second)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint64(o, z.Observer)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt64(o, z.LeftMS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Gap) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "a":
+			z.All, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "All")
+				return
+			}
+		case "f":
+			z.First, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "First")
+				return
+			}
+		case "s":
+			z.Second, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Second")
+				return
+			}
+		case "o":
+			z.Observer, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Observer")
+				return
+			}
+		case "l":
+			z.LeftMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMS")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Gap) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "f"
+	o = append(o, 0x85, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint64(o, z.Version)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Seen)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
+	for za0001 := range z.Facts {
+		o, err = z.Facts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Facts", za0001)
+			return
+		}
+	}
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Suspects)))
+	for za0002 := range z.Suspects {
+		o = msgp.AppendUint64(o, z.Suspects[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Heartbeat) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "v":
+			z.Version, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Version")
+				return
+			}
+		case "s":
+			z.Seen, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Seen")
+				return
+			}
+		case "n":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Facts")
+				return
+			}
+			if cap(z.Facts) >= int(zb0002) {
+				z.Facts = (z.Facts)[:zb0002]
+			} else {
+				z.Facts = make([]Fact, zb0002)
+			}
+			for za0001 := range z.Facts {
+				bts, err = z.Facts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Facts", za0001)
+					return
+				}
+			}
+		case "u":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Suspects")
+				return
+			}
+			if cap(z.Suspects) >= int(zb0003) {
+				z.Suspects = (z.Suspects)[:zb0003]
+			} else {
+				z.Suspects = make([]uint64, zb0003)
+			}
+			for za0002 := range z.Suspects {
+				z.Suspects[za0002], bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Suspects", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Heartbeat) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Facts {
+		s += z.Facts[za0001].Msgsize()
+	}
+	s += 2 + msgp.ArrayHeaderSize + (len(z.Suspects) * (msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -145,3 +738,235 @@
 	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.StringPrefixSize + len(z.Version)
 	return
 }
+
+// MarshalMsg implements msgp.Marshaler
+func (z *JoinRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "f"
+	o = append(o, 0x81, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JoinRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JoinRequest) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *JoinResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "f"
+	o = append(o, 0x83, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Accepted)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Facts)))
+	for za0001 := range z.Facts {
+		o, err = z.Facts[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Facts", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *JoinResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "a":
+			z.Accepted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Accepted")
+				return
+			}
+		case "n":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Facts")
+				return
+			}
+			if cap(z.Facts) >= int(zb0002) {
+				z.Facts = (z.Facts)[:zb0002]
+			} else {
+				z.Facts = make([]Fact, zb0002)
+			}
+			for za0001 := range z.Facts {
+				bts, err = z.Facts[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Facts", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *JoinResponse) Msgsize() (s int) {
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Facts {
+		s += z.Facts[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *Member) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 4
+	// string "v"
+	o = append(o, 0x84, 0xa1, 0x76)
+	o = msgp.AppendString(o, z.VM)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.DataCentre)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Member) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			z.VM, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VM")
+				return
+			}
+		case "i":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "d":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Member) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address)
+	return
+}
--- a/internal/wire/membership_gen.go
+++ b/internal/wire/membership_gen.go
@@ -10,6 +10,16 @@
 	KindHello Kind = 1
 	// KindErrorResponse marks a frame that holds a ErrorResponse.
 	KindErrorResponse Kind = 2
+	// KindHeartbeat marks a frame that holds a Heartbeat.
+	KindHeartbeat Kind = 3
+	// KindJoinRequest marks a frame that holds a JoinRequest.
+	KindJoinRequest Kind = 4
+	// KindJoinResponse marks a frame that holds a JoinResponse.
+	KindJoinResponse Kind = 5
+	// KindFillRequest marks a frame that holds a FillRequest.
+	KindFillRequest Kind = 6
+	// KindFillResponse marks a frame that holds a FillResponse.
+	KindFillResponse Kind = 7
 )
 
 // Hello opens a peer connection, once in each direction.
@@ -38,3 +48,126 @@
 
 // Kind returns the frame kind of the message.
 func (*ErrorResponse) Kind() Kind { return KindErrorResponse }
+
+// Member identifies one incarnation of a daemon.
+type Member struct {
+	// VM is the name of the VM.
+	VM string `msg:"v"`
+	// Incarnation distinguishes processes at the same VM; newer ones are
+	// greater.
+	Incarnation uint64 `msg:"i"`
+	// DataCentre is the data centre of the VM.
+	DataCentre string `msg:"d"`
+	// Address is the host:port at which the incarnation accepts peers.
+	Address string `msg:"a"`
+}
+
+// Fact is what is known about one incarnation. Facts only grow.
+type Fact struct {
+	// Member is the incarnation.
+	Member Member `msg:"m"`
+	// Admitted tells that the incarnation has joined.
+	Admitted bool `msg:"j"`
+	// Leaving tells that the incarnation takes no new submissions.
+	Leaving bool `msg:"l"`
+	// Ended is a membership.Proof; 0 stands for an incarnation that is not
+	// proved to have ended.
+	Ended uint8 `msg:"e"`
+}
+
+// Heartbeat carries the facts that changed since the receiver last merged
+// some. Its answer is a Heartbeat too.
+type Heartbeat struct {
+	// From is the sender.
+	From Member `msg:"f"`
+	// Version numbers the sender's last change that the facts cover.
+	Version uint64 `msg:"v"`
+	// Seen is the receiver's version that the sender has merged.
+	Seen uint64 `msg:"s"`
+	// Facts are the changed facts.
+	Facts []Fact `msg:"n"`
+	// Suspects are incarnations that are listed as gone and silent for the fence
+	// time.
+	Suspects []uint64 `msg:"u"`
+}
+
+// Kind returns the frame kind of the message.
+func (*Heartbeat) Kind() Kind { return KindHeartbeat }
+
+// JoinRequest asks a member of the data centre to rank the sender.
+type JoinRequest struct {
+	// From is the joining incarnation.
+	From Member `msg:"f"`
+}
+
+// Kind returns the frame kind of the message.
+func (*JoinRequest) Kind() Kind { return KindJoinRequest }
+
+// JoinResponse answers a JoinRequest. What the joining incarnation must know
+// follows in FillRequests.
+type JoinResponse struct {
+	// From is the answering member.
+	From Member `msg:"f"`
+	// Accepted is false where the joining incarnation is known to have ended.
+	Accepted bool `msg:"a"`
+	// Facts are the incarnations that the sender ranks or has ranked.
+	Facts []Fact `msg:"n"`
+}
+
+// Kind returns the frame kind of the message.
+func (*JoinResponse) Kind() Kind { return KindJoinResponse }
+
+// Gap describes submissions whose history has been lost.
+type Gap struct {
+	// All covers every submission.
+	All bool `msg:"a"`
+	// First is an incarnation that has ended.
+	First uint64 `msg:"f"`
+	// Second is another one.
+	Second uint64 `msg:"s"`
+	// Observer ranks behind both for the submissions that are meant.
+	Observer uint64 `msg:"o"`
+	// LeftMS is the rest of the retention, in milliseconds.
+	LeftMS int64 `msg:"l"`
+}
+
+// FillRequest hands over what the receiver must know to follow the sender in
+// rank.
+type FillRequest struct {
+	// From is the sender.
+	From Member `msg:"f"`
+	// To is the incarnation that is meant.
+	To uint64 `msg:"t"`
+	// Admitted tells that the sender has joined.
+	Admitted bool `msg:"j"`
+	// Records are the records handed over.
+	Records []StartRecord `msg:"r"`
+	// Last marks the last part of a fill, which alone carries the fields below.
+	Last bool `msg:"z"`
+	// Departed are the incarnations that the sender no longer ranks.
+	Departed []uint64 `msg:"d"`
+	// Gaps are the submissions whose history the sender lacks.
+	Gaps []Gap `msg:"g"`
+}
+
+// Kind returns the frame kind of the message.
+func (*FillRequest) Kind() Kind { return KindFillRequest }
+
+// FillResponse acknowledges a FillRequest.
+type FillResponse struct {
+	// Accepted is false where the part was not stored.
+	Accepted bool `msg:"a"`
+}
+
+// Kind returns the frame kind of the message.
+func (*FillResponse) Kind() Kind { return KindFillResponse }
+
+// Founder is the value of the platform's entry of a data centre. It names
+// the incarnation that was the first to join there when no other member was
+// left.
+type Founder struct {
+	// Member is the incarnation.
+	Member Member `msg:"m"`
+	// Lost tells that the data centre had members before.
+	Lost bool `msg:"l"`
+}
--- a/internal/wire/submission_codec_gen.go
+++ b/internal/wire/submission_codec_gen.go
@@ -79,24 +79,26 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *RecordRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
-	// string "w"
-	o = append(o, 0x82, 0xa1, 0x77)
-	o = msgp.AppendString(o, z.Owner)
+	// map header, size 3
+	// string "f"
+	o = append(o, 0x83, 0xa1, 0x66)
+	o, err = z.From.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.To)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Records)))
 	for za0001 := range z.Records {
-		// map header, size 3
-		// string "c"
-		o = append(o, 0x83, 0xa1, 0x63)
-		o = msgp.AppendString(o, z.Records[za0001].Caller)
-		// string "k"
-		o = append(o, 0xa1, 0x6b)
-		o = msgp.AppendString(o, z.Records[za0001].Key)
-		// string "d"
-		o = append(o, 0xa1, 0x64)
-		o = msgp.AppendUint64(o, z.Records[za0001].Digest)
+		o, err = z.Records[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Records", za0001)
+			return
+		}
 	}
 	return
 }
@@ -119,10 +121,16 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
-		case "w":
-			z.Owner, bts, err = msgp.ReadStringBytes(bts)
+		case "f":
+			bts, err = z.From.UnmarshalMsg(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Owner")
+				err = msgp.WrapError(err, "From")
+				return
+			}
+		case "t":
+			z.To, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "To")
 				return
 			}
 		case "r":
@@ -138,46 +146,11 @@
 				z.Records = make([]StartRecord, zb0002)
 			}
 			for za0001 := range z.Records {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Records[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Records", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Records", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "c":
-						z.Records[za0001].Caller, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Records", za0001, "Caller")
-							return
-						}
-					case "k":
-						z.Records[za0001].Key, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Records", za0001, "Key")
-							return
-						}
-					case "d":
-						z.Records[za0001].Digest, bts, err = msgp.ReadUint64Bytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Records", za0001, "Digest")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Records", za0001)
-							return
-						}
-					}
-				}
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -193,9 +166,9 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *RecordRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Records {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Records[za0001].Caller) + 2 + msgp.StringPrefixSize + len(z.Records[za0001].Key) + 2 + msgp.Uint64Size
+		s += z.Records[za0001].Msgsize()
 	}
 	return
 }
@@ -203,13 +176,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z RecordResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 1
 	// string "a"
-	o = append(o, 0x82, 0xa1, 0x61)
+	o = append(o, 0x81, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Accepted)
-	// string "r"
-	o = append(o, 0xa1, 0x72)
-	o = msgp.AppendString(o, z.Reason)
 	return
 }
 
@@ -237,12 +207,6 @@
 				err = msgp.WrapError(err, "Accepted")
 				return
 			}
-		case "r":
-			z.Reason, bts, err = msgp.ReadStringBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Reason")
-				return
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -257,16 +221,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z RecordResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason)
+	s = 1 + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z StartRecord) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *StartRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 10
 	// string "c"
-	o = append(o, 0x83, 0xa1, 0x63)
+	o = append(o, 0x8a, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Caller)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
@@ -274,6 +238,30 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendUint64(o, z.Digest)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendUint64(o, z.Starter)
+	// string "x"
+	o = append(o, 0xa1, 0x78)
+	o = msgp.AppendBool(o, z.Contested)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt64(o, z.LeftMS)
+	// string "v"
+	o = append(o, 0xa1, 0x76)
+	o = msgp.AppendUint8(o, z.Verdict)
+	// string "o"
+	o = append(o, 0xa1, 0x6f)
+	o = msgp.AppendUint8(o, z.Code)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendString(o, z.Reason)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Results)))
+	for za0001 := range z.Results {
+		o = msgp.AppendBytes(o, z.Results[za0001])
+	}
 	return
 }
 
@@ -313,6 +301,61 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "s":
+			z.Starter, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Starter")
+				return
+			}
+		case "x":
+			z.Contested, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Contested")
+				return
+			}
+		case "l":
+			z.LeftMS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "LeftMS")
+				return
+			}
+		case "v":
+			z.Verdict, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Verdict")
+				return
+			}
+		case "o":
+			z.Code, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
+		case "r":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Results")
+				return
+			}
+			if cap(z.Results) >= int(zb0002) {
+				z.Results = (z.Results)[:zb0002]
+			} else {
+				z.Results = make([][]byte, zb0002)
+			}
+			for za0001 := range z.Results {
+				z.Results[za0001], bts, err = msgp.ReadBytesBytes(bts, z.Results[za0001])
+				if err != nil {
+					err = msgp.WrapError(err, "Results", za0001)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -326,17 +369,20 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z StartRecord) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.Uint64Size
+func (z *StartRecord) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Uint8Size + 2 + msgp.Uint8Size + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Results {
+		s += msgp.BytesPrefixSize + len(z.Results[za0001])
+	}
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SubmitRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 9
 	// string "c"
-	o = append(o, 0x87, 0xa1, 0x63)
+	o = append(o, 0x89, 0xa1, 0x63)
 	o = msgp.AppendString(o, z.Caller)
 	// string "k"
 	o = append(o, 0xa1, 0x6b)
@@ -356,6 +402,12 @@
 	// string "h"
 	o = append(o, 0xa1, 0x68)
 	o = msgp.AppendUint8(o, z.Hops)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendBool(o, z.Fresh)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.PinnedTo)
 	return
 }
 
@@ -419,6 +471,18 @@
 				err = msgp.WrapError(err, "Hops")
 				return
 			}
+		case "f":
+			z.Fresh, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fresh")
+				return
+			}
+		case "i":
+			z.PinnedTo, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PinnedTo")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -433,16 +497,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *SubmitRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Call) + 2 + msgp.BytesPrefixSize + len(z.Parameters) + 2 + msgp.Int64Size + 2 + msgp.Uint8Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Call) + 2 + msgp.BytesPrefixSize + len(z.Parameters) + 2 + msgp.Int64Size + 2 + msgp.Uint8Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *SubmitResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 8
 	// string "v"
-	o = append(o, 0x86, 0xa1, 0x76)
+	o = append(o, 0x88, 0xa1, 0x76)
 	o = msgp.AppendUint8(o, z.Verdict)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
@@ -462,6 +526,12 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendString(o, z.Owner)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unsettled)
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendBool(o, z.Unstarted)
 	return
 }
 
@@ -532,6 +602,18 @@
 				err = msgp.WrapError(err, "Owner")
 				return
 			}
+		case "u":
+			z.Unsettled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unsettled")
+				return
+			}
+		case "n":
+			z.Unstarted, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unstarted")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -550,6 +632,6 @@
 	for za0001 := range z.Results {
 		s += msgp.BytesPrefixSize + len(z.Results[za0001])
 	}
-	s += 2 + msgp.StringPrefixSize + len(z.Owner)
+	s += 2 + msgp.StringPrefixSize + len(z.Owner) + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
--- a/internal/wire/submission_gen.go
+++ b/internal/wire/submission_gen.go
@@ -34,6 +34,11 @@
 	TimeoutMS int64 `msg:"t"`
 	// Hops counts the forwards so far.
 	Hops uint8 `msg:"h"`
+	// Fresh tells that no earlier attempt can have used the key.
+	Fresh bool `msg:"f"`
+	// PinnedTo is the incarnation that is asked as the recorded starter; 0 asks
+	// the owner.
+	PinnedTo uint64 `msg:"i"`
 }
 
 // Kind returns the frame kind of the message.
@@ -54,6 +59,12 @@
 	Results [][]byte `msg:"o"`
 	// Owner is the VM that answered.
 	Owner string `msg:"w"`
+	// Unsettled tells that the members disagree on the owner; the call is to be
+	// routed anew.
+	Unsettled bool `msg:"u"`
+	// Unstarted answers a pinned call: the receiver has not started the
+	// submission and will not.
+	Unstarted bool `msg:"n"`
 }
 
 // Kind returns the frame kind of the message.
@@ -76,8 +87,10 @@
 // that tasks of a submission may start; it is acknowledged before the first
 // one does.
 type RecordRequest struct {
-	// Owner is the incarnation that owns the submissions.
-	Owner string `msg:"w"`
+	// From is the incarnation that owns the submissions.
+	From Member `msg:"f"`
+	// To is the incarnation that is meant.
+	To uint64 `msg:"t"`
 	// Records are the records to store.
 	Records []StartRecord `msg:"r"`
 }
@@ -93,14 +106,27 @@
 	Key string `msg:"k"`
 	// Digest is the hash of the service, call and parameters.
 	Digest uint64 `msg:"d"`
+	// Starter is the incarnation that may start the tasks.
+	Starter uint64 `msg:"s"`
+	// Contested tells that records of several starters have met.
+	Contested bool `msg:"x"`
+	// LeftMS is the rest of the retention, in milliseconds.
+	LeftMS int64 `msg:"l"`
+	// Verdict is a verdict.Verdict; 0 stands for a submission whose end is not
+	// known.
+	Verdict uint8 `msg:"v"`
+	// Code is a verdict.Code.
+	Code uint8 `msg:"o"`
+	// Reason is the readable reason of a failure.
+	Reason string `msg:"r"`
+	// Results holds one JSON value per task, in task order.
+	Results [][]byte `msg:"p"`
 }
 
 // RecordResponse acknowledges every record of a RecordRequest, or none.
 type RecordResponse struct {
 	// Accepted is false where the holder refuses the records.
 	Accepted bool `msg:"a"`
-	// Reason says why the records were refused.
-	Reason string `msg:"r"`
 }
 
 // Kind returns the frame kind of the message.
--- /dev/null
+++ b/ownership/join.go
@@ -0,0 +1,92 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/mustardstep/mustardstep/membership"
+)
+
+// join returns what brings the join forward; done is true once this
+// incarnation is admitted.
+func (n *Node) join(now time.Time, view *membership.View) (actions []Action, done bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Sub(n.joining) > n.config.JoinTimeout && len(n.accepted) > 0 {
+		return []Action{{Kind: Reincarnate}}, false
+	}
+	members := n.members.Unended()
+	if n.joinable(view, members) {
+		if !n.founded && n.history == HistoryLost {
+			n.coverage.lose(now)
+		}
+		n.members.Admit(now)
+		n.filled = map[membership.ID]uint64{}
+		return nil, true
+	}
+	for _, m := range members {
+		if !n.accepted[m.ID()] {
+			actions = append(actions, Action{Kind: SendJoin, To: m})
+		}
+	}
+	return actions, false
+}
+
+// joinable tells whether every other member has acknowledged this incarnation
+// and handed over, and whether no member can exist that is not known. The
+// caller holds mu.
+func (n *Node) joinable(view *membership.View, members []membership.Member) bool {
+	for _, m := range members {
+		if !n.accepted[m.ID()] || !n.coverage.filled(m.ID(), view.Departed) {
+			return false
+		}
+	}
+	// An admitted member knows every other; without one, every seed must be
+	// accounted for.
+	if n.founded {
+		return true
+	}
+	n.asking = n.members.Settled() && n.history == HistoryUnknown
+	return n.members.Settled() && n.history != HistoryUnknown
+}
+
+// NeedsHistory tells whether the join waits for SetHistory only.
+func (n *Node) NeedsHistory() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asking
+}
+
+// HandleJoin counts a joining incarnation. What it must know follows by fills.
+func (n *Node) HandleJoin(now time.Time, m *Join) (*JoinReply, []Action) {
+	accepted := n.members.Count(now, m.From)
+	view := n.View()
+	reply := &JoinReply{From: view.Self, Accepted: accepted}
+	for _, id := range view.Departed {
+		if f, known := view.Fact(id); known {
+			reply.Facts = append(reply.Facts, f)
+		}
+	}
+	for _, member := range view.Members(view.Self.DataCentre) {
+		if f, known := view.Fact(member.ID()); known {
+			reply.Facts = append(reply.Facts, f)
+		}
+	}
+	if f, known := view.Fact(m.From.ID()); known && !accepted {
+		reply.Facts = append(reply.Facts, f)
+	}
+	return reply, n.Due(now)
+}
+
+// HandleJoinReply notes that a member counts this incarnation.
+func (n *Node) HandleJoinReply(now time.Time, to membership.Member, r *JoinReply) []Action {
+	if r.From != to {
+		return nil
+	}
+	n.members.Learn(now, r.Facts)
+	if r.Accepted && n.members.Count(now, r.From) {
+		n.mu.Lock()
+		n.accepted[r.From.ID()] = true
+		n.mu.Unlock()
+	}
+	return n.Due(now)
+}
--- /dev/null
+++ b/submission/shard.go
@@ -0,0 +1,107 @@
+package submission
+
+import (
+	"sync"
+	"time"
+)
+
+// shardCount is a power of two well above the number of threads, so that two
+// threads seldom meet at one lock.
+const shardCount = 64
+
+// shard holds the entries whose hashes fall to it.
+type shard struct {
+	mu      sync.Mutex // guards the fields below
+	entries map[ID]*Entry
+	budget  int      // bytes
+	bytes   int      // bytes in use
+	answers []*Entry // entries with an answer, in order of their end
+}
+
+// lookup returns an entry whose retention has not passed. The caller holds mu,
+// as for every method of shard.
+func (s *shard) lookup(now time.Time, id ID) *Entry {
+	e := s.entries[id]
+	if e == nil || s.expire(now, e) {
+		return nil
+	}
+	return e
+}
+
+// expire drops an entry whose retention has passed and that does not run here.
+func (s *shard) expire(now time.Time, e *Entry) bool {
+	running := e.done != nil && !e.finished
+	if running || now.Before(e.Expires) {
+		return false
+	}
+	s.remove(e)
+	return true
+}
+
+// insert adds an entry where the budget has room once enough answers have been
+// dropped.
+func (s *shard) insert(now time.Time, e *Entry) bool {
+	if s.bytes+e.bytes > s.budget {
+		s.dropAnswers(e.bytes)
+	}
+	if s.bytes+e.bytes > s.budget {
+		s.dropExpired(now)
+	}
+	if s.bytes+e.bytes > s.budget {
+		return false
+	}
+	s.entries[e.ID] = e
+	s.bytes += e.bytes
+	return true
+}
+
+func (s *shard) dropExpired(now time.Time) {
+	for _, e := range s.entries {
+		s.expire(now, e)
+	}
+}
+
+func (s *shard) remove(e *Entry) {
+	if s.entries[e.ID] == e {
+		delete(s.entries, e.ID)
+		s.bytes -= e.bytes
+	}
+}
+
+// end stores the outcome of an entry and tells those who wait.
+func (s *shard) end(e *Entry, outcome *Outcome) {
+	if e.finished {
+		return
+	}
+	e.finished = true
+	e.outcome.Store(outcome)
+	size := outcome.size()
+	e.bytes += size
+	s.bytes += size
+	s.answers = append(s.answers, e)
+	if e.done != nil {
+		close(e.done)
+	}
+	s.dropAnswers(0)
+}
+
+// dropAnswers replaces the oldest answers by a note that they have expired
+// until there is room. Their entries stay.
+func (s *shard) dropAnswers(room int) {
+	n := 0
+	for n < len(s.answers) && s.bytes+room > s.budget {
+		e := s.answers[n]
+		n++
+		if s.entries[e.ID] != e {
+			continue
+		}
+		outcome := e.outcome.Load()
+		size := outcome.size()
+		if outcome.Failure == nil {
+			e.outcome.Store(expired)
+			e.bytes -= size
+			s.bytes -= size
+		}
+	}
+	s.answers = s.answers[n:]
+}
--- a/verdict/verdict_gen.go
+++ b/verdict/verdict_gen.go
@@ -92,6 +92,9 @@
 	// CodeUncovered marks a submission whose history was lost with its owner and
 	// record holder.
 	CodeUncovered
+	// CodeOwnerLost marks a submission whose owner ended while it may have been
+	// running.
+	CodeOwnerLost
 	// CodeCancelled marks a submission that its caller cancelled.
 	CodeCancelled
 	// CodeExpired marks a submission whose answer is no longer kept.
@@ -117,6 +120,7 @@
 	CodeUnreachable:       "unreachable",
 	CodeNotReady:          "not_ready",
 	CodeUncovered:         "uncovered",
+	CodeOwnerLost:         "owner_lost",
 	CodeCancelled:         "cancelled",
 	CodeExpired:           "expired",
 	CodeInternal:          "internal",
