--- a/internal/schemagen/settings.go
+++ b/internal/schemagen/settings.go
@@ -176,13 +176,20 @@
 	return programs
 }
 
-// programType turns mustardstep-standin into StandinProgram.
+// programType turns mustardstep-standin into StandinProgram and
+// "mustardstep-replay demo" into ReplayDemoProgram.
 func programType(name string) string {
-	short := strings.TrimPrefix(strings.TrimPrefix(name, "mustardstep"), "-")
-	if short == "d" {
-		short = "daemon"
+	var b strings.Builder
+	for word := range strings.FieldsFuncSeq(name, func(r rune) bool { return r == '-' || r == ' ' }) {
+		switch word {
+		case "mustardstep":
+			continue
+		case "mustardstepd":
+			word = "daemon"
+		}
+		b.WriteString(strings.ToUpper(word[:1]) + word[1:])
 	}
-	return strings.ToUpper(short[:1]) + short[1:] + "Program"
+	return b.String() + "Program"
 }
 
 func (p *program) checkFlags() error {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -4,6 +4,70 @@
 
 import "time"
 
+// Bench holds the settings of a benchmark on real processes.
+type Bench struct {
+	// Output: form of the report.
+	Output string
+	// Seconds: length of each phase, in seconds.
+	Seconds float64
+	// Tasks: tasks of each job, in tasks.
+	Tasks int
+	// InFlight: jobs in flight in the phase of full load, in jobs.
+	InFlight int
+	// Rate: task starts offered in the paced phase, in tasks/s.
+	Rate int
+	// CPUProfile: file that receives the processor profile of the daemon; empty writes none.
+	CPUProfile string
+}
+
+// Bind declares the settings on the binder.
+func (s *Bench) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Seconds, definition[float64]{
+		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of each phase", unit: "seconds", fallback: "5", min: bound[float64](0.1), max: bound[float64](3600),
+	})
+	bind(b, &s.Tasks, definition[int]{
+		flag: "tasks", env: "MUSTARDSTEP_TASKS", help: "tasks of each job", unit: "tasks", fallback: "10", min: bound[int](1), max: bound[int](130),
+	})
+	bind(b, &s.InFlight, definition[int]{
+		flag: "in-flight", env: "MUSTARDSTEP_IN_FLIGHT", help: "jobs in flight in the phase of full load", unit: "jobs", fallback: "64", min: bound[int](1), max: bound[int](10000),
+	})
+	bind(b, &s.Rate, definition[int]{
+		flag: "rate", env: "MUSTARDSTEP_RATE", help: "task starts offered in the paced phase", unit: "tasks/s", fallback: "20000", min: bound[int](1), max: bound[int](1000000),
+	})
+	bind(b, &s.CPUProfile, definition[string]{
+		flag: "cpu-profile", env: "MUSTARDSTEP_CPU_PROFILE", help: "file that receives the processor profile of the daemon; empty writes none", unit: "",
+	})
+}
+
+// Demo holds the settings of the demonstration.
+type Demo struct {
+	// Keep: keep the system running until SIGINT or SIGTERM and print commands to try.
+	Keep bool
+}
+
+// Bind declares the settings on the binder.
+func (s *Demo) Bind(b *Binder) {
+	bind(b, &s.Keep, definition[bool]{
+		flag: "keep", env: "MUSTARDSTEP_KEEP", help: "keep the system running until SIGINT or SIGTERM and print commands to try", unit: "", fallback: "false",
+	})
+}
+
+// Diagnostics holds what a daemon records about itself.
+type Diagnostics struct {
+	// CPUProfile: file that receives a processor profile of the whole run; empty writes none.
+	CPUProfile string
+}
+
+// Bind declares the settings on the binder.
+func (s *Diagnostics) Bind(b *Binder) {
+	bind(b, &s.CPUProfile, definition[string]{
+		flag: "cpu-profile", env: "MUSTARDSTEP_CPU_PROFILE", help: "file that receives a processor profile of the whole run; empty writes none", unit: "",
+	})
+}
+
 // Jobs holds the limits on submissions and their tasks.
 type Jobs struct {
 	// MaxTasks: most tasks of one job, in tasks.
@@ -222,6 +286,26 @@
 	s.Replay.Bind(b)
 }
 
+// ReplayBenchProgram holds every setting of mustardstep-replay bench.
+type ReplayBenchProgram struct {
+	Bench Bench
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayBenchProgram) Bind(b *Binder) {
+	s.Bench.Bind(b)
+}
+
+// ReplayDemoProgram holds every setting of mustardstep-replay demo.
+type ReplayDemoProgram struct {
+	Demo Demo
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayDemoProgram) Bind(b *Binder) {
+	s.Demo.Bind(b)
+}
+
 // StandinProgram holds every setting of mustardstep-standin.
 type StandinProgram struct {
 	Logging Logging
@@ -236,14 +320,16 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
-	Jobs     Jobs
-	Logging  Logging
-	Network  Network
-	Platform Platform
+	Diagnostics Diagnostics
+	Jobs        Jobs
+	Logging     Logging
+	Network     Network
+	Platform    Platform
 }
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
+	s.Diagnostics.Bind(b)
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
 	s.Network.Bind(b)
