Judge requests at the front, cut slow callers, keep requests through a stop

A VM that starts or drains denied a key that may have run elsewhere. Paths were split after decoding, a timeout could overflow, repeated headers passed, and a caller that sent slowly held its connection for ever.

Change: requests run under a context of their own; what can be judged without the catalog is refused with 'not run' before anything is forwarded; a refusal by the catalog of a key that the caller gave is the owner's, since the key may have been used under another catalog; limits on connections, heads and times are settings; the key is returned in a header.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -84,7 +84,7 @@
 	if s.Platform.Address != "" {
 		d.directory = platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 	}
-	d.front = httpfront.New(httpfront.Config{MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars}, d)
+	d.front = httpfront.New(frontConfig(s, d.metrics, d.log), d)
 	d.peers = peer.New(peer.Config{
 		Hello: wire.Hello{
 			VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -100,6 +100,14 @@
 	return d, nil
 }
 
+func frontConfig(s settings.DaemonProgram, m *metrics, log *slog.Logger) httpfront.Config {
+	return httpfront.Config{
+		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: s.Jobs.MaxTasks,
+		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: m.vars, Log: log,
+	}
+}
+
 // loadCatalog reads the services file of the settings, if there is one.
 func (d *Daemon) loadCatalog() error {
 	d.catalog.Store(catalog.Empty())
--- /dev/null
+++ b/internal/httpfront/respond.go
@@ -0,0 +1,105 @@
+package httpfront
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/valyala/fasthttp"
+)
+
+// respond writes the end of a submission.
+func respond(c *fasthttp.RequestCtx, key string, answer submission.Answer) {
+	if failure := answer.Outcome.Failure; failure != nil {
+		response := responseOf(key, failure)
+		response.Owner = answer.Owner
+		write(c, statusOf(failure), response)
+		return
+	}
+	results := make([]json.RawMessage, len(answer.Outcome.Results))
+	for i, result := range answer.Outcome.Results {
+		results[i] = result
+	}
+	write(c, fasthttp.StatusOK, api.CallResponse{
+		Verdict: verdict.Complete, Key: key, Results: results, Owner: answer.Owner,
+	})
+}
+
+func refuse(c *fasthttp.RequestCtx, status int, key string, failure *verdict.Error) {
+	write(c, status, responseOf(key, failure))
+}
+
+func responseOf(key string, failure *verdict.Error) api.CallResponse {
+	return api.CallResponse{
+		Verdict: failure.Verdict, Key: key, Code: failure.Code, Reason: failure.Reason,
+		RetryAfterMS: failure.RetryAfter.Milliseconds(),
+	}
+}
+
+// refuseUnreadable answers a request that is no HTTP or above a limit.
+func refuseUnreadable(c *fasthttp.RequestCtx, err error) {
+	failure := malformed("%v", err)
+	status := fasthttp.StatusBadRequest
+	var small *fasthttp.ErrSmallBuffer
+	var network *net.OpError
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		failure.Code, status = verdict.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge
+	case errors.As(err, &small):
+		failure.Code, status = verdict.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge
+	case errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &network) && network.Timeout()):
+		status = fasthttp.StatusRequestTimeout
+	}
+	refuse(c, status, "", failure)
+}
+
+func write(c *fasthttp.RequestCtx, status int, response api.CallResponse) {
+	body, err := json.Marshal(response)
+	if err != nil {
+		// Only a result that is no JSON cannot be encoded; its task ran.
+		failure := verdict.Errorf(verdict.Ran, verdict.CodeUpstreamFailed, "a result is not JSON: %v", err)
+		refuse(c, fasthttp.StatusBadGateway, response.Key, failure)
+		return
+	}
+	c.SetStatusCode(status)
+	c.SetContentType("application/json")
+	c.Response.Header.Set(api.HeaderVerdict, response.Verdict.String())
+	if response.Key != "" && checkName("", response.Key, maxKey) == nil {
+		c.Response.Header.Set(api.HeaderIdempotencyKey, response.Key)
+	}
+	if response.RetryAfterMS > 0 {
+		seconds := (response.RetryAfterMS + 999) / 1000
+		c.Response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(seconds, 10))
+	}
+	c.SetBody(body)
+}
+
+// statusOf maps a failure to an HTTP status.
+func statusOf(failure *verdict.Error) int {
+	switch failure.Code {
+	case verdict.CodeMalformed, verdict.CodeKeyRequired:
+		return fasthttp.StatusBadRequest
+	case verdict.CodeUnknownCall:
+		return fasthttp.StatusNotFound
+	case verdict.CodeInvalidParameters, verdict.CodeKeyReused, verdict.CodeNeverFits:
+		return fasthttp.StatusUnprocessableEntity
+	case verdict.CodeTooLarge:
+		return fasthttp.StatusRequestEntityTooLarge
+	case verdict.CodeOverloaded, verdict.CodeQuota:
+		return fasthttp.StatusTooManyRequests
+	case verdict.CodeDeadline:
+		return fasthttp.StatusGatewayTimeout
+	case verdict.CodeUpstreamFailed:
+		return fasthttp.StatusBadGateway
+	case verdict.CodeCancelled, verdict.CodeExpired:
+		return fasthttp.StatusConflict
+	case verdict.CodeInternal:
+		return fasthttp.StatusInternalServerError
+	default:
+		return fasthttp.StatusServiceUnavailable
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -42,6 +42,39 @@
 	})
 }
 
+// Callers holds the limits on the connections of callers.
+type Callers struct {
+	// ReadTimeout: longest time that a caller may take to send a request, head and body.
+	ReadTimeout time.Duration
+	// WriteTimeout: longest time that a caller may take to receive an answer.
+	WriteTimeout time.Duration
+	// IdleTimeout: longest time that a caller's connection stays open without a request.
+	IdleTimeout time.Duration
+	// MaxConns: most connections of callers at once; further ones are answered 503 and closed, in connections.
+	MaxConns int
+	// MaxHeader: largest head of a request, in bytes.
+	MaxHeader int
+}
+
+// Bind declares the settings on the binder.
+func (s *Callers) Bind(b *Binder) {
+	bind(b, &s.ReadTimeout, definition[time.Duration]{
+		flag: "http-read-timeout", env: "MUSTARDSTEP_HTTP_READ_TIMEOUT", help: "longest time that a caller may take to send a request, head and body", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.WriteTimeout, definition[time.Duration]{
+		flag: "http-write-timeout", env: "MUSTARDSTEP_HTTP_WRITE_TIMEOUT", help: "longest time that a caller may take to receive an answer", unit: "", fallback: "30s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.IdleTimeout, definition[time.Duration]{
+		flag: "http-idle-timeout", env: "MUSTARDSTEP_HTTP_IDLE_TIMEOUT", help: "longest time that a caller's connection stays open without a request", unit: "", fallback: "1m", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(3600000000000)),
+	})
+	bind(b, &s.MaxConns, definition[int]{
+		flag: "http-max-conns", env: "MUSTARDSTEP_HTTP_MAX_CONNS", help: "most connections of callers at once; further ones are answered 503 and closed", unit: "connections", fallback: "20000", min: bound[int](1), max: bound[int](1000000),
+	})
+	bind(b, &s.MaxHeader, definition[int]{
+		flag: "http-max-header", env: "MUSTARDSTEP_HTTP_MAX_HEADER", help: "largest head of a request", unit: "bytes", fallback: "8192", min: bound[int](1024), max: bound[int](1048576),
+	})
+}
+
 // Demo holds the settings of the demonstration.
 type Demo struct {
 	// Keep: keep the system running until SIGINT or SIGTERM and print commands to try.
@@ -320,6 +353,7 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
+	Callers     Callers
 	Diagnostics Diagnostics
 	Jobs        Jobs
 	Logging     Logging
@@ -329,6 +363,7 @@
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
+	s.Callers.Bind(b)
 	s.Diagnostics.Bind(b)
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
