Compare dispatch policies on one trace

Cause: the policy of the thin path could not be told from any other, since no run put two policies on the same trace. Change: suites steady, burst, skew and cancel replay one trace under round robin, least outstanding, two choices and the daemon's own policy, count the messages by kind and compare with a clairvoyant schedule. The slots of an upstream are dealt to the VMs of its data centre one at a time, so that no VM is left with few upstreams.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,7 +16,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
@@ -45,7 +44,7 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	members     *membership.Table
 	submissions *submission.Table
-	dispatcher  *dispatch.Dispatcher
+	dispatcher  dispatcher
 
 	front     *httpfront.Front
 	peers     *peer.Transport
@@ -72,7 +71,7 @@
 		metrics:     newMetrics(),
 		members:     membership.NewTable(self, seeds),
 		submissions: submission.NewTable(s.Jobs.Retention),
-		dispatcher:  dispatch.New(dispatch.Config{MaxQueued: s.Jobs.MaxQueued}),
+		dispatcher:  newDispatcher(&s),
 		upstreams: upstream.NewClient(upstream.Config{
 			DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
 		}),
@@ -94,6 +93,7 @@
 		MaxFrame:    s.Network.MaxFrame,
 		OnHello:     d.heard,
 	})
+	d.metrics.countFrames(d.peers)
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	peer.Handle(d.peers, d.handleRecord)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -1,6 +1,11 @@
 package daemon
 
-import "expvar"
+import (
+	"expvar"
+	"strconv"
+
+	"github.com/mustardstep/mustardstep/internal/peer"
+)
 
 // metrics are the counters of one daemon. They are published by the front and
 // not in the global registry, so that several daemons can share a process.
@@ -32,3 +37,15 @@
 	m.platformFail = counter("platform_failures")
 	return m
 }
+
+// countFrames publishes the frames sent to peers, by message kind.
+func (m *metrics) countFrames(peers *peer.Transport) {
+	m.vars.Set("frames_sent", expvar.Func(func() any {
+		sent := map[string]int64{}
+		for kind, n := range peers.Sent() {
+			sent[strconv.Itoa(int(kind))] = n
+		}
+		return sent
+	}))
+	m.vars.Set("frame_bytes_sent", expvar.Func(func() any { return peers.SentBytes() }))
+}
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -45,19 +45,25 @@
 	d.ready.Store(true)
 }
 
-// selectUpstreams returns, by service, the upstreams of this data centre that
-// rendezvous hashing gives to this VM.
+// selectUpstreams returns, by service, the upstreams of this data centre with
+// the slots that belong to this VM.
 func selectUpstreams(view *membership.View, vms []api.VM) map[string][]dispatch.Upstream {
+	var vmHashes []uint64
+	for _, member := range view.Members(view.Self.DataCentre) {
+		vmHashes = append(vmHashes, rendezvous.Hash(member.VM))
+	}
+	self := rendezvous.Hash(view.Self.VM)
 	selected := map[string][]dispatch.Upstream{}
 	for _, vm := range vms {
 		if vm.Role != api.RoleUpstream || vm.DataCentre != view.Self.DataCentre || vm.State == api.VMGone {
 			continue
 		}
-		if first, _, ok := view.Ranked(vm.DataCentre, rendezvous.Hash(vm.Name)); !ok || first.VM != view.Self.VM {
+		slots := dispatch.Share(vm.Name, vm.Slots, vmHashes, self)
+		if slots == 0 {
 			continue
 		}
 		selected[vm.Service] = append(selected[vm.Service], dispatch.Upstream{
-			Name: vm.Name, Service: vm.Service, Address: vm.Address, Rack: vm.Rack, Slots: vm.Slots,
+			Name: vm.Name, Service: vm.Service, Address: vm.Address, Rack: vm.Rack, Slots: slots,
 			Size:    catalog.Size{MilliCPU: vm.MilliCPU, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators},
 			Leaving: vm.State == api.VMLeaving,
 		})
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,6 +29,13 @@
 	refused int
 }
 
+// CountRefusal counts a refusal of the task by an upstream and returns their
+// number. Only the dispatcher that placed the task may call it.
+func (t *Task) CountRefusal() int {
+	t.refused++
+	return t.refused
+}
+
 // Upstream is a VM that runs tasks of one service.
 type Upstream struct {
 	Name, Service, Address, Rack string
@@ -53,10 +60,11 @@
 // Reasons of an assignment.
 const (
 	FirstFree Reason = iota
+	Baseline
 )
 
 // String returns the form used in logs.
-func (r Reason) String() string { return [...]string{FirstFree: "first_free"}[r] }
+func (r Reason) String() string { return [...]string{FirstFree: "first_free", Baseline: "baseline"}[r] }
 
 // Ending says how an assignment ended.
 type Ending uint8
--- /dev/null
+++ b/internal/command/generate.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/mustardstep/mustardstep/internal/replay"
+	"github.com/mustardstep/mustardstep/internal/settings"
+)
+
+type generateCommand struct{ base[settings.ReplayProgram] }
+
+// Generate returns the command that writes a trace to the standard output.
+func Generate() subcommands.Command {
+	return &generateCommand{base[settings.ReplayProgram]{name: "generate", synopsis: "write the trace of a dispatch suite to the standard output"}}
+}
+
+func (c *generateCommand) Usage() string { return "generate SUITE [flags]\n  " + c.synopsis + ".\n\n" }
+
+func (c *generateCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	name := f.Arg(0)
+	if f.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "generate: name a dispatch suite")
+		return subcommands.ExitUsageError
+	}
+	// Flags may stand behind the name.
+	if err := f.Parse(f.Args()[1:]); err != nil || !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	jobs, err := replay.GenerateFor(name, replay.Options{
+		Seed: int64(c.settings.Replay.Seed), Seconds: c.settings.Replay.Seconds, Deployment: c.settings.Trace.Deployment,
+	})
+	if err == nil {
+		err = replay.WriteTrace(os.Stdout, jobs)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/command/suite.go
+++ b/internal/command/suite.go
@@ -36,7 +36,10 @@
 		return subcommands.ExitUsageError
 	}
 	s := c.settings.Replay
-	report, err := replay.RunSuite(ctx, name, replay.Options{Seed: int64(s.Seed), Seconds: s.Seconds})
+	report, err := replay.RunSuite(ctx, name, replay.Options{
+		Seed: int64(s.Seed), Seconds: s.Seconds,
+		Trace: c.settings.Trace.File, Policies: c.settings.Trace.Policies, Deployment: c.settings.Trace.Deployment,
+	})
 	if report != nil {
 		printReport(report, s.Output)
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -19,6 +19,7 @@
 type conn struct {
 	nc       net.Conn
 	maxFrame int
+	sent     *counters
 	out      chan []byte
 	closed   chan struct{}
 	hello    wire.Hello // of the other end; set before the conn is shared
@@ -29,9 +30,9 @@
 	failure error // why the connection ended; nil while it is open
 }
 
-func newConn(nc net.Conn, maxFrame int) *conn {
+func newConn(nc net.Conn, maxFrame int, sent *counters) *conn {
 	return &conn{
-		nc: nc, maxFrame: maxFrame,
+		nc: nc, maxFrame: maxFrame, sent: sent,
 		out:     make(chan []byte, queueSize),
 		closed:  make(chan struct{}),
 		pending: map[uint64]chan frame{},
@@ -72,6 +73,7 @@
 	}
 	select {
 	case c.out <- buf:
+		c.sent.add(request.Kind(), len(buf))
 	case <-ctx.Done():
 		return frame{}, false, ctx.Err()
 	case <-c.closed:
@@ -160,6 +162,7 @@
 	}
 	select {
 	case c.out <- buf:
+		c.sent.add(m.Kind(), len(buf))
 		return nil
 	case <-c.closed:
 		return c.reason()
--- /dev/null
+++ b/internal/peer/counters.go
@@ -0,0 +1,37 @@
+package peer
+
+import (
+	"sync/atomic"
+
+	"github.com/mustardstep/mustardstep/internal/wire"
+)
+
+// kindCount is the number of message kinds that a frame header can name.
+const kindCount = 256
+
+// counters count the frames that a transport sent. They are safe for
+// concurrent use.
+type counters struct {
+	frames [kindCount]atomic.Int64
+	bytes  atomic.Int64
+}
+
+func (c *counters) add(kind wire.Kind, bytes int) {
+	c.frames[kind].Add(1)
+	c.bytes.Add(int64(bytes))
+}
+
+// Sent returns the number of frames sent since the start, by message kind.
+// Kinds that were never sent are left out.
+func (t *Transport) Sent() map[wire.Kind]int64 {
+	sent := map[wire.Kind]int64{}
+	for kind := range t.sent.frames {
+		if n := t.sent.frames[kind].Load(); n > 0 {
+			sent[wire.Kind(kind)] = n
+		}
+	}
+	return sent
+}
+
+// SentBytes returns the number of bytes sent since the start.
+func (t *Transport) SentBytes() int64 { return t.sent.bytes.Load() }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -54,6 +54,7 @@
 	config   Config
 	handlers map[wire.Kind]handler
 	shards   [shardCount]shard
+	sent     counters
 }
 
 // shard holds the connections to the peers whose addresses hash to it.
@@ -116,7 +117,7 @@
 }
 
 func (t *Transport) serveConn(ctx context.Context, nc net.Conn) {
-	c := newConn(nc, t.config.MaxFrame)
+	c := newConn(nc, t.config.MaxFrame, &t.sent)
 	stop := context.AfterFunc(ctx, func() { c.close(ctx.Err()) })
 	defer stop()
 	r := bufio.NewReaderSize(nc, bufferSize)
@@ -240,7 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(nc, t.config.MaxFrame)
+	c := newConn(nc, t.config.MaxFrame, &t.sent)
 	go c.write()
 	go func() {
 		c.close(t.read(context.WithoutCancel(ctx), c, bufio.NewReaderSize(nc, bufferSize)))
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,7 +12,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/mustardstep/mustardstep/examples"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/valyala/fasthttp"
@@ -27,6 +27,10 @@
 	Slots     int
 	// Speeds of the upstreams relative to the fastest, repeated in turn.
 	Speeds []float64
+	// Service is the service that the upstreams run; empty takes rota-desk.
+	Service string
+	// DaemonArgs are further flags of every daemon.
+	DaemonArgs []string
 	// Dir receives logs and the services file.
 	Dir string
 }
@@ -52,7 +56,7 @@
 
 func (c *cluster) start(ctx context.Context) error {
 	schema := filepath.Join(c.layout.Dir, "services.yaml")
-	if err := os.WriteFile(schema, examples.RotaDesk, 0o644); err != nil {
+	if err := os.WriteFile(schema, servicesFile(c.layout.Service), 0o644); err != nil {
 		return err
 	}
 	count := len(c.layout.DataCentres) * c.layout.VMs
@@ -91,7 +95,7 @@
 	for _, dataCentre := range c.layout.DataCentres {
 		err := c.run("upstreams-"+dataCentre, "upstreams", "-platform", c.platform, "-data-centre", dataCentre,
 			"-count", strconv.Itoa(c.layout.Upstreams), "-slots", strconv.Itoa(c.layout.Slots),
-			"-speeds", strings.Join(speeds, ","))
+			"-speeds", strings.Join(speeds, ","), "-service", cmp.Or(c.layout.Service, serviceRotaDesk))
 		if err != nil {
 			return err
 		}
@@ -128,10 +132,11 @@
 		seeds = append(seeds, fmt.Sprintf("vm%d=%s/%s", i, dataCentre, address))
 	}
 	for i, address := range peers {
-		err := c.run(fmt.Sprintf("vm%d", i), "daemon",
+		args := append([]string{"daemon",
 			"-vm", fmt.Sprintf("vm%d", i), "-data-centre", c.layout.DataCentres[i/c.layout.VMs],
 			"-http-listen", c.http[i], "-peer-listen", address, "-seeds", strings.Join(seeds, ","),
-			"-platform", c.platform, "-schema-file", schema)
+			"-platform", c.platform, "-schema-file", schema}, c.layout.DaemonArgs...)
+		err := c.run(fmt.Sprintf("vm%d", i), args...)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/replay/ideal.go
@@ -0,0 +1,123 @@
+package replay
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// SlotSpeeds are the speeds of all slots, one entry per slot.
+type SlotSpeeds []float64
+
+// Sum returns the summed speed.
+func (s SlotSpeeds) Sum() float64 {
+	sum := 0.0
+	for _, speed := range s {
+		sum += speed
+	}
+	return sum
+}
+
+// Clairvoyant returns the mean response time of a schedule of the jobs that
+// knows every run time and needs no messages: all slots are one pool, the job
+// with the least remaining work goes first, and its longest task goes to the
+// fastest free slot. Each response holds one round trip, as the ideal does.
+// Jobs that are cancelled are left out; those that arrive before fromUS run but
+// are not counted.
+func Clairvoyant(jobs []TraceJob, speeds SlotSpeeds, fromUS int64) time.Duration {
+	c := &clairvoyant{free: slices.Clone(speeds), from: float64(fromUS)}
+	slices.Sort(c.free)
+	for i := range jobs {
+		if jobs[i].CancelAfterUS > 0 {
+			continue
+		}
+		c.runUntil(float64(jobs[i].ArrivalUS))
+		c.arrive(&jobs[i])
+	}
+	for len(c.running) > 0 {
+		c.runUntil(c.running[0].ends)
+	}
+	if c.counted == 0 {
+		return 0
+	}
+	return time.Duration(c.total/float64(c.counted)*float64(time.Microsecond)) + roundTrip
+}
+
+// clairvoyant is the state of the schedule. Times are in microseconds.
+type clairvoyant struct {
+	now, from float64
+	free      []float64 // speeds of the free slots, in ascending order
+	queue     []*clairvoyantJob
+	running   runningHeap
+	total     float64 // response times of the counted jobs
+	counted   int
+}
+
+type clairvoyantJob struct {
+	arrival float64
+	tasks   []float64 // run times of the waiting tasks, in ascending order
+	work    float64   // run time of all tasks that have not ended
+	left    int       // tasks that have not ended
+}
+
+type runningTask struct {
+	ends  float64
+	run   float64
+	speed float64
+	job   *clairvoyantJob
+}
+
+type runningHeap []runningTask
+
+func (h runningHeap) Len() int           { return len(h) }
+func (h runningHeap) Less(i, j int) bool { return h[i].ends < h[j].ends }
+func (h runningHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *runningHeap) Push(x any)        { *h = append(*h, x.(runningTask)) }
+func (h *runningHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+func (c *clairvoyant) arrive(job *TraceJob) {
+	j := &clairvoyantJob{arrival: c.now, left: len(job.Tasks)}
+	for _, task := range job.Tasks {
+		j.tasks = append(j.tasks, float64(task.RunUS))
+		j.work += float64(task.RunUS)
+	}
+	slices.Sort(j.tasks)
+	c.queue = append(c.queue, j)
+	c.assign()
+}
+
+// runUntil ends every task that ends by the given time.
+func (c *clairvoyant) runUntil(until float64) {
+	for len(c.running) > 0 && c.running[0].ends <= until {
+		task := heap.Pop(&c.running).(runningTask)
+		c.now = task.ends
+		at, _ := slices.BinarySearch(c.free, task.speed)
+		c.free = slices.Insert(c.free, at, task.speed)
+		task.job.work -= task.run
+		task.job.left--
+		if task.job.left == 0 && task.job.arrival >= c.from {
+			c.total += c.now - task.job.arrival
+			c.counted++
+		}
+		c.assign()
+	}
+	c.now = max(c.now, until)
+}
+
+// assign binds waiting tasks to free slots while there are both.
+func (c *clairvoyant) assign() {
+	for len(c.free) > 0 && len(c.queue) > 0 {
+		job := slices.MinFunc(c.queue, func(a, b *clairvoyantJob) int { return cmp.Compare(a.work, b.work) })
+		speed, run := c.free[len(c.free)-1], job.tasks[len(job.tasks)-1]
+		c.free, job.tasks = c.free[:len(c.free)-1], job.tasks[:len(job.tasks)-1]
+		heap.Push(&c.running, runningTask{ends: c.now + run/speed, run: run, speed: speed, job: job})
+		if len(job.tasks) == 0 {
+			c.queue = slices.DeleteFunc(c.queue, func(j *clairvoyantJob) bool { return j == job })
+		}
+	}
+}
--- a/internal/replay/load.go
+++ b/internal/replay/load.go
@@ -64,6 +64,13 @@
 	ctx, cancel := context.WithTimeout(ctx, jobTimeout)
 	defer cancel()
 	begin := time.Now()
+	if job.CancelAfterUS > 0 {
+		timer := time.AfterFunc(time.Duration(job.CancelAfterUS)*time.Microsecond, func() {
+			// The outcome of the call tells whether the cancellation arrived.
+			_ = l.client(job.Caller).Cancel(ctx, job.Key)
+		})
+		defer timer.Stop()
+	}
 	results, err := l.client(job.Caller).Call(ctx, client.Request{
 		Service: job.Service, Call: job.Call, Key: job.Key, Parameters: parametersOf(job),
 	})
@@ -96,22 +103,6 @@
 	}
 }
 
-// parametersOf builds the body of a call from its traced tasks.
-func parametersOf(job *TraceJob) map[string]any {
-	items := make([]api.StandinTask, len(job.Tasks))
-	for i, task := range job.Tasks {
-		items[i].RunUS = task.RunUS
-	}
-	switch job.Call {
-	case "heat-alert":
-		return map[string]any{"gallery": "east", "figures": items}
-	case "touch-up":
-		return map[string]any{"figure": "queen", "steps": items}
-	default:
-		return map[string]any{"batches": items}
-	}
-}
-
 // whole tells whether an answer holds each result of its own job, in order.
 func whole(job *TraceJob, results []json.RawMessage) bool {
 	if len(results) != len(job.Tasks) {
--- a/internal/replay/replay_gen.go
+++ b/internal/replay/replay_gen.go
@@ -36,12 +36,25 @@
 type TraceTask struct {
 	// RunUS is the true run time on the fastest upstream, in microseconds.
 	RunUS int64 `json:"run_us"`
+	// DeclaredUS is the run time that the operators declared, in microseconds.
+	DeclaredUS int64 `json:"declared_us,omitempty"`
+	// MilliCPU is the true processor demand, in thousandths of a core.
+	MilliCPU int64 `json:"milli_cpu,omitempty"`
+	// MemoryMB is the true memory demand, in megabytes.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
+	// DeclaredMilliCPU is the declared processor demand, in thousandths of a
+	// core.
+	DeclaredMilliCPU int64 `json:"declared_milli_cpu,omitempty"`
+	// DeclaredMemoryMB is the declared memory demand, in megabytes.
+	DeclaredMemoryMB int64 `json:"declared_memory_mb,omitempty"`
 }
 
 // Report is the result of a suite.
 type Report struct {
 	// Suite is the name of the suite.
 	Suite string `json:"suite"`
+	// Policy is the dispatch policy of the daemons.
+	Policy string `json:"policy,omitempty"`
 	// Seed made the trace.
 	Seed int64 `json:"seed"`
 	// Jobs is the number of jobs of the trace.
@@ -78,6 +91,29 @@
 	// WastedPerTask is the number of messages per task beside call, answer,
 	// forward, record, start and result.
 	WastedPerTask float64 `json:"wasted_per_task"`
+	// UrgentRatioP99 is the 99th percentile of response time over ideal of the
+	// urgent calls.
+	UrgentRatioP99 float64 `json:"urgent_ratio_p99,omitempty"`
+	// MeanResponseMS is the mean response time of the complete jobs, in
+	// milliseconds.
+	MeanResponseMS float64 `json:"mean_response_ms,omitempty"`
+	// VsClairvoyantMean is the mean response time over that of a clairvoyant
+	// schedule of the same jobs.
+	VsClairvoyantMean float64 `json:"vs_clairvoyant_mean,omitempty"`
+	// VsBestBaselineExcess is the mean excess over the ideal, divided by that of
+	// the best baseline.
+	VsBestBaselineExcess float64 `json:"vs_best_baseline_excess,omitempty"`
+	// WorstWaitMS is the greatest excess of a response time over the ideal, in
+	// milliseconds.
+	WorstWaitMS float64 `json:"worst_wait_ms,omitempty"`
+	// FramesPerTask is the number of frames between daemons per task.
+	FramesPerTask float64 `json:"frames_per_task,omitempty"`
+	// Wasted counts the wasted messages by kind.
+	Wasted map[string]int64 `json:"wasted,omitempty"`
+	// Counters are counts that only one suite has.
+	Counters map[string]int64 `json:"counters,omitempty"`
+	// Baselines are the reports of the same trace under the other policies.
+	Baselines []Report `json:"baselines,omitempty"`
 	// ElapsedMS is the time that the suite took, in milliseconds.
 	ElapsedMS int64 `json:"elapsed_ms"`
 }
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -13,6 +13,13 @@
 	Seed int64
 	// Seconds is the length of the load.
 	Seconds float64
+	// Trace is the file of a trace that replaces the generated one; empty
+	// generates.
+	Trace string
+	// Policies are the dispatch policies that a dispatch suite compares.
+	Policies []string
+	// Deployment is the service whose calls a dispatch suite generates.
+	Deployment string
 }
 
 // ErrBroken is returned with the report of a suite in which a promise was
@@ -21,7 +28,11 @@
 
 // suites are the suites by name.
 var suites = map[string]func(context.Context, Options) (*Report, error){
-	"thin": runThin,
+	"thin":   runThin,
+	"steady": runSteady,
+	"burst":  runBurst,
+	"skew":   runSkew,
+	"cancel": runCancel,
 }
 
 // RunSuite runs a suite on processes of its own.
--- /dev/null
+++ b/internal/replay/suite_dispatch.go
@@ -0,0 +1,231 @@
+package replay
+
+import (
+	"context"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// warmUpSeconds is the first part of a trace, in which the daemons learn. Its
+// jobs run but are not measured.
+const warmUpSeconds = 2
+
+// policyMustardstep is the policy that the others are baselines of.
+const policyMustardstep = "mustardstep"
+
+// scenario is a load on a system, replayed under several policies.
+type scenario struct {
+	layout Layout
+	shape  Shape
+	// utilization is the offered work over the summed speed of all slots.
+	utilization float64
+	// disturb runs beside the load and injects faults; it may be nil.
+	disturb func(ctx context.Context, c *cluster) error
+}
+
+const meanTaskUS = 100_000
+
+// dispatchScenarios are the scenarios of the dispatch suites by name.
+var dispatchScenarios = map[string]scenario{
+	"steady": {layout: moroccoLayout, shape: Shape{Callers: 200}, utilization: 0.6},
+	"burst": {layout: moroccoLayout, utilization: 0.95,
+		shape: Shape{Callers: 200, BurstFactor: 3, BurstFrom: 0.5, BurstTo: 0.6}},
+	"skew": {layout: moroccoLayout, shape: Shape{Callers: 200, Skew: 0.4}, utilization: 0.5},
+	"cancel": {layout: moroccoLayout, utilization: 0.8,
+		shape: Shape{Callers: 200, CancelShare: 0.3}},
+}
+
+// moroccoLayout is the Atelier's system of today: 8 entry VMs and 48 upstreams
+// of 8 slots in four data centres.
+var moroccoLayout = Layout{
+	DataCentres: []string{"casablanca", "rabat", "fes", "marrakech"}, VMs: 2, Upstreams: 12, Slots: 8,
+	Speeds: []float64{1, 0.75, 0.5, 0.25},
+}
+
+func runSteady(ctx context.Context, o Options) (*Report, error) { return compare(ctx, "steady", o) }
+func runBurst(ctx context.Context, o Options) (*Report, error)  { return compare(ctx, "burst", o) }
+func runSkew(ctx context.Context, o Options) (*Report, error)   { return compare(ctx, "skew", o) }
+func runCancel(ctx context.Context, o Options) (*Report, error) { return compare(ctx, "cancel", o) }
+
+// GenerateFor returns the trace that a dispatch suite generates.
+func GenerateFor(suite string, o Options) ([]TraceJob, error) {
+	s, known := dispatchScenarios[suite]
+	if !known {
+		return nil, errors.Newf("%q is no dispatch suite", suite)
+	}
+	return s.generate(o), nil
+}
+
+func (s *scenario) generate(o Options) []TraceJob {
+	shape := s.shape
+	shape.Seed, shape.Service = o.Seed, o.Deployment
+	shape.Seconds = warmUpSeconds + o.Seconds
+	shape.MeanTaskUS = meanTaskUS
+	shape.TasksPerSecond = s.utilization * s.layout.slotSpeeds().Sum() * 1e6 / meanTaskUS
+	return Generate(shape)
+}
+
+func (s *scenario) jobs(o Options) ([]TraceJob, error) {
+	if o.Trace == "" {
+		return s.generate(o), nil
+	}
+	file, err := os.Open(o.Trace)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	jobs, err := ReadTrace(file)
+	return jobs, errors.Wrap(err, o.Trace)
+}
+
+// slotSpeeds returns the speed of every slot of the system.
+func (l *Layout) slotSpeeds() SlotSpeeds {
+	var speeds SlotSpeeds
+	for range l.DataCentres {
+		for i := range l.Upstreams {
+			for range l.Slots {
+				speeds = append(speeds, l.Speeds[i%len(l.Speeds)])
+			}
+		}
+	}
+	return speeds
+}
+
+// compare replays one trace under every policy, each on processes of its own,
+// and returns the report of mustardstep with those of the others beside it.
+func compare(ctx context.Context, suite string, o Options) (*Report, error) {
+	s := dispatchScenarios[suite]
+	jobs, err := s.jobs(o)
+	if err != nil {
+		return nil, err
+	}
+	if len(jobs) == 0 {
+		return nil, errors.New("the trace has no jobs")
+	}
+	s.layout.Service = jobs[0].Service
+	clairvoyant := Clairvoyant(jobs, s.layout.slotSpeeds(), measuredFrom(jobs))
+	reports, err := s.replayAll(ctx, o.Policies, jobs)
+	if err != nil {
+		return nil, err
+	}
+	for _, report := range reports {
+		if clairvoyant > 0 {
+			report.VsClairvoyantMean = report.MeanResponseMS / milliseconds(clairvoyant)
+		}
+		report.Suite, report.Seed = suite, o.Seed
+	}
+	return side(reports), nil
+}
+
+// replayAll replays the trace under every policy: the baselines at once, each
+// on processes of its own, then mustardstep alone.
+func (s *scenario) replayAll(ctx context.Context, policies []string, jobs []TraceJob) ([]*Report, error) {
+	reports := make([]*Report, len(policies))
+	run := func(i int) (err error) {
+		reports[i], err = s.replay(ctx, policies[i], jobs)
+		return errors.Wrap(err, policies[i])
+	}
+	var g errgroup.Group
+	for i, policy := range policies {
+		if policy != policyMustardstep {
+			g.Go(func() error { return run(i) })
+		}
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	for i, policy := range policies {
+		if policy == policyMustardstep {
+			if err := run(i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return reports, nil
+}
+
+// measuredFrom returns the arrival from which jobs are measured. A trace that
+// is shorter than two warm-ups is measured as a whole.
+func measuredFrom(jobs []TraceJob) int64 {
+	const warmUpUS = warmUpSeconds * 1_000_000
+	if jobs[len(jobs)-1].ArrivalUS < 2*warmUpUS {
+		return 0
+	}
+	return warmUpUS
+}
+
+// side puts the baselines beside the report of mustardstep, or of the last
+// policy where mustardstep was not run.
+func side(reports []*Report) *Report {
+	main := slices.IndexFunc(reports, func(r *Report) bool { return r.Policy == policyMustardstep })
+	if main < 0 {
+		main = len(reports) - 1
+	}
+	report := reports[main]
+	best := 0.0
+	for i, other := range reports {
+		if i == main {
+			continue
+		}
+		report.Baselines = append(report.Baselines, *other)
+		if excess := other.RatioMean - 1; best == 0 || excess < best {
+			best = excess
+		}
+	}
+	if best > 0 {
+		report.VsBestBaselineExcess = (report.RatioMean - 1) / best
+	}
+	return report
+}
+
+// replay runs the trace under one policy.
+func (s *scenario) replay(ctx context.Context, policy string, jobs []TraceJob) (*Report, error) {
+	dir, err := os.MkdirTemp("", "mustardstep-replay-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	begin := time.Now()
+	layout := s.layout
+	layout.Dir = dir
+	layout.DaemonArgs = []string{"-policy", policy, "-log-decisions=false"}
+	c, err := startCluster(ctx, layout)
+	if err != nil {
+		return nil, err
+	}
+	load := newLoad(c.http)
+	disturbed := make(chan error, 1)
+	go func() { disturbed <- s.runFaults(ctx, c) }()
+	outcomes := load.replay(ctx, jobs)
+	faultErr := <-disturbed
+	starts, startsErr := c.starts()
+	usage, usageErr := c.usage()
+	stopErr := c.stop()
+	if err := errors.Join(faultErr, startsErr, usageErr, stopErr); err != nil {
+		return nil, err
+	}
+	report := &Report{Policy: policy}
+	judge(report, measured(outcomes, measuredFrom(jobs)), load.denials, starts, c.speedSum())
+	judgeDispatch(report, measured(outcomes, measuredFrom(jobs)), c.speedSum())
+	usage.judge(report, outcomes, load.attempts)
+	report.ElapsedMS = time.Since(begin).Milliseconds()
+	return report, nil
+}
+
+func (s *scenario) runFaults(ctx context.Context, c *cluster) error {
+	if s.disturb == nil {
+		return nil
+	}
+	return s.disturb(ctx, c)
+}
+
+// measured leaves out the jobs of the warm-up.
+func measured(outcomes []outcome, from int64) []outcome {
+	return slices.DeleteFunc(slices.Clone(outcomes), func(o outcome) bool { return o.job.ArrivalUS < from })
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/replay/trace.go
+++ b/internal/replay/trace.go
@@ -5,10 +5,7 @@
 import (
 	"bufio"
 	"encoding/json"
-	"fmt"
 	"io"
-	"math"
-	"math/rand/v2"
 
 	"github.com/cockroachdb/errors"
 )
@@ -60,62 +57,3 @@
 	}
 	return jobs, scanner.Err()
 }
-
-// Shape describes the trace that Generate makes.
-type Shape struct {
-	Seed int64
-	// Seconds is the length of the trace.
-	Seconds float64
-	// TasksPerSecond is the mean rate of task arrivals.
-	TasksPerSecond float64
-	// MeanTaskUS is the mean run time of a task on the fastest upstream.
-	MeanTaskUS float64
-	// Callers is the number of calling teams.
-	Callers int
-}
-
-// jobKinds are the calls that fan out, with their share and mean size.
-var jobKinds = []struct {
-	call      string
-	share     float64
-	meanTasks float64
-}{
-	{"heat-alert", 0.3, 6},
-	{"touch-up", 0.7, 10},
-}
-
-// Generate returns a trace of rota-desk calls: jobs arrive at random times,
-// their sizes and the run times of their tasks are long-tailed.
-func Generate(s Shape) []TraceJob {
-	rng := rand.New(rand.NewPCG(uint64(s.Seed), 0))
-	meanTasks := 0.0
-	for _, kind := range jobKinds {
-		meanTasks += kind.share * kind.meanTasks
-	}
-	rate := s.TasksPerSecond / meanTasks
-	var jobs []TraceJob
-	for at := rng.ExpFloat64() / rate; at < s.Seconds; at += rng.ExpFloat64() / rate {
-		kind := jobKinds[0]
-		if rng.Float64() > kind.share {
-			kind = jobKinds[1]
-		}
-		job := TraceJob{
-			ArrivalUS: int64(at * 1e6),
-			Caller:    fmt.Sprintf("museum-%02d", rng.IntN(s.Callers)),
-			Key:       fmt.Sprintf("%d-%d", s.Seed, len(jobs)),
-			Service:   "rota-desk", Call: kind.call,
-		}
-		for range 1 + min(int(rng.ExpFloat64()*(kind.meanTasks-1)), 129) {
-			job.Tasks = append(job.Tasks, TraceTask{RunUS: taskTime(rng, s.MeanTaskUS)})
-		}
-		jobs = append(jobs, job)
-	}
-	return jobs
-}
-
-// taskTime draws a log-normal run time, cut off at twenty times the mean.
-func taskTime(rng *rand.Rand, mean float64) int64 {
-	const sigma = 0.8
-	us := mean * math.Exp(rng.NormFloat64()*sigma-sigma*sigma/2)
-	return int64(min(max(us, mean/20), mean*20))
-}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -4,6 +4,19 @@
 
 import "time"
 
+// Dispatch holds the policy by which tasks are placed on upstreams.
+type Dispatch struct {
+	// Policy: dispatch policy; all but mustardstep are baselines to measure against.
+	Policy string
+}
+
+// Bind declares the settings on the binder.
+func (s *Dispatch) Bind(b *Binder) {
+	bind(b, &s.Policy, definition[string]{
+		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policy; all but mustardstep are baselines to measure against", unit: "", fallback: "mustardstep", oneOf: []string{"mustardstep", "roundrobin", "leastoutstanding", "twochoices"},
+	})
+}
+
 // Jobs holds the limits on submissions and their tasks.
 type Jobs struct {
 	// MaxTasks: most tasks of one job, in tasks.
@@ -212,14 +225,39 @@
 	})
 }
 
+// Trace holds the settings of the trace that a suite replays.
+type Trace struct {
+	// File: trace that a dispatch suite replays in place of the one that it generates.
+	File string
+	// Policies: dispatch policies that a suite compares, separated by commas.
+	Policies []string
+	// Deployment: deployment whose calls are generated.
+	Deployment string
+}
+
+// Bind declares the settings on the binder.
+func (s *Trace) Bind(b *Binder) {
+	bind(b, &s.File, definition[string]{
+		flag: "trace", env: "MUSTARDSTEP_TRACE", help: "trace that a dispatch suite replays in place of the one that it generates", unit: "",
+	})
+	bind(b, &s.Policies, definition[[]string]{
+		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policies that a suite compares, separated by commas", unit: "", fallback: "roundrobin,leastoutstanding,twochoices,mustardstep",
+	})
+	bind(b, &s.Deployment, definition[string]{
+		flag: "deployment", env: "MUSTARDSTEP_DEPLOYMENT", help: "deployment whose calls are generated", unit: "", fallback: "rota-desk", oneOf: []string{"rota-desk", "kit-desk"},
+	})
+}
+
 // ReplayProgram holds every setting of mustardstep-replay.
 type ReplayProgram struct {
 	Replay Replay
+	Trace  Trace
 }
 
 // Bind declares the settings on the binder.
 func (s *ReplayProgram) Bind(b *Binder) {
 	s.Replay.Bind(b)
+	s.Trace.Bind(b)
 }
 
 // StandinProgram holds every setting of mustardstep-standin.
@@ -236,6 +274,7 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
+	Dispatch Dispatch
 	Jobs     Jobs
 	Logging  Logging
 	Network  Network
@@ -244,6 +283,7 @@
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
+	s.Dispatch.Bind(b)
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
 	s.Network.Bind(b)
