--- a/client/client.go
+++ b/client/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"net"
 	"net/url"
 	"strconv"
 	"sync/atomic"
@@ -24,12 +25,18 @@
 	Addresses []string
 	// Caller is the name of the calling team.
 	Caller string
+	// AttemptTimeout is the longest wait for one answer before the call is
+	// resubmitted, to the next address, under its key; it should be above the
+	// time that a job takes. Zero waits for the whole deadline.
+	AttemptTimeout time.Duration
 	// Backoff is the wait before the first resubmission; it doubles with each
 	// one up to 32 times its length. Zero takes 20 ms.
 	Backoff time.Duration
 	// Observe is told of every attempt; it may be nil. It may be called
 	// concurrently.
 	Observe func(Attempt)
+	// Dial opens connections; nil dials TCP.
+	Dial func(address string) (net.Conn, error)
 }
 
 // Attempt is one try of a call.
@@ -55,13 +62,29 @@
 	answerGrace = 200 * time.Millisecond
 )
 
-// New returns a client without connections.
+// errDial marks an attempt that reached no VM.
+var errDial = errors.New("dial")
+
+// New returns a client without connections. It panics where the config names
+// no address.
 func New(config Config) *Client {
+	if len(config.Addresses) == 0 {
+		panic("client: the config names no address")
+	}
 	if config.Backoff == 0 {
 		config.Backoff = defaultBackoff
 	}
+	dial := config.Dial
+	if dial == nil {
+		dial = fasthttp.Dial
+	}
 	return &Client{config: config, http: &fasthttp.Client{
-		MaxConnsPerHost:           1 << 14,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := dial(address)
+			return conn, errors.Mark(err, errDial)
+		},
+		MaxConnsPerHost: 1 << 14,
+		// Resubmission is done here, by verdict.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 			return false, false
@@ -90,33 +113,60 @@
 	if err != nil {
 		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeMalformed, "encode parameters: %v", err)
 	}
+	// A key of the caller's own may have been used before this call.
+	h := history{doubt: r.Key != ""}
 	if r.Key == "" {
 		r.Key = rand.Text()
 	}
-	uncertain := false
 	for attempt := 0; ; attempt++ {
-		results, failure := c.attempt(r, body, time.Until(deadline))
+		results, failure, answered := c.attempt(r, body, time.Until(deadline))
 		if failure == nil {
 			return results, nil
 		}
-		uncertain = uncertain || failure.Verdict == verdict.MayHaveRun
+		h.add(failure, answered)
 		wait := max(failure.RetryAfter, c.backoff(attempt))
-		if !resubmit(failure) || time.Until(deadline) <= wait {
-			return nil, overall(failure, uncertain)
-		}
-		select {
-		case <-time.After(wait):
-		case <-ctx.Done():
-			return nil, overall(failure, uncertain)
+		if !resubmit(failure) || time.Until(deadline) <= wait || !sleep(ctx, wait) {
+			return nil, h.overall(failure, answered)
 		}
 	}
 }
 
+// sleep waits, and returns false where the context ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// history is what the attempts of one call leave open.
+type history struct {
+	// doubt tells that an attempt may have run, which an answer "not run"
+	// settles, since it covers the submission.
+	doubt bool
+	// lost tells that an attempt got no answer. It may still be on its way, so
+	// that no later answer can deny it.
+	lost bool
+}
+
+func (h *history) add(failure *verdict.Error, answered bool) {
+	switch {
+	case failure.Verdict == verdict.NotRun:
+	case answered:
+		h.doubt = true
+	default:
+		h.lost = true
+	}
+}
+
 // overall widens the verdict of the last attempt by what the earlier ones
-// left open. A NotRun from the owner covers the submission, but one that this
-// client concluded itself, from a refused connection, covers its attempt only.
-func overall(failure *verdict.Error, uncertain bool) *verdict.Error {
-	if failure.Verdict != verdict.NotRun || !uncertain || failure.Code != verdict.CodeUnreachable {
+// left open.
+func (h *history) overall(failure *verdict.Error, answered bool) *verdict.Error {
+	if failure.Verdict != verdict.NotRun || (!h.lost && (answered || !h.doubt)) {
 		return failure
 	}
 	whole := *failure
@@ -138,8 +188,9 @@
 	return c.config.Backoff * time.Duration(min(1<<min(attempt, 16), maxBackoffFactor))
 }
 
-// attempt sends the call to the next address.
-func (c *Client) attempt(r Request, body []byte, timeout time.Duration) ([]json.RawMessage, *verdict.Error) {
+// attempt sends the call to the next address. answered is false where the
+// failure was concluded here.
+func (c *Client) attempt(r Request, body []byte, timeout time.Duration) (results []json.RawMessage, failure *verdict.Error, answered bool) {
 	address := c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -151,29 +202,42 @@
 	request.Header.Set(api.HeaderIdempotencyKey, r.Key)
 	request.Header.Set(api.HeaderTimeoutMS, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	request.SetBodyRaw(body)
-	results, failure := c.send(request, response, timeout)
+	results, failure, answered = c.send(request, response, timeout)
 	if c.config.Observe != nil {
 		c.config.Observe(Attempt{Key: r.Key, Address: address, Failure: failure, Ended: time.Now()})
 	}
-	return results, failure
+	return results, failure, answered
 }
 
-func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) ([]json.RawMessage, *verdict.Error) {
-	if err := c.http.DoTimeout(request, response, timeout+answerGrace); err != nil {
-		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "%v", err)
+func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) (results []json.RawMessage, failure *verdict.Error, answered bool) {
+	wait := timeout + answerGrace
+	if c.config.AttemptTimeout > 0 {
+		wait = min(wait, c.config.AttemptTimeout)
+	}
+	if err := c.http.DoTimeout(request, response, wait); err != nil {
+		return nil, unanswered(err), false
 	}
 	var answer api.CallResponse
-	if err := json.Unmarshal(response.Body(), &answer); err != nil {
+	if err := json.Unmarshal(response.Body(), &answer); err != nil || answer.Verdict == verdict.Unknown {
 		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable,
-			"status %d without an answer", response.StatusCode())
+			"status %d without an answer", response.StatusCode()), false
 	}
 	if answer.Verdict == verdict.Complete {
-		return answer.Results, nil
+		return answer.Results, nil, true
 	}
 	return nil, &verdict.Error{
 		Verdict: answer.Verdict, Code: answer.Code, Reason: answer.Reason,
 		RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond,
+	}, true
+}
+
+// unanswered judges an attempt that got no answer.
+func unanswered(err error) *verdict.Error {
+	v := verdict.MayHaveRun
+	if errors.Is(err, errDial) {
+		v = verdict.NotRun
 	}
+	return verdict.Errorf(v, verdict.CodeUnreachable, "%v", err)
 }
 
 // Cancel asks for the end of a submission. Its outcome comes from Call.
