Add the configuration's state, changes and differences, and a store client with a budget

One revisioned state of small entries; a change compares the entries that it edits, so that changes to different entries do not conflict. An attempt resolves a lost answer by reading.

--- /dev/null
+++ b/configuration/table.go
@@ -0,0 +1,56 @@
+package configuration
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+// Table holds the state in force in this process. It is safe for concurrent
+// use; Current takes no lock.
+type Table struct {
+	current atomic.Pointer[State]
+
+	mu sync.Mutex // guards every store of current
+}
+
+// NewTable returns a table that holds the initial state.
+func NewTable(initial *State) *Table {
+	t := &Table{}
+	t.current.Store(initial)
+	return t
+}
+
+// Current returns the state in force.
+func (t *Table) Current() *State { return t.current.Load() }
+
+// Merge takes a difference from a peer and tells what became of it.
+func (t *Table) Merge(d Difference) Merged {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next, merged := t.Current().Merge(d)
+	t.current.Store(next)
+	return merged
+}
+
+// Adopt takes a state that was read from or written to the platform's service,
+// by the rules of Merge, and keeps what is remembered of removals.
+func (t *Table) Adopt(s *State) Merged {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.Current()
+	d := s.Full()
+	if current.revision == 0 {
+		next, merged := current.Merge(d)
+		t.current.Store(next)
+		return merged
+	}
+	d = Difference{
+		After: current.revision, Revision: s.revision, Fingerprint: s.fingerprint, Entries: Changes(current, s),
+	}
+	next, merged := current.Merge(d)
+	if merged == FullNeeded {
+		next, merged = current.Merge(s.Full())
+	}
+	t.current.Store(next)
+	return merged
+}
--- a/internal/api/platform_gen.go
+++ b/internal/api/platform_gen.go
@@ -97,3 +97,19 @@
 	// Events are the changed entries in order of revision.
 	Events []KeyValue `json:"events,omitempty"`
 }
+
+// PlatformFaults are the fault switches of the platform stand-in (POST
+// /standin/faults); each request replaces all of them.
+type PlatformFaults struct {
+	// Down fails every call before it takes effect.
+	Down bool `json:"down,omitempty"`
+	// SlowMS delays every call, in milliseconds.
+	SlowMS int64 `json:"slow_ms,omitempty"`
+	// LoseAnswers is the number of further writes that take effect and whose
+	// answer is lost.
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// Stale answers reads from a copy made when the switch was set.
+	Stale bool `json:"stale,omitempty"`
+	// CutWatches fails every watch, the waiting ones included.
+	CutWatches bool `json:"cut_watches,omitempty"`
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -14,8 +14,13 @@
 	"github.com/valyala/fasthttp"
 )
 
-// platformServer serves a platform.Memory over HTTP.
-type platformServer struct{ memory *platform.Memory }
+// platformServer serves a store over HTTP.
+type platformServer struct {
+	store *FaultyStore
+	// ctx ends when the server stops. A request's own context is reused for
+	// later requests, so that nothing may hold on to it.
+	ctx context.Context
+}
 
 // RunPlatform serves the platform's key-value service and VM list until the
 // context ends.
@@ -29,7 +34,13 @@
 
 // ServePlatform serves memory on a listener until the context ends.
 func ServePlatform(ctx context.Context, listener net.Listener, memory *platform.Memory) error {
-	p := &platformServer{memory}
+	return ServeStore(ctx, listener, NewFaultyStore(memory))
+}
+
+// ServeStore serves a store with fault switches on a listener until the
+// context ends.
+func ServeStore(ctx context.Context, listener net.Listener, store *FaultyStore) error {
+	p := &platformServer{store, ctx}
 	return serve(ctx, listener, p.handle)
 }
 
@@ -38,7 +49,7 @@
 	prefix := string(args.Peek("prefix"))
 	switch string(c.Path()) {
 	case "/v1/kv":
-		response, err := p.memory.Range(c, prefix)
+		response, err := p.store.Range(p.ctx, prefix)
 		answer(c, response, err)
 	case "/v1/kv/txn":
 		var request api.TxnRequest
@@ -46,15 +57,15 @@
 			c.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
-		response, err := p.memory.Txn(c, &request)
+		response, err := p.store.Txn(p.ctx, &request)
 		answer(c, response, err)
 	case "/v1/kv/watch":
 		after := int64(args.GetUintOrZero("after"))
 		wait := time.Duration(args.GetUintOrZero("wait_ms")) * time.Millisecond
-		response, err := p.memory.Watch(c, prefix, after, wait)
+		response, err := p.store.Watch(p.ctx, prefix, after, wait)
 		answer(c, response, err)
 	case "/v1/vms":
-		response, err := p.memory.VMs(c)
+		response, err := p.store.VMs(p.ctx)
 		answer(c, response, err)
 	case "/standin/vms":
 		var vm api.VM
@@ -62,7 +73,16 @@
 			c.Error(err.Error(), fasthttp.StatusBadRequest)
 			return
 		}
-		p.memory.PutVM(vm)
+		p.store.PutVM(vm)
+	case "/standin/faults":
+		var faults api.PlatformFaults
+		if err := json.Unmarshal(c.PostBody(), &faults); err != nil {
+			c.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		p.store.Set(faults)
+	case "/standin/calls":
+		writeJSON(c, fasthttp.StatusOK, p.store.Calls())
 	default:
 		c.Error("no such path", fasthttp.StatusNotFound)
 	}
