--- /dev/null
+++ b/internal/configstore/store_test.go
@@ -0,0 +1,258 @@
+package configstore
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/configuration"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/stretchr/testify/require"
+)
+
+// bench is a store under test with the process state that goes with it.
+type bench struct {
+	*Store
+	faults *standin.FaultyStore
+	table  *configuration.Table
+}
+
+func limited(kv platform.Store) *platform.Limited {
+	return platform.NewLimited(kv, platform.NewBudget(platform.BudgetConfig{
+		Rate: 10_000, Burst: 1_000, BackoffMin: time.Millisecond, BackoffMax: 10 * time.Millisecond,
+	}))
+}
+
+var benches = map[string]func(*testing.T) bench{
+	"memory": func(*testing.T) bench {
+		faulty := standin.NewFaultyStore(platform.NewMemory())
+		return bench{New(limited(faulty)), faulty, configuration.NewTable(configuration.New(0, nil))}
+	},
+	"stand-in": func(t *testing.T) bench {
+		faulty := standin.NewFaultyStore(platform.NewMemory())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- standin.ServeStore(ctx, listener, faulty) }()
+		t.Cleanup(func() {
+			cancel()
+			require.NoError(t, <-done)
+		})
+		client := platform.NewClient(listener.Addr().String(), 5*time.Second)
+		return bench{New(limited(client)), faulty, configuration.NewTable(configuration.New(0, nil))}
+	},
+}
+
+// commit makes a change and takes it into the table.
+func (b bench) commit(ctx context.Context, c *configuration.Change, repeated bool) (int64, error) {
+	next, revision, err := b.Commit(ctx, b.table.Current, c, repeated)
+	if next != nil {
+		b.table.Adopt(next)
+	}
+	return revision, err
+}
+
+// set returns a change of one quota from what the table holds.
+func (b bench) set(id, caller, value string) *configuration.Change {
+	s := b.table.Current()
+	edit := configuration.Edit{Key: configuration.PrefixQuotas + caller, After: &value}
+	if before, found := s.Get(edit.Key); found {
+		edit.Before = &before
+	}
+	return &configuration.Change{ID: id, Author: "test", Base: s.Revision(), Edits: []configuration.Edit{edit}}
+}
+
+func short(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), 60*time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func (b bench) requireStored(t *testing.T, key, value string) {
+	s, _, err := b.Read(t.Context())
+	require.NoError(t, err)
+	got, _ := s.Get(key)
+	require.Equal(t, value, got)
+}
+
+var commitTable = map[string]func(*testing.T, bench){
+	"a change and its history": func(t *testing.T, b bench) {
+		revision, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, revision)
+		revision, err = b.commit(t.Context(), b.set("b", "x", "2"), false)
+		require.NoError(t, err)
+		require.EqualValues(t, 2, revision)
+		history, err := b.History(t.Context())
+		require.NoError(t, err)
+		require.Len(t, history, 2)
+		require.Equal(t, "b", history[0].ID)
+		require.Equal(t, "1", *history[0].Edits[0].Before)
+		require.Nil(t, history[1].Edits[0].Before)
+	},
+	"an answer lost after the write": func(t *testing.T, b bench) {
+		b.faults.Set(api.PlatformFaults{LoseAnswers: 1})
+		revision, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, revision)
+		history, err := b.History(t.Context())
+		require.NoError(t, err)
+		require.Len(t, history, 1)
+	},
+	"three answers lost in a row": func(t *testing.T, b bench) {
+		b.faults.Set(api.PlatformFaults{LoseAnswers: 3})
+		for i := range 3 {
+			_, err := b.commit(t.Context(), b.set(fmt.Sprint(i), fmt.Sprint(i), "1"), false)
+			require.NoError(t, err)
+		}
+		history, err := b.History(t.Context())
+		require.NoError(t, err)
+		require.Len(t, history, 3)
+	},
+	"down until the deadline": func(t *testing.T, b bench) {
+		b.faults.Set(api.PlatformFaults{Down: true})
+		_, err := b.commit(short(t), b.set("a", "x", "1"), false)
+		require.Equal(t, verdict.NotRun, verdict.From(err).Verdict)
+		b.faults.Set(api.PlatformFaults{})
+		b.requireStored(t, "quotas/x", "")
+	},
+	"a repetition after an unknown end": func(t *testing.T, b bench) {
+		change := b.set("a", "x", "1")
+		b.faults.Set(api.PlatformFaults{LoseAnswers: 1, Stale: true})
+		_, err := b.commit(short(t), change, false)
+		require.Equal(t, verdict.MayHaveRun, verdict.From(err).Verdict)
+		b.faults.Set(api.PlatformFaults{})
+		revision, err := b.commit(t.Context(), change, true)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, revision)
+	},
+	"a repetition after others went on": func(t *testing.T, b bench) {
+		change := b.set("a", "x", "1")
+		_, err := b.commit(t.Context(), change, false)
+		require.NoError(t, err)
+		_, err = b.commit(t.Context(), b.set("b", "x", "2"), false)
+		require.NoError(t, err)
+		revision, err := b.commit(t.Context(), change, true)
+		require.NoError(t, err)
+		require.EqualValues(t, 1, revision)
+		b.requireStored(t, "quotas/x", "2")
+	},
+	"a stale read does not hide a later change": func(t *testing.T, b bench) {
+		_, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		b.faults.Set(api.PlatformFaults{Stale: true})
+		other := bench{b.Store, b.faults, configuration.NewTable(b.table.Current())}
+		_, err = other.commit(t.Context(), other.set("b", "x", "2"), false)
+		require.NoError(t, err)
+		_, err = b.commit(short(t), b.set("c", "x", "3"), false)
+		require.Error(t, err)
+		b.faults.Set(api.PlatformFaults{})
+		b.requireStored(t, "quotas/x", "2")
+	},
+	"a conflict names both revisions": func(t *testing.T, b bench) {
+		_, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		late := b.set("c", "x", "3")
+		_, err = b.commit(t.Context(), b.set("b", "x", "2"), false)
+		require.NoError(t, err)
+		_, err = b.commit(t.Context(), late, false)
+		var conflict *configuration.Conflict
+		require.ErrorAs(t, err, &conflict)
+		require.EqualValues(t, 1, conflict.Base)
+		require.EqualValues(t, 2, conflict.Current)
+		require.Equal(t, "2", *conflict.Theirs[0].After)
+	},
+	"an entry over the limit changes nothing": func(t *testing.T, b bench) {
+		_, err := b.commit(t.Context(), b.set("a", "x", strings.Repeat("x", platform.MaxValue+1)), false)
+		var tooLarge *configuration.TooLargeError
+		require.ErrorAs(t, err, &tooLarge)
+		b.requireStored(t, "quotas/x", "")
+	},
+	"a service that lost changes gets them back": func(t *testing.T, b bench) {
+		_, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		ahead := b.table.Current().With(9, []configuration.Entry{{Key: "quotas/y", Value: "7", Revision: 9}})
+		b.table.Adopt(ahead)
+		revision, err := b.commit(t.Context(), b.set("b", "z", "1"), false)
+		require.NoError(t, err)
+		require.EqualValues(t, 10, revision)
+		b.requireStored(t, "quotas/y", "7")
+	},
+	"racing operators lose nothing": func(t *testing.T, b bench) {
+		const operators, rounds = 6, 5
+		var wg sync.WaitGroup
+		for i := range operators {
+			wg.Go(func() {
+				mine := bench{b.Store, b.faults, configuration.NewTable(configuration.New(0, nil))}
+				for round := range rounds {
+					id := fmt.Sprintf("%d/%d", i, round)
+					if _, err := mine.commit(t.Context(), mine.set(id, fmt.Sprint(i), id), false); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		s, _, err := b.Read(t.Context())
+		require.NoError(t, err)
+		require.EqualValues(t, operators*rounds, s.Revision())
+		for i := range operators {
+			got, _ := s.Get(fmt.Sprintf("quotas/%d", i))
+			require.Equal(t, fmt.Sprintf("%d/%d", i, rounds-1), got)
+		}
+	},
+	"a watch leads from state to state": func(t *testing.T, b bench) {
+		_, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		follower, position, err := b.Read(t.Context())
+		require.NoError(t, err)
+		_, err = b.commit(t.Context(), b.set("b", "y", "2"), false)
+		require.NoError(t, err)
+		_, err = b.commit(t.Context(), &configuration.Change{ID: "c", Edits: []configuration.Edit{
+			{Key: "quotas/x", Before: pointer("1")},
+		}}, false)
+		require.NoError(t, err)
+		watched, err := b.Watch(t.Context(), position, time.Minute)
+		require.NoError(t, err)
+		next, ok := Update(follower, watched)
+		require.True(t, ok)
+		require.Equal(t, b.table.Current().Fingerprint(), next.Fingerprint())
+		require.False(t, next.Since(follower.Revision()).Full)
+		behind, ok := Update(b.table.Current().With(99, nil), watched)
+		require.True(t, ok)
+		require.EqualValues(t, 99, behind.Revision())
+		b.faults.Compact()
+		watched, err = b.Watch(t.Context(), position, time.Minute)
+		require.NoError(t, err)
+		_, ok = Update(follower, watched)
+		require.False(t, ok)
+	},
+	"the history keeps the last changes only": func(t *testing.T, b bench) {
+		for i := range historyLimit + 3 {
+			_, err := b.commit(t.Context(), b.set(fmt.Sprint(i), "x", fmt.Sprint(i)), false)
+			require.NoError(t, err)
+		}
+		history, err := b.History(t.Context())
+		require.NoError(t, err)
+		require.Len(t, history, historyLimit)
+		require.EqualValues(t, historyLimit+3, history[0].Revision)
+	},
+}
+
+func pointer(s string) *string { return &s }
+
+func TestCommit(t *testing.T) {
+	for name, make := range benches {
+		for what, check := range commitTable {
+			t.Run(name+"/"+what, func(t *testing.T) { check(t, make(t)) })
+		}
+	}
+}
