--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,7 +16,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
@@ -45,7 +44,7 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	node        *ownership.Node
 	submissions *submission.Table
-	dispatcher  *dispatch.Dispatcher
+	dispatcher  dispatcher
 
 	front     *httpfront.Front
 	peers     *peer.Transport
@@ -88,7 +87,7 @@
 			},
 			JoinTimeout: s.Membership.JoinTimeout, Budget: s.Jobs.Memory, Fanout: s.Membership.Fanout,
 		}),
-		dispatcher: dispatch.New(dispatch.Config{MaxQueued: s.Jobs.MaxQueued}),
+		dispatcher: newDispatcher(&s),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
 	if err := d.loadCatalog(); err != nil {
@@ -103,7 +102,7 @@
 		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 		d.directory, d.store = client, client
 	}
-	d.front = httpfront.New(httpfront.Config{MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars}, d)
+	d.front = httpfront.New(frontConfig(s, d.metrics, d.log), d)
 	d.peers = peer.New(peer.Config{
 		Hello:       d.hello(self),
 		DialTimeout: s.Network.DialTimeout,
@@ -111,12 +110,21 @@
 		OnHello:     d.heard,
 		OnClose:     d.disconnected,
 	})
+	d.metrics.countFrames(d.peers)
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	d.handleMembers()
 	return d, nil
 }
 
+func frontConfig(s settings.DaemonProgram, m *metrics, log *slog.Logger) httpfront.Config {
+	return httpfront.Config{
+		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: s.Jobs.MaxTasks,
+		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: m.vars, Log: log,
+	}
+}
+
 // loadCatalog reads the services file of the settings, if there is one.
 func (d *Daemon) loadCatalog() error {
 	d.catalog.Store(catalog.Empty())
