Test the ownership protocol by a model under interleaved faults

Cause: no test interleaved kills, freezes, cuts, joins, leaves and late or lost messages with resubmissions.

Change: a simulated network drives nodes of two data centres; the test fails where a task starts twice, where not run is said of a started submission, or where an answer belongs to another one. Seed and checks are fixed and can be set by -rapid.seed and -rapid.checks.

--- /dev/null
+++ b/ownership/model_test.go
@@ -0,0 +1,103 @@
+package ownership
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"github.com/mustardstep/mustardstep/submission"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed and the number of checks unless the command line
+// gives them.
+func TestMain(m *testing.M) {
+	defaults := map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"}
+	flag.Parse()
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// TestAtMostOnce interleaves faults with submissions and resubmissions. The
+// world fails the test where a task starts twice, where "not run" is said of a
+// submission that has started, or where an answer belongs to another one.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		for range 60 {
+			w.fault(rapid.IntRange(0, 19).Draw(t, "event"))
+			w.deliver(false)
+			w.work()
+		}
+		w.cut = false
+		for _, p := range w.processes {
+			p.frozen = false
+		}
+		w.deliver(true)
+		w.advance(20)
+	})
+}
+
+// fault makes one event.
+func (w *world) fault(kind int) {
+	vm := rapid.SampledFrom(w.order).Draw(w.t, "vm")
+	p := w.processes[vm]
+	isAlive := p != nil && p.alive
+	w.logf("event %d at %s", kind, vm)
+	switch kind {
+	case 0, 1:
+		if isAlive {
+			p.alive = false
+		}
+	case 2, 3, 4:
+		w.boot(vm)
+	case 5, 6:
+		if isAlive {
+			p.frozen = !p.frozen
+		}
+	case 7:
+		w.cut = !w.cut
+	case 8:
+		if isAlive && !p.frozen {
+			p.leaving = true
+		}
+	case 9:
+		w.gone[vm] = !w.gone[vm]
+	case 10:
+		w.deliver(true)
+	case 11:
+		w.lose()
+	case 12, 13, 14, 15:
+		w.advance(rapid.IntRange(1, 14).Draw(w.t, "intervals"))
+	default:
+		if isAlive && !p.frozen {
+			caller := rapid.SampledFrom([]string{"x", "y"}).Draw(w.t, "caller")
+			w.submit(p, submission.ID{Caller: caller, Key: fmt.Sprint(rapid.IntRange(0, 5).Draw(w.t, "key"))})
+		}
+	}
+}
+
+// TestWorldServes shows that the model does serve calls, so that the checks
+// above are not empty.
+func TestWorldServes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.advance(10)
+		for i, vm := range w.order[:3] {
+			w.submit(w.processes[vm], submission.ID{Caller: "x", Key: fmt.Sprint(i)})
+		}
+		for range 4 {
+			w.deliver(true)
+			w.advance(5)
+		}
+		if w.answers["complete"] == 0 {
+			t.Fatalf("no call completed: %v", w.answers)
+		}
+	})
+}
--- /dev/null
+++ b/ownership/world_test.go
@@ -0,0 +1,521 @@
+package ownership
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
+	"pgregory.net/rapid"
+)
+
+const (
+	interval  = time.Second
+	fence     = 10 * time.Second
+	retention = time.Hour
+	patience  = 15 * time.Second // deadline of a call
+	taskCount = 2
+)
+
+// process is one simulated daemon.
+type process struct {
+	vm, dataCentre string
+	node           *Node
+	alive, frozen  bool
+	leaving, left  bool
+	jobs           []*simJob
+}
+
+// simJob is a submission that a process may start.
+type simJob struct {
+	entry   *submission.Entry
+	started int
+	ended   bool
+}
+
+// attempt is a call at one process.
+type attempt struct {
+	at       *process
+	call     Call
+	deadline time.Time
+	entry    *submission.Entry // awaited
+	reply    func(submission.Outcome, StepKind)
+	busy     bool // waits for a message
+	done     bool
+	hops     int
+}
+
+// founder is the platform's entry of a data centre.
+type founder struct {
+	member membership.Member
+	lost   bool
+}
+
+// message is a request or a response on its way.
+type message struct {
+	from, to string // VM names
+	late     bool
+	deliver  func()
+	lost     func()
+}
+
+// world is a system of processes with a network and upstreams that only log.
+type world struct {
+	t         *rapid.T
+	now       time.Time
+	processes map[string]*process // the last process at each VM
+	order     []string
+	seeds     []membership.Seed
+	gone      map[string]bool
+	cut       bool
+	founders  map[string]founder // by data centre, as the platform keeps them
+	messages  []*message
+	attempts  []*attempt
+	starts    map[string]int
+	answers   map[string]int // by kind, for the test's own sanity
+	birth     uint64
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: time.Unix(1_000_000, 0), processes: map[string]*process{}, gone: map[string]bool{},
+		founders: map[string]founder{}, starts: map[string]int{}, answers: map[string]int{},
+	}
+	for _, vm := range []string{"a1", "a2", "a3", "a4", "b1", "b2"} {
+		w.order = append(w.order, vm)
+		w.seeds = append(w.seeds, membership.Seed{VM: vm, DataCentre: vm[:1], Address: vm})
+	}
+	for _, vm := range []string{"a1", "a2", "a3", "b1", "b2"} {
+		w.boot(vm)
+	}
+	w.advance(5)
+	return w
+}
+
+func (w *world) boot(vm string) {
+	if p := w.processes[vm]; p != nil && p.alive {
+		return
+	}
+	w.birth++
+	p := &process{vm: vm, dataCentre: vm[:1], alive: true}
+	p.node = New(w.now, Config{
+		Membership: membership.Config{
+			Self:  membership.Member{VM: vm, Incarnation: w.birth, DataCentre: vm[:1], Address: vm},
+			Seeds: w.seeds, Homes: map[string]string{"x": "a", "y": "b"},
+			Interval: interval, Fence: fence, Retention: retention, RefusalProof: true,
+		},
+		JoinTimeout: 8 * time.Second, Budget: 1 << 20, Fanout: 3,
+	})
+	w.processes[vm] = p
+	w.logf("%s boots as %d, id %d", vm, w.birth, p.node.View().Self.ID())
+}
+
+func (w *world) logf(format string, args ...any) {
+	w.t.Logf("%s "+format, append([]any{w.now.Format("04:05")}, args...)...)
+}
+
+func (w *world) running(p *process) bool {
+	return p.alive && !p.frozen && w.processes[p.vm] == p
+}
+
+// act sends what a node asks for.
+func (w *world) act(p *process, actions []Action) {
+	for _, a := range actions {
+		switch a.Kind {
+		case Reincarnate:
+			w.birth++
+			p.node.Reborn(w.now, w.birth)
+			w.logf("%s is reborn as %d", p.vm, w.birth)
+		case SendHeartbeat:
+			w.heartbeat(p, a.To)
+		case SendJoin:
+			m := &Join{From: p.node.View().Self}
+			w.send(p, a.To, func(q *process) func() {
+				reply, next := q.node.HandleJoin(w.now, m)
+				w.act(q, next)
+				return func() { w.act(p, p.node.HandleJoinReply(w.now, a.To, reply)) }
+			}, nil)
+		case SendFill:
+			w.fill(p, a.To)
+		case Probe:
+			w.probe(p, a.Seed)
+		}
+	}
+}
+
+func (w *world) heartbeat(p *process, to membership.Member) {
+	sent := w.now
+	digest := p.node.Members().Digest(sent, to)
+	w.send(p, to, func(q *process) func() {
+		reply := q.node.Members().HandleDigest(w.now, digest)
+		w.act(q, q.node.Due(w.now))
+		return func() {
+			p.node.Members().HandleReply(w.now, sent, reply)
+			w.act(p, p.node.Due(w.now))
+		}
+	}, nil)
+}
+
+func (w *world) fill(p *process, to membership.Member) {
+	parts, epoch := p.node.FillFor(w.now, to)
+	w.send(p, to, func(q *process) func() {
+		accepted := true
+		for _, part := range parts {
+			reply, next := q.node.HandleFill(w.now, part)
+			w.act(q, next)
+			accepted = accepted && reply.Accepted
+		}
+		return func() {
+			if accepted {
+				w.act(p, p.node.FillDone(w.now, parts[0].From, to, epoch, parts))
+			}
+		}
+	}, nil)
+}
+
+func (w *world) probe(p *process, seed membership.Seed) {
+	q := w.processes[seed.VM]
+	switch {
+	case w.isCut(p.vm, seed.VM):
+	case q == nil || !q.alive:
+		p.node.Members().Vacant(seed)
+		w.act(p, p.node.Due(w.now))
+	case !q.frozen:
+		q.node.Members().Heard(w.now, p.node.View().Self)
+		p.node.Members().Heard(w.now, q.node.View().Self)
+		w.act(p, p.node.Due(w.now))
+	}
+}
+
+func (w *world) isCut(a, b string) bool { return w.cut && a[:1] != b[:1] }
+
+// send carries a request to whatever process is at the address then, and its
+// response back. Either can be late or lost.
+func (w *world) send(p *process, to membership.Member, handle func(*process) func(), lost func()) {
+	if len(w.messages) > 400 {
+		w.drop(lost)
+		return
+	}
+	m := &message{from: p.vm, to: to.VM, lost: func() { w.drop(lost) }}
+	m.deliver = func() {
+		q := w.processes[to.VM]
+		if q == nil || !q.alive {
+			if w.running(p) {
+				p.node.Members().Refused(w.now, to)
+				w.act(p, p.node.Due(w.now))
+			}
+			w.drop(lost)
+			return
+		}
+		respond := handle(q)
+		w.post(&message{from: to.VM, to: p.vm, lost: func() { w.drop(lost) }, deliver: func() {
+			if w.running(p) {
+				respond()
+			}
+		}})
+	}
+	w.post(m)
+}
+
+func (w *world) drop(lost func()) {
+	if lost != nil {
+		lost()
+	}
+}
+
+func (w *world) post(m *message) {
+	m.late = rapid.IntRange(0, 9).Draw(w.t, "late") == 0
+	w.messages = append(w.messages, m)
+}
+
+// deliver carries the messages that are not late; a frozen receiver gets
+// nothing yet, and a cut holds messages back.
+func (w *world) deliver(alsoLate bool) {
+	for round := 0; round < 30 && len(w.messages) > 0; round++ {
+		batch := w.messages
+		w.messages = nil
+		for _, m := range batch {
+			q := w.processes[m.to]
+			if m.late && !alsoLate || q != nil && q.alive && q.frozen || w.isCut(m.from, m.to) {
+				w.messages = append(w.messages, m)
+				continue
+			}
+			m.deliver()
+		}
+	}
+}
+
+// lose drops a message.
+func (w *world) lose() {
+	if len(w.messages) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(w.messages)-1).Draw(w.t, "lost")
+	m := w.messages[i]
+	w.messages = slices.Delete(w.messages, i, i+1)
+	m.lost()
+}
+
+// advance lets intervals pass, in which processes that are not frozen work.
+func (w *world) advance(intervals int) {
+	for range intervals {
+		w.now = w.now.Add(interval)
+		w.eachRunning(func(p *process) {
+			var gone []string
+			for _, vm := range w.order {
+				if w.gone[vm] {
+					gone = append(gone, vm)
+				}
+			}
+			p.node.Members().Listed(nil, gone)
+			w.act(p, p.node.Tick(w.now))
+			w.found(p)
+			w.leave(p)
+		})
+		w.deliver(false)
+		w.work()
+	}
+	w.eachRunning(func(p *process) {
+		v := p.node.View()
+		w.logf("%s admitted %v ranks %v departed %d uncovered %v", p.vm, p.node.Ready(), v.Members(p.dataCentre), len(v.Departed), p.node.coverage.current(w.now))
+	})
+}
+
+func (w *world) eachRunning(visit func(*process)) {
+	for _, vm := range w.order {
+		if p := w.processes[vm]; p != nil && w.running(p) {
+			visit(p)
+		}
+	}
+}
+
+// found answers the question for the history of a data centre truthfully.
+func (w *world) found(p *process) {
+	if !p.node.NeedsHistory() {
+		return
+	}
+	f, founded := w.founders[p.dataCentre]
+	if founded {
+		fact, known := p.node.View().Fact(f.member.ID())
+		if !known || fact.Ended != membership.NotEnded {
+			f = founder{p.node.View().Self, true}
+		}
+	} else {
+		f = founder{p.node.View().Self, false}
+	}
+	w.founders[p.dataCentre] = f
+	h := HistoryNone
+	if f.lost {
+		h = HistoryLost
+	}
+	p.node.SetHistory(h)
+	w.act(p, p.node.Due(w.now))
+}
+
+// leave brings a planned stop forward.
+func (w *world) leave(p *process) {
+	if !p.leaving {
+		return
+	}
+	if !p.left {
+		p.left = p.node.Leave(w.now)
+		w.act(p, p.node.Due(w.now))
+		return
+	}
+	if !slices.ContainsFunc(p.jobs, func(j *simJob) bool { return !j.ended }) {
+		p.node.Members().End(w.now)
+		for _, m := range p.node.Members().Unended() {
+			w.heartbeat(p, m)
+		}
+		p.alive = false
+	}
+}
+
+// submit makes a call at a process.
+func (w *world) submit(p *process, id submission.ID) {
+	w.route(&attempt{at: p, deadline: w.now.Add(patience), call: Call{
+		ID: id, Digest: 1, Expires: w.now.Add(patience + retention),
+	}, reply: w.answered(id)})
+}
+
+// answered checks what a caller is told.
+func (w *world) answered(id submission.ID) func(submission.Outcome, StepKind) {
+	return func(o submission.Outcome, _ StepKind) {
+		if o.Failure == nil {
+			w.answers["complete"]++
+			if len(o.Results) != taskCount || string(o.Results[0]) != id.String() {
+				w.t.Fatalf("%s got another answer: %q", id, o.Results)
+			}
+			return
+		}
+		w.answers[o.Failure.Verdict.String()]++
+	}
+}
+
+func (w *world) route(a *attempt) {
+	w.attempts = append(w.attempts, a)
+	w.step(a)
+}
+
+// step routes an attempt at its process.
+func (w *world) step(a *attempt) {
+	if a.done || a.busy || !w.running(a.at) {
+		return
+	}
+	if a.entry != nil {
+		w.await(a)
+		return
+	}
+	if w.now.After(a.deadline) {
+		v := verdict.MayHaveRun
+		if a.at.node.NotRun(w.now, a.call) {
+			v = verdict.NotRun
+		}
+		w.end(a, submission.Outcome{Failure: verdict.Errorf(v, verdict.CodeDeadline, "deadline")}, Answer)
+		return
+	}
+	w.take(a, a.at.node.Begin(w.now, a.call))
+}
+
+func (w *world) take(a *attempt, s Step) {
+	switch s.Kind {
+	case Answer, Unstarted:
+		w.end(a, s.Outcome, s.Kind)
+	case Await:
+		a.entry = s.Entry
+		w.await(a)
+	case Run:
+		a.entry = s.Entry
+		a.at.jobs = append(a.at.jobs, &simJob{entry: s.Entry})
+	case StoreRecord:
+		w.record(a, s)
+	case Forward:
+		w.forward(a, s.To, 0)
+	case ForwardPinned:
+		w.forward(a, s.To, s.To.ID())
+	}
+}
+
+func (w *world) await(a *attempt) {
+	select {
+	case <-a.entry.Done():
+		if a.entry.Abandoned() {
+			a.entry = nil
+			return
+		}
+		w.end(a, a.entry.Outcome(), Answer)
+	default:
+	}
+}
+
+func (w *world) record(a *attempt, s Step) {
+	a.busy = true
+	m := &Records{From: a.at.node.View().Self, To: s.To.ID(), Records: []submission.Record{s.Entry.Record}}
+	finish := func(next Step) {
+		if a.busy {
+			a.busy = false
+			w.take(a, next)
+		}
+	}
+	w.send(a.at, s.To, func(q *process) func() {
+		reply := q.node.HandleRecords(w.now, m)
+		return func() {
+			if !reply.Accepted {
+				finish(a.at.node.Unrecorded(s.Entry))
+				return
+			}
+			if a.busy {
+				finish(a.at.node.Recorded(s.Entry, s.To))
+			}
+		}
+	}, func() {
+		if a.busy && a.at.alive {
+			finish(a.at.node.Unrecorded(s.Entry))
+		}
+	})
+}
+
+func (w *world) forward(a *attempt, to membership.Member, pinnedTo membership.ID) {
+	if a.hops > 3 {
+		return
+	}
+	a.busy = true
+	call := a.call
+	call.PinnedTo = pinnedTo
+	w.send(a.at, to, func(q *process) func() {
+		child := &attempt{at: q, call: call, deadline: a.deadline, hops: a.hops + 1}
+		child.reply = func(o submission.Outcome, kind StepKind) {
+			w.post(&message{from: q.vm, to: a.at.vm, lost: func() { a.busy = false }, deliver: func() {
+				if !w.running(a.at) || !a.busy {
+					return
+				}
+				a.busy = false
+				if kind == Unstarted {
+					w.take(a, a.at.node.Unstarted(call.ID, to))
+					return
+				}
+				w.finish(a, o, kind)
+			}})
+		}
+		w.route(child)
+		return func() {}
+	}, func() { a.busy = false })
+}
+
+// end ends an attempt by a decision of its process, which must be true now.
+func (w *world) end(a *attempt, o submission.Outcome, kind StepKind) {
+	if o.Failure != nil && o.Failure.Verdict == verdict.NotRun {
+		for i := range taskCount {
+			if w.starts[fmt.Sprint(a.call.ID, i)] > 0 {
+				w.t.Fatalf("%s: %s said not run of %s, which has started", w.now, a.at.vm, a.call.ID)
+			}
+		}
+	}
+	w.finish(a, o, kind)
+}
+
+func (w *world) finish(a *attempt, o submission.Outcome, kind StepKind) {
+	a.done = true
+	a.reply(o, kind)
+}
+
+// work starts and ends tasks of some jobs and moves every attempt on.
+func (w *world) work() {
+	w.eachRunning(func(p *process) {
+		for _, j := range p.jobs {
+			if !j.ended && rapid.IntRange(0, 2).Draw(w.t, "task") > 0 {
+				w.task(p, j)
+			}
+		}
+	})
+	for _, a := range slices.Clone(w.attempts) {
+		w.step(a)
+	}
+	w.attempts = slices.DeleteFunc(w.attempts, func(a *attempt) bool { return a.done || !a.at.alive })
+}
+
+// task starts the next task of a job, or ends the job after its last one.
+func (w *world) task(p *process, j *simJob) {
+	id := j.entry.ID
+	if j.started == taskCount {
+		j.ended = true
+		results := make([][]byte, taskCount)
+		for i := range results {
+			results[i] = []byte(id.String())
+		}
+		p.node.Submissions().Finish(j.entry, submission.Outcome{Results: results})
+		return
+	}
+	if _, ok := p.node.StartUntil(w.now, j.entry); !ok {
+		return
+	}
+	name := fmt.Sprint(id, j.started)
+	j.started++
+	w.starts[name]++
+	w.logf("%s starts %s", p.vm, name)
+	if w.starts[name] > 1 {
+		w.t.Fatalf("%s: %s started %s again", w.now, p.vm, name)
+	}
+}
