Put the configuration into force on every VM

One VM per data centre waits on the watch; the others compare revision and fingerprint with it and pull the difference. A VM is ready once it has taken the newest that its peers and the platform show. Operators change and read the configuration under /v1/operators. The platform client gives up a request when its context ends, so that a stop does not wait for a watch.

--- a/configuration/entry.go
+++ b/configuration/entry.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
 
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
@@ -68,3 +69,33 @@
 	}
 	return fmt.Errorf("key %q starts with none of %s", key, strings.Join(Prefixes(), ", "))
 }
+
+// CheckValue returns an error where a value of a quota, home or drain is not of
+// its form. Other entries are checked by who reads them.
+func CheckValue(key, value string) error {
+	switch {
+	case strings.HasPrefix(key, PrefixQuotas):
+		if n, err := strconv.Atoi(value); err != nil || n < 1 {
+			return fmt.Errorf("%q is not a positive number of tasks", value)
+		}
+	case strings.HasPrefix(key, PrefixHomes):
+		if value == "" {
+			return fmt.Errorf("name a data centre, or remove the entry")
+		}
+	}
+	return nil
+}
+
+// Quota returns the most tasks that a caller may have waiting and running on
+// one VM; ok is false where the caller has no quota.
+func (s *State) Quota(caller string) (tasks int, ok bool) {
+	value, found := s.Get(PrefixQuotas + caller)
+	if !found {
+		return 0, false
+	}
+	tasks, err := strconv.Atoi(value)
+	return tasks, err == nil
+}
+
+// Home returns the data centre to which operators assigned a caller.
+func (s *State) Home(caller string) (dataCentre string, ok bool) { return s.Get(PrefixHomes + caller) }
--- a/configuration/model_test.go
+++ b/configuration/model_test.go
@@ -11,8 +11,7 @@
 // service models the platform's service: writes on a condition, reads that may
 // show an earlier state, writes that arrive late.
 type service struct {
-	past     []Read // by revision of the service; the last one is current
-	accepted map[string]int64
+	past []Read // by revision of the service; the last one is current
 }
 
 func newService() *service {
--- /dev/null
+++ b/daemon/configuration.go
@@ -0,0 +1,190 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mustardstep/mustardstep/configuration"
+	"github.com/mustardstep/mustardstep/internal/configstore"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"golang.org/x/sync/errgroup"
+)
+
+// place is where a daemon of the system runs.
+type place struct{ VM, DataCentre, Address string }
+
+// configurationDeps connect a configurator to the daemon.
+type configurationDeps struct {
+	self     place
+	settings settings.DaemonProgram
+	log      *slog.Logger
+	// store is nil without a platform.
+	store *configstore.Store
+	// call calls a peer.
+	call func(ctx context.Context, address string, request, response wire.Message) error
+	// places returns the daemons that are not known to have ended, this one
+	// included.
+	places func() []place
+	// apply puts a state into force. Calls do not overlap and never go back.
+	apply func(*configuration.State)
+}
+
+// configurator keeps the configuration of this VM up to date.
+//
+// The first in rank of each data centre waits on the watch of the platform's
+// service. Every VM compares revision and fingerprint with the first in rank
+// of its data centre that answers, and that one with its like in another data
+// centre; whoever is behind pulls the difference. A VM that takes a new
+// revision from outside of its data centre tells the others there at once, and
+// one that makes a change tells one VM of each data centre besides; the
+// comparison heals what such a notice misses. A lower revision is never taken.
+type configurator struct {
+	configurationDeps
+	table    *configuration.Table
+	synced   atomic.Bool // a configuration has been taken since the start
+	watching atomic.Bool
+	wake     chan struct{} // tells the watch that the rank may have changed
+
+	applying sync.Mutex // guards applied; held while a state is put into force
+	applied  *configuration.State
+
+	mu      sync.Mutex // guards the fields below
+	pulling map[string]bool
+	quiet   map[string]time.Time // VMs that did not answer, until when they are passed over
+}
+
+func newConfigurator(deps configurationDeps, initial *configuration.State) *configurator {
+	c := &configurator{
+		configurationDeps: deps,
+		table:             configuration.NewTable(initial),
+		wake:              make(chan struct{}, 1),
+		pulling:           map[string]bool{},
+		quiet:             map[string]time.Time{},
+	}
+	c.putInForce()
+	return c
+}
+
+// run keeps the configuration up to date until the context ends.
+func (c *configurator) run(ctx context.Context) error {
+	c.start(ctx)
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.keepComparing(ctx) })
+	if c.store != nil {
+		g.Go(func() error { return c.keepWatching(ctx) })
+	}
+	return g.Wait()
+}
+
+// startPause is the time between rounds of a start that found no configuration.
+const startPause = 200 * time.Millisecond
+
+// start takes the newest configuration that the peers and the platform's
+// service show. A VM that finds neither goes on with its services file, if it
+// has one, when the wait is over.
+func (c *configurator) start(ctx context.Context) {
+	began := time.Now()
+	warned := false
+	for ctx.Err() == nil {
+		if c.startRound(ctx) {
+			c.synced.Store(true)
+			c.log.Info("configuration taken", c.held()...)
+			return
+		}
+		if !warned && time.Since(began) >= c.settings.Configuration.StartWait && c.table.Current().Len() > 0 {
+			warned = true
+			c.synced.Store(true)
+			c.log.Warn("no peer and no platform answered: the services file is in force")
+		}
+		sleepFor(ctx, startPause)
+	}
+}
+
+// startRound asks every peer and the service at once and tells whether one of
+// them had a configuration, or can tell that there is none.
+func (c *configurator) startRound(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, c.settings.Network.PeerTimeout)
+	defer cancel()
+	var found atomic.Bool
+	var wg sync.WaitGroup
+	for _, p := range c.others() {
+		wg.Go(func() {
+			if synced, err := c.compare(ctx, p); err == nil && synced {
+				found.Store(true)
+			}
+		})
+	}
+	if c.store == nil {
+		found.Store(true)
+	} else {
+		wg.Go(func() {
+			if state, _, err := c.store.Read(ctx); err == nil {
+				c.adopt(state)
+				found.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	return found.Load()
+}
+
+// held describes the state in force for a log line.
+func (c *configurator) held() []any {
+	s := c.table.Current()
+	return []any{slog.Int64("revision", s.Revision()), slog.String("fingerprint", hex(s.Fingerprint()))}
+}
+
+// adopt takes a state from the platform's service.
+func (c *configurator) adopt(s *configuration.State) bool {
+	return c.taken(c.table.Adopt(s), "platform")
+}
+
+// taken puts a newer state into force and tells whether there was one.
+func (c *configurator) taken(merged configuration.Merged, source string) bool {
+	switch merged {
+	case configuration.Damaged:
+		c.log.Error("configuration refused: its entries do not have its fingerprint", slog.String("source", source))
+	case configuration.Diverged:
+		c.log.Error("two configurations have one revision: the greater fingerprint stays",
+			append(c.held(), slog.String("source", source))...)
+	}
+	if !c.putInForce() {
+		return false
+	}
+	c.log.Info("configuration in force", append(c.held(), slog.String("source", source))...)
+	return true
+}
+
+// putInForce applies the current state unless that was done.
+func (c *configurator) putInForce() bool {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	s := c.table.Current()
+	if s == c.applied {
+		return false
+	}
+	c.apply(s)
+	c.applied = s
+	return true
+}
+
+// jittered returns a time within a quarter of d, so that VMs that started
+// together do not call together.
+func jittered(d time.Duration) time.Duration {
+	return d*3/4 + rand.N(d/2+1)
+}
+
+// sleepFor waits for a time or the end of the context.
+func sleepFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/daemon/configuration_apply.go
@@ -0,0 +1,189 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/configuration"
+	"github.com/mustardstep/mustardstep/internal/configstore"
+	"github.com/mustardstep/mustardstep/internal/peer"
+	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/wire"
+)
+
+// serviceEntry is the parsed form of an entry under PrefixServices.
+type serviceEntry struct {
+	text string
+	call *catalog.Call
+}
+
+// initialConfiguration returns the state that the services file of the settings
+// gives, which is in force until a peer or the platform shows another.
+func initialConfiguration(path string) (*configuration.State, error) {
+	if path == "" {
+		return configuration.New(0, nil), nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "services file")
+	}
+	parts, err := catalog.Split(data)
+	if err != nil {
+		return nil, errors.Wrapf(err, "services file %s", path)
+	}
+	entries := make([]configuration.Entry, len(parts))
+	for i, part := range parts {
+		entries[i] = configuration.Entry{Key: serviceKey(part), Value: part.Text}
+	}
+	return configuration.New(0, entries), nil
+}
+
+func serviceKey(part catalog.Part) string {
+	return configuration.PrefixServices + part.Service + "/" + part.Call
+}
+
+// servicePart is the inverse of serviceKey. ok is false for another key.
+func servicePart(key, text string) (part catalog.Part, ok bool) {
+	rest, isService := strings.CutPrefix(key, configuration.PrefixServices)
+	service, call, hasCall := strings.Cut(rest, "/")
+	return catalog.Part{Service: service, Call: call, Text: text}, isService && hasCall
+}
+
+// startConfiguration makes the configurator and puts the initial state into
+// force.
+func (d *Daemon) startConfiguration(initial *configuration.State, self place) {
+	s := d.settings
+	deps := configurationDeps{
+		self: self, settings: s, log: d.log, places: d.places, apply: d.applyConfiguration,
+		call: func(ctx context.Context, address string, request, response wire.Message) error {
+			return d.peers.Call(ctx, address, request, response)
+		},
+	}
+	if s.Platform.Address != "" {
+		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
+		d.limited = platform.NewLimited(client, platform.NewBudget(platform.BudgetConfig{
+			Rate: s.Platform.Rate, Burst: s.Platform.Burst,
+			BackoffMin: s.Platform.BackoffMin, BackoffMax: s.Platform.BackoffMax, Seed: uint64(os.Getpid()),
+		}))
+		deps.store = configstore.New(d.limited)
+	}
+	d.configuration = newConfigurator(deps, initial)
+	peer.Handle(d.peers, d.configuration.handle)
+	peer.Handle(d.peers, d.handleStatus)
+}
+
+// places returns the daemons that this VM knows, itself included.
+func (d *Daemon) places() []place {
+	view := d.members.View()
+	var places []place
+	for _, dataCentre := range view.DataCentres {
+		for _, m := range view.Members(dataCentre) {
+			places = append(places, place{VM: m.VM, DataCentre: m.DataCentre, Address: m.Address})
+		}
+	}
+	return places
+}
+
+// applyConfiguration puts a state into force. Jobs keep the calls that they
+// began with, and a removed upstream or call gets nothing new. An entry that
+// this release cannot read keeps its last readable form.
+func (d *Daemon) applyConfiguration(s *configuration.State) {
+	d.applyServices(s)
+	d.applySettings(s)
+	if _, drained := s.Get(configuration.PrefixDrains + d.settings.Network.VM); d.drained.Swap(drained) != drained {
+		d.log.Info("drained by an operator", slog.Bool("drained", drained))
+	}
+	select {
+	case d.relist <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) applyServices(s *configuration.State) {
+	entries := s.Entries(configuration.PrefixServices)
+	parsed := make(map[string]serviceEntry, len(entries))
+	var calls []*catalog.Call
+	for _, e := range entries {
+		part, _ := servicePart(e.Key, e.Value)
+		known := d.services[e.Key]
+		if known.text != e.Value || known.call == nil {
+			call, err := catalog.ParsePart(part)
+			if err != nil {
+				d.log.Error("entry of the configuration", slog.String("key", e.Key), slog.Any("error", err))
+				call = known.call
+			}
+			known = serviceEntry{e.Value, call}
+		}
+		parsed[e.Key] = known
+		if known.call != nil {
+			calls = append(calls, known.call)
+		}
+	}
+	if !maps.Equal(parsed, d.services) {
+		d.services = parsed
+		d.catalog.Store(catalog.Of(calls))
+	}
+}
+
+func (d *Daemon) applySettings(s *configuration.State) {
+	values := map[string]string{}
+	for _, e := range s.Entries(configuration.PrefixSettings) {
+		values[strings.TrimPrefix(e.Key, configuration.PrefixSettings)] = e.Value
+	}
+	live, err := settings.Override(d.settings, values)
+	if err != nil {
+		d.log.Error("settings of the configuration", slog.Any("error", err))
+	}
+	d.live.Store(&live)
+	d.decisions.Enable(live.Logging.Decisions)
+}
+
+// drainedUpstream tells whether operators drain an upstream.
+func (d *Daemon) drainedUpstream(name string) bool {
+	_, drained := d.configuration.table.Current().Get(configuration.PrefixDrains + name)
+	return drained
+}
+
+// validate returns every fault of the edits of a change.
+func (d *Daemon) validate(edits []configuration.Edit) []string {
+	var problems []string
+	seen := map[string]bool{}
+	for _, e := range edits {
+		if seen[e.Key] {
+			problems = append(problems, e.Key+": edited twice")
+		}
+		seen[e.Key] = true
+		err := configuration.CheckKey(e.Key)
+		if err == nil && e.After != nil {
+			err = d.checkValue(e.Key, *e.After)
+		}
+		if err != nil {
+			problems = append(problems, e.Key+": "+err.Error())
+		}
+	}
+	return problems
+}
+
+func (d *Daemon) checkValue(key, value string) error {
+	switch {
+	case strings.HasPrefix(key, configuration.PrefixServices):
+		part, ok := servicePart(key, value)
+		if !ok {
+			return errors.New("the key must be services/SERVICE/CALL")
+		}
+		_, err := catalog.ParsePart(part)
+		return err
+	case strings.HasPrefix(key, configuration.PrefixSettings):
+		name := strings.TrimPrefix(key, configuration.PrefixSettings)
+		_, err := settings.Override(d.settings, map[string]string{name: value})
+		return err
+	default:
+		return configuration.CheckValue(key, value)
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/internal/operators"
 	"github.com/mustardstep/mustardstep/internal/peer"
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
@@ -51,6 +51,13 @@
 	upstreams *upstream.Client
 	directory platform.Directory // nil without a platform
 	ready     atomic.Bool
+
+	configuration *configurator
+	limited       *platform.Limited                      // nil without a platform
+	live          atomic.Pointer[settings.DaemonProgram] // settings with those that operators changed
+	services      map[string]serviceEntry                // by key; belongs to applyConfiguration
+	drained       atomic.Bool                            // by an operator
+	relist        chan struct{}                          // asks for the list of upstreams to be applied anew
 }
 
 // New returns a daemon that is not running yet.
@@ -65,7 +72,12 @@
 		DataCentre:  s.Network.DataCentre,
 		Address:     s.Network.PeerListen,
 	}
+	initial, err := initialConfiguration(s.Platform.SchemaFile)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
+		relist:      make(chan struct{}, 1),
 		settings:    s,
 		log:         log.With(slog.String("vm", self.VM)),
 		metrics:     newMetrics(),
@@ -77,13 +89,13 @@
 		}),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
-	if err := d.loadCatalog(); err != nil {
-		return nil, err
-	}
+	d.catalog.Store(catalog.Empty())
 	if s.Platform.Address != "" {
 		d.directory = platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 	}
-	d.front = httpfront.New(httpfront.Config{MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars}, d)
+	d.front = httpfront.New(httpfront.Config{
+		MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars, Operators: operators.Handler(d),
+	}, d)
 	d.peers = peer.New(peer.Config{
 		Hello: wire.Hello{
 			VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -97,28 +109,10 @@
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	peer.Handle(d.peers, d.handleRecord)
+	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address})
 	return d, nil
 }
 
-// loadCatalog reads the services file of the settings, if there is one.
-func (d *Daemon) loadCatalog() error {
-	d.catalog.Store(catalog.Empty())
-	path := d.settings.Platform.SchemaFile
-	if path == "" {
-		return nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return errors.Wrap(err, "services file")
-	}
-	c, err := catalog.Parse(data)
-	if err != nil {
-		return errors.Wrapf(err, "services file %s", path)
-	}
-	d.catalog.Store(c)
-	return nil
-}
-
 // Run serves until the context ends, then stops gracefully: it takes no new
 // calls and waits for those in progress, at most the drain timeout.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -136,6 +130,7 @@
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return d.peers.Serve(serving, peers) })
 	g.Go(func() error { return d.front.Serve(callers) })
+	g.Go(func() error { return d.configuration.run(serving) })
 	g.Go(func() error { return d.followUpstreams(serving) })
 	g.Go(func() error {
 		defer stopServing()
@@ -152,7 +147,7 @@
 func (d *Daemon) drain() error {
 	d.ready.Store(false)
 	d.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Jobs.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Jobs.DrainTimeout)
 	defer cancel()
 	return d.front.Shutdown(ctx)
 }
@@ -165,7 +160,7 @@
 	if !d.ready.Load() {
 		return errors.New("starting or draining")
 	}
-	return nil
+	return d.configurationReady()
 }
 
 // heard notes a peer that presented itself.
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -50,7 +50,7 @@
 	if call == nil {
 		return verdict.Errorf(verdict.NotRun, verdict.CodeUnknownCall, "service %q has no call %q", r.Service, r.Call)
 	}
-	items, failure := call.Expand(r.Parameters, d.settings.Jobs.MaxTasks)
+	items, failure := call.Expand(r.Parameters, d.live.Load().Jobs.MaxTasks)
 	if failure != nil {
 		return failure
 	}
--- /dev/null
+++ b/daemon/status.go
@@ -0,0 +1,95 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/wire"
+)
+
+// configurationReady returns the reason why the configuration keeps this VM
+// from taking calls, or nil.
+func (d *Daemon) configurationReady() error {
+	switch {
+	case !d.configuration.synced.Load():
+		return errors.New("no configuration from a peer or the platform yet")
+	case d.drained.Load():
+		return errors.New("drained by an operator")
+	}
+	return nil
+}
+
+// handleStatus answers a peer that asks on behalf of an operator.
+func (d *Daemon) handleStatus(context.Context, *wire.Hello, *wire.StatusRequest) wire.Message {
+	return d.ownStatus()
+}
+
+func (d *Daemon) ownStatus() *wire.StatusResponse {
+	s := d.configuration.table.Current()
+	return &wire.StatusResponse{
+		VM: d.settings.Network.VM, DataCentre: d.settings.Network.DataCentre, Version: Version,
+		Revision: s.Revision(), Fingerprint: s.Fingerprint(),
+		Ready: d.Ready() == nil, Draining: d.drained.Load(),
+		Watching: d.configuration.watching.Load(), Members: len(d.places()),
+	}
+}
+
+// Status implements operators.Backend. It asks every known VM at once.
+func (d *Daemon) Status(ctx context.Context) *api.StatusReport {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Network.PeerTimeout)
+	defer cancel()
+	places := d.places()
+	report := &api.StatusReport{VMs: make([]api.VMStatus, len(places))}
+	var wg sync.WaitGroup
+	for i, p := range places {
+		wg.Go(func() { report.VMs[i] = d.statusOf(ctx, p) })
+	}
+	wg.Wait()
+	agree(report)
+	slices.SortFunc(report.VMs, func(a, b api.VMStatus) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.VM, b.VM))
+	})
+	return report
+}
+
+func (d *Daemon) statusOf(ctx context.Context, p place) api.VMStatus {
+	began := time.Now()
+	var m wire.StatusResponse
+	if p.VM == d.settings.Network.VM {
+		m = *d.ownStatus()
+	} else if err := d.peers.Call(ctx, p.Address, &wire.StatusRequest{}, &m); err != nil {
+		return api.VMStatus{
+			VM: p.VM, DataCentre: p.DataCentre, Address: p.Address, Unreachable: err.Error(),
+			TookUS: time.Since(began).Microseconds(),
+		}
+	}
+	return api.VMStatus{
+		VM: m.VM, DataCentre: m.DataCentre, Address: p.Address, Version: m.Version,
+		Revision: m.Revision, Fingerprint: hex(m.Fingerprint), Ready: m.Ready, Draining: m.Draining,
+		Watching: m.Watching, Members: m.Members, Ejected: m.Ejected, TookUS: time.Since(began).Microseconds(),
+	}
+}
+
+// agree finds the newest configuration and who holds it.
+func agree(report *api.StatusReport) {
+	for _, vm := range report.VMs {
+		if vm.Unreachable != "" {
+			continue
+		}
+		newer := cmp.Or(cmp.Compare(vm.Revision, report.Revision), cmp.Compare(vm.Fingerprint, report.Fingerprint))
+		if report.Fingerprint == "" || newer > 0 {
+			report.Revision, report.Fingerprint = vm.Revision, vm.Fingerprint
+		}
+	}
+	report.Agreed = true
+	for i := range report.VMs {
+		vm := &report.VMs[i]
+		vm.Agreed = vm.Unreachable == "" && vm.Revision == report.Revision && vm.Fingerprint == report.Fingerprint
+		report.Agreed = report.Agreed && vm.Agreed
+	}
+}
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -24,6 +24,7 @@
 		d.readDirectory(ctx)
 		select {
 		case <-ticker.C:
+		case <-d.relist:
 		case <-ctx.Done():
 			return nil
 		}
@@ -39,7 +40,7 @@
 		d.log.Warn("platform list", slog.Any("error", err))
 		return
 	}
-	for service, upstreams := range selectUpstreams(d.members.View(), list.VMs) {
+	for service, upstreams := range selectUpstreams(d.members.View(), list.VMs, d.drainedUpstream) {
 		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
 	}
 	d.ready.Store(true)
@@ -47,7 +48,7 @@
 
 // selectUpstreams returns, by service, the upstreams of this data centre with
 // the slots that belong to this VM.
-func selectUpstreams(view *membership.View, vms []api.VM) map[string][]dispatch.Upstream {
+func selectUpstreams(view *membership.View, vms []api.VM, drained func(string) bool) map[string][]dispatch.Upstream {
 	var vmHashes []uint64
 	for _, member := range view.Members(view.Self.DataCentre) {
 		vmHashes = append(vmHashes, rendezvous.Hash(member.VM))
@@ -65,7 +66,7 @@
 		selected[vm.Service] = append(selected[vm.Service], dispatch.Upstream{
 			Name: vm.Name, Service: vm.Service, Address: vm.Address, Rack: vm.Rack, Slots: slots,
 			Size:    catalog.Size{MilliCPU: vm.MilliCPU, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators},
-			Leaving: vm.State == api.VMLeaving,
+			Leaving: vm.State == api.VMLeaving || drained(vm.Name),
 		})
 	}
 	return selected
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -38,6 +38,8 @@
 	MaxBody int
 	// Metrics are shown at /debug/vars.
 	Metrics *expvar.Map
+	// Operators serves paths under /v1/operators; nil serves none.
+	Operators fasthttp.RequestHandler
 }
 
 // Limits on the names that callers give, in bytes.
@@ -89,6 +91,8 @@
 		if allow(c, method, fasthttp.MethodDelete) {
 			f.cancel(c, path[2])
 		}
+	case len(path) == 3 && path[0] == "v1" && path[1] == "operators" && f.config.Operators != nil:
+		f.config.Operators(c)
 	case len(path) == 1 && path[0] == "healthz":
 		c.SetBodyString("ok\n")
 	case len(path) == 1 && path[0] == "readyz":
--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 
 	"github.com/mustardstep/mustardstep/dispatch"
 	"github.com/mustardstep/mustardstep/submission"
@@ -11,20 +12,26 @@
 
 // Decisions logs a line for each routing and placement decision. It is safe
 // for concurrent use; the zero value logs nothing.
-type Decisions struct{ logger *slog.Logger }
+type Decisions struct {
+	logger  *slog.Logger
+	enabled *atomic.Bool
+}
 
-// NewDecisions returns a log of decisions, or a silent one where enabled is
-// false.
+// NewDecisions returns a log of decisions, silent while it is not enabled.
 func NewDecisions(logger *slog.Logger, enabled bool) Decisions {
-	if !enabled {
-		return Decisions{}
-	}
-	return Decisions{logger}
+	d := Decisions{logger, &atomic.Bool{}}
+	d.Enable(enabled)
+	return d
 }
 
+// Enable turns the log on or off. It must not be called on the zero value.
+func (d Decisions) Enable(enabled bool) { d.enabled.Store(enabled) }
+
+func (d Decisions) silent() bool { return d.logger == nil || !d.enabled.Load() }
+
 // Route logs to which VM a submission was sent, and why.
 func (d Decisions) Route(id submission.ID, home, owner, reason string) {
-	if d.logger == nil {
+	if d.silent() {
 		return
 	}
 	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "route",
@@ -34,7 +41,7 @@
 
 // Placement logs to which upstream a task was bound, and why.
 func (d Decisions) Placement(a *dispatch.Assignment) {
-	if d.logger == nil {
+	if d.silent() {
 		return
 	}
 	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
@@ -45,7 +52,7 @@
 
 // Refusal logs that a submission failed, and why.
 func (d Decisions) Refusal(id submission.ID, failure *verdict.Error) {
-	if d.logger == nil {
+	if d.silent() {
 		return
 	}
 	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "refuse",
--- /dev/null
+++ b/internal/operators/client.go
@@ -0,0 +1,129 @@
+package operators
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/valyala/fasthttp"
+)
+
+// Client asks daemons on behalf of an operator. It tries its addresses in turn
+// and stays with the one that answers. It is not safe for concurrent use.
+type Client struct {
+	addresses []string
+	timeout   time.Duration
+	http      *fasthttp.Client
+}
+
+// NewClient returns a client of the daemons at host:port. The timeout bounds
+// each request.
+func NewClient(addresses []string, timeout time.Duration) *Client {
+	return &Client{addresses: addresses, timeout: timeout, http: &fasthttp.Client{
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+			return false, false
+		},
+	}}
+}
+
+// Configuration returns the state in force on the daemon that answers.
+func (c *Client) Configuration() (*api.Configuration, error) {
+	return get[api.Configuration](c, pathConfiguration)
+}
+
+// History returns the accepted changes that are kept, newest first.
+func (c *Client) History() (*api.HistoryResponse, error) {
+	return get[api.HistoryResponse](c, pathHistory)
+}
+
+// Status returns the state of every VM.
+func (c *Client) Status() (*api.StatusReport, error) {
+	return get[api.StatusReport](c, pathStatus)
+}
+
+// Change makes a change. Where an answer is lost it asks the next daemon under
+// the same identity, so that the change is made at most once. An error means
+// that no daemon answered.
+func (c *Client) Change(request *api.ChangeRequest) (*api.ChangeResponse, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	var errs []error
+	var last *api.ChangeResponse
+	for _, address := range c.addresses {
+		status, answer, err := c.do(address, fasthttp.MethodPost, pathChanges, body)
+		if err == nil {
+			response := new(api.ChangeResponse)
+			if err = json.Unmarshal(answer, response); err == nil {
+				if response.Outcome != api.ChangeUnknown && response.Outcome != api.ChangeUnavailable {
+					return response, nil
+				}
+				last = worse(last, response)
+			} else {
+				err = failure(status, answer)
+			}
+		}
+		if err != nil {
+			errs = append(errs, errors.Wrap(err, address))
+		}
+		request.Repeated = true
+		if body, err = json.Marshal(request); err != nil {
+			return nil, err
+		}
+	}
+	if last != nil && (last.Outcome == api.ChangeUnknown || len(errs) == 0) {
+		return last, nil
+	}
+	if last != nil {
+		// One daemon knew that it had not made the change; another gave no answer.
+		last.Outcome = api.ChangeUnknown
+		return last, nil
+	}
+	return nil, errors.Join(errs...)
+}
+
+// worse returns the answer that knows less.
+func worse(a, b *api.ChangeResponse) *api.ChangeResponse {
+	if a != nil && a.Outcome == api.ChangeUnknown {
+		return a
+	}
+	return b
+}
+
+func get[T any](c *Client, path string) (*T, error) {
+	var errs []error
+	for i, address := range c.addresses {
+		status, body, err := c.do(address, fasthttp.MethodGet, path, nil)
+		if err == nil && status != fasthttp.StatusOK {
+			err = failure(status, body)
+		}
+		value := new(T)
+		if err == nil {
+			err = json.Unmarshal(body, value)
+		}
+		if err == nil {
+			// Later requests begin with the daemon that answered.
+			c.addresses[0], c.addresses[i] = c.addresses[i], c.addresses[0]
+			return value, nil
+		}
+		errs = append(errs, errors.Wrap(err, address))
+	}
+	return nil, verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "no daemon answered: %v", errors.Join(errs...))
+}
+
+func (c *Client) do(address, method, path string, body []byte) (int, []byte, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(method)
+	request.SetRequestURI("http://" + address + path)
+	request.SetBodyRaw(body)
+	if err := c.http.DoTimeout(request, response, c.timeout); err != nil {
+		return 0, nil, err
+	}
+	return response.StatusCode(), append([]byte(nil), response.Body()...), nil
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -67,14 +67,13 @@
 
 // call sends one request and decodes its answer.
 func call[T any](ctx context.Context, c *Client, method, path string, body any, timeout time.Duration) (*T, error) {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
+	request := fasthttp.AcquireRequest()
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + c.address + path)
 	if body != nil {
 		encoded, err := json.Marshal(body)
 		if err != nil {
+			fasthttp.ReleaseRequest(request)
 			return nil, verdict.Errorf(verdict.NotRun, verdict.CodeInternal, "encode: %v", err)
 		}
 		request.SetBodyRaw(encoded)
@@ -82,23 +81,50 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = min(timeout, time.Until(deadline))
 	}
-	if err := c.http.DoTimeout(request, response, timeout); err != nil {
+	done := make(chan result, 1)
+	go func() { done <- c.do(request, timeout) }()
+	var r result
+	select {
+	case r = <-done:
+	case <-ctx.Done():
+		// The request ends by its timeout.
+		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeDeadline, "platform: %v", ctx.Err())
+	}
+	if r.err != nil {
 		v := verdict.MayHaveRun
-		if errors.Is(err, errDial) {
+		if errors.Is(r.err, errDial) {
 			v = verdict.NotRun
 		}
-		return nil, verdict.Errorf(v, verdict.CodeUnreachable, "platform: %v", err)
+		return nil, verdict.Errorf(v, verdict.CodeUnreachable, "platform: %v", r.err)
 	}
-	if status := response.StatusCode(); status != fasthttp.StatusOK {
-		return nil, statusFailure(status, response.Body())
+	if r.status != fasthttp.StatusOK {
+		return nil, statusFailure(r.status, r.body)
 	}
 	value := new(T)
-	if err := json.Unmarshal(response.Body(), value); err != nil {
+	if err := json.Unmarshal(r.body, value); err != nil {
 		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeMalformed, "platform: bad answer: %v", err)
 	}
 	return value, nil
 }
 
+// result is the end of a request.
+type result struct {
+	status int
+	body   []byte
+	err    error
+}
+
+// do sends a request, which it releases, and waits for its answer.
+func (c *Client) do(request *fasthttp.Request, timeout time.Duration) result {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
+		return result{err: err}
+	}
+	return result{status: response.StatusCode(), body: append([]byte(nil), response.Body()...)}
+}
+
 // statusFailure judges an answer that is no success. A 4xx refused the request
 // before it took effect; any other status may hide a write.
 func statusFailure(status int, body []byte) error {
--- a/internal/platform/conformance_test.go
+++ b/internal/platform/conformance_test.go
@@ -146,6 +146,16 @@
 		require.Empty(t, got.Events)
 		require.False(t, got.Compacted)
 	},
+	"a watch ends with its context": func(t *testing.T, ctx context.Context, s subject) {
+		ctx, cancel := context.WithCancel(ctx)
+		done := make(chan error, 1)
+		go func() {
+			_, err := s.store.Watch(ctx, "a/", 0, time.Hour)
+			done <- err
+		}()
+		cancel()
+		require.Error(t, <-done)
+	},
 	"a value of a megabyte": func(t *testing.T, ctx context.Context, s subject) {
 		got, err := s.store.Txn(ctx, put("a", string(bytes.Repeat([]byte("x"), platform.MaxValue)), 0))
 		require.NoError(t, err)
--- a/internal/schemagen/settings.go
+++ b/internal/schemagen/settings.go
@@ -25,6 +25,9 @@
 	Default, Min, Max            string
 	OneOf                        []string `yaml:"one_of"`
 	Required                     bool
+	// Runtime marks a setting that operators may change while the program
+	// runs.
+	Runtime bool
 }
 
 // Env returns the environment variable of the setting.
@@ -90,6 +93,7 @@
 		flag: {{printf "%q" .Flag}}, env: {{printf "%q" .Env}}, help: {{printf "%q" .Help}}, unit: {{printf "%q" .Unit}},
 		{{- if .Default}} fallback: {{printf "%q" .Default}},{{end}}
 		{{- if .Required}} required: true,{{end}}
+		{{- if .Runtime}} runtime: true,{{end}}
 		{{- if .Min}} min: bound[{{.GoType}}]({{.Bound .Min}}),{{end}}
 		{{- if .Max}} max: bound[{{.GoType}}]({{.Bound .Max}}),{{end}}
 		{{- if .OneOf}} oneOf: []string{ {{range .OneOf}}{{printf "%q" .}}, {{end}} },{{end}}
@@ -117,7 +121,7 @@
 
 | flag | environment variable | type | default | accepted | meaning |
 |---|---|---|---|---|---|
-{{range .Settings}}| ` + "`-{{.Flag}}`" + ` | ` + "`{{.Env}}`" + ` | {{.Type}}{{if .Unit}} ({{.Unit}}){{end}} | {{.Default}} | {{.Range}} | {{.Help}} |
+{{range .Settings}}| ` + "`-{{.Flag}}`" + ` | ` + "`{{.Env}}`" + ` | {{.Type}}{{if .Unit}} ({{.Unit}}){{end}} | {{.Default}} | {{.Range}} | {{.Help}}{{if .Runtime}} (can change while running){{end}} |
 {{end}}{{end}}`))
 
 // program collects the settings of one daemon or tool.
--- a/internal/settings/binder.go
+++ b/internal/settings/binder.go
@@ -18,12 +18,15 @@
 // Binder connects settings to a flag set and the environment. It is not safe
 // for concurrent use.
 type Binder struct {
-	flags  *flag.FlagSet
-	checks []func(lookupEnv func(string) (string, bool), isSet map[string]bool) error
+	flags   *flag.FlagSet
+	checks  []func(lookupEnv func(string) (string, bool), isSet map[string]bool) error
+	runtime map[string]func(text string) error // by flag
 }
 
 // NewBinder returns a binder that declares its flags on flags.
-func NewBinder(flags *flag.FlagSet) *Binder { return &Binder{flags: flags} }
+func NewBinder(flags *flag.FlagSet) *Binder {
+	return &Binder{flags: flags, runtime: map[string]func(string) error{}}
+}
 
 // Resolve applies environment variables to settings whose flag was not given
 // and checks every setting. It returns all errors joined. It is called after
@@ -47,6 +50,7 @@
 type definition[T value] struct {
 	flag, env, help, unit, fallback string
 	required                        bool
+	runtime                         bool // may change while the program runs
 	min, max                        *T
 	oneOf                           []string
 }
@@ -74,6 +78,9 @@
 	}
 	b.flags.Var(s, d.flag, help+" [$"+d.env+"]")
 	b.checks = append(b.checks, s.check)
+	if d.runtime {
+		b.runtime[d.flag] = s.override
+	}
 }
 
 // String implements flag.Value.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -42,6 +42,39 @@
 	})
 }
 
+// Configuration holds how the configuration travels between the daemons.
+type Configuration struct {
+	// Interval: time between comparisons of the configuration with a peer.
+	Interval time.Duration
+	// Watchers: VMs of each data centre that wait on the watch of the platform's service, in VMs.
+	Watchers int
+	// Notify: tell peers of a change at once, not at the next comparison.
+	Notify bool
+	// StartWait: longest wait at start for the configuration of a peer or the platform, before the services file is used.
+	StartWait time.Duration
+	// CommitTimeout: longest time that a change by an operator is tried.
+	CommitTimeout time.Duration
+}
+
+// Bind declares the settings on the binder.
+func (s *Configuration) Bind(b *Binder) {
+	bind(b, &s.Interval, definition[time.Duration]{
+		flag: "config-interval", env: "MUSTARDSTEP_CONFIG_INTERVAL", help: "time between comparisons of the configuration with a peer", unit: "", fallback: "1s", min: bound[time.Duration](time.Duration(20000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.Watchers, definition[int]{
+		flag: "config-watchers", env: "MUSTARDSTEP_CONFIG_WATCHERS", help: "VMs of each data centre that wait on the watch of the platform's service", unit: "VMs", fallback: "1", min: bound[int](0), max: bound[int](1000),
+	})
+	bind(b, &s.Notify, definition[bool]{
+		flag: "config-notify", env: "MUSTARDSTEP_CONFIG_NOTIFY", help: "tell peers of a change at once, not at the next comparison", unit: "", fallback: "true",
+	})
+	bind(b, &s.StartWait, definition[time.Duration]{
+		flag: "config-start-wait", env: "MUSTARDSTEP_CONFIG_START_WAIT", help: "longest wait at start for the configuration of a peer or the platform, before the services file is used", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.CommitTimeout, definition[time.Duration]{
+		flag: "config-commit-timeout", env: "MUSTARDSTEP_CONFIG_COMMIT_TIMEOUT", help: "longest time that a change by an operator is tried", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(300000000000)),
+	})
+}
+
 // Demo holds the settings of the demonstration.
 type Demo struct {
 	// Keep: keep the system running until SIGINT or SIGTERM and print commands to try.
@@ -96,7 +129,7 @@
 // Bind declares the settings on the binder.
 func (s *Jobs) Bind(b *Binder) {
 	bind(b, &s.MaxTasks, definition[int]{
-		flag: "max-tasks", env: "MUSTARDSTEP_MAX_TASKS", help: "most tasks of one job", unit: "tasks", fallback: "130", min: bound[int](1), max: bound[int](10000),
+		flag: "max-tasks", env: "MUSTARDSTEP_MAX_TASKS", help: "most tasks of one job", unit: "tasks", fallback: "130", runtime: true, min: bound[int](1), max: bound[int](10000),
 	})
 	bind(b, &s.Retention, definition[time.Duration]{
 		flag: "retention", env: "MUSTARDSTEP_RETENTION", help: "time for which the answer of a submission is kept", unit: "", fallback: "10m", min: bound[time.Duration](time.Duration(1000000000)), max: bound[time.Duration](time.Duration(86400000000000)),
@@ -105,7 +138,7 @@
 		flag: "max-queued", env: "MUSTARDSTEP_MAX_QUEUED", help: "most tasks waiting per service on one VM", unit: "tasks", fallback: "100000", min: bound[int](1), max: bound[int](10000000),
 	})
 	bind(b, &s.DrainTimeout, definition[time.Duration]{
-		flag: "drain-timeout", env: "MUSTARDSTEP_DRAIN_TIMEOUT", help: "longest time that a planned stop waits for requests in progress", unit: "", fallback: "30s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
+		flag: "drain-timeout", env: "MUSTARDSTEP_DRAIN_TIMEOUT", help: "longest time that a planned stop waits for requests in progress", unit: "", fallback: "30s", runtime: true, min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
 }
 
@@ -128,7 +161,7 @@
 		flag: "log-format", env: "MUSTARDSTEP_LOG_FORMAT", help: "form of a log line", unit: "", fallback: "json", oneOf: []string{"json", "text"},
 	})
 	bind(b, &s.Decisions, definition[bool]{
-		flag: "log-decisions", env: "MUSTARDSTEP_LOG_DECISIONS", help: "log a line for each routing or placement decision", unit: "", fallback: "true",
+		flag: "log-decisions", env: "MUSTARDSTEP_LOG_DECISIONS", help: "log a line for each routing or placement decision", unit: "", fallback: "true", runtime: true,
 	})
 }
 
@@ -195,6 +228,16 @@
 	CallTimeout time.Duration
 	// SchemaFile: services file that is used until the platform holds one.
 	SchemaFile string
+	// WatchWait: longest wait of one watch of the platform's service.
+	WatchWait time.Duration
+	// Rate: most calls to the platform's service in the long run; a waiting watch is one, in calls/s.
+	Rate float64
+	// Burst: most calls to the platform's service at once, in calls.
+	Burst float64
+	// BackoffMin: pause after the first failed call to the platform's service.
+	BackoffMin time.Duration
+	// BackoffMax: longest pause after failed calls to the platform's service.
+	BackoffMax time.Duration
 }
 
 // Bind declares the settings on the binder.
@@ -211,6 +254,21 @@
 	bind(b, &s.SchemaFile, definition[string]{
 		flag: "schema-file", env: "MUSTARDSTEP_SCHEMA_FILE", help: "services file that is used until the platform holds one", unit: "",
 	})
+	bind(b, &s.WatchWait, definition[time.Duration]{
+		flag: "platform-watch-wait", env: "MUSTARDSTEP_PLATFORM_WATCH_WAIT", help: "longest wait of one watch of the platform's service", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.Rate, definition[float64]{
+		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "10", min: bound[float64](0.1), max: bound[float64](1000),
+	})
+	bind(b, &s.Burst, definition[float64]{
+		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "20", min: bound[float64](1), max: bound[float64](1000),
+	})
+	bind(b, &s.BackoffMin, definition[time.Duration]{
+		flag: "platform-backoff-min", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MIN", help: "pause after the first failed call to the platform's service", unit: "", fallback: "100ms", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BackoffMax, definition[time.Duration]{
+		flag: "platform-backoff-max", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MAX", help: "longest pause after failed calls to the platform's service", unit: "", fallback: "5s", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
 }
 
 // Replay holds the settings of a suite of replays.
@@ -358,16 +416,18 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
-	Diagnostics Diagnostics
-	Dispatch    Dispatch
-	Jobs        Jobs
-	Logging     Logging
-	Network     Network
-	Platform    Platform
+	Configuration Configuration
+	Diagnostics   Diagnostics
+	Dispatch      Dispatch
+	Jobs          Jobs
+	Logging       Logging
+	Network       Network
+	Platform      Platform
 }
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
+	s.Configuration.Bind(b)
 	s.Diagnostics.Bind(b)
 	s.Dispatch.Bind(b)
 	s.Jobs.Bind(b)
