--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -93,9 +93,7 @@
 	if s.Platform.Address != "" {
 		d.directory = platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 	}
-	d.front = httpfront.New(httpfront.Config{
-		MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars, Operators: operators.Handler(d),
-	}, d)
+	d.front = httpfront.New(d.frontConfig(), d)
 	d.peers = peer.New(peer.Config{
 		Hello: wire.Hello{
 			VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -113,6 +111,16 @@
 	return d, nil
 }
 
+func (d *Daemon) frontConfig() httpfront.Config {
+	s := d.settings
+	return httpfront.Config{
+		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: func() int { return d.live.Load().Jobs.MaxTasks },
+		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: d.metrics.vars, Log: d.log,
+		Operators: operators.Handler(d),
+	}
+}
+
 // Run serves until the context ends, then stops gracefully: it takes no new
 // calls and waits for those in progress, at most the drain timeout.
 func (d *Daemon) Run(ctx context.Context) error {
