Bind tasks late, to the fastest slot by learnt speed

Cause: in suite steady the present policy gives any free slot to the oldest task; the trace shows small jobs ending on upstreams of speed 0.25. Change: jobs are ordered by class, waiting work and age; slots by the speed learnt per upstream and call; a task declines a slot where waiting for a faster one is expected to end sooner. Queues and slots lie in shards under their own locks. The command decide drives the dispatchers in virtual time.

--- a/cmd/mustardstep-replay/main.go
+++ b/cmd/mustardstep-replay/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(command.Suite(), "")
 	subcommands.Register(command.Generate(), "")
+	subcommands.Register(command.Decide(), "")
 	// Suites run these in processes of their own.
 	subcommands.Register(command.Serve("daemon"), "processes")
 	subcommands.Register(command.StandinUpstreams(), "processes")
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -137,6 +137,7 @@
 	g.Go(func() error { return d.peers.Serve(serving, peers) })
 	g.Go(func() error { return d.front.Serve(callers) })
 	g.Go(func() error { return d.followUpstreams(serving) })
+	g.Go(func() error { return d.tickDispatch(serving) })
 	g.Go(func() error {
 		defer stopServing()
 		select {
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/mustardstep/mustardstep/catalog"
@@ -46,6 +47,20 @@
 	d.submissions.Finish(time.Now(), run.entry, outcome)
 }
 
+// tickDispatch reconsiders waiting tasks until the context ends.
+func (d *Daemon) tickDispatch(ctx context.Context) error {
+	ticker := time.NewTicker(dispatch.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			d.place(d.dispatcher.Tick(now))
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // place carries out assignments, each on its own goroutine: a task holds its
 // slot until the upstream answers, so their number is bounded by the slots.
 func (d *Daemon) place(assignments []dispatch.Assignment) {
@@ -82,6 +97,7 @@
 		run.job.Refuse()
 		ending.Ending = dispatch.Refused
 	default:
+		ending.Ending = dispatch.Failed
 		if outcome, ended := run.job.Fail(failure); ended {
 			d.finish(run, outcome)
 		}
@@ -91,7 +107,8 @@
 
 // release returns the slot of an assignment and places what it lets through.
 func (d *Daemon) release(a dispatch.Assignment, result dispatch.Result) {
-	next, dropped := d.dispatcher.Finish(time.Now(), a, result)
+	var buffer [4]dispatch.Assignment
+	next, dropped := d.dispatcher.Finish(time.Now(), a, result, buffer[:0])
 	if dropped {
 		d.abort(a.Task.Work.(*running), verdict.Errorf(verdict.NotRun, verdict.CodeUpstreamFailed,
 			"task %d was refused by every upstream that it was offered to", a.Task.Index))
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -17,8 +17,9 @@
 // dispatch.Dispatcher.
 type dispatcher interface {
 	Add(now time.Time, tasks []*dispatch.Task) ([]dispatch.Assignment, *verdict.Error)
-	Finish(now time.Time, a dispatch.Assignment, r dispatch.Result) (next []dispatch.Assignment, dropped bool)
+	Finish(now time.Time, a dispatch.Assignment, r dispatch.Result, next []dispatch.Assignment) (_ []dispatch.Assignment, dropped bool)
 	Cancel(service string, id submission.ID) int
+	Tick(now time.Time) []dispatch.Assignment
 	SetUpstreams(now time.Time, service string, upstreams []dispatch.Upstream) []dispatch.Assignment
 }
 
--- a/dispatch/baseline/baseline.go
+++ b/dispatch/baseline/baseline.go
@@ -72,13 +72,14 @@
 	return assignments, nil
 }
 
-// Finish returns the slot of an assignment. A refused task is bound again
-// while its call's retries last; otherwise dropped is true.
-func (d *Dispatcher) Finish(now time.Time, a dispatch.Assignment, r dispatch.Result) (next []dispatch.Assignment, dropped bool) {
+// Finish returns the slot of an assignment and appends the assignments that it
+// lets through to next. A refused task is bound again while its call's retries
+// last; otherwise dropped is true.
+func (d *Dispatcher) Finish(now time.Time, a dispatch.Assignment, r dispatch.Result, next []dispatch.Assignment) (_ []dispatch.Assignment, dropped bool) {
 	p := d.pool(a.Upstream.Service)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	next = p.release(now, a.Upstream.Name)
+	next = append(next, p.release(now, a.Upstream.Name)...)
 	if r.Ending != dispatch.Refused {
 		return next, false
 	}
@@ -88,6 +89,9 @@
 	return append(next, p.bind(now, waiting{a.Task, now})...), false
 }
 
+// Tick does nothing: a bound task waits for its upstream alone.
+func (d *Dispatcher) Tick(time.Time) []dispatch.Assignment { return nil }
+
 // Cancel removes the waiting tasks of a submission and returns their number.
 func (d *Dispatcher) Cancel(service string, id submission.ID) int {
 	p := d.pool(service)
--- a/dispatch/baseline/baseline_test.go
+++ b/dispatch/baseline/baseline_test.go
@@ -37,7 +37,7 @@
 			a := running[0]
 			require.NotEqual(t, "u3", a.Upstream.Name)
 			ran[a.Task.Index]++
-			next, dropped := d.Finish(now, a, dispatch.Result{})
+			next, dropped := d.Finish(now, a, dispatch.Result{}, nil)
 			require.False(t, dropped)
 			running = append(running[1:], next...)
 		}
@@ -58,6 +58,6 @@
 	_, failure = d.Add(now, tasks("l", 2))
 	require.Equal(t, verdict.CodeOverloaded, failure.Code)
 	require.Equal(t, 3, d.Cancel("s", running[0].Task.Submission))
-	_, dropped := d.Finish(now, running[0], dispatch.Result{Ending: dispatch.Refused})
+	_, dropped := d.Finish(now, running[0], dispatch.Result{Ending: dispatch.Refused}, nil)
 	require.True(t, dropped, "the call has no retries")
 }
--- a/dispatch/baseline/pool.go
+++ b/dispatch/baseline/pool.go
@@ -27,7 +27,7 @@
 
 // queue holds the tasks that are bound to one upstream.
 type queue struct {
-	upstream dispatch.Upstream
+	upstream *dispatch.Upstream // immutable
 	used     int
 	waiting  []waiting
 }
@@ -151,7 +151,7 @@
 		if q == nil {
 			q = &queue{}
 		}
-		q.upstream = u
+		q.upstream = &u
 		p.queues = append(p.queues, q)
 		delete(known, u.Name)
 	}
@@ -159,7 +159,9 @@
 	for _, q := range known {
 		orphans = append(orphans, q.waiting...)
 		q.waiting = nil
-		q.upstream.Leaving = true
+		gone := *q.upstream
+		gone.Leaving = true
+		q.upstream = &gone
 		if q.used > 0 {
 			p.queues = append(p.queues, q)
 		}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -2,176 +2,124 @@
 //
 // It imports no network package and reads no clock; every method takes the
 // time and returns the assignments that the caller carries out. Tasks wait in
-// one pool per service, each under its own lock, and are bound to an upstream
-// only when it has a free slot.
+// one pool per service and are bound to an upstream only when it has a free
+// slot. Within a pool, waiting jobs and slots lie in shards, each under its own
+// lock; no shard's lock is held while another's is taken.
+//
+// Order: priority class first, then the least waiting work of the job, with
+// ageing. Choice: the free slot with the shortest expected run time, learnt per
+// upstream and call; where waiting for a faster one is expected to end sooner,
+// the task waits.
 package dispatch
 
 import (
+	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// Task is one task of a job. It is immutable once added.
-type Task struct {
-	Submission submission.ID
-	// Index is the place of the task in its job, from 0.
-	Index    int
-	Call     *catalog.Call
-	Deadline time.Time
-	// Work is opaque to the dispatcher and belongs to its caller.
-	Work any
-
-	queued  time.Time
-	refused int
-}
-
-// CountRefusal counts a refusal of the task by an upstream and returns their
-// number. Only the dispatcher that placed the task may call it.
-func (t *Task) CountRefusal() int {
-	t.refused++
-	return t.refused
-}
-
-// Upstream is a VM that runs tasks of one service.
-type Upstream struct {
-	Name, Service, Address, Rack string
-	// Slots is the number of tasks that it runs at once.
-	Slots   int
-	Size    catalog.Size
-	Leaving bool
-}
-
-// Assignment binds a task to a free slot of an upstream.
-type Assignment struct {
-	Task     *Task
-	Upstream Upstream
-	// Waited is the time that the task spent in the queue.
-	Waited time.Duration
-	Reason Reason
-}
-
-// Reason says why an upstream was chosen.
-type Reason uint8
-
-// Reasons of an assignment.
-const (
-	FirstFree Reason = iota
-	Baseline
-)
-
-// String returns the form used in logs.
-func (r Reason) String() string { return [...]string{FirstFree: "first_free", Baseline: "baseline"}[r] }
-
-// Ending says how an assignment ended.
-type Ending uint8
-
-// Endings of an assignment.
-const (
-	// Done means that the task started, whatever became of it.
-	Done Ending = iota
-	// Refused means that the upstream did not start the task.
-	Refused
-	// Skipped means that the task was not sent, since its job had ended.
-	Skipped
-)
-
-// Result tells how an assignment ended.
-type Result struct {
-	Ending Ending
-	// Took is the time from the start to the answer.
-	Took time.Duration
-}
-
 // Config holds the limits of a Dispatcher.
 type Config struct {
 	// MaxQueued is the most tasks that wait per service.
 	MaxQueued int
+	// LoanTime is the time for which a borrowed slot may start tasks. Zero
+	// neither borrows nor lends.
+	LoanTime time.Duration
+	// BorrowWait is the expected wait above which slots are borrowed. A greater
+	// one sends fewer messages and lets tasks wait longer.
+	BorrowWait time.Duration
 }
 
 // Dispatcher places the tasks of every service. It is safe for concurrent use.
 type Dispatcher struct {
 	config Config
+	pools  atomic.Pointer[map[string]*pool] // replaced as a whole
 
-	mu    sync.RWMutex // guards pools; never held while a pool is locked
-	pools map[string]*pool
+	mu sync.Mutex // guards stores of pools
 }
 
 // New returns a dispatcher without upstreams.
 func New(config Config) *Dispatcher {
-	return &Dispatcher{config: config, pools: map[string]*pool{}}
+	d := &Dispatcher{config: config}
+	d.pools.Store(&map[string]*pool{})
+	return d
 }
 
 func (d *Dispatcher) pool(service string) *pool {
-	d.mu.RLock()
-	p := d.pools[service]
-	d.mu.RUnlock()
-	if p != nil {
+	if p := (*d.pools.Load())[service]; p != nil {
 		return p
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.pools[service] == nil {
-		d.pools[service] = &pool{}
+	pools := maps.Clone(*d.pools.Load())
+	if pools[service] == nil {
+		pools[service] = newPool(d.config)
+		d.pools.Store(&pools)
 	}
-	return d.pools[service]
+	return pools[service]
 }
 
 // Add queues the tasks of one job, all or none. A failure has the verdict
 // NotRun.
 func (d *Dispatcher) Add(now time.Time, tasks []*Task) ([]Assignment, *verdict.Error) {
 	p := d.pool(tasks[0].Call.Service)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.slots) == 0 {
-		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeNoUpstream,
-			"service %s has no upstream here", tasks[0].Call.Service)
+	if failure := p.add(now, tasks); failure != nil {
+		return nil, failure
 	}
-	if p.queued+len(tasks) > d.config.MaxQueued {
-		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded,
-			"%d tasks are waiting", p.queued).WithRetryAfter(time.Second)
-	}
-	for _, task := range tasks {
-		task.queued = now
-		p.push(task)
-	}
-	return p.assign(now), nil
+	return p.assign(now, nil), nil
 }
 
-// Finish returns the slot of an assignment. A refused task is queued again
-// while its call's retries last; otherwise dropped is true.
-func (d *Dispatcher) Finish(now time.Time, a Assignment, r Result) (next []Assignment, dropped bool) {
+// Finish returns the slot of an assignment and appends the assignments that it
+// lets through to next. A refused task is queued again while its call's
+// retries last; otherwise dropped is true.
+func (d *Dispatcher) Finish(now time.Time, a Assignment, r Result, next []Assignment) (_ []Assignment, dropped bool) {
 	p := d.pool(a.Upstream.Service)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.release(a.Upstream.Name)
+	p.release(now, &a, r)
 	if r.Ending == Refused {
-		a.Task.refused++
-		if a.Task.refused > a.Task.Call.Retries {
+		if a.Task.CountRefusal() > a.Task.Call.Retries {
 			dropped = true
 		} else {
-			p.push(a.Task)
+			p.requeue(a.Task)
 		}
 	}
-	return p.assign(now), dropped
+	return p.assign(now, next), dropped
 }
 
 // Cancel removes the waiting tasks of a submission and returns their number.
 func (d *Dispatcher) Cancel(service string, id submission.ID) int {
-	p := d.pool(service)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.remove(id)
+	return d.pool(service).cancel(id)
 }
 
 // SetUpstreams replaces the upstreams of a service. Running tasks keep theirs.
 func (d *Dispatcher) SetUpstreams(now time.Time, service string, upstreams []Upstream) []Assignment {
 	p := d.pool(service)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.replace(upstreams)
-	return p.assign(now)
+	p.replace(now, upstreams)
+	return p.assign(now, nil)
+}
+
+// Tick reconsiders the tasks that wait although a slow slot is free. It is
+// called every TickInterval.
+func (d *Dispatcher) Tick(now time.Time) []Assignment {
+	var assignments []Assignment
+	for _, p := range *d.pools.Load() {
+		p.survey()
+		assignments = p.assign(now, assignments)
+	}
+	return assignments
+}
+
+// TickInterval is the time between two calls of Tick.
+const TickInterval = 25 * time.Millisecond
+
+// Waiting returns the number of tasks that wait for a slot, over all services.
+func (d *Dispatcher) Waiting() int {
+	n := 0
+	for _, p := range *d.pools.Load() {
+		n += int(p.waiting.Load())
+	}
+	return n
 }
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -1,125 +1,191 @@
 package dispatch
 
 import (
-	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// classCount is the number of priority classes.
-const classCount = int(catalog.Urgent) + 1
+// shardCount is the number of queue shards and of slot shards of a pool.
+const shardCount = 8
 
-// pool holds the waiting tasks and the slots of one service.
+// pool holds the waiting tasks and the slots of one service. It is safe for
+// concurrent use.
 type pool struct {
-	mu     sync.Mutex // guards the fields below
-	queues [classCount][]*Task
-	queued int
-	slots  []*slots
+	config  Config
+	calls   callModels
+	epoch   atomic.Pointer[time.Time] // time of the first job
+	waiting atomic.Int64
+	outlook atomic.Pointer[outlook]
+	queues  [shardCount]*queueShard
+	slots   [shardCount]*slotShard
 }
 
-// slots counts the tasks that an upstream runs.
-type slots struct {
-	upstream Upstream
-	used     int
+func newPool(config Config) *pool {
+	p := &pool{config: config}
+	for i := range shardCount {
+		p.queues[i], p.slots[i] = newQueueShard(), newSlotShard()
+	}
+	p.outlook.Store(&outlook{})
+	return p
 }
 
-func (p *pool) push(task *Task) {
-	class := task.Call.Priority
-	p.queues[class] = append(p.queues[class], task)
-	p.queued++
+func (p *pool) queueOf(id submission.ID) *queueShard { return p.queues[id.Hash()%shardCount] }
+
+func (p *pool) slotsOf(upstream string) *slotShard {
+	return p.slots[rendezvous.Hash(upstream)%shardCount]
 }
 
-// pop takes the oldest task of the highest class, or nil.
-func (p *pool) pop() *Task {
-	for class := classCount - 1; class >= 0; class-- {
-		if queue := p.queues[class]; len(queue) > 0 {
-			p.queues[class] = queue[1:]
-			p.queued--
-			return queue[0]
-		}
+// add queues the tasks of one job.
+func (p *pool) add(now time.Time, tasks []*Task) *verdict.Error {
+	if p.outlook.Load().usable == 0 {
+		return verdict.Errorf(verdict.NotRun, verdict.CodeNoUpstream,
+			"service %s has no upstream here", tasks[0].Call.Service)
+	}
+	n := int64(len(tasks))
+	if waiting := p.waiting.Add(n); waiting > int64(p.config.MaxQueued) {
+		p.waiting.Add(-n)
+		return verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded,
+			"%d tasks are waiting", waiting-n).WithRetryAfter(time.Second)
+	}
+	for _, task := range tasks {
+		task.queued = now
 	}
+	p.push(tasks...)
 	return nil
 }
 
-func (p *pool) remove(id submission.ID) int {
-	removed := 0
-	for class, queue := range p.queues {
-		kept := queue[:0]
-		for _, task := range queue {
-			if task.Submission == id {
-				removed++
-			} else {
-				kept = append(kept, task)
-			}
-		}
-		p.queues[class] = kept
+func (p *pool) requeue(task *Task) {
+	p.waiting.Add(1)
+	p.push(task)
+}
+
+func (p *pool) push(tasks ...*Task) {
+	first := tasks[0]
+	p.epoch.CompareAndSwap(nil, &first.queued)
+	arrived := seconds(*p.epoch.Load(), first.queued)
+	p.queueOf(first.Submission).push(p.calls.get(first.Call), arrived, tasks...)
+}
+
+// release gives the slot of an assignment back.
+func (p *pool) release(now time.Time, a *Assignment, r Result) {
+	if r.Ending == Done {
+		a.slots.shard.observe(a.slots, p.calls.get(a.Task.Call), r.Took.Seconds())
+	} else {
+		a.slots.shard.put(a.slots)
 	}
-	p.queued -= removed
-	return removed
 }
 
-// assign binds waiting tasks to free slots while there are both.
-func (p *pool) assign(now time.Time) []Assignment {
-	var assignments []Assignment
-	for p.queued > 0 {
-		free := p.free()
-		if free == nil {
-			break
-		}
-		task := p.pop()
-		free.used++
-		assignments = append(assignments, Assignment{
-			Task: task, Upstream: free.upstream, Waited: now.Sub(task.queued), Reason: FirstFree,
-		})
+func (p *pool) cancel(id submission.ID) int {
+	n := p.queueOf(id).cancel(id)
+	p.waiting.Add(int64(-n))
+	return n
+}
+
+// replace takes a new list of upstreams.
+func (p *pool) replace(_ time.Time, upstreams []Upstream) {
+	kept := map[string]bool{}
+	for i := range upstreams {
+		u := upstreams[i]
+		kept[u.Name] = true
+		p.slotsOf(u.Name).set(&u)
 	}
-	return assignments
+	for _, s := range p.slots {
+		s.retain(kept)
+	}
+	p.survey()
 }
 
-// free returns the upstream with the most free slots, or nil.
-func (p *pool) free() *slots {
-	var best *slots
+// survey takes a new snapshot of the capacity.
+func (p *pool) survey() {
+	var capacity [bucketCount]float64
+	o := &outlook{}
 	for _, s := range p.slots {
-		if s.upstream.Leaving || s.used >= s.upstream.Slots {
+		o.usable += s.survey(&capacity)
+	}
+	rate := 0.0
+	for bucket, c := range capacity {
+		if c > 0 {
+			rate += c
+			o.levels = append(o.levels, level{bucket: bucket, speed: speedOfBucket[bucket], rate: rate})
+		}
+	}
+	p.outlook.Store(o)
+}
+
+// assign binds waiting tasks to free slots and appends the assignments to out.
+//
+// A slot is taken first and a task then, each under the lock of its shard
+// alone. Where the task has gone in between, the slot is put back and the
+// queues are read again, so that a task queued meanwhile is not left behind.
+func (p *pool) assign(now time.Time, out []Assignment) []Assignment {
+	for {
+		first := p.firstQueue()
+		if first < 0 {
+			return out
+		}
+		shard := p.fastestSlots()
+		if shard < 0 {
+			return out
+		}
+		taken, bucket := p.slots[shard].take()
+		if taken == nil {
 			continue
 		}
-		if best == nil || s.upstream.Slots-s.used > best.upstream.Slots-best.used {
-			best = s
+		task, declined := p.match(first, bucket)
+		if task != nil {
+			p.waiting.Add(-1)
+			out = append(out, Assignment{
+				Task: task, Upstream: taken.upstream, Waited: now.Sub(task.queued), Reason: Fastest, slots: taken,
+			})
+			continue
+		}
+		p.slots[shard].put(taken)
+		if declined {
+			return out
 		}
 	}
-	return best
 }
 
-func (p *pool) release(name string) {
-	for _, s := range p.slots {
-		if s.upstream.Name == name {
-			s.used--
-			return
+// match offers a slot to the queues, the one with the first job before the
+// others. declined tells that tasks wait and none wants the slot.
+func (p *pool) match(first, bucket int) (task *Task, declined bool) {
+	o := p.outlook.Load()
+	for i := range shardCount {
+		q := p.queues[(first+i)%shardCount]
+		if q.top.load() == noScore {
+			continue
+		}
+		task, waiting := q.pop(bucket, o)
+		if task != nil {
+			return task, false
 		}
+		declined = declined || waiting
 	}
+	return nil, declined
 }
 
-// replace takes a new list of upstreams and keeps the counts of known ones.
-func (p *pool) replace(upstreams []Upstream) {
-	known := map[string]*slots{}
-	for _, s := range p.slots {
-		known[s.upstream.Name] = s
-	}
-	p.slots = p.slots[:0]
-	for _, u := range upstreams {
-		s := known[u.Name]
-		if s == nil {
-			s = &slots{}
+// firstQueue returns the shard whose first job has the least score, or -1.
+func (p *pool) firstQueue() int {
+	best, score := -1, noScore
+	for i, q := range p.queues {
+		if top := q.top.load(); top < score {
+			best, score = i, top
 		}
-		s.upstream = u
-		p.slots = append(p.slots, s)
-		delete(known, u.Name)
 	}
-	for _, s := range known {
-		if s.used > 0 {
-			s.upstream.Leaving = true
-			p.slots = append(p.slots, s)
+	return best
+}
+
+// fastestSlots returns the shard with the fastest free slot, or -1.
+func (p *pool) fastestSlots() int {
+	best, bucket := -1, int32(bucketCount)
+	for i, s := range p.slots {
+		if b := s.best.Load(); b < bucket {
+			best, bucket = i, b
 		}
 	}
+	return best
 }
--- /dev/null
+++ b/dispatch/slots.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"math/bits"
+	"sync"
+	"sync/atomic"
+)
+
+// slots are the slots of one upstream that this VM may use. The lock of the
+// shard guards all fields but upstream and shard.
+type slots struct {
+	shard    *slotShard
+	upstream *Upstream
+	limit    int // tasks that may run at once
+	used     int
+	model    speedModel
+
+	bucket     int
+	listed     bool // whether it is in the list of its bucket
+	next, prev *slots
+}
+
+// free returns the number of tasks that may start now.
+func (s *slots) free() int {
+	if s.upstream.Leaving {
+		return 0
+	}
+	return s.limit - s.used
+}
+
+// slotShard holds the slots of some upstreams of one service.
+type slotShard struct {
+	best atomic.Int32 // the fastest bucket with a free slot, or bucketCount
+
+	mu       sync.Mutex // guards the fields below and every store of best
+	known    map[string]*slots
+	buckets  [bucketCount]slotList
+	nonEmpty uint64 // bit b is set where buckets[b] is not empty
+}
+
+// slotList is a ring of slots that have room, in order of their last use.
+type slotList struct{ head *slots }
+
+func newSlotShard() *slotShard {
+	s := &slotShard{known: map[string]*slots{}}
+	s.best.Store(bucketCount)
+	return s
+}
+
+// take uses a free slot of the fastest upstream and returns its bucket, or nil.
+func (s *slotShard) take() (chosen *slots, bucket int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.nonEmpty == 0 {
+		return nil, bucketCount
+	}
+	bucket = bits.TrailingZeros64(s.nonEmpty)
+	chosen = s.buckets[bucket].head
+	chosen.used++
+	s.relist(chosen)
+	return chosen, bucket
+}
+
+// put gives a slot back without a result.
+func (s *slotShard) put(chosen *slots) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	chosen.used--
+	s.relist(chosen)
+}
+
+// observe gives a slot back and learns from the task that ended.
+func (s *slotShard) observe(chosen *slots, call *callModel, seconds float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	chosen.used--
+	chosen.model.observe(call, seconds)
+	s.relist(chosen)
+}
+
+// relist moves slots to the list where they belong, behind the others. The
+// caller holds mu.
+func (s *slotShard) relist(c *slots) {
+	s.unlist(c)
+	if c.free() > 0 {
+		c.bucket = bucketOf(c.model.speed())
+		s.list(c)
+	}
+	s.best.Store(int32(bits.TrailingZeros64(s.nonEmpty)))
+}
+
+func (s *slotShard) list(c *slots) {
+	list := &s.buckets[c.bucket]
+	if list.head == nil {
+		c.next, c.prev = c, c
+		list.head = c
+		s.nonEmpty |= 1 << c.bucket
+	} else {
+		c.next, c.prev = list.head, list.head.prev
+		c.prev.next, c.next.prev = c, c
+	}
+	c.listed = true
+}
+
+func (s *slotShard) unlist(c *slots) {
+	if !c.listed {
+		return
+	}
+	list := &s.buckets[c.bucket]
+	if c.next == c {
+		list.head = nil
+		s.nonEmpty &^= 1 << c.bucket
+	} else {
+		c.prev.next, c.next.prev = c.next, c.prev
+		if list.head == c {
+			list.head = c.next
+		}
+	}
+	c.next, c.prev, c.listed = nil, nil, false
+}
+
+// set takes a new or changed upstream.
+func (s *slotShard) set(u *Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.known[u.Name]
+	if c == nil {
+		c = &slots{shard: s}
+		s.known[u.Name] = c
+	}
+	c.upstream, c.limit = u, u.Slots
+	s.relist(c)
+}
+
+// retain drops the upstreams that are not kept. Those that run tasks take no
+// more and go once the last has ended.
+func (s *slotShard) retain(kept map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, c := range s.known {
+		if kept[name] {
+			continue
+		}
+		gone := *c.upstream
+		gone.Leaving = true
+		c.upstream = &gone
+		s.relist(c)
+		if c.used == 0 {
+			delete(s.known, name)
+		}
+	}
+}
+
+// survey adds the slots that may be used to the capacity of their buckets.
+func (s *slotShard) survey(capacity *[bucketCount]float64) (usable int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.known {
+		if c.upstream.Leaving {
+			continue
+		}
+		speed := c.model.speed()
+		capacity[bucketOf(speed)] += speed * float64(c.limit)
+		usable += c.limit
+	}
+	return usable
+}
--- /dev/null
+++ b/internal/command/decide.go
@@ -0,0 +1,44 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/mustardstep/mustardstep/internal/replay"
+	"github.com/mustardstep/mustardstep/internal/settings"
+)
+
+type decideCommand struct{ base[settings.ReplayProgram] }
+
+// Decide returns the command that drives the deciding packages by a trace in
+// virtual time.
+func Decide() subcommands.Command {
+	return &decideCommand{base[settings.ReplayProgram]{name: "decide", synopsis: "drive the dispatch decisions by the trace of a suite in virtual time, without processes"}}
+}
+
+func (c *decideCommand) Usage() string { return "decide SUITE [flags]\n  " + c.synopsis + ".\n\n" }
+
+func (c *decideCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	name := f.Arg(0)
+	if f.NArg() == 0 {
+		fmt.Fprintln(os.Stderr, "decide: name a dispatch suite")
+		return subcommands.ExitUsageError
+	}
+	// Flags may stand behind the name.
+	if err := f.Parse(f.Args()[1:]); err != nil || !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	report, err := replay.Decide(name, replay.Options{
+		Seed: int64(c.settings.Replay.Seed), Seconds: c.settings.Replay.Seconds,
+		Trace: c.settings.Trace.File, Policies: c.settings.Trace.Policies, Deployment: c.settings.Trace.Deployment,
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	printReport(report, c.settings.Replay.Output)
+	return subcommands.ExitSuccess
+}
