--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -4,6 +4,103 @@
 
 import "time"
 
+// Bench holds the settings of a benchmark on real processes.
+type Bench struct {
+	// Output: form of the report.
+	Output string
+	// Seconds: length of each phase, in seconds.
+	Seconds float64
+	// Tasks: tasks of each job, in tasks.
+	Tasks int
+	// InFlight: jobs in flight in the phase of full load, in jobs.
+	InFlight int
+	// Rate: task starts offered in the paced phase, in tasks/s.
+	Rate int
+	// CPUProfile: file that receives the processor profile of the daemon; empty writes none.
+	CPUProfile string
+}
+
+// Bind declares the settings on the binder.
+func (s *Bench) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Seconds, definition[float64]{
+		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of each phase", unit: "seconds", fallback: "5", min: bound[float64](0.1), max: bound[float64](3600),
+	})
+	bind(b, &s.Tasks, definition[int]{
+		flag: "tasks", env: "MUSTARDSTEP_TASKS", help: "tasks of each job", unit: "tasks", fallback: "10", min: bound[int](1), max: bound[int](130),
+	})
+	bind(b, &s.InFlight, definition[int]{
+		flag: "in-flight", env: "MUSTARDSTEP_IN_FLIGHT", help: "jobs in flight in the phase of full load", unit: "jobs", fallback: "64", min: bound[int](1), max: bound[int](10000),
+	})
+	bind(b, &s.Rate, definition[int]{
+		flag: "rate", env: "MUSTARDSTEP_RATE", help: "task starts offered in the paced phase", unit: "tasks/s", fallback: "20000", min: bound[int](1), max: bound[int](1000000),
+	})
+	bind(b, &s.CPUProfile, definition[string]{
+		flag: "cpu-profile", env: "MUSTARDSTEP_CPU_PROFILE", help: "file that receives the processor profile of the daemon; empty writes none", unit: "",
+	})
+}
+
+// Callers holds the limits on the connections of callers.
+type Callers struct {
+	// ReadTimeout: longest time that a caller may take to send a request, head and body.
+	ReadTimeout time.Duration
+	// WriteTimeout: longest time that a caller may take to receive an answer.
+	WriteTimeout time.Duration
+	// IdleTimeout: longest time that a caller's connection stays open without a request.
+	IdleTimeout time.Duration
+	// MaxConns: most connections of callers at once; further ones are answered 503 and closed, in connections.
+	MaxConns int
+	// MaxHeader: largest head of a request, in bytes.
+	MaxHeader int
+}
+
+// Bind declares the settings on the binder.
+func (s *Callers) Bind(b *Binder) {
+	bind(b, &s.ReadTimeout, definition[time.Duration]{
+		flag: "http-read-timeout", env: "MUSTARDSTEP_HTTP_READ_TIMEOUT", help: "longest time that a caller may take to send a request, head and body", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.WriteTimeout, definition[time.Duration]{
+		flag: "http-write-timeout", env: "MUSTARDSTEP_HTTP_WRITE_TIMEOUT", help: "longest time that a caller may take to receive an answer", unit: "", fallback: "30s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.IdleTimeout, definition[time.Duration]{
+		flag: "http-idle-timeout", env: "MUSTARDSTEP_HTTP_IDLE_TIMEOUT", help: "longest time that a caller's connection stays open without a request", unit: "", fallback: "1m", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(3600000000000)),
+	})
+	bind(b, &s.MaxConns, definition[int]{
+		flag: "http-max-conns", env: "MUSTARDSTEP_HTTP_MAX_CONNS", help: "most connections of callers at once; further ones are answered 503 and closed", unit: "connections", fallback: "20000", min: bound[int](1), max: bound[int](1000000),
+	})
+	bind(b, &s.MaxHeader, definition[int]{
+		flag: "http-max-header", env: "MUSTARDSTEP_HTTP_MAX_HEADER", help: "largest head of a request", unit: "bytes", fallback: "8192", min: bound[int](1024), max: bound[int](1048576),
+	})
+}
+
+// Demo holds the settings of the demonstration.
+type Demo struct {
+	// Keep: keep the system running until SIGINT or SIGTERM and print commands to try.
+	Keep bool
+}
+
+// Bind declares the settings on the binder.
+func (s *Demo) Bind(b *Binder) {
+	bind(b, &s.Keep, definition[bool]{
+		flag: "keep", env: "MUSTARDSTEP_KEEP", help: "keep the system running until SIGINT or SIGTERM and print commands to try", unit: "", fallback: "false",
+	})
+}
+
+// Diagnostics holds what a daemon records about itself.
+type Diagnostics struct {
+	// CPUProfile: file that receives a processor profile of the whole run; empty writes none.
+	CPUProfile string
+}
+
+// Bind declares the settings on the binder.
+func (s *Diagnostics) Bind(b *Binder) {
+	bind(b, &s.CPUProfile, definition[string]{
+		flag: "cpu-profile", env: "MUSTARDSTEP_CPU_PROFILE", help: "file that receives a processor profile of the whole run; empty writes none", unit: "",
+	})
+}
+
 // Dispatch holds the policy by which tasks are placed on upstreams.
 type Dispatch struct {
 	// Policy: dispatch policy; all but mustardstep are baselines to measure against.
@@ -260,6 +357,26 @@
 	s.Trace.Bind(b)
 }
 
+// ReplayBenchProgram holds every setting of mustardstep-replay bench.
+type ReplayBenchProgram struct {
+	Bench Bench
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayBenchProgram) Bind(b *Binder) {
+	s.Bench.Bind(b)
+}
+
+// ReplayDemoProgram holds every setting of mustardstep-replay demo.
+type ReplayDemoProgram struct {
+	Demo Demo
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayDemoProgram) Bind(b *Binder) {
+	s.Demo.Bind(b)
+}
+
 // StandinProgram holds every setting of mustardstep-standin.
 type StandinProgram struct {
 	Logging Logging
@@ -274,15 +391,19 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
-	Dispatch Dispatch
-	Jobs     Jobs
-	Logging  Logging
-	Network  Network
-	Platform Platform
+	Callers     Callers
+	Diagnostics Diagnostics
+	Dispatch    Dispatch
+	Jobs        Jobs
+	Logging     Logging
+	Network     Network
+	Platform    Platform
 }
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
+	s.Callers.Bind(b)
+	s.Diagnostics.Bind(b)
 	s.Dispatch.Bind(b)
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
