--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -140,6 +140,7 @@
 	g.Go(func() error { return d.front.Serve(callers) })
 	g.Go(func() error { return d.configuration.run(serving) })
 	g.Go(func() error { return d.followUpstreams(serving) })
+	g.Go(func() error { return d.tickDispatch(serving) })
 	g.Go(func() error {
 		defer stopServing()
 		select {
