Measure the overhead of a daemon with one command

'mustardstep-replay bench overhead' starts a daemon and stand-in upstreams whose tasks take no time, and loads them through the client: one task at a time, jobs at a fixed rate, and as many as the daemon takes. It prints starts per second, the time added to jobs, and the daemon's processor time per task; -cpu-profile records the daemon.

--- a/cmd/mustardstep-replay/main.go
+++ b/cmd/mustardstep-replay/main.go
@@ -16,6 +16,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(command.Suite(), "")
 	subcommands.Register(command.Demo(), "")
+	subcommands.Register(command.Bench(), "")
 	subcommands.Register(command.Generate(), "")
 	// Suites run these in processes of their own.
 	subcommands.Register(command.Serve("daemon"), "processes")
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,6 +72,12 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	stopProfile, err := startProfile(c.settings.Diagnostics.CPUProfile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	defer stopProfile()
 	return untilSignal(ctx, d.Run)
 }
 
--- a/internal/command/suite.go
+++ b/internal/command/suite.go
@@ -56,7 +56,7 @@
 // exitBroken is the exit code of a suite in which a promise was broken.
 const exitBroken = 3
 
-func printReport(report *replay.Report, output string) {
+func printReport(report any, output string) {
 	body, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -29,6 +29,8 @@
 	Speeds []float64
 	// Service is the service that the upstreams run; empty takes rota-desk.
 	Service string
+	// UpstreamArgs are further flags of the upstreams.
+	UpstreamArgs []string
 	// DaemonArgs are further flags of every daemon.
 	DaemonArgs []string
 	// Dir receives logs and the services file.
@@ -93,10 +95,10 @@
 		speeds[i] = strconv.FormatFloat(speed, 'g', -1, 64)
 	}
 	for _, dataCentre := range c.layout.DataCentres {
-		err := c.run("upstreams-"+dataCentre, "upstreams", "-platform", c.platform, "-data-centre", dataCentre,
+		args := []string{"upstreams", "-platform", c.platform, "-data-centre", dataCentre,
 			"-count", strconv.Itoa(c.layout.Upstreams), "-slots", strconv.Itoa(c.layout.Slots),
-			"-speeds", strings.Join(speeds, ","), "-service", cmp.Or(c.layout.Service, serviceRotaDesk))
-		if err != nil {
+			"-speeds", strings.Join(speeds, ","), "-service", cmp.Or(c.layout.Service, serviceRotaDesk)}
+		if err := c.run("upstreams-"+dataCentre, append(args, c.layout.UpstreamArgs...)...); err != nil {
 			return err
 		}
 	}
