--- a/daemon/configuration_apply.go
+++ b/daemon/configuration_apply.go
@@ -80,12 +80,9 @@
 
 // places returns the daemons that this VM knows, itself included.
 func (d *Daemon) places() []place {
-	view := d.members.View()
 	var places []place
-	for _, dataCentre := range view.DataCentres {
-		for _, m := range view.Members(dataCentre) {
-			places = append(places, place{VM: m.VM, DataCentre: m.DataCentre, Address: m.Address})
-		}
+	for _, m := range d.node.View().Unended() {
+		places = append(places, place{VM: m.VM, DataCentre: m.DataCentre, Address: m.Address})
 	}
 	return places
 }
--- a/internal/replay/decide.go
+++ b/internal/replay/decide.go
@@ -121,7 +121,7 @@
 			d.vms[name] = newDecider(policy)
 		}
 	}
-	d.views = membership.NewTable(members[0], members).View()
+	d.views = viewOf(d.now, members)
 	for service := range services.Services() {
 		for _, dataCentre := range layout.DataCentres {
 			d.placeUpstreams(layout, service, dataCentre)
@@ -130,6 +130,22 @@
 	return d
 }
 
+// viewOf returns the view of the first member once all have joined.
+func viewOf(now time.Time, members []membership.Member) *membership.View {
+	config := membership.Config{Self: members[0]}
+	var facts []membership.Fact
+	for _, m := range members {
+		config.DataCentres = append(config.DataCentres, m.DataCentre)
+		facts = append(facts, membership.Fact{Member: m, Admitted: true})
+	}
+	table := membership.NewTable(now, config)
+	table.Learn(now, facts)
+	for _, m := range members {
+		table.Count(now, m)
+	}
+	return table.View()
+}
+
 // maxQueued bounds the queues of the driver.
 const maxQueued = 1_000_000
 
