--- a/cmd/mustardstep-replay/main.go
+++ b/cmd/mustardstep-replay/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(command.Suite(), "")
+	subcommands.Register(command.Capacity(), "")
 	subcommands.Register(command.Demo(), "")
 	subcommands.Register(command.Generate(), "")
 	// Suites run these in processes of their own.
--- /dev/null
+++ b/internal/capacity/lines.go
@@ -0,0 +1,8 @@
+package capacity
+
+import "slices"
+
+// lines returns every row of the table.
+func lines() []line {
+	return slices.Concat(frontLines(ToCome), configurationLines(ToCome))
+}
