Add the dispatcher's lines to the capacity measurements

Cause: the start time has to be shown to grow at most logarithmically. Change: lines for start time, upstreams and waiting tasks; settings from schema.

--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -37,3 +37,6 @@
 func (s Size) JobsPerVM() float64 {
 	return float64(s.StartsPerSecond) / float64(s.TasksPerJob) / s.VMs()
 }
+
+// startsPerVM returns the task starts per second of one entry VM.
+func (s Size) startsPerVM() float64 { return float64(s.StartsPerSecond) / s.VMs() }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -75,6 +75,24 @@
 	})
 }
 
+// Capacity holds the settings of the capacity measurements.
+type Capacity struct {
+	// Output: form of the report.
+	Output string
+	// Lines: lines to measure, separated by commas; empty measures all.
+	Lines []string
+}
+
+// Bind declares the settings on the binder.
+func (s *Capacity) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Lines, definition[[]string]{
+		flag: "lines", env: "MUSTARDSTEP_LINES", help: "lines to measure, separated by commas; empty measures all", unit: "",
+	})
+}
+
 // Configuration holds how the configuration travels between the daemons.
 type Configuration struct {
 	// Interval: time between comparisons of the configuration with a peer.
@@ -425,6 +443,16 @@
 	s.Bench.Bind(b)
 }
 
+// ReplayCapacityProgram holds every setting of mustardstep-replay capacity.
+type ReplayCapacityProgram struct {
+	Capacity Capacity
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayCapacityProgram) Bind(b *Binder) {
+	s.Capacity.Bind(b)
+}
+
 // ReplayDemoProgram holds every setting of mustardstep-replay demo.
 type ReplayDemoProgram struct {
 	Demo Demo
