Let replays kill, freeze, restart, drain and cut daemons; suite faults

Cause: the thin suite's cluster could only start and stop; faults need processes that end and come back, and a network that can be cut.

Change: a VM of the cluster has a relay before its daemon and one before the platform. The relay names the caller of a connection from its hello, so one relay a daemon gives a link per pair of processes. A cut link holds back what is sent; a relay is shut once its process has ended, so that its address refuses as a kernel would. A daemon tells peers the relay's address by the new setting -peer-advertise, without which its hello replaced the address that the seeds gave. The client gains a timeout per attempt, and tells when an attempt was sent and why no answer came. Ports of processes lie below the ephemeral ones, so that a process can come back at its address. Suite faults is a table of steps taken at known times of a load whose clients resubmit early, judged from the start logs; stand-in upstreams have a switch for each of their faults.

--- a/client/client.go
+++ b/client/client.go
@@ -27,6 +27,12 @@
 	// Backoff is the wait before the first resubmission; it doubles with each
 	// one up to 32 times its length. Zero takes 20 ms.
 	Backoff time.Duration
+	// AttemptTimeout is the longest wait for the answer to one attempt, after
+	// which the call is resubmitted. Zero waits until the deadline.
+	AttemptTimeout time.Duration
+	// Pick chooses the address of an attempt; nil takes Addresses in turn. It
+	// may be called concurrently.
+	Pick func() string
 	// Observe is told of every attempt; it may be nil. It may be called
 	// concurrently.
 	Observe func(Attempt)
@@ -38,7 +44,10 @@
 	Address string
 	// Failure is nil where the answer was complete.
 	Failure *verdict.Error
-	Ended   time.Time
+	// Lost is why no answer came, or nil.
+	Lost  error
+	Sent  time.Time
+	Ended time.Time
 }
 
 // Client makes calls. It is safe for concurrent use.
@@ -138,9 +147,17 @@
 	return c.config.Backoff * time.Duration(min(1<<min(attempt, 16), maxBackoffFactor))
 }
 
+// pick returns the address of the next attempt.
+func (c *Client) pick() string {
+	if c.config.Pick != nil {
+		return c.config.Pick()
+	}
+	return c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
+}
+
 // attempt sends the call to the next address.
 func (c *Client) attempt(r Request, body []byte, timeout time.Duration) ([]json.RawMessage, *verdict.Error) {
-	address := c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
+	address := c.pick()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -151,29 +168,42 @@
 	request.Header.Set(api.HeaderIdempotencyKey, r.Key)
 	request.Header.Set(api.HeaderTimeoutMS, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	request.SetBodyRaw(body)
-	results, failure := c.send(request, response, timeout)
+	sent := time.Now()
+	results, failure, lost := c.send(request, response, c.patience(timeout))
 	if c.config.Observe != nil {
-		c.config.Observe(Attempt{Key: r.Key, Address: address, Failure: failure, Ended: time.Now()})
+		c.config.Observe(Attempt{Key: r.Key, Address: address, Failure: failure, Lost: lost, Sent: sent, Ended: time.Now()})
 	}
 	return results, failure
 }
 
-func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) ([]json.RawMessage, *verdict.Error) {
-	if err := c.http.DoTimeout(request, response, timeout+answerGrace); err != nil {
-		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "%v", err)
+// patience returns the wait for the answer to an attempt, given the time left
+// until the deadline.
+func (c *Client) patience(left time.Duration) time.Duration {
+	wait := left + answerGrace
+	if c.config.AttemptTimeout > 0 {
+		wait = min(wait, c.config.AttemptTimeout)
+	}
+	return wait
+}
+
+// send makes one attempt. lost tells why no answer came; then the failure says
+// that the submission may have run.
+func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) (results []json.RawMessage, failure *verdict.Error, lost error) {
+	if err := c.http.DoTimeout(request, response, timeout); err != nil {
+		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "%v", err), err
 	}
 	var answer api.CallResponse
 	if err := json.Unmarshal(response.Body(), &answer); err != nil {
 		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable,
-			"status %d without an answer", response.StatusCode())
+			"status %d without an answer", response.StatusCode()), err
 	}
 	if answer.Verdict == verdict.Complete {
-		return answer.Results, nil
+		return answer.Results, nil, nil
 	}
 	return nil, &verdict.Error{
 		Verdict: answer.Verdict, Code: answer.Code, Reason: answer.Reason,
 		RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond,
-	}
+	}, nil
 }
 
 // Cancel asks for the end of a submission. Its outcome comes from Call.
@@ -182,7 +212,7 @@
 	if !ok {
 		return errors.New("the context has no deadline")
 	}
-	address := c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
+	address := c.pick()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,6 +7,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -64,7 +65,7 @@
 		VM:          s.Network.VM,
 		Incarnation: uint64(time.Now().UnixMicro()),
 		DataCentre:  s.Network.DataCentre,
-		Address:     s.Network.PeerListen,
+		Address:     cmp.Or(s.Network.PeerAdvertise, s.Network.PeerListen),
 	}
 	d := &Daemon{
 		settings:    s,
--- a/internal/command/suite.go
+++ b/internal/command/suite.go
@@ -36,7 +36,9 @@
 		return subcommands.ExitUsageError
 	}
 	s := c.settings.Replay
-	report, err := replay.RunSuite(ctx, name, replay.Options{Seed: int64(s.Seed), Seconds: s.Seconds})
+	report, err := replay.RunSuite(ctx, name, replay.Options{
+		Seed: int64(s.Seed), Seconds: s.Seconds, Fault: s.Fault, LogDir: s.LogDir,
+	})
 	if report != nil {
 		printReport(report, s.Output)
 	}
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -27,6 +26,11 @@
 	Slots     int
 	// Speeds of the upstreams relative to the fastest, repeated in turn.
 	Speeds []float64
+	// Relays puts relays between the daemons and before the platform, at which
+	// connections can be cut.
+	Relays bool
+	// Flags are further flags of every daemon.
+	Flags []string
 	// Dir receives logs and the services file.
 	Dir string
 }
@@ -35,14 +39,17 @@
 type cluster struct {
 	layout    Layout
 	platform  string
-	http      []string // addresses of the daemons for callers
+	schema    string   // path of the services file
+	http      []string // addresses of the first daemons for callers
+	vms       []*vm
+	links     *links
 	processes []*process
 	upstreams []api.VM
 }
 
 // startCluster starts every process and waits until all daemons are ready.
 func startCluster(ctx context.Context, layout Layout) (*cluster, error) {
-	c := &cluster{layout: layout}
+	c := &cluster{layout: layout, links: newLinks()}
 	if err := c.start(ctx); err != nil {
 		c.stop()
 		return nil, err
@@ -51,25 +58,38 @@
 }
 
 func (c *cluster) start(ctx context.Context) error {
-	schema := filepath.Join(c.layout.Dir, "services.yaml")
-	if err := os.WriteFile(schema, examples.RotaDesk, 0o644); err != nil {
+	c.schema = filepath.Join(c.layout.Dir, "services.yaml")
+	if err := os.WriteFile(c.schema, examples.RotaDesk, 0o644); err != nil {
 		return err
 	}
-	count := len(c.layout.DataCentres) * c.layout.VMs
-	addresses, err := freeAddresses(1 + 2*count)
+	addresses, err := freeAddresses(1)
 	if err != nil {
 		return err
 	}
 	c.platform = addresses[0]
-	c.http = addresses[1 : 1+count]
 	if err := c.startStandins(ctx); err != nil {
 		return err
 	}
-	if err := c.startDaemons(schema, addresses[1+count:]); err != nil {
-		return err
+	for _, dataCentre := range c.layout.DataCentres {
+		for range c.layout.VMs {
+			if _, err := c.addVM(dataCentre); err != nil {
+				return err
+			}
+		}
+	}
+	return c.startDaemons(ctx)
+}
+
+// startDaemons starts every daemon, then waits until all are ready.
+func (c *cluster) startDaemons(ctx context.Context) error {
+	for _, v := range c.vms {
+		c.http = append(c.http, v.http)
+		if err := c.launch(ctx, v); err != nil {
+			return err
+		}
 	}
-	for _, address := range c.http {
-		if err := awaitHTTP(ctx, address, "/readyz"); err != nil {
+	for _, v := range c.vms {
+		if err := awaitHTTP(ctx, v.http, "/readyz"); err != nil {
 			return err
 		}
 	}
@@ -121,24 +141,6 @@
 	}
 }
 
-func (c *cluster) startDaemons(schema string, peers []string) error {
-	var seeds []string
-	for i, address := range peers {
-		dataCentre := c.layout.DataCentres[i/c.layout.VMs]
-		seeds = append(seeds, fmt.Sprintf("vm%d=%s/%s", i, dataCentre, address))
-	}
-	for i, address := range peers {
-		err := c.run(fmt.Sprintf("vm%d", i), "daemon",
-			"-vm", fmt.Sprintf("vm%d", i), "-data-centre", c.layout.DataCentres[i/c.layout.VMs],
-			"-http-listen", c.http[i], "-peer-listen", address, "-seeds", strings.Join(seeds, ","),
-			"-platform", c.platform, "-schema-file", schema)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (c *cluster) run(name string, args ...string) error {
 	p, err := startProcess(name, c.layout.Dir, args...)
 	if err == nil {
@@ -155,6 +157,9 @@
 			errs = append(errs, errors.Wrap(err, c.processes[i].name))
 		}
 	}
+	for _, v := range c.vms {
+		v.shut()
+	}
 	c.processes = nil
 	return errors.Join(errs...)
 }
--- a/internal/replay/judge.go
+++ b/internal/replay/judge.go
@@ -100,5 +100,9 @@
 
 // broken tells whether a promise was broken.
 func (r *Report) broken() bool {
-	return r.StartsTwice > 0 || r.PartialAnswers > 0 || r.FalseNotRun > 0
+	broken := r.StartsTwice > 0 || r.PartialAnswers > 0 || r.FalseNotRun > 0
+	for i := range r.Faults {
+		broken = broken || r.Faults[i].broken()
+	}
+	return broken
 }
--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -21,9 +23,10 @@
 
 // process is a program started by a suite.
 type process struct {
-	name string
-	cmd  *exec.Cmd
-	done chan error
+	name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	err    error // the exit error; written before exited is closed
 }
 
 // startProcess runs a subcommand of this program, which holds the daemon and
@@ -45,32 +48,45 @@
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
-	p := &process{name: name, cmd: cmd, done: make(chan error, 1)}
-	go func() { p.done <- cmd.Wait() }()
+	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
+	go func() {
+		defer close(p.exited)
+		p.err = cmd.Wait()
+	}()
 	return p, nil
 }
 
 // signal sends a signal; a process that has ended ignores it.
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// stop ends the process by SIGTERM and returns its exit error.
+// kill ends the process at once and waits until it is gone.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// freeze stops every thread of the process until wake. Its sockets stay open.
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+
+// wake lets a frozen process go on.
+func (p *process) wake() { p.signal(syscall.SIGCONT) }
+
+// stop ends the process by SIGTERM and returns its exit error. A frozen process
+// is woken; one that does not end within the stop timeout is killed.
 func (p *process) stop() error {
 	p.signal(syscall.SIGTERM)
+	p.wake()
+	timer := time.NewTimer(stopTimeout)
+	defer timer.Stop()
 	select {
-	case err := <-p.done:
-		return err
-	case <-time.After(stopTimeout):
+	case <-p.exited:
+		return p.err
+	case <-timer.C:
 		p.kill()
-		return errors.Newf("%s did not stop within %v", p.name, stopTimeout)
+		return errors.Newf("did not stop within %v", stopTimeout)
 	}
 }
 
-// kill ends the process at once.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
-
 // awaitHTTP waits until a path answers 200.
 func awaitHTTP(ctx context.Context, address, path string) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
@@ -90,16 +106,50 @@
 	}
 }
 
+// awaitTCP waits until an address accepts connections.
+func awaitTCP(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		conn, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			return conn.Close()
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Newf("%s: not listening within %v", address, startTimeout)
+		}
+	}
+}
+
+// Ports of the processes lie below those that the system gives to outgoing
+// connections, so that a process can come back at its address.
+const (
+	firstPort = 10_000
+	lastPort  = 30_000
+)
+
 // freeAddresses returns loopback addresses whose ports were free.
 func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, n)
-	for i := range addresses {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	var addresses []string
+	port := firstPort + rand.IntN(lastPort-firstPort)
+	for range lastPort - firstPort {
+		if len(addresses) == n {
+			return addresses, nil
+		}
+		port++
+		if port > lastPort {
+			port = firstPort
+		}
+		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer listener.Close()
-		addresses[i] = listener.Addr().String()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	return addresses, nil
+	return nil, errors.Newf("fewer than %d free ports", n)
 }
--- /dev/null
+++ b/internal/replay/relay_test.go
@@ -0,0 +1,102 @@
+package replay
+
+import (
+	"io"
+	"net"
+	"syscall"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echoBehind returns a relay before a server that sends back what it gets.
+func echoBehind(t *testing.T) *relay {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { server.Close() })
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go io.Copy(conn, conn)
+		}
+	}()
+	addresses, err := freeAddresses(1)
+	require.NoError(t, err)
+	r := &relay{
+		name: "b", address: addresses[0], target: server.Addr().String(), links: newLinks(), identify: identifyAs("a"),
+	}
+	require.NoError(t, r.open())
+	t.Cleanup(r.shut)
+	return r
+}
+
+func dialRelay(t *testing.T, r *relay) net.Conn {
+	conn, err := net.Dial("tcp", r.address)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func echoes(t *testing.T, conn net.Conn, text string) {
+	_, err := io.WriteString(conn, text)
+	require.NoError(t, err)
+	got := make([]byte, len(text))
+	_, err = io.ReadFull(conn, got)
+	require.NoError(t, err)
+	require.Equal(t, text, string(got))
+}
+
+func TestCutStallsUntilHealed(t *testing.T) {
+	for name, directions := range map[string][]pair{
+		"requests": {{"a", "b"}},
+		"answers":  {{"b", "a"}},
+		"both":     {{"a", "b"}, {"b", "a"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := echoBehind(t)
+			old := dialRelay(t, r)
+			echoes(t, old, "before")
+			for _, d := range directions {
+				r.links.get(d.from, d.to).cut()
+			}
+			fresh := dialRelay(t, r) // accepted, as by a kernel, but not served
+			answered := make(chan string, 2)
+			for _, conn := range []net.Conn{old, fresh} {
+				go func() {
+					io.WriteString(conn, "during")
+					got := make([]byte, len("during"))
+					io.ReadFull(conn, got)
+					answered <- string(got)
+				}()
+			}
+			require.Empty(t, answered)
+			for _, d := range directions {
+				r.links.get(d.from, d.to).heal()
+			}
+			require.Equal(t, "during", <-answered)
+			require.Equal(t, "during", <-answered)
+		})
+	}
+}
+
+func TestResetEndsConnections(t *testing.T) {
+	r := echoBehind(t)
+	conn := dialRelay(t, r)
+	echoes(t, conn, "before")
+	r.links.get("a", "b").reset()
+	_, err := conn.Read(make([]byte, 1))
+	require.Error(t, err)
+	echoes(t, dialRelay(t, r), "after")
+}
+
+func TestShutRelayRefusesUntilOpen(t *testing.T) {
+	r := echoBehind(t)
+	r.shut()
+	_, err := net.Dial("tcp", r.address)
+	require.ErrorIs(t, err, syscall.ECONNREFUSED)
+	require.NoError(t, r.open())
+	echoes(t, dialRelay(t, r), "back")
+}
--- a/internal/replay/replay_gen.go
+++ b/internal/replay/replay_gen.go
@@ -2,7 +2,9 @@
 
 package replay
 
-import ()
+import (
+	"github.com/mustardstep/mustardstep/verdict"
+)
 
 // TraceHeader is the first line of a trace.
 type TraceHeader struct {
@@ -80,4 +82,70 @@
 	WastedPerTask float64 `json:"wasted_per_task"`
 	// ElapsedMS is the time that the suite took, in milliseconds.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// Faults are the reports of single faults, in order of their run.
+	Faults []FaultReport `json:"faults,omitempty"`
+}
+
+// FaultReport is the result of a load under one fault.
+type FaultReport struct {
+	// Name is the name of the fault.
+	Name string `json:"name"`
+	// Seed made the trace of this fault.
+	Seed int64 `json:"seed"`
+	// Jobs is the number of jobs of the trace.
+	Jobs int `json:"jobs"`
+	// Tasks is the number of tasks of the trace.
+	Tasks int `json:"tasks"`
+	// Calls is the number of calls: one for each job, and those that submit a
+	// job again under its key.
+	Calls int `json:"calls"`
+	// Attempts is the number of requests that the calls and the probes took.
+	Attempts int `json:"attempts"`
+	// Complete is the number of calls with a complete answer.
+	Complete int `json:"complete"`
+	// Failed is the number of calls that ended in a failure.
+	Failed int `json:"failed"`
+	// Failures counts the failed calls by verdict and code.
+	Failures []FailureCount `json:"failures,omitempty"`
+	// MayHaveRun is the number of calls whose failure says that they may have
+	// run.
+	MayHaveRun int `json:"may_have_run"`
+	// StartsTwice is the number of tasks that started more than once.
+	StartsTwice int `json:"starts_twice"`
+	// PartialAnswers is the number of complete answers that lack a result or
+	// hold another request's.
+	PartialAnswers int `json:"partial_answers"`
+	// FalseNotRun is the number of answers that denied a start that had
+	// happened.
+	FalseNotRun int `json:"false_not_run"`
+	// Probes is the number of new submissions for the affected owner's keys
+	// after the fault.
+	Probes int `json:"probes"`
+	// ProbesFailed is the number of probes without a complete answer.
+	ProbesFailed int `json:"probes_failed"`
+	// UnavailableMSP50 is the median over the probe streams of the time from the
+	// fault to the first new submission served, in milliseconds.
+	UnavailableMSP50 float64 `json:"unavailable_ms_p50"`
+	// UnavailableMSMax is the greatest of these times, in milliseconds.
+	UnavailableMSMax float64 `json:"unavailable_ms_max"`
+	// GapMSMax is the longest time after the fault in which a probe stream got
+	// no answer, in milliseconds.
+	GapMSMax float64 `json:"gap_ms_max"`
+	// CutRequests is the number of requests that a planned stop left without an
+	// answer.
+	CutRequests int `json:"cut_requests"`
+	// ExitErrors are the daemons that did not exit with 0 after SIGTERM.
+	ExitErrors []string `json:"exit_errors,omitempty"`
+	// Traces tell of the first broken promises which VM did what and when.
+	Traces []string `json:"traces,omitempty"`
+}
+
+// FailureCount counts the failed calls of one verdict and code.
+type FailureCount struct {
+	// Verdict is the verdict of the calls.
+	Verdict verdict.Verdict `json:"verdict"`
+	// Code is the code of the calls.
+	Code verdict.Code `json:"code"`
+	// Count is the number of calls.
+	Count int `json:"count"`
 }
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -11,8 +11,12 @@
 // Options are the settings of a suite.
 type Options struct {
 	Seed int64
-	// Seconds is the length of the load.
+	// Seconds is the length of the load; 0 takes the suite's own.
 	Seconds float64
+	// Fault is the one fault that the suite of faults runs; empty runs all.
+	Fault string
+	// LogDir keeps the logs of the processes; empty keeps none.
+	LogDir string
 }
 
 // ErrBroken is returned with the report of a suite in which a promise was
@@ -21,7 +25,8 @@
 
 // suites are the suites by name.
 var suites = map[string]func(context.Context, Options) (*Report, error){
-	"thin": runThin,
+	"thin":   runThin,
+	"faults": runFaults,
 }
 
 // RunSuite runs a suite on processes of its own.
@@ -43,6 +48,9 @@
 	return report, nil
 }
 
+// thinSeconds is the length of the thin suite's load.
+const thinSeconds = 5
+
 // runThin sends a moderate load through the whole path without faults.
 func runThin(ctx context.Context, options Options) (*Report, error) {
 	dir, err := os.MkdirTemp("", "mustardstep-replay-")
@@ -60,6 +68,9 @@
 	}
 	const meanTaskUS = 50_000
 	const utilization = 0.3
+	if options.Seconds == 0 {
+		options.Seconds = thinSeconds
+	}
 	jobs := Generate(Shape{
 		Seed: options.Seed, Seconds: options.Seconds, MeanTaskUS: meanTaskUS, Callers: 40,
 		TasksPerSecond: utilization * c.speedSum() * 1e6 / meanTaskUS,
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -65,6 +65,8 @@
 	HTTPListen string
 	// PeerListen: address for other daemons, host:port.
 	PeerListen string
+	// PeerAdvertise: address at which other daemons reach this one, host:port; empty takes that of -peer-listen.
+	PeerAdvertise string
 	// Seeds: entry VMs to contact at start, name=data-centre/host:port, separated by commas.
 	Seeds []string
 	// DialTimeout: longest wait for a connection to a peer or an upstream.
@@ -91,6 +93,9 @@
 	bind(b, &s.PeerListen, definition[string]{
 		flag: "peer-listen", env: "MUSTARDSTEP_PEER_LISTEN", help: "address for other daemons, host:port", unit: "", fallback: "127.0.0.1:8081",
 	})
+	bind(b, &s.PeerAdvertise, definition[string]{
+		flag: "peer-advertise", env: "MUSTARDSTEP_PEER_ADVERTISE", help: "address at which other daemons reach this one, host:port; empty takes that of -peer-listen", unit: "",
+	})
 	bind(b, &s.Seeds, definition[[]string]{
 		flag: "seeds", env: "MUSTARDSTEP_SEEDS", help: "entry VMs to contact at start, name=data-centre/host:port, separated by commas", unit: "",
 	})
@@ -142,8 +147,12 @@
 	Output string
 	// Seed: seed of the generated trace.
 	Seed int
-	// Seconds: length of the load, in seconds.
+	// Seconds: length of the load, or of each fault's load; 0 takes the suite's own, in seconds.
 	Seconds float64
+	// Fault: the one fault that the suite faults runs; empty runs all.
+	Fault string
+	// LogDir: directory that keeps the logs of the processes; empty keeps none.
+	LogDir string
 }
 
 // Bind declares the settings on the binder.
@@ -155,7 +164,13 @@
 		flag: "seed", env: "MUSTARDSTEP_SEED", help: "seed of the generated trace", unit: "", fallback: "1", min: bound[int](0), max: bound[int](1000000000),
 	})
 	bind(b, &s.Seconds, definition[float64]{
-		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of the load", unit: "seconds", fallback: "5", min: bound[float64](0.1), max: bound[float64](3600),
+		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of the load, or of each fault's load; 0 takes the suite's own", unit: "seconds", fallback: "0", min: bound[float64](0), max: bound[float64](3600),
+	})
+	bind(b, &s.Fault, definition[string]{
+		flag: "fault", env: "MUSTARDSTEP_FAULT", help: "the one fault that the suite faults runs; empty runs all", unit: "",
+	})
+	bind(b, &s.LogDir, definition[string]{
+		flag: "log-dir", env: "MUSTARDSTEP_LOG_DIR", help: "directory that keeps the logs of the processes; empty keeps none", unit: "",
 	})
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -86,21 +86,5 @@
 	if address == "" {
 		return nil
 	}
-	body, err := json.Marshal(vm)
-	if err != nil {
-		return err
-	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + address + "/standin/vms")
-	request.SetBody(body)
-	if err := fasthttp.DoTimeout(request, response, stopTimeout); err != nil {
-		return errors.Wrapf(err, "register %s", vm.Name)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return errors.Newf("register %s: status %d", vm.Name, response.StatusCode())
-	}
-	return nil
+	return errors.Wrapf(post(address, "/standin/vms", vm), "register %s", vm.Name)
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -29,6 +29,7 @@
 	time  time.Duration // run time at speed 1 of a task that names none
 
 	mu      sync.Mutex // guards the fields below
+	fault   api.UpstreamFault
 	running int
 	starts  []api.StartEntry
 }
@@ -57,6 +58,8 @@
 	switch string(c.Path()) {
 	case "/v1/tasks":
 		u.run(c)
+	case "/standin/fault":
+		u.setFault(c)
 	case "/standin/starts":
 		u.mu.Lock()
 		defer u.mu.Unlock()
@@ -72,12 +75,33 @@
 		writeJSON(c, fasthttp.StatusBadRequest, api.TaskResponse{Error: err.Error()})
 		return
 	}
+	fault := u.currentFault()
+	if refused := refusal(fault.Mode); refused != nil {
+		writeJSON(c, fasthttp.StatusServiceUnavailable, refused)
+		return
+	}
 	if !u.start(&task) {
 		writeJSON(c, fasthttp.StatusServiceUnavailable, api.TaskResponse{Error: "no free slot"})
 		return
 	}
-	defer u.end()
-	time.Sleep(u.runTime(&task))
+	if fault.Mode != api.UpstreamFailing {
+		time.Sleep(u.runTime(&task, fault))
+	}
+	u.end()
+	time.Sleep(lateness(fault))
+	u.answer(c, &task, fault.Mode)
+}
+
+// answer ends the request of a task that ran.
+func (u *upstream) answer(c *fasthttp.RequestCtx, task *api.TaskRequest, mode api.UpstreamMode) {
+	switch mode {
+	case api.UpstreamAnswersLost:
+		closeUnanswered(c)
+		return
+	case api.UpstreamFailing:
+		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: "failed by a fault"})
+		return
+	}
 	result, err := json.Marshal(api.StandinResult{Submission: task.Submission, Task: task.Task, Upstream: u.name})
 	if err != nil {
 		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: err.Error()})
@@ -86,7 +110,7 @@
 	writeJSON(c, fasthttp.StatusOK, api.TaskResponse{Started: true, Result: result})
 }
 
-func (u *upstream) runTime(task *api.TaskRequest) time.Duration {
+func (u *upstream) runTime(task *api.TaskRequest, fault api.UpstreamFault) time.Duration {
 	var own api.StandinTask
 	// An item of another form takes the default time.
 	_ = json.Unmarshal(task.Item, &own)
@@ -94,6 +118,9 @@
 	if own.RunUS > 0 {
 		base = time.Duration(own.RunUS) * time.Microsecond
 	}
+	if fault.Mode == api.UpstreamSlow {
+		base = time.Duration(float64(base) * fault.Factor)
+	}
 	return time.Duration(float64(base) / u.speed)
 }
 
