--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,7 +17,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
@@ -46,7 +45,7 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	members     *membership.Table
 	submissions *submission.Table
-	dispatcher  *dispatch.Dispatcher
+	dispatcher  dispatcher
 
 	front     *httpfront.Front
 	peers     *peer.Transport
@@ -73,7 +72,7 @@
 		metrics:     newMetrics(),
 		members:     membership.NewTable(self, seeds),
 		submissions: submission.NewTable(s.Jobs.Retention),
-		dispatcher:  dispatch.New(dispatch.Config{MaxQueued: s.Jobs.MaxQueued}),
+		dispatcher:  newDispatcher(&s),
 		upstreams: upstream.NewClient(upstream.Config{
 			DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
 		}),
@@ -85,7 +84,7 @@
 	if s.Platform.Address != "" {
 		d.directory = platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 	}
-	d.front = httpfront.New(httpfront.Config{MaxBody: s.Network.MaxBody, Metrics: d.metrics.vars}, d)
+	d.front = httpfront.New(frontConfig(s, d.metrics, d.log), d)
 	d.peers = peer.New(peer.Config{
 		Hello: wire.Hello{
 			VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -95,12 +94,21 @@
 		MaxFrame:    s.Network.MaxFrame,
 		OnHello:     d.heard,
 	})
+	d.metrics.countFrames(d.peers)
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	peer.Handle(d.peers, d.handleRecord)
 	return d, nil
 }
 
+func frontConfig(s settings.DaemonProgram, m *metrics, log *slog.Logger) httpfront.Config {
+	return httpfront.Config{
+		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: s.Jobs.MaxTasks,
+		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: m.vars, Log: log,
+	}
+}
+
 // loadCatalog reads the services file of the settings, if there is one.
 func (d *Daemon) loadCatalog() error {
 	d.catalog.Store(catalog.Empty())
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"os"
@@ -10,7 +11,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/mustardstep/mustardstep/examples"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/valyala/fasthttp"
@@ -29,8 +29,10 @@
 	// Relays puts relays between the daemons and before the platform, at which
 	// connections can be cut.
 	Relays bool
-	// Flags are further flags of every daemon.
-	Flags []string
+	// Service is the service that the upstreams run; empty takes rota-desk.
+	Service string
+	// DaemonArgs are further flags of every daemon.
+	DaemonArgs []string
 	// Dir receives logs and the services file.
 	Dir string
 }
@@ -59,7 +61,7 @@
 
 func (c *cluster) start(ctx context.Context) error {
 	c.schema = filepath.Join(c.layout.Dir, "services.yaml")
-	if err := os.WriteFile(c.schema, examples.RotaDesk, 0o644); err != nil {
+	if err := os.WriteFile(c.schema, servicesFile(c.layout.Service), 0o644); err != nil {
 		return err
 	}
 	addresses, err := freeAddresses(1)
@@ -111,7 +113,7 @@
 	for _, dataCentre := range c.layout.DataCentres {
 		err := c.run("upstreams-"+dataCentre, "upstreams", "-platform", c.platform, "-data-centre", dataCentre,
 			"-count", strconv.Itoa(c.layout.Upstreams), "-slots", strconv.Itoa(c.layout.Slots),
-			"-speeds", strings.Join(speeds, ","))
+			"-speeds", strings.Join(speeds, ","), "-service", cmp.Or(c.layout.Service, serviceRotaDesk))
 		if err != nil {
 			return err
 		}
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -71,9 +71,6 @@
 
 // runFaults replays a load under each fault, on processes of its own.
 func runFaults(ctx context.Context, options Options) (*Report, error) {
-	if options.Seconds == 0 {
-		options.Seconds = faultSeconds
-	}
 	report := &Report{}
 	for i := range faults {
 		if options.Fault != "" && options.Fault != faults[i].name {
--- a/internal/replay/faults_probe.go
+++ b/internal/replay/faults_probe.go
@@ -183,5 +183,3 @@
 	}
 	r.UnavailableMSP50 = float64(first.ValueAtQuantile(50)) / 1000
 }
-
-func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- a/internal/replay/faults_scene.go
+++ b/internal/replay/faults_scene.go
@@ -16,7 +16,7 @@
 var faultLayout = Layout{
 	DataCentres: []string{"casablanca", "rabat"}, VMs: 3, Upstreams: 4, Slots: 8,
 	Speeds: []float64{1, 0.75, 0.5}, Relays: true,
-	Flags: []string{"-platform-list-interval", "100ms", "-drain-timeout", "5s"},
+	DaemonArgs: []string{"-platform-list-interval", "100ms", "-drain-timeout", "5s"},
 }
 
 // The load under faults.
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"time"
@@ -17,26 +18,48 @@
 	Fault string
 	// LogDir keeps the logs of the processes; empty keeps none.
 	LogDir string
+	// Trace is the file of a trace that replaces the generated one; empty
+	// generates.
+	Trace string
+	// Policies are the dispatch policies that a dispatch suite compares.
+	Policies []string
+	// Deployment is the service whose calls a dispatch suite generates.
+	Deployment string
 }
 
 // ErrBroken is returned with the report of a suite in which a promise was
 // broken.
 var ErrBroken = errors.New("a promise was broken")
 
+// DefaultSeconds is the length of a load for which none is given.
+const DefaultSeconds = 5
+
+// suite is a set of replays that one command runs.
+type suite struct {
+	run func(context.Context, Options) (*Report, error)
+	// seconds is the length of the load for which none is given.
+	seconds float64
+}
+
 // suites are the suites by name.
-var suites = map[string]func(context.Context, Options) (*Report, error){
-	"thin":   runThin,
-	"faults": runFaults,
+var suites = map[string]suite{
+	"thin":   {runThin, DefaultSeconds},
+	"faults": {runFaults, faultSeconds},
+	"steady": {runSteady, DefaultSeconds},
+	"burst":  {runBurst, DefaultSeconds},
+	"skew":   {runSkew, DefaultSeconds},
+	"cancel": {runCancel, DefaultSeconds},
 }
 
 // RunSuite runs a suite on processes of its own.
 func RunSuite(ctx context.Context, name string, options Options) (*Report, error) {
-	run := suites[name]
-	if run == nil {
+	suite, known := suites[name]
+	if !known {
 		return nil, errors.Newf("unknown suite %q", name)
 	}
 	begin := time.Now()
-	report, err := run(ctx, options)
+	options.Seconds = cmp.Or(options.Seconds, suite.seconds)
+	report, err := suite.run(ctx, options)
 	if err != nil {
 		return nil, err
 	}
@@ -48,9 +71,6 @@
 	return report, nil
 }
 
-// thinSeconds is the length of the thin suite's load.
-const thinSeconds = 5
-
 // runThin sends a moderate load through the whole path without faults.
 func runThin(ctx context.Context, options Options) (*Report, error) {
 	dir, err := os.MkdirTemp("", "mustardstep-replay-")
@@ -68,9 +88,6 @@
 	}
 	const meanTaskUS = 50_000
 	const utilization = 0.3
-	if options.Seconds == 0 {
-		options.Seconds = thinSeconds
-	}
 	jobs := Generate(Shape{
 		Seed: options.Seed, Seconds: options.Seconds, MeanTaskUS: meanTaskUS, Callers: 40,
 		TasksPerSecond: utilization * c.speedSum() * 1e6 / meanTaskUS,
--- a/internal/replay/vm.go
+++ b/internal/replay/vm.go
@@ -60,7 +60,7 @@
 		"-peer-listen", v.listen, "-peer-advertise", v.address, "-seeds", strings.Join(c.seeds(), ","),
 		"-platform", v.platform, "-schema-file", c.schema,
 	}
-	if err := c.run(v.name, append(args, c.layout.Flags...)...); err != nil {
+	if err := c.run(v.name, append(args, c.layout.DaemonArgs...)...); err != nil {
 		return err
 	}
 	v.process = c.processes[len(c.processes)-1]
