--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +18,7 @@
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/internal/operators"
 	"github.com/mustardstep/mustardstep/internal/peer"
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
@@ -52,6 +52,13 @@
 	upstreams *upstream.Client
 	directory platform.Directory // nil without a platform
 	ready     atomic.Bool
+
+	configuration *configurator
+	limited       *platform.Limited                      // nil without a platform
+	live          atomic.Pointer[settings.DaemonProgram] // settings with those that operators changed
+	services      map[string]serviceEntry                // by key; belongs to applyConfiguration
+	drained       atomic.Bool                            // by an operator
+	relist        chan struct{}                          // asks for the list of upstreams to be applied anew
 }
 
 // New returns a daemon that is not running yet.
@@ -66,7 +73,12 @@
 		DataCentre:  s.Network.DataCentre,
 		Address:     cmp.Or(s.Network.PeerAdvertise, s.Network.PeerListen),
 	}
+	initial, err := initialConfiguration(s.Platform.SchemaFile)
+	if err != nil {
+		return nil, err
+	}
 	d := &Daemon{
+		relist:      make(chan struct{}, 1),
 		settings:    s,
 		log:         log.With(slog.String("vm", self.VM)),
 		metrics:     newMetrics(),
@@ -78,13 +90,11 @@
 		}),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
-	if err := d.loadCatalog(); err != nil {
-		return nil, err
-	}
+	d.catalog.Store(catalog.Empty())
 	if s.Platform.Address != "" {
 		d.directory = platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 	}
-	d.front = httpfront.New(frontConfig(s, d.metrics, d.log), d)
+	d.front = httpfront.New(d.frontConfig(), d)
 	d.peers = peer.New(peer.Config{
 		Hello: wire.Hello{
 			VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre,
@@ -98,34 +108,18 @@
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	peer.Handle(d.peers, d.handleRecord)
+	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address})
 	return d, nil
 }
 
-func frontConfig(s settings.DaemonProgram, m *metrics, log *slog.Logger) httpfront.Config {
+func (d *Daemon) frontConfig() httpfront.Config {
+	s := d.settings
 	return httpfront.Config{
-		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: s.Jobs.MaxTasks,
+		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: func() int { return d.live.Load().Jobs.MaxTasks },
 		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
-		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: m.vars, Log: log,
-	}
-}
-
-// loadCatalog reads the services file of the settings, if there is one.
-func (d *Daemon) loadCatalog() error {
-	d.catalog.Store(catalog.Empty())
-	path := d.settings.Platform.SchemaFile
-	if path == "" {
-		return nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return errors.Wrap(err, "services file")
-	}
-	c, err := catalog.Parse(data)
-	if err != nil {
-		return errors.Wrapf(err, "services file %s", path)
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: d.metrics.vars, Log: d.log,
+		Operators: operators.Handler(d),
 	}
-	d.catalog.Store(c)
-	return nil
 }
 
 // Run serves until the context ends, then stops gracefully: it takes no new
@@ -145,6 +139,7 @@
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return d.peers.Serve(serving, peers) })
 	g.Go(func() error { return d.front.Serve(callers) })
+	g.Go(func() error { return d.configuration.run(serving) })
 	g.Go(func() error { return d.followUpstreams(serving) })
 	g.Go(func() error {
 		defer stopServing()
@@ -161,7 +156,7 @@
 func (d *Daemon) drain() error {
 	d.ready.Store(false)
 	d.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Jobs.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Jobs.DrainTimeout)
 	defer cancel()
 	return d.front.Shutdown(ctx)
 }
@@ -174,7 +169,7 @@
 	if !d.ready.Load() {
 		return errors.New("starting or draining")
 	}
-	return nil
+	return d.configurationReady()
 }
 
 // heard notes a peer that presented itself.
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -41,8 +41,8 @@
 	MaxBody int
 	// MaxHeader is the largest head of a request, in bytes.
 	MaxHeader int
-	// MaxTasks is the most tasks of one job.
-	MaxTasks int
+	// MaxTasks returns the most tasks of one job, which operators may change.
+	MaxTasks func() int
 	// MaxConns is the most connections at once.
 	MaxConns int
 	// ReadTimeout bounds the time to receive a request, head and body.
@@ -53,6 +53,8 @@
 	IdleTimeout time.Duration
 	// Metrics are shown at /debug/vars.
 	Metrics *expvar.Map
+	// Operators serves paths under /v1/operators; nil serves none.
+	Operators fasthttp.RequestHandler
 	// Log receives the faults of connections, at level debug.
 	Log *slog.Logger
 }
@@ -106,6 +108,8 @@
 		if allow(c, fasthttp.MethodDelete) {
 			f.cancel(c, path[2])
 		}
+	case len(path) == 3 && path[0] == "v1" && path[1] == "operators" && f.config.Operators != nil:
+		f.config.Operators(c)
 	case len(path) == 1 && path[0] == "healthz":
 		if allow(c, fasthttp.MethodGet, fasthttp.MethodHead) {
 			c.SetBodyString("ok\n")
