--- /dev/null
+++ b/internal/peer/faults_test.go
@@ -0,0 +1,379 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/stretchr/testify/require"
+	"github.com/tinylib/msgp/msgp"
+)
+
+// testMaxFrame is the largest frame of the transports under test, in bytes.
+const testMaxFrame = 4096
+
+func newTestTransport() *Transport {
+	return New(Config{
+		Hello:       wire.Hello{VM: "a", Incarnation: 1, DataCentre: "rabat"},
+		DialTimeout: time.Minute, MaxFrame: testMaxFrame, OnHello: func(wire.Hello) {},
+	})
+}
+
+// fakePeer is the other end of a connection, spoken frame by frame.
+type fakePeer struct {
+	t      *testing.T
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// listenFake runs serve on every connection to the returned address.
+func listenFake(t *testing.T, serve func(p *fakePeer)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				serve(&fakePeer{t, conn, bufio.NewReader(conn)})
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+// read returns the next frame; ok is false where the connection ended.
+func (p *fakePeer) read() (f frame, ok bool) {
+	f, err := readFrame(p.reader, testMaxFrame)
+	return f, err == nil
+}
+
+func (p *fakePeer) respond(m wire.Message, call uint64) {
+	buf, err := appendFrame(nil, m, true, call)
+	if err == nil {
+		p.conn.Write(buf)
+	}
+}
+
+// greet exchanges hellos and returns the first request.
+func (p *fakePeer) greet() (request frame, ok bool) {
+	hello, ok := p.read()
+	if !ok {
+		return frame{}, false
+	}
+	p.respond(&wire.Hello{VM: "b", Incarnation: 2}, hello.call)
+	return p.read()
+}
+
+func (p *fakePeer) sendRaw(b []byte) { p.conn.Write(b) }
+
+// header returns a frame header with the given fields and no payload.
+func header(length uint32, version byte, kind wire.Kind, flags byte, call uint64) []byte {
+	b := binary.BigEndian.AppendUint32(nil, length)
+	b = append(b, version, byte(kind), flags)
+	return binary.BigEndian.AppendUint64(b, call)
+}
+
+// emptyFrame is the length of a frame without payload.
+const emptyFrame = headerSize - lengthSize
+
+func callPeer(ctx context.Context, t *Transport, address string) (*wire.RecordResponse, error) {
+	var response wire.RecordResponse
+	err := t.Call(ctx, address, &wire.RecordRequest{Owner: "a"}, &response)
+	return &response, err
+}
+
+func TestVerdictOfEachFault(t *testing.T) {
+	for name, c := range map[string]struct {
+		serve   func(p *fakePeer)
+		verdict verdict.Verdict
+	}{
+		"closed before the hello": {func(*fakePeer) {}, verdict.NotRun},
+		"hello of another version": {func(p *fakePeer) {
+			hello, _ := p.read()
+			p.sendRaw(header(emptyFrame, protocolVersion+1, wire.KindHello, flagResponse, hello.call))
+			p.read()
+		}, verdict.NotRun},
+		"other message in place of the hello": {func(p *fakePeer) {
+			hello, _ := p.read()
+			p.respond(&wire.RecordResponse{Accepted: true}, hello.call)
+			p.read()
+		}, verdict.NotRun},
+		"unreadable hello": {func(p *fakePeer) {
+			hello, _ := p.read()
+			p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindHello, flagResponse, hello.call), 0xc1))
+			p.read()
+		}, verdict.NotRun},
+		"connection lost mid-call": {func(p *fakePeer) { p.greet() }, verdict.MayHaveRun},
+		"half a response": {func(p *fakePeer) {
+			request, _ := p.greet()
+			p.sendRaw(header(emptyFrame+50, protocolVersion, wire.KindRecordResponse, flagResponse, request.call))
+		}, verdict.MayHaveRun},
+		"response above the limit": {func(p *fakePeer) {
+			request, _ := p.greet()
+			p.sendRaw(header(testMaxFrame+1, protocolVersion, wire.KindRecordResponse, flagResponse, request.call))
+			p.read()
+		}, verdict.MayHaveRun},
+		"response of another version": {func(p *fakePeer) {
+			request, _ := p.greet()
+			p.sendRaw(header(emptyFrame, protocolVersion+1, wire.KindRecordResponse, flagResponse, request.call))
+			p.read()
+		}, verdict.MayHaveRun},
+		"response of another kind": {func(p *fakePeer) {
+			request, _ := p.greet()
+			p.respond(&wire.SubmitResponse{}, request.call)
+			p.read()
+		}, verdict.MayHaveRun},
+		"unreadable response": {func(p *fakePeer) {
+			request, _ := p.greet()
+			p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindRecordResponse, flagResponse, request.call), 0xc1))
+			p.read()
+		}, verdict.MayHaveRun},
+		"request refused unhandled": {func(p *fakePeer) {
+			request, _ := p.greet()
+			p.respond(&wire.ErrorResponse{Reason: "unknown"}, request.call)
+			p.read()
+		}, verdict.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := callPeer(t.Context(), newTestTransport(), listenFake(t, c.serve))
+			var failure *Error
+			require.ErrorAs(t, err, &failure)
+			require.Equal(t, c.verdict, failure.Verdict, failure.Error())
+		})
+	}
+}
+
+func TestRefusedConnectionDidNotRun(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	listener.Close()
+	_, err = callPeer(t.Context(), newTestTransport(), listener.Addr().String())
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+}
+
+func TestRequestAboveTheLimitIsNotSent(t *testing.T) {
+	requests := make(chan frame, 1)
+	address := listenFake(t, func(p *fakePeer) {
+		if f, ok := p.greet(); ok {
+			requests <- f
+		}
+	})
+	var response wire.RecordResponse
+	request := &wire.RecordRequest{Owner: string(make([]byte, testMaxFrame))}
+	err := newTestTransport().Call(t.Context(), address, request, &response)
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+	require.Empty(t, requests)
+}
+
+// TestLateResponseIsDropped gives up on a call, lets its response arrive late
+// and checks that the next call over the connection gets its own.
+func TestLateResponseIsDropped(t *testing.T) {
+	arrived := make(chan struct{})
+	address := listenFake(t, func(p *fakePeer) {
+		first, _ := p.greet()
+		close(arrived)
+		second, ok := p.read()
+		if !ok {
+			return
+		}
+		p.respond(&wire.RecordResponse{Reason: "first"}, first.call)
+		p.respond(&wire.RecordResponse{Reason: "second"}, second.call)
+		p.read()
+	})
+	transport := newTestTransport()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	_, err := callPeer(ctx, transport, address)
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, verdict.MayHaveRun, failure.Verdict)
+	response, err := callPeer(t.Context(), transport, address)
+	require.NoError(t, err)
+	require.Equal(t, "second", response.Reason)
+}
+
+// TestCrossedResponses answers two calls in reverse order, twice each.
+func TestCrossedResponses(t *testing.T) {
+	address := listenFake(t, func(p *fakePeer) {
+		first, _ := p.greet()
+		second, _ := p.read()
+		for _, f := range []frame{second, first, second, first} {
+			var request wire.RecordRequest
+			request.UnmarshalMsg(f.payload)
+			p.respond(&wire.RecordResponse{Reason: request.Owner}, f.call)
+		}
+		p.read()
+	})
+	transport := newTestTransport()
+	answers := make(chan [2]string, 2)
+	for _, owner := range []string{"x", "y"} {
+		go func() {
+			var response wire.RecordResponse
+			transport.Call(t.Context(), address, &wire.RecordRequest{Owner: owner}, &response)
+			answers <- [2]string{owner, response.Reason}
+		}()
+	}
+	for range 2 {
+		answer := <-answers
+		require.Equal(t, answer[0], answer[1])
+	}
+}
+
+func TestCallAfterTheEndOfItsContextIsNotSent(t *testing.T) {
+	address := listenFake(t, func(p *fakePeer) { p.greet() })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := callPeer(ctx, newTestTransport(), address)
+	var failure *Error
+	require.ErrorAs(t, err, &failure)
+	require.Equal(t, verdict.NotRun, failure.Verdict)
+}
+
+// serveReal runs a transport that accepts records and returns its address and
+// the owners that its handler saw.
+func serveReal(t *testing.T) (address string, owners chan string) {
+	owners = make(chan string, 10)
+	transport := newTestTransport()
+	Handle(transport, func(_ context.Context, _ *wire.Hello, m *wire.RecordRequest) wire.Message {
+		owners <- m.Owner
+		return &wire.RecordResponse{Accepted: true}
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- transport.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return listener.Addr().String(), owners
+}
+
+func dialReal(t *testing.T, address string) *fakePeer {
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return &fakePeer{t, conn, bufio.NewReader(conn)}
+}
+
+func mustFrame(t *testing.T, m wire.Message, call uint64) []byte {
+	buf, err := appendFrame(nil, m, false, call)
+	require.NoError(t, err)
+	return buf
+}
+
+func TestServerEndsBadConnections(t *testing.T) {
+	hello := mustFrame(t, &wire.Hello{VM: "b"}, 1)
+	record := mustFrame(t, &wire.RecordRequest{Owner: "b"}, 2)
+	for name, sent := range map[string][]byte{
+		"request before the hello": record,
+		"hello of another version": header(emptyFrame, protocolVersion+1, wire.KindHello, 0, 1),
+		"oversized hello":          header(testMaxFrame+1, protocolVersion, wire.KindHello, 0, 1),
+		"frame below its header":   header(1, protocolVersion, wire.KindHello, 0, 1),
+		"another protocol":         []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"oversized request":        append(append([]byte{}, hello...), header(testMaxFrame+1, protocolVersion, wire.KindRecordRequest, 0, 2)...),
+		"request of another version": append(append([]byte{}, hello...),
+			header(emptyFrame, protocolVersion+1, wire.KindRecordRequest, 0, 2)...),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, owners := serveReal(t)
+			p := dialReal(t, address)
+			p.sendRaw(sent)
+			for open := true; open; {
+				_, open = p.read()
+			}
+			require.Empty(t, owners)
+		})
+	}
+}
+
+func TestUnknownKindIsRefusedAndTheConnectionGoesOn(t *testing.T) {
+	const unknown = wire.Kind(250)
+	address, owners := serveReal(t)
+	p := dialReal(t, address)
+	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
+	p.sendRaw(header(emptyFrame, protocolVersion, unknown, 0, 2))
+	_, ok := p.read()
+	require.True(t, ok)
+	refusal, ok := p.read()
+	require.True(t, ok)
+	require.Equal(t, wire.KindErrorResponse, refusal.kind)
+	require.EqualValues(t, 2, refusal.call)
+	p.sendRaw(mustFrame(t, &wire.RecordRequest{Owner: "b"}, 3))
+	require.Equal(t, "b", <-owners)
+}
+
+func TestUnreadableRequestIsRefused(t *testing.T) {
+	address, owners := serveReal(t)
+	p := dialReal(t, address)
+	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
+	p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindRecordRequest, 0, 2), 0xc1))
+	p.read()
+	refusal, ok := p.read()
+	require.True(t, ok)
+	require.Equal(t, wire.KindErrorResponse, refusal.kind)
+	require.Empty(t, owners)
+}
+
+// TestUnknownFieldsAreSkipped sends a request as a newer release would.
+func TestUnknownFieldsAreSkipped(t *testing.T) {
+	payload := msgp.AppendMapHeader(nil, 3)
+	payload = msgp.AppendString(payload, "zz")
+	payload = msgp.AppendMapHeader(payload, 1)
+	payload = msgp.AppendString(payload, "deep")
+	payload = msgp.AppendInt(payload, 7)
+	payload = msgp.AppendString(payload, "w")
+	payload = msgp.AppendString(payload, "newer")
+	payload = msgp.AppendString(payload, "zy")
+	payload = msgp.AppendBytes(payload, []byte{1, 2})
+	address, owners := serveReal(t)
+	p := dialReal(t, address)
+	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
+	p.sendRaw(append(header(uint32(emptyFrame+len(payload)), protocolVersion, wire.KindRecordRequest, 0, 2), payload...))
+	require.Equal(t, "newer", <-owners)
+}
+
+// TestUnmatchedResponsesAreDropped sends responses to calls that were never
+// made; the connection goes on.
+func TestUnmatchedResponsesAreDropped(t *testing.T) {
+	address, owners := serveReal(t)
+	p := dialReal(t, address)
+	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
+	p.respond(&wire.RecordResponse{Accepted: true}, 1)
+	p.respond(&wire.RecordResponse{Accepted: true}, 99)
+	p.sendRaw(mustFrame(t, &wire.RecordRequest{Owner: "b"}, 2))
+	require.Equal(t, "b", <-owners)
+}
+
+func TestPeekHelloLeavesTheFrame(t *testing.T) {
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	whole := mustFrame(t, &wire.Hello{VM: "b", DataCentre: "rabat"}, 1)
+	go client.Write(whole)
+	reader := bufio.NewReader(server)
+	hello, err := PeekHello(reader)
+	require.NoError(t, err)
+	require.Equal(t, "b", hello.VM)
+	f, err := readFrame(reader, testMaxFrame)
+	require.NoError(t, err)
+	require.Equal(t, wire.KindHello, f.kind)
+}
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -149,5 +149,5 @@
 }
 
 func (s *scene) timeOf(step step) time.Time {
-	return s.begin.Add(time.Duration(step.at * s.seconds * float64(time.Second)))
+	return s.begin.Add(time.Duration(step.at * float64(s.length())))
 }
--- a/internal/replay/faults_load.go
+++ b/internal/replay/faults_load.go
@@ -9,12 +9,11 @@
 
 	"github.com/mustardstep/mustardstep/client"
 	"github.com/mustardstep/mustardstep/verdict"
-	"golang.org/x/sync/errgroup"
 )
 
 const (
 	// faultJobTimeout is the deadline of a job under a fault.
-	faultJobTimeout = 6 * time.Second
+	faultJobTimeout = 3 * time.Second
 	// attemptTimeout is the wait after which a call is believed lost and is
 	// submitted to another VM, often while the first attempt still runs.
 	attemptTimeout = 250 * time.Millisecond
@@ -25,7 +24,7 @@
 // Shares of the jobs that are submitted again under their key.
 const (
 	concurrentShare = 0.2 // by another client, while the first may run
-	repeatedShare   = 0.1 // after the first has ended
+	repeatedShare   = 0.3 // after the first has ended
 )
 
 // balancer spreads requests over the entry VMs. It is safe for concurrent use.
@@ -109,42 +108,62 @@
 	return c
 }
 
+// copies says when a job is submitted again under its key.
+type copies struct {
+	concurrent, repeated bool
+	// delay is the time from the call to its concurrent copy.
+	delay time.Duration
+	// pause is the time from the end of the call to its repetition.
+	pause time.Duration
+}
+
+func drawCopies(rng *rand.Rand, length time.Duration) copies {
+	return copies{
+		concurrent: rng.Float64() < concurrentShare,
+		repeated:   rng.Float64() < repeatedShare,
+		delay:      time.Duration(rng.Int64N(int64(maxCopyDelay))),
+		pause:      time.Duration(rng.Int64N(int64(length))),
+	}
+}
+
 // replay makes every call at its time, and the copies that the seed chooses,
 // and returns the outcomes of all when they have ended.
-func (l *impatientLoad) replay(ctx context.Context, jobs []TraceJob, rng *rand.Rand) []outcome {
-	var mu sync.Mutex // guards outcomes
-	var outcomes []outcome
-	call := func(job *TraceJob) {
-		o := l.call(ctx, job)
-		mu.Lock()
-		defer mu.Unlock()
-		outcomes = append(outcomes, o)
-	}
+func (l *impatientLoad) replay(ctx context.Context, jobs []TraceJob, length time.Duration, rng *rand.Rand) []outcome {
+	var calls calls
 	begin := time.Now()
-	var g errgroup.Group
 	for i := range jobs {
-		job := &jobs[i]
-		concurrent, repeated := rng.Float64() < concurrentShare, rng.Float64() < repeatedShare
-		delay := time.Duration(rng.Int64N(int64(maxCopyDelay)))
+		job, copies := &jobs[i], drawCopies(rng, length)
 		time.Sleep(time.Until(begin.Add(time.Duration(job.ArrivalUS) * time.Microsecond)))
-		g.Go(func() error {
-			call(job)
-			if repeated {
-				call(job)
+		calls.group.Go(func() {
+			calls.add(l.call(ctx, job))
+			if copies.repeated {
+				time.Sleep(copies.pause)
+				calls.add(l.call(ctx, job))
 			}
-			return nil
 		})
-		if concurrent {
-			g.Go(func() error {
-				time.Sleep(delay)
-				call(job)
-				return nil
+		if copies.concurrent {
+			calls.group.Go(func() {
+				time.Sleep(copies.delay)
+				calls.add(l.call(ctx, job))
 			})
 		}
 	}
-	// The calls report their failures in the outcomes.
-	_ = g.Wait()
-	return outcomes
+	calls.group.Wait()
+	return calls.outcomes
+}
+
+// calls are the calls of a load and their outcomes.
+type calls struct {
+	group sync.WaitGroup
+
+	mu       sync.Mutex // guards outcomes
+	outcomes []outcome
+}
+
+func (c *calls) add(o outcome) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.outcomes = append(c.outcomes, o)
 }
 
 func (l *impatientLoad) call(ctx context.Context, job *TraceJob) outcome {
--- a/internal/replay/faults_probe.go
+++ b/internal/replay/faults_probe.go
@@ -154,7 +154,7 @@
 // probe runs the streams from the probed step of a fault to the end of the
 // load, which it returns.
 func (s *scene) probe(f *fault) time.Time {
-	end := s.begin.Add(time.Duration(s.seconds * float64(time.Second)))
+	end := s.begin.Add(s.length())
 	ctx, cancel := context.WithDeadline(s.ctx, end)
 	defer cancel()
 	time.Sleep(time.Until(s.timeOf(f.steps[f.probed])))
--- a/internal/replay/faults_scene.go
+++ b/internal/replay/faults_scene.go
@@ -14,15 +14,15 @@
 
 // faultLayout is the system that the faults strike.
 var faultLayout = Layout{
-	DataCentres: []string{"casablanca", "rabat"}, VMs: 3, Upstreams: 4, Slots: 8,
+	DataCentres: []string{"casablanca", "rabat"}, VMs: 3, Upstreams: 4, Slots: 32,
 	Speeds: []float64{1, 0.75, 0.5}, Relays: true,
 	DaemonArgs: []string{"-platform-list-interval", "100ms", "-drain-timeout", "5s"},
 }
 
 // The load under faults.
 const (
-	faultMeanTaskUS  = 20_000
-	faultUtilization = 0.25
+	faultMeanTaskUS  = 40_000
+	faultUtilization = 0.4
 	faultCallers     = 20
 )
 
@@ -69,6 +69,9 @@
 	return s, nil
 }
 
+// length returns the length of the load.
+func (s *scene) length() time.Duration { return time.Duration(s.seconds * float64(time.Second)) }
+
 // home returns the VMs of the data centre that is struck.
 func (s *scene) home() []*vm {
 	var home []*vm
@@ -101,7 +104,7 @@
 	var g errgroup.Group
 	s.begin = time.Now()
 	g.Go(func() error {
-		outcomes = s.load.replay(ctx, jobs, s.rng)
+		outcomes = s.load.replay(ctx, jobs, s.length(), s.rng)
 		return nil
 	})
 	g.Go(func() error {
