--- a/internal/peer/faults_test.go
+++ b/internal/peer/faults_test.go
@@ -86,9 +86,9 @@
 // emptyFrame is the length of a frame without payload.
 const emptyFrame = headerSize - lengthSize
 
-func callPeer(ctx context.Context, t *Transport, address string) (*wire.RecordResponse, error) {
-	var response wire.RecordResponse
-	err := t.Call(ctx, address, &wire.RecordRequest{Owner: "a"}, &response)
+func callPeer(ctx context.Context, t *Transport, address string) (*wire.SubmitResponse, error) {
+	var response wire.SubmitResponse
+	err := t.Call(ctx, address, &wire.CancelRequest{Caller: "a"}, &response)
 	return &response, err
 }
 
@@ -105,7 +105,7 @@
 		}, verdict.NotRun},
 		"other message in place of the hello": {func(p *fakePeer) {
 			hello, _ := p.read()
-			p.respond(&wire.RecordResponse{Accepted: true}, hello.call)
+			p.respond(&wire.SubmitResponse{Reason: "x"}, hello.call)
 			p.read()
 		}, verdict.NotRun},
 		"unreadable hello": {func(p *fakePeer) {
@@ -116,26 +116,26 @@
 		"connection lost mid-call": {func(p *fakePeer) { p.greet() }, verdict.MayHaveRun},
 		"half a response": {func(p *fakePeer) {
 			request, _ := p.greet()
-			p.sendRaw(header(emptyFrame+50, protocolVersion, wire.KindRecordResponse, flagResponse, request.call))
+			p.sendRaw(header(emptyFrame+50, protocolVersion, wire.KindSubmitResponse, flagResponse, request.call))
 		}, verdict.MayHaveRun},
 		"response above the limit": {func(p *fakePeer) {
 			request, _ := p.greet()
-			p.sendRaw(header(testMaxFrame+1, protocolVersion, wire.KindRecordResponse, flagResponse, request.call))
+			p.sendRaw(header(testMaxFrame+1, protocolVersion, wire.KindSubmitResponse, flagResponse, request.call))
 			p.read()
 		}, verdict.MayHaveRun},
 		"response of another version": {func(p *fakePeer) {
 			request, _ := p.greet()
-			p.sendRaw(header(emptyFrame, protocolVersion+1, wire.KindRecordResponse, flagResponse, request.call))
+			p.sendRaw(header(emptyFrame, protocolVersion+1, wire.KindSubmitResponse, flagResponse, request.call))
 			p.read()
 		}, verdict.MayHaveRun},
 		"response of another kind": {func(p *fakePeer) {
 			request, _ := p.greet()
-			p.respond(&wire.SubmitResponse{}, request.call)
+			p.respond(&wire.RecordResponse{}, request.call)
 			p.read()
 		}, verdict.MayHaveRun},
 		"unreadable response": {func(p *fakePeer) {
 			request, _ := p.greet()
-			p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindRecordResponse, flagResponse, request.call), 0xc1))
+			p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindSubmitResponse, flagResponse, request.call), 0xc1))
 			p.read()
 		}, verdict.MayHaveRun},
 		"request refused unhandled": {func(p *fakePeer) {
@@ -170,8 +170,8 @@
 			requests <- f
 		}
 	})
-	var response wire.RecordResponse
-	request := &wire.RecordRequest{Owner: string(make([]byte, testMaxFrame))}
+	var response wire.SubmitResponse
+	request := &wire.CancelRequest{Caller: string(make([]byte, testMaxFrame))}
 	err := newTestTransport().Call(t.Context(), address, request, &response)
 	var failure *Error
 	require.ErrorAs(t, err, &failure)
@@ -190,8 +190,8 @@
 		if !ok {
 			return
 		}
-		p.respond(&wire.RecordResponse{Reason: "first"}, first.call)
-		p.respond(&wire.RecordResponse{Reason: "second"}, second.call)
+		p.respond(&wire.SubmitResponse{Reason: "first"}, first.call)
+		p.respond(&wire.SubmitResponse{Reason: "second"}, second.call)
 		p.read()
 	})
 	transport := newTestTransport()
@@ -215,19 +215,19 @@
 		first, _ := p.greet()
 		second, _ := p.read()
 		for _, f := range []frame{second, first, second, first} {
-			var request wire.RecordRequest
+			var request wire.CancelRequest
 			request.UnmarshalMsg(f.payload)
-			p.respond(&wire.RecordResponse{Reason: request.Owner}, f.call)
+			p.respond(&wire.SubmitResponse{Reason: request.Caller}, f.call)
 		}
 		p.read()
 	})
 	transport := newTestTransport()
 	answers := make(chan [2]string, 2)
-	for _, owner := range []string{"x", "y"} {
+	for _, caller := range []string{"x", "y"} {
 		go func() {
-			var response wire.RecordResponse
-			transport.Call(t.Context(), address, &wire.RecordRequest{Owner: owner}, &response)
-			answers <- [2]string{owner, response.Reason}
+			var response wire.SubmitResponse
+			transport.Call(t.Context(), address, &wire.CancelRequest{Caller: caller}, &response)
+			answers <- [2]string{caller, response.Reason}
 		}()
 	}
 	for range 2 {
@@ -246,14 +246,14 @@
 	require.Equal(t, verdict.NotRun, failure.Verdict)
 }
 
-// serveReal runs a transport that accepts records and returns its address and
-// the owners that its handler saw.
-func serveReal(t *testing.T) (address string, owners chan string) {
-	owners = make(chan string, 10)
+// serveReal runs a transport that accepts cancellations and returns its address and
+// the callers that its handler saw.
+func serveReal(t *testing.T) (address string, callers chan string) {
+	callers = make(chan string, 10)
 	transport := newTestTransport()
-	Handle(transport, func(_ context.Context, _ *wire.Hello, m *wire.RecordRequest) wire.Message {
-		owners <- m.Owner
-		return &wire.RecordResponse{Accepted: true}
+	Handle(transport, func(_ context.Context, _ *wire.Hello, m *wire.CancelRequest) wire.Message {
+		callers <- m.Caller
+		return &wire.SubmitResponse{Reason: "x"}
 	})
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -264,7 +264,7 @@
 		cancel()
 		require.NoError(t, <-done)
 	})
-	return listener.Addr().String(), owners
+	return listener.Addr().String(), callers
 }
 
 func dialReal(t *testing.T, address string) *fakePeer {
@@ -282,32 +282,32 @@
 
 func TestServerEndsBadConnections(t *testing.T) {
 	hello := mustFrame(t, &wire.Hello{VM: "b"}, 1)
-	record := mustFrame(t, &wire.RecordRequest{Owner: "b"}, 2)
+	record := mustFrame(t, &wire.CancelRequest{Caller: "b"}, 2)
 	for name, sent := range map[string][]byte{
 		"request before the hello": record,
 		"hello of another version": header(emptyFrame, protocolVersion+1, wire.KindHello, 0, 1),
 		"oversized hello":          header(testMaxFrame+1, protocolVersion, wire.KindHello, 0, 1),
 		"frame below its header":   header(1, protocolVersion, wire.KindHello, 0, 1),
 		"another protocol":         []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
-		"oversized request":        append(append([]byte{}, hello...), header(testMaxFrame+1, protocolVersion, wire.KindRecordRequest, 0, 2)...),
+		"oversized request":        append(append([]byte{}, hello...), header(testMaxFrame+1, protocolVersion, wire.KindCancelRequest, 0, 2)...),
 		"request of another version": append(append([]byte{}, hello...),
-			header(emptyFrame, protocolVersion+1, wire.KindRecordRequest, 0, 2)...),
+			header(emptyFrame, protocolVersion+1, wire.KindCancelRequest, 0, 2)...),
 	} {
 		t.Run(name, func(t *testing.T) {
-			address, owners := serveReal(t)
+			address, callers := serveReal(t)
 			p := dialReal(t, address)
 			p.sendRaw(sent)
 			for open := true; open; {
 				_, open = p.read()
 			}
-			require.Empty(t, owners)
+			require.Empty(t, callers)
 		})
 	}
 }
 
 func TestUnknownKindIsRefusedAndTheConnectionGoesOn(t *testing.T) {
 	const unknown = wire.Kind(250)
-	address, owners := serveReal(t)
+	address, callers := serveReal(t)
 	p := dialReal(t, address)
 	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
 	p.sendRaw(header(emptyFrame, protocolVersion, unknown, 0, 2))
@@ -317,20 +317,20 @@
 	require.True(t, ok)
 	require.Equal(t, wire.KindErrorResponse, refusal.kind)
 	require.EqualValues(t, 2, refusal.call)
-	p.sendRaw(mustFrame(t, &wire.RecordRequest{Owner: "b"}, 3))
-	require.Equal(t, "b", <-owners)
+	p.sendRaw(mustFrame(t, &wire.CancelRequest{Caller: "b"}, 3))
+	require.Equal(t, "b", <-callers)
 }
 
 func TestUnreadableRequestIsRefused(t *testing.T) {
-	address, owners := serveReal(t)
+	address, callers := serveReal(t)
 	p := dialReal(t, address)
 	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
-	p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindRecordRequest, 0, 2), 0xc1))
+	p.sendRaw(append(header(emptyFrame+1, protocolVersion, wire.KindCancelRequest, 0, 2), 0xc1))
 	p.read()
 	refusal, ok := p.read()
 	require.True(t, ok)
 	require.Equal(t, wire.KindErrorResponse, refusal.kind)
-	require.Empty(t, owners)
+	require.Empty(t, callers)
 }
 
 // TestUnknownFieldsAreSkipped sends a request as a newer release would.
@@ -340,27 +340,27 @@
 	payload = msgp.AppendMapHeader(payload, 1)
 	payload = msgp.AppendString(payload, "deep")
 	payload = msgp.AppendInt(payload, 7)
-	payload = msgp.AppendString(payload, "w")
+	payload = msgp.AppendString(payload, "c")
 	payload = msgp.AppendString(payload, "newer")
 	payload = msgp.AppendString(payload, "zy")
 	payload = msgp.AppendBytes(payload, []byte{1, 2})
-	address, owners := serveReal(t)
+	address, callers := serveReal(t)
 	p := dialReal(t, address)
 	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
-	p.sendRaw(append(header(uint32(emptyFrame+len(payload)), protocolVersion, wire.KindRecordRequest, 0, 2), payload...))
-	require.Equal(t, "newer", <-owners)
+	p.sendRaw(append(header(uint32(emptyFrame+len(payload)), protocolVersion, wire.KindCancelRequest, 0, 2), payload...))
+	require.Equal(t, "newer", <-callers)
 }
 
 // TestUnmatchedResponsesAreDropped sends responses to calls that were never
 // made; the connection goes on.
 func TestUnmatchedResponsesAreDropped(t *testing.T) {
-	address, owners := serveReal(t)
+	address, callers := serveReal(t)
 	p := dialReal(t, address)
 	p.sendRaw(mustFrame(t, &wire.Hello{VM: "b"}, 1))
-	p.respond(&wire.RecordResponse{Accepted: true}, 1)
-	p.respond(&wire.RecordResponse{Accepted: true}, 99)
-	p.sendRaw(mustFrame(t, &wire.RecordRequest{Owner: "b"}, 2))
-	require.Equal(t, "b", <-owners)
+	p.respond(&wire.SubmitResponse{Reason: "x"}, 1)
+	p.respond(&wire.SubmitResponse{Reason: "x"}, 99)
+	p.sendRaw(mustFrame(t, &wire.CancelRequest{Caller: "b"}, 2))
+	require.Equal(t, "b", <-callers)
 }
 
 func TestPeekHelloLeavesTheFrame(t *testing.T) {
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -47,6 +47,7 @@
 	http      []string // addresses of the first daemons for callers
 	vms       []*vm
 	links     *links
+	hellos    hellos
 	processes []*process
 	upstreams []api.VM
 }
--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -143,7 +143,7 @@
 		if err := step.run(s); err != nil {
 			return errors.Wrap(err, step.name)
 		}
-		s.events = append(s.events, event{step.name, at, time.Now()})
+		s.acts = append(s.acts, act{step.name, at, time.Now()})
 	}
 	return nil
 }
--- a/internal/replay/faults_judge.go
+++ b/internal/replay/faults_judge.go
@@ -26,7 +26,7 @@
 type evidence struct {
 	begin    time.Time
 	names    map[string]string // VM names by address for callers
-	events   []event
+	acts     []act
 	jobs     []TraceJob
 	outcomes []outcome
 	attempts []attempt
@@ -34,8 +34,8 @@
 	stops    []plannedStop
 }
 
-// event is a step of a fault that was taken.
-type event struct {
+// act is a step of a fault that was taken.
+type act struct {
 	name     string
 	at, done time.Time
 }
@@ -182,8 +182,8 @@
 		}
 		steps[at] = fmt.Sprintf("%+dms ", at.Sub(e.begin).Milliseconds()) + fmt.Sprintf(format, args...)
 	}
-	for _, event := range e.events {
-		note(event.at, "STEP %s", event.name)
+	for _, act := range e.acts {
+		note(act.at, "STEP %s", act.name)
 	}
 	for _, start := range e.starts {
 		if start.Submission == submission {
--- a/internal/replay/faults_probe.go
+++ b/internal/replay/faults_probe.go
@@ -77,7 +77,7 @@
 
 // availability judges the probes sent after a fault. A stream without a served
 // probe was unavailable to its end.
-func (s *probeStream) availability(fault event, end time.Time) availability {
+func (s *probeStream) availability(fault act, end time.Time) availability {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := availability{first: end.Sub(fault.at)}
@@ -126,11 +126,7 @@
 // prepareProbes makes the streams that probe the victim's keys: one through
 // each other VM of its data centre for each second in rank.
 func (s *scene) prepareProbes() {
-	var members []membership.Member
-	for _, v := range s.cluster.vms {
-		members = append(members, membership.Member{VM: v.name, DataCentre: v.dataCentre, Address: v.address})
-	}
-	view := membership.NewTable(members[0], members[1:]).View()
+	view := s.cluster.view(s.victim)
 	count := int(s.seconds/probeInterval.Seconds()) + 1
 	entries := slices.DeleteFunc(s.home(), func(v *vm) bool { return v == s.victim })
 	caller, byHolder := probeKeys(view, s.victim, s.seed, count*len(entries))
@@ -167,7 +163,7 @@
 }
 
 // judgeProbes enters the figures of the streams whose entry VM was not struck.
-func (s *scene) judgeProbes(r *FaultReport, fault event, end time.Time) {
+func (s *scene) judgeProbes(r *FaultReport, fault act, end time.Time) {
 	first := hdrhistogram.New(1, probeTimeout.Microseconds()*1000, 3)
 	for _, stream := range s.streams {
 		if s.struck[stream.entry] {
--- a/internal/replay/faults_scene.go
+++ b/internal/replay/faults_scene.go
@@ -16,7 +16,9 @@
 var faultLayout = Layout{
 	DataCentres: []string{"casablanca", "rabat"}, VMs: 3, Upstreams: 4, Slots: 32,
 	Speeds: []float64{1, 0.75, 0.5}, Relays: true,
-	DaemonArgs: []string{"-platform-list-interval", "100ms", "-drain-timeout", "5s"},
+	DaemonArgs: []string{
+		"-platform-list-interval", "100ms", "-drain-timeout", "5s", "-heartbeat", "50ms", "-fence", "400ms",
+	},
 }
 
 // The load under faults.
@@ -40,7 +42,7 @@
 	struck  map[*vm]bool      // VMs that were killed or drained
 	names   map[string]string // VM names by address for callers
 	begin   time.Time
-	events  []event
+	acts    []act
 	started errgroup.Group // daemons that are starting
 	stopped sync.WaitGroup // daemons that are draining
 
@@ -120,11 +122,11 @@
 		return nil, err
 	}
 	e := evidence{
-		begin: s.begin, names: s.names, events: s.events, jobs: jobs, outcomes: outcomes,
+		begin: s.begin, names: s.names, acts: s.acts, jobs: jobs, outcomes: outcomes,
 		attempts: s.load.attempts.list(), starts: starts, stops: s.stops,
 	}
 	report := e.report()
-	s.judgeProbes(&report, s.events[f.probed], end)
+	s.judgeProbes(&report, s.acts[f.probed], end)
 	return &report, nil
 }
 
--- a/internal/replay/relay.go
+++ b/internal/replay/relay.go
@@ -5,8 +5,6 @@
 	"io"
 	"net"
 	"sync"
-
-	"github.com/mustardstep/mustardstep/internal/peer"
 )
 
 // relay stands before one process and passes on the connections of others.
@@ -27,15 +25,6 @@
 // relayBuffer is the size of the buffers of a relayed connection, in bytes.
 const relayBuffer = 64 << 10
 
-// identifyPeer reads the name of a daemon from its hello.
-func identifyPeer(r *bufio.Reader) (string, error) {
-	hello, err := peer.PeekHello(r)
-	if err != nil {
-		return "", err
-	}
-	return hello.VM, nil
-}
-
 // identifyAs returns the identification of a relay with one user.
 func identifyAs(name string) func(*bufio.Reader) (string, error) {
 	return func(*bufio.Reader) (string, error) { return name, nil }
--- a/internal/replay/vm.go
+++ b/internal/replay/vm.go
@@ -37,7 +37,7 @@
 	if c.layout.Relays {
 		v.address, v.platform = addresses[2], addresses[3]
 		v.relays = []*relay{
-			{name: v.name, address: v.address, target: v.listen, links: c.links, identify: identifyPeer},
+			{name: v.name, address: v.address, target: v.listen, links: c.links, identify: c.hellos.identify},
 			{name: platformName, address: v.platform, target: c.platform, links: c.links, identify: identifyAs(v.name)},
 		}
 	}
