--- a/internal/command/suite.go
+++ b/internal/command/suite.go
@@ -37,7 +37,7 @@
 	}
 	s := c.settings.Replay
 	report, err := replay.RunSuite(ctx, name, replay.Options{
-		Seed: int64(s.Seed), Seconds: s.Seconds,
+		Seed: int64(s.Seed), Seconds: s.Seconds, Fault: s.Fault, LogDir: s.LogDir,
 		Trace: c.settings.Trace.File, Policies: c.settings.Trace.Policies, Deployment: c.settings.Trace.Deployment,
 	})
 	if report != nil {
