--- a/internal/capacity/front.go
+++ b/internal/capacity/front.go
@@ -70,13 +70,5 @@
 	for range tasks {
 		response.Results = append(response.Results, []byte(result))
 	}
-	total := 0
-	for _, m := range []wire.Message{&request, &response} {
-		encoded, err := m.MarshalMsg(nil)
-		if err != nil {
-			panic(err)
-		}
-		total += len(encoded)
-	}
-	return total
+	return encodedBytes(&request, &response)
 }
