--- a/configuration/difference.go
+++ b/configuration/difference.go
@@ -21,7 +21,7 @@
 // is not known, and for revision 0, which processes do not share.
 func (s *State) Since(revision int64) Difference {
 	d := Difference{After: revision, Revision: s.revision, Fingerprint: s.fingerprint}
-	if revision >= s.revision && revision != 0 {
+	if revision >= s.revision {
 		return d
 	}
 	if revision == 0 || revision < s.floor {
--- a/daemon/configuration_peers.go
+++ b/daemon/configuration_peers.go
@@ -155,11 +155,12 @@
 // handle answers a comparison and pulls from a peer that is ahead.
 func (c *configurator) handle(_ context.Context, from *wire.Hello, m *wire.ConfigurationRequest) wire.Message {
 	s := c.table.Current()
-	if m.Revision > s.Revision() || (m.Revision == s.Revision() && m.Fingerprint > s.Fingerprint() && m.Revision > 0) {
+	diverged := m.Revision == s.Revision() && m.Revision > 0 && m.Fingerprint != s.Fingerprint()
+	if m.Revision > s.Revision() || diverged {
 		c.pull(place{VM: from.VM, DataCentre: from.DataCentre, Address: from.Address})
 	}
 	d := s.Since(m.Revision)
-	if m.Full || (m.Revision == s.Revision() && m.Fingerprint != s.Fingerprint()) {
+	if m.Full || diverged {
 		d = s.Full()
 	}
 	return encodeDifference(d, c.synced.Load())
--- a/internal/api/platform_gen.go
+++ b/internal/api/platform_gen.go
@@ -98,8 +98,8 @@
 	Events []KeyValue `json:"events,omitempty"`
 }
 
-// PlatformFaults are the fault switches of the platform stand-in (POST
-// /standin/faults); each request replaces all of them.
+// PlatformFaults are the fault switches of the platform stand-in's key-value
+// service (POST /standin/faults); each request replaces all of them.
 type PlatformFaults struct {
 	// Down fails every call before it takes effect.
 	Down bool `json:"down,omitempty"`
--- a/internal/replay/replay_gen.go
+++ b/internal/replay/replay_gen.go
@@ -114,6 +114,82 @@
 	Counters map[string]int64 `json:"counters,omitempty"`
 	// Baselines are the reports of the same trace under the other policies.
 	Baselines []Report `json:"baselines,omitempty"`
+	// ChangesAccepted is the number of changes of the configuration that
+	// operators were told to be accepted.
+	ChangesAccepted *int `json:"changes_accepted,omitempty"`
+	// ChangesConflicting is the number of changes that were refused because
+	// another one went ahead.
+	ChangesConflicting *int `json:"changes_conflicting,omitempty"`
+	// ChangesLost is the number of accepted changes that the history or the
+	// final state lacks.
+	ChangesLost *int `json:"changes_lost,omitempty"`
+	// Reverts is the number of times that a VM went back to an earlier revision,
+	// restarts included.
+	Reverts *int `json:"reverts,omitempty"`
+	// NotReady is the number of probes at which a VM that was not restarted took
+	// no calls.
+	NotReady *int `json:"not_ready,omitempty"`
+	// InForceMSP50 is the median time from the acceptance of a change to its
+	// being in force on all VMs, in milliseconds.
+	InForceMSP50 *float64 `json:"in_force_ms_p50,omitempty"`
+	// InForceMSP99 is the 99th percentile of that time, in milliseconds.
+	InForceMSP99 *float64 `json:"in_force_ms_p99,omitempty"`
+	// Idle is the cost of control without load.
+	Idle *IdleCost `json:"idle,omitempty"`
+	// StoreCallsPerS is the number of calls per second to the key-value service
+	// without load.
+	StoreCallsPerS *float64 `json:"store_calls_per_s,omitempty"`
+	// ControlBytesPerNodeS is the number of bytes per second that a VM sends to
+	// its peers without load.
+	ControlBytesPerNodeS *float64 `json:"control_bytes_per_node_s,omitempty"`
+	// Variants are the rows of a suite that compares sizes or ways of spreading
+	// the configuration.
+	Variants []ConfigVariant `json:"variants,omitempty"`
 	// ElapsedMS is the time that the suite took, in milliseconds.
 	ElapsedMS int64 `json:"elapsed_ms"`
 }
+
+// IdleCost is the cost of control without load.
+type IdleCost struct {
+	// StoreCallsPerS is the number of calls per second to the key-value service.
+	StoreCallsPerS float64 `json:"store_calls_per_s"`
+	// BytesPerNodeS is the mean number of bytes per second that a VM sends to
+	// its peers.
+	BytesPerNodeS float64 `json:"bytes_per_node_s"`
+	// BytesMaxNodeS is that of the VM which sends most.
+	BytesMaxNodeS float64 `json:"bytes_max_node_s"`
+	// FramesPerNodeS is the mean number of frames per second that a VM sends to
+	// its peers.
+	FramesPerNodeS float64 `json:"frames_per_node_s"`
+	// CorePercent is the greatest share of a core that a VM takes, in percent.
+	CorePercent float64 `json:"core_percent"`
+	// MemoryMB is the greatest resident memory of a VM, in megabytes.
+	MemoryMB float64 `json:"memory_mb"`
+}
+
+// ConfigVariant is one size or one way of spreading the configuration.
+type ConfigVariant struct {
+	// Name says what differs.
+	Name string `json:"name"`
+	// DataCentres is the number of data centres.
+	DataCentres int `json:"data_centres"`
+	// VMs is the number of VMs in all.
+	VMs int `json:"vms"`
+	// ChangesAccepted is the number of accepted changes.
+	ChangesAccepted int `json:"changes_accepted"`
+	// Agreed tells whether all VMs came to hold the last accepted change.
+	Agreed bool `json:"agreed"`
+	// InForceMSP50 is the median time from acceptance to in force on all VMs, in
+	// milliseconds.
+	InForceMSP50 float64 `json:"in_force_ms_p50"`
+	// InForceMSP99 is the 99th percentile of that time, in milliseconds.
+	InForceMSP99 float64 `json:"in_force_ms_p99"`
+	// StoreCallsPerChange is the number of calls to the key-value service per
+	// accepted change, without those of an idle system.
+	StoreCallsPerChange float64 `json:"store_calls_per_change"`
+	// BytesPerChangeNode is the number of bytes between VMs per accepted change
+	// and VM, without those of an idle system.
+	BytesPerChangeNode float64 `json:"bytes_per_change_node"`
+	// Idle is the cost without changes.
+	Idle IdleCost `json:"idle"`
+}
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -28,11 +28,14 @@
 
 // suites are the suites by name.
 var suites = map[string]func(context.Context, Options) (*Report, error){
-	"thin":   runThin,
-	"steady": runSteady,
-	"burst":  runBurst,
-	"skew":   runSkew,
-	"cancel": runCancel,
+	"thin":          runThin,
+	"config":        runConfig,
+	"config-sizes":  runConfigSizes,
+	"config-spread": runConfigSpread,
+	"steady":        runSteady,
+	"burst":         runBurst,
+	"skew":          runSkew,
+	"cancel":        runCancel,
 }
 
 // RunSuite runs a suite on processes of its own.
--- /dev/null
+++ b/internal/replay/suite_config.go
@@ -0,0 +1,280 @@
+package replay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// idleTime is how long the cost without load is measured.
+	idleTime = 10 * time.Second
+	// operatorPause is the mean pause of an operator between changes.
+	operatorPause = 200 * time.Millisecond
+	// convergeTimeout bounds the wait for all VMs to agree.
+	convergeTimeout = 10 * time.Second
+	operatorCount   = 6
+)
+
+// configRun is a running suite of the configuration.
+type configRun struct {
+	*cluster
+	random *rand.Rand
+
+	mu       sync.Mutex // guards the fields below
+	accepted []acceptedChange
+	refused  int // conflicts
+	notReady int
+	steady   []string // addresses of the VMs that are not restarted
+}
+
+func newConfigRun(ctx context.Context, layout Layout, seed int64) (*configRun, error) {
+	c, err := startCluster(ctx, layout)
+	if err != nil {
+		return nil, err
+	}
+	return &configRun{cluster: c, random: rand.New(rand.NewPCG(uint64(seed), 0))}, nil
+}
+
+// runConfig races operators and restarts daemons through an outage of the
+// platform's service.
+func runConfig(ctx context.Context, options Options) (*Report, error) {
+	dir, err := os.MkdirTemp("", "mustardstep-replay-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	r, err := newConfigRun(ctx, Layout{
+		DataCentres: []string{"casablanca", "rabat", "braga"}, VMs: 3, Upstreams: 1, Slots: 8, Speeds: []float64{1}, Dir: dir,
+	}, options.Seed)
+	if err != nil {
+		return nil, err
+	}
+	report, err := r.judged(ctx, options)
+	return report, errors.Join(err, r.stop())
+}
+
+func (r *configRun) judged(ctx context.Context, options Options) (*Report, error) {
+	idle, err := r.idle(ctx, idleTime)
+	if err != nil {
+		return nil, err
+	}
+	r.steady = append([]string(nil), r.http[2:]...)
+	if err := r.race(ctx, time.Duration(options.Seconds*float64(time.Second)), r.faults); err != nil {
+		return nil, err
+	}
+	final, err := r.converge(ctx)
+	if err != nil {
+		return nil, err
+	}
+	lost, err := r.lost(ctx, final)
+	if err != nil {
+		return nil, err
+	}
+	// Log lines are written out within a short time.
+	time.Sleep(logDelay)
+	logs, err := r.readLogs()
+	if err != nil {
+		return nil, err
+	}
+	p50, p99 := inForce(r.accepted, logs)
+	accepted, reverts := len(r.accepted), countReverts(logs)
+	return &Report{
+		ChangesAccepted: &accepted, ChangesConflicting: &r.refused, ChangesLost: &lost, Reverts: &reverts,
+		NotReady: &r.notReady, InForceMSP50: &p50, InForceMSP99: &p99, Idle: idle,
+		StoreCallsPerS: &idle.StoreCallsPerS, ControlBytesPerNodeS: &idle.BytesPerNodeS,
+	}, nil
+}
+
+// race lets operators change the configuration for a time while meddle runs.
+func (r *configRun) race(ctx context.Context, length time.Duration, meddle func(context.Context, time.Duration) error) error {
+	ctx, cancel := context.WithTimeout(ctx, length+convergeTimeout)
+	defer cancel()
+	working, stop := context.WithTimeout(ctx, length)
+	defer stop()
+	var wg sync.WaitGroup
+	for i := range operatorCount {
+		o := newOperator(r, i, rand.New(rand.NewPCG(r.random.Uint64(), uint64(i))))
+		wg.Go(func() { o.work(ctx, working) })
+	}
+	wg.Go(func() { r.probe(working) })
+	var err error
+	if meddle != nil {
+		err = meddle(working, length)
+	}
+	wg.Wait()
+	return err
+}
+
+// faults takes the platform's service through an outage, with lost answers
+// before it and old copies and cut watches after it, and restarts two VMs while
+// it lasts.
+func (r *configRun) faults(ctx context.Context, length time.Duration) error {
+	defer r.setFaults(api.PlatformFaults{})
+	steps := []struct {
+		at float64 // part of the length
+		do func() error
+	}{
+		{0.15, func() error { return r.setFaults(api.PlatformFaults{LoseAnswers: 5}) }},
+		{0.30, func() error { return r.setFaults(api.PlatformFaults{Down: true, LoseAnswers: 3}) }},
+		{0.35, func() error { return r.restart(ctx, 0, syscall.SIGKILL) }},
+		{0.45, func() error { return r.restart(ctx, 1, syscall.SIGTERM) }},
+		{0.65, func() error { return r.setFaults(api.PlatformFaults{LoseAnswers: 3, Stale: true, CutWatches: true}) }},
+		{0.75, func() error { return r.setFaults(api.PlatformFaults{LoseAnswers: 3}) }},
+		{0.85, func() error { return r.restart(ctx, 1, syscall.SIGKILL) }},
+	}
+	began := time.Now()
+	for _, step := range steps {
+		wait := time.Until(began.Add(time.Duration(step.at * float64(length))))
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return errors.New("the run ended before its faults")
+		}
+		if err := step.do(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// restart ends a VM by a signal and starts it again with the same settings.
+func (r *configRun) restart(ctx context.Context, vm int, signal syscall.Signal) error {
+	name := fmt.Sprintf("vm%d", vm)
+	for i, p := range r.processes {
+		if p.name != name {
+			continue
+		}
+		if signal == syscall.SIGKILL {
+			p.kill()
+		} else if err := p.stop(); err != nil {
+			return errors.Wrap(err, name)
+		}
+		again, err := startProcess(name, r.layout.Dir, p.cmd.Args[1:]...)
+		if err != nil {
+			return err
+		}
+		r.processes[i] = again
+		return awaitHTTP(ctx, r.http[vm], "/readyz")
+	}
+	return errors.Newf("no process %s", name)
+}
+
+// probe counts how often a VM that is not restarted does not take calls.
+func (r *configRun) probe(ctx context.Context) {
+	ticker := time.NewTicker(50 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		for _, address := range r.steady {
+			status, _, err := fasthttp.GetTimeout(nil, "http://"+address+"/readyz", time.Second)
+			if err != nil || status != fasthttp.StatusOK {
+				r.mu.Lock()
+				r.notReady++
+				r.mu.Unlock()
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *configRun) setFaults(faults api.PlatformFaults) error {
+	return postJSON("http://"+r.platform+"/standin/faults", faults)
+}
+
+// converge waits until every VM holds one configuration and returns it.
+func (r *configRun) converge(ctx context.Context) (*api.Configuration, error) {
+	ctx, cancel := context.WithTimeout(ctx, convergeTimeout)
+	defer cancel()
+	for {
+		first, agreed := r.agreed()
+		if agreed {
+			return first, nil
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return nil, errors.Newf("the VMs did not agree within %v", convergeTimeout)
+		}
+	}
+}
+
+func (r *configRun) agreed() (*api.Configuration, bool) {
+	var first *api.Configuration
+	for _, address := range r.http {
+		held, err := getJSON[api.Configuration]("http://" + address + "/v1/operators/configuration")
+		if err != nil {
+			return nil, false
+		}
+		if first == nil {
+			first = held
+		}
+		if held.Revision != first.Revision || held.Fingerprint != first.Fingerprint {
+			return nil, false
+		}
+	}
+	return first, first.Revision >= r.highest()
+}
+
+func (r *configRun) highest() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	highest := int64(0)
+	for _, a := range r.accepted {
+		highest = max(highest, a.revision)
+	}
+	return highest
+}
+
+// lost counts the accepted changes that the history does not hold at their
+// revision, and the entries of the final state that are not those of the last
+// accepted change.
+func (r *configRun) lost(ctx context.Context, final *api.Configuration) (int, error) {
+	history, err := getJSON[api.HistoryResponse]("http://" + r.http[0] + "/v1/operators/history")
+	if err != nil {
+		return 0, err
+	}
+	revisions := map[string]int64{}
+	for _, change := range history.Changes {
+		revisions[change.ID] = change.Revision
+	}
+	values := map[string]string{}
+	for _, e := range final.Entries {
+		values[e.Key] = e.Value
+	}
+	lost := 0
+	last := map[string]acceptedChange{}
+	for _, a := range r.accepted {
+		if revisions[a.id] != a.revision {
+			lost++
+		}
+		if a.revision > last[a.key].revision {
+			last[a.key] = a
+		}
+	}
+	for key, a := range last {
+		if values[key] != a.value {
+			lost++
+		}
+	}
+	stored, err := platform.NewClient(r.platform, time.Second).Range(ctx, "mustardstep/state/head")
+	if err == nil && len(stored.Entries) == 0 {
+		err = errors.New("the platform holds no configuration")
+	}
+	return lost, err
+}
+
+func (r *configRun) logPath(name string) string { return filepath.Join(r.layout.Dir, name+".log") }
--- /dev/null
+++ b/internal/replay/suite_config_judge.go
@@ -0,0 +1,247 @@
+package replay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// logDelay is above the time within which a daemon writes out its log.
+const logDelay = 300 * time.Millisecond
+
+// sighting is a line of a daemon's log that says which revision is in force.
+type sighting struct {
+	At       time.Time `json:"time"`
+	Message  string    `json:"msg"`
+	Revision int64     `json:"revision"`
+}
+
+// Messages of the lines that are judged.
+const (
+	messageServing = "serving"
+	messageTaken   = "configuration taken"
+	messageInForce = "configuration in force"
+)
+
+// readLogs returns the sightings of each VM in order of time.
+func (r *configRun) readLogs() ([][]sighting, error) {
+	var logs [][]sighting
+	for vm := range r.http {
+		data, err := os.ReadFile(r.logPath(fmt.Sprintf("vm%d", vm)))
+		if err != nil {
+			return nil, err
+		}
+		var sightings []sighting
+		scanner := bufio.NewScanner(bytes.NewReader(data))
+		for scanner.Scan() {
+			var s sighting
+			// A line that was cut by the end of its process is no JSON.
+			if json.Unmarshal(scanner.Bytes(), &s) != nil {
+				continue
+			}
+			if s.Message == messageServing || s.Message == messageTaken || s.Message == messageInForce {
+				sightings = append(sightings, s)
+			}
+		}
+		logs = append(logs, sightings)
+	}
+	return logs, nil
+}
+
+// countReverts counts how often a VM had a lower revision in force than before.
+// A VM that starts has one in force from when it has taken it.
+func countReverts(logs [][]sighting) int {
+	reverts := 0
+	for _, sightings := range logs {
+		highest, started := int64(0), false
+		for _, s := range sightings {
+			switch s.Message {
+			case messageServing:
+				started = false
+				continue
+			case messageTaken:
+				started = true
+			}
+			if started && s.Revision < highest {
+				reverts++
+			}
+			highest = max(highest, s.Revision)
+		}
+	}
+	return reverts
+}
+
+// inForce returns the median and the 99th percentile of the time from the
+// acceptance of a change to its being in force on all VMs, in milliseconds. A
+// change counts as accepted when its operator was told or when the first VM had
+// it in force, whichever came first. A VM that stopped in between counts as of
+// its next start.
+func inForce(accepted []acceptedChange, logs [][]sighting) (p50, p99 float64) {
+	var times []float64
+	for _, a := range accepted {
+		began, ended := a.at, time.Time{}
+		for _, sightings := range logs {
+			i := slices.IndexFunc(sightings, func(s sighting) bool { return s.Revision >= a.revision })
+			if i < 0 {
+				continue // cannot be: the VMs agreed on a later revision
+			}
+			at := sightings[i].At
+			if at.Before(began) {
+				began = at
+			}
+			if sightings[i].Message == messageInForce && startedBefore(sightings[:i], a.at) && at.After(ended) {
+				ended = at
+			}
+		}
+		times = append(times, max(0, ended.Sub(began).Seconds()*1000))
+	}
+	slices.Sort(times)
+	return percentile(times, 50), percentile(times, 99)
+}
+
+// startedBefore tells whether the process of the last line had taken a
+// configuration before a time.
+func startedBefore(earlier []sighting, at time.Time) bool {
+	for _, s := range slices.Backward(earlier) {
+		if s.Message == messageTaken {
+			return s.At.Before(at)
+		}
+		if s.Message == messageServing {
+			return false
+		}
+	}
+	return false
+}
+
+// configurationBroken tells whether a promise about the configuration was
+// broken.
+func (r *Report) configurationBroken() bool {
+	return (r.ChangesLost != nil && *r.ChangesLost > 0) || (r.Reverts != nil && *r.Reverts > 0)
+}
+
+func percentile(sorted []float64, p float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(float64(len(sorted))*p/100))]
+}
+
+// controlUse is what a daemon has used since its start.
+type controlUse struct {
+	bytes, frames int64
+	processor     time.Duration
+}
+
+// idle measures the cost of control without load.
+func (r *configRun) idle(ctx context.Context, length time.Duration) (*IdleCost, error) {
+	before, calls, err := r.usages()
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-time.After(length):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	after, callsAfter, err := r.usages()
+	if err != nil {
+		return nil, err
+	}
+	seconds := length.Seconds()
+	cost := &IdleCost{StoreCallsPerS: float64(callsAfter-calls) / seconds}
+	for vm := range after {
+		bytes := float64(after[vm].bytes-before[vm].bytes) / seconds
+		cost.BytesPerNodeS += bytes / float64(len(after))
+		cost.BytesMaxNodeS = max(cost.BytesMaxNodeS, bytes)
+		cost.FramesPerNodeS += float64(after[vm].frames-before[vm].frames) / seconds / float64(len(after))
+		cost.CorePercent = max(cost.CorePercent, 100*(after[vm].processor-before[vm].processor).Seconds()/seconds)
+		resident, err := r.resident(vm)
+		if err != nil {
+			return nil, err
+		}
+		cost.MemoryMB = max(cost.MemoryMB, resident)
+	}
+	return cost, nil
+}
+
+// usages returns what each daemon has used, and the calls to the key-value
+// service.
+func (r *configRun) usages() ([]controlUse, int64, error) {
+	all := make([]controlUse, len(r.http))
+	for vm, address := range r.http {
+		vars, err := getJSON[struct {
+			Bytes  int64            `json:"frame_bytes_sent"`
+			Frames map[string]int64 `json:"frames_sent"`
+		}]("http://" + address + "/debug/vars")
+		if err != nil {
+			return nil, 0, err
+		}
+		all[vm].bytes = vars.Bytes
+		for _, n := range vars.Frames {
+			all[vm].frames += n
+		}
+		if all[vm].processor, err = r.processor(vm); err != nil {
+			return nil, 0, err
+		}
+	}
+	calls, err := getJSON[int64]("http://" + r.platform + "/standin/calls")
+	return all, *calls, err
+}
+
+func (r *configRun) pid(vm int) (int, error) {
+	name := fmt.Sprintf("vm%d", vm)
+	for _, p := range r.processes {
+		if p.name == name {
+			return p.cmd.Process.Pid, nil
+		}
+	}
+	return 0, errors.Newf("no process %s", name)
+}
+
+// processor returns the processor time of a VM's process.
+func (r *configRun) processor(vm int) (time.Duration, error) {
+	const ticksPerSecond = 100 // USER_HZ
+	pid, err := r.pid(vm)
+	if err != nil {
+		return 0, err
+	}
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	// The fields behind the name of the program, of which the 12th and 13th
+	// are the ticks in user and system mode.
+	_, rest, _ := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * time.Second / ticksPerSecond, err
+}
+
+// resident returns the resident memory of a VM's process in megabytes.
+func (r *configRun) resident(vm int) (float64, error) {
+	pid, err := r.pid(vm)
+	if err != nil {
+		return 0, err
+	}
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(status), "VmRSS:")
+	var kilobytes float64
+	_, err = fmt.Sscan(rest, &kilobytes)
+	return kilobytes / 1024, err
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -291,10 +291,10 @@
 		flag: "platform-watch-wait", env: "MUSTARDSTEP_PLATFORM_WATCH_WAIT", help: "longest wait of one watch of the platform's service", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
 	bind(b, &s.Rate, definition[float64]{
-		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "10", min: bound[float64](0.1), max: bound[float64](1000),
+		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "20", min: bound[float64](0.1), max: bound[float64](1000),
 	})
 	bind(b, &s.Burst, definition[float64]{
-		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "20", min: bound[float64](1), max: bound[float64](1000),
+		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "40", min: bound[float64](1), max: bound[float64](1000),
 	})
 	bind(b, &s.BackoffMin, definition[time.Duration]{
 		flag: "platform-backoff-min", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MIN", help: "pause after the first failed call to the platform's service", unit: "", fallback: "100ms", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(60000000000)),
