--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,10 +7,10 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +18,7 @@
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/internal/operators"
 	"github.com/mustardstep/mustardstep/internal/peer"
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
@@ -61,6 +62,13 @@
 	draining atomic.Bool  // readiness has fallen
 	stopped  atomic.Bool  // the last task has started
 	forwards atomic.Int64 // calls of peers in progress
+
+	configuration *configurator
+	limited       *platform.Limited                      // nil without a platform
+	live          atomic.Pointer[settings.DaemonProgram] // settings with those that operators changed
+	services      map[string]serviceEntry                // by key; belongs to applyConfiguration
+	drained       atomic.Bool                            // by an operator
+	relist        chan struct{}                          // asks for the list of upstreams to be applied anew
 }
 
 // New returns a daemon that is not running yet.
@@ -73,9 +81,14 @@
 		VM:          s.Network.VM,
 		Incarnation: uint64(time.Now().UnixMicro()),
 		DataCentre:  s.Network.DataCentre,
-		Address:     s.Network.PeerListen,
+		Address:     cmp.Or(s.Network.PeerAdvertise, s.Network.PeerListen),
+	}
+	initial, err := initialConfiguration(s.Platform.SchemaFile)
+	if err != nil {
+		return nil, err
 	}
 	d := &Daemon{
+		relist:   make(chan struct{}, 1),
 		settings: s,
 		log:      log.With(slog.String("vm", self.VM)),
 		metrics:  newMetrics(),
@@ -90,9 +103,7 @@
 		dispatcher: newDispatcher(&s),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
-	if err := d.loadCatalog(); err != nil {
-		return nil, err
-	}
+	d.catalog.Store(catalog.Empty())
 	d.submissions = d.node.Submissions()
 	d.upstreams = upstream.NewClient(upstream.Config{
 		DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
@@ -102,7 +113,7 @@
 		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 		d.directory, d.store = client, client
 	}
-	d.front = httpfront.New(frontConfig(s, d.metrics, d.log), d)
+	d.front = httpfront.New(d.frontConfig(), d)
 	d.peers = peer.New(peer.Config{
 		Hello:       d.hello(self),
 		DialTimeout: s.Network.DialTimeout,
@@ -114,34 +125,18 @@
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	d.handleMembers()
+	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address})
 	return d, nil
 }
 
-func frontConfig(s settings.DaemonProgram, m *metrics, log *slog.Logger) httpfront.Config {
+func (d *Daemon) frontConfig() httpfront.Config {
+	s := d.settings
 	return httpfront.Config{
-		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: s.Jobs.MaxTasks,
+		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: func() int { return d.live.Load().Jobs.MaxTasks },
 		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
-		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: m.vars, Log: log,
-	}
-}
-
-// loadCatalog reads the services file of the settings, if there is one.
-func (d *Daemon) loadCatalog() error {
-	d.catalog.Store(catalog.Empty())
-	path := d.settings.Platform.SchemaFile
-	if path == "" {
-		return nil
-	}
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return errors.Wrap(err, "services file")
-	}
-	c, err := catalog.Parse(data)
-	if err != nil {
-		return errors.Wrapf(err, "services file %s", path)
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: d.metrics.vars, Log: d.log,
+		Operators: operators.Handler(d),
 	}
-	d.catalog.Store(c)
-	return nil
 }
 
 // Run serves until the context ends, then stops gracefully: it takes no new
@@ -162,9 +157,11 @@
 	g, serving := errgroup.WithContext(serving)
 	g.Go(func() error { return d.peers.Serve(serving, peers) })
 	g.Go(func() error { return d.front.Serve(callers) })
+	g.Go(func() error { return d.configuration.run(serving) })
 	g.Go(func() error { return d.keepMembers(serving) })
 	g.Go(func() error { return d.keepHistory(serving) })
 	g.Go(func() error { return d.followUpstreams(serving) })
+	g.Go(func() error { return d.tickDispatch(serving) })
 	g.Go(func() error {
 		defer stopServing()
 		select {
@@ -190,5 +187,5 @@
 	case !d.listed.Load():
 		return errors.New("the platform's list has not been read")
 	}
-	return nil
+	return d.configurationReady()
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -57,7 +57,7 @@
 func (d *Daemon) drain() error {
 	d.draining.Store(true)
 	d.log.Info("draining")
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Jobs.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Jobs.DrainTimeout)
 	defer cancel()
 	d.await(ctx, func() bool { return d.node.Leave(time.Now()) })
 	d.act(d.node.Due(time.Now()))
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -30,6 +30,7 @@
 			if next := d.readDirectory(ctx); next != nil {
 				list = next
 			}
+		case <-d.relist:
 		case <-ctx.Done():
 			return nil
 		}
@@ -43,7 +44,7 @@
 	if list == nil || !view.Admitted(view.Self.ID()) {
 		return
 	}
-	for service, upstreams := range selectUpstreams(view, list.VMs) {
+	for service, upstreams := range selectUpstreams(view, list.VMs, d.drainedUpstream) {
 		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
 	}
 	d.listed.Store(true)
@@ -64,7 +65,7 @@
 
 // selectUpstreams returns, by service, the upstreams of this data centre with
 // the slots that belong to this VM.
-func selectUpstreams(view *membership.View, vms []api.VM) map[string][]dispatch.Upstream {
+func selectUpstreams(view *membership.View, vms []api.VM, drained func(string) bool) map[string][]dispatch.Upstream {
 	var vmHashes []uint64
 	for _, member := range view.Members(view.Self.DataCentre) {
 		vmHashes = append(vmHashes, rendezvous.Hash(member.VM))
@@ -82,7 +83,7 @@
 		selected[vm.Service] = append(selected[vm.Service], dispatch.Upstream{
 			Name: vm.Name, Service: vm.Service, Address: vm.Address, Rack: vm.Rack, Slots: slots,
 			Size:    catalog.Size{MilliCPU: vm.MilliCPU, MemoryMB: vm.MemoryMB, Accelerators: vm.Accelerators},
-			Leaving: vm.State == api.VMLeaving,
+			Leaving: vm.State == api.VMLeaving || drained(vm.Name),
 		})
 	}
 	return selected
--- a/internal/command/suite.go
+++ b/internal/command/suite.go
@@ -37,7 +37,7 @@
 	}
 	s := c.settings.Replay
 	report, err := replay.RunSuite(ctx, name, replay.Options{
-		Seed: int64(s.Seed), Seconds: s.Seconds,
+		Seed: int64(s.Seed), Seconds: s.Seconds, Fault: s.Fault, LogDir: s.LogDir,
 		Trace: c.settings.Trace.File, Policies: c.settings.Trace.Policies, Deployment: c.settings.Trace.Deployment,
 	})
 	if report != nil {
@@ -56,7 +56,7 @@
 // exitBroken is the exit code of a suite in which a promise was broken.
 const exitBroken = 3
 
-func printReport(report *replay.Report, output string) {
+func printReport(report any, output string) {
 	body, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/replay/replay_gen.go
+++ b/internal/replay/replay_gen.go
@@ -2,7 +2,9 @@
 
 package replay
 
-import ()
+import (
+	"github.com/mustardstep/mustardstep/verdict"
+)
 
 // TraceHeader is the first line of a trace.
 type TraceHeader struct {
@@ -114,6 +116,148 @@
 	Counters map[string]int64 `json:"counters,omitempty"`
 	// Baselines are the reports of the same trace under the other policies.
 	Baselines []Report `json:"baselines,omitempty"`
+	// ChangesAccepted is the number of changes of the configuration that
+	// operators were told to be accepted.
+	ChangesAccepted *int `json:"changes_accepted,omitempty"`
+	// ChangesConflicting is the number of changes that were refused because
+	// another one went ahead.
+	ChangesConflicting *int `json:"changes_conflicting,omitempty"`
+	// ChangesLost is the number of accepted changes that the history or the
+	// final state lacks.
+	ChangesLost *int `json:"changes_lost,omitempty"`
+	// Reverts is the number of times that a VM went back to an earlier revision,
+	// restarts included.
+	Reverts *int `json:"reverts,omitempty"`
+	// NotReady is the number of probes at which a VM that was not restarted took
+	// no calls.
+	NotReady *int `json:"not_ready,omitempty"`
+	// InForceMSP50 is the median time from the acceptance of a change to its
+	// being in force on all VMs, in milliseconds.
+	InForceMSP50 *float64 `json:"in_force_ms_p50,omitempty"`
+	// InForceMSP99 is the 99th percentile of that time, in milliseconds.
+	InForceMSP99 *float64 `json:"in_force_ms_p99,omitempty"`
+	// Idle is the cost of control without load.
+	Idle *IdleCost `json:"idle,omitempty"`
+	// StoreCallsPerS is the number of calls per second to the key-value service
+	// without load.
+	StoreCallsPerS *float64 `json:"store_calls_per_s,omitempty"`
+	// ControlBytesPerNodeS is the number of bytes per second that a VM sends to
+	// its peers without load.
+	ControlBytesPerNodeS *float64 `json:"control_bytes_per_node_s,omitempty"`
+	// Variants are the rows of a suite that compares sizes or ways of spreading
+	// the configuration.
+	Variants []ConfigVariant `json:"variants,omitempty"`
 	// ElapsedMS is the time that the suite took, in milliseconds.
 	ElapsedMS int64 `json:"elapsed_ms"`
+	// Faults are the reports of single faults, in order of their run.
+	Faults []FaultReport `json:"faults,omitempty"`
+}
+
+// FaultReport is the result of a load under one fault.
+type FaultReport struct {
+	// Name is the name of the fault.
+	Name string `json:"name"`
+	// Seed made the trace of this fault.
+	Seed int64 `json:"seed"`
+	// Jobs is the number of jobs of the trace.
+	Jobs int `json:"jobs"`
+	// Tasks is the number of tasks of the trace.
+	Tasks int `json:"tasks"`
+	// Calls is the number of calls: one for each job, and those that submit a
+	// job again under its key.
+	Calls int `json:"calls"`
+	// Attempts is the number of requests that the calls and the probes took.
+	Attempts int `json:"attempts"`
+	// Complete is the number of calls with a complete answer.
+	Complete int `json:"complete"`
+	// Failed is the number of calls that ended in a failure.
+	Failed int `json:"failed"`
+	// Failures counts the failed calls by verdict and code.
+	Failures []FailureCount `json:"failures,omitempty"`
+	// MayHaveRun is the number of calls whose failure says that they may have
+	// run.
+	MayHaveRun int `json:"may_have_run"`
+	// StartsTwice is the number of tasks that started more than once.
+	StartsTwice int `json:"starts_twice"`
+	// PartialAnswers is the number of complete answers that lack a result or
+	// hold another request's.
+	PartialAnswers int `json:"partial_answers"`
+	// FalseNotRun is the number of answers that denied a start that had
+	// happened.
+	FalseNotRun int `json:"false_not_run"`
+	// Probes is the number of new submissions for the affected owner's keys
+	// after the fault.
+	Probes int `json:"probes"`
+	// ProbesFailed is the number of probes without a complete answer.
+	ProbesFailed int `json:"probes_failed"`
+	// UnavailableMSP50 is the median over the probe streams of the time from the
+	// fault to the first new submission served, in milliseconds.
+	UnavailableMSP50 float64 `json:"unavailable_ms_p50"`
+	// UnavailableMSMax is the greatest of these times, in milliseconds.
+	UnavailableMSMax float64 `json:"unavailable_ms_max"`
+	// GapMSMax is the longest time after the fault in which a probe stream got
+	// no answer, in milliseconds.
+	GapMSMax float64 `json:"gap_ms_max"`
+	// CutRequests is the number of requests that a planned stop left without an
+	// answer.
+	CutRequests int `json:"cut_requests"`
+	// ExitErrors are the daemons that did not exit with 0 after SIGTERM.
+	ExitErrors []string `json:"exit_errors,omitempty"`
+	// Traces tell of the first broken promises which VM did what and when.
+	Traces []string `json:"traces,omitempty"`
+}
+
+// FailureCount counts the failed calls of one verdict and code.
+type FailureCount struct {
+	// Verdict is the verdict of the calls.
+	Verdict verdict.Verdict `json:"verdict"`
+	// Code is the code of the calls.
+	Code verdict.Code `json:"code"`
+	// Count is the number of calls.
+	Count int `json:"count"`
+}
+
+// IdleCost is the cost of control without load.
+type IdleCost struct {
+	// StoreCallsPerS is the number of calls per second to the key-value service.
+	StoreCallsPerS float64 `json:"store_calls_per_s"`
+	// BytesPerNodeS is the mean number of bytes per second that a VM sends to
+	// its peers.
+	BytesPerNodeS float64 `json:"bytes_per_node_s"`
+	// BytesMaxNodeS is that of the VM which sends most.
+	BytesMaxNodeS float64 `json:"bytes_max_node_s"`
+	// FramesPerNodeS is the mean number of frames per second that a VM sends to
+	// its peers.
+	FramesPerNodeS float64 `json:"frames_per_node_s"`
+	// CorePercent is the greatest share of a core that a VM takes, in percent.
+	CorePercent float64 `json:"core_percent"`
+	// MemoryMB is the greatest resident memory of a VM, in megabytes.
+	MemoryMB float64 `json:"memory_mb"`
+}
+
+// ConfigVariant is one size or one way of spreading the configuration.
+type ConfigVariant struct {
+	// Name says what differs.
+	Name string `json:"name"`
+	// DataCentres is the number of data centres.
+	DataCentres int `json:"data_centres"`
+	// VMs is the number of VMs in all.
+	VMs int `json:"vms"`
+	// ChangesAccepted is the number of accepted changes.
+	ChangesAccepted int `json:"changes_accepted"`
+	// Agreed tells whether all VMs came to hold the last accepted change.
+	Agreed bool `json:"agreed"`
+	// InForceMSP50 is the median time from acceptance to in force on all VMs, in
+	// milliseconds.
+	InForceMSP50 float64 `json:"in_force_ms_p50"`
+	// InForceMSP99 is the 99th percentile of that time, in milliseconds.
+	InForceMSP99 float64 `json:"in_force_ms_p99"`
+	// StoreCallsPerChange is the number of calls to the key-value service per
+	// accepted change, without those of an idle system.
+	StoreCallsPerChange float64 `json:"store_calls_per_change"`
+	// BytesPerChangeNode is the number of bytes between VMs per accepted change
+	// and VM, without those of an idle system.
+	BytesPerChangeNode float64 `json:"bytes_per_change_node"`
+	// Idle is the cost without changes.
+	Idle IdleCost `json:"idle"`
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -56,6 +56,19 @@
 	return f.Admitted && f.Ended == NotEnded
 }
 
+// Unended returns every known incarnation, of any data centre, that has not
+// ended, in order of VM name.
+func (v *View) Unended() []Member {
+	var members []Member
+	for _, f := range v.facts {
+		if f.Ended == NotEnded {
+			members = append(members, f.Member)
+		}
+	}
+	sortMembers(members)
+	return members
+}
+
 // Ended tells whether an incarnation is proved to have ended. One that is not
 // known is not.
 func (v *View) Ended(id ID) bool { return v.facts[id].Ended != NotEnded }
