--- a/internal/schemagen/messages.go
+++ b/internal/schemagen/messages.go
@@ -32,14 +32,16 @@
 type enumValue struct{ Name, Text, Doc string }
 
 type message struct {
-	Name, Doc string
-	Kind      int
-	Fields    []field
+	Name   located
+	Doc    string
+	Kind   int
+	Fields []field
 }
 
 type field struct {
-	Name, Type, Key, Doc string
-	Optional             bool
+	Name, Key, Doc string
+	Type           located
+	Optional       bool
 }
 
 var messageTemplate = template.Must(template.New("messages").Funcs(template.FuncMap{
@@ -109,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	if err := checkKinds(files, paths); err != nil {
+	if err := checkMessages(files, paths); err != nil {
 		return err
 	}
 	for _, path := range paths {
@@ -120,23 +122,7 @@
 	return nil
 }
 
-// checkKinds refuses two messages with the same frame kind.
-func checkKinds(files map[string]*messageFile, paths []string) error {
-	seen := map[int]string{}
-	for _, path := range paths {
-		for _, m := range files[path].Messages {
-			if m.Kind == 0 {
-				continue
-			}
-			if other, taken := seen[m.Kind]; taken {
-				return errors.Newf("%s: %s and %s share kind %d", path, m.Name, other, m.Kind)
-			}
-			seen[m.Kind] = m.Name
-		}
-	}
-	return nil
-}
-
+// generateMessageFile writes the types of one file and their codecs.
 func generateMessageFile(root, path string, file *messageFile) error {
 	for i := range file.Messages {
 		file.Messages[i].normalize()
@@ -191,7 +177,7 @@
 	}
 	for _, m := range f.Messages {
 		for _, field := range m.Fields {
-			if strings.Contains(field.Type, "json.") {
+			if strings.Contains(field.Type.Text, "json.") {
 				return append([]string{"encoding/json"}, imports...)
 			}
 		}
--- a/internal/schemagen/settings.go
+++ b/internal/schemagen/settings.go
@@ -9,8 +9,6 @@
 	"strings"
 	"text/template"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // settingsFile is one file under schema/settings; it becomes one Go struct.
@@ -21,20 +19,21 @@
 }
 
 type setting struct {
-	Name, Flag, Type, Unit, Help string
-	Default, Min, Max            string
-	OneOf                        []string `yaml:"one_of"`
-	Required                     bool
+	Name, Unit, Help  string
+	Flag, Type        located
+	Default, Min, Max string
+	OneOf             []string `yaml:"one_of"`
+	Required          bool
 }
 
 // Env returns the environment variable of the setting.
 func (s setting) Env() string {
-	return "MUSTARDSTEP_" + strings.ToUpper(strings.ReplaceAll(s.Flag, "-", "_"))
+	return "MUSTARDSTEP_" + strings.ToUpper(strings.ReplaceAll(s.Flag.Text, "-", "_"))
 }
 
 // GoType returns the Go type of the setting.
 func (s setting) GoType() string {
-	switch s.Type {
+	switch s.Type.Text {
 	case "duration":
 		return "time.Duration"
 	case "list":
@@ -42,13 +41,13 @@
 	case "float":
 		return "float64"
 	default:
-		return s.Type
+		return s.Type.Text
 	}
 }
 
 // Bound returns a bound as a Go expression.
 func (s setting) Bound(text string) (string, error) {
-	if s.Type != "duration" {
+	if s.Type.Text != "duration" {
 		return text, nil
 	}
 	d, err := time.ParseDuration(text)
@@ -87,7 +86,7 @@
 // Bind declares the settings on the binder.
 func (s *{{.Struct}}) Bind(b *Binder) {
 {{range .Settings}}	bind(b, &s.{{.Name}}, definition[{{.GoType}}]{
-		flag: {{printf "%q" .Flag}}, env: {{printf "%q" .Env}}, help: {{printf "%q" .Help}}, unit: {{printf "%q" .Unit}},
+		flag: {{printf "%q" .Flag.Text}}, env: {{printf "%q" .Env}}, help: {{printf "%q" .Help}}, unit: {{printf "%q" .Unit}},
 		{{- if .Default}} fallback: {{printf "%q" .Default}},{{end}}
 		{{- if .Required}} required: true,{{end}}
 		{{- if .Min}} min: bound[{{.GoType}}]({{.Bound .Min}}),{{end}}
@@ -133,6 +132,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkSettings(files, paths); err != nil {
+		return err
+	}
 	var data struct {
 		Files    []*settingsFile
 		Programs []*program
@@ -141,11 +143,6 @@
 		data.Files = append(data.Files, files[path])
 	}
 	data.Programs = collectPrograms(data.Files)
-	for _, p := range data.Programs {
-		if err := p.checkFlags(); err != nil {
-			return err
-		}
-	}
 	target := filepath.Join(root, "internal", "settings", "settings_gen.go")
 	if err := writeGo(target, settingsTemplate, data); err != nil {
 		return err
@@ -191,14 +188,3 @@
 	}
 	return b.String() + "Program"
 }
-
-func (p *program) checkFlags() error {
-	seen := map[string]bool{}
-	for _, s := range p.Settings {
-		if seen[s.Flag] {
-			return errors.Newf("%s: flag -%s is defined twice", p.Name, s.Flag)
-		}
-		seen[s.Flag] = true
-	}
-	return nil
-}
--- a/internal/settings/binder.go
+++ b/internal/settings/binder.go
@@ -135,7 +135,8 @@
 }
 
 func checkRange[T cmp.Ordered](v T, min, max *T) error {
-	if min != nil && v < *min {
+	// Not a number counts as less than any other value.
+	if min != nil && cmp.Less(v, *min) {
 		return errors.Newf("%v is below the minimum %v", v, *min)
 	}
 	if max != nil && v > *max {
