--- a/internal/command/generate.go
+++ b/internal/command/generate.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -31,7 +32,7 @@
 		return subcommands.ExitUsageError
 	}
 	jobs, err := replay.GenerateFor(name, replay.Options{
-		Seed: int64(c.settings.Replay.Seed), Seconds: c.settings.Replay.Seconds, Deployment: c.settings.Trace.Deployment,
+		Seed: int64(c.settings.Replay.Seed), Seconds: cmp.Or(c.settings.Replay.Seconds, replay.DefaultSeconds), Deployment: c.settings.Trace.Deployment,
 	})
 	if err == nil {
 		err = replay.WriteTrace(os.Stdout, jobs)
--- a/internal/peer/frame_test.go
+++ b/internal/peer/frame_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-const testMaxFrame = 1 << 12
+const frameLimit = 1 << 12
 
 func encoded(t testing.TB, m wire.Message, response bool, call uint64) []byte {
 	b, err := appendFrame(nil, m, response, call)
@@ -21,7 +21,7 @@
 
 func TestFrameRoundTrip(t *testing.T) {
 	hello := &wire.Hello{VM: "vm0", Incarnation: 7, DataCentre: "dc1", Address: "10.0.0.1:1", Version: "1"}
-	f, err := readFrame(bufio.NewReader(bytes.NewReader(encoded(t, hello, true, 42))), testMaxFrame)
+	f, err := readFrame(bufio.NewReader(bytes.NewReader(encoded(t, hello, true, 42))), frameLimit)
 	require.NoError(t, err)
 	require.Equal(t, wire.KindHello, f.kind)
 	require.True(t, f.response)
@@ -46,12 +46,12 @@
 		"empty":           {nil, io.EOF.Error()},
 		"cut in the head": {good[:7], io.ErrUnexpectedEOF.Error()},
 		"cut in the body": {good[:len(good)-1], io.ErrUnexpectedEOF.Error()},
-		"too long":        {changed(func(b []byte) { binary.BigEndian.PutUint32(b, testMaxFrame+1) }), "outside"},
+		"too long":        {changed(func(b []byte) { binary.BigEndian.PutUint32(b, frameLimit+1) }), "outside"},
 		"too short":       {changed(func(b []byte) { binary.BigEndian.PutUint32(b, 3) }), "outside"},
 		"other version":   {changed(func(b []byte) { b[4] = 9 }), "frame version 9 is not supported"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, err := readFrame(bufio.NewReader(bytes.NewReader(test.data)), testMaxFrame)
+			_, err := readFrame(bufio.NewReader(bytes.NewReader(test.data)), frameLimit)
 			require.ErrorContains(t, err, test.error)
 		})
 	}
@@ -65,11 +65,11 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		r := bufio.NewReader(bytes.NewReader(data))
 		for {
-			frame, err := readFrame(r, testMaxFrame)
+			frame, err := readFrame(r, frameLimit)
 			if err != nil {
 				return
 			}
-			require.LessOrEqual(t, len(frame.payload), testMaxFrame)
+			require.LessOrEqual(t, len(frame.payload), frameLimit)
 			_, _ = new(wire.Hello).UnmarshalMsg(frame.payload)
 			_, _ = new(wire.SubmitRequest).UnmarshalMsg(frame.payload)
 			_, _ = new(wire.SubmitResponse).UnmarshalMsg(frame.payload)
