Open relays before their daemons, give each port once

Cause: a relay opened up to 5 ms after its daemon had begun to listen, and peers took the refusal as proof of its end; two VMs drew overlapping ports.

--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
@@ -132,24 +133,37 @@
 	lastPort  = 30_000
 )
 
-// freeAddresses returns loopback addresses whose ports were free.
+// ports gives each port once, so that addresses which are not listened at yet
+// stay free.
+var ports struct {
+	mu   sync.Mutex // guards next; held while a port is tried
+	next int        // 0 before the first one
+}
+
+// freeAddresses returns loopback addresses whose ports were free. Each address
+// is returned once, until all ports have been.
 func freeAddresses(n int) ([]string, error) {
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.next == 0 {
+		ports.next = firstPort + rand.IntN(lastPort-firstPort)
+	}
 	var addresses []string
-	port := firstPort + rand.IntN(lastPort-firstPort)
 	for range lastPort - firstPort {
 		if len(addresses) == n {
 			return addresses, nil
 		}
-		port++
-		if port > lastPort {
-			port = firstPort
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
+		ports.next++
+		if ports.next > lastPort {
+			ports.next = firstPort
 		}
-		listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		listener.Close()
+		addresses = append(addresses, address)
 	}
 	return nil, errors.Newf("fewer than %d free ports", n)
 }
--- a/internal/replay/vm.go
+++ b/internal/replay/vm.go
@@ -53,8 +53,13 @@
 	return c.settle(ctx, v)
 }
 
-// spawn starts the daemon of a VM, which comes back at its addresses.
+// spawn starts the daemon of a VM, which comes back at its addresses. Its
+// relays open before, since a daemon that listens already must not seem to
+// refuse connections.
 func (c *cluster) spawn(v *vm) error {
+	if err := v.open(); err != nil {
+		return err
+	}
 	args := []string{
 		"daemon", "-vm", v.name, "-data-centre", v.dataCentre, "-http-listen", v.http,
 		"-peer-listen", v.listen, "-peer-advertise", v.address, "-seeds", strings.Join(c.seeds(), ","),
@@ -67,14 +72,11 @@
 	return nil
 }
 
-// settle waits until the daemon of a VM listens, opens its relays and lists it.
+// settle waits until the daemon of a VM listens and lists it.
 func (c *cluster) settle(ctx context.Context, v *vm) error {
 	if err := awaitTCP(ctx, v.listen); err != nil {
 		return err
 	}
-	if err := v.open(); err != nil {
-		return err
-	}
 	return c.list(v, api.VMLive)
 }
 
