Lend free slots between VMs, within a budget of messages

Change: a VM with a backlog asks the peer that last had most to lend; slots come in bulk, for 200 ms, and go back when half of a loan is free. A setting bounds the messages per task that borrowing may cost. The wait for a faster slot counts the demand of the task's class and above.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -94,6 +94,9 @@
 		OnHello:     d.heard,
 	})
 	d.metrics.countFrames(d.peers)
+	d.publishDispatch()
+	peer.Handle(d.peers, d.handleLoan)
+	peer.Handle(d.peers, d.handleReturn)
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	peer.Handle(d.peers, d.handleRecord)
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -55,6 +55,7 @@
 		select {
 		case now := <-ticker.C:
 			d.place(d.dispatcher.Tick(now))
+			d.lend(now)
 		case <-ctx.Done():
 			return nil
 		}
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -14,6 +14,7 @@
 
 	calls, complete, failed     *expvar.Int
 	forwards, records           *expvar.Int
+	returnsLost                 *expvar.Int
 	starts, refusals, mayHave   *expvar.Int
 	platformCalls, platformFail *expvar.Int
 }
@@ -31,6 +32,7 @@
 	m.mayHave = counter("calls_may_have_run")
 	m.forwards = counter("forwards_sent")
 	m.records = counter("records_sent")
+	m.returnsLost = counter("loan_returns_lost")
 	m.starts = counter("task_starts_sent")
 	m.refusals = counter("task_starts_refused")
 	m.platformCalls = counter("platform_calls")
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -71,6 +71,7 @@
 		return nil
 	}
 	d.place(assignments)
+	d.borrowNow()
 	return nil
 }
 
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"expvar"
 	"time"
 
 	"github.com/mustardstep/mustardstep/dispatch"
@@ -27,5 +28,15 @@
 	if s.Dispatch.Policy != policyMustardstep {
 		return baseline.New(baseline.Policy(s.Dispatch.Policy), s.Jobs.MaxQueued)
 	}
-	return dispatch.New(dispatch.Config{MaxQueued: s.Jobs.MaxQueued})
+	return dispatch.New(dispatch.Config{
+		MaxQueued: s.Jobs.MaxQueued, LoanTime: s.Dispatch.LoanTime,
+		BorrowWait: s.Dispatch.BorrowWait, BorrowBudget: s.Dispatch.BorrowBudget,
+	})
+}
+
+// publishDispatch publishes the counters of the dispatcher.
+func (d *Daemon) publishDispatch() {
+	if l, lends := d.dispatcher.(lender); lends {
+		d.metrics.vars.Set("slots_borrowed", expvar.Func(func() any { return l.BorrowedSlots() }))
+	}
 }
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -39,6 +39,7 @@
 		d.log.Warn("platform list", slog.Any("error", err))
 		return
 	}
+	d.setPeers()
 	for service, upstreams := range selectUpstreams(d.members.View(), list.VMs) {
 		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -29,15 +29,20 @@
 	// LoanTime is the time for which a borrowed slot may start tasks. Zero
 	// neither borrows nor lends.
 	LoanTime time.Duration
-	// BorrowWait is the expected wait above which slots are borrowed. A greater
-	// one sends fewer messages and lets tasks wait longer.
+	// BorrowWait is the expected wait above which slots are borrowed.
 	BorrowWait time.Duration
+	// BorrowBudget is the number of messages per task that may be spent on
+	// borrowing. A greater one shortens the wait.
+	BorrowBudget float64
 }
 
 // Dispatcher places the tasks of every service. It is safe for concurrent use.
 type Dispatcher struct {
 	config Config
 	pools  atomic.Pointer[map[string]*pool] // replaced as a whole
+	peers  atomic.Pointer[[]Peer]
+
+	borrowed atomic.Int64
 
 	mu sync.Mutex // guards stores of pools
 }
@@ -46,6 +51,7 @@
 func New(config Config) *Dispatcher {
 	d := &Dispatcher{config: config}
 	d.pools.Store(&map[string]*pool{})
+	d.peers.Store(&[]Peer{})
 	return d
 }
 
@@ -58,6 +64,7 @@
 	pools := maps.Clone(*d.pools.Load())
 	if pools[service] == nil {
 		pools[service] = newPool(d.config)
+		pools[service].setPeers(*d.peers.Load())
 		d.pools.Store(&pools)
 	}
 	return pools[service]
@@ -106,7 +113,7 @@
 func (d *Dispatcher) Tick(now time.Time) []Assignment {
 	var assignments []Assignment
 	for _, p := range *d.pools.Load() {
-		p.survey()
+		p.tick()
 		assignments = p.assign(now, assignments)
 	}
 	return assignments
@@ -123,3 +130,6 @@
 	}
 	return n
 }
+
+// BorrowedSlots returns the number of slots borrowed since the start.
+func (d *Dispatcher) BorrowedSlots() int64 { return d.borrowed.Load() }
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -100,7 +100,9 @@
 			s.model.observe(d.pool("s").calls.get(normalCall), t.Seconds())
 		}
 	}
-	d.Tick(start)
+	for range 1000 { // the demand of the lesson is forgotten
+		d.Tick(start)
+	}
 }
 
 func TestLearntSpeedChoosesAndTailWaits(t *testing.T) {
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -1,5 +1,11 @@
 package dispatch
 
+import (
+	"math"
+
+	"github.com/mustardstep/mustardstep/catalog"
+)
+
 // outlook is a snapshot of the capacity, from which the wait for a faster slot
 // is estimated. It is immutable.
 type outlook struct {
@@ -7,6 +13,9 @@
 	usable int
 	// levels are the buckets that have slots, the fastest first.
 	levels []level
+	// demand is the work that arrives per second in each class and those above
+	// it, in the unit of the rates.
+	demand [classCount]float64
 }
 
 // level is a bucket of speed.
@@ -18,21 +27,27 @@
 	rate float64
 }
 
-// waitWeight makes up for tasks that arrive later and go first.
-const waitWeight = 1.2
+// The rate at which the slots of a level can shorten the queue is theirs less a
+// part of the demand, since tasks that arrive later take some of them; at least
+// minSpare of theirs.
+const (
+	demandShare = 0.7
+	minSpare    = 0.05
+)
 
 // accepts tells whether a task of a call should take a slot of a bucket now
 // rather than wait for a faster one. There are ahead tasks to place, itself
-// included.
-func (o *outlook) accepts(call *callModel, bucket, ahead int) bool {
+// included; offset is what was learnt of the upstream for this call alone.
+func (o *outlook) accepts(call *callModel, class catalog.Priority, bucket int, offset float64, ahead int) bool {
 	base := call.base()
-	now := base / speedOfBucket[bucket]
+	now := base / speedOfBucket[bucket] * math.Exp(offset)
 	for i := range o.levels {
 		l := &o.levels[i]
 		if l.bucket >= bucket {
 			return true
 		}
-		wait := waitWeight * float64(ahead) * base / l.rate
+		spare := max(l.rate-demandShare*o.demand[class], minSpare*l.rate)
+		wait := float64(ahead) * base / spare
 		if wait+base/l.speed < now {
 			return false
 		}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -20,6 +20,13 @@
 	epoch   atomic.Pointer[time.Time] // time of the first job
 	waiting atomic.Int64
 	outlook atomic.Pointer[outlook]
+	// lastCall is the call of the last job that was added.
+	lastCall atomic.Pointer[callModel]
+	ledger   ledger
+	// arrived is the work of each class that arrived since the last survey, in
+	// seconds; demand is its average per second.
+	arrived [classCount]atomicFloat
+	demand  [classCount]atomicFloat
 	queues  [shardCount]*queueShard
 	slots   [shardCount]*slotShard
 }
@@ -30,6 +37,7 @@
 		p.queues[i], p.slots[i] = newQueueShard(), newSlotShard()
 	}
 	p.outlook.Store(&outlook{})
+	p.ledger.given = map[uint64]*given{}
 	return p
 }
 
@@ -55,6 +63,10 @@
 		task.queued = now
 	}
 	p.push(tasks...)
+	call := p.calls.get(tasks[0].Call)
+	p.lastCall.Store(call)
+	p.arrived[tasks[0].Call.Priority].add(float64(n) * call.base())
+	p.ledger.earn(float64(n) * p.config.BorrowBudget)
 	return nil
 }
 
@@ -99,10 +111,30 @@
 	p.survey()
 }
 
+// demandWeight is the weight of one tick in the average of the demand.
+const demandWeight = 0.025
+
+// tick takes a new snapshot and averages the demand. One thread at a time may
+// call it.
+func (p *pool) tick() {
+	for class := range classCount {
+		work := p.arrived[class].load()
+		p.arrived[class].add(-work)
+		rate := work / TickInterval.Seconds()
+		p.demand[class].add((rate - p.demand[class].load()) * demandWeight)
+	}
+	p.survey()
+}
+
 // survey takes a new snapshot of the capacity.
 func (p *pool) survey() {
 	var capacity [bucketCount]float64
 	o := &outlook{}
+	demand := 0.0
+	for class := classCount - 1; class >= 0; class-- {
+		demand += p.demand[class].load()
+		o.demand[class] = demand
+	}
 	for _, s := range p.slots {
 		o.usable += s.survey(&capacity)
 	}
@@ -135,12 +167,10 @@
 		if taken == nil {
 			continue
 		}
-		task, declined := p.match(first, bucket)
+		task, declined := p.match(first, taken, bucket)
 		if task != nil {
 			p.waiting.Add(-1)
-			out = append(out, Assignment{
-				Task: task, Upstream: taken.upstream, Waited: now.Sub(task.queued), Reason: Fastest, slots: taken,
-			})
+			out = append(out, newAssignment(now, task, taken))
 			continue
 		}
 		p.slots[shard].put(taken)
@@ -150,16 +180,24 @@
 	}
 }
 
+func newAssignment(now time.Time, task *Task, s *slots) Assignment {
+	a := Assignment{Task: task, Upstream: s.upstream, Waited: now.Sub(task.queued), slots: s}
+	if s.loan != nil {
+		a.Reason = Borrowed
+	}
+	return a
+}
+
 // match offers a slot to the queues, the one with the first job before the
 // others. declined tells that tasks wait and none wants the slot.
-func (p *pool) match(first, bucket int) (task *Task, declined bool) {
+func (p *pool) match(first int, taken *slots, bucket int) (task *Task, declined bool) {
 	o := p.outlook.Load()
 	for i := range shardCount {
 		q := p.queues[(first+i)%shardCount]
 		if q.top.load() == noScore {
 			continue
 		}
-		task, waiting := q.pop(bucket, o)
+		task, waiting := q.pop(taken, bucket, o)
 		if task != nil {
 			return task, false
 		}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -24,6 +24,9 @@
 // noScore is the score of an empty queue.
 var noScore = math.Inf(1)
 
+// classCount is the number of priority classes.
+const classCount = int(catalog.Urgent) + 1
+
 // waitingJob holds the tasks of a job that wait.
 type waitingJob struct {
 	id      submission.ID
@@ -111,14 +114,14 @@
 
 // pop takes a task for a slot of a bucket, or returns nil: with declined set
 // where tasks wait but would rather wait for a faster slot.
-func (q *queueShard) pop(bucket int, outlook *outlook) (task *Task, declined bool) {
+func (q *queueShard) pop(s *slots, bucket int, outlook *outlook) (task *Task, declined bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	ahead := 0
 	for i := range min(len(q.heap), considered) {
 		j := q.heap[i]
 		ahead += len(j.tasks)
-		if outlook.accepts(j.model, bucket, ahead) {
+		if outlook.accepts(j.model, j.call.Priority, bucket, s.offset(j.model), ahead) {
 			return q.remove(j), false
 		}
 	}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -1,18 +1,21 @@
 package dispatch
 
 import (
+	"math"
 	"math/bits"
 	"sync"
 	"sync/atomic"
 )
 
 // slots are the slots of one upstream that this VM may use. The lock of the
-// shard guards all fields but upstream and shard.
+// shard guards all fields but shard, loan and the offsets.
 type slots struct {
 	shard    *slotShard
+	loan     *taken // nil where the slots are this VM's own
 	upstream *Upstream
 	limit    int // tasks that may run at once
 	used     int
+	closed   bool // takes no more tasks
 	model    speedModel
 
 	bucket     int
@@ -22,12 +25,20 @@
 
 // free returns the number of tasks that may start now.
 func (s *slots) free() int {
-	if s.upstream.Leaving {
+	if s.upstream.Leaving || s.closed {
 		return 0
 	}
 	return s.limit - s.used
 }
 
+// offset returns the deviation for a call, as a logarithm of the run time.
+func (s *slots) offset(c *callModel) float64 { return s.model.offset(c).load() }
+
+// expected returns the expected run time of a call, in seconds.
+func (s *slots) expected(c *callModel) float64 {
+	return math.Exp(c.logTime.load() - s.model.logSpeed + s.offset(c))
+}
+
 // slotShard holds the slots of some upstreams of one service.
 type slotShard struct {
 	best atomic.Int32 // the fastest bucket with a free slot, or bucketCount
@@ -138,7 +149,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, c := range s.known {
-		if kept[name] {
+		if kept[name] || c.loan != nil {
 			continue
 		}
 		gone := *c.upstream
@@ -156,7 +167,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.known {
-		if c.upstream.Leaving {
+		if c.upstream.Leaving || c.closed {
 			continue
 		}
 		speed := c.model.speed()
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -41,6 +41,7 @@
 
 // callModel is what was learnt of one call. It is safe for concurrent use.
 type callModel struct {
+	name    string
 	number  int
 	logTime atomicFloat // natural logarithm of the base time in seconds
 	samples atomic.Int64
@@ -55,6 +56,9 @@
 	count  atomic.Int64
 }
 
+// named returns the model of a call that a peer names.
+func (m *callModels) named(name string) *callModel { return m.get(&catalog.Call{Name: name}) }
+
 const defaultDeclared = 100 * time.Millisecond
 
 func (m *callModels) get(call *catalog.Call) *callModel {
@@ -65,49 +69,48 @@
 	if declared <= 0 {
 		declared = defaultDeclared
 	}
-	fresh := &callModel{number: int(m.count.Add(1)) - 1}
+	fresh := &callModel{name: call.Name, number: int(m.count.Add(1)) - 1}
 	fresh.logTime.store(math.Log(declared.Seconds()))
 	known, _ := m.byName.LoadOrStore(call.Name, fresh)
 	return known.(*callModel)
 }
 
 // speedModel is what was learnt of one upstream. The lock of its shard guards
-// it.
+// all but the offsets.
 type speedModel struct {
 	logSpeed float64
 	samples  int
-	offsets  []callOffset // by number of the call
+	offsets  [offsetCount]callOffset // by number of the call
 }
 
-// callOffset is the deviation of an upstream for one call.
+// offsetCount is the number of calls of a service for which deviations are
+// kept; later calls share the last one.
+const offsetCount = 16
+
+// callOffset is the deviation of an upstream for one call. The logarithm is
+// read without a lock.
 type callOffset struct {
-	log     float64
+	log     atomicFloat
 	samples int
 }
 
 func (m *speedModel) speed() float64 { return math.Exp(m.logSpeed) }
 
-// expected returns the expected run time of a call, in seconds.
-func (m *speedModel) expected(c *callModel) float64 {
-	log := c.logTime.load() - m.logSpeed
-	if c.number < len(m.offsets) {
-		log += m.offsets[c.number].log
-	}
-	return math.Exp(log)
+func (m *speedModel) offset(c *callModel) *atomicFloat {
+	return &m.offsets[min(c.number, offsetCount-1)].log
 }
 
+// minSeconds keeps the logarithm of a run time finite.
+const minSeconds = 1e-6
+
 // observe learns from a task that took some seconds.
 func (m *speedModel) observe(c *callModel, seconds float64) {
-	const minSeconds = 1e-6
-	for len(m.offsets) <= c.number {
-		m.offsets = append(m.offsets, callOffset{})
-	}
-	offset := &m.offsets[c.number]
-	deviation := math.Log(max(seconds, minSeconds)) - (c.logTime.load() - m.logSpeed + offset.log)
+	offset := &m.offsets[min(c.number, offsetCount-1)]
+	deviation := math.Log(max(seconds, minSeconds)) - (c.logTime.load() - m.logSpeed + offset.log.load())
 	m.samples++
 	offset.samples++
 	m.logSpeed -= deviation * max(1/float64(m.samples+speedPrior), speedFloor)
-	offset.log += deviation * max(1/float64(offset.samples+callOffsetPrior), speedFloor/2) / 2
+	offset.log.add(deviation * max(1/float64(offset.samples+callOffsetPrior), speedFloor) / 2)
 	n := c.samples.Add(1)
 	c.logTime.add(deviation * max(1/float64(n+callPrior), callFloor))
 }
--- a/internal/replay/decide.go
+++ b/internal/replay/decide.go
@@ -121,6 +121,7 @@
 			d.vms[name] = newDecider(policy)
 		}
 	}
+	d.setPeers(members)
 	d.views = membership.NewTable(members[0], members).View()
 	for service := range services.Services() {
 		for _, dataCentre := range layout.DataCentres {
@@ -133,11 +134,21 @@
 // maxQueued bounds the queues of the driver.
 const maxQueued = 1_000_000
 
+// Settings of the daemon, at their defaults.
+const (
+	drivenLoanTime     = 200 * time.Millisecond
+	drivenBorrowWait   = 10 * time.Millisecond
+	drivenBorrowBudget = 0.03
+)
+
 func newDecider(policy string) decider {
 	if policy != policyMustardstep {
 		return baseline.New(baseline.Policy(policy), maxQueued)
 	}
-	return dispatch.New(dispatch.Config{MaxQueued: maxQueued})
+	return dispatch.New(dispatch.Config{
+		MaxQueued: maxQueued, LoanTime: drivenLoanTime, BorrowWait: drivenBorrowWait,
+		BorrowBudget: drivenBorrowBudget,
+	})
 }
 
 // placeUpstreams divides the upstreams of a data centre among its VMs.
@@ -190,6 +201,7 @@
 
 func (d *driver) tick(vm decider) {
 	d.place(vm, vm.Tick(d.now))
+	d.lend(vm)
 	if d.left > 0 {
 		d.after(dispatch.TickInterval, func() { d.tick(vm) })
 	}
@@ -212,6 +224,7 @@
 		return
 	}
 	d.place(job.vm, assignments)
+	d.borrow(job.vm)
 	if trace.CancelAfterUS > 0 {
 		d.after(time.Duration(trace.CancelAfterUS)*time.Microsecond, func() { d.cancel(job, id) })
 	}
@@ -249,3 +262,57 @@
 	}
 	d.place(vm, next)
 }
+
+// hop is the time of a message from one VM to another.
+const hop = 500 * time.Microsecond
+
+// exchange is a request and its response.
+const exchange = 2
+
+func (d *driver) setPeers(members []membership.Member) {
+	for _, self := range members {
+		dispatcher, ok := d.vms[self.VM].(*dispatch.Dispatcher)
+		if !ok {
+			continue
+		}
+		var peers []dispatch.Peer
+		for _, m := range members {
+			if m.VM != self.VM {
+				peers = append(peers, dispatch.Peer{VM: m.VM, Near: m.DataCentre == self.DataCentre})
+			}
+		}
+		dispatcher.SetPeers(peers)
+	}
+}
+
+// lend returns ended loans and asks for new ones.
+func (d *driver) lend(vm decider) {
+	dispatcher, ok := vm.(*dispatch.Dispatcher)
+	if !ok {
+		return
+	}
+	for _, r := range dispatcher.Returns(d.now) {
+		d.messages += exchange
+		lender := d.vms[r.Lender].(*dispatch.Dispatcher)
+		d.after(hop, func() { d.place(lender, lender.TakeBack(d.now, r)) })
+	}
+	d.borrow(vm)
+}
+
+func (d *driver) borrow(vm decider) {
+	dispatcher, ok := vm.(*dispatch.Dispatcher)
+	if !ok {
+		return
+	}
+	for name, ask := range dispatcher.Borrow(d.now) {
+		d.messages += exchange
+		lender := d.vms[name].(*dispatch.Dispatcher)
+		d.after(hop, func() {
+			loan := lender.Lend(d.now, ask)
+			d.after(hop, func() {
+				d.place(vm, dispatcher.Borrowed(d.now, name, ask, loan))
+				d.borrow(vm)
+			})
+		})
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -105,6 +105,12 @@
 type Dispatch struct {
 	// Policy: dispatch policy; all but mustardstep are baselines to measure against.
 	Policy string
+	// LoanTime: time for which a borrowed slot may start tasks; 0s neither borrows nor lends.
+	LoanTime time.Duration
+	// BorrowWait: expected wait above which slots are borrowed from peers.
+	BorrowWait time.Duration
+	// BorrowBudget: messages that may be spent on borrowing; more shorten the response, fewer waste less, in messages per task.
+	BorrowBudget float64
 }
 
 // Bind declares the settings on the binder.
@@ -112,6 +118,15 @@
 	bind(b, &s.Policy, definition[string]{
 		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policy; all but mustardstep are baselines to measure against", unit: "", fallback: "mustardstep", oneOf: []string{"mustardstep", "roundrobin", "leastoutstanding", "twochoices"},
 	})
+	bind(b, &s.LoanTime, definition[time.Duration]{
+		flag: "loan-time", env: "MUSTARDSTEP_LOAN_TIME", help: "time for which a borrowed slot may start tasks; 0s neither borrows nor lends", unit: "", fallback: "200ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BorrowWait, definition[time.Duration]{
+		flag: "borrow-wait", env: "MUSTARDSTEP_BORROW_WAIT", help: "expected wait above which slots are borrowed from peers", unit: "", fallback: "10ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BorrowBudget, definition[float64]{
+		flag: "borrow-budget", env: "MUSTARDSTEP_BORROW_BUDGET", help: "messages that may be spent on borrowing; more shorten the response, fewer waste less", unit: "messages per task", fallback: "0.03", min: bound[float64](0), max: bound[float64](2),
+	})
 }
 
 // Jobs holds the limits on submissions and their tasks.
