--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -122,6 +122,9 @@
 		OnClose:     d.disconnected,
 	})
 	d.metrics.countFrames(d.peers)
+	d.publishDispatch()
+	peer.Handle(d.peers, d.handleLoan)
+	peer.Handle(d.peers, d.handleReturn)
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	d.handleMembers()
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -16,6 +16,7 @@
 	forwards, records           *expvar.Int
 	recordFrames                *expvar.Int
 	heartbeats, fills           *expvar.Int
+	returnsLost                 *expvar.Int
 	starts, refusals, mayHave   *expvar.Int
 	platformCalls, platformFail *expvar.Int
 }
@@ -36,6 +37,7 @@
 	m.recordFrames = counter("record_frames_sent")
 	m.heartbeats = counter("heartbeats_sent")
 	m.fills = counter("fills_sent")
+	m.returnsLost = counter("loan_returns_lost")
 	m.starts = counter("task_starts_sent")
 	m.refusals = counter("task_starts_refused")
 	m.platformCalls = counter("platform_calls")
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -42,6 +42,7 @@
 		return nil
 	}
 	d.place(assignments)
+	d.borrowNow()
 	return nil
 }
 
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -44,6 +44,7 @@
 	if list == nil || !view.Admitted(view.Self.ID()) {
 		return
 	}
+	d.setPeers()
 	for service, upstreams := range selectUpstreams(view, list.VMs, d.drainedUpstream) {
 		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
 	}
