--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 )
 
 // fault is a sequence of steps that are taken while a load runs.
@@ -69,18 +70,32 @@
 // faultSeconds is the length of the load of each fault.
 const faultSeconds = 1.0
 
+// faultsAtOnce is the number of faults that run side by side, each on a system
+// of its own.
+const faultsAtOnce = 2
+
 // runFaults replays a load under each fault, on processes of its own.
 func runFaults(ctx context.Context, options Options) (*Report, error) {
-	report := &Report{}
+	reports := make([]*FaultReport, len(faults))
+	var g errgroup.Group
+	g.SetLimit(faultsAtOnce)
 	for i := range faults {
 		if options.Fault != "" && options.Fault != faults[i].name {
 			continue
 		}
-		one, err := runFault(ctx, &faults[i], int64(i), options)
-		if err != nil {
-			return nil, errors.Wrap(err, faults[i].name)
+		g.Go(func() (err error) {
+			reports[i], err = runFault(ctx, &faults[i], int64(i), options)
+			return errors.Wrap(err, faults[i].name)
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	report := &Report{}
+	for _, one := range reports {
+		if one != nil {
+			report.addFault(one)
 		}
-		report.addFault(one)
 	}
 	if len(report.Faults) == 0 {
 		return nil, errors.Newf("unknown fault %q", options.Fault)
--- a/internal/replay/faults_load.go
+++ b/internal/replay/faults_load.go
@@ -122,7 +122,7 @@
 		concurrent: rng.Float64() < concurrentShare,
 		repeated:   rng.Float64() < repeatedShare,
 		delay:      time.Duration(rng.Int64N(int64(maxCopyDelay))),
-		pause:      time.Duration(rng.Int64N(int64(length))),
+		pause:      time.Duration(rng.Int64N(int64(length / 2))),
 	}
 }
 
