--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -75,6 +75,24 @@
 	})
 }
 
+// Capacity holds the settings of the capacity measurements.
+type Capacity struct {
+	// Output: form of the report.
+	Output string
+	// Lines: lines to measure, separated by commas; empty measures all.
+	Lines []string
+}
+
+// Bind declares the settings on the binder.
+func (s *Capacity) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Lines, definition[[]string]{
+		flag: "lines", env: "MUSTARDSTEP_LINES", help: "lines to measure, separated by commas; empty measures all", unit: "",
+	})
+}
+
 // Configuration holds how the configuration travels between the daemons.
 type Configuration struct {
 	// Interval: time between comparisons of the configuration with a peer.
@@ -344,10 +362,10 @@
 		flag: "platform-watch-wait", env: "MUSTARDSTEP_PLATFORM_WATCH_WAIT", help: "longest wait of one watch of the platform's service", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
 	bind(b, &s.Rate, definition[float64]{
-		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "10", min: bound[float64](0.1), max: bound[float64](1000),
+		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "20", min: bound[float64](0.1), max: bound[float64](1000),
 	})
 	bind(b, &s.Burst, definition[float64]{
-		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "20", min: bound[float64](1), max: bound[float64](1000),
+		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "40", min: bound[float64](1), max: bound[float64](1000),
 	})
 	bind(b, &s.BackoffMin, definition[time.Duration]{
 		flag: "platform-backoff-min", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MIN", help: "pause after the first failed call to the platform's service", unit: "", fallback: "100ms", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(60000000000)),
@@ -488,6 +506,16 @@
 	s.Bench.Bind(b)
 }
 
+// ReplayCapacityProgram holds every setting of mustardstep-replay capacity.
+type ReplayCapacityProgram struct {
+	Capacity Capacity
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayCapacityProgram) Bind(b *Binder) {
+	s.Capacity.Bind(b)
+}
+
 // ReplayDemoProgram holds every setting of mustardstep-replay demo.
 type ReplayDemoProgram struct {
 	Demo Demo
