--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -13,13 +13,20 @@
 // Decisions logs a line for each routing and placement decision. It is safe
 // for concurrent use; the zero value logs nothing.
 type Decisions struct {
-	logger  *slog.Logger
-	enabled *atomic.Bool
+	logger *slog.Logger
+	// placements holds a logger for each reason of a placement. With the
+	// reason bound beforehand, a line has no more attributes than a record
+	// holds without an allocation.
+	placements map[dispatch.Reason]*slog.Logger
+	enabled    *atomic.Bool
 }
 
 // NewDecisions returns a log of decisions, silent while it is not enabled.
 func NewDecisions(logger *slog.Logger, enabled bool) Decisions {
-	d := Decisions{logger, &atomic.Bool{}}
+	d := Decisions{logger: logger, placements: map[dispatch.Reason]*slog.Logger{}, enabled: &atomic.Bool{}}
+	for _, reason := range []dispatch.Reason{dispatch.Fastest, dispatch.Borrowed, dispatch.Baseline} {
+		d.placements[reason] = logger.With(slog.String("reason", reason.String()))
+	}
 	d.Enable(enabled)
 	return d
 }
@@ -44,10 +51,14 @@
 	if d.silent() {
 		return
 	}
-	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
+	logger := d.placements[a.Reason]
+	if logger == nil {
+		logger = d.logger.With(slog.String("reason", a.Reason.String()))
+	}
+	logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
 		slog.String("caller", a.Task.Submission.Caller), slog.String("key", a.Task.Submission.Key),
 		slog.Int("task", a.Task.Index), slog.String("upstream", a.Upstream.Name),
-		slog.String("reason", a.Reason.String()), slog.Int64("waited_us", a.Waited.Microseconds()))
+		slog.Int64("waited_us", a.Waited.Microseconds()))
 }
 
 // Refusal logs that a submission failed, and why.
--- /dev/null
+++ b/internal/logging/logging_test.go
@@ -0,0 +1,123 @@
+package logging
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/dispatch"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/stretchr/testify/require"
+)
+
+func testAssignment() *dispatch.Assignment {
+	return &dispatch.Assignment{
+		Task: &dispatch.Task{
+			Submission: submission.ID{Caller: "museum-01", Key: "01JABCDEFGHJKMNPQRSTVWXYZ0"}, Index: 17,
+		},
+		Upstream: &dispatch.Upstream{Name: "casablanca-rota-desk-07"},
+		Waited:   1234 * time.Microsecond,
+	}
+}
+
+// lines decodes a log and puts it in order of time.
+func lines(t *testing.T, log io.Reader) []map[string]any {
+	var all []map[string]any
+	scanner := bufio.NewScanner(log)
+	for scanner.Scan() {
+		var line map[string]any
+		require.NoError(t, json.Unmarshal(scanner.Bytes(), &line), scanner.Text())
+		all = append(all, line)
+	}
+	slices.SortFunc(all, func(a, b map[string]any) int {
+		return strings.Compare(a["time"].(string), b["time"].(string))
+	})
+	return all
+}
+
+func TestDecisionLines(t *testing.T) {
+	var log bytes.Buffer
+	logger, flush := New(settings.Logging{Level: "info", Format: "json"}, &log)
+	d := NewDecisions(logger.With(slog.String("vm", "vm0")), true)
+	id := submission.ID{Caller: "museum", Key: "k"}
+	// A millisecond apart, so that the times differ in their text.
+	d.Route(id, "casablanca", "vm1", "forward")
+	time.Sleep(time.Millisecond)
+	d.Placement(testAssignment())
+	time.Sleep(time.Millisecond)
+	d.Refusal(id, verdict.Errorf(verdict.NotRun, verdict.CodeQuota, "too many"))
+	flush()
+	all := lines(t, &log)
+	require.Len(t, all, 3)
+	for i, want := range []map[string]any{
+		{"msg": "route", "caller": "museum", "key": "k", "home": "casablanca", "owner": "vm1", "reason": "forward"},
+		{"msg": "place", "caller": "museum-01", "key": "01JABCDEFGHJKMNPQRSTVWXYZ0", "task": 17.0,
+			"upstream": "casablanca-rota-desk-07", "reason": dispatch.Reason(0).String(), "waited_us": 1234.0},
+		{"msg": "refuse", "caller": "museum", "key": "k", "verdict": "failed: not run", "code": "quota", "reason": "too many"},
+	} {
+		require.NotEmpty(t, all[i]["time"])
+		delete(all[i], "time")
+		want["level"], want["vm"] = "INFO", "vm0"
+		require.Equal(t, want, all[i])
+	}
+}
+
+func TestSilentDecisions(t *testing.T) {
+	var log bytes.Buffer
+	logger, flush := New(settings.Logging{Level: "info", Format: "text"}, &log)
+	NewDecisions(logger, false).Placement(testAssignment())
+	Decisions{}.Route(submission.ID{}, "", "", "")
+	flush()
+	require.Empty(t, log.String())
+}
+
+func TestConcurrentLinesStayWhole(t *testing.T) {
+	const writers, each = 8, 500
+	var log bytes.Buffer
+	logger, flush := New(settings.Logging{Level: "info", Format: "json"}, &log)
+	d := NewDecisions(logger, true)
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for range each {
+				d.Placement(testAssignment())
+			}
+		})
+	}
+	wg.Wait()
+	flush()
+	require.Len(t, lines(t, &log), writers*each)
+}
+
+func BenchmarkPlacement(b *testing.B) {
+	for _, format := range []string{"json", "text"} {
+		logger, flush := New(settings.Logging{Level: "info", Format: format}, io.Discard)
+		d := NewDecisions(logger.With(slog.String("vm", "vm0")), true)
+		b.Run(format+"/one", func(b *testing.B) {
+			b.ReportAllocs()
+			a := testAssignment()
+			for b.Loop() {
+				d.Placement(a)
+			}
+		})
+		b.Run(format+"/parallel", func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				a := testAssignment()
+				for pb.Next() {
+					d.Placement(a)
+				}
+			})
+		})
+		flush()
+	}
+}
