--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -43,12 +43,15 @@
 
 // suites are the suites by name.
 var suites = map[string]suite{
-	"thin":   {runThin, DefaultSeconds},
-	"faults": {runFaults, faultSeconds},
-	"steady": {runSteady, DefaultSeconds},
-	"burst":  {runBurst, DefaultSeconds},
-	"skew":   {runSkew, DefaultSeconds},
-	"cancel": {runCancel, DefaultSeconds},
+	"thin":          {runThin, DefaultSeconds},
+	"faults":        {runFaults, faultSeconds},
+	"steady":        {runSteady, DefaultSeconds},
+	"burst":         {runBurst, DefaultSeconds},
+	"skew":          {runSkew, DefaultSeconds},
+	"cancel":        {runCancel, DefaultSeconds},
+	"config":        {runConfig, DefaultSeconds},
+	"config-sizes":  {runConfigSizes, DefaultSeconds},
+	"config-spread": {runConfigSpread, DefaultSeconds},
 }
 
 // RunSuite runs a suite on processes of its own.
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -156,6 +156,12 @@
 type Dispatch struct {
 	// Policy: dispatch policy; all but mustardstep are baselines to measure against.
 	Policy string
+	// LoanTime: time for which a borrowed slot may start tasks; 0s neither borrows nor lends.
+	LoanTime time.Duration
+	// BorrowWait: expected wait above which slots are borrowed from peers.
+	BorrowWait time.Duration
+	// BorrowBudget: messages that may be spent on borrowing; more shorten the response, fewer waste less, in messages per task.
+	BorrowBudget float64
 }
 
 // Bind declares the settings on the binder.
@@ -163,6 +169,15 @@
 	bind(b, &s.Policy, definition[string]{
 		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policy; all but mustardstep are baselines to measure against", unit: "", fallback: "mustardstep", oneOf: []string{"mustardstep", "roundrobin", "leastoutstanding", "twochoices"},
 	})
+	bind(b, &s.LoanTime, definition[time.Duration]{
+		flag: "loan-time", env: "MUSTARDSTEP_LOAN_TIME", help: "time for which a borrowed slot may start tasks; 0s neither borrows nor lends", unit: "", fallback: "200ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BorrowWait, definition[time.Duration]{
+		flag: "borrow-wait", env: "MUSTARDSTEP_BORROW_WAIT", help: "expected wait above which slots are borrowed from peers", unit: "", fallback: "10ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BorrowBudget, definition[float64]{
+		flag: "borrow-budget", env: "MUSTARDSTEP_BORROW_BUDGET", help: "messages that may be spent on borrowing; more shorten the response, fewer waste less", unit: "messages per task", fallback: "0.03", min: bound[float64](0), max: bound[float64](2),
+	})
 }
 
 // Jobs holds the limits on submissions and their tasks.
@@ -362,10 +377,10 @@
 		flag: "platform-watch-wait", env: "MUSTARDSTEP_PLATFORM_WATCH_WAIT", help: "longest wait of one watch of the platform's service", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
 	bind(b, &s.Rate, definition[float64]{
-		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "10", min: bound[float64](0.1), max: bound[float64](1000),
+		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "20", min: bound[float64](0.1), max: bound[float64](1000),
 	})
 	bind(b, &s.Burst, definition[float64]{
-		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "20", min: bound[float64](1), max: bound[float64](1000),
+		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "40", min: bound[float64](1), max: bound[float64](1000),
 	})
 	bind(b, &s.BackoffMin, definition[time.Duration]{
 		flag: "platform-backoff-min", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MIN", help: "pause after the first failed call to the platform's service", unit: "", fallback: "100ms", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(60000000000)),
