Eject failing upstreams on evidence and keep leaving ones free

Cause: an upstream that fails everything frees its slots fastest and got the next task each time; its own leaving notice was ignored. Change: package health ejects after failures of three submissions in a row or of most tasks, probes with one task after a doubling wait, and never more than half of the upstreams at once. Failures in a row put an upstream behind others before it is ejected. A leaving notice holds for a minute against the list.

--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -87,7 +87,7 @@
 		TimeoutMS: a.Task.Deadline.Sub(sent).Milliseconds(),
 		MilliCPU:  run.call.Size.MilliCPU, MemoryMB: run.call.Size.MemoryMB, Accelerators: run.call.Size.Accelerators,
 	})
-	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent)}
+	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent), Leaving: result.Leaving}
 	switch failure := result.Failure; {
 	case failure == nil:
 		if outcome, ended := run.job.Complete(a.Task.Index, result.Value); ended {
--- a/daemon/lend.go
+++ b/daemon/lend.go
@@ -17,6 +17,7 @@
 	Lend(now time.Time, ask dispatch.Ask) dispatch.Loan
 	TakeBack(now time.Time, r dispatch.Return) []dispatch.Assignment
 	BorrowedSlots() int64
+	Ejections() int64
 }
 
 // setPeers tells the dispatcher which VMs may lend.
--- a/daemon/policy.go
+++ b/daemon/policy.go
@@ -38,5 +38,6 @@
 func (d *Daemon) publishDispatch() {
 	if l, lends := d.dispatcher.(lender); lends {
 		d.metrics.vars.Set("slots_borrowed", expvar.Func(func() any { return l.BorrowedSlots() }))
+		d.metrics.vars.Set("upstream_ejections", expvar.Func(func() any { return l.Ejections() }))
 	}
 }
--- a/dispatch/borrow.go
+++ b/dispatch/borrow.go
@@ -114,7 +114,7 @@
 func (p *pool) borrowed(t *taken, lent Lent, call *callModel) *slots {
 	u := lent.Upstream
 	shard := p.slotsOf(u.Name)
-	c := &slots{shard: shard, upstream: &u, limit: u.Slots, loan: t}
+	c := &slots{shard: shard, upstream: &u, limit: u.Slots, allowed: u.Slots, loan: t}
 	c.model.logSpeed = call.logTime.load() - math.Log(max(lent.Expected.Seconds(), minSeconds))
 	c.model.samples = lentSamples
 	shard.mu.Lock()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -113,7 +113,7 @@
 func (d *Dispatcher) Tick(now time.Time) []Assignment {
 	var assignments []Assignment
 	for _, p := range *d.pools.Load() {
-		p.tick()
+		p.tick(now)
 		assignments = p.assign(now, assignments)
 	}
 	return assignments
@@ -133,3 +133,12 @@
 
 // BorrowedSlots returns the number of slots borrowed since the start.
 func (d *Dispatcher) BorrowedSlots() int64 { return d.borrowed.Load() }
+
+// Ejections returns the number of ejections of upstreams since the start.
+func (d *Dispatcher) Ejections() int64 {
+	n := int64(0)
+	for _, p := range *d.pools.Load() {
+		n += p.ejections.Load()
+	}
+	return n
+}
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -130,6 +130,7 @@
 	a := add(t, d, start, normalCall, "k", 1)[0]
 	next, dropped := d.Finish(start, a, Result{Ending: Refused}, nil)
 	require.False(t, dropped)
+	next = append(next, d.Tick(start)...)
 	require.Len(t, next, 1)
 	_, dropped = d.Finish(start, next[0], Result{Ending: Refused}, nil)
 	require.True(t, dropped)
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -11,6 +11,8 @@
 type outlook struct {
 	// usable is the number of slots.
 	usable int
+	// upstreams and those of them that are ejected.
+	upstreams, ejected int
 	// levels are the buckets that have slots, the fastest first.
 	levels []level
 	// demand is the work that arrives per second in each class and those above
@@ -54,3 +56,12 @@
 	}
 	return true
 }
+
+// maxEjected is the greatest share of the upstreams that is ejected at once. If
+// more fail, the fault is likely to lie elsewhere.
+const maxEjected = 0.5
+
+// spare tells whether one more upstream may be ejected.
+func (o *outlook) spare() bool {
+	return float64(o.ejected+1) <= maxEjected*float64(o.upstreams)
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -21,8 +21,9 @@
 	waiting atomic.Int64
 	outlook atomic.Pointer[outlook]
 	// lastCall is the call of the last job that was added.
-	lastCall atomic.Pointer[callModel]
-	ledger   ledger
+	lastCall  atomic.Pointer[callModel]
+	ledger    ledger
+	ejections atomic.Int64
 	// arrived is the work of each class that arrived since the last survey, in
 	// seconds; demand is its average per second.
 	arrived [classCount]atomicFloat
@@ -84,10 +85,20 @@
 
 // release gives the slot of an assignment back.
 func (p *pool) release(now time.Time, a *Assignment, r Result) {
-	if r.Ending == Done {
-		a.slots.shard.observe(a.slots, p.calls.get(a.Task.Call), r.Took.Seconds())
-	} else {
-		a.slots.shard.put(a.slots)
+	shard := a.slots.shard
+	if r.Leaving {
+		shard.leave(now, a.slots)
+	}
+	switch {
+	case r.Ending == Done:
+		shard.observe(now, a.slots, p.calls.get(a.Task.Call), r.Took.Seconds())
+	case r.Ending == Skipped || r.Leaving:
+		shard.put(a.slots)
+	default:
+		if shard.fail(now, a.slots, a.Task.Submission.Hash(), p.outlook.Load().spare()) {
+			p.ejections.Add(1)
+			p.survey(now)
+		}
 	}
 }
 
@@ -98,17 +109,17 @@
 }
 
 // replace takes a new list of upstreams.
-func (p *pool) replace(_ time.Time, upstreams []Upstream) {
+func (p *pool) replace(now time.Time, upstreams []Upstream) {
 	kept := map[string]bool{}
 	for i := range upstreams {
 		u := upstreams[i]
 		kept[u.Name] = true
-		p.slotsOf(u.Name).set(&u)
+		p.slotsOf(u.Name).set(now, &u)
 	}
 	for _, s := range p.slots {
 		s.retain(kept)
 	}
-	p.survey()
+	p.survey(now)
 }
 
 // demandWeight is the weight of one tick in the average of the demand.
@@ -116,30 +127,31 @@
 
 // tick takes a new snapshot and averages the demand. One thread at a time may
 // call it.
-func (p *pool) tick() {
+func (p *pool) tick(now time.Time) {
 	for class := range classCount {
 		work := p.arrived[class].load()
 		p.arrived[class].add(-work)
 		rate := work / TickInterval.Seconds()
 		p.demand[class].add((rate - p.demand[class].load()) * demandWeight)
 	}
-	p.survey()
+	p.survey(now)
 }
 
 // survey takes a new snapshot of the capacity.
-func (p *pool) survey() {
-	var capacity [bucketCount]float64
+func (p *pool) survey(now time.Time) {
 	o := &outlook{}
 	demand := 0.0
 	for class := classCount - 1; class >= 0; class-- {
 		demand += p.demand[class].load()
 		o.demand[class] = demand
 	}
+	var sum census
 	for _, s := range p.slots {
-		o.usable += s.survey(&capacity)
+		s.survey(now, &sum)
 	}
+	o.usable, o.upstreams, o.ejected = sum.usable, sum.upstreams, sum.ejected
 	rate := 0.0
-	for bucket, c := range capacity {
+	for bucket, c := range sum.capacity {
 		if c > 0 {
 			rate += c
 			o.levels = append(o.levels, level{bucket: bucket, speed: speedOfBucket[bucket], rate: rate})
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -5,6 +5,9 @@
 	"math/bits"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"github.com/mustardstep/mustardstep/health"
 )
 
 // slots are the slots of one upstream that this VM may use. The lock of the
@@ -15,7 +18,10 @@
 	upstream *Upstream
 	limit    int // tasks that may run at once
 	used     int
-	closed   bool // takes no more tasks
+	closed   bool      // takes no more tasks
+	left     time.Time // end of the time for which its own leaving notice holds
+	allowed  int       // of limit, by its health
+	health   health.Tracker
 	model    speedModel
 
 	bucket     int
@@ -28,7 +34,14 @@
 	if s.upstream.Leaving || s.closed {
 		return 0
 	}
-	return s.limit - s.used
+	return min(s.limit, s.allowed) - s.used
+}
+
+// rank returns the bucket of the slots. Failures in a row put an upstream
+// behind others, so that one that fails fast does not attract tasks.
+func (s *slots) rank() int {
+	const penalty = 2 * bucketsPerOctave
+	return min(bucketOf(s.model.speed())+penalty*s.health.Penalty(), bucketCount-1)
 }
 
 // offset returns the deviation for a call, as a logarithm of the run time.
@@ -81,12 +94,27 @@
 }
 
 // observe gives a slot back and learns from the task that ended.
-func (s *slotShard) observe(chosen *slots, call *callModel, seconds float64) {
+func (s *slotShard) observe(now time.Time, chosen *slots, call *callModel, seconds float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	chosen.used--
 	chosen.model.observe(call, seconds)
+	chosen.health.Succeed(now)
+	chosen.allowed = chosen.health.Allowance(now, chosen.limit)
+	s.relist(chosen)
+}
+
+// fail gives a slot back after a task that failed or was refused. It returns
+// whether the upstream was ejected by it; spare tells whether one may be.
+func (s *slotShard) fail(now time.Time, chosen *slots, submission uint64, spare bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	chosen.used--
+	before := chosen.health.Ejected()
+	chosen.health.Fail(now, submission, spare)
+	chosen.allowed = chosen.health.Allowance(now, chosen.limit)
 	s.relist(chosen)
+	return chosen.health.Ejected() && !before
 }
 
 // relist moves slots to the list where they belong, behind the others. The
@@ -94,7 +122,7 @@
 func (s *slotShard) relist(c *slots) {
 	s.unlist(c)
 	if c.free() > 0 {
-		c.bucket = bucketOf(c.model.speed())
+		c.bucket = c.rank()
 		s.list(c)
 	}
 	s.best.Store(int32(bits.TrailingZeros64(s.nonEmpty)))
@@ -131,7 +159,7 @@
 }
 
 // set takes a new or changed upstream.
-func (s *slotShard) set(u *Upstream) {
+func (s *slotShard) set(now time.Time, u *Upstream) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.known[u.Name]
@@ -139,10 +167,28 @@
 		c = &slots{shard: s}
 		s.known[u.Name] = c
 	}
+	if now.Before(c.left) {
+		u.Leaving = true // the list lags behind the upstream's own notice
+	}
 	c.upstream, c.limit = u, u.Slots
+	c.allowed = c.health.Allowance(now, c.limit)
 	s.relist(c)
 }
 
+// leave enters that an upstream announced that it takes no more tasks.
+func (s *slotShard) leave(now time.Time, c *slots) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.left = now.Add(leaveTime)
+	leaving := *c.upstream
+	leaving.Leaving = true
+	c.upstream = &leaving
+	s.relist(c)
+}
+
+// leaveTime is the time for which an upstream's own notice outweighs the list.
+const leaveTime = time.Minute
+
 // retain drops the upstreams that are not kept. Those that run tasks take no
 // more and go once the last has ended.
 func (s *slotShard) retain(kept map[string]bool) {
@@ -162,17 +208,29 @@
 	}
 }
 
-// survey adds the slots that may be used to the capacity of their buckets.
-func (s *slotShard) survey(capacity *[bucketCount]float64) (usable int) {
+// census counts the upstreams of a pool and its slots.
+type census struct {
+	capacity                   [bucketCount]float64 // summed speed by bucket
+	usable, upstreams, ejected int
+}
+
+// survey adds the slots of the shard and lists ejected upstreams whose next
+// probe is due.
+func (s *slotShard) survey(now time.Time, sum *census) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, c := range s.known {
 		if c.upstream.Leaving || c.closed {
 			continue
 		}
-		speed := c.model.speed()
-		capacity[bucketOf(speed)] += speed * float64(c.limit)
-		usable += c.limit
+		sum.usable += c.limit
+		sum.upstreams++
+		if c.health.Ejected() {
+			sum.ejected++
+			c.allowed = c.health.Allowance(now, c.limit)
+			s.relist(c)
+			continue
+		}
+		sum.capacity[c.rank()] += c.model.speed() * float64(c.limit)
 	}
-	return usable
 }
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -86,4 +86,6 @@
 	Ending Ending
 	// Took is the time from the start to the answer.
 	Took time.Duration
+	// Leaving tells that the upstream announced that it takes no more tasks.
+	Leaving bool
 }
--- /dev/null
+++ b/health/health_test.go
@@ -0,0 +1,60 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestEjection(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		events string // s succeeds; a letter fails a task of that submission
+		spare  bool
+		want   bool
+	}{
+		{"healthy", "ssss", true, false},
+		{"three submissions fail", "abc", true, true},
+		{"one submission fails many tasks", "aaaaaa", true, false},
+		{"a success breaks the streak", "absab", true, false},
+		{"most tasks fail", "absabsabsabsabsabsabsabs", true, true},
+		{"few tasks fail", "asssssssasssssssasssssss", true, false},
+		{"nothing to spare", "abcdef", false, false},
+	} {
+		var tracker Tracker
+		for _, e := range c.events {
+			if e == 's' {
+				tracker.Succeed(start)
+			} else {
+				tracker.Fail(start, uint64(e), c.spare)
+			}
+		}
+		require.Equal(t, c.want, tracker.Ejected(), c.name)
+	}
+}
+
+func TestProbesAreFewAndReadmit(t *testing.T) {
+	var tracker Tracker
+	for submission := range uint64(3) {
+		tracker.Fail(start, submission, true)
+	}
+	require.Zero(t, tracker.Allowance(start, 8))
+	now := start
+	probes := 0
+	for now.Before(start.Add(10 * time.Minute)) {
+		now = now.Add(100 * time.Millisecond)
+		if tracker.Allowance(now, 8) > 0 {
+			require.Equal(t, 1, tracker.Allowance(now, 8))
+			tracker.Fail(now, uint64(100+probes), true)
+			probes++
+		}
+	}
+	require.LessOrEqual(t, probes, 16, "the wait doubles up to a minute")
+	now = now.Add(maxWait)
+	require.Equal(t, 1, tracker.Allowance(now, 8))
+	tracker.Succeed(now)
+	require.Equal(t, 8, tracker.Allowance(now, 8))
+}
