Stop started tasks of failed jobs; suite badupstreams

Cause: a cancelled job freed its waiting tasks but its started ones held their slots to the end. Change: the tasks of a job that failed or was cancelled are stopped at their upstreams (DELETE), which is no evidence against the upstream. Suite badupstreams lets upstreams of each data centre fail everything, slow down and leave.

--- a/client/client.go
+++ b/client/client.go
@@ -32,6 +32,9 @@
 	// Backoff is the wait before the first resubmission; it doubles with each
 	// one up to 32 times its length. Zero takes 20 ms.
 	Backoff time.Duration
+	// Pick chooses the address of an attempt; nil takes Addresses in turn. It
+	// may be called concurrently.
+	Pick func() string
 	// Observe is told of every attempt; it may be nil. It may be called
 	// concurrently.
 	Observe func(Attempt)
@@ -45,7 +48,10 @@
 	Address string
 	// Failure is nil where the answer was complete.
 	Failure *verdict.Error
-	Ended   time.Time
+	// Lost is why no answer came, or nil.
+	Lost  error
+	Sent  time.Time
+	Ended time.Time
 }
 
 // Client makes calls. It is safe for concurrent use.
@@ -65,10 +71,13 @@
 // errDial marks an attempt that reached no VM.
 var errDial = errors.New("dial")
 
+// errNoAnswer marks an attempt whose response holds no answer.
+var errNoAnswer = errors.New("no answer")
+
 // New returns a client without connections. It panics where the config names
 // no address.
 func New(config Config) *Client {
-	if len(config.Addresses) == 0 {
+	if len(config.Addresses) == 0 && config.Pick == nil {
 		panic("client: the config names no address")
 	}
 	if config.Backoff == 0 {
@@ -188,10 +197,18 @@
 	return c.config.Backoff * time.Duration(min(1<<min(attempt, 16), maxBackoffFactor))
 }
 
+// pick returns the address of the next attempt.
+func (c *Client) pick() string {
+	if c.config.Pick != nil {
+		return c.config.Pick()
+	}
+	return c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
+}
+
 // attempt sends the call to the next address. answered is false where the
 // failure was concluded here.
 func (c *Client) attempt(r Request, body []byte, timeout time.Duration) (results []json.RawMessage, failure *verdict.Error, answered bool) {
-	address := c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
+	address := c.pick()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
@@ -202,33 +219,36 @@
 	request.Header.Set(api.HeaderIdempotencyKey, r.Key)
 	request.Header.Set(api.HeaderTimeoutMS, strconv.FormatInt(max(timeout.Milliseconds(), 1), 10))
 	request.SetBodyRaw(body)
-	results, failure, answered = c.send(request, response, timeout)
+	sent := time.Now()
+	results, failure, lost := c.send(request, response, timeout)
 	if c.config.Observe != nil {
-		c.config.Observe(Attempt{Key: r.Key, Address: address, Failure: failure, Ended: time.Now()})
+		c.config.Observe(Attempt{Key: r.Key, Address: address, Failure: failure, Lost: lost, Sent: sent, Ended: time.Now()})
 	}
-	return results, failure, answered
+	return results, failure, lost == nil
 }
 
-func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) (results []json.RawMessage, failure *verdict.Error, answered bool) {
+// send makes one attempt. lost tells why no answer came; then the failure was
+// concluded here.
+func (c *Client) send(request *fasthttp.Request, response *fasthttp.Response, timeout time.Duration) (results []json.RawMessage, failure *verdict.Error, lost error) {
 	wait := timeout + answerGrace
 	if c.config.AttemptTimeout > 0 {
 		wait = min(wait, c.config.AttemptTimeout)
 	}
 	if err := c.http.DoTimeout(request, response, wait); err != nil {
-		return nil, unanswered(err), false
+		return nil, unanswered(err), err
 	}
 	var answer api.CallResponse
 	if err := json.Unmarshal(response.Body(), &answer); err != nil || answer.Verdict == verdict.Unknown {
 		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable,
-			"status %d without an answer", response.StatusCode()), false
+			"status %d without an answer", response.StatusCode()), errNoAnswer
 	}
 	if answer.Verdict == verdict.Complete {
-		return answer.Results, nil, true
+		return answer.Results, nil, nil
 	}
 	return nil, &verdict.Error{
 		Verdict: answer.Verdict, Code: answer.Code, Reason: answer.Reason,
 		RetryAfter: time.Duration(answer.RetryAfterMS) * time.Millisecond,
-	}, true
+	}, nil
 }
 
 // unanswered judges an attempt that got no answer.
@@ -246,7 +266,7 @@
 	if !ok {
 		return errors.New("the context has no deadline")
 	}
-	address := c.config.Addresses[c.next.Add(1)%uint64(len(c.config.Addresses))]
+	address := c.pick()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
--- a/daemon/lend.go
+++ b/daemon/lend.go
@@ -26,7 +26,7 @@
 	if !lends {
 		return
 	}
-	view := d.members.View()
+	view := d.node.View()
 	var peers []dispatch.Peer
 	for _, dataCentre := range view.DataCentres {
 		for _, m := range view.Members(dataCentre) {
@@ -40,7 +40,7 @@
 
 // addressOf returns the peer address of a VM, or an empty text.
 func (d *Daemon) addressOf(vm string) string {
-	view := d.members.View()
+	view := d.node.View()
 	for _, dataCentre := range view.DataCentres {
 		for _, m := range view.Members(dataCentre) {
 			if m.VM == vm {
--- a/internal/httpfront/call.go
+++ b/internal/httpfront/call.go
@@ -104,7 +104,7 @@
 		return verdict.Errorf(verdict.NotRun, verdict.CodeKeyRequired,
 			"call %s is not idempotent: send the header %s", request.Call, api.HeaderIdempotencyKey)
 	}
-	_, failure := call.Expand(request.Parameters, f.config.MaxTasks)
+	_, failure := call.Expand(request.Parameters, f.config.MaxTasks())
 	return failure
 }
 
--- a/internal/httpfront/front_test.go
+++ b/internal/httpfront/front_test.go
@@ -62,7 +62,7 @@
 }
 
 var testConfig = Config{
-	MaxBody: 1 << 16, MaxHeader: 4096, MaxTasks: 3, MaxConns: 100,
+	MaxBody: 1 << 16, MaxHeader: 4096, MaxTasks: func() int { return 3 }, MaxConns: 100,
 	ReadTimeout: time.Minute, WriteTimeout: time.Minute, IdleTimeout: time.Minute,
 	Metrics: new(expvar.Map).Init(), Log: slog.New(slog.DiscardHandler),
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -75,6 +75,57 @@
 	})
 }
 
+// Capacity holds the settings of the capacity measurements.
+type Capacity struct {
+	// Output: form of the report.
+	Output string
+	// Lines: lines to measure, separated by commas; empty measures all.
+	Lines []string
+}
+
+// Bind declares the settings on the binder.
+func (s *Capacity) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Lines, definition[[]string]{
+		flag: "lines", env: "MUSTARDSTEP_LINES", help: "lines to measure, separated by commas; empty measures all", unit: "",
+	})
+}
+
+// Configuration holds how the configuration travels between the daemons.
+type Configuration struct {
+	// Interval: time between comparisons of the configuration with a peer.
+	Interval time.Duration
+	// Watchers: VMs of each data centre that wait on the watch of the platform's service, in VMs.
+	Watchers int
+	// Notify: tell peers of a change at once, not at the next comparison.
+	Notify bool
+	// StartWait: longest wait at start for the configuration of a peer or the platform, before the services file is used.
+	StartWait time.Duration
+	// CommitTimeout: longest time that a change by an operator is tried.
+	CommitTimeout time.Duration
+}
+
+// Bind declares the settings on the binder.
+func (s *Configuration) Bind(b *Binder) {
+	bind(b, &s.Interval, definition[time.Duration]{
+		flag: "config-interval", env: "MUSTARDSTEP_CONFIG_INTERVAL", help: "time between comparisons of the configuration with a peer", unit: "", fallback: "1s", min: bound[time.Duration](time.Duration(20000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.Watchers, definition[int]{
+		flag: "config-watchers", env: "MUSTARDSTEP_CONFIG_WATCHERS", help: "VMs of each data centre that wait on the watch of the platform's service", unit: "VMs", fallback: "1", min: bound[int](0), max: bound[int](1000),
+	})
+	bind(b, &s.Notify, definition[bool]{
+		flag: "config-notify", env: "MUSTARDSTEP_CONFIG_NOTIFY", help: "tell peers of a change at once, not at the next comparison", unit: "", fallback: "true",
+	})
+	bind(b, &s.StartWait, definition[time.Duration]{
+		flag: "config-start-wait", env: "MUSTARDSTEP_CONFIG_START_WAIT", help: "longest wait at start for the configuration of a peer or the platform, before the services file is used", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.CommitTimeout, definition[time.Duration]{
+		flag: "config-commit-timeout", env: "MUSTARDSTEP_CONFIG_COMMIT_TIMEOUT", help: "longest time that a change by an operator is tried", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(300000000000)),
+	})
+}
+
 // Demo holds the settings of the demonstration.
 type Demo struct {
 	// Keep: keep the system running until SIGINT or SIGTERM and print commands to try.
@@ -137,6 +188,10 @@
 	Retention time.Duration
 	// MaxQueued: most tasks waiting per service on one VM, in tasks.
 	MaxQueued int
+	// Memory: memory for records and answers of submissions, in bytes.
+	Memory int
+	// DrainDelay: time between the fall of readiness and the end of the listener for callers.
+	DrainDelay time.Duration
 	// DrainTimeout: longest time that a planned stop waits for requests in progress.
 	DrainTimeout time.Duration
 }
@@ -144,7 +199,7 @@
 // Bind declares the settings on the binder.
 func (s *Jobs) Bind(b *Binder) {
 	bind(b, &s.MaxTasks, definition[int]{
-		flag: "max-tasks", env: "MUSTARDSTEP_MAX_TASKS", help: "most tasks of one job", unit: "tasks", fallback: "130", min: bound[int](1), max: bound[int](10000),
+		flag: "max-tasks", env: "MUSTARDSTEP_MAX_TASKS", help: "most tasks of one job", unit: "tasks", fallback: "130", runtime: true, min: bound[int](1), max: bound[int](10000),
 	})
 	bind(b, &s.Retention, definition[time.Duration]{
 		flag: "retention", env: "MUSTARDSTEP_RETENTION", help: "time for which the answer of a submission is kept", unit: "", fallback: "10m", min: bound[time.Duration](time.Duration(1000000000)), max: bound[time.Duration](time.Duration(86400000000000)),
@@ -152,8 +207,14 @@
 	bind(b, &s.MaxQueued, definition[int]{
 		flag: "max-queued", env: "MUSTARDSTEP_MAX_QUEUED", help: "most tasks waiting per service on one VM", unit: "tasks", fallback: "100000", min: bound[int](1), max: bound[int](10000000),
 	})
+	bind(b, &s.Memory, definition[int]{
+		flag: "submission-memory", env: "MUSTARDSTEP_SUBMISSION_MEMORY", help: "memory for records and answers of submissions", unit: "bytes", fallback: "67108864", min: bound[int](1048576), max: bound[int](17179869184),
+	})
+	bind(b, &s.DrainDelay, definition[time.Duration]{
+		flag: "drain-delay", env: "MUSTARDSTEP_DRAIN_DELAY", help: "time between the fall of readiness and the end of the listener for callers", unit: "", fallback: "500ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
 	bind(b, &s.DrainTimeout, definition[time.Duration]{
-		flag: "drain-timeout", env: "MUSTARDSTEP_DRAIN_TIMEOUT", help: "longest time that a planned stop waits for requests in progress", unit: "", fallback: "30s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
+		flag: "drain-timeout", env: "MUSTARDSTEP_DRAIN_TIMEOUT", help: "longest time that a planned stop waits for requests in progress", unit: "", fallback: "30s", runtime: true, min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
 }
 
@@ -176,7 +237,45 @@
 		flag: "log-format", env: "MUSTARDSTEP_LOG_FORMAT", help: "form of a log line", unit: "", fallback: "json", oneOf: []string{"json", "text"},
 	})
 	bind(b, &s.Decisions, definition[bool]{
-		flag: "log-decisions", env: "MUSTARDSTEP_LOG_DECISIONS", help: "log a line for each routing or placement decision", unit: "", fallback: "true",
+		flag: "log-decisions", env: "MUSTARDSTEP_LOG_DECISIONS", help: "log a line for each routing or placement decision", unit: "", fallback: "true", runtime: true,
+	})
+}
+
+// Membership holds the timing of the protocol between the daemons.
+type Membership struct {
+	// DataCentres: all data centres, the same on every VM, separated by commas; empty takes those of the seeds.
+	DataCentres []string
+	// Heartbeat: time between heartbeats.
+	Heartbeat time.Duration
+	// Fanout: peers of the data centre that get a heartbeat each time, in peers.
+	Fanout int
+	// Fence: silence that, together with the platform's list, proves that a VM has ended.
+	Fence time.Duration
+	// RefusalProof: take a refused connection within the data centre as proof that a process has ended; turn it off where a relay or a firewall stands between VMs.
+	RefusalProof bool
+	// JoinTimeout: time after which a join that is not complete is started anew.
+	JoinTimeout time.Duration
+}
+
+// Bind declares the settings on the binder.
+func (s *Membership) Bind(b *Binder) {
+	bind(b, &s.DataCentres, definition[[]string]{
+		flag: "data-centres", env: "MUSTARDSTEP_DATA_CENTRES", help: "all data centres, the same on every VM, separated by commas; empty takes those of the seeds", unit: "",
+	})
+	bind(b, &s.Heartbeat, definition[time.Duration]{
+		flag: "heartbeat", env: "MUSTARDSTEP_HEARTBEAT", help: "time between heartbeats", unit: "", fallback: "1s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.Fanout, definition[int]{
+		flag: "heartbeat-fanout", env: "MUSTARDSTEP_HEARTBEAT_FANOUT", help: "peers of the data centre that get a heartbeat each time", unit: "peers", fallback: "6", min: bound[int](1), max: bound[int](1000),
+	})
+	bind(b, &s.Fence, definition[time.Duration]{
+		flag: "fence", env: "MUSTARDSTEP_FENCE", help: "silence that, together with the platform's list, proves that a VM has ended", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.RefusalProof, definition[bool]{
+		flag: "refusal-proof", env: "MUSTARDSTEP_REFUSAL_PROOF", help: "take a refused connection within the data centre as proof that a process has ended; turn it off where a relay or a firewall stands between VMs", unit: "", fallback: "true",
+	})
+	bind(b, &s.JoinTimeout, definition[time.Duration]{
+		flag: "join-timeout", env: "MUSTARDSTEP_JOIN_TIMEOUT", help: "time after which a join that is not complete is started anew", unit: "", fallback: "5s", min: bound[time.Duration](time.Duration(50000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
 }
 
@@ -190,6 +289,8 @@
 	HTTPListen string
 	// PeerListen: address for other daemons, host:port.
 	PeerListen string
+	// PeerAdvertise: address at which other daemons reach this one, host:port; empty takes that of -peer-listen.
+	PeerAdvertise string
 	// Seeds: entry VMs to contact at start, name=data-centre/host:port, separated by commas.
 	Seeds []string
 	// DialTimeout: longest wait for a connection to a peer or an upstream.
@@ -216,6 +317,9 @@
 	bind(b, &s.PeerListen, definition[string]{
 		flag: "peer-listen", env: "MUSTARDSTEP_PEER_LISTEN", help: "address for other daemons, host:port", unit: "", fallback: "127.0.0.1:8081",
 	})
+	bind(b, &s.PeerAdvertise, definition[string]{
+		flag: "peer-advertise", env: "MUSTARDSTEP_PEER_ADVERTISE", help: "address at which other daemons reach this one, host:port; empty takes that of -peer-listen", unit: "",
+	})
 	bind(b, &s.Seeds, definition[[]string]{
 		flag: "seeds", env: "MUSTARDSTEP_SEEDS", help: "entry VMs to contact at start, name=data-centre/host:port, separated by commas", unit: "",
 	})
@@ -243,6 +347,16 @@
 	CallTimeout time.Duration
 	// SchemaFile: services file that is used until the platform holds one.
 	SchemaFile string
+	// WatchWait: longest wait of one watch of the platform's service.
+	WatchWait time.Duration
+	// Rate: most calls to the platform's service in the long run; a waiting watch is one, in calls/s.
+	Rate float64
+	// Burst: most calls to the platform's service at once, in calls.
+	Burst float64
+	// BackoffMin: pause after the first failed call to the platform's service.
+	BackoffMin time.Duration
+	// BackoffMax: longest pause after failed calls to the platform's service.
+	BackoffMax time.Duration
 }
 
 // Bind declares the settings on the binder.
@@ -259,6 +373,21 @@
 	bind(b, &s.SchemaFile, definition[string]{
 		flag: "schema-file", env: "MUSTARDSTEP_SCHEMA_FILE", help: "services file that is used until the platform holds one", unit: "",
 	})
+	bind(b, &s.WatchWait, definition[time.Duration]{
+		flag: "platform-watch-wait", env: "MUSTARDSTEP_PLATFORM_WATCH_WAIT", help: "longest wait of one watch of the platform's service", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.Rate, definition[float64]{
+		flag: "platform-rate", env: "MUSTARDSTEP_PLATFORM_RATE", help: "most calls to the platform's service in the long run; a waiting watch is one", unit: "calls/s", fallback: "20", min: bound[float64](0.1), max: bound[float64](1000),
+	})
+	bind(b, &s.Burst, definition[float64]{
+		flag: "platform-burst", env: "MUSTARDSTEP_PLATFORM_BURST", help: "most calls to the platform's service at once", unit: "calls", fallback: "40", min: bound[float64](1), max: bound[float64](1000),
+	})
+	bind(b, &s.BackoffMin, definition[time.Duration]{
+		flag: "platform-backoff-min", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MIN", help: "pause after the first failed call to the platform's service", unit: "", fallback: "100ms", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BackoffMax, definition[time.Duration]{
+		flag: "platform-backoff-max", env: "MUSTARDSTEP_PLATFORM_BACKOFF_MAX", help: "longest pause after failed calls to the platform's service", unit: "", fallback: "5s", min: bound[time.Duration](time.Duration(1000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
 }
 
 // Replay holds the settings of a suite of replays.
@@ -267,8 +396,12 @@
 	Output string
 	// Seed: seed of the generated trace.
 	Seed int
-	// Seconds: length of the load, in seconds.
+	// Seconds: length of the load, or of each fault's load; 0 takes the suite's own, in seconds.
 	Seconds float64
+	// Fault: the one fault that the suite faults runs; empty runs all.
+	Fault string
+	// LogDir: directory that keeps the logs of the processes; empty keeps none.
+	LogDir string
 }
 
 // Bind declares the settings on the binder.
@@ -280,7 +413,13 @@
 		flag: "seed", env: "MUSTARDSTEP_SEED", help: "seed of the generated trace", unit: "", fallback: "1", min: bound[int](0), max: bound[int](1000000000),
 	})
 	bind(b, &s.Seconds, definition[float64]{
-		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of the load", unit: "seconds", fallback: "5", min: bound[float64](0.1), max: bound[float64](3600),
+		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of the load, or of each fault's load; 0 takes the suite's own", unit: "seconds", fallback: "0", min: bound[float64](0), max: bound[float64](3600),
+	})
+	bind(b, &s.Fault, definition[string]{
+		flag: "fault", env: "MUSTARDSTEP_FAULT", help: "the one fault that the suite faults runs; empty runs all", unit: "",
+	})
+	bind(b, &s.LogDir, definition[string]{
+		flag: "log-dir", env: "MUSTARDSTEP_LOG_DIR", help: "directory that keeps the logs of the processes; empty keeps none", unit: "",
 	})
 }
 
@@ -382,6 +521,16 @@
 	s.Bench.Bind(b)
 }
 
+// ReplayCapacityProgram holds every setting of mustardstep-replay capacity.
+type ReplayCapacityProgram struct {
+	Capacity Capacity
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayCapacityProgram) Bind(b *Binder) {
+	s.Capacity.Bind(b)
+}
+
 // ReplayDemoProgram holds every setting of mustardstep-replay demo.
 type ReplayDemoProgram struct {
 	Demo Demo
@@ -406,22 +555,26 @@
 
 // DaemonProgram holds every setting of mustardstepd.
 type DaemonProgram struct {
-	Callers     Callers
-	Diagnostics Diagnostics
-	Dispatch    Dispatch
-	Jobs        Jobs
-	Logging     Logging
-	Network     Network
-	Platform    Platform
+	Callers       Callers
+	Configuration Configuration
+	Diagnostics   Diagnostics
+	Dispatch      Dispatch
+	Jobs          Jobs
+	Logging       Logging
+	Membership    Membership
+	Network       Network
+	Platform      Platform
 }
 
 // Bind declares the settings on the binder.
 func (s *DaemonProgram) Bind(b *Binder) {
 	s.Callers.Bind(b)
+	s.Configuration.Bind(b)
 	s.Diagnostics.Bind(b)
 	s.Dispatch.Bind(b)
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
+	s.Membership.Bind(b)
 	s.Network.Bind(b)
 	s.Platform.Bind(b)
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -29,8 +29,10 @@
 	time  time.Duration // run time at speed 1 of a task that names none
 
 	mu      sync.Mutex // guards the fields below
+	fault   api.UpstreamFault
 	running int
 	starts  []api.StartEntry
+	stops   map[taskName]chan struct{} // closed to stop a task
 }
 
 // start notes the start of a task, or refuses it where no slot is free.
@@ -56,7 +58,13 @@
 func (u *upstream) handle(c *fasthttp.RequestCtx) {
 	switch string(c.Path()) {
 	case "/v1/tasks":
+		if c.IsDelete() {
+			u.stop(c)
+			return
+		}
 		u.run(c)
+	case "/standin/fault":
+		u.setFault(c)
 	case "/standin/starts":
 		u.mu.Lock()
 		defer u.mu.Unlock()
@@ -72,12 +80,35 @@
 		writeJSON(c, fasthttp.StatusBadRequest, api.TaskResponse{Error: err.Error()})
 		return
 	}
+	fault := u.currentFault()
+	if refused := refusal(fault.Mode); refused != nil {
+		writeJSON(c, fasthttp.StatusServiceUnavailable, refused)
+		return
+	}
 	if !u.start(&task) {
 		writeJSON(c, fasthttp.StatusServiceUnavailable, api.TaskResponse{Error: "no free slot"})
 		return
 	}
-	defer u.end()
-	time.Sleep(u.runTime(&task))
+	whole := fault.Mode == api.UpstreamFailing || u.sleep(&task, u.runTime(&task, fault))
+	u.end()
+	if !whole {
+		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: "stopped"})
+		return
+	}
+	time.Sleep(lateness(fault))
+	u.answer(c, &task, fault.Mode)
+}
+
+// answer ends the request of a task that ran.
+func (u *upstream) answer(c *fasthttp.RequestCtx, task *api.TaskRequest, mode api.UpstreamMode) {
+	switch mode {
+	case api.UpstreamAnswersLost:
+		closeUnanswered(c)
+		return
+	case api.UpstreamFailing:
+		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: "failed by a fault"})
+		return
+	}
 	result, err := json.Marshal(api.StandinResult{Submission: task.Submission, Task: task.Task, Upstream: u.name})
 	if err != nil {
 		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: err.Error()})
@@ -86,7 +117,7 @@
 	writeJSON(c, fasthttp.StatusOK, api.TaskResponse{Started: true, Result: result})
 }
 
-func (u *upstream) runTime(task *api.TaskRequest) time.Duration {
+func (u *upstream) runTime(task *api.TaskRequest, fault api.UpstreamFault) time.Duration {
 	var own api.StandinTask
 	// An item of another form takes the default time.
 	_ = json.Unmarshal(task.Item, &own)
@@ -94,6 +125,9 @@
 	if own.RunUS > 0 {
 		base = time.Duration(own.RunUS) * time.Microsecond
 	}
+	if fault.Mode == api.UpstreamSlow {
+		base = time.Duration(float64(base) * fault.Factor)
+	}
 	return time.Duration(float64(base) / u.speed)
 }
 
