Take the upstreams from a service that has lost them all

Cause: only services with an upstream on the list were handed to the dispatcher, so that the last upstream of a service stayed in use after the platform had listed it as gone or no more. Change: services that have had upstreams are named with none. Ruled out: the dispatcher's own replacement, which drops what it is not given. Figures: TestServicesWhoseUpstreamsAreGoneGetNone fails without the change (the service is not named) and passes with it. Conclusion: mended.

--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -21,9 +21,10 @@
 	ticker := time.NewTicker(d.settings.Platform.ListInterval)
 	defer ticker.Stop()
 	list := d.readDirectory(ctx, nil)
+	served := services{}
 	for {
 		changed := d.node.Members().Changed()
-		d.divideUpstreams(list)
+		d.divideUpstreams(list, served)
 		select {
 		case <-changed:
 		case <-ticker.C:
@@ -37,13 +38,13 @@
 
 // divideUpstreams takes this VM's share of the upstreams on the list. A VM that
 // has not joined takes none.
-func (d *Daemon) divideUpstreams(list *api.VMList) {
+func (d *Daemon) divideUpstreams(list *api.VMList, served services) {
 	view := d.node.View()
 	if list == nil || !view.Admitted(view.Self.ID()) {
 		return
 	}
 	d.setPeers()
-	for service, upstreams := range selectUpstreams(view, list.VMs, d.drainedUpstream) {
+	for service, upstreams := range served.divide(view, list.VMs, d.drainedUpstream) {
 		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
 	}
 	d.listed.Store(true)
@@ -70,6 +71,24 @@
 	return list
 }
 
+// services are those that have had upstreams here.
+type services map[string]bool
+
+// divide returns the upstreams of this VM by service. A service that has lost
+// all of its upstreams is named with none.
+func (s services) divide(view *membership.View, vms []api.VM, drained func(string) bool) map[string][]dispatch.Upstream {
+	selected := selectUpstreams(view, vms, drained)
+	for service := range selected {
+		s[service] = true
+	}
+	for service := range s {
+		if selected[service] == nil {
+			selected[service] = nil
+		}
+	}
+	return selected
+}
+
 // selectUpstreams returns, by service, the upstreams of this data centre with
 // the slots that belong to this VM.
 func selectUpstreams(view *membership.View, vms []api.VM, drained func(string) bool) map[string][]dispatch.Upstream {
