Admit by quota, deadline and size; bound repeated offers; fix a race

Cause: a job whose deadline the queue already passes, or that no upstream can hold, waited until it failed; refusals were offered again without a common bound. The read of an upstream while the list replaces it was a data race (found by TestDemoPrintsACompleteAnswer, now caused by TestConcurrentUseRunsEveryTaskOnce). An offered slot carries its upstream from under the lock.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/admission"
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
@@ -46,6 +47,7 @@
 	node        *ownership.Node
 	submissions *submission.Table
 	dispatcher  dispatcher
+	quotas      *admission.Quotas
 
 	front     *httpfront.Front
 	peers     *peer.Transport
@@ -101,6 +103,7 @@
 			JoinTimeout: s.Membership.JoinTimeout, Budget: s.Jobs.Memory, Fanout: s.Membership.Fanout,
 		}),
 		dispatcher: newDispatcher(&s),
+		quotas:     admission.NewQuotas(),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
 	d.catalog.Store(catalog.Empty())
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -42,6 +42,7 @@
 // finish enters the end of a job.
 func (d *Daemon) finish(run *running, outcome submission.Outcome) {
 	run.deadline.Stop()
+	d.quotas.Release(run.entry.ID.Caller, len(run.items))
 	if outcome.Failure != nil {
 		d.dispatcher.Cancel(run.call.Service, run.entry.ID)
 		d.stopTasks(run)
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -27,6 +27,10 @@
 	if failure != nil {
 		return failure
 	}
+	quota, _ := d.configuration.table.Current().Quota(entry.ID.Caller)
+	if failure := d.quotas.Admit(entry.ID.Caller, len(items), quota); failure != nil {
+		return failure
+	}
 	run := &running{entry: entry, job: job.New(len(items)), call: call, parameters: r.Parameters}
 	tasks := make([]*dispatch.Task, len(items))
 	for i, item := range items {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -87,7 +87,7 @@
 	p := d.pool(a.Upstream.Service)
 	p.release(now, &a, r)
 	if r.Ending == Refused {
-		if a.Task.CountRefusal() > a.Task.Call.Retries {
+		if a.Task.CountRefusal() > a.Task.Call.Retries || !p.retries.Spend() {
 			dropped = true
 		} else {
 			p.requeue(a.Task)
--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -161,27 +161,31 @@
 	d := newTest(threads*jobs*size, 3, 1, 2, 5)
 	var mu sync.Mutex // guards ran
 	ran := map[string]int{}
+	run := func(work []Assignment) {
+		for len(work) > 0 {
+			a := work[0]
+			mu.Lock()
+			ran[fmt.Sprint(a.Task.Submission.Key, "/", a.Task.Index)]++
+			mu.Unlock()
+			work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
+		}
+	}
 	var wg sync.WaitGroup
+	wg.Go(func() {
+		for range jobs {
+			run(d.SetUpstreams(start, "s", upstreamsOf(3, 1, 2, 5)))
+		}
+	})
 	for thread := range threads {
 		wg.Go(func() {
 			for i := range jobs {
 				work, _ := d.Add(start, makeTasks(normalCall, fmt.Sprintf("%d-%d", thread, i), size))
-				for len(work) > 0 {
-					a := work[0]
-					mu.Lock()
-					ran[fmt.Sprint(a.Task.Submission.Key, "/", a.Task.Index)]++
-					mu.Unlock()
-					work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
-				}
+				run(work)
 			}
 		})
 	}
 	wg.Wait()
-	for work := d.Tick(start); len(work) > 0; {
-		a := work[0]
-		ran[fmt.Sprint(a.Task.Submission.Key, "/", a.Task.Index)]++
-		work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
-	}
+	run(d.Tick(start))
 	require.Len(t, ran, threads*jobs*size)
 	for task, n := range ran {
 		require.Equal(t, 1, n, task)
--- a/dispatch/outlook.go
+++ b/dispatch/outlook.go
@@ -13,6 +13,8 @@
 	usable int
 	// upstreams and those of them that are ejected.
 	upstreams, ejected int
+	// sizes are the different sizes of the upstreams.
+	sizes []catalog.Size
 	// levels are the buckets that have slots, the fastest first.
 	levels []level
 	// demand is the work that arrives per second in each class and those above
@@ -65,3 +67,15 @@
 func (o *outlook) spare() bool {
 	return float64(o.ejected+1) <= maxEjected*float64(o.upstreams)
 }
+
+// fits tells whether a task of a size can run on an upstream. An upstream whose
+// size is not known takes any.
+func (o *outlook) fits(size catalog.Size) bool {
+	for _, has := range o.sizes {
+		if has == (catalog.Size{}) || (size.MilliCPU <= has.MilliCPU &&
+			size.MemoryMB <= has.MemoryMB && size.Accelerators <= has.Accelerators) {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mustardstep/mustardstep/admission"
+	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -19,6 +21,8 @@
 	calls   callModels
 	epoch   atomic.Pointer[time.Time] // time of the first job
 	waiting atomic.Int64
+	byClass [classCount]atomic.Int64 // waiting tasks of each class
+	retries admission.RetryBudget
 	outlook atomic.Pointer[outlook]
 	// lastCall is the call of the last job that was added.
 	lastCall  atomic.Pointer[callModel]
@@ -50,9 +54,8 @@
 
 // add queues the tasks of one job.
 func (p *pool) add(now time.Time, tasks []*Task) *verdict.Error {
-	if p.outlook.Load().usable == 0 {
-		return verdict.Errorf(verdict.NotRun, verdict.CodeNoUpstream,
-			"service %s has no upstream here", tasks[0].Call.Service)
+	if failure := p.admit(now, tasks[0]); failure != nil {
+		return failure
 	}
 	n := int64(len(tasks))
 	if waiting := p.waiting.Add(n); waiting > int64(p.config.MaxQueued) {
@@ -63,6 +66,7 @@
 	for _, task := range tasks {
 		task.queued = now
 	}
+	p.retries.Earn(len(tasks))
 	p.push(tasks...)
 	call := p.calls.get(tasks[0].Call)
 	p.lastCall.Store(call)
@@ -71,6 +75,47 @@
 	return nil
 }
 
+// admit refuses a job that can never run, or not before its deadline.
+func (p *pool) admit(now time.Time, task *Task) *verdict.Error {
+	o := p.outlook.Load()
+	if o.usable == 0 {
+		return verdict.Errorf(verdict.NotRun, verdict.CodeNoUpstream,
+			"service %s has no upstream here", task.Call.Service)
+	}
+	if !o.fits(task.Call.Size) {
+		return verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
+			"call %s needs %d thousandths of a core, %d MB and %d accelerators; no upstream has as much",
+			task.Call.Name, task.Call.Size.MilliCPU, task.Call.Size.MemoryMB, task.Call.Size.Accelerators)
+	}
+	if task.Deadline.IsZero() {
+		return nil
+	}
+	wait := p.expectedWait(task.Call.Priority, p.calls.get(task.Call).base())
+	if left := seconds(now, task.Deadline); deadlineShare*wait > left {
+		return verdict.Errorf(verdict.NotRun, verdict.CodeDeadline,
+			"the queue takes about %.1f s and the deadline is in %.1f s", wait, left).WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// deadlineShare is the part of the expected wait that must exceed the time left
+// before a job is refused, since the expectation can be off.
+const deadlineShare = 0.7
+
+// expectedWait returns the time, in seconds, for the waiting tasks of a class
+// and those above it to start.
+func (p *pool) expectedWait(class catalog.Priority, base float64) float64 {
+	o := p.outlook.Load()
+	if len(o.levels) == 0 {
+		return 0
+	}
+	waiting := int64(0)
+	for c := int(class); c < classCount; c++ {
+		waiting += p.byClass[c].Load()
+	}
+	return float64(waiting) * base / o.levels[len(o.levels)-1].rate
+}
+
 func (p *pool) requeue(task *Task) {
 	p.waiting.Add(1)
 	p.push(task)
@@ -78,6 +123,7 @@
 
 func (p *pool) push(tasks ...*Task) {
 	first := tasks[0]
+	p.byClass[first.Call.Priority].Add(int64(len(tasks)))
 	p.epoch.CompareAndSwap(nil, &first.queued)
 	arrived := seconds(*p.epoch.Load(), first.queued)
 	p.queueOf(first.Submission).push(p.calls.get(first.Call), arrived, tasks...)
@@ -103,8 +149,9 @@
 }
 
 func (p *pool) cancel(id submission.ID) int {
-	n := p.queueOf(id).cancel(id)
+	n, class := p.queueOf(id).cancel(id)
 	p.waiting.Add(int64(-n))
+	p.byClass[class].Add(int64(-n))
 	return n
 }
 
@@ -150,6 +197,7 @@
 		s.survey(now, &sum)
 	}
 	o.usable, o.upstreams, o.ejected = sum.usable, sum.upstreams, sum.ejected
+	o.sizes = sum.sizes
 	rate := 0.0
 	for bucket, c := range sum.capacity {
 		if c > 0 {
@@ -175,26 +223,27 @@
 		if shard < 0 {
 			return out
 		}
-		taken, bucket := p.slots[shard].take()
-		if taken == nil {
+		taken, ok := p.slots[shard].take()
+		if !ok {
 			continue
 		}
-		task, declined := p.match(first, taken, bucket)
+		task, declined := p.match(first, taken)
 		if task != nil {
 			p.waiting.Add(-1)
+			p.byClass[task.Call.Priority].Add(-1)
 			out = append(out, newAssignment(now, task, taken))
 			continue
 		}
-		p.slots[shard].put(taken)
+		p.slots[shard].put(taken.slots)
 		if declined {
 			return out
 		}
 	}
 }
 
-func newAssignment(now time.Time, task *Task, s *slots) Assignment {
-	a := Assignment{Task: task, Upstream: s.upstream, Waited: now.Sub(task.queued), slots: s}
-	if s.loan != nil {
+func newAssignment(now time.Time, task *Task, o offer) Assignment {
+	a := Assignment{Task: task, Upstream: o.upstream, Waited: now.Sub(task.queued), slots: o.slots}
+	if o.slots.loan != nil {
 		a.Reason = Borrowed
 	}
 	return a
@@ -202,14 +251,14 @@
 
 // match offers a slot to the queues, the one with the first job before the
 // others. declined tells that tasks wait and none wants the slot.
-func (p *pool) match(first int, taken *slots, bucket int) (task *Task, declined bool) {
+func (p *pool) match(first int, taken offer) (task *Task, declined bool) {
 	o := p.outlook.Load()
 	for i := range shardCount {
 		q := p.queues[(first+i)%shardCount]
 		if q.top.load() == noScore {
 			continue
 		}
-		task, waiting := q.pop(taken, bucket, o)
+		task, waiting := q.pop(taken, o)
 		if task != nil {
 			return task, false
 		}
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -112,16 +112,16 @@
 // considered is the most jobs of a shard that are offered a slot.
 const considered = 4
 
-// pop takes a task for a slot of a bucket, or returns nil: with declined set
+// pop takes a task for an offered slot, or returns nil: with declined set
 // where tasks wait but would rather wait for a faster slot.
-func (q *queueShard) pop(s *slots, bucket int, outlook *outlook) (task *Task, declined bool) {
+func (q *queueShard) pop(taken offer, outlook *outlook) (task *Task, declined bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	ahead := 0
 	for i := range min(len(q.heap), considered) {
 		j := q.heap[i]
 		ahead += len(j.tasks)
-		if outlook.accepts(j.model, j.call.Priority, bucket, s.offset(j.model), ahead) {
+		if outlook.accepts(j.model, j.call.Priority, taken.bucket, taken.slots.offset(j.model), ahead) {
 			return q.remove(j), false
 		}
 	}
@@ -147,17 +147,17 @@
 	delete(q.jobs, j.id)
 }
 
-// cancel removes the tasks of a submission and returns their number.
-func (q *queueShard) cancel(id submission.ID) int {
+// cancel removes the tasks of a submission and returns their number and class.
+func (q *queueShard) cancel(id submission.ID) (int, catalog.Priority) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	j := q.jobs[id]
 	if j == nil {
-		return 0
+		return 0, 0
 	}
 	q.drop(j)
 	q.publish()
-	return len(j.tasks)
+	return len(j.tasks), j.call.Priority
 }
 
 // seconds returns the time between two instants in seconds.
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -3,10 +3,12 @@
 import (
 	"math"
 	"math/bits"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/health"
 )
 
@@ -71,18 +73,26 @@
 	return s
 }
 
-// take uses a free slot of the fastest upstream and returns its bucket, or nil.
-func (s *slotShard) take() (chosen *slots, bucket int) {
+// offer is a slot that was taken and is offered to the queues.
+type offer struct {
+	slots    *slots
+	upstream *Upstream
+	bucket   int
+}
+
+// take uses a free slot of the fastest upstream. ok is false where none is
+// free.
+func (s *slotShard) take() (o offer, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.nonEmpty == 0 {
-		return nil, bucketCount
+		return offer{}, false
 	}
-	bucket = bits.TrailingZeros64(s.nonEmpty)
-	chosen = s.buckets[bucket].head
+	bucket := bits.TrailingZeros64(s.nonEmpty)
+	chosen := s.buckets[bucket].head
 	chosen.used++
 	s.relist(chosen)
-	return chosen, bucket
+	return offer{chosen, chosen.upstream, bucket}, true
 }
 
 // put gives a slot back without a result.
@@ -212,6 +222,7 @@
 type census struct {
 	capacity                   [bucketCount]float64 // summed speed by bucket
 	usable, upstreams, ejected int
+	sizes                      []catalog.Size // each once
 }
 
 // survey adds the slots of the shard and lists ejected upstreams whose next
@@ -225,6 +236,9 @@
 		}
 		sum.usable += c.limit
 		sum.upstreams++
+		if !slices.Contains(sum.sizes, c.upstream.Size) {
+			sum.sizes = append(sum.sizes, c.upstream.Size)
+		}
 		if c.health.Ejected() {
 			sum.ejected++
 			c.allowed = c.health.Allowance(now, c.limit)
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -11,7 +11,7 @@
 
 // deciding packages are driven by events and the time, so that any front end
 // can use them: they must reach no network, file, encoding or daemon package.
-var deciding = []string{"membership", "submission", "ownership", "job", "dispatch", "dispatch/baseline", "configuration", "health"}
+var deciding = []string{"membership", "submission", "ownership", "job", "dispatch", "dispatch/baseline", "configuration", "health", "admission"}
 
 var forbidden = []string{
 	"net", "os", "encoding/", "syscall", "github.com/valyala/", "github.com/tinylib/",
