Let ageing weigh less, learn speeds longer, lend more at once

Change: a second of waiting outweighs 0.3 s of work (was 1), the floor of the speed's learning is 0.02 (was 0.03), a VM lends four fifths of its free slots (was half).

--- a/dispatch/lend.go
+++ b/dispatch/lend.go
@@ -61,7 +61,7 @@
 	// back the slots of a borrower that does not answer.
 	reclaimAfter = 30 * time.Second
 	// lendShare is the share of its free slots that a VM lends at once.
-	lendShare = 0.5
+	lendShare = 0.8
 	// lendGain is the part of the present expectation that a borrowed slot
 	// must stay under to be worth the messages.
 	lendGain = 0.8
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -18,7 +18,7 @@
 	// task that has waited that much longer passes a task of the higher class.
 	classGap = 30.0
 	// ageWeight is the work that one second of waiting outweighs.
-	ageWeight = 1.0
+	ageWeight = 0.3
 )
 
 // noScore is the score of an empty queue.
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -17,7 +17,7 @@
 // floor.
 const (
 	speedPrior = 4
-	speedFloor = 0.03
+	speedFloor = 0.02
 	callPrior  = 1
 	callFloor  = 0.005
 	// callOffsetPrior makes an upstream deviate for one call only on evidence.
