Read an upstream under its shard's lock when a slot is taken

Ruled out: the speed model and the loan, which are atomic or set once. Change: take returns the upstream together with the slot.

--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -188,3 +188,25 @@
 	}
 	require.Zero(t, d.Waiting())
 }
+
+func TestListChangesWhileTasksAreBound(t *testing.T) {
+	const rounds = 300
+	d := newTest(rounds, 2, 2)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := range rounds {
+			upstreams := upstreamsOf(2, 2)
+			upstreams[i%2].Leaving = true
+			d.SetUpstreams(start, "s", upstreams)
+		}
+	})
+	for i := range rounds {
+		work, failure := d.Add(start, makeTasks(normalCall, fmt.Sprint(i), 1))
+		require.Nil(t, failure)
+		for len(work) > 0 {
+			a := work[0]
+			work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
+		}
+	}
+	wg.Wait()
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -175,14 +175,14 @@
 		if shard < 0 {
 			return out
 		}
-		taken, bucket := p.slots[shard].take()
+		taken, upstream, bucket := p.slots[shard].take()
 		if taken == nil {
 			continue
 		}
 		task, declined := p.match(first, taken, bucket)
 		if task != nil {
 			p.waiting.Add(-1)
-			out = append(out, newAssignment(now, task, taken))
+			out = append(out, newAssignment(now, task, taken, upstream))
 			continue
 		}
 		p.slots[shard].put(taken)
@@ -192,8 +192,8 @@
 	}
 }
 
-func newAssignment(now time.Time, task *Task, s *slots) Assignment {
-	a := Assignment{Task: task, Upstream: s.upstream, Waited: now.Sub(task.queued), slots: s}
+func newAssignment(now time.Time, task *Task, s *slots, u *Upstream) Assignment {
+	a := Assignment{Task: task, Upstream: u, Waited: now.Sub(task.queued), slots: s}
 	if s.loan != nil {
 		a.Reason = Borrowed
 	}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -71,18 +71,19 @@
 	return s
 }
 
-// take uses a free slot of the fastest upstream and returns its bucket, or nil.
-func (s *slotShard) take() (chosen *slots, bucket int) {
+// take uses a free slot of the fastest upstream and returns the upstream as it
+// is then and its bucket, or nil.
+func (s *slotShard) take() (chosen *slots, upstream *Upstream, bucket int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.nonEmpty == 0 {
-		return nil, bucketCount
+		return nil, nil, bucketCount
 	}
 	bucket = bits.TrailingZeros64(s.nonEmpty)
 	chosen = s.buckets[bucket].head
 	chosen.used++
 	s.relist(chosen)
-	return chosen, bucket
+	return chosen, chosen.upstream, bucket
 }
 
 // put gives a slot back without a result.
