--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -30,10 +30,11 @@
 	ejections atomic.Int64
 	// arrived is the work of each class that arrived since the last survey, in
 	// seconds; demand is its average per second.
-	arrived [classCount]atomicFloat
-	demand  [classCount]atomicFloat
-	queues  [shardCount]*queueShard
-	slots   [shardCount]*slotShard
+	arrived   [classCount]atomicFloat
+	demand    [classCount]atomicFloat
+	queues    [shardCount]*queueShard
+	histories [shardCount]history // of the queue shards
+	slots     [shardCount]*slotShard
 }
 
 func newPool(config Config) *pool {
@@ -227,11 +228,13 @@
 		if !ok {
 			continue
 		}
-		task, declined := p.match(first, taken)
+		task, refusals, declined := p.match(first, taken)
 		if task != nil {
 			p.waiting.Add(-1)
 			p.byClass[task.Call.Priority].Add(-1)
-			out = append(out, newAssignment(now, task, taken))
+			a := newAssignment(now, task, taken)
+			p.histories[task.Submission.Hash()%shardCount].add(now, &a, refusals, p.outlook.Load())
+			out = append(out, a)
 			continue
 		}
 		p.slots[shard].put(taken.slots)
@@ -250,21 +253,22 @@
 }
 
 // match offers a slot to the queues, the one with the first job before the
-// others. declined tells that tasks wait and none wants the slot.
-func (p *pool) match(first int, taken offer) (task *Task, declined bool) {
+// others. refusals are the offers that the job of the task declined before;
+// declined tells that tasks wait and none wants the slot.
+func (p *pool) match(first int, taken offer) (task *Task, refusals int, declined bool) {
 	o := p.outlook.Load()
 	for i := range shardCount {
 		q := p.queues[(first+i)%shardCount]
 		if q.top.load() == noScore {
 			continue
 		}
-		task, waiting := q.pop(taken, o)
+		task, refusals, waiting := q.pop(taken, o)
 		if task != nil {
-			return task, false
+			return task, refusals, false
 		}
 		declined = declined || waiting
 	}
-	return nil, declined
+	return nil, 0, declined
 }
 
 // firstQueue returns the shard whose first job has the least score, or -1.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -36,6 +36,8 @@
 	arrived float64 // seconds since the epoch of the pool
 	score   float64
 	index   int // in the heap
+	// declined is the number of offered slots that the job did not take.
+	declined int
 }
 
 func (j *waitingJob) update() {
@@ -114,7 +116,7 @@
 
 // pop takes a task for an offered slot, or returns nil: with declined set
 // where tasks wait but would rather wait for a faster slot.
-func (q *queueShard) pop(taken offer, outlook *outlook) (task *Task, declined bool) {
+func (q *queueShard) pop(taken offer, outlook *outlook) (task *Task, refusals int, declined bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	ahead := 0
@@ -122,10 +124,11 @@
 		j := q.heap[i]
 		ahead += len(j.tasks)
 		if outlook.accepts(j.model, j.call.Priority, taken.bucket, taken.slots.offset(j.model), ahead) {
-			return q.remove(j), false
+			return q.remove(j), j.declined, false
 		}
+		j.declined++
 	}
-	return nil, len(q.heap) > 0
+	return nil, 0, len(q.heap) > 0
 }
 
 // remove takes the first task of a job. The caller holds mu.
