Account for every departure in a fill; a refusal counts once the address is established

Change: a refusal proves an end only where the member has answered at its address or has been known for two heartbeats; fills name every departure.

--- a/membership/proof.go
+++ b/membership/proof.go
@@ -7,7 +7,9 @@
 
 // Refused records that a member's address refused a connection that was opened
 // while it was known. It reports whether that proves its end: only for a VM of
-// the same data centre and where the settings allow it.
+// the same data centre, where the settings allow it, and where the address is
+// known to have reached the member or the member has been known for a while,
+// since an address may open later than the process.
 func (t *Table) Refused(now time.Time, m Member) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -16,7 +18,7 @@
 		return false
 	}
 	p.failed = true
-	if !t.config.RefusalProof || !t.local(m.ID(), p) {
+	if !t.config.RefusalProof || !t.local(m.ID(), p) || !t.established(now, p) {
 		return false
 	}
 	t.learn(now, Fact{Member: m, Ended: Refused})
@@ -24,6 +26,12 @@
 	return true
 }
 
+// established tells whether a member has answered at its address, or has been
+// known for so long that it should have. The caller holds mu.
+func (t *Table) established(now time.Time, p *peer) bool {
+	return !p.confirmed.IsZero() || now.Sub(p.since) >= 2*t.config.Interval
+}
+
 // Vacant records that a seed's address refused a connection.
 func (t *Table) Vacant(seed Seed) {
 	t.mu.Lock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -253,11 +253,15 @@
 		switch {
 		case p.fact.ranked() && (isLocal && p.counted || !isLocal && p.fact.Admitted):
 			members[m.DataCentre] = append(members[m.DataCentre], m)
-		case isLocal && !p.fact.ranked() && (p.counted || p.fact.Admitted):
+		case isLocal && !p.fact.ranked():
 			v.Departed = append(v.Departed, id)
+			if p.counted || p.fact.Admitted {
+				v.Owners = append(v.Owners, id)
+			}
 		}
 	}
 	slices.Sort(v.Departed)
+	slices.Sort(v.Owners)
 	for dataCentre, list := range members {
 		v.ranks[dataCentre] = newRanking(list)
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -16,9 +16,11 @@
 	DataCentres []string
 	// Epoch grows whenever a member ends or leaves.
 	Epoch uint64
-	// Departed are the members of the own data centre that have ended or are
-	// leaving and whose starts are within the retention.
+	// Departed are the incarnations of the own data centre that have ended or
+	// are leaving and whose starts are within the retention.
 	Departed []ID
+	// Owners are those of Departed that may have owned submissions.
+	Owners []ID
 
 	homes []uint64 // hashes of DataCentres
 	moved map[string]string
--- a/ownership/coverage.go
+++ b/ownership/coverage.go
@@ -50,7 +50,7 @@
 	}
 	c.epoch = view.Epoch
 	self := view.Self.ID()
-	for _, id := range view.Departed {
+	for _, id := range view.Owners {
 		if _, known := c.departed[id]; known || id == self {
 			continue
 		}
@@ -92,13 +92,13 @@
 	}
 }
 
-// filled tells whether a member has filled this process and accounted for all
-// of the departures.
-func (c *coverage) filled(id membership.ID, departed []membership.ID) bool {
+// filled tells whether a member has filled this process and accounted for the
+// departures of all who may have owned submissions.
+func (c *coverage) filled(id membership.ID, owners []membership.ID) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	markers, known := c.markers[id]
-	for _, d := range departed {
+	for _, d := range owners {
 		if !markers[d] {
 			return false
 		}
--- a/ownership/join.go
+++ b/ownership/join.go
@@ -36,7 +36,7 @@
 // caller holds mu.
 func (n *Node) joinable(view *membership.View, members []membership.Member) bool {
 	for _, m := range members {
-		if !n.accepted[m.ID()] || !n.coverage.filled(m.ID(), view.Departed) {
+		if !n.accepted[m.ID()] || !n.coverage.filled(m.ID(), view.Owners) {
 			return false
 		}
 	}
