--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -100,7 +100,9 @@
 			s.model.observe(d.pool("s").calls.get(normalCall), t.Seconds())
 		}
 	}
-	d.Tick(start)
+	for range 1000 { // the demand of the lesson is forgotten
+		d.Tick(start)
+	}
 }
 
 func TestLearntSpeedChoosesAndTailWaits(t *testing.T) {
@@ -128,6 +130,7 @@
 	a := add(t, d, start, normalCall, "k", 1)[0]
 	next, dropped := d.Finish(start, a, Result{Ending: Refused}, nil)
 	require.False(t, dropped)
+	next = append(next, d.Tick(start)...)
 	require.Len(t, next, 1)
 	_, dropped = d.Finish(start, next[0], Result{Ending: Refused}, nil)
 	require.True(t, dropped)
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -32,6 +32,7 @@
 	fault   api.UpstreamFault
 	running int
 	starts  []api.StartEntry
+	stops   map[taskName]chan struct{} // closed to stop a task
 }
 
 // start notes the start of a task, or refuses it where no slot is free.
@@ -57,6 +58,10 @@
 func (u *upstream) handle(c *fasthttp.RequestCtx) {
 	switch string(c.Path()) {
 	case "/v1/tasks":
+		if c.IsDelete() {
+			u.stop(c)
+			return
+		}
 		u.run(c)
 	case "/standin/fault":
 		u.setFault(c)
@@ -84,10 +89,12 @@
 		writeJSON(c, fasthttp.StatusServiceUnavailable, api.TaskResponse{Error: "no free slot"})
 		return
 	}
-	if fault.Mode != api.UpstreamFailing {
-		time.Sleep(u.runTime(&task, fault))
-	}
+	whole := fault.Mode == api.UpstreamFailing || u.sleep(&task, u.runTime(&task, fault))
 	u.end()
+	if !whole {
+		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: "stopped"})
+		return
+	}
 	time.Sleep(lateness(fault))
 	u.answer(c, &task, fault.Mode)
 }
