--- /dev/null
+++ b/membership/proof_test.go
@@ -0,0 +1,144 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testFence = 10 * time.Second
+
+func member(vm string, incarnation uint64) Member {
+	return Member{VM: vm, Incarnation: incarnation, DataCentre: vm[:1], Address: vm}
+}
+
+// newTestTable returns the table of a1, which has joined and counts a2 and a3.
+func newTestTable(refusalProof bool) (*Table, time.Time) {
+	now := time.Unix(1000, 0)
+	t := NewTable(now, Config{
+		Self: member("a1", 1), Interval: time.Second, Fence: testFence, Retention: time.Hour, RefusalProof: refusalProof,
+	})
+	t.Admit(now)
+	for _, vm := range []string{"a2", "a3"} {
+		t.Count(now, member(vm, 1))
+		t.HandleReply(now, now, &Digest{From: member(vm, 1)})
+	}
+	t.Heard(now, member("b1", 1))
+	return t, now
+}
+
+// answer makes a member answer a heartbeat sent now.
+func answer(t *Table, now time.Time, vm string, suspects ...ID) {
+	t.HandleReply(now, now, &Digest{From: member(vm, 1), Suspects: suspects})
+}
+
+func TestProofOfEnd(t *testing.T) {
+	a2 := member("a2", 1)
+	cases := []struct {
+		name    string
+		relayed bool
+		fault   func(t *Table, now time.Time)
+		ended   Proof
+	}{
+		{"silence alone", false, func(t *Table, now time.Time) {
+			answer(t, now.Add(10*testFence), "a3")
+			t.Tick(now.Add(10 * testFence))
+		}, NotEnded},
+		{"refused", false, func(t *Table, now time.Time) { t.Refused(now, a2) }, Refused},
+		{"refused behind a relay", true, func(t *Table, now time.Time) { t.Refused(now, a2) }, NotEnded},
+		{"unreachable", false, func(t *Table, now time.Time) { t.Failed(a2) }, NotEnded},
+		{"listed as gone but heard", false, func(t *Table, now time.Time) {
+			t.Listed(nil, []string{"a2"})
+			now = now.Add(testFence)
+			answer(t, now, "a2")
+			answer(t, now, "a3", a2.ID())
+			t.Tick(now)
+		}, NotEnded},
+		{"listed as gone and silent, heard by another", false, func(t *Table, now time.Time) {
+			t.Listed(nil, []string{"a2"})
+			now = now.Add(testFence)
+			answer(t, now, "a3")
+			t.Tick(now)
+		}, NotEnded},
+		{"listed as gone and silent, report too old", false, func(t *Table, now time.Time) {
+			t.Listed(nil, []string{"a2"})
+			answer(t, now.Add(testFence-time.Second), "a3", a2.ID())
+			t.Tick(now.Add(testFence))
+		}, NotEnded},
+		{"listed as gone and silent to all", false, func(t *Table, now time.Time) {
+			t.Listed(nil, []string{"a2"})
+			now = now.Add(testFence)
+			answer(t, now, "a3", a2.ID())
+			t.Tick(now)
+		}, Listed},
+		{"replaced", false, func(t *Table, now time.Time) { t.Heard(now, member("a2", 2)) }, Replaced},
+		{"an older incarnation is heard late", false, func(t *Table, now time.Time) { t.Heard(now, member("a2", 0)) }, NotEnded},
+		{"left", false, func(t *Table, now time.Time) {
+			t.HandleDigest(now, &Digest{From: a2, Facts: []Fact{{Member: a2, Ended: Left}}})
+		}, Left},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table, now := newTestTable(!c.relayed)
+			c.fault(table, now)
+			f, known := table.View().Fact(a2.ID())
+			require.True(t, known)
+			require.Equal(t, c.ended, f.Ended)
+		})
+	}
+}
+
+func TestRefusalElsewhereProvesNothing(t *testing.T) {
+	table, now := newTestTable(true)
+	require.False(t, table.Refused(now.Add(time.Hour), member("b1", 1)))
+	require.False(t, table.View().Ended(member("b1", 1).ID()))
+}
+
+func TestPermissionToStart(t *testing.T) {
+	const half = testFence / 2
+	cases := []struct {
+		name  string
+		fault func(t *Table, now time.Time) time.Time
+		ok    bool
+	}{
+		{"fresh", func(t *Table, now time.Time) time.Time { return now }, true},
+		{"stalled before its next tick", func(t *Table, now time.Time) time.Time { return now.Add(half) }, false},
+		{"stalled, then ticked", func(t *Table, now time.Time) time.Time {
+			now = now.Add(half + time.Second)
+			t.Tick(now)
+			return now
+		}, false},
+		{"stalled, confirmed by one", func(t *Table, now time.Time) time.Time {
+			now = now.Add(half + time.Second)
+			t.Tick(now)
+			answer(t, now, "a2")
+			return now
+		}, false},
+		{"stalled, confirmed by all", func(t *Table, now time.Time) time.Time {
+			now = now.Add(half + time.Second)
+			t.Tick(now)
+			answer(t, now, "a2")
+			answer(t, now, "a3")
+			return now
+		}, true},
+		{"isolated while it runs", func(t *Table, now time.Time) time.Time {
+			for range 6 {
+				now = now.Add(time.Second)
+				t.Tick(now)
+			}
+			return now
+		}, false},
+		{"declared ended", func(t *Table, now time.Time) time.Time {
+			t.Learn(now, []Fact{{Member: member("a1", 1), Ended: Listed}})
+			return now
+		}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			table, now := newTestTable(true)
+			_, ok := table.StartUntil(c.fault(table, now))
+			require.Equal(t, c.ok, ok)
+		})
+	}
+}
