Read the upstream of an assignment under its shard's lock

Cause: suite faults with a binary built with -race showed 144 reports, all at one place: assign read the upstream of a taken slot without the lock while a list from the platform replaced it. TestDemoPrintsACompleteAnswer failed by it (exit status 66 of a daemon).

Change: slots.current takes the lock.

--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -181,7 +181,7 @@
 }
 
 func newAssignment(now time.Time, task *Task, s *slots) Assignment {
-	a := Assignment{Task: task, Upstream: s.upstream, Waited: now.Sub(task.queued), slots: s}
+	a := Assignment{Task: task, Upstream: s.current(), Waited: now.Sub(task.queued), slots: s}
 	if s.loan != nil {
 		a.Reason = Borrowed
 	}
--- a/dispatch/slots.go
+++ b/dispatch/slots.go
@@ -23,6 +23,14 @@
 	next, prev *slots
 }
 
+// current returns the upstream as it was listed last. The shard must not be
+// locked.
+func (s *slots) current() *Upstream {
+	s.shard.mu.Lock()
+	defer s.shard.mu.Unlock()
+	return s.upstream
+}
+
 // free returns the number of tasks that may start now.
 func (s *slots) free() int {
 	if s.upstream.Leaving || s.closed {
