Add a control run to suite faults

Cause: with other work on the machine (load 18 on 10 cores) the keys of a killed owner looked unavailable for 241 ms, where the daemons' logs show that every process stalled for 60 to 130 ms at a time.

--- a/internal/replay/faults.go
+++ b/internal/replay/faults.go
@@ -29,6 +29,8 @@
 // faults are run in this order. The victim owns the keys that are probed; it
 // is a VM of the first data centre, as is its neighbour.
 var faults = []fault{
+	// The control: what the machine itself makes of the figures.
+	{"none", 0, []step{{.3, "nothing", nothing}}},
 	{"owner-killed", 0, []step{{.3, "kill victim", killVictim}}},
 	{"owner-killed-and-back", 0, []step{{.3, "kill victim", killVictim}, {.5, "restart victim", restartVictim}}},
 	{"owner-frozen", 0, []step{{.3, "freeze victim", freezeVictim}, {.6, "wake victim", wakeVictim}}},
--- a/internal/replay/faults_steps.go
+++ b/internal/replay/faults_steps.go
@@ -18,6 +18,9 @@
 	readinessInterval = 5 * time.Millisecond
 )
 
+// nothing is the step of the control run.
+func nothing(*scene) error { return nil }
+
 func killVictim(s *scene) error {
 	s.kill(s.victim)
 	return nil
