--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -20,6 +20,7 @@
 	parameters []byte
 	items      [][]byte
 	deadline   *time.Timer // aborts the job
+	sent       sentTasks
 }
 
 // watchDeadline aborts a job that has not ended at its deadline.
@@ -43,6 +44,7 @@
 	run.deadline.Stop()
 	if outcome.Failure != nil {
 		d.dispatcher.Cancel(run.call.Service, run.entry.ID)
+		d.stopTasks(run)
 	}
 	d.submissions.Finish(run.entry, outcome)
 	d.jobs.remove(run)
@@ -81,6 +83,7 @@
 	}
 	d.metrics.starts.Add(1)
 	sent := time.Now()
+	run.sent.add(a.Task.Index, a.Upstream)
 	result := d.upstreams.Run(a.Upstream.Address, &api.TaskRequest{
 		Submission: a.Task.Submission.String(), Task: a.Task.Index, Tasks: len(run.items),
 		Service: run.call.Service, Call: run.call.Name,
@@ -88,7 +91,8 @@
 		TimeoutMS: a.Task.Deadline.Sub(sent).Milliseconds(),
 		MilliCPU:  run.call.Size.MilliCPU, MemoryMB: run.call.Size.MemoryMB, Accelerators: run.call.Size.Accelerators,
 	})
-	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent)}
+	run.sent.remove(a.Task.Index)
+	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent), Leaving: result.Leaving}
 	switch failure := result.Failure; {
 	case failure == nil:
 		if outcome, ended := run.job.Complete(a.Task.Index, result.Value); ended {
@@ -100,8 +104,13 @@
 		ending.Ending = dispatch.Refused
 	default:
 		ending.Ending = dispatch.Failed
-		if outcome, ended := run.job.Fail(failure); ended {
+		outcome, ended := run.job.Fail(failure)
+		if ended {
 			d.finish(run, outcome)
+		} else {
+			// The job had ended, so its tasks were stopped; that is no failure
+			// of the upstream.
+			ending.Ending = dispatch.Skipped
 		}
 	}
 	d.release(a, ending)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -14,9 +14,9 @@
 
 	calls, complete, failed     *expvar.Int
 	forwards, records           *expvar.Int
+	returnsLost, cancels        *expvar.Int
 	recordFrames                *expvar.Int
 	heartbeats, fills           *expvar.Int
-	returnsLost                 *expvar.Int
 	starts, refusals, mayHave   *expvar.Int
 	platformCalls, platformFail *expvar.Int
 }
@@ -34,10 +34,11 @@
 	m.mayHave = counter("calls_may_have_run")
 	m.forwards = counter("forwards_sent")
 	m.records = counter("records_sent")
+	m.cancels = counter("task_cancels_sent")
+	m.returnsLost = counter("loan_returns_lost")
 	m.recordFrames = counter("record_frames_sent")
 	m.heartbeats = counter("heartbeats_sent")
 	m.fills = counter("fills_sent")
-	m.returnsLost = counter("loan_returns_lost")
 	m.starts = counter("task_starts_sent")
 	m.refusals = counter("task_starts_refused")
 	m.platformCalls = counter("platform_calls")
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -49,6 +49,7 @@
 	"burst":         {runBurst, DefaultSeconds},
 	"skew":          {runSkew, DefaultSeconds},
 	"cancel":        {runCancel, DefaultSeconds},
+	"badupstreams":  {runBadUpstreams, DefaultSeconds},
 	"config":        {runConfig, DefaultSeconds},
 	"config-sizes":  {runConfigSizes, DefaultSeconds},
 	"config-spread": {runConfigSpread, DefaultSeconds},
