--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -108,6 +108,59 @@
 	})
 }
 
+// Ctl holds the settings of the operators' client.
+type Ctl struct {
+	// Servers: HTTP addresses of daemons, host:port, separated by commas; they are tried in turn.
+	Servers []string
+	// Output: form of the output.
+	Output string
+	// Timeout: longest wait for one answer of a daemon.
+	Timeout time.Duration
+	// Wait: return when a change is in force on every VM, or name the VMs that lack it.
+	Wait bool
+	// WaitTimeout: longest wait for a change to be in force.
+	WaitTimeout time.Duration
+	// Author: who makes the change; empty takes the name of the user.
+	Author string
+	// Note: remark on the change for the history.
+	Note string
+	// ID: identity of the change; give that of an earlier attempt to repeat it.
+	ID string
+	// Revision: earlier revision to show or to compare with; 0 takes the one in force.
+	Revision int
+}
+
+// Bind declares the settings on the binder.
+func (s *Ctl) Bind(b *Binder) {
+	bind(b, &s.Servers, definition[[]string]{
+		flag: "server", env: "MUSTARDSTEP_SERVER", help: "HTTP addresses of daemons, host:port, separated by commas; they are tried in turn", unit: "", fallback: "127.0.0.1:8080",
+	})
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the output", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Timeout, definition[time.Duration]{
+		flag: "timeout", env: "MUSTARDSTEP_TIMEOUT", help: "longest wait for one answer of a daemon", unit: "", fallback: "15s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.Wait, definition[bool]{
+		flag: "wait", env: "MUSTARDSTEP_WAIT", help: "return when a change is in force on every VM, or name the VMs that lack it", unit: "",
+	})
+	bind(b, &s.WaitTimeout, definition[time.Duration]{
+		flag: "wait-timeout", env: "MUSTARDSTEP_WAIT_TIMEOUT", help: "longest wait for a change to be in force", unit: "", fallback: "30s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(3600000000000)),
+	})
+	bind(b, &s.Author, definition[string]{
+		flag: "author", env: "MUSTARDSTEP_AUTHOR", help: "who makes the change; empty takes the name of the user", unit: "",
+	})
+	bind(b, &s.Note, definition[string]{
+		flag: "note", env: "MUSTARDSTEP_NOTE", help: "remark on the change for the history", unit: "",
+	})
+	bind(b, &s.ID, definition[string]{
+		flag: "id", env: "MUSTARDSTEP_ID", help: "identity of the change; give that of an earlier attempt to repeat it", unit: "",
+	})
+	bind(b, &s.Revision, definition[int]{
+		flag: "revision", env: "MUSTARDSTEP_REVISION", help: "earlier revision to show or to compare with; 0 takes the one in force", unit: "", min: bound[int](0), max: bound[int](1000000000000),
+	})
+}
+
 // Demo holds the settings of the demonstration.
 type Demo struct {
 	// Keep: keep the system running until SIGINT or SIGTERM and print commands to try.
@@ -403,6 +456,16 @@
 	})
 }
 
+// MustardctlProgram holds every setting of mustardctl.
+type MustardctlProgram struct {
+	Ctl Ctl
+}
+
+// Bind declares the settings on the binder.
+func (s *MustardctlProgram) Bind(b *Binder) {
+	s.Ctl.Bind(b)
+}
+
 // ReplayProgram holds every setting of mustardstep-replay.
 type ReplayProgram struct {
 	Replay Replay
