--- a/cmd/mustardstep-replay/main.go
+++ b/cmd/mustardstep-replay/main.go
@@ -15,8 +15,11 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(command.Suite(), "")
+	subcommands.Register(command.Capacity(), "")
 	subcommands.Register(command.Demo(), "")
+	subcommands.Register(command.Bench(), "")
 	subcommands.Register(command.Generate(), "")
+	subcommands.Register(command.Decide(), "")
 	// Suites run these in processes of their own.
 	subcommands.Register(command.Serve("daemon"), "processes")
 	subcommands.Register(command.StandinUpstreams(), "processes")
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"github.com/mustardstep/mustardstep/catalog"
@@ -19,6 +20,7 @@
 	parameters []byte
 	items      [][]byte
 	deadline   *time.Timer // aborts the job
+	sent       sentTasks
 }
 
 // watchDeadline aborts a job that has not ended at its deadline.
@@ -42,8 +44,25 @@
 	run.deadline.Stop()
 	if outcome.Failure != nil {
 		d.dispatcher.Cancel(run.call.Service, run.entry.ID)
+		d.stopTasks(run)
+	}
+	d.submissions.Finish(run.entry, outcome)
+	d.jobs.remove(run)
+}
+
+// tickDispatch reconsiders waiting tasks until the context ends.
+func (d *Daemon) tickDispatch(ctx context.Context) error {
+	ticker := time.NewTicker(dispatch.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			d.place(d.dispatcher.Tick(now))
+			d.lend(now)
+		case <-ctx.Done():
+			return nil
+		}
 	}
-	d.submissions.Finish(time.Now(), run.entry, outcome)
 }
 
 // place carries out assignments, each on its own goroutine: a task holds its
@@ -58,12 +77,13 @@
 // run sends one task to its upstream and enters the result.
 func (d *Daemon) run(a dispatch.Assignment) {
 	run := a.Task.Work.(*running)
-	if !run.job.Offer() {
+	if !d.awaitPermission(run.entry, a.Task.Deadline) || !run.job.Offer() {
 		d.release(a, dispatch.Result{Ending: dispatch.Skipped})
 		return
 	}
 	d.metrics.starts.Add(1)
 	sent := time.Now()
+	run.sent.add(a.Task.Index, a.Upstream)
 	result := d.upstreams.Run(a.Upstream.Address, &api.TaskRequest{
 		Submission: a.Task.Submission.String(), Task: a.Task.Index, Tasks: len(run.items),
 		Service: run.call.Service, Call: run.call.Name,
@@ -71,7 +91,8 @@
 		TimeoutMS: a.Task.Deadline.Sub(sent).Milliseconds(),
 		MilliCPU:  run.call.Size.MilliCPU, MemoryMB: run.call.Size.MemoryMB, Accelerators: run.call.Size.Accelerators,
 	})
-	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent)}
+	run.sent.remove(a.Task.Index)
+	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent), Leaving: result.Leaving}
 	switch failure := result.Failure; {
 	case failure == nil:
 		if outcome, ended := run.job.Complete(a.Task.Index, result.Value); ended {
@@ -82,8 +103,14 @@
 		run.job.Refuse()
 		ending.Ending = dispatch.Refused
 	default:
-		if outcome, ended := run.job.Fail(failure); ended {
+		ending.Ending = dispatch.Failed
+		outcome, ended := run.job.Fail(failure)
+		if ended {
 			d.finish(run, outcome)
+		} else {
+			// The job had ended, so its tasks were stopped; that is no failure
+			// of the upstream.
+			ending.Ending = dispatch.Skipped
 		}
 	}
 	d.release(a, ending)
@@ -91,7 +118,8 @@
 
 // release returns the slot of an assignment and places what it lets through.
 func (d *Daemon) release(a dispatch.Assignment, result dispatch.Result) {
-	next, dropped := d.dispatcher.Finish(time.Now(), a, result)
+	var buffer [4]dispatch.Assignment
+	next, dropped := d.dispatcher.Finish(time.Now(), a, result, buffer[:0])
 	if dropped {
 		d.abort(a.Task.Work.(*running), verdict.Errorf(verdict.NotRun, verdict.CodeUpstreamFailed,
 			"task %d was refused by every upstream that it was offered to", a.Task.Index))
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -15,15 +15,20 @@
 // followUpstreams reads the platform's list until the context ends.
 func (d *Daemon) followUpstreams(ctx context.Context) error {
 	if d.directory == nil {
-		d.ready.Store(true)
+		d.listed.Store(true)
 		return nil
 	}
 	ticker := time.NewTicker(d.settings.Platform.ListInterval)
 	defer ticker.Stop()
+	list := d.readDirectory(ctx, nil)
+	served := services{}
 	for {
-		d.readDirectory(ctx)
+		changed := d.node.Members().Changed()
+		d.divideUpstreams(list, served)
 		select {
+		case <-changed:
 		case <-ticker.C:
+			list = d.readDirectory(ctx, list)
 		case <-d.relist:
 		case <-ctx.Done():
 			return nil
@@ -31,19 +36,57 @@
 	}
 }
 
-// readDirectory applies the platform's list. A failure keeps the last one.
-func (d *Daemon) readDirectory(ctx context.Context) {
+// divideUpstreams takes this VM's share of the upstreams on the list. A VM that
+// has not joined takes none.
+func (d *Daemon) divideUpstreams(list *api.VMList, served services) {
+	view := d.node.View()
+	if list == nil || !view.Admitted(view.Self.ID()) {
+		return
+	}
+	d.setPeers()
+	for service, upstreams := range served.divide(view, list.VMs, d.drainedUpstream) {
+		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
+	}
+	d.listed.Store(true)
+}
+
+// readDirectory reads this data centre's part of the platform's list. It
+// returns the last one where that fails or nothing has changed.
+func (d *Daemon) readDirectory(ctx context.Context, last *api.VMList) *api.VMList {
+	tag := ""
+	if last != nil {
+		tag = last.Tag
+	}
 	d.metrics.platformCalls.Add(1)
-	list, err := d.directory.VMs(ctx)
+	list, err := d.directory.VMs(ctx, d.settings.Network.DataCentre, tag)
 	if err != nil {
 		d.metrics.platformFail.Add(1)
 		d.log.Warn("platform list", slog.Any("error", err))
-		return
+		return last
 	}
-	for service, upstreams := range selectUpstreams(d.members.View(), list.VMs, d.drainedUpstream) {
-		d.place(d.dispatcher.SetUpstreams(time.Now(), service, upstreams))
+	if list.Unchanged {
+		return last
+	}
+	d.followList(list.VMs)
+	return list
+}
+
+// services are those that have had upstreams here.
+type services map[string]bool
+
+// divide returns the upstreams of this VM by service. A service that has lost
+// all of its upstreams is named with none.
+func (s services) divide(view *membership.View, vms []api.VM, drained func(string) bool) map[string][]dispatch.Upstream {
+	selected := selectUpstreams(view, vms, drained)
+	for service := range selected {
+		s[service] = true
+	}
+	for service := range s {
+		if selected[service] == nil {
+			selected[service] = nil
+		}
 	}
-	d.ready.Store(true)
+	return selected
 }
 
 // selectUpstreams returns, by service, the upstreams of this data centre with
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -27,8 +26,13 @@
 	Slots     int
 	// Speeds of the upstreams relative to the fastest, repeated in turn.
 	Speeds []float64
+	// Relays puts relays between the daemons and before the platform, at which
+	// connections can be cut.
+	Relays bool
 	// Service is the service that the upstreams run; empty takes rota-desk.
 	Service string
+	// UpstreamArgs are further flags of the upstreams.
+	UpstreamArgs []string
 	// DaemonArgs are further flags of every daemon.
 	DaemonArgs []string
 	// Dir receives logs and the services file.
@@ -39,14 +43,18 @@
 type cluster struct {
 	layout    Layout
 	platform  string
-	http      []string // addresses of the daemons for callers
+	schema    string   // path of the services file
+	http      []string // addresses of the first daemons for callers
+	vms       []*vm
+	links     *links
+	hellos    hellos
 	processes []*process
 	upstreams []api.VM
 }
 
 // startCluster starts every process and waits until all daemons are ready.
 func startCluster(ctx context.Context, layout Layout) (*cluster, error) {
-	c := &cluster{layout: layout}
+	c := &cluster{layout: layout, links: newLinks()}
 	if err := c.start(ctx); err != nil {
 		c.stop()
 		return nil, err
@@ -55,25 +63,38 @@
 }
 
 func (c *cluster) start(ctx context.Context) error {
-	schema := filepath.Join(c.layout.Dir, "services.yaml")
-	if err := os.WriteFile(schema, servicesFile(c.layout.Service), 0o644); err != nil {
+	c.schema = filepath.Join(c.layout.Dir, "services.yaml")
+	if err := os.WriteFile(c.schema, servicesFile(c.layout.Service), 0o644); err != nil {
 		return err
 	}
-	count := len(c.layout.DataCentres) * c.layout.VMs
-	addresses, err := freeAddresses(1 + 2*count)
+	addresses, err := freeAddresses(1)
 	if err != nil {
 		return err
 	}
 	c.platform = addresses[0]
-	c.http = addresses[1 : 1+count]
 	if err := c.startStandins(ctx); err != nil {
 		return err
 	}
-	if err := c.startDaemons(schema, addresses[1+count:]); err != nil {
-		return err
+	for _, dataCentre := range c.layout.DataCentres {
+		for range c.layout.VMs {
+			if _, err := c.addVM(dataCentre); err != nil {
+				return err
+			}
+		}
 	}
-	for _, address := range c.http {
-		if err := awaitHTTP(ctx, address, "/readyz"); err != nil {
+	return c.startDaemons(ctx)
+}
+
+// startDaemons starts every daemon, then waits until all are ready.
+func (c *cluster) startDaemons(ctx context.Context) error {
+	for _, v := range c.vms {
+		c.http = append(c.http, v.http)
+		if err := c.launch(ctx, v); err != nil {
+			return err
+		}
+	}
+	for _, v := range c.vms {
+		if err := awaitHTTP(ctx, v.http, "/readyz"); err != nil {
 			return err
 		}
 	}
@@ -93,10 +114,10 @@
 		speeds[i] = strconv.FormatFloat(speed, 'g', -1, 64)
 	}
 	for _, dataCentre := range c.layout.DataCentres {
-		err := c.run("upstreams-"+dataCentre, "upstreams", "-platform", c.platform, "-data-centre", dataCentre,
+		args := []string{"upstreams", "-platform", c.platform, "-data-centre", dataCentre,
 			"-count", strconv.Itoa(c.layout.Upstreams), "-slots", strconv.Itoa(c.layout.Slots),
-			"-speeds", strings.Join(speeds, ","), "-service", cmp.Or(c.layout.Service, serviceRotaDesk))
-		if err != nil {
+			"-speeds", strings.Join(speeds, ","), "-service", cmp.Or(c.layout.Service, serviceRotaDesk)}
+		if err := c.run("upstreams-"+dataCentre, append(args, c.layout.UpstreamArgs...)...); err != nil {
 			return err
 		}
 	}
@@ -112,7 +133,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		list, err := directory.VMs(ctx)
+		list, err := directory.VMs(ctx, "", "")
 		if err == nil && len(list.VMs) == expected {
 			c.upstreams = list.VMs
 			return nil
@@ -125,25 +146,6 @@
 	}
 }
 
-func (c *cluster) startDaemons(schema string, peers []string) error {
-	var seeds []string
-	for i, address := range peers {
-		dataCentre := c.layout.DataCentres[i/c.layout.VMs]
-		seeds = append(seeds, fmt.Sprintf("vm%d=%s/%s", i, dataCentre, address))
-	}
-	for i, address := range peers {
-		args := append([]string{"daemon",
-			"-vm", fmt.Sprintf("vm%d", i), "-data-centre", c.layout.DataCentres[i/c.layout.VMs],
-			"-http-listen", c.http[i], "-peer-listen", address, "-seeds", strings.Join(seeds, ","),
-			"-platform", c.platform, "-schema-file", schema}, c.layout.DaemonArgs...)
-		err := c.run(fmt.Sprintf("vm%d", i), args...)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (c *cluster) run(name string, args ...string) error {
 	p, err := startProcess(name, c.layout.Dir, args...)
 	if err == nil {
@@ -160,6 +162,9 @@
 			errs = append(errs, errors.Wrap(err, c.processes[i].name))
 		}
 	}
+	for _, v := range c.vms {
+		v.shut()
+	}
 	c.processes = nil
 	return errors.Join(errs...)
 }
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"os"
 	"time"
@@ -11,8 +12,12 @@
 // Options are the settings of a suite.
 type Options struct {
 	Seed int64
-	// Seconds is the length of the load.
+	// Seconds is the length of the load; 0 takes the suite's own.
 	Seconds float64
+	// Fault is the one fault that the suite of faults runs; empty runs all.
+	Fault string
+	// LogDir keeps the logs of the processes; empty keeps none.
+	LogDir string
 	// Trace is the file of a trace that replaces the generated one; empty
 	// generates.
 	Trace string
@@ -26,26 +31,39 @@
 // broken.
 var ErrBroken = errors.New("a promise was broken")
 
+// DefaultSeconds is the length of a load for which none is given.
+const DefaultSeconds = 5
+
+// suite is a set of replays that one command runs.
+type suite struct {
+	run func(context.Context, Options) (*Report, error)
+	// seconds is the length of the load for which none is given.
+	seconds float64
+}
+
 // suites are the suites by name.
-var suites = map[string]func(context.Context, Options) (*Report, error){
-	"thin":          runThin,
-	"config":        runConfig,
-	"config-sizes":  runConfigSizes,
-	"config-spread": runConfigSpread,
-	"steady":        runSteady,
-	"burst":         runBurst,
-	"skew":          runSkew,
-	"cancel":        runCancel,
+var suites = map[string]suite{
+	"thin":          {runThin, DefaultSeconds},
+	"faults":        {runFaults, faultSeconds},
+	"steady":        {runSteady, DefaultSeconds},
+	"burst":         {runBurst, DefaultSeconds},
+	"skew":          {runSkew, DefaultSeconds},
+	"cancel":        {runCancel, DefaultSeconds},
+	"badupstreams":  {runBadUpstreams, DefaultSeconds},
+	"config":        {runConfig, DefaultSeconds},
+	"config-sizes":  {runConfigSizes, DefaultSeconds},
+	"config-spread": {runConfigSpread, DefaultSeconds},
 }
 
 // RunSuite runs a suite on processes of its own.
 func RunSuite(ctx context.Context, name string, options Options) (*Report, error) {
-	run := suites[name]
-	if run == nil {
+	suite, known := suites[name]
+	if !known {
 		return nil, errors.Newf("unknown suite %q", name)
 	}
 	begin := time.Now()
-	report, err := run(ctx, options)
+	options.Seconds = cmp.Or(options.Seconds, suite.seconds)
+	report, err := suite.run(ctx, options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/replay/suite_dispatch.go
+++ b/internal/replay/suite_dispatch.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/standin"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -34,7 +36,8 @@
 	"steady": {layout: moroccoLayout, shape: Shape{Callers: 200}, utilization: 0.6},
 	"burst": {layout: moroccoLayout, utilization: 0.95,
 		shape: Shape{Callers: 200, BurstFactor: 3, BurstFrom: 0.5, BurstTo: 0.6}},
-	"skew": {layout: moroccoLayout, shape: Shape{Callers: 200, Skew: 0.4}, utilization: 0.5},
+	"skew":         {layout: moroccoLayout, shape: Shape{Callers: 200, Skew: 0.4}, utilization: 0.5},
+	"badupstreams": {layout: moroccoLayout, shape: Shape{Callers: 200}, utilization: 0.5, disturb: spoilUpstreams},
 	"cancel": {layout: moroccoLayout, utilization: 0.8,
 		shape: Shape{Callers: 200, CancelShare: 0.3}},
 }
@@ -51,6 +54,30 @@
 func runSkew(ctx context.Context, o Options) (*Report, error)   { return compare(ctx, "skew", o) }
 func runCancel(ctx context.Context, o Options) (*Report, error) { return compare(ctx, "cancel", o) }
 
+func runBadUpstreams(ctx context.Context, o Options) (*Report, error) {
+	return compare(ctx, "badupstreams", o)
+}
+
+// spoilUpstreams lets upstreams misbehave once the daemons have learnt: of
+// each data centre one fails everything, one is slow, and one leaves.
+func spoilUpstreams(ctx context.Context, c *cluster) error {
+	select {
+	case <-time.After(warmUpSeconds * time.Second):
+	case <-ctx.Done():
+		return nil
+	}
+	faults := []api.UpstreamFault{
+		{Mode: api.UpstreamFailing}, {Mode: api.UpstreamSlow, Factor: 4}, {Mode: api.UpstreamLeaving},
+	}
+	var errs []error
+	for i, vm := range c.upstreams {
+		if at := i % c.layout.Upstreams; at < len(faults) {
+			errs = append(errs, standin.SetUpstreamFault(vm.Address, faults[at]))
+		}
+	}
+	return errors.Join(errs...)
+}
+
 // GenerateFor returns the trace that a dispatch suite generates.
 func GenerateFor(suite string, o Options) ([]TraceJob, error) {
 	s, known := dispatchScenarios[suite]
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -75,6 +75,24 @@
 	})
 }
 
+// Capacity holds the settings of the capacity measurements.
+type Capacity struct {
+	// Output: form of the report.
+	Output string
+	// Lines: lines to measure, separated by commas; empty measures all.
+	Lines []string
+}
+
+// Bind declares the settings on the binder.
+func (s *Capacity) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Lines, definition[[]string]{
+		flag: "lines", env: "MUSTARDSTEP_LINES", help: "lines to measure, separated by commas; empty measures all", unit: "",
+	})
+}
+
 // Configuration holds how the configuration travels between the daemons.
 type Configuration struct {
 	// Interval: time between comparisons of the configuration with a peer.
@@ -191,6 +209,12 @@
 type Dispatch struct {
 	// Policy: dispatch policy; all but mustardstep are baselines to measure against.
 	Policy string
+	// LoanTime: time for which a borrowed slot may start tasks; 0s neither borrows nor lends.
+	LoanTime time.Duration
+	// BorrowWait: expected wait above which slots are borrowed from peers.
+	BorrowWait time.Duration
+	// BorrowBudget: messages that may be spent on borrowing; more shorten the response, fewer waste less, in messages per task.
+	BorrowBudget float64
 }
 
 // Bind declares the settings on the binder.
@@ -198,6 +222,15 @@
 	bind(b, &s.Policy, definition[string]{
 		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policy; all but mustardstep are baselines to measure against", unit: "", fallback: "mustardstep", oneOf: []string{"mustardstep", "roundrobin", "leastoutstanding", "twochoices"},
 	})
+	bind(b, &s.LoanTime, definition[time.Duration]{
+		flag: "loan-time", env: "MUSTARDSTEP_LOAN_TIME", help: "time for which a borrowed slot may start tasks; 0s neither borrows nor lends", unit: "", fallback: "200ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BorrowWait, definition[time.Duration]{
+		flag: "borrow-wait", env: "MUSTARDSTEP_BORROW_WAIT", help: "expected wait above which slots are borrowed from peers", unit: "", fallback: "10ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.BorrowBudget, definition[float64]{
+		flag: "borrow-budget", env: "MUSTARDSTEP_BORROW_BUDGET", help: "messages that may be spent on borrowing; more shorten the response, fewer waste less", unit: "messages per task", fallback: "0.03", min: bound[float64](0), max: bound[float64](2),
+	})
 }
 
 // Jobs holds the limits on submissions and their tasks.
@@ -208,6 +241,10 @@
 	Retention time.Duration
 	// MaxQueued: most tasks waiting per service on one VM, in tasks.
 	MaxQueued int
+	// Memory: memory for records and answers of submissions, in bytes.
+	Memory int
+	// DrainDelay: time between the fall of readiness and the end of the listener for callers.
+	DrainDelay time.Duration
 	// DrainTimeout: longest time that a planned stop waits for requests in progress.
 	DrainTimeout time.Duration
 }
@@ -223,6 +260,12 @@
 	bind(b, &s.MaxQueued, definition[int]{
 		flag: "max-queued", env: "MUSTARDSTEP_MAX_QUEUED", help: "most tasks waiting per service on one VM", unit: "tasks", fallback: "100000", min: bound[int](1), max: bound[int](10000000),
 	})
+	bind(b, &s.Memory, definition[int]{
+		flag: "submission-memory", env: "MUSTARDSTEP_SUBMISSION_MEMORY", help: "memory for records and answers of submissions", unit: "bytes", fallback: "67108864", min: bound[int](1048576), max: bound[int](17179869184),
+	})
+	bind(b, &s.DrainDelay, definition[time.Duration]{
+		flag: "drain-delay", env: "MUSTARDSTEP_DRAIN_DELAY", help: "time between the fall of readiness and the end of the listener for callers", unit: "", fallback: "500ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
 	bind(b, &s.DrainTimeout, definition[time.Duration]{
 		flag: "drain-timeout", env: "MUSTARDSTEP_DRAIN_TIMEOUT", help: "longest time that a planned stop waits for requests in progress", unit: "", fallback: "30s", runtime: true, min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
 	})
@@ -251,6 +294,44 @@
 	})
 }
 
+// Membership holds the timing of the protocol between the daemons.
+type Membership struct {
+	// DataCentres: all data centres, the same on every VM, separated by commas; empty takes those of the seeds.
+	DataCentres []string
+	// Heartbeat: time between heartbeats.
+	Heartbeat time.Duration
+	// Fanout: peers of the data centre that get a heartbeat each time, in peers.
+	Fanout int
+	// Fence: silence that, together with the platform's list, proves that a VM has ended.
+	Fence time.Duration
+	// RefusalProof: take a refused connection within the data centre as proof that a process has ended; turn it off where a relay or a firewall stands between VMs.
+	RefusalProof bool
+	// JoinTimeout: time after which a join that is not complete is started anew.
+	JoinTimeout time.Duration
+}
+
+// Bind declares the settings on the binder.
+func (s *Membership) Bind(b *Binder) {
+	bind(b, &s.DataCentres, definition[[]string]{
+		flag: "data-centres", env: "MUSTARDSTEP_DATA_CENTRES", help: "all data centres, the same on every VM, separated by commas; empty takes those of the seeds", unit: "",
+	})
+	bind(b, &s.Heartbeat, definition[time.Duration]{
+		flag: "heartbeat", env: "MUSTARDSTEP_HEARTBEAT", help: "time between heartbeats", unit: "", fallback: "1s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(60000000000)),
+	})
+	bind(b, &s.Fanout, definition[int]{
+		flag: "heartbeat-fanout", env: "MUSTARDSTEP_HEARTBEAT_FANOUT", help: "peers of the data centre that get a heartbeat each time", unit: "peers", fallback: "6", min: bound[int](1), max: bound[int](1000),
+	})
+	bind(b, &s.Fence, definition[time.Duration]{
+		flag: "fence", env: "MUSTARDSTEP_FENCE", help: "silence that, together with the platform's list, proves that a VM has ended", unit: "", fallback: "10s", min: bound[time.Duration](time.Duration(100000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+	bind(b, &s.RefusalProof, definition[bool]{
+		flag: "refusal-proof", env: "MUSTARDSTEP_REFUSAL_PROOF", help: "take a refused connection within the data centre as proof that a process has ended; turn it off where a relay or a firewall stands between VMs", unit: "", fallback: "true",
+	})
+	bind(b, &s.JoinTimeout, definition[time.Duration]{
+		flag: "join-timeout", env: "MUSTARDSTEP_JOIN_TIMEOUT", help: "time after which a join that is not complete is started anew", unit: "", fallback: "5s", min: bound[time.Duration](time.Duration(50000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
+}
+
 // Network holds the identity and the addresses of a daemon.
 type Network struct {
 	// VM: name of this VM.
@@ -261,6 +342,8 @@
 	HTTPListen string
 	// PeerListen: address for other daemons, host:port.
 	PeerListen string
+	// PeerAdvertise: address at which other daemons reach this one, host:port; empty takes that of -peer-listen.
+	PeerAdvertise string
 	// Seeds: entry VMs to contact at start, name=data-centre/host:port, separated by commas.
 	Seeds []string
 	// DialTimeout: longest wait for a connection to a peer or an upstream.
@@ -287,6 +370,9 @@
 	bind(b, &s.PeerListen, definition[string]{
 		flag: "peer-listen", env: "MUSTARDSTEP_PEER_LISTEN", help: "address for other daemons, host:port", unit: "", fallback: "127.0.0.1:8081",
 	})
+	bind(b, &s.PeerAdvertise, definition[string]{
+		flag: "peer-advertise", env: "MUSTARDSTEP_PEER_ADVERTISE", help: "address at which other daemons reach this one, host:port; empty takes that of -peer-listen", unit: "",
+	})
 	bind(b, &s.Seeds, definition[[]string]{
 		flag: "seeds", env: "MUSTARDSTEP_SEEDS", help: "entry VMs to contact at start, name=data-centre/host:port, separated by commas", unit: "",
 	})
@@ -363,8 +449,12 @@
 	Output string
 	// Seed: seed of the generated trace.
 	Seed int
-	// Seconds: length of the load, in seconds.
+	// Seconds: length of the load, or of each fault's load; 0 takes the suite's own, in seconds.
 	Seconds float64
+	// Fault: the one fault that the suite faults runs; empty runs all.
+	Fault string
+	// LogDir: directory that keeps the logs of the processes; empty keeps none.
+	LogDir string
 }
 
 // Bind declares the settings on the binder.
@@ -376,7 +466,13 @@
 		flag: "seed", env: "MUSTARDSTEP_SEED", help: "seed of the generated trace", unit: "", fallback: "1", min: bound[int](0), max: bound[int](1000000000),
 	})
 	bind(b, &s.Seconds, definition[float64]{
-		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of the load", unit: "seconds", fallback: "5", min: bound[float64](0.1), max: bound[float64](3600),
+		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "length of the load, or of each fault's load; 0 takes the suite's own", unit: "seconds", fallback: "0", min: bound[float64](0), max: bound[float64](3600),
+	})
+	bind(b, &s.Fault, definition[string]{
+		flag: "fault", env: "MUSTARDSTEP_FAULT", help: "the one fault that the suite faults runs; empty runs all", unit: "",
+	})
+	bind(b, &s.LogDir, definition[string]{
+		flag: "log-dir", env: "MUSTARDSTEP_LOG_DIR", help: "directory that keeps the logs of the processes; empty keeps none", unit: "",
 	})
 }
 
@@ -488,6 +584,16 @@
 	s.Bench.Bind(b)
 }
 
+// ReplayCapacityProgram holds every setting of mustardstep-replay capacity.
+type ReplayCapacityProgram struct {
+	Capacity Capacity
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplayCapacityProgram) Bind(b *Binder) {
+	s.Capacity.Bind(b)
+}
+
 // ReplayDemoProgram holds every setting of mustardstep-replay demo.
 type ReplayDemoProgram struct {
 	Demo Demo
@@ -518,6 +624,7 @@
 	Dispatch      Dispatch
 	Jobs          Jobs
 	Logging       Logging
+	Membership    Membership
 	Network       Network
 	Platform      Platform
 }
@@ -530,6 +637,7 @@
 	s.Dispatch.Bind(b)
 	s.Jobs.Bind(b)
 	s.Logging.Bind(b)
+	s.Membership.Bind(b)
 	s.Network.Bind(b)
 	s.Platform.Bind(b)
 }
