--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,8 @@
 	// places returns the daemons that are not known to have ended, this one
 	// included.
 	places func() []place
+	// seeds are the daemons to ask at start, without this one.
+	seeds []place
 	// apply puts a state into force. Calls do not overlap and never go back.
 	apply func(*configuration.State)
 }
@@ -112,7 +115,7 @@
 	defer cancel()
 	var found atomic.Bool
 	var wg sync.WaitGroup
-	for _, p := range c.others() {
+	for _, p := range c.known() {
 		wg.Go(func() {
 			if synced, err := c.compare(ctx, p); err == nil && synced {
 				found.Store(true)
@@ -133,6 +136,18 @@
 	return found.Load()
 }
 
+// known returns the other daemons, among them the seeds that this VM has not
+// heard of yet.
+func (c *configurator) known() []place {
+	known := c.others()
+	for _, seed := range c.seeds {
+		if !slices.ContainsFunc(known, func(p place) bool { return p.VM == seed.VM }) {
+			known = append(known, seed)
+		}
+	}
+	return known
+}
+
 // held describes the state in force for a log line.
 func (c *configurator) held() []any {
 	s := c.table.Current()
--- a/daemon/configuration_apply.go
+++ b/daemon/configuration_apply.go
@@ -15,6 +15,7 @@
 	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/membership"
 )
 
 // serviceEntry is the parsed form of an entry under PrefixServices.
@@ -57,7 +58,7 @@
 
 // startConfiguration makes the configurator and puts the initial state into
 // force.
-func (d *Daemon) startConfiguration(initial *configuration.State, self place) {
+func (d *Daemon) startConfiguration(initial *configuration.State, self place, seeds []membership.Seed) {
 	s := d.settings
 	deps := configurationDeps{
 		self: self, settings: s, log: d.log, places: d.places, apply: d.applyConfiguration,
@@ -65,6 +66,11 @@
 			return d.peers.Call(ctx, address, request, response)
 		},
 	}
+	for _, seed := range seeds {
+		if seed.VM != self.VM {
+			deps.seeds = append(deps.seeds, place(seed))
+		}
+	}
 	if s.Platform.Address != "" {
 		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
 		d.limited = platform.NewLimited(client, platform.NewBudget(platform.BudgetConfig{
@@ -78,10 +84,17 @@
 	peer.Handle(d.peers, d.handleStatus)
 }
 
-// places returns the daemons that this VM knows, itself included.
+// places returns the daemons that this VM knows, itself included: the newest
+// process at each VM.
 func (d *Daemon) places() []place {
-	var places []place
+	newest := map[string]membership.Member{}
 	for _, m := range d.node.View().Unended() {
+		if known, found := newest[m.VM]; !found || known.Incarnation < m.Incarnation {
+			newest[m.VM] = m
+		}
+	}
+	places := make([]place, 0, len(newest))
+	for _, m := range newest {
 		places = append(places, place{VM: m.VM, DataCentre: m.DataCentre, Address: m.Address})
 	}
 	return places
--- /dev/null
+++ b/daemon/configuration_test.go
@@ -0,0 +1,234 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/configuration"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/configstore"
+	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/stretchr/testify/require"
+)
+
+// fleet connects configurators without a network.
+type fleet struct {
+	store  *standin.FaultyStore
+	places []place
+	notify bool
+
+	mu   sync.Mutex // guards the fields below
+	vms  map[string]*configurator
+	stop map[string]context.CancelFunc
+	cut  map[string]bool
+}
+
+func newFleet(dataCentres, vms int, notify bool) *fleet {
+	f := &fleet{
+		store: standin.NewFaultyStore(platform.NewMemory()), notify: notify,
+		vms: map[string]*configurator{}, stop: map[string]context.CancelFunc{}, cut: map[string]bool{},
+	}
+	for dc := range dataCentres {
+		for i := range vms {
+			name := fmt.Sprintf("vm%d-%d", dc, i)
+			f.places = append(f.places, place{VM: name, DataCentre: fmt.Sprintf("dc%d", dc), Address: name})
+		}
+	}
+	return f
+}
+
+func (f *fleet) call(from place) func(context.Context, string, wire.Message, wire.Message) error {
+	return func(ctx context.Context, address string, request, response wire.Message) error {
+		f.mu.Lock()
+		to, apart := f.vms[address], f.cut[address] || f.cut[from.VM]
+		f.mu.Unlock()
+		if to == nil || apart {
+			return errors.New("unreachable")
+		}
+		hello := &wire.Hello{VM: from.VM, DataCentre: from.DataCentre, Address: from.Address}
+		*response.(*wire.ConfigurationResponse) = *to.handle(ctx, hello, request.(*wire.ConfigurationRequest)).(*wire.ConfigurationResponse)
+		return nil
+	}
+}
+
+// start starts a VM whose services file holds one entry.
+func (f *fleet) start(p place) *configurator {
+	s := settings.DaemonProgram{}
+	s.Configuration = settings.Configuration{
+		Interval: time.Second, Watchers: 1, Notify: f.notify, StartWait: 10 * time.Second, CommitTimeout: 5 * time.Second,
+	}
+	s.Network.PeerTimeout, s.Platform.WatchWait = time.Second, 10*time.Second
+	c := newConfigurator(configurationDeps{
+		self: p, settings: s, log: slog.New(slog.NewTextHandler(io.Discard, nil)), call: f.call(p),
+		places: func() []place { return append([]place(nil), f.places...) }, apply: func(*configuration.State) {},
+		store: configstore.New(platform.NewLimited(f.store, platform.NewBudget(platform.BudgetConfig{
+			Rate: 20, Burst: 40, BackoffMin: 100 * time.Millisecond, BackoffMax: 5 * time.Second,
+		}))),
+	}, configuration.New(0, []configuration.Entry{{Key: "quotas/file", Value: "1"}}))
+	ctx, cancel := context.WithCancel(context.Background())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vms[p.VM], f.stop[p.VM] = c, cancel
+	go func() { _ = c.run(ctx) }()
+	return c
+}
+
+func (f *fleet) startAll() {
+	for _, p := range f.places {
+		f.start(p)
+	}
+	f.settle(3 * time.Second)
+}
+
+func (f *fleet) end(vm string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stop[vm]()
+	delete(f.vms, vm)
+}
+
+func (f *fleet) endAll() {
+	for _, p := range f.places {
+		f.end(p.VM)
+	}
+	synctest.Wait()
+}
+
+func (f *fleet) settle(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func (f *fleet) watching() (count int) {
+	for _, c := range f.vms {
+		if c.watching.Load() {
+			count++
+		}
+	}
+	return count
+}
+
+func (f *fleet) set(t *testing.T, vm, value string) int64 {
+	c := f.vms[vm]
+	edit := configuration.Edit{Key: "quotas/x", After: &value}
+	if before, found := c.table.Current().Get(edit.Key); found {
+		edit.Before = &before
+	}
+	revision, err := c.commit(context.Background(), &configuration.Change{
+		ID: value, Base: c.table.Current().Revision(), Edits: []configuration.Edit{edit},
+	}, false)
+	require.NoError(t, err)
+	return revision
+}
+
+func (f *fleet) requireAll(t *testing.T, revision int64) {
+	for name, c := range f.vms {
+		require.Equal(t, revision, c.table.Current().Revision(), name)
+	}
+}
+
+var fleetTable = map[string]func(*testing.T, *fleet){
+	"a change reaches every VM": func(t *testing.T, f *fleet) {
+		f.startAll()
+		require.Equal(t, 3, f.watching(), "one VM of each data centre watches")
+		revision := f.set(t, "vm0-0", "5")
+		f.settle(4 * time.Second)
+		f.requireAll(t, revision)
+		file, _ := f.vms["vm1-1"].table.Current().Get("quotas/file")
+		require.Equal(t, "1", file, "the first change keeps the services file")
+	},
+	"the next in rank takes over the watch": func(t *testing.T, f *fleet) {
+		f.startAll()
+		for _, p := range f.places {
+			if f.vms[p.VM].watching.Load() {
+				f.end(p.VM)
+				f.settle(15 * time.Second)
+				require.Equal(t, 3, f.watching())
+				f.start(p)
+			}
+		}
+		f.settle(30 * time.Second)
+		require.Equal(t, 3, f.watching(), "those that came back watch alone again")
+	},
+	"a VM starts from its peers with the service down": func(t *testing.T, f *fleet) {
+		f.startAll()
+		revision := f.set(t, "vm0-0", "5")
+		f.settle(4 * time.Second)
+		f.store.Set(api.PlatformFaults{Down: true})
+		for _, p := range f.places {
+			f.end(p.VM)
+			c := f.start(p)
+			f.settle(3 * time.Second)
+			require.True(t, c.synced.Load())
+			require.Equal(t, revision, c.table.Current().Revision())
+		}
+	},
+	"an old copy of the service is not taken": func(t *testing.T, f *fleet) {
+		f.startAll()
+		f.set(t, "vm0-0", "5")
+		f.store.Set(api.PlatformFaults{Stale: true})
+		revision := f.set(t, "vm0-0", "6")
+		f.end("vm1-0")
+		f.start(f.places[3])
+		f.settle(5 * time.Second)
+		f.requireAll(t, revision)
+	},
+	"a cut-off VM catches up and does not push back": func(t *testing.T, f *fleet) {
+		f.startAll()
+		f.set(t, "vm0-0", "5")
+		f.settle(4 * time.Second)
+		f.mu.Lock()
+		f.cut["vm2-1"] = true
+		f.mu.Unlock()
+		revision := f.set(t, "vm0-0", "6")
+		f.settle(4 * time.Second)
+		f.mu.Lock()
+		f.cut["vm2-1"] = false
+		f.mu.Unlock()
+		f.settle(15 * time.Second)
+		f.requireAll(t, revision)
+	},
+	"alone and without the service the file is in force after the wait": func(t *testing.T, f *fleet) {
+		f.store.Set(api.PlatformFaults{Down: true})
+		f.places = f.places[:1]
+		c := f.start(f.places[0])
+		f.settle(8 * time.Second)
+		require.False(t, c.synced.Load())
+		f.settle(5 * time.Second)
+		require.True(t, c.synced.Load())
+		require.Zero(t, c.table.Current().Revision())
+	},
+	"calls to a service that is down stay few": func(t *testing.T, f *fleet) {
+		f.startAll()
+		f.store.Set(api.PlatformFaults{Down: true})
+		f.settle(time.Minute)
+		before := f.store.Calls()
+		f.settle(10 * time.Minute)
+		perSecond := float64(f.store.Calls()-before) / 600
+		require.Less(t, perSecond, 3*0.5, "calls per second of three data centres")
+	},
+}
+
+func TestFleet(t *testing.T) {
+	for _, notify := range []bool{true, false} {
+		for name, check := range fleetTable {
+			t.Run(fmt.Sprintf("notify=%v/%s", notify, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newFleet(3, 3, notify)
+					defer f.endAll()
+					check(t, f)
+				})
+			})
+		}
+	}
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -128,7 +128,7 @@
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	d.handleMembers()
-	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address})
+	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address}, seeds)
 	return d, nil
 }
 
