Let suite thin be a scenario like the others

Cause: suite thin had its own copy of the replay and reported no wasted messages: wasted_per_task was always 0. Change: its load is a scenario of the dispatch suites, with their warm-up and counters.

--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -75,35 +74,20 @@
 	return report, nil
 }
 
-// runThin sends a moderate load through the whole path without faults.
-func runThin(ctx context.Context, options Options) (*Report, error) {
-	dir, err := os.MkdirTemp("", "mustardstep-replay-")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(dir)
-	layout := Layout{
+// thinScenario is a moderate load on two data centres without faults.
+var thinScenario = scenario{
+	layout: Layout{
 		DataCentres: []string{"casablanca", "rabat"}, VMs: 2, Upstreams: 6, Slots: 8,
-		Speeds: []float64{1, 0.75, 0.5, 0.25}, Dir: dir,
-	}
-	c, err := startCluster(ctx, layout)
+		Speeds: []float64{1, 0.75, 0.5, 0.25},
+	},
+	shape: Shape{Callers: 40}, utilization: 0.3,
+}
+
+// runThin sends the load through the whole path.
+func runThin(ctx context.Context, o Options) (*Report, error) {
+	jobs, err := thinScenario.jobs(o)
 	if err != nil {
 		return nil, err
 	}
-	const meanTaskUS = 50_000
-	const utilization = 0.3
-	jobs := Generate(Shape{
-		Seed: options.Seed, Seconds: options.Seconds, MeanTaskUS: meanTaskUS, Callers: 40,
-		TasksPerSecond: utilization * c.speedSum() * 1e6 / meanTaskUS,
-	})
-	load := newLoad(c.http)
-	outcomes := load.replay(ctx, jobs)
-	starts, err := c.starts()
-	stopErr := c.stop()
-	if err := errors.Join(err, stopErr); err != nil {
-		return nil, err
-	}
-	report := &Report{}
-	judge(report, outcomes, load.denials, starts, c.speedSum())
-	return report, nil
+	return thinScenario.replay(ctx, policyMustardstep, jobs)
 }
