--- a/dispatch/dispatch_test.go
+++ b/dispatch/dispatch_test.go
@@ -73,15 +73,15 @@
 	}{
 		{"urgent first", []job{{normalCall, 1, 0}, {urgentCall, 5, time.Second}}, "1"},
 		{"least work first", []job{{normalCall, 9, 0}, {normalCall, 2, 10 * time.Millisecond}}, "1"},
-		{"ageing passes less work", []job{{normalCall, 9, 0}, {normalCall, 2, 2 * time.Second}}, "0"},
-		{"ageing passes urgent", []job{{normalCall, 2, 0}, {urgentCall, 2, time.Minute}}, "0"},
+		{"ageing passes less work", []job{{normalCall, 9, 0}, {normalCall, 2, 3 * time.Second}}, "0"},
+		{"ageing passes urgent", []job{{normalCall, 2, 0}, {urgentCall, 2, 2 * time.Minute}}, "0"},
 	} {
 		d := newTest(100, 1)
 		running := add(t, d, start, normalCall, "running", 1)
 		for i, j := range c.jobs {
 			require.Empty(t, add(t, d, start.Add(j.at), j.call, fmt.Sprint(i), j.n))
 		}
-		next, _ := d.Finish(start.Add(time.Minute), running[0], Result{Took: 100 * time.Millisecond}, nil)
+		next, _ := d.Finish(start.Add(2*time.Minute), running[0], Result{Took: 100 * time.Millisecond}, nil)
 		require.Len(t, next, 1, c.name)
 		require.Equal(t, c.want, next[0].Task.Submission.Key, c.name)
 	}
@@ -161,30 +161,56 @@
 	d := newTest(threads*jobs*size, 3, 1, 2, 5)
 	var mu sync.Mutex // guards ran
 	ran := map[string]int{}
+	run := func(work []Assignment) {
+		for len(work) > 0 {
+			a := work[0]
+			mu.Lock()
+			ran[fmt.Sprint(a.Task.Submission.Key, "/", a.Task.Index)]++
+			mu.Unlock()
+			work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
+		}
+	}
 	var wg sync.WaitGroup
+	wg.Go(func() {
+		for range jobs {
+			run(d.SetUpstreams(start, "s", upstreamsOf(3, 1, 2, 5)))
+		}
+	})
 	for thread := range threads {
 		wg.Go(func() {
 			for i := range jobs {
 				work, _ := d.Add(start, makeTasks(normalCall, fmt.Sprintf("%d-%d", thread, i), size))
-				for len(work) > 0 {
-					a := work[0]
-					mu.Lock()
-					ran[fmt.Sprint(a.Task.Submission.Key, "/", a.Task.Index)]++
-					mu.Unlock()
-					work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
-				}
+				run(work)
 			}
 		})
 	}
 	wg.Wait()
-	for work := d.Tick(start); len(work) > 0; {
-		a := work[0]
-		ran[fmt.Sprint(a.Task.Submission.Key, "/", a.Task.Index)]++
-		work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
-	}
+	run(d.Tick(start))
 	require.Len(t, ran, threads*jobs*size)
 	for task, n := range ran {
 		require.Equal(t, 1, n, task)
 	}
 	require.Zero(t, d.Waiting())
 }
+
+func TestListChangesWhileTasksAreBound(t *testing.T) {
+	const rounds = 300
+	d := newTest(rounds, 2, 2)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for i := range rounds {
+			upstreams := upstreamsOf(2, 2)
+			upstreams[i%2].Leaving = true
+			d.SetUpstreams(start, "s", upstreams)
+		}
+	})
+	for i := range rounds {
+		work, failure := d.Add(start, makeTasks(normalCall, fmt.Sprint(i), 1))
+		require.Nil(t, failure)
+		for len(work) > 0 {
+			a := work[0]
+			work, _ = d.Finish(start, a, Result{Took: time.Millisecond}, work[1:])
+		}
+	}
+	wg.Wait()
+}
