--- a/ownership/model_test.go
+++ b/ownership/model_test.go
@@ -76,7 +76,9 @@
 		w.lose()
 	case 12:
 		w.muted[vm] = !w.muted[vm]
-	case 13, 14, 15, 16:
+	case 13:
+		w.partition(p)
+	case 14, 15, 16:
 		w.advance(rapid.IntRange(1, 14).Draw(w.t, "intervals"))
 	default:
 		if isAlive && !p.frozen {
@@ -86,6 +88,26 @@
 	}
 }
 
+// partition cuts a VM off for a while and submits one key on both sides.
+func (w *world) partition(p *process) {
+	if p == nil || !w.running(p) {
+		return
+	}
+	w.muted[p.vm] = true
+	w.advance(rapid.IntRange(1, 6).Draw(w.t, "intervals"))
+	id := submission.ID{Caller: "x", Key: fmt.Sprint(rapid.IntRange(6, 30).Draw(w.t, "key"))}
+	w.submit(p, id)
+	w.eachRunning(func(other *process) {
+		if !w.muted[other.vm] {
+			w.submit(other, id)
+		}
+	})
+	w.deliver(false)
+	w.work()
+	w.work()
+	w.muted[p.vm] = false
+}
+
 // TestWorldServes shows that the model does serve calls, so that the checks
 // above are not empty.
 func TestWorldServes(t *testing.T) {
