--- a/internal/replay/suite_config_judge.go
+++ b/internal/replay/suite_config_judge.go
@@ -40,23 +40,30 @@
 		if err != nil {
 			return nil, err
 		}
-		var sightings []sighting
-		scanner := bufio.NewScanner(bytes.NewReader(data))
-		for scanner.Scan() {
-			var s sighting
-			// A line that was cut by the end of its process is no JSON.
-			if json.Unmarshal(scanner.Bytes(), &s) != nil {
-				continue
-			}
-			if s.Message == messageServing || s.Message == messageTaken || s.Message == messageInForce {
-				sightings = append(sightings, s)
-			}
-		}
-		logs = append(logs, sightings)
+		logs = append(logs, parseSightings(data))
 	}
 	return logs, nil
 }
 
+// parseSightings returns the sightings of a log, whose lines are written out in
+// batches and not in order of time.
+func parseSightings(data []byte) []sighting {
+	var sightings []sighting
+	scanner := bufio.NewScanner(bytes.NewReader(data))
+	for scanner.Scan() {
+		var s sighting
+		// A line that was cut by the end of its process is no JSON.
+		if json.Unmarshal(scanner.Bytes(), &s) != nil {
+			continue
+		}
+		if s.Message == messageServing || s.Message == messageTaken || s.Message == messageInForce {
+			sightings = append(sightings, s)
+		}
+	}
+	slices.SortStableFunc(sightings, func(a, b sighting) int { return a.At.Compare(b.At) })
+	return sightings
+}
+
 // countReverts counts how often a VM had a lower revision in force than before.
 // A VM that starts has one in force from when it has taken it.
 func countReverts(logs [][]sighting) int {
