--- a/daemon/lend.go
+++ b/daemon/lend.go
@@ -18,6 +18,7 @@
 	TakeBack(now time.Time, r dispatch.Return) []dispatch.Assignment
 	BorrowedSlots() int64
 	Ejections() int64
+	Ejected() []string
 }
 
 // setPeers tells the dispatcher which VMs may lend.
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -31,8 +31,13 @@
 
 func (d *Daemon) ownStatus() *wire.StatusResponse {
 	s := d.configuration.table.Current()
+	var ejected []string
+	if l, lends := d.dispatcher.(lender); lends {
+		ejected = l.Ejected()
+	}
 	return &wire.StatusResponse{
-		VM: d.settings.Network.VM, DataCentre: d.settings.Network.DataCentre, Version: Version,
+		Ejected: ejected,
+		VM:      d.settings.Network.VM, DataCentre: d.settings.Network.DataCentre, Version: Version,
 		Revision: s.Revision(), Fingerprint: s.Fingerprint(),
 		Ready: d.Ready() == nil, Draining: d.drained.Load(),
 		Watching: d.configuration.watching.Load(), Members: len(d.places()),
--- a/internal/replay/suite_config.go
+++ b/internal/replay/suite_config.go
@@ -26,6 +26,20 @@
 	operatorCount   = 6
 )
 
+// Lengths of the load where the settings give none.
+const (
+	configTime = 10 * time.Second
+	spreadTime = 5 * time.Second
+)
+
+// lengthOf returns the length of the load.
+func lengthOf(options Options, fallback time.Duration) time.Duration {
+	if options.Seconds == 0 {
+		return fallback
+	}
+	return time.Duration(options.Seconds * float64(time.Second))
+}
+
 // configRun is a running suite of the configuration.
 type configRun struct {
 	*cluster
@@ -70,7 +84,7 @@
 		return nil, err
 	}
 	r.steady = append([]string(nil), r.http[2:]...)
-	if err := r.race(ctx, time.Duration(options.Seconds*float64(time.Second)), r.faults); err != nil {
+	if err := r.race(ctx, lengthOf(options, configTime), r.faults); err != nil {
 		return nil, err
 	}
 	final, err := r.converge(ctx)
--- a/internal/replay/suite_config_variants.go
+++ b/internal/replay/suite_config_variants.go
@@ -97,7 +97,7 @@
 		return nil, err
 	}
 	began := time.Now()
-	if err := r.race(ctx, time.Duration(options.Seconds*float64(time.Second)), nil); err != nil {
+	if err := r.race(ctx, lengthOf(options, spreadTime), nil); err != nil {
 		return nil, err
 	}
 	seconds := time.Since(began).Seconds()
