--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/admission"
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/dispatch"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
@@ -47,6 +48,7 @@
 	node        *ownership.Node
 	submissions *submission.Table
 	dispatcher  dispatcher
+	quotas      *admission.Quotas
 
 	front     *httpfront.Front
 	peers     *peer.Transport
@@ -104,6 +106,7 @@
 			JoinTimeout: s.Membership.JoinTimeout, Budget: s.Jobs.Memory, Fanout: s.Membership.Fanout,
 		}),
 		dispatcher: newDispatcher(&s),
+		quotas:     admission.NewQuotas(),
 	}
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
 	d.catalog.Store(catalog.Empty())
@@ -131,7 +134,7 @@
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	d.handleMembers()
-	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address})
+	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address}, seeds)
 	return d, nil
 }
 
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -18,7 +18,7 @@
 	// task that has waited that much longer passes a task of the higher class.
 	classGap = 30.0
 	// ageWeight is the work that one second of waiting outweighs.
-	ageWeight = 1.0
+	ageWeight = 0.3
 )
 
 // noScore is the score of an empty queue.
@@ -36,6 +36,8 @@
 	arrived float64 // seconds since the epoch of the pool
 	score   float64
 	index   int // in the heap
+	// declined is the number of offered slots that the job did not take.
+	declined int
 }
 
 func (j *waitingJob) update() {
@@ -68,6 +70,7 @@
 // queueShard holds the waiting jobs whose submissions hash to it.
 type queueShard struct {
 	top atomicFloat // score of the first job, or noScore
+	_   cacheLine
 
 	mu   sync.Mutex // guards the fields below and every store of top
 	jobs map[submission.ID]*waitingJob
@@ -112,20 +115,21 @@
 // considered is the most jobs of a shard that are offered a slot.
 const considered = 4
 
-// pop takes a task for a slot of a bucket, or returns nil: with declined set
+// pop takes a task for an offered slot, or returns nil: with declined set
 // where tasks wait but would rather wait for a faster slot.
-func (q *queueShard) pop(s *slots, bucket int, outlook *outlook) (task *Task, declined bool) {
+func (q *queueShard) pop(taken offer, outlook *outlook) (task *Task, refusals int, declined bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	ahead := 0
 	for i := range min(len(q.heap), considered) {
 		j := q.heap[i]
 		ahead += len(j.tasks)
-		if outlook.accepts(j.model, j.call.Priority, bucket, s.offset(j.model), ahead) {
-			return q.remove(j), false
+		if outlook.accepts(j.model, j.call.Priority, taken.bucket, taken.slots.offset(j.model), ahead) {
+			return q.remove(j), j.declined, false
 		}
+		j.declined++
 	}
-	return nil, len(q.heap) > 0
+	return nil, 0, len(q.heap) > 0
 }
 
 // remove takes the first task of a job. The caller holds mu.
@@ -147,17 +151,17 @@
 	delete(q.jobs, j.id)
 }
 
-// cancel removes the tasks of a submission and returns their number.
-func (q *queueShard) cancel(id submission.ID) int {
+// cancel removes the tasks of a submission and returns their number and class.
+func (q *queueShard) cancel(id submission.ID) (int, catalog.Priority) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	j := q.jobs[id]
 	if j == nil {
-		return 0
+		return 0, 0
 	}
 	q.drop(j)
 	q.publish()
-	return len(j.tasks)
+	return len(j.tasks), j.call.Priority
 }
 
 // seconds returns the time between two instants in seconds.
