--- a/dispatch/lend.go
+++ b/dispatch/lend.go
@@ -61,7 +61,7 @@
 	// back the slots of a borrower that does not answer.
 	reclaimAfter = 30 * time.Second
 	// lendShare is the share of its free slots that a VM lends at once.
-	lendShare = 0.5
+	lendShare = 0.8
 	// lendGain is the part of the present expectation that a borrowed slot
 	// must stay under to be worth the messages.
 	lendGain = 0.8
@@ -156,7 +156,7 @@
 	}
 	p.ledger.mu.Unlock()
 	p.giveBack(back)
-	return p.assign(now, nil)
+	return p.assign(now, 0, nil)
 }
 
 // reclaim takes back the slots of loans whose borrower has not returned them.
@@ -212,7 +212,7 @@
 	var lent []Lent
 	call := p.calls.named(ask.Call)
 	for n > 0 {
-		shard := p.fastestSlots()
+		shard := p.fastestSlots(0)
 		if shard < 0 {
 			return lent
 		}
