--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -184,6 +184,8 @@
 		defer cancel()
 		// Requests that outlast the timeout end with the process.
 		_ = server.ShutdownWithContext(ctx)
+		// A server that has not begun to accept does not know its listener yet.
+		_ = listener.Close()
 	})
 	defer stop()
 	return server.Serve(listener)
