--- a/dispatch/ejected_test.go
+++ b/dispatch/ejected_test.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -9,12 +11,17 @@
 func TestEjectedNamesWhoFails(t *testing.T) {
 	d := newTest(1000, 8, 8, 8, 8)
 	require.Empty(t, d.Ejected())
-	bad := map[string]bool{"u0": true, "u1": true, "u2": true, "u3": true}
-	serve(t, d, 100, bad)
-	ejected := d.Ejected()
-	require.Len(t, ejected, d.pool("s").outlook.Load().ejected)
-	require.NotEmpty(t, ejected)
-	for _, name := range ejected {
-		require.True(t, bad[name], name)
+	var running []Assignment
+	for job := range 4 * 8 { // one task for each slot
+		running = append(running, add(t, d, start, normalCall, fmt.Sprint(job), 1)...)
 	}
+	require.Len(t, running, 4*8)
+	for _, a := range running {
+		r := Result{Took: 100 * time.Millisecond}
+		if a.Upstream.Name == "u2" {
+			r = Result{Ending: Failed, Took: time.Millisecond}
+		}
+		d.Finish(start, a, r, nil)
+	}
+	require.Equal(t, []string{"u2"}, d.Ejected())
 }
