Blame no upstream for a task that this process withheld

Cause: a write that the permission to start refused was entered as a refusal by the upstream: it cost the task an offer and the upstream its health, so that a lapse of a VM's own permission could eject the upstreams it uses. Change: such an ending is Withheld: the task is queued again, nothing counts.

--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -99,6 +99,9 @@
 		if outcome, ended := run.job.Complete(a.Task.Index, result.Value); ended {
 			d.finish(run, outcome)
 		}
+	case failure.Code == verdict.CodeNotReady:
+		run.job.Refuse()
+		ending.Ending = dispatch.Withheld
 	case failure.Verdict == verdict.NotRun:
 		d.metrics.refusals.Add(1)
 		run.job.Refuse()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -81,17 +81,19 @@
 }
 
 // Finish returns the slot of an assignment and appends the assignments that it
-// lets through to next. A refused task is queued again while its call's
-// retries last; otherwise dropped is true.
+// lets through to next. A withheld task is queued again, and a refused one while
+// its call's retries last; otherwise dropped is true.
 func (d *Dispatcher) Finish(now time.Time, a Assignment, r Result, next []Assignment) (_ []Assignment, dropped bool) {
 	p := d.pool(a.Upstream.Service)
 	p.release(now, &a, r)
-	if r.Ending == Refused {
-		if a.Task.CountRefusal() > a.Task.Call.Retries || !p.retries.Spend() {
-			dropped = true
-		} else {
-			p.requeue(a.Task)
-		}
+	switch {
+	case r.Ending == Withheld:
+		p.requeue(a.Task)
+	case r.Ending != Refused:
+	case a.Task.CountRefusal() > a.Task.Call.Retries || !p.retries.Spend():
+		dropped = true
+	default:
+		p.requeue(a.Task)
 	}
 	return p.assign(now, a.Task.Submission.Hash(), next), dropped
 }
--- a/dispatch/health_test.go
+++ b/dispatch/health_test.go
@@ -63,3 +63,25 @@
 		require.NotEqual(t, a.Upstream.Name, b.Upstream.Name)
 	}
 }
+
+// A process that may not start tasks for a while withholds them; its upstreams
+// are not to blame.
+func TestWithheldTasksBlameNoUpstream(t *testing.T) {
+	d := newTest(1000, 8, 8, 8, 8)
+	var running []Assignment
+	for job := range 4 * 8 {
+		running = append(running, add(t, d, start, normalCall, fmt.Sprint(job), 1)...)
+	}
+	require.Len(t, running, 4*8)
+	for range 5 {
+		var again []Assignment
+		for _, a := range running {
+			next, dropped := d.Finish(start, a, Result{Ending: Withheld}, nil)
+			require.False(t, dropped)
+			again = append(again, next...)
+		}
+		running = again
+		require.Len(t, running, 4*8)
+	}
+	require.Zero(t, d.Ejections())
+}
--- a/dispatch/pool.go
+++ b/dispatch/pool.go
@@ -145,7 +145,7 @@
 	switch {
 	case r.Ending == Done:
 		shard.observe(now, a.slots, p.calls.get(a.Task.Call), r.Took.Seconds())
-	case r.Ending == Skipped || r.Leaving:
+	case r.Ending == Skipped || r.Ending == Withheld || r.Leaving:
 		shard.put(a.slots)
 	default:
 		if shard.fail(now, a.slots, a.Task.Submission.Hash(), p.outlook.Load().spare()) {
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -79,6 +79,10 @@
 	Refused
 	// Skipped means that the task was not sent, since its job had ended.
 	Skipped
+	// Withheld means that the task was not sent, since this process may not
+	// start tasks for the moment. It is queued again; the upstream has no part
+	// in it.
+	Withheld
 )
 
 // Result tells how an assignment ended.
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -116,9 +116,13 @@
 	return decode(address, response)
 }
 
-// transportFailure judges an error without an answer.
+// transportFailure judges an error without an answer. The code is CodeNotReady
+// where this process itself withheld the task.
 func transportFailure(address string, err error) *verdict.Error {
-	if errors.Is(err, errDial) || errors.Is(err, errNotPermitted) || errors.Is(err, fasthttp.ErrNoFreeConns) {
+	if errors.Is(err, errNotPermitted) {
+		return verdict.Errorf(verdict.NotRun, verdict.CodeNotReady, "upstream %s: %v", address, err)
+	}
+	if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
 		return verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "upstream %s: %v", address, err)
 	}
 	return verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "upstream %s: %v", address, err)
