Announce an admission to every member at once

Cause: members of other data centres learnt that a VM had been admitted by the next round of heartbeats only; until then a front could not forward to it. The demonstration's first call waited for 1 s (log: both VMs joined at 18.21, the call was forwarded at 19.17 with the heartbeat). Ruled out: the client's back-off (one attempt) and the placement (same millisecond as the forward). Change: the end of a join asks for one heartbeat to every known member. TestAdmissionIsAnnouncedEverywhere fails before.

--- a/ownership/join_test.go
+++ b/ownership/join_test.go
@@ -42,3 +42,22 @@
 	require.Equal(t, verdict.MayHaveRun, step.Outcome.Failure.Verdict)
 	require.Equal(t, verdict.CodeUncovered, step.Outcome.Failure.Code)
 }
+
+// TestAdmissionIsAnnouncedEverywhere joins the only member of a data centre;
+// members elsewhere forward calls to it as soon as they know that it may own.
+func TestAdmissionIsAnnouncedEverywhere(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := New(now, Config{
+		Membership: membership.Config{
+			Self:        membership.Member{VM: "a1", Incarnation: 1, DataCentre: "a", Address: "a1"},
+			DataCentres: []string{"a", "b"}, Interval: interval, Fence: fence, Retention: retention,
+		},
+		JoinTimeout: time.Hour, Budget: 1 << 20, Fanout: 3,
+	})
+	elsewhere := membership.Member{VM: "b1", Incarnation: 1, DataCentre: "b", Address: "b1"}
+	n.Members().Heard(now, elsewhere)
+	n.SetHistory(HistoryNone)
+	require.Contains(t, n.Due(now), Action{Kind: SendHeartbeat, To: elsewhere})
+	require.True(t, n.Ready())
+	require.Empty(t, n.Due(now), "once")
+}
--- a/ownership/node.go
+++ b/ownership/node.go
@@ -177,10 +177,23 @@
 			return append(actions, n.fills(view)...)
 		}
 		view = n.View()
+		return append(n.announce(view), n.fills(view)...)
 	}
 	return n.fills(view)
 }
 
+// announce returns heartbeats to every member of any data centre, so that all
+// learn at once that this incarnation has been admitted.
+func (n *Node) announce(view *membership.View) []Action {
+	var actions []Action
+	for _, m := range view.Unended() {
+		if m != view.Self {
+			actions = append(actions, Action{Kind: SendHeartbeat, To: m})
+		}
+	}
+	return actions
+}
+
 // fills returns the fills that members lack. They are due to every counted
 // member, joined or not.
 func (n *Node) fills(view *membership.View) []Action {
