Print the capacity table as Markdown

Cause: the page takes its table from the command, not by hand. Change: -o markdown. Conclusion: the page can be brought up to date with one command.

--- a/internal/command/capacity.go
+++ b/internal/command/capacity.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/google/subcommands"
 	"github.com/mustardstep/mustardstep/internal/capacity"
@@ -32,11 +33,18 @@
 		fmt.Fprintln(os.Stderr, "capacity: -lines names no known line")
 		return subcommands.ExitUsageError
 	}
-	if c.settings.Capacity.Output == "table" {
+	switch c.settings.Capacity.Output {
+	case "table":
 		for _, line := range results {
 			fmt.Printf("%-28s %-24s %s\n", line.Name, line.Role, formatLine(line))
 		}
 		return subcommands.ExitSuccess
+	case "markdown":
+		fmt.Println("| line | role | points (driver: cost) | fit | at the size to come |\n|---|---|---|---|---|")
+		for _, line := range results {
+			fmt.Println(markdownRow(line))
+		}
+		return subcommands.ExitSuccess
 	}
 	encoder := json.NewEncoder(os.Stdout)
 	encoder.SetIndent("", "  ")
@@ -49,10 +57,24 @@
 
 // formatLine shows the points, the fit and the projection of a line.
 func formatLine(l capacity.Line) string {
-	text := ""
-	for _, p := range l.Points {
-		text += fmt.Sprintf("%g:%.4g ", p.Driver, p.Cost)
+	return fmt.Sprintf("%s = %s; at %.4g %s: %.4g %s",
+		formatPoints(l.Points), formatFit(l.Fit), l.Target, l.Driver, l.Projected, l.Unit)
+}
+
+// markdownRow shows a line as a row of a table.
+func markdownRow(l capacity.Line) string {
+	return fmt.Sprintf("| `%s` | %s | %s | %s | %.4g %s: %.4g %s |",
+		l.Name, l.Role, formatPoints(l.Points), formatFit(l.Fit), l.Target, l.Driver, l.Projected, l.Unit)
+}
+
+func formatPoints(points []capacity.Point) string {
+	var texts []string
+	for _, p := range points {
+		texts = append(texts, fmt.Sprintf("%g: %.4g", p.Driver, p.Cost))
 	}
-	return fmt.Sprintf("%s= %.4g + %.4g x (r2 %.3f); at %.4g %s: %.4g %s",
-		text, l.Fit.Intercept, l.Fit.Slope, l.Fit.R2, l.Target, l.Driver, l.Projected, l.Unit)
+	return strings.Join(texts, ", ")
+}
+
+func formatFit(f capacity.Fit) string {
+	return fmt.Sprintf("%.4g + %.4g x (r² %.3f)", f.Intercept, f.Slope, f.R2)
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -86,7 +86,7 @@
 // Bind declares the settings on the binder.
 func (s *Capacity) Bind(b *Binder) {
 	bind(b, &s.Output, definition[string]{
-		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json", "markdown"},
 	})
 	bind(b, &s.Lines, definition[[]string]{
 		flag: "lines", env: "MUSTARDSTEP_LINES", help: "lines to measure, separated by commas; empty measures all", unit: "",
