--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -77,23 +77,25 @@
 	if failure := p.add(now, tasks); failure != nil {
 		return nil, failure
 	}
-	return p.assign(now, nil), nil
+	return p.assign(now, tasks[0].Submission.Hash(), nil), nil
 }
 
 // Finish returns the slot of an assignment and appends the assignments that it
-// lets through to next. A refused task is queued again while its call's
-// retries last; otherwise dropped is true.
+// lets through to next. A withheld task is queued again, and a refused one while
+// its call's retries last; otherwise dropped is true.
 func (d *Dispatcher) Finish(now time.Time, a Assignment, r Result, next []Assignment) (_ []Assignment, dropped bool) {
 	p := d.pool(a.Upstream.Service)
 	p.release(now, &a, r)
-	if r.Ending == Refused {
-		if a.Task.CountRefusal() > a.Task.Call.Retries {
-			dropped = true
-		} else {
-			p.requeue(a.Task)
-		}
+	switch {
+	case r.Ending == Withheld:
+		p.requeue(a.Task)
+	case r.Ending != Refused:
+	case a.Task.CountRefusal() > a.Task.Call.Retries || !p.retries.Spend():
+		dropped = true
+	default:
+		p.requeue(a.Task)
 	}
-	return p.assign(now, next), dropped
+	return p.assign(now, a.Task.Submission.Hash(), next), dropped
 }
 
 // Cancel removes the waiting tasks of a submission and returns their number.
@@ -105,7 +107,7 @@
 func (d *Dispatcher) SetUpstreams(now time.Time, service string, upstreams []Upstream) []Assignment {
 	p := d.pool(service)
 	p.replace(now, upstreams)
-	return p.assign(now, nil)
+	return p.assign(now, 0, nil)
 }
 
 // Tick reconsiders the tasks that wait although a slow slot is free. It is
@@ -113,8 +115,8 @@
 func (d *Dispatcher) Tick(now time.Time) []Assignment {
 	var assignments []Assignment
 	for _, p := range *d.pools.Load() {
-		p.tick()
-		assignments = p.assign(now, assignments)
+		p.tick(now)
+		assignments = p.assign(now, 0, assignments)
 	}
 	return assignments
 }
@@ -133,3 +135,12 @@
 
 // BorrowedSlots returns the number of slots borrowed since the start.
 func (d *Dispatcher) BorrowedSlots() int64 { return d.borrowed.Load() }
+
+// Ejections returns the number of ejections of upstreams since the start.
+func (d *Dispatcher) Ejections() int64 {
+	n := int64(0)
+	for _, p := range *d.pools.Load() {
+		n += p.ejections.Load()
+	}
+	return n
+}
--- a/dispatch/task.go
+++ b/dispatch/task.go
@@ -79,6 +79,10 @@
 	Refused
 	// Skipped means that the task was not sent, since its job had ended.
 	Skipped
+	// Withheld means that the task was not sent, since this process may not
+	// start tasks for the moment. It is queued again; the upstream has no part
+	// in it.
+	Withheld
 )
 
 // Result tells how an assignment ended.
@@ -86,4 +90,6 @@
 	Ending Ending
 	// Took is the time from the start to the answer.
 	Took time.Duration
+	// Leaving tells that the upstream announced that it takes no more tasks.
+	Leaving bool
 }
--- a/ownership/node.go
+++ b/ownership/node.go
@@ -47,7 +47,7 @@
 	mu       sync.Mutex // guards the fields below
 	joining  time.Time  // when this incarnation began to join
 	accepted map[membership.ID]bool
-	founded  bool                     // an admitted member has filled this incarnation
+	vouching map[membership.ID]bool   // admitted members that have filled this incarnation
 	filled   map[membership.ID]uint64 // epoch of the last fill that a member acknowledged
 	history  History
 	asking   bool          // the join waits for history only
@@ -85,7 +85,7 @@
 // New.
 func (n *Node) reset(now time.Time) {
 	n.joining = now
-	n.founded = false
+	n.vouching = map[membership.ID]bool{}
 	n.accepted = map[membership.ID]bool{}
 	n.filled = map[membership.ID]uint64{}
 }
@@ -177,10 +177,23 @@
 			return append(actions, n.fills(view)...)
 		}
 		view = n.View()
+		return append(n.announce(view), n.fills(view)...)
 	}
 	return n.fills(view)
 }
 
+// announce returns heartbeats to every member of any data centre, so that all
+// learn at once that this incarnation has been admitted.
+func (n *Node) announce(view *membership.View) []Action {
+	var actions []Action
+	for _, m := range view.Unended() {
+		if m != view.Self {
+			actions = append(actions, Action{Kind: SendHeartbeat, To: m})
+		}
+	}
+	return actions
+}
+
 // fills returns the fills that members lack. They are due to every counted
 // member, joined or not.
 func (n *Node) fills(view *membership.View) []Action {
