--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -104,7 +104,7 @@
 			c.synced.Store(true)
 			c.log.Warn("no peer and no platform answered: the services file is in force")
 		}
-		sleepFor(ctx, startPause)
+		pause(ctx, startPause)
 	}
 }
 
@@ -193,13 +193,3 @@
 func jittered(d time.Duration) time.Duration {
 	return d*3/4 + rand.N(d/2+1)
 }
-
-// sleepFor waits for a time or the end of the context.
-func sleepFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/daemon/configuration_peers.go
+++ b/daemon/configuration_peers.go
@@ -87,7 +87,7 @@
 // keepComparing compares with a peer once an interval.
 func (c *configurator) keepComparing(ctx context.Context) error {
 	for {
-		sleepFor(ctx, jittered(c.settings.Configuration.Interval))
+		pause(ctx, jittered(c.settings.Configuration.Interval))
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/submission/submission.go
+++ b/submission/submission.go
@@ -263,7 +263,8 @@
 	s.answers = slices.DeleteFunc(s.answers, func(e *Entry) bool { return s.entries[e.ID] != e })
 }
 
-// Range calls visit for every entry until XX
+// Range calls visit for every entry that has not expired, shard by shard and in
+// no order. visit is called under the shard's lock and must not use the table.
 func (t *Table) Range(now time.Time, visit func(r Record, hash uint64, placed [2]membership.ID)) {
 	for i := range t.shards {
 		s := &t.shards[i]
