Add mustardctl explain

Cause: the dispatcher keeps why a task waited and where it went, and nothing showed it to operators. Change: /v1/operators/explain asks the owner of the submission over a message of its own; mustardctl prints state, waiting tasks and placements. Table cases in TestCtlTable.

--- a/daemon/configuration_apply.go
+++ b/daemon/configuration_apply.go
@@ -82,6 +82,7 @@
 	d.configuration = newConfigurator(deps, initial)
 	peer.Handle(d.peers, d.configuration.handle)
 	peer.Handle(d.peers, d.handleStatus)
+	peer.Handle(d.peers, d.handleExplain)
 }
 
 // places returns the daemons that this VM knows, itself included: the newest
--- a/internal/api/operators_gen.go
+++ b/internal/api/operators_gen.go
@@ -172,3 +172,50 @@
 	// VMs are in order of data centre and name.
 	VMs []VMStatus `json:"vms"`
 }
+
+// Explanation tells what became of the tasks of a submission (GET
+// /v1/operators/explain?caller=C&key=K).
+type Explanation struct {
+	// VM is the VM that answers: the owner of the submission, as far as it can
+	// be reached.
+	VM string `json:"vm"`
+	// State is unknown, running, complete or the verdict of the failure.
+	State string `json:"state"`
+	// Reason says why the submission failed or why nothing is known.
+	Reason string `json:"reason,omitempty"`
+	// Service is the service in whose queue the tasks wait or waited.
+	Service string `json:"service,omitempty"`
+	// Waiting is the number of tasks that wait.
+	Waiting int `json:"waiting"`
+	// Ahead is the number of tasks of all jobs that wait for the service on the
+	// VM.
+	Ahead int `json:"ahead"`
+	// ExpectedWaitUS is the expected wait of a task that joins the queue now, in
+	// microseconds.
+	ExpectedWaitUS int64 `json:"expected_wait_us"`
+	// Placed are the placements that are still kept, the oldest first.
+	Placed []Placement `json:"placed"`
+}
+
+// Placement tells where a task went, and why.
+type Placement struct {
+	// AtUS is the time of the placement, in microseconds since 1970.
+	AtUS int64 `json:"at_us"`
+	// Task is the index of the task.
+	Task int `json:"task"`
+	// Upstream is the chosen upstream.
+	Upstream string `json:"upstream"`
+	// Reason says why it was chosen.
+	Reason string `json:"reason"`
+	// WaitedUS is the time in the queue, in microseconds.
+	WaitedUS int64 `json:"waited_us"`
+	// Declined is the number of slower slots that the job had declined until
+	// then.
+	Declined int `json:"declined"`
+	// Upstreams is the number of upstreams that were considered.
+	Upstreams int `json:"upstreams"`
+	// Ejected is the number of those that were filtered out by their health.
+	Ejected int `json:"ejected"`
+	// Slots is the number of slots of all.
+	Slots int `json:"slots"`
+}
--- a/internal/command/ctl.go
+++ b/internal/command/ctl.go
@@ -74,7 +74,7 @@
 
 // CtlCommands returns the commands of mustardctl.
 func CtlCommands() []subcommands.Command {
-	return []subcommands.Command{schemaCommand(), configCommand(), statusCommand(), drainCommand(), undrainCommand()}
+	return []subcommands.Command{schemaCommand(), configCommand(), statusCommand(), drainCommand(), undrainCommand(), explainCommand()}
 }
 
 // Usage lists the forms of the command; flags follow.
--- a/internal/command/ctl_test.go
+++ b/internal/command/ctl_test.go
@@ -19,6 +19,7 @@
 	"github.com/mustardstep/mustardstep/examples"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/operators"
+	"github.com/mustardstep/mustardstep/submission"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
@@ -103,6 +104,11 @@
 
 func (b *fakeBackend) Status(context.Context) *api.StatusReport { return &b.status }
 
+func (b *fakeBackend) Explain(_ context.Context, id submission.ID) *api.Explanation {
+	return &api.Explanation{VM: "vm1", State: "running", Service: "rota-desk", Waiting: 2, Ahead: 7, ExpectedWaitUS: 1500,
+		Placed: []api.Placement{{Task: 3, Upstream: "u-" + id.Caller + "-" + id.Key, Reason: "fastest", WaitedUS: 2500}}}
+}
+
 // startBackend serves a backend and returns its address.
 func startBackend(t *testing.T, b *fakeBackend) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -225,6 +231,9 @@
 		"schema diff":      {"schema diff " + good, nil, exitDiffers, []string{"services/rota-desk/"}, false},
 		"schema show":      {"schema show", nil, 0, []string{"version: 1"}, false},
 		"drain":            {"drain vm7", nil, 0, []string{"revision 3"}, true},
+		"explain":          {"explain museum k1", nil, 0, []string{"running at vm1", "2 tasks wait", "u-museum-k1", "fastest"}, false},
+		"explain as JSON":  {"explain museum k1 -o json", nil, 0, []string{`"waiting": 2`}, false},
+		"explain no key":   {"explain museum", nil, subcommands.ExitUsageError, []string{"explain CALLER KEY"}, false},
 		"undrain unknown":  {"undrain vm7", nil, exitInvalid, []string{"not set"}, false},
 		"status":           {"status", func(b *fakeBackend) { b.status = agreed }, 0, []string{"agreed", "ready"}, false},
 		"status differs": {"status", func(b *fakeBackend) { b.status = behind }, exitNotInForce,
--- a/internal/operators/client.go
+++ b/internal/operators/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,12 @@
 	return get[api.StatusReport](c, pathStatus)
 }
 
+// Explain tells what became of the tasks of a submission.
+func (c *Client) Explain(caller, key string) (*api.Explanation, error) {
+	query := url.Values{"caller": {caller}, "key": {key}}
+	return get[api.Explanation](c, pathExplain+"?"+query.Encode())
+}
+
 // Change makes a change. Where an answer is lost it asks the next daemon under
 // the same identity, so that the change is made at most once. An error means
 // that no daemon answered.
--- a/internal/operators/handler.go
+++ b/internal/operators/handler.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/valyala/fasthttp"
 )
@@ -17,6 +18,7 @@
 	pathChanges       = "/v1/operators/changes"
 	pathHistory       = "/v1/operators/history"
 	pathStatus        = "/v1/operators/status"
+	pathExplain       = "/v1/operators/explain"
 )
 
 // Backend answers operators. It is called concurrently.
@@ -29,6 +31,8 @@
 	History(ctx context.Context) (*api.HistoryResponse, error)
 	// Status asks every VM for its state.
 	Status(ctx context.Context) *api.StatusReport
+	// Explain tells what became of the tasks of a submission.
+	Explain(ctx context.Context, id submission.ID) *api.Explanation
 }
 
 // Handler returns the handler of all paths under /v1/operators.
@@ -41,7 +45,7 @@
 		switch path := string(c.Path()); path {
 		case pathChanges:
 			method = fasthttp.MethodPost
-		case pathConfiguration, pathHistory, pathStatus:
+		case pathConfiguration, pathHistory, pathStatus, pathExplain:
 		default:
 			refuse(c, fasthttp.StatusNotFound, "no such path")
 			return
@@ -61,6 +65,14 @@
 		write(c, fasthttp.StatusOK, backend.Configuration())
 	case pathStatus:
 		write(c, fasthttp.StatusOK, backend.Status(ctx))
+	case pathExplain:
+		args := c.QueryArgs()
+		id := submission.ID{Caller: string(args.Peek("caller")), Key: string(args.Peek("key"))}
+		if id.Caller == "" || id.Key == "" {
+			refuse(c, fasthttp.StatusBadRequest, "name a caller and a key")
+			return
+		}
+		write(c, fasthttp.StatusOK, backend.Explain(ctx, id))
 	case pathHistory:
 		history, err := backend.History(ctx)
 		if err != nil {
--- a/internal/wire/dispatch_codec_gen.go
+++ b/internal/wire/dispatch_codec_gen.go
@@ -6,6 +6,119 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z ExplainRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "c"
+	o = append(o, 0x82, 0xa1, 0x63)
+	o = msgp.AppendString(o, z.Caller)
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendString(o, z.Key)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "c":
+			z.Caller, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Caller")
+				return
+			}
+		case "k":
+			z.Key, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Key")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ExplainRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Caller) + 2 + msgp.StringPrefixSize + len(z.Key)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ExplainResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "r"
+	o = append(o, 0x81, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Report)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ExplainResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "r":
+			z.Report, bts, err = msgp.ReadBytesBytes(bts, z.Report)
+			if err != nil {
+				err = msgp.WrapError(err, "Report")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ExplainResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.Report)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *LentSlots) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/dispatch_gen.go
+++ b/internal/wire/dispatch_gen.go
@@ -14,6 +14,10 @@
 	KindReturnRequest Kind = 34
 	// KindReturnResponse marks a frame that holds a ReturnResponse.
 	KindReturnResponse Kind = 35
+	// KindExplainRequest marks a frame that holds a ExplainRequest.
+	KindExplainRequest Kind = 40
+	// KindExplainResponse marks a frame that holds a ExplainResponse.
+	KindExplainResponse Kind = 41
 )
 
 // LoanRequest asks a peer for free slots of a service.
@@ -90,3 +94,24 @@
 
 // Kind returns the frame kind of the message.
 func (*ReturnResponse) Kind() Kind { return KindReturnResponse }
+
+// ExplainRequest asks the owner of a submission what became of its tasks.
+type ExplainRequest struct {
+	// Caller is the name of the calling team.
+	Caller string `msg:"c"`
+	// Key is the caller's idempotency key.
+	Key string `msg:"k"`
+}
+
+// Kind returns the frame kind of the message.
+func (*ExplainRequest) Kind() Kind { return KindExplainRequest }
+
+// ExplainResponse tells what a VM knows of a submission.
+type ExplainResponse struct {
+	// Report is an api.Explanation as JSON, which is passed on to the operator
+	// as it is.
+	Report []byte `msg:"r"`
+}
+
+// Kind returns the frame kind of the message.
+func (*ExplainResponse) Kind() Kind { return KindExplainResponse }
