Take the list of VMs from a peer while the platform is down

Cause: a VM that started while the platform's list was down stayed not ready, though the members of its data centre held the list. Change: a first read that fails asks the members of the data centre (kinds 42 and 43); the list is passed on. Ruled out: readiness without a list: the VM would be ranked as owner and refuse its keys for want of upstreams. Conclusion: mended; not run on processes.

--- a/daemon/configuration_apply.go
+++ b/daemon/configuration_apply.go
@@ -83,6 +83,7 @@
 	peer.Handle(d.peers, d.configuration.handle)
 	peer.Handle(d.peers, d.handleStatus)
 	peer.Handle(d.peers, d.handleExplain)
+	peer.Handle(d.peers, d.handleList)
 }
 
 // places returns the daemons that this VM knows, itself included: the newest
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/mustardstep/mustardstep/admission"
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/dispatch"
+	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/operators"
@@ -53,8 +54,9 @@
 	front     *httpfront.Front
 	peers     *peer.Transport
 	upstreams *upstream.Client
-	directory platform.Directory // nil without a platform
-	store     platform.Store     // nil without a platform
+	directory platform.Directory         // nil without a platform
+	list      atomic.Pointer[api.VMList] // the last one that was read
+	store     platform.Store             // nil without a platform
 
 	acting  acting
 	records recorder
--- a/daemon/upstreams.go
+++ b/daemon/upstreams.go
@@ -62,12 +62,16 @@
 	if err != nil {
 		d.metrics.platformFail.Add(1)
 		d.log.Warn("platform list", slog.Any("error", err))
-		return last
+		if last != nil {
+			return last
+		}
+		list = d.listFromPeers(ctx)
 	}
-	if list.Unchanged {
+	if list == nil || list.Unchanged {
 		return last
 	}
 	d.followList(list.VMs)
+	d.list.Store(list)
 	return list
 }
 
--- a/internal/wire/dispatch_codec_gen.go
+++ b/internal/wire/dispatch_codec_gen.go
@@ -207,6 +207,103 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z ListRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z ListRequest) Msgsize() (s int) {
+	s = 1
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *ListResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "l"
+	o = append(o, 0x81, 0xa1, 0x6c)
+	o = msgp.AppendBytes(o, z.List)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *ListResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "l":
+			z.List, bts, err = msgp.ReadBytesBytes(bts, z.List)
+			if err != nil {
+				err = msgp.WrapError(err, "List")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *ListResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BytesPrefixSize + len(z.List)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *LoanRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/dispatch_gen.go
+++ b/internal/wire/dispatch_gen.go
@@ -18,6 +18,10 @@
 	KindExplainRequest Kind = 40
 	// KindExplainResponse marks a frame that holds a ExplainResponse.
 	KindExplainResponse Kind = 41
+	// KindListRequest marks a frame that holds a ListRequest.
+	KindListRequest Kind = 42
+	// KindListResponse marks a frame that holds a ListResponse.
+	KindListResponse Kind = 43
 )
 
 // LoanRequest asks a peer for free slots of a service.
@@ -115,3 +119,20 @@
 
 // Kind returns the frame kind of the message.
 func (*ExplainResponse) Kind() Kind { return KindExplainResponse }
+
+// ListRequest asks a member of the data centre for the list of VMs that it
+// holds, while the platform does not answer.
+type ListRequest struct {
+}
+
+// Kind returns the frame kind of the message.
+func (*ListRequest) Kind() Kind { return KindListRequest }
+
+// ListResponse answers a ListRequest.
+type ListResponse struct {
+	// List is an api.VMList as JSON; it is empty where the member holds none.
+	List []byte `msg:"l"`
+}
+
+// Kind returns the frame kind of the message.
+func (*ListResponse) Kind() Kind { return KindListResponse }
