End a change that is being tried when a planned stop begins

The log shows a drain of 9.3 s: the stop waited for an operator's change that was tried against a platform that was down, for the whole commit timeout; the restarts after it slipped past the end of the run, whose context then ended their wait. Ruled out: the join and the configuration of the restarted VM (taken 4 ms after it served); the message, which named a wait of 10 s whatever had ended it. Change: a change under way is answered when readiness falls; the operator's client goes on at the next VM under the same identity. The wait for a VM names its last answer. The suite's restarts may end within the time for convergence, and its logs can be kept.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -64,10 +64,11 @@
 	jobs    jobSet
 	dropped memberSet
 
-	listed   atomic.Bool  // the platform's list has been read, or there is none
-	draining atomic.Bool  // readiness has fallen
-	stopped  atomic.Bool  // the last task has started
-	forwards atomic.Int64 // calls of peers in progress
+	listed     atomic.Bool     // the platform's list has been read, or there is none
+	draining   context.Context // ends when readiness falls
+	beginDrain context.CancelFunc
+	stopped    atomic.Bool  // the last task has started
+	forwards   atomic.Int64 // calls of peers in progress
 
 	configuration *configurator
 	limited       *platform.Limited                      // nil without a platform
@@ -110,6 +111,7 @@
 		dispatcher: newDispatcher(&s),
 		quotas:     admission.NewQuotas(),
 	}
+	d.draining, d.beginDrain = context.WithCancel(context.Background())
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
 	d.catalog.Store(catalog.Empty())
 	d.submissions = d.node.Submissions()
@@ -191,7 +193,7 @@
 // Ready implements httpfront.Backend.
 func (d *Daemon) Ready() error {
 	switch {
-	case d.draining.Load():
+	case d.draining.Err() != nil:
 		return errors.New("draining")
 	case !d.node.Ready():
 		return errors.New("joining")
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -55,7 +55,7 @@
 // pass to the next in rank, the calls and jobs in progress end, their answers
 // are handed over, and the end is announced.
 func (d *Daemon) drain() error {
-	d.draining.Store(true)
+	d.beginDrain()
 	d.log.Info("draining")
 	ctx, cancel := context.WithTimeout(context.Background(), d.live.Load().Jobs.DrainTimeout)
 	defer cancel()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -35,6 +35,11 @@
 	if r.ID == "" || len(r.Edits) == 0 {
 		return &api.ChangeResponse{Outcome: api.ChangeInvalid, Reason: "a change needs an id and an edit"}
 	}
+	// A planned stop does not wait for the platform's service: the operator
+	// goes on at another VM under the same identity.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(d.draining, cancel)()
 	revision, err := d.configuration.commit(ctx, change, r.Repeated)
 	if err == nil {
 		return &api.ChangeResponse{Outcome: api.ChangeAccepted, Revision: revision}
--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -90,20 +90,24 @@
 
 // awaitHTTP waits until a path answers 200.
 func awaitHTTP(ctx context.Context, address, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	limited, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		status, _, err := fasthttp.GetTimeout(nil, "http://"+address+path, time.Second)
+		status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, time.Second)
 		if err == nil && status == fasthttp.StatusOK {
 			return nil
 		}
 		select {
 		case <-ticker.C:
-		case <-ctx.Done():
-			return errors.Newf("%s%s: not ready within %v", address, path, startTimeout)
+			continue
+		case <-limited.Done():
+		}
+		if ctx.Err() != nil {
+			return errors.Wrapf(ctx.Err(), "%s%s: not ready at the end of the run: status %d, %s, %v", address, path, status, body, err)
 		}
+		return errors.Newf("%s%s: not ready within %v: status %d, %s, %v", address, path, startTimeout, status, body, err)
 	}
 }
 
--- a/internal/replay/suite_config.go
+++ b/internal/replay/suite_config.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -63,11 +62,11 @@
 // runConfig races operators and restarts daemons through an outage of the
 // platform's service.
 func runConfig(ctx context.Context, options Options) (*Report, error) {
-	dir, err := os.MkdirTemp("", "mustardstep-replay-")
+	dir, remove, err := logDir(options.LogDir, "config")
 	if err != nil {
 		return nil, err
 	}
-	defer os.RemoveAll(dir)
+	defer remove()
 	r, err := newConfigRun(ctx, Layout{
 		DataCentres: []string{"casablanca", "rabat", "braga"}, VMs: 3, Upstreams: 1, Slots: 8, Speeds: []float64{1}, Dir: dir,
 	}, options.Seed)
@@ -124,7 +123,7 @@
 	wg.Go(func() { r.probe(working) })
 	var err error
 	if meddle != nil {
-		err = meddle(working, length)
+		err = meddle(ctx, length)
 	}
 	wg.Wait()
 	return err
