--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -53,6 +53,20 @@
 	return true
 }
 
+// suiteName returns the name of a suite and resolves the flags, which may stand
+// behind it.
+func (c *base[S]) suiteName(f *flag.FlagSet) (name string, ok bool) {
+	if f.NArg() == 0 {
+		fmt.Fprintf(os.Stderr, "%s: name a suite\n", c.name)
+		return "", false
+	}
+	name = f.Arg(0)
+	if err := f.Parse(f.Args()[1:]); err != nil {
+		return "", false
+	}
+	return name, c.resolve(f)
+}
+
 // serveCommand runs the daemon.
 type serveCommand struct{ base[settings.DaemonProgram] }
 
--- a/internal/command/decide.go
+++ b/internal/command/decide.go
@@ -22,13 +22,8 @@
 func (c *decideCommand) Usage() string { return "decide SUITE [flags]\n  " + c.synopsis + ".\n\n" }
 
 func (c *decideCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name := f.Arg(0)
-	if f.NArg() == 0 {
-		fmt.Fprintln(os.Stderr, "decide: name a dispatch suite")
-		return subcommands.ExitUsageError
-	}
-	// Flags may stand behind the name.
-	if err := f.Parse(f.Args()[1:]); err != nil || !c.resolve(f) {
+	name, ok := c.suiteName(f)
+	if !ok {
 		return subcommands.ExitUsageError
 	}
 	report, err := replay.Decide(name, replay.Options{
--- a/internal/command/generate.go
+++ b/internal/command/generate.go
@@ -22,13 +22,8 @@
 func (c *generateCommand) Usage() string { return "generate SUITE [flags]\n  " + c.synopsis + ".\n\n" }
 
 func (c *generateCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name := f.Arg(0)
-	if f.NArg() == 0 {
-		fmt.Fprintln(os.Stderr, "generate: name a dispatch suite")
-		return subcommands.ExitUsageError
-	}
-	// Flags may stand behind the name.
-	if err := f.Parse(f.Args()[1:]); err != nil || !c.resolve(f) {
+	name, ok := c.suiteName(f)
+	if !ok {
 		return subcommands.ExitUsageError
 	}
 	jobs, err := replay.GenerateFor(name, replay.Options{
--- a/internal/command/suite.go
+++ b/internal/command/suite.go
@@ -23,16 +23,8 @@
 func (c *suiteCommand) Usage() string { return "suite NAME [flags]\n  " + c.synopsis + ".\n\n" }
 
 func (c *suiteCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	name := f.Arg(0)
-	if f.NArg() == 0 {
-		fmt.Fprintln(os.Stderr, "suite: name a suite")
-		return subcommands.ExitUsageError
-	}
-	// Flags may stand behind the name.
-	if err := f.Parse(f.Args()[1:]); err != nil {
-		return subcommands.ExitUsageError
-	}
-	if !c.resolve(f) {
+	name, ok := c.suiteName(f)
+	if !ok {
 		return subcommands.ExitUsageError
 	}
 	s := c.settings.Replay
--- a/internal/replay/suite_config.go
+++ b/internal/replay/suite_config.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/internal/standin"
 	"github.com/valyala/fasthttp"
 )
 
@@ -205,7 +206,7 @@
 }
 
 func (r *configRun) setFaults(faults api.PlatformFaults) error {
-	return postJSON("http://"+r.platform+"/standin/faults", faults)
+	return standin.SetPlatformFaults(r.platform, faults)
 }
 
 // converge waits until every VM holds one configuration and returns it.
--- a/internal/replay/suite_config_operator.go
+++ b/internal/replay/suite_config_operator.go
@@ -111,23 +111,3 @@
 	}
 	return value, err
 }
-
-func postJSON(url string, value any) error {
-	body, err := json.Marshal(value)
-	if err != nil {
-		return err
-	}
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI(url)
-	request.SetBody(body)
-	if err := fasthttp.DoTimeout(request, response, startTimeout); err != nil {
-		return err
-	}
-	if status := response.StatusCode(); status != fasthttp.StatusOK {
-		return errors.Newf("%s: status %d", url, status)
-	}
-	return nil
-}
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -51,6 +51,11 @@
 	return post(address, "/standin/fault", fault)
 }
 
+// SetPlatformFaults switches the faults of the platform stand-in at address.
+func SetPlatformFaults(address string, faults api.PlatformFaults) error {
+	return post(address, "/standin/faults", faults)
+}
+
 // post sends a value to a stand-in.
 func post(address, path string, value any) error {
 	body, err := json.Marshal(value)
