--- a/cmd/mustardstepd/main.go
+++ b/cmd/mustardstepd/main.go
@@ -4,5 +4,5 @@
 import "github.com/mustardstep/mustardstep/internal/command"
 
 func main() {
-	command.Main(command.Serve("serve"), command.Check(), command.Version())
+	command.Main(command.Serve("serve"), command.Node(), command.Check(), command.Version())
 }
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,242 @@
+// Package intake keeps the jobs that a VM has taken from callers until each has
+// its answer. It imports no network package and reads no clock.
+//
+// A job lives and dies with the VM that took it. Its tasks are offered to a
+// dispatcher; where that one is lost, the tasks that have not ended are offered
+// to the next one.
+package intake
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
+)
+
+// Outcome is the answer to a job.
+type Outcome uint8
+
+// Outcomes of a job.
+const (
+	// Succeeded means that every task has ended well.
+	Succeeded Outcome = iota
+	// Failed means that a task has failed for good.
+	Failed
+	// NotRun means that no task has started and none will.
+	NotRun
+	// GivenUp means that the job was given up after a task may have started.
+	GivenUp
+)
+
+// String returns the form used in logs.
+func (o Outcome) String() string {
+	return [...]string{"succeeded", "failed", "not run", "given up"}[o]
+}
+
+// Answer is the end of a job.
+type Answer struct {
+	Outcome Outcome
+	Reason  string
+	// RetryAfter is the wait after which the caller may send the job again; 0
+	// gives no advice.
+	RetryAfter time.Duration
+}
+
+// Job is a job that a caller waits for. ID, Spec and Arrived are immutable; the
+// lock of its shard guards the rest.
+type Job[S any] struct {
+	ID      string
+	Arrived time.Time
+	// Spec is what the job asks for; it is opaque here and immutable.
+	Spec S
+
+	done    chan struct{}
+	answer  Answer
+	ended   bool
+	open    []int // tasks that have not ended
+	waiters int
+	// The dispatcher that has the job: its VM and term; term 0 stands for none.
+	vm      string
+	term    uint64
+	offered bool // some dispatcher may have started tasks
+	offers  int  // offers under way
+	count   int
+}
+
+// Done is closed once the job has its answer.
+func (j *Job[S]) Done() <-chan struct{} { return j.done }
+
+const shardCount = 16
+
+// Table holds jobs in shards by id. It is safe for concurrent use.
+type Table[S any] struct{ shards [shardCount]shard[S] }
+
+type shard[S any] struct {
+	mu   sync.Mutex // guards the field below and the state of the jobs
+	jobs map[string]*Job[S]
+}
+
+// New returns an empty table.
+func New[S any]() *Table[S] {
+	t := &Table[S]{}
+	for i := range t.shards {
+		t.shards[i].jobs = map[string]*Job[S]{}
+	}
+	return t
+}
+
+func (t *Table[S]) shard(id string) *shard[S] {
+	return &t.shards[rendezvous.Hash(id)%shardCount]
+}
+
+// Take enters a job of some tasks, or joins the one with the same id that is in
+// progress. fresh tells which.
+func (t *Table[S]) Take(now time.Time, id string, spec S, tasks int) (j *Job[S], fresh bool) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j = s.jobs[id]; j != nil {
+		j.waiters++
+		return j, false
+	}
+	j = &Job[S]{ID: id, Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, count: tasks}
+	for i := range tasks {
+		j.open = append(j.open, i)
+	}
+	s.jobs[id] = j
+	return j, true
+}
+
+// Offer describes what is to be offered to a dispatcher.
+type Offer[S any] struct {
+	Job   *Job[S]
+	Tasks []int
+	// Resumed tells that another dispatcher may have started tasks.
+	Resumed bool
+}
+
+// Assign hands a job to a dispatcher, unless it has ended or that one has it.
+func (t *Table[S]) Assign(j *Job[S], vm string, term uint64) (Offer[S], bool) {
+	s := t.shard(j.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j.ended || j.term == term && j.vm == vm {
+		return Offer[S]{}, false
+	}
+	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.open), Resumed: j.offered}
+	j.vm, j.term, j.offered = vm, term, true
+	return offer, true
+}
+
+// Unassign notes that an offer had no effect (refused for sure), or that its
+// effect is unknown.
+func (t *Table[S]) Unassign(o Offer[S], vm string, term uint64, refused bool) {
+	s := t.shard(o.Job.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.Job.vm != vm || o.Job.term != term {
+		return
+	}
+	o.Job.vm, o.Job.term = "", 0
+	if refused && !o.Resumed {
+		o.Job.offered = false
+	}
+}
+
+// Unassigned returns the jobs that the dispatcher of a term does not have.
+func (t *Table[S]) Unassigned(vm string, term uint64) []*Job[S] {
+	var jobs []*Job[S]
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		for _, j := range s.jobs {
+			if !j.ended && (j.vm != vm || j.term != term) {
+				jobs = append(jobs, j)
+			}
+		}
+		s.mu.Unlock()
+	}
+	return jobs
+}
+
+// TaskDone notes that a task has ended well.
+func (t *Table[S]) TaskDone(id string, index int) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[id]
+	if j == nil || j.ended {
+		return
+	}
+	if at := slices.Index(j.open, index); at >= 0 {
+		j.open = slices.Delete(j.open, at, at+1)
+	}
+	if len(j.open) == 0 {
+		s.end(j, Answer{Outcome: Succeeded})
+	}
+}
+
+// End gives a job its answer, if it has none. It tells where the job was.
+func (t *Table[S]) End(id string, a Answer) (vm string, term uint64, ended bool) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[id]
+	if j == nil || j.ended {
+		return "", 0, false
+	}
+	if a.Outcome == NotRun && j.offered && j.term == 0 {
+		a.Outcome = GivenUp // an earlier dispatcher may have started tasks
+	}
+	s.end(j, a)
+	return j.vm, j.term, true
+}
+
+// end gives a job its answer. The caller holds mu.
+func (s *shard[S]) end(j *Job[S], a Answer) {
+	j.ended, j.answer = true, a
+	delete(s.jobs, j.ID)
+	close(j.done)
+}
+
+// Leave notes that a caller waits no longer. Where nobody waits and the job has
+// no answer, it ends: last tells that, and where its tasks are to be stopped.
+func (t *Table[S]) Leave(j *Job[S]) (vm string, term uint64, last bool) {
+	s := t.shard(j.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.waiters--
+	if j.waiters > 0 || j.ended {
+		return "", 0, false
+	}
+	s.end(j, Answer{Outcome: GivenUp, Reason: "the caller has left"})
+	return j.vm, j.term, true
+}
+
+// Answer returns the answer of a job that is done, and whether a dispatcher may
+// have started tasks of it.
+func (t *Table[S]) Answer(j *Job[S]) (a Answer, offered bool) {
+	s := t.shard(j.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return j.answer, j.offered
+}
+
+// Offered tells whether a dispatcher may have started tasks of a job.
+func (t *Table[S]) Offered(j *Job[S]) bool {
+	_, offered := t.Answer(j)
+	return offered
+}
+
+// Len returns the number of jobs without an answer.
+func (t *Table[S]) Len() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		n += len(s.jobs)
+		s.mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/command/node.go
@@ -0,0 +1,109 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/node"
+	"github.com/mustardstep/mustardstep/platform"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+)
+
+// nodeCommand runs an entry VM of the users' platform.
+type nodeCommand struct{ base[settings.DaemonNodeProgram] }
+
+// Node returns the command that runs the daemon on the users' platform.
+func Node() subcommands.Command {
+	return &nodeCommand{base[settings.DaemonNodeProgram]{name: "node", synopsis: "run on the platform, by its settings file, until SIGTERM"}}
+}
+
+func (c *nodeCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	s, err := platform.Load()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	log, flush := logging.New(c.settings.Logging, os.Stdout)
+	defer flush()
+	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, log) })
+}
+
+// runNode runs a node with its fronts.
+func runNode(ctx context.Context, s *platform.Settings, own settings.Node, log *slog.Logger) error {
+	metrics := node.NewMetrics()
+	n := node.New(s.Node(), node.Dependencies{
+		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreams(), Decoder: platform.Decoder{},
+		Log: log, Metrics: metrics,
+	})
+	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
+	callers, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	readiness, err := net.Listen("tcp", s.Listen.Readiness)
+	if err != nil {
+		return errors.Wrap(err, "listen for the balancer")
+	}
+	scrapes, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.IP, own.MetricsPort))
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	g, serving := errgroup.WithContext(ctx)
+	g.Go(func() error { return serveUntilClosed(func() error { return ingress.ServeCallers(callers) }) })
+	g.Go(func() error { return serveUntilClosed(func() error { return ingress.ServeReadiness(readiness) }) })
+	g.Go(func() error {
+		return serveUntilClosed(func() error {
+			return fasthttp.Serve(scrapes, func(ctx *fasthttp.RequestCtx) { metrics.Write(ctx) })
+		})
+	})
+	g.Go(func() error { return watchReload(serving, log) })
+	g.Go(func() error {
+		defer callers.Close()
+		defer readiness.Close()
+		defer scrapes.Close()
+		return n.Run(serving)
+	})
+	return g.Wait()
+}
+
+// serveUntilClosed runs a server; its end by a closed listener is no error.
+func serveUntilClosed(serve func() error) error {
+	if err := serve(); err != nil && !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
+}
+
+// watchReload logs a changed settings file: all that it can change while a
+// process runs is the list of seeds, which serves the start only.
+func watchReload(ctx context.Context, log *slog.Logger) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hup:
+			if _, err := platform.Load(); err != nil {
+				log.Error("reload failed", slog.Any("error", err))
+				continue
+			}
+			log.Info("reload", slog.String("source", "settings file"), slog.String("effect", "none while the process runs"))
+		}
+	}
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -390,6 +390,20 @@
 	})
 }
 
+// Node holds the own settings of a daemon on the platform, beside the
+// platform's settings file.
+type Node struct {
+	// MetricsPort: port on which counters and latency histograms are served as text, in port.
+	MetricsPort int
+}
+
+// Bind declares the settings on the binder.
+func (s *Node) Bind(b *Binder) {
+	bind(b, &s.MetricsPort, definition[int]{
+		flag: "metrics-port", env: "MUSTARDSTEP_METRICS_PORT", help: "port on which counters and latency histograms are served as text", unit: "port", fallback: "9464", min: bound[int](1), max: bound[int](65535),
+	})
+}
+
 // Platform holds the addresses and the budget of the platform's services.
 type Platform struct {
 	// Address: host:port of the platform's key-value service and VM list; empty runs without.
@@ -641,3 +655,15 @@
 	s.Network.Bind(b)
 	s.Platform.Bind(b)
 }
+
+// DaemonNodeProgram holds every setting of mustardstepd node.
+type DaemonNodeProgram struct {
+	Logging Logging
+	Node    Node
+}
+
+// Bind declares the settings on the binder.
+func (s *DaemonNodeProgram) Bind(b *Binder) {
+	s.Logging.Bind(b)
+	s.Node.Bind(b)
+}
--- /dev/null
+++ b/node/beats.go
@@ -0,0 +1,163 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/wire"
+)
+
+// beatTimeout is the longest wait for the answer to a beat; a late answer still
+// counts, so it is as long as the silence after which a member is lost.
+const beatTimeout = fleet.Silence
+
+// keepBeating beats to every member that is known.
+func (n *Node) keepBeating(ctx context.Context) error {
+	beating := beating{busy: map[string]bool{}}
+	for _, seed := range n.config.Seeds {
+		n.beat(ctx, &beating, fleet.Member{Address: seed})
+	}
+	ticker := time.NewTicker(fleet.BeatInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.beaters.Wait()
+			return nil
+		case <-ticker.C:
+		}
+		peers := n.fleet.Peers()
+		for _, m := range peers {
+			n.beat(ctx, &beating, m)
+		}
+		if len(peers) == 0 {
+			for _, seed := range n.config.Seeds {
+				n.beat(ctx, &beating, fleet.Member{Address: seed})
+			}
+		}
+	}
+}
+
+// beating holds the addresses to which a beat is under way.
+type beating struct {
+	mu   sync.Mutex // guards the field below
+	busy map[string]bool
+}
+
+func (b *beating) begin(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.busy[address] {
+		return false
+	}
+	b.busy[address] = true
+	return true
+}
+
+func (b *beating) end(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.busy, address)
+}
+
+// beat sends a beat, unless one is under way to the address.
+func (n *Node) beat(ctx context.Context, b *beating, to fleet.Member) {
+	if to.Address == n.config.PeerAddress || !b.begin(to.Address) {
+		return
+	}
+	n.beaters.Go(func() {
+		defer b.end(to.Address)
+		ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+		defer cancel()
+		var answer wire.Beat
+		err := n.peers.Call(ctx, to.Address, n.report(to.VM), &answer)
+		if err != nil {
+			if errors.Is(err, syscall.ECONNREFUSED) && to.VM != "" {
+				n.fleet.Refused(to.VM, to.Incarnation)
+				n.wakeControl()
+			} else if errors.Is(err, context.DeadlineExceeded) {
+				n.peers.Drop(to.Address, err) // the connection may be dead without a reset
+			}
+			return
+		}
+		n.heard(&answer, true)
+	})
+}
+
+// report returns what this node tells a peer.
+func (n *Node) report(peer string) *wire.Beat {
+	b := &wire.Beat{
+		From: toWire(n.fleet.Self()), Term: n.termFor(peer), Token: n.fleet.Token(),
+		Registry: n.registry.revision(),
+	}
+	if table := n.table.Load(); table != nil {
+		b.Revision = table.Revision
+	}
+	for _, m := range n.fleet.Peers() {
+		b.Members = append(b.Members, toWire(m))
+	}
+	return b
+}
+
+// heard enters a beat or the answer to one.
+func (n *Node) heard(b *wire.Beat, answered bool) {
+	now := time.Now()
+	r := fleet.Report{
+		Member: fromWire(b.From), Term: b.Term, Token: b.Token, Revision: b.Revision, Registry: b.Registry,
+	}
+	n.fleet.Heard(now, r, answered)
+	var known []fleet.Member
+	for _, m := range b.Members {
+		known = append(known, fromWire(m))
+	}
+	for _, m := range n.fleet.Learn(known) {
+		n.log.Info("member learnt", slog.String("member", m.VM), slog.String("from", b.From.VM),
+			slog.Uint64("incarnation", m.Incarnation))
+	}
+	v := n.view.Load()
+	if answered && (b.Term != 0 && (v.Dispatcher.VM != b.From.VM || v.Term != b.Term) || v.Dispatcher.VM == b.From.VM && b.Term != v.Term) {
+		n.wakeControl()
+	}
+	if n.behind(b) {
+		select {
+		case n.pull <- b.From.Address:
+		default:
+		}
+	}
+}
+
+func (n *Node) handleBeat(_ context.Context, _ *wire.Hello, b *wire.Beat) wire.Message {
+	n.heard(b, false)
+	return n.report(b.From.VM)
+}
+
+// disconnected looks at once whether a peer whose connection ended is alive.
+func (n *Node) disconnected(hello wire.Hello) {
+	if n.serving.Err() != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.serving, beatTimeout)
+	defer cancel()
+	var answer wire.Beat
+	err := n.peers.Call(ctx, hello.Address, n.report(hello.VM), &answer)
+	switch {
+	case err == nil:
+		n.heard(&answer, true)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		n.fleet.Refused(hello.VM, hello.Incarnation)
+		n.wakeControl()
+	}
+}
+
+func toWire(m fleet.Member) wire.FleetMember {
+	return wire.FleetMember{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining}
+}
+
+func fromWire(m wire.FleetMember) fleet.Member {
+	return fleet.Member{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining}
+}
--- /dev/null
+++ b/node/dispatch.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/scheduler"
+)
+
+func (n *Node) handleOffer(_ context.Context, _ *wire.Hello, r *wire.OfferRequest) wire.Message {
+	return n.enter(r)
+}
+
+// enter takes an offered job into the scheduler.
+func (n *Node) enter(r *wire.OfferRequest) *wire.OfferResponse {
+	if r.Term == 0 || r.Term != n.termFor(r.Origin) {
+		return &wire.OfferResponse{WrongTerm: true, Reason: "this VM does not dispatch in that term"}
+	}
+	now := time.Now()
+	n.origins.note(r.Origin, r.OriginIncarnation)
+	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+	notices, failure := n.scheduler.Offer(now, scheduler.Job{
+		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
+		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
+		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
+		Sent: now.Add(-microseconds(r.AgeUS)), Deadline: now.Add(microseconds(r.DeadlineUS)),
+		Stretch: r.Stretch, Slack: microseconds(r.SlackUS), MaxAttempts: r.MaxAttempts,
+		Resumed: r.Resumed, Tasks: r.Tasks,
+	})
+	if failure != nil {
+		n.log.Info("offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
+		return &wire.OfferResponse{Reason: failure.Reason, RetryAfterUS: failure.RetryAfter.Microseconds()}
+	}
+	if len(notices) > 0 {
+		n.act(scheduler.Actions{Notices: notices})
+	}
+	n.wakePlacing()
+	return &wire.OfferResponse{Accepted: true}
+}
+
+func (n *Node) handleWithdraw(_ context.Context, _ *wire.Hello, r *wire.WithdrawRequest) wire.Message {
+	n.withdrawn(r.Origin, r.Jobs)
+	return &wire.WithdrawResponse{}
+}
+
+func (n *Node) withdrawn(origin string, jobs []string) {
+	n.act(n.scheduler.Withdraw(time.Now(), origin, jobs))
+	n.wakePlacing()
+}
+
+// keepPlacing places tasks whenever jobs or room have come.
+func (n *Node) keepPlacing(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.place:
+		}
+		starts := n.scheduler.Place(time.Now())
+		for _, start := range starts {
+			n.log.Info("place", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
+				slog.String("upstream", start.Upstream.Name), slog.Int64("waited_us", start.Waited.Microseconds()),
+				slog.Int64("expected_us", start.Expected.Microseconds()), slog.Int64("left_us", start.Left.Microseconds()),
+				slog.Int("free_cpu", start.Free.MilliCPU))
+			go n.start(ctx, start)
+		}
+	}
+}
+
+// keepTicking lets time pass for the scheduler, and notices pauses of this
+// process.
+func (n *Node) keepTicking(ctx context.Context) error {
+	ticker := time.NewTicker(scheduler.TickInterval)
+	defer ticker.Stop()
+	last := bootTime()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := bootTime()
+		if pause := now - last; pause > maxPause {
+			n.restartTerm(time.Now(), pause)
+		}
+		last = now
+		n.act(n.scheduler.Tick(time.Now()))
+		n.wakePlacing()
+	}
+}
+
+// orderTimeout is the longest wait for the answer to an order. Upstreams answer
+// within some milliseconds; an order without an answer is resolved by a stop.
+const orderTimeout = 100 * time.Millisecond
+
+func (n *Node) start(ctx context.Context, start scheduler.Start) {
+	sent := time.Now()
+	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	result, clock := n.deps.Upstreams.Start(call, start)
+	now := time.Now()
+	n.metrics.started(result, now.Sub(sent), start.Waited)
+	if result != scheduler.OrderDone {
+		n.log.Info("start failed", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
+			slog.String("upstream", start.Upstream.Name), slog.String("result", result.String()), slog.Int64("took_us", now.Sub(sent).Microseconds()))
+	}
+	n.act(n.scheduler.StartEnded(now, start, result, clock))
+	if result == scheduler.OrderDone {
+		n.agents.wakeOne(start.Upstream.Name)
+	} else {
+		n.wakePlacing()
+	}
+}
+
+func (n *Node) stopRun(ctx context.Context, stop scheduler.Stop) {
+	for {
+		n.log.Info("stop run", slog.String("job", stop.Run.Job), slog.Int("task", stop.Run.Index), slog.Int("attempt", stop.Run.Attempt),
+			slog.String("upstream", stop.Upstream.Name), slog.String("why", stop.Why))
+		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		result, clock := n.deps.Upstreams.Stop(call, stop)
+		cancel()
+		n.metrics.Stops.Inc()
+		actions, again, after := n.scheduler.StopEnded(time.Now(), stop, result, clock)
+		n.act(actions)
+		if !again || !sleep(ctx, after) {
+			return
+		}
+	}
+}
+
+// act sends what the scheduler asks for.
+func (n *Node) act(a scheduler.Actions) {
+	for _, stop := range a.Stops {
+		go n.stopRun(n.serving, stop)
+	}
+	for _, upstream := range a.Looks {
+		go n.quickLook(n.serving, upstream)
+	}
+	byOrigin := map[string]*wire.EndsRequest{}
+	for _, notice := range a.Notices {
+		r := byOrigin[notice.Origin]
+		if r == nil {
+			r = &wire.EndsRequest{}
+			byOrigin[notice.Origin] = r
+		}
+		switch notice.Kind {
+		case scheduler.TaskDone, scheduler.TaskFailed:
+			r.Ends = append(r.Ends, wire.TaskEnd{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed})
+		default:
+			n.log.Info("job dropped", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
+				slog.String("reason", notice.Reason), slog.Bool("started", notice.Kind == scheduler.JobGivenUp))
+			r.Drops = append(r.Drops, wire.JobDrop{
+				Job: notice.Task.Job, Started: notice.Kind == scheduler.JobGivenUp,
+				Reason: notice.Reason, RetryAfterUS: notice.RetryAfter.Microseconds(),
+			})
+		}
+	}
+	for origin, r := range byOrigin {
+		if origin == n.config.VM {
+			n.handleEnds(n.serving, nil, r)
+		} else {
+			n.outboxes.add(n, origin, r)
+		}
+	}
+}
+
+// outboxes hold the ends that are on their way to their origins.
+type outboxes struct {
+	mu   sync.Mutex // guards the field below
+	byVM map[string]*outbox
+}
+
+// outbox gathers ends for one origin while a message is under way.
+type outbox struct {
+	mu      sync.Mutex // guards the fields below
+	next    wire.EndsRequest
+	sending bool
+}
+
+func (o *outboxes) add(n *Node, origin string, r *wire.EndsRequest) {
+	o.mu.Lock()
+	box := o.byVM[origin]
+	if box == nil {
+		box = &outbox{}
+		o.byVM[origin] = box
+	}
+	o.mu.Unlock()
+	box.mu.Lock()
+	defer box.mu.Unlock()
+	box.next.Ends = append(box.next.Ends, r.Ends...)
+	box.next.Drops = append(box.next.Drops, r.Drops...)
+	if !box.sending {
+		box.sending = true
+		go box.send(n, origin)
+	}
+}
+
+// send delivers what has gathered. Where the origin does not answer, its jobs
+// are dropped: it offers them anew once it is heard.
+func (b *outbox) send(n *Node, origin string) {
+	for {
+		b.mu.Lock()
+		r := b.next
+		b.next = wire.EndsRequest{}
+		if len(r.Ends)+len(r.Drops) == 0 {
+			b.sending = false
+			b.mu.Unlock()
+			return
+		}
+		b.mu.Unlock()
+		if err := n.deliver(origin, &r); err != nil {
+			n.log.Info("ends not delivered", slog.String("origin", origin), slog.Int("ends", len(r.Ends)), slog.Any("error", err))
+			before := n.origins.drop(origin)
+			n.act(n.scheduler.DropOrigin(time.Now(), origin, before))
+		}
+	}
+}
+
+// deliverAttempts is the number of times that ends are sent: once more on a
+// fresh connection.
+const deliverAttempts = 2
+
+func (n *Node) deliver(origin string, r *wire.EndsRequest) error {
+	var err error
+	for range deliverAttempts {
+		address := ""
+		for _, m := range n.fleet.Peers() {
+			if m.VM == origin {
+				address = m.Address
+			}
+		}
+		ctx, cancel := context.WithTimeout(n.serving, fleet.Silence/2)
+		err = n.peers.Call(ctx, address, r, &wire.EndsResponse{})
+		cancel()
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/node/follow.go
@@ -0,0 +1,237 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/store"
+)
+
+const (
+	// watchWait is the longest wait of a watch. A connection that went silent
+	// is noticed by its end, so it stays below the 2 s in which a change has to
+	// be in force.
+	watchWait = time.Second
+	// watchMargin is the time beyond its wait within which a watch is answered;
+	// the store may be slow.
+	watchMargin = 700 * time.Millisecond
+	// callTimeout is the longest wait for another call of the store, which
+	// answers in 4 ms and is at times sixty times as slow.
+	callTimeout = time.Second
+	// storeRetry is the pause after a failed call: all VMs together stay far
+	// below the store's rates.
+	storeRetry = 250 * time.Millisecond
+	// rereadPause spaces full listings where watches end at once.
+	rereadPause = 100 * time.Millisecond
+)
+
+// follower keeps a copy of the entries under a prefix.
+type follower struct {
+	prefix string
+	// reset takes a full listing, change one event; both come from one thread.
+	reset  func(items []store.Item, revision int64)
+	change func(events []store.Event, revision int64)
+}
+
+// follow reads a prefix and then its changes, until the context ends.
+func (n *Node) follow(ctx context.Context, f follower) error {
+	revision := int64(0)
+	connected := false
+	for ctx.Err() == nil {
+		err := n.followOnce(ctx, f, &revision)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case err == nil:
+			if !connected {
+				connected = true
+				n.log.Info("store regained", slog.String("prefix", f.prefix), slog.Int64("revision", revision))
+			}
+		case errors.Is(err, store.ErrCompacted):
+			n.log.Info("store history dropped", slog.String("prefix", f.prefix), slog.Int64("after", revision))
+			revision = 0
+			sleep(ctx, rereadPause)
+		default:
+			if connected {
+				connected = false
+				n.log.Warn("store lost", slog.String("prefix", f.prefix), slog.Any("error", err))
+			}
+			sleep(ctx, storeRetry)
+		}
+	}
+	return nil
+}
+
+// followOnce lists the prefix where no revision is known, and else waits for a
+// change.
+func (n *Node) followOnce(ctx context.Context, f follower, revision *int64) error {
+	if *revision == 0 {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		items, at, err := store.List(call, n.deps.Store, f.prefix)
+		if err != nil {
+			return err
+		}
+		*revision = at
+		f.reset(items, at)
+		return nil
+	}
+	call, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	defer cancel()
+	events, at, err := n.deps.Store.Watch(call, f.prefix, *revision, watchWait)
+	if err != nil {
+		return err
+	}
+	*revision = max(at, *revision)
+	if len(events) > 0 {
+		f.change(events, *revision)
+	}
+	return nil
+}
+
+// followConfiguration keeps the configuration in force.
+func (n *Node) followConfiguration(ctx context.Context) error {
+	return n.follow(ctx, follower{
+		prefix: n.config.ConfigurationKey,
+		reset: func(items []store.Item, _ int64) {
+			for _, item := range items {
+				n.configure(item, "store")
+			}
+		},
+		change: func(events []store.Event, _ int64) {
+			for _, e := range events {
+				if !e.Deleted {
+					n.configure(e.Item, "store")
+				}
+			}
+		},
+	})
+}
+
+// configure puts a configuration in force, if it is newer than the one that is.
+func (n *Node) configure(item store.Item, source string) {
+	if item.Key != n.config.ConfigurationKey {
+		return
+	}
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	old := n.table.Load()
+	if old != nil && item.Revision <= old.Revision {
+		return
+	}
+	table, err := n.deps.Decoder.Configuration(item)
+	if err != nil {
+		n.log.Error("configuration rejected", slog.Int64("revision", item.Revision), slog.Any("error", err))
+		return
+	}
+	if old != nil && table.Version < old.Version {
+		n.log.Error("configuration rejected", slog.Int64("revision", item.Revision), slog.Int64("version", table.Version),
+			slog.Int64("in_force", old.Version), slog.String("error", "its version is lower than the one in force"))
+		return
+	}
+	n.table.Store(table)
+	n.registry.configuration = item
+	n.log.Info("reload", slog.Int64("version", table.Version), slog.Int64("revision", table.Revision),
+		slog.Int("queues", table.Len()), slog.String("source", source))
+	n.wakeControl()
+}
+
+// followMembers learns which VMs are present.
+func (n *Node) followMembers(ctx context.Context) error {
+	members := map[string]fleet.Member{}
+	apply := func() {
+		var list []fleet.Member
+		for _, m := range members {
+			list = append(list, m)
+		}
+		n.fleet.List(list)
+	}
+	enter := func(item store.Item) {
+		var m wire.FleetMember
+		if err := json.Unmarshal(item.Value, &m); err != nil {
+			n.log.Warn("member entry ignored", slog.String("key", item.Key), slog.Any("error", err))
+			return
+		}
+		members[item.Key] = fromWire(m)
+	}
+	return n.follow(ctx, follower{
+		prefix: n.config.MemberPrefix,
+		reset: func(items []store.Item, _ int64) {
+			clear(members)
+			for _, item := range items {
+				enter(item)
+			}
+			apply()
+		},
+		change: func(events []store.Event, _ int64) {
+			for _, e := range events {
+				if e.Deleted {
+					delete(members, e.Key)
+				} else {
+					enter(e.Item)
+				}
+			}
+			apply()
+		},
+	})
+}
+
+const (
+	// memberTTL is the time after which a VM that renews nothing is no longer
+	// listed, so that a small group that is left takes all upstreams.
+	memberTTL = 4 * time.Second
+	// renewInterval leaves time for two tries within the lease.
+	renewInterval = 1300 * time.Millisecond
+)
+
+// keepRegistered keeps the own entry in the store under a lease.
+func (n *Node) keepRegistered(ctx context.Context) error {
+	lease := int64(0)
+	for ctx.Err() == nil && !n.draining.Load() {
+		err := n.renew(ctx, &lease)
+		pause := renewInterval
+		switch {
+		case errors.Is(err, store.ErrNoLease):
+			lease, pause = 0, rereadPause
+		case err != nil:
+			n.log.Debug("registration failed", slog.Any("error", err))
+			pause = storeRetry
+		}
+		sleep(ctx, pause)
+	}
+	if lease != 0 && ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := n.deps.Store.End(call, lease); err != nil {
+			n.log.Info("registration left to its lease", slog.Any("error", err))
+		}
+	}
+	return nil
+}
+
+// renew keeps the lease, or gets one and writes the entry.
+func (n *Node) renew(ctx context.Context, lease *int64) error {
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if *lease != 0 {
+		return n.deps.Store.Keep(call, *lease)
+	}
+	granted, err := n.deps.Store.Grant(call, memberTTL)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(toWire(n.fleet.Self()))
+	if err != nil {
+		return err
+	}
+	if err := n.deps.Store.Put(call, n.config.MemberPrefix+n.config.VM, value, granted); err != nil {
+		return err
+	}
+	*lease = granted
+	return nil
+}
--- /dev/null
+++ b/node/front.go
@@ -0,0 +1,189 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/routing"
+	"github.com/mustardstep/mustardstep/scheduler"
+)
+
+// Job is what a caller asks for.
+type Job struct {
+	Queue    *routing.Queue
+	Spec     string
+	Size     scheduler.Size
+	Estimate time.Duration
+	// Deadline is the time until which the caller waits.
+	Deadline time.Time
+	// Version is that of the configuration that chose the queue.
+	Version int64
+}
+
+// answerMargin is the time before the caller's deadline at which a job without
+// an end is given up, so that the answer still arrives: two round trips to the
+// caller.
+const answerMargin = 10 * time.Millisecond
+
+// Submit runs the tasks of a job and returns its answer. The context ends where
+// the caller has left.
+func (n *Node) Submit(ctx context.Context, id string, job Job, tasks int) intake.Answer {
+	now := time.Now()
+	j, fresh := n.jobs.Take(now, id, job, tasks)
+	n.metrics.Jobs.Inc()
+	if fresh {
+		n.offer(j, n.view.Load())
+	}
+	timer := time.NewTimer(max(job.Deadline.Sub(now)-answerMargin, 0))
+	defer timer.Stop()
+	select {
+	case <-j.Done():
+	case <-ctx.Done():
+		if vm, term, last := n.jobs.Leave(j); last {
+			n.withdraw(vm, term, id)
+		}
+	case <-timer.C:
+		n.expire(j)
+	}
+	answer, _ := n.jobs.Answer(j)
+	n.finished(j, answer, now)
+	return answer
+}
+
+// expire gives a job up whose caller waits no longer.
+func (n *Node) expire(j *intake.Job[Job]) {
+	answer := intake.Answer{Outcome: intake.GivenUp, Reason: "the deadline has passed while tasks ran"}
+	if !n.jobs.Offered(j) {
+		answer = intake.Answer{Outcome: intake.NotRun, Reason: "no dispatcher was reached before the deadline", RetryAfter: time.Second}
+	}
+	if vm, term, ended := n.jobs.End(j.ID, answer); ended {
+		n.withdraw(vm, term, j.ID)
+	}
+}
+
+func (n *Node) finished(j *intake.Job[Job], a intake.Answer, arrived time.Time) {
+	took := time.Since(arrived)
+	n.metrics.answered(a.Outcome, took)
+	n.log.Info("answer", slog.String("job", j.ID), slog.String("queue", j.Spec.Queue.Name),
+		slog.String("outcome", a.Outcome.String()), slog.String("reason", a.Reason),
+		slog.Int64("took_us", took.Microseconds()), slog.Int64("configuration", j.Spec.Version))
+}
+
+// offer hands a job to the dispatcher, if there is one.
+func (n *Node) offer(j *intake.Job[Job], v *fleet.View) {
+	if v.Dispatcher.VM == "" {
+		return // offered once a dispatcher is heard
+	}
+	o, ok := n.jobs.Assign(j, v.Dispatcher.VM, v.Term)
+	if !ok {
+		return
+	}
+	request := n.offerRequest(o, v.Term)
+	n.log.Info("offer", slog.String("job", j.ID), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term),
+		slog.Int("tasks", len(o.Tasks)), slog.Bool("resumed", o.Resumed))
+	if v.Dispatcher.VM == n.config.VM {
+		n.offered(o, v, n.enter(request), nil)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.serving, fleet.Silence)
+		defer cancel()
+		var response wire.OfferResponse
+		err := n.peers.Call(ctx, v.Dispatcher.Address, request, &response)
+		n.offered(o, v, &response, err)
+	}()
+}
+
+// offered enters the answer to an offer.
+func (n *Node) offered(o intake.Offer[Job], v *fleet.View, response *wire.OfferResponse, err error) {
+	switch {
+	case err != nil:
+		n.log.Info("offer failed", slog.String("job", o.Job.ID), slog.String("dispatcher", v.Dispatcher.VM), slog.Any("error", err))
+		n.jobs.Unassign(o, v.Dispatcher.VM, v.Term, false)
+	case response.WrongTerm:
+		n.jobs.Unassign(o, v.Dispatcher.VM, v.Term, true)
+		n.wakeControl()
+	case !response.Accepted:
+		outcome := intake.NotRun
+		if o.Resumed {
+			outcome = intake.GivenUp
+		}
+		n.jobs.End(o.Job.ID, intake.Answer{
+			Outcome: outcome, Reason: response.Reason,
+			RetryAfter: time.Duration(response.RetryAfterUS) * time.Microsecond,
+		})
+	}
+}
+
+func (n *Node) offerRequest(o intake.Offer[Job], term uint64) *wire.OfferRequest {
+	now := time.Now()
+	job := &o.Job.Spec
+	return &wire.OfferRequest{
+		Job: o.Job.ID, Origin: n.config.VM, OriginIncarnation: n.fleet.Self().Incarnation, Term: term,
+		Queue: job.Queue.Name, Service: job.Queue.Service, Spec: job.Spec, Tasks: o.Tasks,
+		MilliCPU: job.Size.MilliCPU, MemoryMB: job.Size.MemoryMB, Accelerators: job.Size.Accelerators,
+		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
+		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Sub(now).Microseconds(),
+		Stretch: job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
+		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed,
+	}
+}
+
+// offerUnassigned offers the jobs that the dispatcher of a view does not have.
+func (n *Node) offerUnassigned(v *fleet.View) {
+	if v.Dispatcher.VM == "" {
+		return
+	}
+	for _, j := range n.jobs.Unassigned(v.Dispatcher.VM, v.Term) {
+		n.offer(j, v)
+	}
+}
+
+// withdraw asks the dispatcher that has a job to stop its tasks.
+func (n *Node) withdraw(vm string, term uint64, id string) {
+	if term == 0 {
+		return
+	}
+	if vm == n.config.VM {
+		n.withdrawn(n.config.VM, []string{id})
+		return
+	}
+	v := n.view.Load()
+	if v.Dispatcher.VM != vm || v.Term != term {
+		return // its dispatcher drops the jobs of VMs that it does not hear
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.serving, fleet.Silence)
+		defer cancel()
+		request := wire.WithdrawRequest{Origin: n.config.VM, Jobs: []string{id}}
+		if err := n.peers.Call(ctx, v.Dispatcher.Address, &request, &wire.WithdrawResponse{}); err != nil {
+			n.log.Info("withdrawal failed", slog.String("job", id), slog.String("dispatcher", vm), slog.Any("error", err))
+		}
+	}()
+}
+
+func (n *Node) handleEnds(_ context.Context, _ *wire.Hello, r *wire.EndsRequest) wire.Message {
+	for i := range r.Ends {
+		e := &r.Ends[i]
+		if e.Failed {
+			n.jobs.End(e.Job, intake.Answer{Outcome: intake.Failed, Reason: "a task has failed for good"})
+		} else {
+			n.jobs.TaskDone(e.Job, e.Index)
+		}
+	}
+	for i := range r.Drops {
+		d := &r.Drops[i]
+		outcome := intake.NotRun
+		if d.Started {
+			outcome = intake.GivenUp
+		}
+		n.jobs.End(d.Job, intake.Answer{
+			Outcome: outcome, Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond,
+		})
+	}
+	return &wire.EndsResponse{}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,255 @@
+// Package node is the library behind the daemon of an entry VM on the
+// platform: it connects the deciding packages to the network.
+//
+// A job enters at the front of any VM, which keeps it until it has an answer.
+// Its tasks are offered to the dispatcher of the VMs that hear each other, which
+// starts them on upstreams that it has claimed and sends back their ends. Every
+// VM can dispatch.
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/peer"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/routing"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/store"
+	"golang.org/x/sync/errgroup"
+)
+
+// Upstreams carries orders and looks to upstreams. Implementations are safe for
+// concurrent use. A context's deadline bounds each call.
+type Upstreams interface {
+	// Start orders a task to run. clock is the upstream's clock in ms, where the
+	// answer told it.
+	Start(ctx context.Context, start scheduler.Start) (result scheduler.OrderResult, clock int64)
+	// Stop ends a run.
+	Stop(ctx context.Context, stop scheduler.Stop) (result scheduler.OrderResult, clock int64)
+	// Look asks what runs and renews its lease.
+	Look(ctx context.Context, look scheduler.Look) (scheduler.LookResult, scheduler.Report)
+}
+
+// Decoder reads the entries that operators and upstreams write.
+type Decoder interface {
+	// Configuration decodes the operators' configuration.
+	Configuration(item store.Item) (*routing.Table, error)
+	// Upstream decodes an upstream's entry. An entry that names no upstream to
+	// use is an error.
+	Upstream(item store.Item) (scheduler.Upstream, error)
+}
+
+// Config describes a node.
+type Config struct {
+	VM, DataCentre string
+	// PeerAddress is the host:port for other VMs.
+	PeerAddress string
+	// Seeds are addresses of VMs that may know others, as host:port.
+	Seeds []string
+	// LeaseMax is the longest lease that upstreams grant.
+	LeaseMax time.Duration
+	// DrainTime is the time for which the balancer may still send new requests
+	// after readiness has fallen; StopTime is the longest time that a planned
+	// stop may take.
+	DrainTime, StopTime time.Duration
+	// Keys of the store.
+	ConfigurationKey, UpstreamPrefix, MemberPrefix string
+}
+
+// Dependencies are what a node uses.
+type Dependencies struct {
+	Store     store.Store
+	Upstreams Upstreams
+	Decoder   Decoder
+	Log       *slog.Logger
+	Metrics   *Metrics
+}
+
+// maxWaiting is the most tasks that wait at a dispatcher: some 10 s of the work
+// of 350 upstreams, beyond which nothing could be answered in time.
+const maxWaiting = 50_000
+
+// maxFrame is the largest message between VMs, in bytes; a list of 20,000
+// upstreams takes some 6 MB.
+const maxFrame = 32 << 20
+
+// dialTimeout is the longest wait for a connection to a peer: several round
+// trips between data centres, below the silence after which a member is lost.
+const dialTimeout = 300 * time.Millisecond
+
+// Node is one process.
+type Node struct {
+	config  Config
+	deps    Dependencies
+	log     *slog.Logger
+	metrics *Metrics
+
+	fleet     *fleet.Fleet
+	scheduler *scheduler.Scheduler
+	jobs      *intake.Table[Job]
+	peers     *peer.Transport
+
+	term     term
+	origins  origins
+	outboxes outboxes
+	agents   agents
+
+	table    atomic.Pointer[routing.Table] // nil before the first configuration
+	registry registry
+	view     atomic.Pointer[fleet.View]
+
+	started  time.Time
+	draining atomic.Bool
+	serving  context.Context // ends once the last answer is out
+	stop     context.CancelFunc
+
+	place   chan struct{} // asks for tasks to be placed
+	control chan struct{} // asks for the view to be taken anew
+	pull    chan string   // addresses of peers that hold newer state
+	beaters sync.WaitGroup
+}
+
+// New returns a node that is not running yet.
+func New(config Config, deps Dependencies) *Node {
+	self := fleet.Member{
+		VM: config.VM, Incarnation: uint64(time.Now().UnixMicro()),
+		DataCentre: config.DataCentre, Address: config.PeerAddress,
+	}
+	n := &Node{
+		config: config, deps: deps, metrics: deps.Metrics,
+		log:       deps.Log.With(slog.String("vm", config.VM)),
+		fleet:     fleet.New(self),
+		scheduler: scheduler.New(scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting}),
+		jobs:      intake.New[Job](),
+		place:     make(chan struct{}, 1),
+		control:   make(chan struct{}, 1),
+		pull:      make(chan string, 1),
+	}
+	n.serving, n.stop = context.WithCancel(context.Background())
+	n.origins.known = map[string]*origin{}
+	n.outboxes.byVM = map[string]*outbox{}
+	n.agents.wake = map[string]chan struct{}{}
+	n.registry.init()
+	n.view.Store(&fleet.View{First: self})
+	n.peers = peer.New(peer.Config{
+		Hello:       wire.Hello{VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre, Address: self.Address},
+		DialTimeout: dialTimeout, MaxFrame: maxFrame,
+		OnHello: func(wire.Hello) {},
+		OnClose: n.disconnected,
+	})
+	n.gauges()
+	peer.Handle(n.peers, n.handleBeat)
+	peer.Handle(n.peers, n.handleOffer)
+	peer.Handle(n.peers, n.handleEnds)
+	peer.Handle(n.peers, n.handleWithdraw)
+	peer.Handle(n.peers, n.handleState)
+	return n
+}
+
+// Run serves until the context ends, then stops gracefully: it keeps taking
+// requests until the balancer sends no more, and waits for those in progress.
+func (n *Node) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", n.config.PeerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	n.started = time.Now()
+	n.log.Info("start", slog.String("data_centre", n.config.DataCentre), slog.String("peers", n.config.PeerAddress),
+		slog.Uint64("incarnation", n.fleet.Self().Incarnation))
+	g, serving := errgroup.WithContext(n.serving)
+	g.Go(func() error { return n.peers.Serve(serving, listener) })
+	g.Go(func() error { return n.keepBeating(serving) })
+	g.Go(func() error { return n.keepTerm(serving) })
+	g.Go(func() error { return n.keepPlacing(serving) })
+	g.Go(func() error { return n.keepTicking(serving) })
+	g.Go(func() error { return n.followConfiguration(serving) })
+	g.Go(func() error { return n.followUpstreams(serving) })
+	g.Go(func() error { return n.followMembers(serving) })
+	g.Go(func() error { return n.keepPulling(serving) })
+	g.Go(func() error { return n.keepRegistered(serving) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.drain()
+		case <-serving.Done():
+		}
+		n.stop()
+		return nil
+	})
+	err = g.Wait()
+	n.log.Info("stop", slog.Int("jobs_without_answer", n.jobs.Len()))
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drainPoll is the time between two checks whether the last job has its answer.
+const drainPoll = 20 * time.Millisecond
+
+// drain lets readiness fall, hands dispatching over and waits until the jobs
+// have their answers.
+func (n *Node) drain() {
+	n.log.Info("drain", slog.Int("jobs", n.jobs.Len()))
+	n.draining.Store(true)
+	n.fleet.Drain()
+	n.wakeControl()
+	start := time.Now()
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for now := range ticker.C {
+		since := now.Sub(start)
+		quiet := since > n.config.DrainTime && n.jobs.Len() == 0 && !n.scheduler.Dispatching()
+		if quiet || since > n.config.StopTime {
+			return
+		}
+	}
+}
+
+// Ready returns why the balancer should send no requests here; nil if it
+// should.
+func (n *Node) Ready() error {
+	switch {
+	case n.draining.Load():
+		return errors.New("draining")
+	case n.table.Load() == nil:
+		return errors.New("no configuration yet")
+	case n.view.Load().Dispatcher.VM == "":
+		return errors.New("no dispatcher is heard")
+	}
+	return nil
+}
+
+// Table returns the configuration in force; nil before the first one.
+func (n *Node) Table() *routing.Table { return n.table.Load() }
+
+func (n *Node) wakeControl() { wake(n.control) }
+func (n *Node) wakePlacing() { wake(n.place) }
+
+// wake signals a channel that has room for one signal.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits, and returns false where the context ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/node/registry.go
@@ -0,0 +1,232 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/store"
+)
+
+// lapseGrace is the time for which an upstream whose entry has lapsed is still
+// used while it answers: entries that lapsed with the store are back within two
+// seconds of its return.
+const lapseGrace = 2500 * time.Millisecond
+
+// registry holds the entries of upstreams, and the configuration as it was read.
+type registry struct {
+	mu            sync.Mutex // guards the fields below
+	at            int64      // revision of the newest change of an entry; 0 before the first listing
+	entries       map[string]entry
+	configuration store.Item
+}
+
+type entry struct {
+	item     store.Item
+	upstream scheduler.Upstream
+	valid    bool
+	lapsed   time.Time // when the entry was removed; zero while it is there
+}
+
+func (r *registry) init() { r.entries = map[string]entry{} }
+
+func (r *registry) revision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at
+}
+
+func (r *registry) known() bool { return r.revision() > 0 }
+
+// followUpstreams keeps the list of upstreams.
+func (n *Node) followUpstreams(ctx context.Context) error {
+	return n.follow(ctx, follower{
+		prefix: n.config.UpstreamPrefix,
+		reset: func(items []store.Item, _ int64) {
+			newest := int64(1)
+			for _, item := range items {
+				newest = max(newest, item.Revision)
+			}
+			n.resetUpstreams(items, newest, "store")
+		},
+		change: func(events []store.Event, _ int64) {
+			now := time.Now()
+			n.registry.mu.Lock()
+			for _, e := range events {
+				n.registry.at = max(n.registry.at, e.Revision)
+				if e.Deleted {
+					n.lapse(now, e.Key)
+				} else {
+					n.enterUpstream(e.Item)
+				}
+			}
+			n.registry.mu.Unlock()
+			n.applyUpstreams(now)
+		},
+	})
+}
+
+// resetUpstreams takes a full list, which is newer than what is held.
+func (n *Node) resetUpstreams(items []store.Item, revision int64, source string) {
+	now := time.Now()
+	n.registry.mu.Lock()
+	listed := map[string]bool{}
+	for _, item := range items {
+		listed[item.Key] = true
+		n.enterUpstream(item)
+	}
+	for key := range n.registry.entries {
+		if !listed[key] {
+			n.lapse(now, key)
+		}
+	}
+	n.registry.at = max(n.registry.at, revision)
+	n.registry.mu.Unlock()
+	n.log.Info("upstreams listed", slog.Int("entries", len(items)), slog.Int64("revision", revision), slog.String("source", source))
+	n.applyUpstreams(now)
+	n.wakeControl()
+}
+
+// enterUpstream takes an entry. The caller holds the registry's lock.
+func (n *Node) enterUpstream(item store.Item) {
+	known, present := n.registry.entries[item.Key]
+	if present && known.item.Revision >= item.Revision {
+		if known.item.Revision == item.Revision && !known.lapsed.IsZero() {
+			known.lapsed = time.Time{}
+			n.registry.entries[item.Key] = known
+		}
+		return
+	}
+	e := entry{item: item}
+	upstream, err := n.deps.Decoder.Upstream(item)
+	if err != nil {
+		n.log.Warn("upstream entry ignored", slog.String("key", item.Key), slog.Any("error", err))
+	} else {
+		e.upstream, e.valid = upstream, true
+		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
+			n.log.Info("upstream", slog.String("upstream", upstream.Name), slog.Bool("draining", upstream.Draining),
+				slog.String("address", upstream.Address), slog.Int64("revision", item.Revision))
+		}
+	}
+	n.registry.entries[item.Key] = e
+}
+
+// lapse notes that an entry is gone. The caller holds the registry's lock.
+func (n *Node) lapse(now time.Time, key string) {
+	e, present := n.registry.entries[key]
+	switch {
+	case !present || !e.lapsed.IsZero():
+	case !e.valid || e.upstream.Draining:
+		delete(n.registry.entries, key)
+	default:
+		e.lapsed = now
+		n.registry.entries[key] = e
+		n.log.Info("upstream lapsed", slog.String("upstream", e.upstream.Name))
+		time.AfterFunc(lapseGrace, func() { n.applyUpstreams(time.Now()) })
+	}
+}
+
+// applyUpstreams hands the scheduler the upstreams that this node claims.
+func (n *Node) applyUpstreams(now time.Time) {
+	v := n.view.Load()
+	self := n.fleet.Self()
+	var list []scheduler.Upstream
+	n.registry.mu.Lock()
+	for key, e := range n.registry.entries {
+		if !e.lapsed.IsZero() && now.Sub(e.lapsed) >= lapseGrace {
+			delete(n.registry.entries, key)
+			continue
+		}
+		if e.valid && v.Claims(self, e.upstream.Name, e.upstream.DataCentre) {
+			list = append(list, e.upstream)
+		}
+	}
+	n.registry.mu.Unlock()
+	for _, added := range n.scheduler.SetUpstreams(now, list) {
+		n.ensureAgent(added)
+	}
+	n.agents.wakeAll()
+	n.wakePlacing()
+}
+
+// behind tells whether a peer holds newer state than this node.
+func (n *Node) behind(b *wire.Beat) bool {
+	table := n.table.Load()
+	return b.Revision > 0 && (table == nil || b.Revision > table.Revision) || b.Registry > n.registry.revision()
+}
+
+const (
+	// pullDelay lets the store's own watch bring a change first.
+	pullDelay = 60 * time.Millisecond
+	// pullTimeout is the longest wait for a peer's state.
+	pullTimeout = 500 * time.Millisecond
+	// pullPause spaces the fetches of a VM that the store turns away: several
+	// fall into the time in which a change has to be in force.
+	pullPause = 200 * time.Millisecond
+)
+
+// keepPulling fetches newer state from peers, while the store does not bring it.
+func (n *Node) keepPulling(ctx context.Context) error {
+	for {
+		var address string
+		select {
+		case <-ctx.Done():
+			return nil
+		case address = <-n.pull:
+		}
+		if !sleep(ctx, pullDelay) {
+			return nil
+		}
+		n.pullState(ctx, address)
+		if !sleep(ctx, pullPause) {
+			return nil
+		}
+	}
+}
+
+func (n *Node) pullState(ctx context.Context, address string) {
+	request := &wire.StateRequest{Registry: n.registry.revision()}
+	if table := n.table.Load(); table != nil {
+		request.Revision = table.Revision
+	}
+	call, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	var state wire.StateResponse
+	if err := n.peers.Call(call, address, request, &state); err != nil {
+		n.log.Info("state not fetched", slog.String("peer", address), slog.Any("error", err))
+		return
+	}
+	for _, item := range state.Configuration {
+		n.configure(store.Item{Key: item.Key, Value: item.Value, Revision: item.Revision}, address)
+	}
+	if state.Registry > n.registry.revision() {
+		items := make([]store.Item, 0, len(state.Upstreams))
+		for _, item := range state.Upstreams {
+			items = append(items, store.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
+		}
+		n.resetUpstreams(items, state.Registry, address)
+	}
+}
+
+func (n *Node) handleState(_ context.Context, _ *wire.Hello, r *wire.StateRequest) wire.Message {
+	state := &wire.StateResponse{}
+	table := n.table.Load()
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	if table != nil && table.Revision > r.Revision {
+		item := n.registry.configuration
+		state.Configuration = []wire.StoreItem{{Key: item.Key, Value: item.Value, Revision: item.Revision}}
+	}
+	if n.registry.at > r.Registry {
+		state.Registry = n.registry.at
+		for _, e := range n.registry.entries {
+			if e.lapsed.IsZero() {
+				state.Upstreams = append(state.Upstreams, wire.StoreItem{Key: e.item.Key, Value: e.item.Value, Revision: e.item.Revision})
+			}
+		}
+	}
+	return state
+}
--- /dev/null
+++ b/node/term.go
@@ -0,0 +1,308 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
+)
+
+const (
+	// controlInterval is the longest time between two looks at the view; beats
+	// and closed connections ask for one at once.
+	controlInterval = 40 * time.Millisecond
+	// settleTime is the time after the start within which a node dispatches only
+	// if others told it that they do not: VMs start within 0.3 s of each other
+	// (the platform's page on settings), and a beat follows.
+	settleTime = 700 * time.Millisecond
+	// fencedRetry is the time after which upstreams that were claimed by another
+	// dispatcher are claimed anew: the rival is gone or has joined by then.
+	fencedRetry = 4 * time.Second
+	// fencedAlone is the same where no rival can be present: a dispatcher that
+	// was paused has claimed them in passing.
+	fencedAlone = 300 * time.Millisecond
+	// originSilence is the time without a beat after which the jobs of a VM are
+	// dropped.
+	originSilence = fleet.Silence
+	// dropBound is the time after which a dispatcher that no longer hears a VM
+	// has dropped its jobs, and a tick has passed.
+	dropBound = originSilence + 100*time.Millisecond
+)
+
+// A fencing token is a counter of seconds with a hash of the process in its low
+// bits, so that two processes never use the same one.
+const (
+	tokenHashBits = 20
+	// tokenEpoch keeps tokens within 53 bits, which every JSON reader keeps
+	// exact.
+	tokenEpoch = 1_735_689_600 // 2025-01-01, in s since 1970
+	// dropBits leave room in a term for the number of times that an origin was
+	// dropped.
+	dropBits = 16
+)
+
+// term is the own term of dispatching.
+type term struct {
+	mu     sync.Mutex // guards the fields below
+	token  int64      // 0 while not dispatching
+	began  time.Time
+	fenced time.Time // when an upstream was first found claimed by another
+	bump   int64     // doubles while tokens are found too low
+	claims string    // the members that the claims of the term depend on
+}
+
+// origin is a VM whose jobs this node dispatches.
+type origin struct {
+	incarnation uint64
+	drops       uint64
+	heard       bool
+}
+
+// origins holds the VMs that offered jobs.
+type origins struct {
+	mu    sync.Mutex // guards the field below
+	known map[string]*origin
+}
+
+// drops returns how often the jobs of a VM were dropped.
+func (o *origins) drops(vm string) uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if known := o.known[vm]; known != nil {
+		return known.drops
+	}
+	return 0
+}
+
+// current returns the token of the term; 0 while not dispatching.
+func (t *term) current() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.token
+}
+
+// termFor returns the term as a peer is to name it in its offers: it changes
+// when the peer's jobs are dropped, so that the peer offers them anew.
+func (n *Node) termFor(peer string) uint64 {
+	token := n.term.current()
+	if token == 0 {
+		return 0
+	}
+	return uint64(token)<<dropBits | n.origins.drops(peer)&(1<<dropBits-1)
+}
+
+// keepTerm takes the view, begins and ends terms, and offers jobs.
+func (n *Node) keepTerm(ctx context.Context) error {
+	ticker := time.NewTicker(controlInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		case <-n.control:
+		}
+		n.decideTerm(time.Now())
+	}
+}
+
+func (n *Node) decideTerm(now time.Time) {
+	old := n.view.Load()
+	v := n.fleet.View(now, n.termFor(n.config.VM))
+	n.view.Store(&v)
+	n.logView(old, &v)
+	token := n.term.current()
+	self := n.fleet.Self()
+	switch {
+	case token != 0 && v.Dispatcher.VM != self.VM:
+		n.endTerm(v.Dispatcher.VM + " dispatches")
+	case token == 0 && v.First.VM == self.VM && n.mayDispatch(now, &v):
+		n.beginTerm(now, &v, "first of the members that are heard")
+	case token != 0:
+		n.checkClaims(now, &v)
+	}
+	n.dropSilent(now, &v)
+	if v.Dispatcher.VM != old.Dispatcher.VM || v.Term != old.Term {
+		v = n.fleet.View(now, n.termFor(n.config.VM))
+		n.view.Store(&v)
+	}
+	n.offerUnassigned(&v)
+}
+
+func (n *Node) logView(old, v *fleet.View) {
+	if old.Dispatcher.VM == v.Dispatcher.VM && old.Term == v.Term && len(old.Heard) == len(v.Heard) && len(old.Unheard) == len(v.Unheard) {
+		return
+	}
+	n.log.Info("view", slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.First.VM),
+		slog.Int("heard", len(v.Heard)), slog.Int("unheard", len(v.Unheard)), slog.Bool("minority", v.Minority))
+}
+
+// mayDispatch tells whether a term can begin.
+func (n *Node) mayDispatch(now time.Time, v *fleet.View) bool {
+	if n.table.Load() == nil || !n.registry.known() {
+		return false
+	}
+	return now.Sub(n.started) > settleTime || len(v.Heard) > 0 && len(v.Unheard) == 0
+}
+
+// claimKey names what the claims of a view depend on.
+func claimKey(v *fleet.View) string {
+	if !v.Minority {
+		return "all"
+	}
+	key := ""
+	for _, r := range v.Heard {
+		key += r.Member.VM + " "
+	}
+	return key
+}
+
+func (n *Node) beginTerm(now time.Time, v *fleet.View, why string) {
+	t := &n.term
+	t.mu.Lock()
+	counter := max(n.fleet.Token()>>tokenHashBits, time.Now().Unix()-tokenEpoch) + 1 + t.bump
+	hash := int64(rendezvous.HashPair(n.config.VM, n.fleet.Self().Address) & (1<<tokenHashBits - 1))
+	token := n.fleet.Raise(counter<<tokenHashBits | hash)
+	t.token, t.began, t.fenced, t.claims = token, now, time.Time{}, claimKey(v)
+	t.mu.Unlock()
+	n.log.Info("term begins", slog.Int64("token", token), slog.String("why", why), slog.Int("heard", len(v.Heard)),
+		slog.Int("unheard", len(v.Unheard)), slog.Bool("minority", v.Minority))
+	n.metrics.Terms.Inc()
+	n.scheduler.Begin(now, token, now.Add(dropBound+n.leaseBound()))
+	n.applyUpstreams(now)
+	n.agents.wakeAll()
+}
+
+// leaseBound is the longest time for which a run outlives the last renewal of
+// its lease: the upstream's clock may be 2 % slow.
+func (n *Node) leaseBound() time.Duration { return n.config.LeaseMax * 106 / 100 }
+
+func (n *Node) endTerm(why string) {
+	t := &n.term
+	t.mu.Lock()
+	t.token = 0
+	t.mu.Unlock()
+	n.scheduler.End()
+	n.log.Info("term ends", slog.String("why", why))
+}
+
+// checkClaims begins a new term where the claims change, or where upstreams
+// were claimed by a dispatcher that is not heard.
+func (n *Node) checkClaims(now time.Time, v *fleet.View) {
+	t := &n.term
+	fenced := n.scheduler.Fenced()
+	t.mu.Lock()
+	changed := t.claims != claimKey(v)
+	retry := false
+	switch {
+	case fenced == 0:
+		t.fenced = time.Time{}
+		if now.Sub(t.began) > fencedRetry {
+			t.bump = 0
+		}
+	case t.fenced.IsZero():
+		t.fenced = now
+	default:
+		wait := fencedRetry
+		if len(v.Unheard) == 0 {
+			wait = fencedAlone
+		}
+		retry = now.Sub(t.fenced) > wait
+		if retry {
+			t.bump = 2*t.bump + 1
+		}
+	}
+	t.mu.Unlock()
+	switch {
+	case changed:
+		n.beginTerm(now, v, "the members that are heard have changed")
+	case retry && !v.Minority:
+		n.beginTerm(now, v, "another dispatcher has claimed upstreams")
+	}
+}
+
+// restartTerm begins a new term after a pause of this process: orders that it
+// was about to send belong to the past.
+func (n *Node) restartTerm(now time.Time, pause time.Duration) {
+	n.log.Warn("paused", slog.Duration("for", pause), slog.Bool("dispatching", n.term.current() != 0))
+	if n.term.current() == 0 {
+		return
+	}
+	v := n.fleet.View(now, n.termFor(n.config.VM))
+	n.beginTerm(now, &v, "this process was paused")
+	n.wakeControl()
+}
+
+// dropSilent drops the jobs of VMs that are no longer heard.
+func (n *Node) dropSilent(now time.Time, v *fleet.View) {
+	if n.term.current() == 0 || now.Sub(n.term.beganAt()) < originSilence {
+		return
+	}
+	heard := map[string]uint64{n.config.VM: n.fleet.Self().Incarnation}
+	for _, r := range v.Heard {
+		heard[r.Member.VM] = r.Member.Incarnation
+	}
+	type drop struct {
+		vm     string
+		before uint64
+	}
+	var drops []drop
+	n.origins.mu.Lock()
+	for vm, o := range n.origins.known {
+		incarnation, here := heard[vm]
+		switch {
+		case !here && o.heard:
+			o.heard = false
+			o.drops++
+			drops = append(drops, drop{vm, o.incarnation + 1})
+		case here && incarnation > o.incarnation:
+			drops = append(drops, drop{vm, incarnation})
+			o.incarnation, o.heard = incarnation, true
+		case here:
+			o.heard = true
+		}
+	}
+	n.origins.mu.Unlock()
+	for _, d := range drops {
+		n.log.Info("origin dropped", slog.String("origin", d.vm), slog.Uint64("before", d.before))
+		n.act(n.scheduler.DropOrigin(now, d.vm, d.before))
+	}
+	if len(drops) > 0 {
+		n.wakePlacing()
+	}
+}
+
+func (t *term) beganAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.began
+}
+
+// note enters that a VM offers jobs. It returns false where the offer comes from
+// a process that has been replaced.
+func (o *origins) note(vm string, incarnation uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.known[vm]
+	if known == nil {
+		known = &origin{incarnation: incarnation}
+		o.known[vm] = known
+	}
+	known.incarnation = max(known.incarnation, incarnation)
+	known.heard = true
+}
+
+// drop counts that the jobs of a VM were dropped for another reason.
+func (o *origins) drop(vm string) (before uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known := o.known[vm]
+	if known == nil {
+		return 0
+	}
+	known.drops++
+	return known.incarnation + 1
+}
--- /dev/null
+++ b/scheduler/place.go
@@ -0,0 +1,310 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mustardstep/mustardstep/verdict"
+)
+
+// Offer enters a job, all its tasks or none. The notices tell of tasks that are
+// known to have ended. A failure has the verdict NotRun.
+func (s *Scheduler) Offer(now time.Time, offered Job) ([]Notice, *verdict.Error) {
+	if waiting := s.waiting.Load(); waiting+int64(len(offered.Tasks)) > int64(s.config.MaxWaiting) && !offered.Resumed {
+		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "%d tasks are waiting", waiting).WithRetryAfter(time.Second)
+	}
+	if !offered.Resumed && !s.fits(offered.Service, offered.Size) {
+		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
+			"no upstream of service %s has %d thousandths of a core, %d MB and %d accelerators",
+			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(time.Second)
+	}
+	model := s.models.get(offered.Queue, offered.Estimate)
+	ended, waiting := s.queueOf(offered.ID).offer(now, offered, model, offered.Resumed && !s.clear.Load())
+	s.waiting.Add(int64(waiting))
+	if offered.Resumed {
+		s.claimOrphans(now, offered.ID)
+	}
+	var notices []Notice
+	for _, index := range ended {
+		notices = append(notices, Notice{Origin: offered.Origin, Task: Task{offered.ID, index}, Kind: TaskDone})
+	}
+	return notices, nil
+}
+
+// fits tells whether an upstream of the service is large enough when it is
+// empty.
+func (s *Scheduler) fits(service string, size Size) bool {
+	for _, shard := range s.upstreams {
+		shard.mu.Lock()
+		for _, u := range shard.known {
+			if u.Service == service && u.listed && size.Within(u.Size) {
+				shard.mu.Unlock()
+				return true
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return false
+}
+
+// Start orders an upstream to run a task.
+type Start struct {
+	Upstream Upstream
+	Token    int64
+	Run      Run
+	Spec     string
+	// Until is the time on the upstream's clock, in ms, after which the order
+	// has no effect.
+	Until int64
+	// Waited is the time since the caller sent the job, Expected the expected
+	// run time there, Left the time left until the answer is late.
+	Waited, Expected, Left time.Duration
+	// Free is what remains free on the upstream.
+	Free Size
+
+	origin string
+}
+
+// considered is the number of jobs of a shard that are tried where the first
+// fits nowhere.
+const considered = 3
+
+// Place binds waiting tasks to upstreams with room.
+func (s *Scheduler) Place(now time.Time) []Start {
+	var starts []Start
+	for s.Dispatching() {
+		start, ok := s.placeNext(now)
+		if !ok {
+			return starts
+		}
+		starts = append(starts, start)
+	}
+	return starts
+}
+
+// placeNext places the task that comes first among those that fit somewhere.
+func (s *Scheduler) placeNext(now time.Time) (Start, bool) {
+	for place := range considered {
+		order := s.order()
+		for _, at := range order {
+			q := s.queues[at]
+			c, ok := q.pop(place)
+			if !ok {
+				continue
+			}
+			if start, ok := s.bind(now, c); ok {
+				s.waiting.Add(-1)
+				q.markStarted(c.job.ID)
+				return start, true
+			}
+			q.unpop(c)
+			if place == 0 {
+				break // behind the first of all come the second jobs
+			}
+		}
+	}
+	return Start{}, false
+}
+
+// order returns the shards that hold waiting jobs, the one with the first job
+// before the others.
+func (s *Scheduler) order() []int {
+	var order []int
+	var first [shardCount]float64
+	for i, q := range s.queues {
+		if first[i] = q.first(); first[i] < noScore {
+			order = append(order, i)
+		}
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		switch {
+		case first[a] < first[b]:
+			return -1
+		case first[a] > first[b]:
+			return 1
+		}
+		return a - b
+	})
+	return order
+}
+
+// bind reserves room for a task on the upstream that suits it best.
+func (s *Scheduler) bind(now time.Time, c candidate) (Start, bool) {
+	for range considered {
+		name, ok := s.choose(now, c)
+		if !ok {
+			return Start{}, false
+		}
+		if start, ok := s.reserve(now, c, name); ok {
+			return start, true
+		}
+	}
+	return Start{}, false
+}
+
+// choose returns the upstream with the least cost for a task.
+func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
+	best := noScore
+	left := c.objective.Sub(now).Seconds()
+	for _, shard := range s.upstreams {
+		shard.mu.Lock()
+		for _, u := range shard.known {
+			if !suits(now, u, c) {
+				continue
+			}
+			if cost := u.cost(c, left); cost < best {
+				best, name = cost, u.Name
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return name, best < noScore
+}
+
+func suits(now time.Time, u *upstream, c candidate) bool {
+	return u.Service == c.job.Service && u.usable(now) && c.job.Size.Within(u.room()) &&
+		u.runs[Task{c.job.ID, c.index}] == nil && !slices.Contains(c.avoid, u.Name)
+}
+
+// cost orders the upstreams for a task: the expected run time, in seconds. A
+// failure in a row counts like half the speed.
+func (u *upstream) cost(c candidate, left float64) float64 {
+	run := c.expected / u.model.speed() * float64(uint(1)<<min(u.health.Penalty(), 4))
+	return run
+}
+
+// reserve takes the room for a task where it is still there.
+func (s *Scheduler) reserve(now time.Time, c candidate, name string) (Start, bool) {
+	shard := s.shardOf(name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	u := shard.known[name]
+	if u == nil || !suits(now, u, c) {
+		return Start{}, false
+	}
+	r := &run{
+		Run: Run{Task{c.job.ID, c.index}, c.attempt}, size: c.job.Size, ordered: now, moved: now,
+		until: u.clockNow(now) + startWindow.Milliseconds(), expected: c.expected, estimate: c.job.Estimate, model: c.model,
+	}
+	u.runs[r.Task] = r
+	u.used = u.used.plus(r.size)
+	u.bound = now.Add(s.leaseBound())
+	return Start{
+		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Spec: c.job.Spec, Until: r.until,
+		Waited:   now.Sub(c.job.Sent),
+		Expected: time.Duration(c.expected / u.model.speed() * float64(time.Second)),
+		Left:     c.objective.Sub(now), Free: u.room(), origin: c.job.Origin,
+	}, true
+}
+
+// Withdraw forgets a job and stops what runs of it.
+func (s *Scheduler) Withdraw(now time.Time, origin string, ids []string) Actions {
+	var a Actions
+	for _, id := range ids {
+		waiting, gone := s.queueOf(id).withdraw(func(j *Job) bool { return j.ID == id && j.Origin == origin })
+		s.waiting.Add(int64(-waiting))
+		if len(gone) > 0 {
+			s.stopRuns(now, "the caller has left", &a, gone...)
+		}
+	}
+	return a
+}
+
+// DropOrigin forgets the jobs of a VM that is no longer heard, or of its
+// incarnations before a newer one, and stops what runs of them.
+func (s *Scheduler) DropOrigin(now time.Time, origin string, before uint64) Actions {
+	var a Actions
+	var all []string
+	for _, q := range s.queues {
+		waiting, gone := q.withdraw(func(j *Job) bool { return j.Origin == origin && j.OriginIncarnation < before })
+		s.waiting.Add(int64(-waiting))
+		all = append(all, gone...)
+	}
+	if len(all) > 0 {
+		s.stopRuns(now, "the VM that took the job is gone", &a, all...)
+	}
+	return a
+}
+
+// stopRuns stops the runs of some jobs.
+func (s *Scheduler) stopRuns(now time.Time, why string, a *Actions, ids ...string) {
+	token := s.token.Load()
+	for _, shard := range s.upstreams {
+		shard.mu.Lock()
+		for _, u := range shard.known {
+			for _, r := range u.runs {
+				if !slices.Contains(ids, r.Job) || r.abandoned {
+					continue
+				}
+				r.abandoned = true
+				if r.state == runStarted {
+					r.state, r.stopped = runStopping, false
+					a.Stops = append(a.Stops, Stop{u.Upstream, token, r.Run, why})
+				}
+			}
+		}
+		shard.mu.Unlock()
+	}
+}
+
+// claimOrphans hands runs that were found to the job that offers their tasks.
+func (s *Scheduler) claimOrphans(now time.Time, id string) {
+	for _, shard := range s.upstreams {
+		for _, found := range shard.orphansOf(id) {
+			s.adopt(now, shard, found.upstream, found.Run)
+		}
+	}
+}
+
+type foundRun struct {
+	Run
+	upstream string
+}
+
+func (s *upstreamShard) orphansOf(job string) []foundRun {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []foundRun
+	for _, u := range s.known {
+		for _, o := range u.orphans {
+			if o.Job == job && !o.stopping {
+				found = append(found, foundRun{o.Run, u.Name})
+			}
+		}
+	}
+	return found
+}
+
+// adopt makes an orphan a run of its job, if the job waits for its task.
+func (s *Scheduler) adopt(now time.Time, shard *upstreamShard, name string, found Run) {
+	owner, expected, model, ok := s.queueOf(found.Job).adopt(found)
+	if !ok {
+		return
+	}
+	s.waiting.Add(-1)
+	r := &run{
+		Run: found, size: owner.Size, state: runStarted, ordered: now, answered: now, moved: now,
+		expected: expected, estimate: owner.Estimate, model: model, adopted: true,
+	}
+	if !shard.adopt(name, r) {
+		_, requeued, _ := s.queueOf(found.Job).finish(found, name, endLost)
+		s.waiting.Add(int64(requeued))
+	}
+}
+
+// adopt turns an orphan into a run, if it is still there.
+func (s *upstreamShard) adopt(name string, r *run) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.known[name]
+	if u == nil {
+		return false
+	}
+	if o, present := u.orphans[r.Task]; !present || o.Run != r.Run {
+		return false
+	}
+	delete(u.orphans, r.Task)
+	u.runs[r.Task] = r
+	u.used = u.used.plus(r.size)
+	return true
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,292 @@
+// Package scheduler decides which upstream runs which task, and when, for one
+// dispatcher that owns its upstreams.
+//
+// It imports no network package and reads no clock: every method takes the
+// time, and what is to be sent is returned as actions. Jobs are offered by the
+// VMs that took them (their origins) and wait in shards by id; upstreams lie in
+// shards by name. Each shard has its own lock and no shard's lock is held while
+// another's is taken.
+//
+// An upstream refuses every order with a lower fencing token than it has seen.
+// A dispatcher therefore claims an upstream by a look with its own token: the
+// answer tells what runs there and what has ended, and nothing that an earlier
+// owner sends afterwards has an effect.
+//
+// A run occupies its size on an upstream until it is known to be over: its end
+// is listed, a look that was sent late enough does not show it, the upstream
+// presents itself as a new incarnation, or the lease of everything that runs
+// there has lapsed.
+package scheduler
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
+)
+
+// Size is what a task takes or an upstream has.
+type Size struct {
+	// MilliCPU is in thousandths of a core, MemoryMB in MB.
+	MilliCPU, MemoryMB, Accelerators int
+}
+
+// Within tells whether a size fits into another.
+func (s Size) Within(room Size) bool {
+	return s.MilliCPU <= room.MilliCPU && s.MemoryMB <= room.MemoryMB && s.Accelerators <= room.Accelerators
+}
+
+func (s Size) plus(o Size) Size {
+	return Size{s.MilliCPU + o.MilliCPU, s.MemoryMB + o.MemoryMB, s.Accelerators + o.Accelerators}
+}
+
+func (s Size) minus(o Size) Size {
+	return Size{s.MilliCPU - o.MilliCPU, s.MemoryMB - o.MemoryMB, s.Accelerators - o.Accelerators}
+}
+
+// Task identifies a task of a job.
+type Task struct {
+	Job string
+	// Index is the place of the task in its job, from 0.
+	Index int
+}
+
+// Run is one start of a task.
+type Run struct {
+	Task
+	// Attempt numbers the starts of the task, from 1.
+	Attempt int
+}
+
+// Job is what an origin offers. It is immutable.
+type Job struct {
+	ID string
+	// Origin is the VM that took the job, OriginIncarnation its process.
+	Origin            string
+	OriginIncarnation uint64
+	// Queue is the name by which run times are learnt, Service that of the
+	// upstreams that may run the tasks.
+	Queue, Service string
+	Spec           string
+	Size           Size
+	// Priority is the class of the queue; 0 comes first.
+	Priority int
+	// Estimate is the declared run time of a task.
+	Estimate time.Duration
+	// Sent is the time at which the caller first sent the job, Deadline the one
+	// until which the caller waits.
+	Sent, Deadline time.Time
+	// An answer is in time within Stretch times the longest run time of a task
+	// and Slack more.
+	Stretch float64
+	Slack   time.Duration
+	// MaxAttempts is the number of failed runs after which a task has failed.
+	MaxAttempts int
+	// Resumed tells that an earlier dispatcher may have started tasks.
+	Resumed bool
+	// Tasks are the indexes of the tasks to run.
+	Tasks []int
+}
+
+// Config holds the limits of a Scheduler.
+type Config struct {
+	// LeaseMax is the longest lease that an upstream grants, by its own clock.
+	LeaseMax time.Duration
+	// MaxWaiting is the most tasks that wait.
+	MaxWaiting int
+}
+
+// Timing of the protocol with the upstreams.
+const (
+	// lease is the time that a look asks for what runs on an upstream. It is
+	// well below the platform's bound of 1 s, so that a dispatcher that was
+	// lost frees what it held soon.
+	lease = 800 * time.Millisecond
+	// lookWait is the longest wait of a look for an end; two looks fall into
+	// one lease.
+	lookWait = 350 * time.Millisecond
+	// startWindow is the time within which an order to start must be carried
+	// out; one that is carried out later is refused by the upstream.
+	startWindow = 400 * time.Millisecond
+	// clockError is the share by which an upstream's clock may be slow (the
+	// platform's page on running tasks names 2 %).
+	clockError = 0.02
+	// leaseMargin covers the network and the timers beside the clock error.
+	leaseMargin = 100 * time.Millisecond
+	// orphanGrace is the time within which the origins of runs that were found
+	// on a claimed upstream offer their jobs anew; two beats and a round trip.
+	orphanGrace = 700 * time.Millisecond
+	// retryLook is the pause after a look without an answer.
+	retryLook = 100 * time.Millisecond
+	// fencedBound is the time after which what ran on an upstream that another
+	// dispatcher has claimed is over, if that one did not adopt it: the grace for
+	// orphans and the lease that it renewed meanwhile.
+	fencedBound = orphanGrace + 1200*time.Millisecond
+	// pastEndTime is the time for which ends of unknown jobs are kept for an
+	// origin that offers them anew.
+	pastEndTime = 3 * time.Second
+	// idleLook is the time after which ends that were listed are acknowledged
+	// though nothing runs.
+	idleLook = 300 * time.Millisecond
+)
+
+// shardCount is the number of shards of jobs and of upstreams.
+const shardCount = 16
+
+// Scheduler holds the jobs and the upstreams of one dispatcher. It is safe for
+// concurrent use.
+type Scheduler struct {
+	config    Config
+	queues    [shardCount]*queueShard
+	upstreams [shardCount]*upstreamShard
+	models    models
+
+	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
+	clear   atomic.Bool  // whether resumed jobs may start
+	clearAt atomic.Pointer[time.Time]
+	waiting atomic.Int64
+}
+
+// New returns a scheduler that does not dispatch yet.
+func New(config Config) *Scheduler {
+	s := &Scheduler{config: config}
+	for i := range shardCount {
+		s.queues[i], s.upstreams[i] = newQueueShard(), &upstreamShard{known: map[string]*upstream{}}
+	}
+	return s
+}
+
+func (s *Scheduler) queueOf(job string) *queueShard {
+	return s.queues[rendezvous.Hash(job)%shardCount]
+}
+
+func (s *Scheduler) shardOf(upstream string) *upstreamShard {
+	return s.upstreams[rendezvous.Hash(upstream)%shardCount]
+}
+
+// leaseBound is the longest time, by this clock, for which something can run on
+// an upstream after the last order that could have renewed its lease.
+func (s *Scheduler) leaseBound() time.Duration {
+	return time.Duration(float64(s.config.LeaseMax)/(1-clockError)) + leaseMargin
+}
+
+// Begin starts a term under a fencing token that is greater than every token
+// that is known. All jobs of an earlier term are forgotten: their origins offer
+// them anew. Resumed jobs start nothing before every upstream is claimed or
+// clearAt has come, since what an earlier dispatcher started may still run.
+func (s *Scheduler) Begin(now time.Time, token int64, clearAt time.Time) {
+	s.End()
+	s.clearAt.Store(&clearAt)
+	for _, shard := range s.upstreams {
+		shard.begin(now)
+	}
+	s.token.Store(token)
+}
+
+// End stops dispatching. What runs goes on under its lease.
+func (s *Scheduler) End() {
+	s.token.Store(0)
+	s.clear.Store(false)
+	for _, q := range s.queues {
+		s.waiting.Add(int64(-q.reset()))
+	}
+}
+
+// Dispatching tells whether a term is on.
+func (s *Scheduler) Dispatching() bool { return s.token.Load() != 0 }
+
+// Waiting returns the number of tasks that wait for an upstream.
+func (s *Scheduler) Waiting() int { return int(s.waiting.Load()) }
+
+// Tick lets time pass: resumed jobs are released, orphans that nobody claimed
+// are stopped, leases lapse. It is called every TickInterval.
+func (s *Scheduler) Tick(now time.Time) Actions {
+	var a Actions
+	if !s.Dispatching() {
+		return a
+	}
+	claimed := true
+	for _, shard := range s.upstreams {
+		if !shard.tick(now, s, &a) {
+			claimed = false
+		}
+	}
+	s.settle(now, &a)
+	if !s.clear.Load() && (claimed || !now.Before(*s.clearAt.Load())) {
+		s.clear.Store(true)
+		for _, q := range s.queues {
+			q.release()
+		}
+	}
+	for _, q := range s.queues {
+		s.waiting.Add(int64(-q.expire(now, &a)))
+	}
+	return a
+}
+
+// TickInterval is the time between two calls of Tick.
+const TickInterval = 20 * time.Millisecond
+
+// Actions are what a call asks to be sent.
+type Actions struct {
+	Stops   []Stop
+	Looks   []string // upstreams that want a look at once, beside the one under way
+	Notices []Notice
+	// lost are runs that ended without an end on record.
+	lost []lostRun
+}
+
+// Notice tells an origin what became of a task or of a job.
+type Notice struct {
+	Origin string
+	Task   Task
+	Kind   NoticeKind
+	Reason string
+	// RetryAfter is the wait after which a dropped job may be accepted.
+	RetryAfter time.Duration
+}
+
+// NoticeKind is the kind of a Notice.
+type NoticeKind uint8
+
+// Kinds of notices.
+const (
+	// TaskDone tells that the task has ended well.
+	TaskDone NoticeKind = iota
+	// TaskFailed tells that the task has failed for good.
+	TaskFailed
+	// JobNotRun tells that the job was given up before a task started.
+	JobNotRun
+	// JobGivenUp tells that the job was given up after a task may have started.
+	JobGivenUp
+)
+
+// Stop asks an upstream to end a run.
+type Stop struct {
+	Upstream Upstream
+	Token    int64
+	Run      Run
+	// Why is for the log.
+	Why string
+}
+
+// models holds what was learnt of queues, by name.
+type models struct {
+	mu     sync.Mutex // guards the field below
+	queues map[string]*queueModel
+}
+
+func (m *models) get(queue string, declared time.Duration) *queueModel {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.queues == nil {
+		m.queues = map[string]*queueModel{}
+	}
+	q := m.queues[queue]
+	if q == nil {
+		q = newQueueModel(declared)
+		m.queues[queue] = q
+	}
+	return q
+}
