Hold resumed jobs until every upstream was swept; end the front gracefully; spare store calls

Change: a resumed job waits for an answered look, sent after its offer, from every upstream, or for the time after which nothing of a lost dispatcher can run; the HTTP server's own shutdown ends the front; only the dispatcher watches the upstreams, the others list them stale once a second.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -21,7 +21,9 @@
 )
 
 // nodeCommand runs an entry VM of the users' platform.
-type nodeCommand struct{ base[settings.DaemonNodeProgram] }
+type nodeCommand struct {
+	base[settings.DaemonNodeProgram]
+}
 
 // Node returns the command that runs the daemon on the users' platform.
 func Node() subcommands.Command {
@@ -72,10 +74,9 @@
 	})
 	g.Go(func() error { return watchReload(serving, log) })
 	g.Go(func() error {
-		defer callers.Close()
 		defer readiness.Close()
 		defer scrapes.Close()
-		return n.Run(serving)
+		return n.Run(serving, ingress)
 	})
 	return g.Wait()
 }
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -38,6 +38,9 @@
 	if len(notices) > 0 {
 		n.act(scheduler.Actions{Notices: notices})
 	}
+	if r.Resumed {
+		n.agents.wakeAll() // every upstream is looked at before its tasks start
+	}
 	n.wakePlacing()
 	return &wire.OfferResponse{Accepted: true}
 }
@@ -60,7 +63,11 @@
 			return nil
 		case <-n.place:
 		}
-		starts := n.scheduler.Place(time.Now())
+		now := time.Now()
+		if !n.mayPlace(now) {
+			continue // the next tick tries again
+		}
+		starts := n.scheduler.Place(now)
 		for _, start := range starts {
 			n.log.Info("place", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
 				slog.String("upstream", start.Upstream.Name), slog.Int64("waited_us", start.Waited.Microseconds()),
--- a/node/follow.go
+++ b/node/follow.go
@@ -33,77 +33,120 @@
 // follower keeps a copy of the entries under a prefix.
 type follower struct {
 	prefix string
-	// reset takes a full listing, change one event; both come from one thread.
-	reset  func(items []store.Item, revision int64)
-	change func(events []store.Event, revision int64)
+	// reset takes a full listing, change the events since.
+	reset  func(items []store.Item)
+	change func(events []store.Event)
+	// spacing is the pause between two watches, which gathers events.
+	spacing time.Duration
+	// watches tells whether changes are followed as they come. Otherwise the
+	// prefix is listed every pollInterval, which may show it seconds old.
+	watches func() bool
+	// relist asks for a fresh listing; it may be nil.
+	relist <-chan struct{}
+
+	revision  int64 // from which the watch goes on; 0 asks for a listing
+	connected bool
 }
 
-// follow reads a prefix and then its changes, until the context ends.
-func (n *Node) follow(ctx context.Context, f follower) error {
-	revision := int64(0)
-	connected := false
+// pollInterval is the time between two listings by a VM that follows a prefix
+// only to know it when it becomes the dispatcher.
+const pollInterval = time.Second
+
+// follow keeps the copy until the context ends.
+func (n *Node) follow(ctx context.Context, f *follower) error {
 	for ctx.Err() == nil {
-		err := n.followOnce(ctx, f, &revision)
+		pause, err := n.followOnce(ctx, f)
 		switch {
 		case ctx.Err() != nil:
 			return nil
 		case err == nil:
-			if !connected {
-				connected = true
-				n.log.Info("store regained", slog.String("prefix", f.prefix), slog.Int64("revision", revision))
+			if !f.connected {
+				f.connected = true
+				n.log.Info("store regained", slog.String("prefix", f.prefix), slog.Int64("revision", f.revision))
 			}
 		case errors.Is(err, store.ErrCompacted):
-			n.log.Info("store history dropped", slog.String("prefix", f.prefix), slog.Int64("after", revision))
-			revision = 0
-			sleep(ctx, rereadPause)
+			n.log.Info("store history dropped", slog.String("prefix", f.prefix), slog.Int64("after", f.revision))
+			f.revision, pause = 0, rereadPause
 		default:
-			if connected {
-				connected = false
+			if f.connected {
+				f.connected = false
 				n.log.Warn("store lost", slog.String("prefix", f.prefix), slog.Any("error", err))
 			}
-			sleep(ctx, storeRetry)
+			pause = storeRetry
+		}
+		if !f.rest(ctx, pause) {
+			return nil
 		}
 	}
 	return nil
 }
 
-// followOnce lists the prefix where no revision is known, and else waits for a
-// change.
-func (n *Node) followOnce(ctx context.Context, f follower, revision *int64) error {
-	if *revision == 0 {
+// rest waits before the next step, less where a fresh listing is asked for.
+func (f *follower) rest(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-f.relist: // nil for a prefix that nobody asks for
+		f.revision = 0
+	case <-timer.C:
+	}
+	return true
+}
+
+// followOnce lists the prefix, or waits for a change of it. It returns the pause
+// before the next step.
+func (n *Node) followOnce(ctx context.Context, f *follower) (time.Duration, error) {
+	watches := f.watches()
+	if f.revision == 0 || !watches {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		items, at, err := store.List(call, n.deps.Store, f.prefix)
+		items, at, err := store.List(call, n.deps.Store, f.prefix, !watches)
 		if err != nil {
-			return err
+			return 0, err
 		}
-		*revision = at
-		f.reset(items, at)
-		return nil
+		f.reset(items)
+		if !watches {
+			f.revision = 0
+			return n.pollPause(f), nil
+		}
+		f.revision = at
+		return 0, nil
 	}
 	call, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
 	defer cancel()
-	events, at, err := n.deps.Store.Watch(call, f.prefix, *revision, watchWait)
+	events, at, err := n.deps.Store.Watch(call, f.prefix, f.revision, watchWait)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	*revision = max(at, *revision)
+	f.revision = max(at, f.revision)
 	if len(events) > 0 {
-		f.change(events, *revision)
+		f.change(events)
 	}
-	return nil
+	return f.spacing, nil
+}
+
+// pollPause returns the time until the next listing; a VM that becomes the
+// dispatcher lists at once.
+func (n *Node) pollPause(f *follower) time.Duration {
+	if !n.registry.known() {
+		return storeRetry
+	}
+	return pollInterval
 }
 
 // followConfiguration keeps the configuration in force.
 func (n *Node) followConfiguration(ctx context.Context) error {
-	return n.follow(ctx, follower{
-		prefix: n.config.ConfigurationKey,
-		reset: func(items []store.Item, _ int64) {
+	return n.follow(ctx, &follower{
+		prefix:  n.config.ConfigurationKey,
+		watches: always,
+		reset: func(items []store.Item) {
 			for _, item := range items {
 				n.configure(item, "store")
 			}
 		},
-		change: func(events []store.Event, _ int64) {
+		change: func(events []store.Event) {
 			for _, e := range events {
 				if !e.Deleted {
 					n.configure(e.Item, "store")
@@ -141,6 +184,8 @@
 	n.wakeControl()
 }
 
+func always() bool { return true }
+
 // followMembers learns which VMs are present.
 func (n *Node) followMembers(ctx context.Context) error {
 	members := map[string]fleet.Member{}
@@ -159,16 +204,17 @@
 		}
 		members[item.Key] = fromWire(m)
 	}
-	return n.follow(ctx, follower{
-		prefix: n.config.MemberPrefix,
-		reset: func(items []store.Item, _ int64) {
+	return n.follow(ctx, &follower{
+		prefix:  n.config.MemberPrefix,
+		watches: always,
+		reset: func(items []store.Item) {
 			clear(members)
 			for _, item := range items {
 				enter(item)
 			}
 			apply()
 		},
-		change: func(events []store.Event, _ int64) {
+		change: func(events []store.Event) {
 			for _, e := range events {
 				if e.Deleted {
 					delete(members, e.Key)
--- a/node/node.go
+++ b/node/node.go
@@ -112,6 +112,7 @@
 	stop     context.CancelFunc
 
 	place   chan struct{} // asks for tasks to be placed
+	relist  chan struct{} // asks for a fresh listing of the upstreams
 	control chan struct{} // asks for the view to be taken anew
 	pull    chan string   // addresses of peers that hold newer state
 	beaters sync.WaitGroup
@@ -127,9 +128,10 @@
 		config: config, deps: deps, metrics: deps.Metrics,
 		log:       deps.Log.With(slog.String("vm", config.VM)),
 		fleet:     fleet.New(self),
-		scheduler: scheduler.New(scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting}),
+		scheduler: scheduler.New(scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting, ResumeTime: resumeTime(config.LeaseMax)}),
 		jobs:      intake.New[Job](),
 		place:     make(chan struct{}, 1),
+		relist:    make(chan struct{}, 1),
 		control:   make(chan struct{}, 1),
 		pull:      make(chan string, 1),
 	}
@@ -154,9 +156,16 @@
 	return n
 }
 
+// Front takes requests of callers.
+type Front interface {
+	// Shutdown takes no new connections and returns when the requests in
+	// progress are answered, or the context has ended.
+	Shutdown(ctx context.Context) error
+}
+
 // Run serves until the context ends, then stops gracefully: it keeps taking
 // requests until the balancer sends no more, and waits for those in progress.
-func (n *Node) Run(ctx context.Context) error {
+func (n *Node) Run(ctx context.Context, front Front) error {
 	listener, err := net.Listen("tcp", n.config.PeerAddress)
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
@@ -178,7 +187,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			n.drain()
+			n.drain(front)
 		case <-serving.Done():
 		}
 		n.stop()
@@ -192,23 +201,26 @@
 	return err
 }
 
-// drainPoll is the time between two checks whether the last job has its answer.
-const drainPoll = 20 * time.Millisecond
+// handOverPoll is the time between two checks whether another VM dispatches.
+const handOverPoll = 20 * time.Millisecond
 
 // drain lets readiness fall, hands dispatching over and waits until the jobs
 // have their answers.
-func (n *Node) drain() {
+func (n *Node) drain(front Front) {
 	n.log.Info("drain", slog.Int("jobs", n.jobs.Len()))
+	ctx, cancel := context.WithTimeout(n.serving, n.config.StopTime)
+	defer cancel()
 	n.draining.Store(true)
 	n.fleet.Drain()
 	n.wakeControl()
-	start := time.Now()
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for now := range ticker.C {
-		since := now.Sub(start)
-		quiet := since > n.config.DrainTime && n.jobs.Len() == 0 && !n.scheduler.Dispatching()
-		if quiet || since > n.config.StopTime {
+	if !sleep(ctx, n.config.DrainTime) {
+		return
+	}
+	if err := front.Shutdown(ctx); err != nil {
+		n.log.Warn("requests are cut", slog.Int("jobs", n.jobs.Len()), slog.Any("error", err))
+	}
+	for n.scheduler.Dispatching() && len(n.view.Load().Heard) > 0 {
+		if !sleep(ctx, handOverPoll) {
 			return
 		}
 	}
--- a/node/registry.go
+++ b/node/registry.go
@@ -16,10 +16,16 @@
 // seconds of its return.
 const lapseGrace = 2500 * time.Millisecond
 
+// upstreamSpacing gathers the changes of upstreams, which write about themselves
+// every other second: a leaving one is known well within the 2 s in which it may
+// still get tasks.
+const upstreamSpacing = 250 * time.Millisecond
+
 // registry holds the entries of upstreams, and the configuration as it was read.
 type registry struct {
 	mu            sync.Mutex // guards the fields below
 	at            int64      // revision of the newest change of an entry; 0 before the first listing
+	fresh         time.Time  // when the store was heard last
 	entries       map[string]entry
 	configuration store.Item
 }
@@ -39,21 +45,40 @@
 	return r.at
 }
 
+// touch notes that the store has told of the upstreams.
+func (r *registry) touch(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fresh = now
+}
+
+// freshSince tells whether the store was heard after a time.
+func (r *registry) freshSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.fresh.After(t)
+}
+
 func (r *registry) known() bool { return r.revision() > 0 }
 
 // followUpstreams keeps the list of upstreams.
 func (n *Node) followUpstreams(ctx context.Context) error {
-	return n.follow(ctx, follower{
-		prefix: n.config.UpstreamPrefix,
-		reset: func(items []store.Item, _ int64) {
+	return n.follow(ctx, &follower{
+		prefix:  n.config.UpstreamPrefix,
+		spacing: upstreamSpacing,
+		watches: func() bool { return n.term.current() != 0 },
+		relist:  n.relist,
+		reset: func(items []store.Item) {
+			n.registry.touch(time.Now())
 			newest := int64(1)
 			for _, item := range items {
 				newest = max(newest, item.Revision)
 			}
 			n.resetUpstreams(items, newest, "store")
 		},
-		change: func(events []store.Event, _ int64) {
+		change: func(events []store.Event) {
 			now := time.Now()
+			n.registry.touch(now)
 			n.registry.mu.Lock()
 			for _, e := range events {
 				n.registry.at = max(n.registry.at, e.Revision)
@@ -134,18 +159,23 @@
 	v := n.view.Load()
 	self := n.fleet.Self()
 	var list []scheduler.Upstream
+	partial := false
 	n.registry.mu.Lock()
 	for key, e := range n.registry.entries {
 		if !e.lapsed.IsZero() && now.Sub(e.lapsed) >= lapseGrace {
 			delete(n.registry.entries, key)
 			continue
 		}
-		if e.valid && v.Claims(self, e.upstream.Name, e.upstream.DataCentre) {
+		switch {
+		case !e.valid:
+		case v.Claims(self, e.upstream.Name, e.upstream.DataCentre):
 			list = append(list, e.upstream)
+		default:
+			partial = true
 		}
 	}
 	n.registry.mu.Unlock()
-	for _, added := range n.scheduler.SetUpstreams(now, list) {
+	for _, added := range n.scheduler.SetUpstreams(now, list, partial) {
 		n.ensureAgent(added)
 	}
 	n.agents.wakeAll()
@@ -155,12 +185,18 @@
 // behind tells whether a peer holds newer state than this node.
 func (n *Node) behind(b *wire.Beat) bool {
 	table := n.table.Load()
-	return b.Revision > 0 && (table == nil || b.Revision > table.Revision) || b.Registry > n.registry.revision()
+	if b.Revision > 0 && (table == nil || b.Revision > table.Revision) {
+		return true
+	}
+	return b.Registry > n.registry.revision() && !n.registry.freshSince(time.Now().Add(-registryStale))
 }
 
 const (
 	// pullDelay lets the store's own watch bring a change first.
 	pullDelay = 60 * time.Millisecond
+	// registryStale is the time without word from the store after which the list
+	// of upstreams is fetched from a peer: two listings and a slow answer.
+	registryStale = 2*pollInterval + callTimeout/2
 	// pullTimeout is the longest wait for a peer's state.
 	pullTimeout = 500 * time.Millisecond
 	// pullPause spaces the fetches of a VM that the store turns away: several
--- a/node/term.go
+++ b/node/term.go
@@ -171,14 +171,16 @@
 	n.log.Info("term begins", slog.Int64("token", token), slog.String("why", why), slog.Int("heard", len(v.Heard)),
 		slog.Int("unheard", len(v.Unheard)), slog.Bool("minority", v.Minority))
 	n.metrics.Terms.Inc()
-	n.scheduler.Begin(now, token, now.Add(dropBound+n.leaseBound()))
+	n.scheduler.Begin(now, token)
+	wake(n.relist)
 	n.applyUpstreams(now)
 	n.agents.wakeAll()
 }
 
-// leaseBound is the longest time for which a run outlives the last renewal of
-// its lease: the upstream's clock may be 2 % slow.
-func (n *Node) leaseBound() time.Duration { return n.config.LeaseMax * 106 / 100 }
+// resumeTime is the time after which nothing runs that a dispatcher started for
+// an origin that it no longer hears: it has dropped the origin's jobs, and the
+// lease that it renewed last has lapsed by an upstream's clock that is 2 % slow.
+func resumeTime(leaseMax time.Duration) time.Duration { return dropBound + leaseMax*106/100 }
 
 func (n *Node) endTerm(why string) {
 	t := &n.term
@@ -275,6 +277,16 @@
 	}
 }
 
+// listTime is the time for which a new term waits for a fresh list of the
+// upstreams: some answers of the store, after which the last known one is used.
+const listTime = 150 * time.Millisecond
+
+// mayPlace tells whether the list of upstreams is as fresh as it can be.
+func (n *Node) mayPlace(now time.Time) bool {
+	began := n.term.beganAt()
+	return now.Sub(began) > listTime || n.registry.freshSince(began)
+}
+
 func (t *term) beganAt() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -108,12 +108,14 @@
 		return Look{}, false, pause, false
 	}
 	wait = lookWait
-	switch {
+	switch { // without a wait where the answer is needed at once
 	case !u.claimed, u.failures > 0:
 		if !u.listed && len(u.runs) == 0 {
 			return Look{}, false, 0, false
 		}
 		wait = 0
+	case u.listed && u.newest.Sub(s.start) <= time.Duration(s.sweep.Load()):
+		wait = 0
 	case len(u.runs)+len(u.orphans) > 0:
 	case u.seen > u.acked:
 		if pause := u.idle.Add(idleLook).Sub(now); pause > 0 {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -19,9 +19,10 @@
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(time.Second)
 	}
 	model := s.models.get(offered.Queue, offered.Estimate)
-	ended, waiting := s.queueOf(offered.ID).offer(now, offered, model, offered.Resumed && !s.clear.Load())
+	ended, waiting := s.queueOf(offered.ID).offer(now, offered, model)
 	s.waiting.Add(int64(waiting))
 	if offered.Resumed {
+		s.sweep.Store(int64(now.Sub(s.start)))
 		s.claimOrphans(now, offered.ID)
 	}
 	var notices []Notice
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -21,7 +21,7 @@
 	attempts map[int]int
 	failures map[int]int
 	avoid    map[int][]string // upstreams on which a task failed
-	held     bool             // not in the heap
+	held     time.Time        // when the job was resumed; zero once it may start
 	score    float64
 	index    int // in the heap; -1 outside
 }
@@ -94,7 +94,7 @@
 
 // relist puts a job into the heap or takes it out. The caller holds mu.
 func (q *queueShard) relist(j *job) {
-	wanted := !j.held && len(j.waiting) > 0
+	wanted := j.held.IsZero() && len(j.waiting) > 0
 	switch {
 	case wanted && j.index < 0:
 		heap.Push(&q.heap, j)
@@ -119,13 +119,13 @@
 	return n
 }
 
-// release lets held jobs start.
-func (q *queueShard) release() {
+// release lets the jobs start that were resumed before one of two times.
+func (q *queueShard) release(swept, old time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, j := range q.jobs {
-		if j.held {
-			j.held = false
+		if !j.held.IsZero() && (j.held.Before(swept) || j.held.Before(old)) {
+			j.held = time.Time{}
 			q.relist(j)
 		}
 	}
@@ -171,7 +171,7 @@
 
 // offer enters a job. It returns the tasks that are known to have ended and the
 // number that wait. A job that is known already moves to its new origin.
-func (q *queueShard) offer(now time.Time, offered Job, model *queueModel, held bool) (ended []int, waiting int) {
+func (q *queueShard) offer(now time.Time, offered Job, model *queueModel) (ended []int, waiting int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if known := q.jobs[offered.ID]; known != nil {
@@ -189,7 +189,10 @@
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		attempts: map[int]int{}, failures: map[int]int{}, held: held, index: -1,
+		attempts: map[int]int{}, failures: map[int]int{}, index: -1,
+	}
+	if offered.Resumed {
+		j.held = now
 	}
 	for _, index := range offered.Tasks {
 		if _, past := q.past[Task{offered.ID, index}]; past && offered.Resumed {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -95,6 +95,9 @@
 	LeaseMax time.Duration
 	// MaxWaiting is the most tasks that wait.
 	MaxWaiting int
+	// ResumeTime is the time after which nothing runs any more that a dispatcher
+	// started for an origin that it no longer hears.
+	ResumeTime time.Duration
 }
 
 // Timing of the protocol with the upstreams.
@@ -143,14 +146,15 @@
 	models    models
 
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
-	clear   atomic.Bool  // whether resumed jobs may start
-	clearAt atomic.Pointer[time.Time]
+	partial atomic.Bool  // whether upstreams exist that this dispatcher does not claim
+	sweep   atomic.Int64 // when a job was resumed last, in ns since start
+	start   time.Time
 	waiting atomic.Int64
 }
 
 // New returns a scheduler that does not dispatch yet.
 func New(config Config) *Scheduler {
-	s := &Scheduler{config: config}
+	s := &Scheduler{config: config, start: time.Now()}
 	for i := range shardCount {
 		s.queues[i], s.upstreams[i] = newQueueShard(), &upstreamShard{known: map[string]*upstream{}}
 	}
@@ -173,11 +177,13 @@
 
 // Begin starts a term under a fencing token that is greater than every token
 // that is known. All jobs of an earlier term are forgotten: their origins offer
-// them anew. Resumed jobs start nothing before every upstream is claimed or
-// clearAt has come, since what an earlier dispatcher started may still run.
-func (s *Scheduler) Begin(now time.Time, token int64, clearAt time.Time) {
+// them anew.
+//
+// A resumed job starts nothing before every upstream has answered a look that
+// was sent after the job was offered, or ResumeTime has passed: what an earlier
+// dispatcher started may still run.
+func (s *Scheduler) Begin(now time.Time, token int64) {
 	s.End()
-	s.clearAt.Store(&clearAt)
 	for _, shard := range s.upstreams {
 		shard.begin(now)
 	}
@@ -187,7 +193,6 @@
 // End stops dispatching. What runs goes on under its lease.
 func (s *Scheduler) End() {
 	s.token.Store(0)
-	s.clear.Store(false)
 	for _, q := range s.queues {
 		s.waiting.Add(int64(-q.reset()))
 	}
@@ -206,18 +211,16 @@
 	if !s.Dispatching() {
 		return a
 	}
-	claimed := true
+	swept := now // every upstream has answered a look sent after this time
 	for _, shard := range s.upstreams {
-		if !shard.tick(now, s, &a) {
-			claimed = false
-		}
+		swept = earlier(swept, shard.tick(now, s, &a))
 	}
 	s.settle(now, &a)
-	if !s.clear.Load() && (claimed || !now.Before(*s.clearAt.Load())) {
-		s.clear.Store(true)
-		for _, q := range s.queues {
-			q.release()
-		}
+	if s.partial.Load() {
+		swept = time.Time{}
+	}
+	for _, q := range s.queues {
+		q.release(swept, now.Add(-s.config.ResumeTime))
 	}
 	for _, q := range s.queues {
 		s.waiting.Add(int64(-q.expire(now, &a)))
@@ -228,6 +231,13 @@
 // TickInterval is the time between two calls of Tick.
 const TickInterval = 20 * time.Millisecond
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Actions are what a call asks to be sent.
 type Actions struct {
 	Stops   []Stop
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -128,6 +128,15 @@
 	clear(u.orphans)
 }
 
+// swept returns the sending time of the newest look that was answered; zero
+// where the upstream is not claimed.
+func (u *upstream) swept() time.Time {
+	if !u.claimed {
+		return time.Time{}
+	}
+	return u.newest
+}
+
 // upstreamShard holds the upstreams whose names hash to it.
 type upstreamShard struct {
 	mu    sync.Mutex // guards the fields below
@@ -148,15 +157,15 @@
 	}
 }
 
-// tick lets time pass at the upstreams of the shard. It returns whether every
-// listed one is claimed.
-func (s *upstreamShard) tick(now time.Time, scheduler *Scheduler, a *Actions) bool {
+// tick lets time pass at the upstreams of the shard. It returns the time after
+// which every listed one was sent a look that it has answered.
+func (s *upstreamShard) tick(now time.Time, scheduler *Scheduler, a *Actions) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	claimed := true
+	swept := now
 	for name, u := range s.known {
-		if u.listed && !u.claimed && !u.fenced {
-			claimed = false
+		if u.listed {
+			swept = earlier(swept, u.swept())
 		}
 		if !u.bound.IsZero() && now.After(u.bound) && len(u.runs)+len(u.orphans) > 0 {
 			u.loseAll(now, a)
@@ -173,7 +182,7 @@
 			delete(s.known, name)
 		}
 	}
-	return claimed
+	return swept
 }
 
 // A task stalls where its percentage has not changed for stallFactor times its
@@ -203,10 +212,11 @@
 	}
 }
 
-// SetUpstreams takes the platform's list of upstreams. Those that are gone from
-// it get nothing new; what they run is followed to its end. It returns the names
-// of the upstreams that are new.
-func (s *Scheduler) SetUpstreams(now time.Time, list []Upstream) (added []string) {
+// SetUpstreams takes the upstreams that are to be claimed; partial tells that
+// others exist. Those that are gone from the list get nothing new; what they run
+// is followed to its end. It returns the names of the upstreams that are new.
+func (s *Scheduler) SetUpstreams(now time.Time, list []Upstream, partial bool) (added []string) {
+	s.partial.Store(partial)
 	listed := map[string]bool{}
 	for _, entry := range list {
 		listed[entry.Name] = true
--- a/store/store.go
+++ b/store/store.go
@@ -47,8 +47,9 @@
 
 // Store is the key-value service. Implementations are safe for concurrent use.
 type Store interface {
-	// Range lists entries under a prefix whose keys follow after.
-	Range(ctx context.Context, prefix, after string) (Page, error)
+	// Range lists entries under a prefix whose keys follow after. With stale, the
+	// listing may be seconds old; it costs a tenth and counts against no rate.
+	Range(ctx context.Context, prefix, after string, stale bool) (Page, error)
 	// Watch waits until an entry under a prefix changes after a revision, or the
 	// wait is over. It returns the revision from which to go on.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
@@ -63,11 +64,11 @@
 }
 
 // List reads every entry under a prefix, page by page.
-func List(ctx context.Context, s Store, prefix string) ([]Item, int64, error) {
+func List(ctx context.Context, s Store, prefix string, stale bool) ([]Item, int64, error) {
 	var items []Item
 	revision, after := int64(0), ""
 	for {
-		page, err := s.Range(ctx, prefix, after)
+		page, err := s.Range(ctx, prefix, after, stale)
 		if err != nil {
 			return nil, 0, err
 		}
