--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -1,6 +1,10 @@
 package scheduler
 
 import (
+	"cmp"
+	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
@@ -212,8 +216,7 @@
 	}
 	if report.Born > u.born {
 		if u.born != 0 {
-			u.loseAll(now, a)
-			u.model, u.seen, u.acked = speedModel{}, 0, 0
+			u.reborn()
 		}
 		u.born = report.Born
 	}
@@ -252,6 +255,17 @@
 	return ends, found
 }
 
+// reborn notes that a new process runs at the upstream. Orders without an answer
+// may still reach it, and its clock does not tell when they are too late; what
+// ran in the old process is absent from the answer at hand.
+func (u *upstream) reborn() {
+	u.model, u.seen, u.acked, u.clock = speedModel{}, 0, 0, 0
+	clear(u.orphans)
+	for _, r := range u.runs {
+		r.until = math.MaxInt64
+	}
+}
+
 func (u *upstream) setClock(now time.Time, clock int64) {
 	if clock > 0 {
 		u.clock, u.clockAt = clock, now
@@ -367,6 +381,9 @@
 func (s *Scheduler) settle(now time.Time, a *Actions) {
 	lost := a.lost
 	a.lost = nil
+	slices.SortFunc(lost, func(a, b lostRun) int {
+		return cmp.Or(strings.Compare(a.run.Job, b.run.Job), cmp.Compare(b.run.Index, a.run.Index))
+	})
 	for _, l := range lost {
 		s.finishRun(now, l, a)
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -153,7 +153,7 @@
 			if !suits(now, u, c) {
 				continue
 			}
-			if cost := u.cost(c, left); cost < best {
+			if cost := u.cost(c, left); cost < best || cost == best && u.Name < name {
 				best, name = cost, u.Name
 			}
 		}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -41,7 +41,12 @@
 type jobHeap []*job
 
 func (h jobHeap) Len() int           { return len(h) }
-func (h jobHeap) Less(i, k int) bool { return h[i].score < h[k].score }
+func (h jobHeap) Less(i, k int) bool {
+	if h[i].score != h[k].score {
+		return h[i].score < h[k].score
+	}
+	return h[i].ID < h[k].ID
+}
 func (h jobHeap) Swap(i, k int) {
 	h[i], h[k] = h[k], h[i]
 	h[i].index, h[k].index = i, k
