Beat to the members that rank first instead of to all; dispatchers by what they can carry

Change: a VM beats to the three members first in rank, to two in its data centre and to one in turn; beats carry a digest of the members known instead of the list; the beat tells whether the receiver answered, so that one direction suffices. Only VMs that lead (all, or their data centre) watch the store.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,16 +1,16 @@
 // Package fleet decides which VMs belong together and which of them dispatches.
 //
-// It imports no network package and reads no clock. Every VM beats to the
-// others; a member is heard while its answers come back, so that both
-// directions of the path work. The members that hear each other form a group,
-// and the longest running one of it dispatches. No agreement is needed: two
-// groups, or two VMs that see their groups differently, may each have a
-// dispatcher for a while, since the fencing tokens of the upstreams let only one
-// of them start tasks on an upstream.
+// It imports no network package and reads no clock. A VM beats to the members
+// that rank first, to those that rank first in its data centre, and to some
+// others in turn, so that the number of beats grows with the number of VMs and
+// not with its square. A member is heard while beats and their answers pass in
+// both directions. Of the members that hear each other the first in rank
+// dispatches. No agreement is needed: two groups, or two VMs that see their
+// groups differently, may each have a dispatcher for a while, since the fencing
+// tokens of the upstreams let only one of them start tasks on an upstream.
 //
 // A group that is smaller than half of the present members leaves most upstreams
-// to the others: it claims those of the data centres that it has to itself, and
-// in others only its members' share.
+// to the others: in each data centre it claims only its members' share.
 package fleet
 
 import (
@@ -29,17 +29,42 @@
 	Incarnation         uint64
 	DataCentre, Address string
 	Draining            bool
+	// Weight is what the VM can carry as a dispatcher, in thousandths of a core.
+	Weight int
 }
 
 // Timing of the beats.
 const (
-	// BeatInterval is the time between two beats to a member.
-	BeatInterval = 120 * time.Millisecond
-	// Silence is the time without an answer after which a member is not heard:
-	// four beats, so that a pause of a tenth of a second is none.
-	Silence = 500 * time.Millisecond
+	// MinInterval is the time between two beats to a member in a small fleet.
+	MinInterval = 120 * time.Millisecond
+	// MaxInterval is the same in a large one.
+	MaxInterval = 400 * time.Millisecond
+	// beatsPerSecond bounds the beats that a dispatcher receives.
+	beatsPerSecond = 200
+	// silentBeats is the number of intervals without an answer after which a
+	// member is not heard: a pause of a tenth of a second is none.
+	silentBeats = 4
 )
 
+// Targets of the beats.
+const (
+	// leaders is the number of members, first in rank, that all others beat to:
+	// the dispatcher and two that can follow it at once.
+	leaders = 3
+	// localLeaders is the same within a data centre, which may be cut off.
+	localLeaders = 2
+	// lostRounds is the number of rounds between two beats to a lost member.
+	lostRounds = 5
+)
+
+// Interval returns the time between two beats in a fleet of some members.
+func Interval(members int) time.Duration {
+	return min(max(time.Duration(members)*time.Second/beatsPerSecond, MinInterval), MaxInterval)
+}
+
+// Silence returns the time after which a member is not heard.
+func Silence(members int) time.Duration { return silentBeats * Interval(members) }
+
 // Report is what a member tells with a beat.
 type Report struct {
 	Member Member
@@ -50,14 +75,15 @@
 	// Revision is the configuration revision that it holds, Registry the store
 	// revision of its list of upstreams.
 	Revision, Registry int64
-	// Known are the members that it knows.
-	Known []Member
+	// Digest is a hash of the members that it knows.
+	Digest uint64
 }
 
 // peer is what is known of another member.
 type peer struct {
 	report  Report
-	heard   time.Time // its last answer to a beat
+	heard   time.Time // when both directions were last known to work
+	tried   time.Time // the first beat since then
 	refused bool      // it refused a connection since
 	listed  bool      // in the platform's store
 }
@@ -70,10 +96,20 @@
 	peers  map[string]*peer // by VM
 	listed bool             // the store's list has been read
 	token  int64
+	digest uint64
+	round  int
+	turn   int // of the members that are beaten in turn
 }
 
 // New returns a fleet of one.
-func New(self Member) *Fleet { return &Fleet{self: self, peers: map[string]*peer{}} }
+func New(self Member) *Fleet {
+	return &Fleet{self: self, peers: map[string]*peer{}, digest: memberHash(self)}
+}
+
+// memberHash returns the contribution of a member to the digest.
+func memberHash(m Member) uint64 {
+	return rendezvous.Score(rendezvous.Hash(m.VM), m.Incarnation)
+}
 
 // Self returns the own description.
 func (f *Fleet) Self() Member {
@@ -109,7 +145,12 @@
 	if p != nil && p.report.Member.Incarnation >= m.Incarnation {
 		return false
 	}
-	listed := p != nil && p.listed
+	listed := false
+	if p != nil {
+		listed = p.listed
+		f.digest ^= memberHash(p.report.Member)
+	}
+	f.digest ^= memberHash(m)
 	f.peers[m.VM] = &peer{report: Report{Member: m}, listed: listed}
 	return true
 }
@@ -131,8 +172,9 @@
 	}
 }
 
-// Heard enters an answer to a beat, or a beat itself where answered is false.
-func (f *Fleet) Heard(now time.Time, r Report, answered bool) {
+// Heard enters a beat of a member; both tells that beats pass in both
+// directions.
+func (f *Fleet) Heard(now time.Time, r Report, both bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.learn(r.Member)
@@ -142,9 +184,82 @@
 		return
 	}
 	p.report = r
-	if answered {
-		p.heard, p.refused = now, false
+	if both {
+		p.heard, p.tried, p.refused = now, time.Time{}, false
+	}
+}
+
+// Knows returns the digest of the members that are known, and tells whether a
+// peer is known to know others.
+func (f *Fleet) Knows(peer string) (digest uint64, differs bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[peer]
+	return f.digest, p == nil || p.report.Digest != f.digest
+}
+
+// Hears tells whether a member is heard.
+func (f *Fleet) Hears(now time.Time, vm string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[vm]
+	return p != nil && f.alive(now, p)
+}
+
+// Size returns the number of members that are known, with this one.
+func (f *Fleet) Size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.peers) + 1
+}
+
+// Targets returns the members to beat to in the next round.
+func (f *Fleet) Targets(now time.Time) []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.round++
+	ranked := f.ranked()
+	var targets []Member
+	add := func(p *peer) {
+		if !slices.Contains(targets, p.report.Member) {
+			targets = append(targets, p.report.Member)
+			if p.tried.IsZero() && !f.alive(now, p) {
+				p.tried = now
+			}
+		}
+	}
+	// walk adds members in rank until some are heard; lost ones now and then.
+	walk := func(heard int, match func(*peer) bool) {
+		for _, p := range ranked {
+			switch {
+			case heard == 0:
+				return
+			case !match(p):
+			case f.alive(now, p):
+				add(p)
+				heard--
+			case !f.lost(now, p) || f.round%lostRounds == 0:
+				add(p)
+			}
+		}
+	}
+	walk(leaders, func(*peer) bool { return true })
+	walk(localLeaders, func(p *peer) bool { return p.report.Member.DataCentre == f.self.DataCentre })
+	if len(ranked) > 0 && f.round%lostRounds == 0 {
+		f.turn++
+		add(ranked[f.turn%len(ranked)])
 	}
+	return targets
+}
+
+// ranked returns the other members in order of rank. The caller holds mu.
+func (f *Fleet) ranked() []*peer {
+	ranked := make([]*peer, 0, len(f.peers))
+	for _, p := range f.peers {
+		ranked = append(ranked, p)
+	}
+	slices.SortFunc(ranked, func(a, b *peer) int { return before(a.report.Member, b.report.Member) })
+	return ranked
 }
 
 // Refused notes that nothing accepts connections at a member's address: its
@@ -157,7 +272,7 @@
 	}
 }
 
-// Peers returns the other members, to beat to.
+// Peers returns the other members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -183,10 +298,19 @@
 	return f.token
 }
 
-func (p *peer) alive(now time.Time) bool { return !p.refused && now.Sub(p.heard) < Silence }
+// alive tells whether a member is heard. The caller holds mu.
+func (f *Fleet) alive(now time.Time, p *peer) bool {
+	return !p.refused && now.Sub(p.heard) < Silence(len(f.peers)+1)
+}
+
+// lost tells whether beats to a member have failed for long enough. The caller
+// holds mu.
+func (f *Fleet) lost(now time.Time, p *peer) bool {
+	return p.refused || !p.tried.IsZero() && now.Sub(p.tried) > Silence(len(f.peers)+1)/2
+}
 
 // before tells whether a member ranks ahead of another: those that stay before
-// those that leave, then the longer running one.
+// those that leave, then the one that can carry more, then the longer running.
 func before(a, b Member) int {
 	if a.Draining != b.Draining {
 		if b.Draining {
@@ -194,7 +318,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.VM, b.VM))
+	return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.VM, b.VM))
 }
 
 // View is what a member decides from what it hears.
@@ -209,29 +333,37 @@
 	Heard []Report
 	// Unheard are the members that are present and not heard.
 	Unheard []Member
-	// Minority tells that most present members are not heard.
+	// Minority tells that most present members are not heard. It is known only
+	// to the members that all others beat to.
 	Minority bool
-	// Alone tells that members are present and none is heard.
-	Alone bool
+	// Pending tells that a present member that ranks before First was not tried
+	// long enough to count as lost.
+	Pending bool
+	// Local tells that no member of the own data centre that is heard ranks
+	// before this one.
+	Local bool
 }
 
 // View returns what can be told at a time. term is the own term of dispatching.
 func (f *Fleet) View(now time.Time, term uint64) View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := View{First: f.self}
+	v := View{First: f.self, Local: true}
 	if term != 0 {
 		v.Dispatcher, v.Term = f.self, term
 	}
 	for _, p := range f.peers {
 		m := p.report.Member
-		if !p.alive(now) {
+		if !f.alive(now, p) {
 			if p.listed || !f.listed {
 				v.Unheard = append(v.Unheard, m)
 			}
 			continue
 		}
 		v.Heard = append(v.Heard, p.report)
+		if m.DataCentre == f.self.DataCentre && before(m, f.self) < 0 {
+			v.Local = false
+		}
 		if before(m, v.First) < 0 {
 			v.First = m
 		}
@@ -241,7 +373,11 @@
 	}
 	group := len(v.Heard) + 1
 	v.Minority = group < len(v.Unheard)
-	v.Alone = len(v.Heard) == 0 && len(v.Unheard) > 0
+	for _, m := range v.Unheard {
+		if before(m, v.First) < 0 && !f.lost(now, f.peers[m.VM]) {
+			v.Pending = true
+		}
+	}
 	slices.SortFunc(v.Heard, func(a, b Report) int { return before(a.Member, b.Member) })
 	return v
 }
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -9,9 +9,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Beat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 7
+	// map header, size 8
 	// string "f"
-	o = append(o, 0x87, 0xa1, 0x66)
+	o = append(o, 0x88, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -29,6 +29,12 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendInt64(o, z.Registry)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendBool(o, z.Answered)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendUint64(o, z.Digest)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
@@ -39,12 +45,6 @@
 			return
 		}
 	}
-	// string "h"
-	o = append(o, 0xa1, 0x68)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Heard)))
-	for za0002 := range z.Heard {
-		o = msgp.AppendString(o, z.Heard[za0002])
-	}
 	return
 }
 
@@ -96,6 +96,18 @@
 				err = msgp.WrapError(err, "Registry")
 				return
 			}
+		case "a":
+			z.Answered, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Answered")
+				return
+			}
+		case "g":
+			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Digest")
+				return
+			}
 		case "m":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -115,25 +127,6 @@
 					return
 				}
 			}
-		case "h":
-			var zb0003 uint32
-			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Heard")
-				return
-			}
-			if cap(z.Heard) >= int(zb0003) {
-				z.Heard = (z.Heard)[:zb0003]
-			} else {
-				z.Heard = make([]string, zb0003)
-			}
-			for za0002 := range z.Heard {
-				z.Heard[za0002], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Heard", za0002)
-					return
-				}
-			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -148,14 +141,10 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Beat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
-	s += 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Heard {
-		s += msgp.StringPrefixSize + len(z.Heard[za0002])
-	}
 	return
 }
 
@@ -364,9 +353,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "v"
-	o = append(o, 0x85, 0xa1, 0x76)
+	o = append(o, 0x86, 0xa1, 0x76)
 	o = msgp.AppendString(o, z.VM)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -380,6 +369,9 @@
 	// string "l"
 	o = append(o, 0xa1, 0x6c)
 	o = msgp.AppendBool(o, z.Draining)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Weight)
 	return
 }
 
@@ -431,6 +423,12 @@
 				err = msgp.WrapError(err, "Draining")
 				return
 			}
+		case "w":
+			z.Weight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -445,7 +443,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetMember) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.BoolSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.BoolSize + 2 + msgp.IntSize
 	return
 }
 
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -39,6 +39,8 @@
 	Address string `msg:"a"`
 	// Draining tells that the process is about to stop.
 	Draining bool `msg:"l"`
+	// Weight is what the VM can carry as a dispatcher, in thousandths of a core.
+	Weight int `msg:"w"`
 }
 
 // Beat tells a peer that the sender is alive and what it believes. Its
@@ -54,10 +56,12 @@
 	Revision int64 `msg:"r"`
 	// Registry is the store revision of the sender's list of upstreams.
 	Registry int64 `msg:"u"`
-	// Members are the processes that the sender knows.
+	// Answered tells that the receiver answered the sender lately.
+	Answered bool `msg:"a"`
+	// Digest is a hash of the members that the sender knows.
+	Digest uint64 `msg:"g"`
+	// Members are these, where the receiver is known to know others.
 	Members []FleetMember `msg:"m"`
-	// Heard are the VMs that answered the sender lately.
-	Heard []string `msg:"h"`
 }
 
 // Kind returns the frame kind of the message.
--- a/node/beats.go
+++ b/node/beats.go
@@ -12,37 +12,30 @@
 	"github.com/mustardstep/mustardstep/internal/wire"
 )
 
-// beatTimeout is the longest wait for the answer to a beat; a late answer still
-// counts, so it is as long as the silence after which a member is lost.
-const beatTimeout = fleet.Silence
-
-// keepBeating beats to every member that is known.
+// keepBeating beats to the members that the fleet names.
 func (n *Node) keepBeating(ctx context.Context) error {
 	beating := beating{busy: map[string]bool{}}
-	for _, seed := range n.config.Seeds {
-		n.beat(ctx, &beating, fleet.Member{Address: seed})
-	}
-	ticker := time.NewTicker(fleet.BeatInterval)
-	defer ticker.Stop()
 	for {
-		select {
-		case <-ctx.Done():
-			n.beaters.Wait()
-			return nil
-		case <-ticker.C:
-		}
-		peers := n.fleet.Peers()
-		for _, m := range peers {
+		size := n.fleet.Size()
+		for _, m := range n.fleet.Targets(time.Now()) {
 			n.beat(ctx, &beating, m)
 		}
-		if len(peers) == 0 {
+		if size == 1 {
 			for _, seed := range n.config.Seeds {
 				n.beat(ctx, &beating, fleet.Member{Address: seed})
 			}
 		}
+		if !sleep(ctx, fleet.Interval(size)) {
+			n.beaters.Wait()
+			return nil
+		}
 	}
 }
 
+// silence returns the time without an answer after which a member is lost. A
+// late answer still counts, so it is the longest wait for one.
+func (n *Node) silence() time.Duration { return fleet.Silence(n.fleet.Size()) }
+
 // beating holds the addresses to which a beat is under way.
 type beating struct {
 	mu   sync.Mutex // guards the field below
@@ -72,7 +65,7 @@
 	}
 	n.beaters.Go(func() {
 		defer b.end(to.Address)
-		ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+		ctx, cancel := context.WithTimeout(ctx, n.silence())
 		defer cancel()
 		var answer wire.Beat
 		err := n.peers.Call(ctx, to.Address, n.report(to.VM), &answer)
@@ -91,26 +84,27 @@
 
 // report returns what this node tells a peer.
 func (n *Node) report(peer string) *wire.Beat {
+	digest, differs := n.fleet.Knows(peer)
 	b := &wire.Beat{
 		From: toWire(n.fleet.Self()), Term: n.termFor(peer), Token: n.fleet.Token(),
-		Registry: n.registry.revision(),
+		Registry: n.registry.revision(), Answered: n.fleet.Hears(time.Now(), peer), Digest: digest,
 	}
 	if table := n.table.Load(); table != nil {
 		b.Revision = table.Revision
 	}
-	for _, m := range n.fleet.Peers() {
-		b.Members = append(b.Members, toWire(m))
+	if differs {
+		for _, m := range n.fleet.Peers() {
+			b.Members = append(b.Members, toWire(m))
+		}
 	}
 	return b
 }
 
-// heard enters a beat or the answer to one.
-func (n *Node) heard(b *wire.Beat, answered bool) {
-	now := time.Now()
-	r := fleet.Report{
-		Member: fromWire(b.From), Term: b.Term, Token: b.Token, Revision: b.Revision, Registry: b.Registry,
-	}
-	n.fleet.Heard(now, r, answered)
+// heard enters a beat; both tells that beats pass in both directions.
+func (n *Node) heard(b *wire.Beat, both bool) {
+	n.fleet.Heard(time.Now(), fleet.Report{
+		Member: fromWire(b.From), Term: b.Term, Token: b.Token, Revision: b.Revision, Registry: b.Registry, Digest: b.Digest,
+	}, both)
 	var known []fleet.Member
 	for _, m := range b.Members {
 		known = append(known, fromWire(m))
@@ -120,7 +114,8 @@
 			slog.Uint64("incarnation", m.Incarnation))
 	}
 	v := n.view.Load()
-	if answered && (b.Term != 0 && (v.Dispatcher.VM != b.From.VM || v.Term != b.Term) || v.Dispatcher.VM == b.From.VM && b.Term != v.Term) {
+	named := v.Dispatcher.VM == b.From.VM
+	if both && (named && b.Term != v.Term || !named && b.Term != 0) {
 		n.wakeControl()
 	}
 	if n.behind(b) {
@@ -132,7 +127,7 @@
 }
 
 func (n *Node) handleBeat(_ context.Context, _ *wire.Hello, b *wire.Beat) wire.Message {
-	n.heard(b, false)
+	n.heard(b, b.Answered)
 	return n.report(b.From.VM)
 }
 
@@ -141,7 +136,7 @@
 	if n.serving.Err() != nil {
 		return
 	}
-	ctx, cancel := context.WithTimeout(n.serving, beatTimeout)
+	ctx, cancel := context.WithTimeout(n.serving, n.silence())
 	defer cancel()
 	var answer wire.Beat
 	err := n.peers.Call(ctx, hello.Address, n.report(hello.VM), &answer)
@@ -155,9 +150,9 @@
 }
 
 func toWire(m fleet.Member) wire.FleetMember {
-	return wire.FleetMember{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining}
+	return wire.FleetMember{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining, Weight: m.Weight}
 }
 
 func fromWire(m wire.FleetMember) fleet.Member {
-	return fleet.Member{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining}
+	return fleet.Member{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining, Weight: m.Weight}
 }
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
@@ -240,7 +239,7 @@
 				address = m.Address
 			}
 		}
-		ctx, cancel := context.WithTimeout(n.serving, fleet.Silence/2)
+		ctx, cancel := context.WithTimeout(n.serving, n.silence()/2)
 		err = n.peers.Call(ctx, address, r, &wire.EndsResponse{})
 		cancel()
 		if err == nil {
--- a/node/follow.go
+++ b/node/follow.go
@@ -39,8 +39,9 @@
 	// spacing is the pause between two watches, which gathers events.
 	spacing time.Duration
 	// watches tells whether changes are followed as they come. Otherwise the
-	// prefix is listed every pollInterval, which may show it seconds old.
-	watches func() bool
+	// prefix is listed now and then, which may show it seconds old, while lists
+	// is true.
+	watches, lists func() bool
 	// relist asks for a fresh listing; it may be nil.
 	relist <-chan struct{}
 
@@ -48,9 +49,9 @@
 	connected bool
 }
 
-// pollInterval is the time between two listings by a VM that follows a prefix
-// only to know it when it becomes the dispatcher.
-const pollInterval = time.Second
+// pollInterval is the time between two listings by a VM that does not watch: it
+// learns of changes from the beats of others.
+const pollInterval = 2 * time.Second
 
 // follow keeps the copy until the context ends.
 func (n *Node) follow(ctx context.Context, f *follower) error {
@@ -99,6 +100,10 @@
 // before the next step.
 func (n *Node) followOnce(ctx context.Context, f *follower) (time.Duration, error) {
 	watches := f.watches()
+	if !watches && !f.lists() {
+		f.revision = 0
+		return storeRetry, nil
+	}
 	if f.revision == 0 || !watches {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
@@ -107,11 +112,11 @@
 			return 0, err
 		}
 		f.reset(items)
+		f.revision = at
 		if !watches {
 			f.revision = 0
-			return n.pollPause(f), nil
+			return pollInterval, nil
 		}
-		f.revision = at
 		return 0, nil
 	}
 	call, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
@@ -127,20 +132,12 @@
 	return f.spacing, nil
 }
 
-// pollPause returns the time until the next listing; a VM that becomes the
-// dispatcher lists at once.
-func (n *Node) pollPause(f *follower) time.Duration {
-	if !n.registry.known() {
-		return storeRetry
-	}
-	return pollInterval
-}
-
 // followConfiguration keeps the configuration in force.
 func (n *Node) followConfiguration(ctx context.Context) error {
 	return n.follow(ctx, &follower{
 		prefix:  n.config.ConfigurationKey,
-		watches: always,
+		watches: func() bool { return n.leads() || n.table.Load() == nil },
+		lists:   always,
 		reset: func(items []store.Item) {
 			for _, item := range items {
 				n.configure(item, "store")
@@ -186,6 +183,10 @@
 
 func always() bool { return true }
 
+// leads tells whether this node follows the store for others: it dispatches, or
+// is the first of its data centre.
+func (n *Node) leads() bool { return n.view.Load().Local || n.scheduler.Dispatching() }
+
 // followMembers learns which VMs are present.
 func (n *Node) followMembers(ctx context.Context) error {
 	members := map[string]fleet.Member{}
@@ -206,7 +207,8 @@
 	}
 	return n.follow(ctx, &follower{
 		prefix:  n.config.MemberPrefix,
-		watches: always,
+		watches: n.leads,
+		lists:   always,
 		reset: func(items []store.Item) {
 			clear(members)
 			for _, item := range items {
--- a/node/front.go
+++ b/node/front.go
@@ -90,7 +90,7 @@
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(n.serving, fleet.Silence)
+		ctx, cancel := context.WithTimeout(n.serving, n.silence())
 		defer cancel()
 		var response wire.OfferResponse
 		err := n.peers.Call(ctx, v.Dispatcher.Address, request, &response)
@@ -157,7 +157,7 @@
 		return // its dispatcher drops the jobs of VMs that it does not hear
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(n.serving, fleet.Silence)
+		ctx, cancel := context.WithTimeout(n.serving, n.silence())
 		defer cancel()
 		request := wire.WithdrawRequest{Origin: n.config.VM, Jobs: []string{id}}
 		if err := n.peers.Call(ctx, v.Dispatcher.Address, &request, &wire.WithdrawResponse{}); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -52,6 +52,8 @@
 	VM, DataCentre string
 	// PeerAddress is the host:port for other VMs.
 	PeerAddress string
+	// Weight is what the VM can carry as a dispatcher, in thousandths of a core.
+	Weight int
 	// Seeds are addresses of VMs that may know others, as host:port.
 	Seeds []string
 	// LeaseMax is the longest lease that upstreams grant.
@@ -122,13 +124,13 @@
 func New(config Config, deps Dependencies) *Node {
 	self := fleet.Member{
 		VM: config.VM, Incarnation: uint64(time.Now().UnixMicro()),
-		DataCentre: config.DataCentre, Address: config.PeerAddress,
+		DataCentre: config.DataCentre, Address: config.PeerAddress, Weight: config.Weight,
 	}
 	n := &Node{
 		config: config, deps: deps, metrics: deps.Metrics,
 		log:       deps.Log.With(slog.String("vm", config.VM)),
 		fleet:     fleet.New(self),
-		scheduler: scheduler.New(scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting, ResumeTime: resumeTime(config.LeaseMax)}),
+		scheduler: scheduler.New(scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting}),
 		jobs:      intake.New[Job](),
 		place:     make(chan struct{}, 1),
 		relist:    make(chan struct{}, 1),
--- a/node/registry.go
+++ b/node/registry.go
@@ -66,7 +66,8 @@
 	return n.follow(ctx, &follower{
 		prefix:  n.config.UpstreamPrefix,
 		spacing: upstreamSpacing,
-		watches: func() bool { return n.term.current() != 0 },
+		watches: n.scheduler.Dispatching,
+		lists:   func() bool { v := n.view.Load(); return v.Local || v.First.VM == n.config.VM },
 		relist:  n.relist,
 		reset: func(items []store.Item) {
 			n.registry.touch(time.Now())
--- a/node/term.go
+++ b/node/term.go
@@ -24,12 +24,9 @@
 	// fencedAlone is the same where no rival can be present: a dispatcher that
 	// was paused has claimed them in passing.
 	fencedAlone = 300 * time.Millisecond
-	// originSilence is the time without a beat after which the jobs of a VM are
-	// dropped.
-	originSilence = fleet.Silence
-	// dropBound is the time after which a dispatcher that no longer hears a VM
-	// has dropped its jobs, and a tick has passed.
-	dropBound = originSilence + 100*time.Millisecond
+	// dropMargin covers the difference between two VMs in what they know of the
+	// fleet's size, a tick, and the stop of what ran.
+	dropMargin = 200 * time.Millisecond
 )
 
 // A fencing token is a counter of seconds with a hash of the process in its low
@@ -145,7 +142,7 @@
 	if n.table.Load() == nil || !n.registry.known() {
 		return false
 	}
-	return now.Sub(n.started) > settleTime || len(v.Heard) > 0 && len(v.Unheard) == 0
+	return !v.Pending && now.Sub(n.started) > settleTime
 }
 
 // claimKey names what the claims of a view depend on.
@@ -171,7 +168,7 @@
 	n.log.Info("term begins", slog.Int64("token", token), slog.String("why", why), slog.Int("heard", len(v.Heard)),
 		slog.Int("unheard", len(v.Unheard)), slog.Bool("minority", v.Minority))
 	n.metrics.Terms.Inc()
-	n.scheduler.Begin(now, token)
+	n.scheduler.Begin(now, token, resumeTime(n.silence(), n.config.LeaseMax))
 	wake(n.relist)
 	n.applyUpstreams(now)
 	n.agents.wakeAll()
@@ -180,7 +177,9 @@
 // resumeTime is the time after which nothing runs that a dispatcher started for
 // an origin that it no longer hears: it has dropped the origin's jobs, and the
 // lease that it renewed last has lapsed by an upstream's clock that is 2 % slow.
-func resumeTime(leaseMax time.Duration) time.Duration { return dropBound + leaseMax*106/100 }
+func resumeTime(silence, leaseMax time.Duration) time.Duration {
+	return silence + dropMargin + leaseMax*106/100
+}
 
 func (n *Node) endTerm(why string) {
 	t := &n.term
@@ -240,7 +239,7 @@
 
 // dropSilent drops the jobs of VMs that are no longer heard.
 func (n *Node) dropSilent(now time.Time, v *fleet.View) {
-	if n.term.current() == 0 || now.Sub(n.term.beganAt()) < originSilence {
+	if n.term.current() == 0 || now.Sub(n.term.beganAt()) < n.silence() {
 		return
 	}
 	heard := map[string]uint64{n.config.VM: n.fleet.Self().Incarnation}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -153,11 +153,9 @@
 	}
 	for i := range 2 {
 		m.dispatchers = append(m.dispatchers, &modelDispatcher{
-			name: fmt.Sprintf("d%d", i),
-			scheduler: scheduler.New(scheduler.Config{
-				LeaseMax: modelLeaseMax, MaxWaiting: 1000, ResumeTime: modelResumeTime,
-			}),
-			looking: map[string]bool{}, cut: map[string]bool{},
+			name:      fmt.Sprintf("d%d", i),
+			scheduler: scheduler.New(scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000}),
+			looking:   map[string]bool{}, cut: map[string]bool{},
 		})
 	}
 	return m
@@ -178,7 +176,7 @@
 	d.token = m.token
 	old := m.current
 	m.current = d
-	d.scheduler.Begin(m.now, d.token)
+	d.scheduler.Begin(m.now, d.token, modelResumeTime)
 	d.scheduler.SetUpstreams(m.now, m.list(), false)
 	for _, name := range m.names {
 		m.lookLoop(d, name)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -40,7 +40,7 @@
 // jobHeap is ordered by score.
 type jobHeap []*job
 
-func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Len() int { return len(h) }
 func (h jobHeap) Less(i, k int) bool {
 	if h[i].score != h[k].score {
 		return h[i].score < h[k].score
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -95,9 +95,6 @@
 	LeaseMax time.Duration
 	// MaxWaiting is the most tasks that wait.
 	MaxWaiting int
-	// ResumeTime is the time after which nothing runs any more that a dispatcher
-	// started for an origin that it no longer hears.
-	ResumeTime time.Duration
 }
 
 // Timing of the protocol with the upstreams.
@@ -149,7 +146,9 @@
 	partial atomic.Bool  // whether upstreams exist that this dispatcher does not claim
 	sweep   atomic.Int64 // when a job was resumed last, in ns since start
 	start   time.Time
-	waiting atomic.Int64
+	// resumeTime is the time after which resumed jobs may start, in ns.
+	resumeTime atomic.Int64
+	waiting    atomic.Int64
 }
 
 // New returns a scheduler that does not dispatch yet.
@@ -180,10 +179,12 @@
 // them anew.
 //
 // A resumed job starts nothing before every upstream has answered a look that
-// was sent after the job was offered, or ResumeTime has passed: what an earlier
-// dispatcher started may still run.
-func (s *Scheduler) Begin(now time.Time, token int64) {
+// was sent after the job was offered, or resumeTime has passed: what an earlier
+// dispatcher started may still run. By then nothing runs any more that a
+// dispatcher started for an origin that it no longer hears.
+func (s *Scheduler) Begin(now time.Time, token int64, resumeTime time.Duration) {
 	s.End()
+	s.resumeTime.Store(int64(resumeTime))
 	for _, shard := range s.upstreams {
 		shard.begin(now)
 	}
@@ -220,7 +221,7 @@
 		swept = time.Time{}
 	}
 	for _, q := range s.queues {
-		q.release(swept, now.Add(-s.config.ResumeTime))
+		q.release(swept, now.Add(-time.Duration(s.resumeTime.Load())))
 	}
 	for _, q := range s.queues {
 		s.waiting.Add(int64(-q.expire(now, &a)))
