Start a task anew only once its earlier run is over; put what earns nothing behind

Change: the runs of a dropped job fade, and their tasks are blocked until they are over. Jobs are ordered by what they can still earn; one that can earn nothing and has not started is refused at once. A job that comes again keeps the time of its first sending. After a restart a VM dispatches as soon as it hears every member that the store lists.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -339,6 +339,9 @@
 	// Pending tells that a present member that ranks before First was not tried
 	// long enough to count as lost.
 	Pending bool
+	// Complete tells that the store's list is known and every member that it
+	// names is heard.
+	Complete bool
 	// Local tells that no member of the own data centre that is heard ranks
 	// before this one.
 	Local bool
@@ -373,6 +376,7 @@
 	}
 	group := len(v.Heard) + 1
 	v.Minority = group < len(v.Unheard)
+	v.Complete = f.listed && len(v.Unheard) == 0 && len(v.Heard) > 0
 	for _, m := range v.Unheard {
 		if before(m, v.First) < 0 && !f.lost(now, f.peers[m.VM]) {
 			v.Pending = true
--- a/node/term.go
+++ b/node/term.go
@@ -15,8 +15,8 @@
 	// and closed connections ask for one at once.
 	controlInterval = 40 * time.Millisecond
 	// settleTime is the time after the start within which a node dispatches only
-	// if others told it that they do not: VMs start within 0.3 s of each other
-	// (the platform's page on settings), and a beat follows.
+	// if it hears every member that the store lists: VMs start within 0.3 s of
+	// each other (the platform's page on settings), and a beat follows.
 	settleTime = 700 * time.Millisecond
 	// fencedRetry is the time after which upstreams that were claimed by another
 	// dispatcher are claimed anew: the rival is gone or has joined by then.
@@ -142,7 +142,7 @@
 	if n.table.Load() == nil || !n.registry.known() {
 		return false
 	}
-	return !v.Pending && now.Sub(n.started) > settleTime
+	return !v.Pending && (v.Complete || now.Sub(n.started) > settleTime)
 }
 
 // claimKey names what the claims of a view depend on.
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -334,9 +334,7 @@
 		}
 		if over {
 			u.free(now, r)
-			if !r.abandoned {
-				a.lost = append(a.lost, lostRun{r.Run, u.Name, endLost})
-			}
+			a.lost = append(a.lost, lostRun{r.Run, u.Name, endLost})
 		}
 	}
 	for task, o := range u.orphans {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -94,11 +94,8 @@
 	default:
 		u.free(now, r)
 	}
-	abandoned := r.abandoned
 	shard.mu.Unlock()
-	if !abandoned {
-		s.finishRun(now, lostRun{start.Run, start.Upstream.Name, end}, &a)
-	}
+	s.finishRun(now, lostRun{start.Run, start.Upstream.Name, end}, &a)
 	return a
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -86,7 +86,7 @@
 // placeNext places the task that comes first among those that fit somewhere.
 func (s *Scheduler) placeNext(now time.Time) (Start, bool) {
 	for place := range considered {
-		order := s.order()
+		order := s.order(now)
 		for _, at := range order {
 			q := s.queues[at]
 			c, ok := q.pop(place)
@@ -109,10 +109,11 @@
 
 // order returns the shards that hold waiting jobs, the one with the first job
 // before the others.
-func (s *Scheduler) order() []int {
+func (s *Scheduler) order(now time.Time) []int {
 	var order []int
 	var first [shardCount]float64
 	for i, q := range s.queues {
+		q.refresh(now)
 		if first[i] = q.first(); first[i] < noScore {
 			order = append(order, i)
 		}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -15,6 +15,7 @@
 	model    *queueModel
 	expected float64 // run time of a task at speed 1, in seconds
 	waiting  []int   // indexes of tasks to start, the next one first
+	blocked  []int   // indexes of tasks whose earlier runs are not over
 	left     int     // tasks that have not ended
 	running  int
 	started  bool // a task may have started
@@ -22,19 +23,55 @@
 	failures map[int]int
 	avoid    map[int][]string // upstreams on which a task failed
 	held     time.Time        // when the job was resumed; zero once it may start
+	tier     tier             // as of the last look at the job
 	score    float64
 	index    int // in the heap; -1 outside
 }
 
-// classGap is the advance of a priority class over the next one, in seconds:
-// far below the time that callers wait, so that no class starves.
-const classGap = 0.05
+// The order of jobs: those that can still end in time, then those that can
+// still end while a late answer is worth something, then the others; among them
+// the one whose time comes first.
+const (
+	// classGap is the advance of a priority class over the next one, in seconds:
+	// far below the time that callers wait, so that no class starves.
+	classGap = 0.05
+	// tierGap separates the tiers, in seconds: more than any job waits.
+	tierGap = 1000.0
+	// lateFactor is the multiple of the time for an answer in time after which
+	// an answer is worth nothing (the platform's rules on credit).
+	lateFactor = 3
+)
+
+// tier says what a job can still earn.
+type tier int
+
+const (
+	tierInTime tier = iota
+	tierLate
+	tierWorthless
+)
 
-// rescore places the job: the class, then the time by which it has to end,
-// less the work that it still needs.
+// aim returns the time within which an answer is in time.
+func (j *job) aim() time.Duration {
+	return time.Duration(j.Stretch*j.expected*float64(time.Second)) + j.Slack
+}
+
+// tierAt returns what a job can earn if its next task starts now.
+func (j *job) tierAt(now time.Time) tier {
+	end := now.Add(time.Duration(j.expected * float64(time.Second))).Sub(j.Sent)
+	switch aim := j.aim(); {
+	case end <= aim:
+		return tierInTime
+	case end <= lateFactor*aim:
+		return tierLate
+	default:
+		return tierWorthless
+	}
+}
+
+// rescore places the job in the order.
 func (j *job) rescore(epoch time.Time) {
-	objective := j.Sent.Add(time.Duration(j.Stretch*j.expected*float64(time.Second)) + j.Slack)
-	j.score = objective.Sub(epoch).Seconds() + classGap*float64(j.Priority)
+	j.score = j.Sent.Add(j.aim()).Sub(epoch).Seconds() + classGap*float64(j.Priority) + tierGap*float64(j.tier)
 }
 
 // jobHeap is ordered by score.
@@ -76,13 +113,18 @@
 	jobs map[string]*job
 	heap jobHeap
 	// past holds the tasks of unknown jobs that were found ended.
-	past  map[Task]time.Time
-	epoch time.Time
+	past map[Task]time.Time
+	// fading holds the attempts of runs whose jobs are gone: the tasks start
+	// anew only once these are over.
+	fading map[Task]int
+	// unserved holds when the jobs that ended without success were sent first.
+	unserved map[string]time.Time
+	epoch    time.Time
 }
 
 func newQueueShard() *queueShard {
-	q := &queueShard{jobs: map[string]*job{}, past: map[Task]time.Time{}}
-	q.publish()
+	q := &queueShard{unserved: map[string]time.Time{}}
+	q.reset()
 	return q
 }
 
@@ -119,7 +161,7 @@
 	for _, j := range q.jobs {
 		n += len(j.waiting)
 	}
-	q.jobs, q.heap, q.past = map[string]*job{}, nil, map[Task]time.Time{}
+	q.jobs, q.heap, q.past, q.fading = map[string]*job{}, nil, map[Task]time.Time{}, map[Task]int{}
 	q.publish()
 	return n
 }
@@ -136,28 +178,45 @@
 	}
 }
 
-// expire gives up the jobs whose callers wait no longer and returns the number
-// of their tasks that waited. What runs is stopped by the origin's withdrawal.
+// expire gives up the jobs whose callers wait no longer, and those that are
+// worth nothing any more and have not started; it returns the number of their
+// tasks that waited. What runs is stopped by the origin's withdrawal.
 func (q *queueShard) expire(now time.Time, a *Actions) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := 0
 	for _, j := range q.jobs {
-		if now.Before(j.Deadline) || j.running > 0 {
-			continue
+		reason := ""
+		switch {
+		case j.running > 0:
+		case !now.Before(j.Deadline):
+			reason = "the caller's deadline has passed"
+		case !j.started && !j.Resumed && now.Sub(j.Sent) > lateFactor*j.aim():
+			reason = "the queue was longer than the time in which an answer is of use"
+		}
+		if reason != "" {
+			n += len(j.waiting)
+			a.Notices = append(a.Notices, j.dropped(reason, time.Second))
+			q.drop(j)
 		}
-		n += len(j.waiting)
-		q.drop(j)
-		a.Notices = append(a.Notices, j.dropped("the caller's deadline has passed", time.Second))
 	}
 	for task, seen := range q.past {
 		if now.Sub(seen) > pastEndTime {
 			delete(q.past, task)
 		}
 	}
+	for id, sent := range q.unserved {
+		if now.Sub(sent) > unservedTime {
+			delete(q.unserved, id)
+		}
+	}
 	return n
 }
 
+// unservedTime is the time for which the first sending of a job is remembered
+// that ended without success: callers send it again within seconds.
+const unservedTime = 6 * time.Second
+
 // dropped returns the notice of a job that is given up.
 func (j *job) dropped(reason string, retryAfter time.Duration) Notice {
 	kind := JobNotRun
@@ -167,11 +226,43 @@
 	return Notice{Origin: j.Origin, Task: Task{Job: j.ID}, Kind: kind, Reason: reason, RetryAfter: retryAfter}
 }
 
-// drop forgets a job. The caller holds mu.
+// drop forgets a job. What runs of it fades. The caller holds mu.
 func (q *queueShard) drop(j *job) {
+	idle := j.waiting
 	j.waiting = nil
 	q.relist(j)
 	delete(q.jobs, j.ID)
+	if j.left == 0 {
+		delete(q.unserved, j.ID)
+		return
+	}
+	q.unserved[j.ID] = j.Sent
+	for _, index := range j.Tasks {
+		if attempt := j.attempts[index]; attempt > 0 && !slices.Contains(idle, index) {
+			q.fading[Task{j.ID, index}] = attempt
+		}
+	}
+}
+
+// over notes that a run is over whose job is gone, so that the task may start
+// anew for a job with the same id.
+func (q *queueShard) over(run Run) (waiting int) {
+	if q.fading[run.Task] != run.Attempt {
+		return 0
+	}
+	delete(q.fading, run.Task)
+	j := q.jobs[run.Job]
+	if j == nil {
+		return 0
+	}
+	at := slices.Index(j.blocked, run.Index)
+	if at < 0 {
+		return 0
+	}
+	j.blocked = slices.Delete(j.blocked, at, at+1)
+	j.waiting = append(j.waiting, run.Index)
+	q.relist(j)
+	return 1
 }
 
 // offer enters a job. It returns the tasks that are known to have ended and the
@@ -204,12 +295,21 @@
 			ended = append(ended, index)
 			continue
 		}
+		j.left++
+		if attempt := q.fading[Task{offered.ID, index}]; attempt > 0 {
+			j.blocked = append(j.blocked, index)
+			j.attempts[index] = attempt
+			continue
+		}
 		j.waiting = append(j.waiting, index)
 	}
-	j.left = len(j.waiting)
 	if j.left == 0 {
 		return ended, 0
 	}
+	if sent, known := q.unserved[j.ID]; known && sent.Before(j.Sent) {
+		j.Sent = sent
+	}
+	j.tier = j.tierAt(now)
 	j.rescore(q.epoch)
 	q.jobs[j.ID] = j
 	q.relist(j)
@@ -218,7 +318,7 @@
 
 // wants tells whether a task waits or runs. The caller holds mu of the shard.
 func (j *job) wants(index int) bool {
-	return slices.Contains(j.waiting, index) || j.attempts[index] > 0 && j.attempts[index] != endedAttempt
+	return slices.Contains(j.waiting, index) || slices.Contains(j.blocked, index) || j.attempts[index] > 0 && j.attempts[index] != endedAttempt
 }
 
 // endedAttempt stands in attempts for a task that has ended.
@@ -236,6 +336,32 @@
 	model *queueModel
 }
 
+// demote moves the jobs at the front of the order that can no longer earn what
+// their place says. The caller holds mu.
+func (q *queueShard) demote(now time.Time) {
+	for len(q.heap) > 0 {
+		j := q.heap[0]
+		t := j.tierAt(now)
+		if t <= j.tier {
+			break
+		}
+		j.tier = t
+		j.rescore(q.epoch)
+		heap.Fix(&q.heap, 0)
+	}
+	q.publish()
+}
+
+// refresh brings the order up to date.
+func (q *queueShard) refresh(now time.Time) {
+	if q.first() == noScore {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.demote(now)
+}
+
 // pop takes the next task of the job at a place of the heap's order. It returns
 // false where there is none.
 func (q *queueShard) pop(place int) (c candidate, ok bool) {
@@ -252,7 +378,7 @@
 	j.attempts[index] = last + 1
 	c = candidate{
 		job: &j.Job, index: index, attempt: last + 1, expected: j.expected,
-		objective: j.Sent.Add(time.Duration(j.Stretch*j.expected*float64(time.Second)) + j.Slack),
+		objective: j.Sent.Add(j.aim()),
 		deadline:  j.Deadline, avoid: j.avoid[index], model: j.model,
 	}
 	q.relist(j)
@@ -264,7 +390,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	j := q.jobs[c.job.ID]
-	if j == nil {
+	if j == nil || &j.Job != c.job {
+		q.over(Run{Task{c.job.ID, c.index}, c.attempt})
 		return
 	}
 	j.running--
@@ -326,8 +453,8 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	j := q.jobs[run.Job]
-	if j == nil || j.attempts[run.Index] != run.Attempt {
-		return nil, 0, false
+	if j == nil || j.attempts[run.Index] != run.Attempt || q.fading[run.Task] == run.Attempt {
+		return nil, q.over(run), false
 	}
 	j.running--
 	switch end {
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -121,9 +121,7 @@
 func (u *upstream) loseAll(now time.Time, a *Actions) {
 	for _, r := range u.runs {
 		u.free(now, r)
-		if !r.abandoned {
-			a.lost = append(a.lost, lostRun{r.Run, u.Name, endLost})
-		}
+		a.lost = append(a.lost, lostRun{r.Run, u.Name, endLost})
 	}
 	clear(u.orphans)
 }
