Count upstreams whose entry lapsed among those that may run tasks

Change: an entry that lapsed stays in the list for 10 s, without new tasks; a VM that has followed the list for less lets resumed jobs start by time only. Looks at what does not answer back off to 0.8 s.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -342,6 +342,8 @@
 	// Complete tells that the store's list is known and every member that it
 	// names is heard.
 	Complete bool
+	// Candidate tells that this member is among those that all others beat to.
+	Candidate bool
 	// Local tells that no member of the own data centre that is heard ranks
 	// before this one.
 	Local bool
@@ -374,6 +376,13 @@
 			v.Dispatcher, v.Term = m, p.report.Term
 		}
 	}
+	ahead := 0
+	for _, r := range v.Heard {
+		if before(r.Member, f.self) < 0 {
+			ahead++
+		}
+	}
+	v.Candidate = ahead < leaders
 	group := len(v.Heard) + 1
 	v.Minority = group < len(v.Unheard)
 	v.Complete = f.listed && len(v.Unheard) == 0 && len(v.Heard) > 0
--- a/node/registry.go
+++ b/node/registry.go
@@ -16,6 +16,11 @@
 // seconds of its return.
 const lapseGrace = 2500 * time.Millisecond
 
+// lapseMemory is the time for which an upstream whose entry has lapsed may still
+// run tasks: one that was cut off from the store and not from the VMs beside it
+// is back by then.
+const lapseMemory = 10 * time.Second
+
 // upstreamSpacing gathers the changes of upstreams, which write about themselves
 // every other second: a leaving one is known well within the 2 s in which it may
 // still get tasks.
@@ -25,6 +30,7 @@
 type registry struct {
 	mu            sync.Mutex // guards the fields below
 	at            int64      // revision of the newest change of an entry; 0 before the first listing
+	since         time.Time  // time of the first listing
 	fresh         time.Time  // when the store was heard last
 	entries       map[string]entry
 	configuration store.Item
@@ -67,7 +73,7 @@
 		prefix:  n.config.UpstreamPrefix,
 		spacing: upstreamSpacing,
 		watches: n.scheduler.Dispatching,
-		lists:   func() bool { v := n.view.Load(); return v.Local || v.First.VM == n.config.VM },
+		lists:   func() bool { v := n.view.Load(); return v.Local || v.Candidate },
 		relist:  n.relist,
 		reset: func(items []store.Item) {
 			n.registry.touch(time.Now())
@@ -110,6 +116,9 @@
 		}
 	}
 	n.registry.at = max(n.registry.at, revision)
+	if n.registry.since.IsZero() {
+		n.registry.since = now
+	}
 	n.registry.mu.Unlock()
 	n.log.Info("upstreams listed", slog.Int("entries", len(items)), slog.Int64("revision", revision), slog.String("source", source))
 	n.applyUpstreams(now)
@@ -151,7 +160,9 @@
 		e.lapsed = now
 		n.registry.entries[key] = e
 		n.log.Info("upstream lapsed", slog.String("upstream", e.upstream.Name))
-		time.AfterFunc(lapseGrace, func() { n.applyUpstreams(time.Now()) })
+		for _, d := range []time.Duration{lapseGrace, lapseMemory} {
+			time.AfterFunc(d, func() { n.applyUpstreams(time.Now()) })
+		}
 	}
 }
 
@@ -160,17 +171,21 @@
 	v := n.view.Load()
 	self := n.fleet.Self()
 	var list []scheduler.Upstream
-	partial := false
 	n.registry.mu.Lock()
+	// One that lapsed before the first listing is not known.
+	partial := now.Sub(n.registry.since) < lapseMemory
 	for key, e := range n.registry.entries {
-		if !e.lapsed.IsZero() && now.Sub(e.lapsed) >= lapseGrace {
+		since := now.Sub(e.lapsed)
+		if !e.lapsed.IsZero() && since >= lapseMemory {
 			delete(n.registry.entries, key)
 			continue
 		}
 		switch {
 		case !e.valid:
 		case v.Claims(self, e.upstream.Name, e.upstream.DataCentre):
-			list = append(list, e.upstream)
+			upstream := e.upstream
+			upstream.Lapsed = !e.lapsed.IsZero() && since >= lapseGrace
+			list = append(list, upstream)
 		default:
 			partial = true
 		}
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -177,10 +177,10 @@
 		u.giveUp(now, &a)
 	case LookOtherProcess:
 		u.contact = now
-		u.claimed, u.failures, u.retry = false, u.failures+1, now.Add(retryLook)
+		u.claimed = false
+		u.fail(now)
 	default:
-		u.failures++
-		u.retry = now.Add(retryLook)
+		u.fail(now)
 	}
 	shard.mu.Unlock()
 	for _, f := range found {
@@ -193,6 +193,12 @@
 	return a
 }
 
+// fail counts a look without an answer.
+func (u *upstream) fail(now time.Time) {
+	u.retry = now.Add(min(retryLook<<min(u.failures, maxDoublings), maxRetryLook))
+	u.failures++
+}
+
 // giveUp leaves an upstream to the dispatcher that has claimed it. Its runs may
 // go on there until that dispatcher has stopped or adopted them.
 func (u *upstream) giveUp(now time.Time, a *Actions) {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -117,8 +117,11 @@
 	// orphanGrace is the time within which the origins of runs that were found
 	// on a claimed upstream offer their jobs anew; two beats and a round trip.
 	orphanGrace = 700 * time.Millisecond
-	// retryLook is the pause after a look without an answer.
-	retryLook = 100 * time.Millisecond
+	// retryLook is the pause after a look without an answer. It doubles with each
+	// one up to maxRetryLook, so that what is gone costs little.
+	retryLook    = 100 * time.Millisecond
+	maxRetryLook = 800 * time.Millisecond
+	maxDoublings = 3
 	// fencedBound is the time after which what ran on an upstream that another
 	// dispatcher has claimed is over, if that one did not adopt it: the grace for
 	// orphans and the lease that it renewed meanwhile.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -16,6 +16,9 @@
 	Labels                             []string
 	// Draining tells that it takes no new tasks.
 	Draining bool
+	// Lapsed tells that it is no longer known to be there: it gets no new tasks,
+	// but may still run some.
+	Lapsed bool
 }
 
 // runState says what is known of a run.
@@ -98,7 +101,7 @@
 
 // usable tells whether new tasks may be placed there.
 func (u *upstream) usable(now time.Time) bool {
-	return u.listed && u.claimed && !u.Draining && u.failures == 0 && len(u.orphans) == 0 &&
+	return u.listed && u.claimed && !u.Draining && !u.Lapsed && u.failures == 0 && len(u.orphans) == 0 &&
 		!u.fenced && u.health.Allowance(now, len(u.runs)+1) > len(u.runs)
 }
 
