--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func member(n int, dataCentre string) Member {
+	return Member{
+		VM: fmt.Sprintf("vm%d", n), Incarnation: uint64(100 + n), DataCentre: dataCentre,
+		Address: fmt.Sprintf("10.0.0.%d:1", n), Weight: 400,
+	}
+}
+
+// group returns the fleet of member 0 that knows n others, all listed.
+func group(n int, dataCentres ...string) (*Fleet, []Member) {
+	members := make([]Member, 0, n+1)
+	for i := range n + 1 {
+		members = append(members, member(i, dataCentres[i%len(dataCentres)]))
+	}
+	f := New(members[0])
+	f.List(members)
+	return f, members
+}
+
+func hear(f *Fleet, now time.Time, members ...Member) {
+	for _, m := range members {
+		f.Heard(now, Report{Member: m}, true)
+	}
+}
+
+func TestLongestRunningMemberIsFirst(t *testing.T) {
+	f, members := group(3, "a")
+	hear(f, start, members[1:]...)
+	require.Equal(t, "vm0", f.View(start, 0).First.VM)
+	heavy := member(3, "a")
+	heavy.Weight = 800
+	hear(f, start, heavy)
+	require.Equal(t, "vm3", f.View(start, 0).First.VM, "one that can carry more ranks first")
+	heavy.Draining = true
+	hear(f, start, heavy)
+	require.Equal(t, "vm0", f.View(start, 0).First.VM, "one that stops ranks last")
+}
+
+func TestSilentMemberIsNotHeard(t *testing.T) {
+	f, members := group(2, "a")
+	hear(f, start, members[1:]...)
+	silence := Silence(3)
+	require.Len(t, f.View(start.Add(silence-1), 0).Heard, 2)
+	hear(f, start.Add(silence-1), members[1])
+	v := f.View(start.Add(silence), 0)
+	require.Len(t, v.Heard, 1)
+	require.Equal(t, []Member{members[2]}, v.Unheard)
+	f.Refused("vm1", members[1].Incarnation)
+	require.Empty(t, f.View(start.Add(silence), 0).Heard, "a refused connection counts at once")
+	hear(f, start.Add(silence), members[1])
+	require.Len(t, f.View(start.Add(silence), 0).Heard, 1)
+}
+
+func TestOneWayBeatsAreNotHearing(t *testing.T) {
+	f, members := group(1, "a")
+	f.Heard(start, Report{Member: members[1]}, false)
+	require.Empty(t, f.View(start, 0).Heard)
+}
+
+func TestMemberThatIsNoLongerListedIsNotPresent(t *testing.T) {
+	f, members := group(2, "a")
+	f.List(members[:2])
+	require.Equal(t, []Member{members[1]}, f.View(start, 0).Unheard)
+}
+
+func TestOlderIncarnationIsIgnored(t *testing.T) {
+	f, members := group(1, "a")
+	newer := members[1]
+	newer.Incarnation++
+	hear(f, start, newer)
+	f.Heard(start, Report{Member: members[1], Term: 7}, true)
+	v := f.View(start, 0)
+	require.Equal(t, newer, v.Heard[0].Member)
+	require.Zero(t, v.Term)
+}
+
+func TestMinorityClaimsItsShare(t *testing.T) {
+	f, members := group(6, "a", "b", "c")
+	v := f.View(start, 0)
+	require.True(t, v.Minority)
+	claimed := map[string]int{}
+	for i := range 300 {
+		for _, dataCentre := range []string{"a", "b", "c"} {
+			if v.Claims(members[0], fmt.Sprintf("upstream-%s-%d", dataCentre, i), dataCentre) {
+				claimed[dataCentre]++
+			}
+		}
+	}
+	require.InDelta(t, 100, claimed["a"], 30, "one of three members in its data centre")
+	require.Zero(t, claimed["b"]+claimed["c"])
+	hear(f, start, members[1:5]...)
+	v = f.View(start, 0)
+	require.False(t, v.Minority)
+	require.True(t, v.Claims(members[0], "any", "c"))
+}
+
+// The shares of the members of a data centre do not overlap and leave nothing.
+func TestSharesAreDisjoint(t *testing.T) {
+	members := []Member{member(0, "a"), member(1, "a"), member(2, "a"), member(3, "b"), member(4, "b"), member(5, "b")}
+	for i := range 200 {
+		owners := 0
+		for _, self := range members[:3] {
+			f := New(self)
+			f.List(members)
+			v := f.View(start, 0)
+			if v.Claims(self, fmt.Sprintf("u%d", i), "a") {
+				owners++
+			}
+		}
+		require.Equal(t, 1, owners)
+	}
+}
+
+func TestDispatcherIsTheFirstThatDispatches(t *testing.T) {
+	f, members := group(3, "a")
+	f.Heard(start, Report{Member: members[2], Term: 5}, true)
+	f.Heard(start, Report{Member: members[1], Term: 4}, true)
+	v := f.View(start, 0)
+	require.Equal(t, "vm1", v.Dispatcher.VM)
+	require.EqualValues(t, 4, v.Term)
+	require.Equal(t, "vm0", f.View(start, 9).Dispatcher.VM)
+}
+
+func TestBeatsGoToTheLeaders(t *testing.T) {
+	f, members := group(40, "a", "b", "c", "d")
+	hear(f, start, members[1:]...)
+	targets := f.Targets(start)
+	require.Contains(t, targets, members[1])
+	require.Contains(t, targets, members[2])
+	require.Contains(t, targets, members[3])
+	require.Contains(t, targets, members[4], "the first of its data centre")
+	require.LessOrEqual(t, len(targets), leaders+localLeaders)
+	// Where those are lost, the next in rank are tried at once.
+	later := start.Add(Silence(41))
+	hear(f, later, members[10:]...)
+	targets = f.Targets(later)
+	require.Contains(t, targets, members[1])
+	require.Contains(t, targets, members[10])
+	require.Contains(t, targets, members[12])
+}
+
+// A member is first only once those that rank before it were tried.
+func TestPendingUntilTried(t *testing.T) {
+	f := New(member(5, "a"))
+	older := member(1, "a")
+	f.List([]Member{older, member(5, "a")})
+	require.True(t, f.View(start, 0).Pending)
+	f.Targets(start)
+	require.True(t, f.View(start, 0).Pending)
+	require.False(t, f.View(start.Add(Silence(2)), 0).Pending)
+}
+
+func TestIntervalGrowsWithTheFleet(t *testing.T) {
+	require.Equal(t, MinInterval, Interval(7))
+	require.Equal(t, 200*time.Millisecond, Interval(40))
+	require.Equal(t, MaxInterval, Interval(1000))
+}
+
+func TestTokensRise(t *testing.T) {
+	f, members := group(1, "a")
+	f.Heard(start, Report{Member: members[1], Token: 50}, true)
+	require.EqualValues(t, 51, f.Raise(10))
+	require.EqualValues(t, 70, f.Raise(70))
+}
+
+func TestDigestTellsWhoKnowsWhat(t *testing.T) {
+	f, members := group(2, "a")
+	g := New(members[1])
+	g.Learn(members)
+	digest, _ := g.Knows("vm0")
+	f.Heard(start, Report{Member: members[1], Digest: digest}, true)
+	_, differs := f.Knows("vm1")
+	require.False(t, differs)
+	f.Learn([]Member{member(9, "a")})
+	_, differs = f.Knows("vm1")
+	require.True(t, differs)
+}
--- /dev/null
+++ b/intake/intake_test.go
@@ -0,0 +1,91 @@
+package intake
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+func TestJobSucceedsWithItsLastTask(t *testing.T) {
+	table := New[string]()
+	j, fresh := table.Take(now, "a", "spec", 2)
+	require.True(t, fresh)
+	_, fresh = table.Take(now, "a", "spec", 2)
+	require.False(t, fresh, "the same job in progress is joined")
+	offer, ok := table.Assign(j, "vm1", 7)
+	require.True(t, ok)
+	require.Equal(t, []int{0, 1}, offer.Tasks)
+	require.False(t, offer.Resumed)
+	_, ok = table.Assign(j, "vm1", 7)
+	require.False(t, ok, "that dispatcher has it")
+	table.TaskDone("a", 1)
+	table.TaskDone("a", 1)
+	offer, ok = table.Assign(j, "vm2", 8)
+	require.True(t, ok)
+	require.Equal(t, []int{0}, offer.Tasks)
+	require.True(t, offer.Resumed)
+	table.TaskDone("a", 0)
+	<-j.Done()
+	answer, _ := table.Answer(j)
+	require.Equal(t, Succeeded, answer.Outcome)
+	require.Zero(t, table.Len())
+}
+
+func TestNotRunIsSaidOnlyWhereItIsCertain(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		do   func(*Table[string], *Job[string])
+		want Outcome
+	}{
+		{"never offered", func(*Table[string], *Job[string]) {}, NotRun},
+		{"refused for certain", func(table *Table[string], j *Job[string]) {
+			offer, _ := table.Assign(j, "vm1", 7)
+			table.Unassign(offer, "vm1", 7, true)
+		}, NotRun},
+		{"an offer without an answer", func(table *Table[string], j *Job[string]) {
+			offer, _ := table.Assign(j, "vm1", 7)
+			table.Unassign(offer, "vm1", 7, false)
+		}, GivenUp},
+		{"refused after an offer without an answer", func(table *Table[string], j *Job[string]) {
+			offer, _ := table.Assign(j, "vm1", 7)
+			table.Unassign(offer, "vm1", 7, false)
+			offer, _ = table.Assign(j, "vm2", 8)
+			table.Unassign(offer, "vm2", 8, true)
+		}, GivenUp},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := New[string]()
+			j, _ := table.Take(now, "a", "spec", 1)
+			c.do(table, j)
+			table.End("a", Answer{Outcome: NotRun})
+			answer, _ := table.Answer(j)
+			require.Equal(t, c.want, answer.Outcome)
+		})
+	}
+}
+
+func TestLastCallerThatLeavesEndsTheJob(t *testing.T) {
+	table := New[string]()
+	j, _ := table.Take(now, "a", "spec", 1)
+	table.Take(now, "a", "spec", 1)
+	table.Assign(j, "vm1", 7)
+	_, _, last := table.Leave(j)
+	require.False(t, last)
+	vm, term, last := table.Leave(j)
+	require.True(t, last)
+	require.Equal(t, "vm1", vm)
+	require.EqualValues(t, 7, term)
+	<-j.Done()
+}
+
+func TestJobsOfAnotherDispatcherAreUnassigned(t *testing.T) {
+	table := New[string]()
+	a, _ := table.Take(now, "a", "spec", 1)
+	b, _ := table.Take(now, "b", "spec", 1)
+	table.Assign(a, "vm1", 7)
+	table.Assign(b, "vm1", 8)
+	require.Equal(t, []*Job[string]{a}, table.Unassigned("vm1", 8))
+}
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,381 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/routing"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
+	"github.com/mustardstep/mustardstep/store"
+	"github.com/stretchr/testify/require"
+)
+
+// longEnough bounds waits for what has to happen.
+const longEnough = 30 * time.Second
+
+const testLease = time.Second
+
+// modelUpstreams carries orders to model upstreams in this process.
+type modelUpstreams struct {
+	work time.Duration
+
+	mu     sync.Mutex // guards the fields below
+	byName map[string]*schedulertest.Upstream
+	starts map[scheduler.Task]int
+	active map[scheduler.Task]int
+	twice  []scheduler.Task
+}
+
+func newModelUpstreams(names []string, work time.Duration) *modelUpstreams {
+	u := &modelUpstreams{
+		work: work, byName: map[string]*schedulertest.Upstream{},
+		starts: map[scheduler.Task]int{}, active: map[scheduler.Task]int{},
+	}
+	for _, name := range names {
+		info := scheduler.Upstream{Name: name, Service: "rota", Size: scheduler.Size{MilliCPU: 16000, MemoryMB: 1000}}
+		model := schedulertest.New(time.Now(), info, testLease)
+		model.Started = func(_ time.Time, run scheduler.Run) {
+			u.starts[run.Task]++
+			u.active[run.Task]++
+			if u.active[run.Task] > 1 {
+				u.twice = append(u.twice, run.Task)
+			}
+		}
+		model.Ended = func(_ time.Time, run scheduler.Run, _ scheduler.EndKind) { u.active[run.Task]-- }
+		u.byName[name] = model
+	}
+	return u
+}
+
+func (u *modelUpstreams) Start(_ context.Context, s scheduler.Start) (scheduler.OrderResult, int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.byName[s.Upstream.Name].Start(time.Now(), s, scheduler.Size{MilliCPU: 7000}, u.work)
+}
+
+func (u *modelUpstreams) Stop(_ context.Context, s scheduler.Stop) (scheduler.OrderResult, int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.byName[s.Upstream.Name].Stop(time.Now(), s)
+}
+
+func (u *modelUpstreams) Look(ctx context.Context, l scheduler.Look) (scheduler.LookResult, scheduler.Report) {
+	end := time.Now().Add(l.Wait)
+	model := u.byName[l.Upstream.Name]
+	for {
+		u.mu.Lock()
+		result, report := model.Look(time.Now(), l)
+		u.mu.Unlock()
+		if len(report.Ends) > 0 || result != scheduler.LookAnswered || !time.Now().Before(end) || ctx.Err() != nil {
+			return result, report
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// running returns the number of runs on all upstreams.
+func (u *modelUpstreams) running() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, model := range u.byName {
+		model.Advance(time.Now())
+		n += model.Running()
+	}
+	return n
+}
+
+// testDecoder reads JSON forms of the product's own types.
+type testDecoder struct{}
+
+func (testDecoder) Configuration(item store.Item) (*routing.Table, error) {
+	var version int64
+	if err := json.Unmarshal(item.Value, &version); err != nil {
+		return nil, err
+	}
+	return routing.NewTable(version, item.Revision, 0, []routing.Queue{testQueue}), nil
+}
+
+var testQueue = routing.Queue{
+	Name: "alert", Host: "h", Prefix: "/", Service: "rota", MaxAttempts: 3, Stretch: 10, Slack: time.Second,
+}
+
+func (testDecoder) Upstream(item store.Item) (scheduler.Upstream, error) {
+	var u scheduler.Upstream
+	if err := json.Unmarshal(item.Value, &u); err != nil {
+		return u, err
+	}
+	if u.Name == "" {
+		return u, errors.New("no name")
+	}
+	return u, nil
+}
+
+// cluster is some nodes with their surroundings.
+type cluster struct {
+	t         *testing.T
+	store     *store.Memory
+	upstreams *modelUpstreams
+	nodes     []*testNode
+}
+
+type testNode struct {
+	*Node
+	stop  context.CancelFunc
+	ended chan struct{}
+}
+
+// openFront is a front that ends with its last job.
+type openFront struct{ node *Node }
+
+func (f openFront) Shutdown(ctx context.Context) error {
+	for f.node.jobs.Len() > 0 && ctx.Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	return ctx.Err()
+}
+
+func newCluster(t *testing.T, nodes, upstreams int, work time.Duration) *cluster {
+	c := &cluster{t: t, store: store.NewMemory()}
+	var names []string
+	for i := range upstreams {
+		names = append(names, fmt.Sprintf("u%d", i))
+	}
+	c.upstreams = newModelUpstreams(names, work)
+	for _, name := range names {
+		value, err := json.Marshal(c.upstreams.byName[name].Info)
+		require.NoError(t, err)
+		c.store.Set("servers/"+name, value)
+	}
+	c.store.Set("servers/odd", []byte("{"))
+	c.store.Set("config", []byte("1"))
+	for i := range nodes {
+		c.start(fmt.Sprintf("vm%d", i))
+	}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.kill()
+		}
+		require.Empty(t, c.upstreams.twice, "tasks that ran twice at the same time")
+	})
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (c *cluster) start(vm string, seeds ...string) *testNode {
+	config := Config{
+		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease,
+		DrainTime: 50 * time.Millisecond, StopTime: longEnough, Seeds: seeds,
+		ConfigurationKey: "config", UpstreamPrefix: "servers/", MemberPrefix: "vm/",
+	}
+	n := &testNode{ended: make(chan struct{})}
+	n.Node = New(config, Dependencies{
+		Store: c.store, Upstreams: c.upstreams, Decoder: testDecoder{},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: NewMetrics(),
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go func() {
+		defer close(n.ended)
+		if err := n.Run(ctx, openFront{n.Node}); err != nil {
+			c.t.Errorf("%s: %v", vm, err)
+		}
+	}()
+	c.nodes = append(c.nodes, n)
+	return n
+}
+
+// kill ends a node at once.
+func (n *testNode) kill() {
+	n.Node.stop()
+	<-n.ended
+}
+
+// wait returns once something holds.
+func (c *cluster) wait(what string, holds func() bool) {
+	require.Eventually(c.t, holds, longEnough, 5*time.Millisecond, what)
+}
+
+// dispatcher returns the node that all others follow.
+func (c *cluster) dispatcher() *testNode {
+	var found *testNode
+	c.wait("one dispatcher", func() bool {
+		found = nil
+		vm := ""
+		for _, n := range c.nodes {
+			if n.serving.Err() != nil {
+				continue
+			}
+			v := n.view.Load()
+			if v.Dispatcher.VM == "" || vm != "" && v.Dispatcher.VM != vm {
+				return false
+			}
+			vm = v.Dispatcher.VM
+			if n.config.VM == vm && n.scheduler.Dispatching() {
+				found = n
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func (c *cluster) other(than *testNode) *testNode {
+	for _, n := range c.nodes {
+		if n != than && n.serving.Err() == nil {
+			return n
+		}
+	}
+	return nil
+}
+
+func (n *testNode) submit(ctx context.Context, id string, tasks int, deadline time.Duration) intake.Answer {
+	return n.Submit(ctx, id, Job{
+		Queue: &testQueue, Size: scheduler.Size{MilliCPU: 7000}, Estimate: 100 * time.Millisecond,
+		Deadline: time.Now().Add(deadline), Version: 1,
+	}, tasks)
+}
+
+func TestJobsSucceedAtEveryVM(t *testing.T) {
+	c := newCluster(t, 3, 3, 30*time.Millisecond)
+	c.dispatcher()
+	var wg sync.WaitGroup
+	for i, n := range c.nodes {
+		for k := range 5 {
+			wg.Go(func() {
+				answer := n.submit(context.Background(), fmt.Sprintf("%d-%d", i, k), 3, longEnough)
+				if answer.Outcome != intake.Succeeded {
+					t.Errorf("job %d-%d: %v %s", i, k, answer.Outcome, answer.Reason)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	c.wait("nothing runs", func() bool { return c.upstreams.running() == 0 })
+	for task, starts := range c.upstreams.starts {
+		require.Equal(t, 1, starts, task)
+	}
+}
+
+// Jobs outlive the dispatcher: their fronts offer them to the next one, which
+// adopts what runs.
+func TestJobsOutliveTheDispatcher(t *testing.T) {
+	c := newCluster(t, 3, 2, 600*time.Millisecond)
+	first := c.dispatcher()
+	front := c.other(first)
+	done := make(chan intake.Answer, 1)
+	go func() { done <- front.submit(context.Background(), "a", 6, longEnough) }()
+	c.wait("tasks run", func() bool { return c.upstreams.running() == 4 })
+	first.kill()
+	answer := <-done
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+	require.NotEqual(t, first, c.dispatcher())
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	c := newCluster(t, 2, 2, 300*time.Millisecond)
+	first := c.dispatcher()
+	done := make(chan intake.Answer, 2)
+	for _, n := range c.nodes {
+		go func() { done <- n.submit(context.Background(), "job-"+n.config.VM, 4, longEnough) }()
+	}
+	c.wait("tasks run", func() bool { return c.upstreams.running() > 0 })
+	require.NoError(t, first.Ready())
+	first.stop()
+	c.wait("readiness falls", func() bool { return first.Ready() != nil })
+	for range 2 {
+		answer := <-done
+		require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+	}
+	<-first.ended
+	require.NotEqual(t, first, c.dispatcher())
+}
+
+func TestTasksOfACallerThatLeftAreStopped(t *testing.T) {
+	c := newCluster(t, 2, 2, time.Hour)
+	front := c.other(c.dispatcher())
+	ctx, leave := context.WithCancel(context.Background())
+	done := make(chan intake.Answer, 1)
+	go func() { done <- front.submit(ctx, "a", 2, longEnough) }()
+	c.wait("tasks run", func() bool { return c.upstreams.running() == 2 })
+	leave()
+	require.Equal(t, intake.GivenUp, (<-done).Outcome)
+	c.wait("tasks are stopped", func() bool { return c.upstreams.running() == 0 })
+}
+
+func TestTasksOfALostVMAreStopped(t *testing.T) {
+	c := newCluster(t, 3, 2, time.Hour)
+	front := c.other(c.dispatcher())
+	go front.submit(context.Background(), "a", 2, time.Hour)
+	c.wait("tasks run", func() bool { return c.upstreams.running() == 2 })
+	front.kill()
+	c.wait("tasks are stopped", func() bool { return c.upstreams.running() == 0 })
+}
+
+func TestConfigurationReachesVMsThatTheStoreTurnsAway(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Millisecond)
+	c.dispatcher()
+	refusing := store.NewMemory()
+	refusing.Fail(store.ErrRefused)
+	served := c.store
+	c.store = refusing
+	seed := c.nodes[0].config.PeerAddress
+	n := c.start("vm9", seed)
+	c.store = served
+	c.wait("the configuration", func() bool { table := n.Table(); return table != nil && table.Version == 1 })
+	c.wait("readiness", func() bool { return n.Ready() == nil })
+	c.store.Set("config", []byte("5"))
+	c.wait("the change", func() bool { return n.Table().Version == 5 })
+	c.store.Set("config", []byte("3"))
+	c.store.Set("config", []byte("6"))
+	c.wait("the next change", func() bool { return n.Table().Version == 6 })
+}
+
+func TestServesWhileTheStoreIsDown(t *testing.T) {
+	c := newCluster(t, 3, 2, 20*time.Millisecond)
+	first := c.dispatcher()
+	c.store.Fail(store.ErrRefused)
+	front := c.other(first)
+	require.Equal(t, intake.Succeeded, front.submit(context.Background(), "a", 2, longEnough).Outcome)
+	first.kill()
+	require.Equal(t, intake.Succeeded, front.submit(context.Background(), "b", 2, longEnough).Outcome)
+}
+
+func TestTheStoresHistoryMayGo(t *testing.T) {
+	c := newCluster(t, 2, 1, time.Millisecond)
+	c.dispatcher()
+	for version := 2; version < 6; version++ {
+		c.store.Set("config", fmt.Appendf(nil, "%d", version))
+		c.store.Compact()
+	}
+	for _, n := range c.nodes {
+		c.wait("the last configuration", func() bool { return n.Table().Version == 5 })
+	}
+}
+
+// A dispatcher that was paused starts a new term before it orders anything.
+func TestPauseBeginsANewTerm(t *testing.T) {
+	c := newCluster(t, 2, 1, 50*time.Millisecond)
+	first := c.dispatcher()
+	before := first.term.current()
+	first.restartTerm(time.Now(), time.Second)
+	require.Greater(t, first.term.current(), before)
+	front := c.other(first)
+	require.Equal(t, intake.Succeeded, front.submit(context.Background(), "a", 2, longEnough).Outcome)
+}
--- a/node/term.go
+++ b/node/term.go
@@ -122,9 +122,11 @@
 		n.checkClaims(now, &v)
 	}
 	n.dropSilent(now, &v)
-	if v.Dispatcher.VM != old.Dispatcher.VM || v.Term != old.Term {
-		v = n.fleet.View(now, n.termFor(n.config.VM))
-		n.view.Store(&v)
+	if n.term.current() != token {
+		changed := n.fleet.View(now, n.termFor(n.config.VM))
+		n.view.Store(&changed)
+		n.offerUnassigned(&changed)
+		return
 	}
 	n.offerUnassigned(&v)
 }
--- a/scheduler/schedulertest/upstream.go
+++ b/scheduler/schedulertest/upstream.go
@@ -173,7 +173,7 @@
 	u.ends = slices.DeleteFunc(u.ends, func(e scheduler.End) bool { return e.Number <= l.LastSeen })
 	report := scheduler.Report{Clock: u.Clock(now), Born: u.born.UnixMilli(), Ends: slices.Clone(u.ends)}
 	for _, r := range u.runs {
-		percent := 100 - int(100*r.work/max(r.whole, 1))
+		percent := int(100 * (r.whole - r.work) / max(r.whole, 1))
 		report.Running = append(report.Running, scheduler.Running{Run: r.Run, Percent: percent})
 	}
 	slices.SortFunc(report.Running, func(a, b scheduler.Running) int {
--- /dev/null
+++ b/store/memory.go
@@ -0,0 +1,226 @@
+package store
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// memoryPage is the number of entries that Memory puts on a page.
+const memoryPage = 100
+
+// Memory is a Store in memory, for tests and trials. It is safe for concurrent
+// use. Leases end when their time is over, which is noticed at the next call.
+type Memory struct {
+	mu       sync.Mutex // guards the fields below
+	revision int64
+	items    map[string]memoryItem
+	leases   map[int64]memoryLease
+	history  []Event
+	dropped  int64 // revision up to which the history is gone
+	changed  chan struct{}
+	failure  error
+}
+
+type memoryItem struct {
+	Item
+	lease int64
+}
+
+type memoryLease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewMemory returns an empty store.
+func NewMemory() *Memory {
+	return &Memory{
+		revision: 1, items: map[string]memoryItem{}, leases: map[int64]memoryLease{}, changed: make(chan struct{}),
+	}
+}
+
+// Fail makes every call fail with an error; nil ends that.
+func (m *Memory) Fail(err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failure = err
+}
+
+// Compact drops the history.
+func (m *Memory) Compact() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.history, m.dropped = nil, m.revision
+}
+
+// Set writes an entry without a lease, as operators and upstreams do.
+func (m *Memory) Set(key string, value []byte) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.set(key, value, 0)
+}
+
+// Remove removes an entry.
+func (m *Memory) Remove(key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remove(key)
+}
+
+func (m *Memory) set(key string, value []byte, lease int64) int64 {
+	m.revision++
+	item := Item{Key: key, Value: slices.Clone(value), Revision: m.revision}
+	m.items[key] = memoryItem{item, lease}
+	m.publish(Event{Item: item})
+	return m.revision
+}
+
+func (m *Memory) remove(key string) {
+	if _, present := m.items[key]; !present {
+		return
+	}
+	m.revision++
+	delete(m.items, key)
+	m.publish(Event{Item: Item{Key: key, Revision: m.revision}, Deleted: true})
+}
+
+// publish enters an event and wakes the watches. The caller holds mu.
+func (m *Memory) publish(e Event) {
+	m.history = append(m.history, e)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// expire ends the leases whose time is over. The caller holds mu.
+func (m *Memory) expire() {
+	for id, lease := range m.leases {
+		if time.Now().After(lease.end) {
+			m.end(id)
+		}
+	}
+}
+
+func (m *Memory) end(id int64) {
+	delete(m.leases, id)
+	for _, key := range slices.Sorted(maps.Keys(m.items)) {
+		if m.items[key].lease == id {
+			m.remove(key)
+		}
+	}
+}
+
+// Range implements Store.
+func (m *Memory) Range(_ context.Context, prefix, after string, _ bool) (Page, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure != nil {
+		return Page{}, m.failure
+	}
+	m.expire()
+	page := Page{Revision: m.revision}
+	for _, key := range slices.Sorted(maps.Keys(m.items)) {
+		if !strings.HasPrefix(key, prefix) || key <= after {
+			continue
+		}
+		if len(page.Items) == memoryPage {
+			page.More = true
+			break
+		}
+		page.Items = append(page.Items, m.items[key].Item)
+	}
+	return page, nil
+}
+
+// Watch implements Store.
+func (m *Memory) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		m.expire()
+		failure, changed, at := m.failure, m.changed, m.revision
+		compacted := after < m.dropped
+		var events []Event
+		for _, e := range m.history {
+			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+				events = append(events, e)
+			}
+		}
+		m.mu.Unlock()
+		switch {
+		case failure != nil:
+			return nil, 0, failure
+		case compacted:
+			return nil, 0, ErrCompacted
+		case len(events) > 0:
+			return events, at, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// Put implements Store.
+func (m *Memory) Put(_ context.Context, key string, value []byte, lease int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure != nil {
+		return m.failure
+	}
+	m.expire()
+	if _, present := m.leases[lease]; lease != 0 && !present {
+		return ErrNoLease
+	}
+	m.set(key, value, lease)
+	return nil
+}
+
+// Grant implements Store.
+func (m *Memory) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure != nil {
+		return 0, m.failure
+	}
+	m.revision++
+	m.leases[m.revision] = memoryLease{ttl, time.Now().Add(ttl)}
+	return m.revision, nil
+}
+
+// Keep implements Store.
+func (m *Memory) Keep(_ context.Context, lease int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure != nil {
+		return m.failure
+	}
+	m.expire()
+	l, present := m.leases[lease]
+	if !present {
+		return ErrNoLease
+	}
+	m.leases[lease] = memoryLease{l.ttl, time.Now().Add(l.ttl)}
+	return nil
+}
+
+// End implements Store.
+func (m *Memory) End(_ context.Context, lease int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.failure != nil {
+		return m.failure
+	}
+	if _, present := m.leases[lease]; !present {
+		return ErrNoLease
+	}
+	m.end(lease)
+	return nil
+}
--- /dev/null
+++ b/store/storetest/storetest.go
@@ -0,0 +1,147 @@
+// Package storetest is the suite that every store.Store passes.
+package storetest
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/store"
+	"github.com/stretchr/testify/require"
+)
+
+// Run checks a store that is kept in a Memory behind it.
+func Run(t *testing.T, open func(t *testing.T, memory *store.Memory) store.Store) {
+	for name, check := range map[string]func(*testing.T, store.Store, *store.Memory){
+		"list by pages":         listByPages,
+		"watch":                 watch,
+		"watch without change":  watchWithoutChange,
+		"history dropped":       historyDropped,
+		"lease":                 lease,
+		"refused":               refused,
+		"values of any bytes":   anyBytes,
+		"the context's end":     contextEnds,
+		"entries of one prefix": onePrefix,
+	} {
+		t.Run(name, func(t *testing.T) {
+			memory := store.NewMemory()
+			check(t, open(t, memory), memory)
+		})
+	}
+}
+
+func background(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func listByPages(t *testing.T, s store.Store, m *store.Memory) {
+	const entries = 250
+	var last int64
+	for i := range entries {
+		last = m.Set(fmt.Sprintf("servers/%03d", i), []byte{byte(i)})
+	}
+	for _, stale := range []bool{false, true} {
+		items, revision, err := store.List(background(t), s, "servers/", stale)
+		require.NoError(t, err)
+		require.Len(t, items, entries)
+		require.Equal(t, last, revision)
+		require.Equal(t, "servers/249", items[entries-1].Key)
+		require.Equal(t, []byte{249}, items[entries-1].Value)
+	}
+}
+
+func watch(t *testing.T, s store.Store, m *store.Memory) {
+	first := m.Set("a/1", []byte("x"))
+	second := m.Set("a/2", []byte("y"))
+	m.Remove("a/1")
+	events, at, err := s.Watch(background(t), "a/", first, time.Second)
+	require.NoError(t, err)
+	require.Equal(t, []store.Event{
+		{Item: store.Item{Key: "a/2", Value: []byte("y"), Revision: second}},
+		{Item: store.Item{Key: "a/1", Revision: second + 1}, Deleted: true},
+	}, events)
+	require.Equal(t, second+1, at)
+	done := make(chan []store.Event, 1)
+	go func() {
+		events, _, err := s.Watch(background(t), "a/", at, 10*time.Second)
+		if err != nil {
+			events = nil
+		}
+		done <- events
+	}()
+	m.Set("a/3", []byte("z"))
+	require.Equal(t, "a/3", (<-done)[0].Key)
+}
+
+func watchWithoutChange(t *testing.T, s store.Store, m *store.Memory) {
+	at := m.Set("a", nil)
+	events, next, err := s.Watch(background(t), "b", at, 20*time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, events)
+	require.Equal(t, at, next)
+}
+
+func historyDropped(t *testing.T, s store.Store, m *store.Memory) {
+	at := m.Set("a", nil)
+	m.Set("a", []byte("x"))
+	m.Compact()
+	_, _, err := s.Watch(background(t), "a", at, time.Second)
+	require.ErrorIs(t, err, store.ErrCompacted)
+}
+
+func lease(t *testing.T, s store.Store, m *store.Memory) {
+	ctx := background(t)
+	id, err := s.Grant(ctx, time.Minute)
+	require.NoError(t, err)
+	require.NoError(t, s.Put(ctx, "vm/1", []byte("x"), id))
+	require.NoError(t, s.Keep(ctx, id))
+	require.NoError(t, s.End(ctx, id))
+	items, _, err := store.List(ctx, s, "vm/", false)
+	require.NoError(t, err)
+	require.Empty(t, items)
+	require.ErrorIs(t, s.Keep(ctx, id), store.ErrNoLease)
+	require.ErrorIs(t, s.End(ctx, id), store.ErrNoLease)
+	require.ErrorIs(t, s.Put(ctx, "vm/1", []byte("x"), id), store.ErrNoLease)
+}
+
+func refused(t *testing.T, s store.Store, m *store.Memory) {
+	m.Fail(store.ErrRefused)
+	ctx := background(t)
+	_, err := s.Range(ctx, "a", "", false)
+	require.ErrorIs(t, err, store.ErrRefused)
+	_, _, err = s.Watch(ctx, "a", 1, time.Millisecond)
+	require.ErrorIs(t, err, store.ErrRefused)
+	require.ErrorIs(t, s.Put(ctx, "a", nil, 0), store.ErrRefused)
+	_, err = s.Grant(ctx, time.Minute)
+	require.ErrorIs(t, err, store.ErrRefused)
+}
+
+func anyBytes(t *testing.T, s store.Store, _ *store.Memory) {
+	value := make([]byte, 256)
+	for i := range value {
+		value[i] = byte(i)
+	}
+	require.NoError(t, s.Put(background(t), "bytes", value, 0))
+	items, _, err := store.List(background(t), s, "bytes", false)
+	require.NoError(t, err)
+	require.Equal(t, value, items[0].Value)
+}
+
+func contextEnds(t *testing.T, s store.Store, m *store.Memory) {
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, _, err := s.Watch(ctx, "a", m.Set("b", nil), 10*time.Second)
+	require.Error(t, err)
+}
+
+func onePrefix(t *testing.T, s store.Store, m *store.Memory) {
+	m.Set("op/config", []byte("1"))
+	m.Set("op/wave/1", []byte("2"))
+	m.Set("other", []byte("3"))
+	items, _, err := store.List(background(t), s, "op/", false)
+	require.NoError(t, err)
+	require.Len(t, items, 2)
+}
