--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -82,9 +82,8 @@
 	acked    int64 // number up to which ends were acknowledged by a look
 	idle     time.Time
 
-	health  health.Tracker
-	model   speedModel
-	leaving time.Time
+	health health.Tracker
+	model  speedModel
 }
 
 // orphan is a run that was found and that no job claims.
