Skip full shards in a decision; a job ends by the word of its present dispatcher only

At the start members were listed every 2 s, so that each VM dispatched for itself at first.

Change: upstreams lie in 256 shards that publish their room; a decision compares at most 64 with room and tries three jobs. Ends and refusals carry the term.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -193,6 +193,17 @@
 	return j.vm, j.term, true
 }
 
+// EndBy gives a job the answer of a dispatcher, unless the job has been handed to
+// another one since: what that one does is not covered by the answer.
+func (t *Table[S]) EndBy(id, vm string, term uint64, a Answer) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if j := s.jobs[id]; j != nil && j.vm == vm && j.term == term {
+		s.end(j, a)
+	}
+}
+
 // end gives a job its answer. The caller holds mu.
 func (s *shard[S]) end(j *Job[S], a Answer) {
 	j.ended, j.answer = true, a
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -89,3 +89,15 @@
 	table.Assign(b, "vm1", 8)
 	require.Equal(t, []*Job[string]{a}, table.Unassigned("vm1", 8))
 }
+
+// A dispatcher's word does not end a job that another dispatcher has got since.
+func TestFormerDispatcherEndsNothing(t *testing.T) {
+	table := New[string]()
+	j, _ := table.Take(now, "a", "spec", 1)
+	table.Assign(j, "vm1", 7)
+	table.Assign(j, "vm2", 8)
+	table.EndBy("a", "vm1", 7, Answer{Outcome: NotRun})
+	require.Equal(t, 1, table.Len())
+	table.EndBy("a", "vm2", 8, Answer{Outcome: NotRun})
+	require.Zero(t, table.Len())
+}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -150,7 +150,7 @@
 	for _, notice := range a.Notices {
 		r := byOrigin[notice.Origin]
 		if r == nil {
-			r = &wire.EndsRequest{}
+			r = &wire.EndsRequest{Term: n.termFor(notice.Origin)}
 			byOrigin[notice.Origin] = r
 		}
 		switch notice.Kind {
@@ -167,7 +167,7 @@
 	}
 	for origin, r := range byOrigin {
 		if origin == n.config.VM {
-			n.handleEnds(n.serving, nil, r)
+			n.ended(n.config.VM, r)
 		} else {
 			n.outboxes.add(n, origin, r)
 		}
@@ -197,6 +197,10 @@
 	o.mu.Unlock()
 	box.mu.Lock()
 	defer box.mu.Unlock()
+	if box.next.Term != r.Term {
+		// What was told in an earlier term has been offered anew since.
+		box.next = wire.EndsRequest{Term: r.Term}
+	}
 	box.next.Ends = append(box.next.Ends, r.Ends...)
 	box.next.Drops = append(box.next.Drops, r.Drops...)
 	if !box.sending {
@@ -211,7 +215,7 @@
 	for {
 		b.mu.Lock()
 		r := b.next
-		b.next = wire.EndsRequest{}
+		b.next = wire.EndsRequest{Term: r.Term}
 		if len(r.Ends)+len(r.Drops) == 0 {
 			b.sending = false
 			b.mu.Unlock()
--- a/node/front.go
+++ b/node/front.go
@@ -112,7 +112,7 @@
 		if o.Resumed {
 			outcome = intake.GivenUp
 		}
-		n.jobs.End(o.Job.ID, intake.Answer{
+		n.jobs.EndBy(o.Job.ID, v.Dispatcher.VM, v.Term, intake.Answer{
 			Outcome: outcome, Reason: response.Reason,
 			RetryAfter: time.Duration(response.RetryAfterUS) * time.Microsecond,
 		})
@@ -166,11 +166,18 @@
 	}()
 }
 
-func (n *Node) handleEnds(_ context.Context, _ *wire.Hello, r *wire.EndsRequest) wire.Message {
+func (n *Node) handleEnds(_ context.Context, from *wire.Hello, r *wire.EndsRequest) wire.Message {
+	n.ended(from.VM, r)
+	return &wire.EndsResponse{}
+}
+
+// ended enters what a dispatcher tells of tasks and jobs. Work that was done
+// counts whoever tells of it; the rest only from the dispatcher that has the job.
+func (n *Node) ended(dispatcher string, r *wire.EndsRequest) {
 	for i := range r.Ends {
 		e := &r.Ends[i]
 		if e.Failed {
-			n.jobs.End(e.Job, intake.Answer{Outcome: intake.Failed, Reason: "a task has failed for good"})
+			n.jobs.EndBy(e.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Reason: "a task has failed for good"})
 		} else {
 			n.jobs.TaskDone(e.Job, e.Index)
 		}
@@ -181,9 +188,8 @@
 		if d.Started {
 			outcome = intake.GivenUp
 		}
-		n.jobs.End(d.Job, intake.Answer{
+		n.jobs.EndBy(d.Job, dispatcher, r.Term, intake.Answer{
 			Outcome: outcome, Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond,
 		})
 	}
-	return &wire.EndsResponse{}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -142,7 +142,7 @@
 	n.outboxes.byVM = map[string]*outbox{}
 	n.agents.wake = map[string]chan struct{}{}
 	n.registry.init()
-	n.view.Store(&fleet.View{First: self})
+	n.view.Store(&fleet.View{First: self, Local: true, Candidate: true})
 	n.peers = peer.New(peer.Config{
 		Hello:       wire.Hello{VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre, Address: self.Address},
 		DialTimeout: dialTimeout, MaxFrame: maxFrame,
--- a/node/term.go
+++ b/node/term.go
@@ -18,6 +18,9 @@
 	// if it hears every member that the store lists: VMs start within 0.3 s of
 	// each other (the platform's page on settings), and a beat follows.
 	settleTime = 700 * time.Millisecond
+	// aloneTime is the same where no other member is known: the first entries of
+	// VMs that start together come some calls of the store later.
+	aloneTime = 2 * time.Second
 	// fencedRetry is the time after which upstreams that were claimed by another
 	// dispatcher are claimed anew: the rival is gone or has joined by then.
 	fencedRetry = 4 * time.Second
@@ -144,7 +147,11 @@
 	if n.table.Load() == nil || !n.registry.known() {
 		return false
 	}
-	return !v.Pending && (v.Complete || now.Sub(n.started) > settleTime)
+	settle := settleTime
+	if len(v.Heard)+len(v.Unheard) == 0 {
+		settle = aloneTime
+	}
+	return !v.Pending && (v.Complete || now.Sub(n.started) > settle)
 }
 
 // claimKey names what the claims of a view depend on.
--- /dev/null
+++ b/scheduler/bench_test.go
@@ -0,0 +1,54 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+)
+
+// BenchmarkDecision measures one placement and the end of its run, with three
+// quarters of the room taken, and a look at a queue for which there is no room.
+func BenchmarkDecision(b *testing.B) {
+	for _, upstreams := range []int{48, 350, 20_000} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			s := scheduler.New(scheduler.Config{LeaseMax: time.Second, MaxWaiting: 1 << 30})
+			var list []scheduler.Upstream
+			for i := range upstreams {
+				list = append(list, scheduler.Upstream{
+					Name: fmt.Sprintf("upstream-%d", i), Service: "s", Size: scheduler.Size{MilliCPU: 16000, MemoryMB: 32000},
+				})
+			}
+			s.Begin(now, 10, time.Second)
+			s.SetUpstreams(now, list, false)
+			for _, u := range list {
+				look, _, _, _ := s.NextLook(now, u.Name)
+				s.Looked(now, look, scheduler.LookAnswered, scheduler.Report{Clock: 1000, Born: 1})
+			}
+			n := 0
+			offer := func() {
+				n++
+				_, failure := s.Offer(now, scheduler.Job{
+					ID: fmt.Sprintf("%016x", n), Origin: "o", Queue: "q", Service: "s", Size: scheduler.Size{MilliCPU: 4000, MemoryMB: 64},
+					Estimate: 100 * time.Millisecond, Sent: now, Deadline: now.Add(time.Hour), Stretch: 1.6, Slack: time.Second,
+					MaxAttempts: 3, Tasks: []int{0},
+				})
+				if failure != nil {
+					b.Fatal(failure)
+				}
+			}
+			for range 3 * upstreams {
+				offer()
+			}
+			running := s.Place(now)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				start := running[i%len(running)]
+				s.StartEnded(now, start, scheduler.OrderNoRoom, 0)
+				running[i%len(running)] = s.Place(now)[0]
+			}
+		})
+	}
+}
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -182,6 +182,7 @@
 	default:
 		u.fail(now)
 	}
+	shard.measure()
 	shard.mu.Unlock()
 	for _, f := range found {
 		s.adopt(now, shard, f.upstream, f.Run)
--- a/scheduler/model.go
+++ b/scheduler/model.go
@@ -63,10 +63,14 @@
 // The lock of the upstream's shard guards it.
 type speedModel struct {
 	logSpeed float64
+	slowness float64 // the inverse of the speed, less 1
 	samples  int
 }
 
-func (m *speedModel) speed() float64 { return math.Exp(m.logSpeed) }
+func (m *speedModel) speed() float64 { return 1 / m.factor() }
+
+// factor returns the run time there of a task that takes one second at speed 1.
+func (m *speedModel) factor() float64 { return 1 + m.slowness }
 
 // observe learns from a task that was expected to take some time at speed 1 and
 // took another, in seconds.
@@ -75,4 +79,5 @@
 	weight := max(1/float64(m.samples+speedPrior), speedFloor)
 	seen := math.Log(max(expected, minRunTime)) - math.Log(max(took, minRunTime))
 	m.logSpeed += weight * (seen - m.logSpeed)
+	m.slowness = math.Exp(-m.logSpeed) - 1
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -94,6 +94,7 @@
 	default:
 		u.free(now, r)
 	}
+	shard.measure()
 	shard.mu.Unlock()
 	s.finishRun(now, lostRun{start.Run, start.Upstream.Name, end}, &a)
 	return a
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -66,14 +66,14 @@
 	origin string
 }
 
-// considered is the number of jobs of a shard that are tried where the first
-// fits nowhere.
+// considered is the number of jobs, the first of as many shards, that are tried
+// where the first of all fits nowhere.
 const considered = 3
 
 // Place binds waiting tasks to upstreams with room.
 func (s *Scheduler) Place(now time.Time) []Start {
 	var starts []Start
-	for s.Dispatching() {
+	for s.Dispatching() && s.waiting.Load() > 0 {
 		start, ok := s.placeNext(now)
 		if !ok {
 			return starts
@@ -85,49 +85,42 @@
 
 // placeNext places the task that comes first among those that fit somewhere.
 func (s *Scheduler) placeNext(now time.Time) (Start, bool) {
-	for place := range considered {
-		order := s.order(now)
-		for _, at := range order {
-			q := s.queues[at]
-			c, ok := q.pop(place)
-			if !ok {
-				continue
-			}
-			if start, ok := s.bind(now, c); ok {
-				s.waiting.Add(-1)
-				q.markStarted(c.job.ID)
-				return start, true
-			}
-			q.unpop(c)
-			if place == 0 {
-				break // behind the first of all come the second jobs
-			}
+	var tried [shardCount]bool
+	for range considered {
+		at := s.firstShard(now, &tried)
+		if at < 0 {
+			return Start{}, false
+		}
+		tried[at] = true
+		q := s.queues[at]
+		c, ok := q.pop()
+		if !ok {
+			continue
+		}
+		if start, ok := s.bind(now, c); ok {
+			s.waiting.Add(-1)
+			q.markStarted(c.job.ID)
+			return start, true
 		}
+		q.unpop(c)
 	}
 	return Start{}, false
 }
 
-// order returns the shards that hold waiting jobs, the one with the first job
-// before the others.
-func (s *Scheduler) order(now time.Time) []int {
-	var order []int
-	var first [shardCount]float64
+// firstShard returns the shard with the first job of those that were not tried,
+// or -1.
+func (s *Scheduler) firstShard(now time.Time, tried *[shardCount]bool) int {
+	at, first := -1, noScore
 	for i, q := range s.queues {
+		if tried[i] {
+			continue
+		}
 		q.refresh(now)
-		if first[i] = q.first(); first[i] < noScore {
-			order = append(order, i)
+		if top := q.first(); top < first {
+			at, first = i, top
 		}
 	}
-	slices.SortFunc(order, func(a, b int) int {
-		switch {
-		case first[a] < first[b]:
-			return -1
-		case first[a] > first[b]:
-			return 1
-		}
-		return a - b
-	})
-	return order
+	return at
 }
 
 // bind reserves room for a task on the upstream that suits it best.
@@ -144,37 +137,60 @@
 	return Start{}, false
 }
 
+// maxScanned is the number of upstreams that are compared for a task. The best
+// of that many is about as good as the best of all, at a cost that does not grow
+// with the fleet.
+const maxScanned = 64
+
 // choose returns the upstream with the least cost for a task.
 func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
 	best := noScore
-	left := c.objective.Sub(now).Seconds()
-	for _, shard := range s.upstreams {
+	scanned := 0
+	from := int(s.turn.Add(1))
+	for i := range upstreamShards {
+		shard := s.upstreams[(from+i)%upstreamShards]
+		if int(shard.room.Load()) < c.job.Size.MilliCPU {
+			continue
+		}
 		shard.mu.Lock()
-		for _, u := range shard.known {
-			if !suits(now, u, c) {
+		for _, u := range shard.all {
+			if u.Service != c.job.Service || !c.job.Size.Within(u.room()) {
 				continue
 			}
-			if cost := u.cost(c, left); cost < best || cost == best && u.Name < name {
+			cost := u.cost(c)
+			if cost > best || cost == best && u.Name >= name {
+				scanned++
+			} else if suits(now, u, c) {
+				scanned++
 				best, name = cost, u.Name
 			}
+			if scanned >= maxScanned {
+				break
+			}
 		}
 		shard.mu.Unlock()
+		if scanned >= maxScanned {
+			break
+		}
 	}
 	return name, best < noScore
 }
 
+// suits tells whether a task may be placed on an upstream.
 func suits(now time.Time, u *upstream, c candidate) bool {
-	return u.Service == c.job.Service && u.usable(now) && c.job.Size.Within(u.room()) &&
-		u.runs[Task{c.job.ID, c.index}] == nil && !slices.Contains(c.avoid, u.Name)
+	return u.Service == c.job.Service && c.job.Size.Within(u.room()) && u.usable(now) &&
+		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
 
-// cost orders the upstreams for a task: the expected run time, in seconds. A
+// cost orders the upstreams for a task: the expected run time, in seconds. Each
 // failure in a row counts like half the speed.
-func (u *upstream) cost(c candidate, left float64) float64 {
-	run := c.expected / u.model.speed() * float64(uint(1)<<min(u.health.Penalty(), 4))
-	return run
+func (u *upstream) cost(c candidate) float64 {
+	return c.expected * u.model.factor() * float64(uint(1)<<min(u.health.Penalty(), maxPenalty))
 }
 
+// maxPenalty bounds the doublings for failures in a row.
+const maxPenalty = 4
+
 // reserve takes the room for a task where it is still there.
 func (s *Scheduler) reserve(now time.Time, c candidate, name string) (Start, bool) {
 	shard := s.shardOf(name)
@@ -191,10 +207,11 @@
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
 	u.bound = now.Add(s.leaseBound())
+	shard.measure()
 	return Start{
 		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Spec: c.job.Spec, Until: r.until,
 		Waited:   now.Sub(c.job.Sent),
-		Expected: time.Duration(c.expected / u.model.speed() * float64(time.Second)),
+		Expected: time.Duration(c.expected * u.model.factor() * float64(time.Second)),
 		Left:     c.objective.Sub(now), Free: u.room(), origin: c.job.Origin,
 	}, true
 }
@@ -308,5 +325,6 @@
 	delete(u.orphans, r.Task)
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
+	s.measure()
 	return true
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -362,15 +362,14 @@
 	q.demote(now)
 }
 
-// pop takes the next task of the job at a place of the heap's order. It returns
-// false where there is none.
-func (q *queueShard) pop(place int) (c candidate, ok bool) {
+// pop takes the next task of the first job. It returns false where there is none.
+func (q *queueShard) pop() (c candidate, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if place >= len(q.heap) {
+	if len(q.heap) == 0 {
 		return candidate{}, false
 	}
-	j := q.heap[place]
+	j := q.heap[0]
 	index := j.waiting[0]
 	j.waiting = j.waiting[1:]
 	j.running++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -134,15 +134,20 @@
 	idleLook = 300 * time.Millisecond
 )
 
-// shardCount is the number of shards of jobs and of upstreams.
-const shardCount = 16
+// shardCount is the number of shards of jobs, upstreamShards that of upstreams:
+// a decision scans some of the latter.
+const (
+	shardCount     = 16
+	upstreamShards = 256
+)
 
 // Scheduler holds the jobs and the upstreams of one dispatcher. It is safe for
 // concurrent use.
 type Scheduler struct {
 	config    Config
 	queues    [shardCount]*queueShard
-	upstreams [shardCount]*upstreamShard
+	upstreams [upstreamShards]*upstreamShard
+	turn      atomic.Uint32 // the shard of upstreams at which the next decision begins
 	models    models
 
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
@@ -158,7 +163,10 @@
 func New(config Config) *Scheduler {
 	s := &Scheduler{config: config, start: time.Now()}
 	for i := range shardCount {
-		s.queues[i], s.upstreams[i] = newQueueShard(), &upstreamShard{known: map[string]*upstream{}}
+		s.queues[i] = newQueueShard()
+	}
+	for i := range upstreamShards {
+		s.upstreams[i] = &upstreamShard{known: map[string]*upstream{}}
 	}
 	return s
 }
@@ -168,7 +176,7 @@
 }
 
 func (s *Scheduler) shardOf(upstream string) *upstreamShard {
-	return s.upstreams[rendezvous.Hash(upstream)%shardCount]
+	return s.upstreams[rendezvous.Hash(upstream)%upstreamShards]
 }
 
 // leaseBound is the longest time, by this clock, for which something can run on
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -1,7 +1,10 @@
 package scheduler
 
 import (
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mustardstep/mustardstep/health"
@@ -139,8 +142,41 @@
 
 // upstreamShard holds the upstreams whose names hash to it.
 type upstreamShard struct {
+	// room is the most that is free on one of the upstreams, in thousandths of a
+	// core, as of the last change or tick.
+	room atomic.Int64
+
 	mu    sync.Mutex // guards the fields below
 	known map[string]*upstream
+	all   []*upstream // the same, by name
+}
+
+// add enters a new upstream. The caller holds mu.
+func (s *upstreamShard) add(u *upstream) {
+	s.known[u.Name] = u
+	at, _ := slices.BinarySearchFunc(s.all, u, byName)
+	s.all = slices.Insert(s.all, at, u)
+}
+
+// remove forgets an upstream. The caller holds mu.
+func (s *upstreamShard) remove(u *upstream) {
+	delete(s.known, u.Name)
+	if at, found := slices.BinarySearchFunc(s.all, u, byName); found {
+		s.all = slices.Delete(s.all, at, at+1)
+	}
+}
+
+func byName(a, b *upstream) int { return strings.Compare(a.Name, b.Name) }
+
+// measure publishes the room of the shard. The caller holds mu.
+func (s *upstreamShard) measure() {
+	most := 0
+	for _, u := range s.all {
+		if u.listed && u.claimed {
+			most = max(most, u.room().MilliCPU)
+		}
+	}
+	s.room.Store(int64(most))
 }
 
 // begin forgets what an earlier term knew of runs; the listed upstreams are to
@@ -163,7 +199,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	swept := now
-	for name, u := range s.known {
+	for _, u := range slices.Clone(s.all) {
 		if u.listed {
 			swept = earlier(swept, u.swept())
 		}
@@ -179,9 +215,10 @@
 		}
 		u.stalled(now, scheduler, a)
 		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.looking {
-			delete(s.known, name)
+			s.remove(u)
 		}
 	}
+	s.measure()
 	return swept
 }
 
@@ -202,7 +239,7 @@
 		if r.state != runStarted || r.abandoned {
 			continue
 		}
-		patience := max(minStall, time.Duration(stallFactor*r.expected/u.model.speed()*float64(time.Second)))
+		patience := max(minStall, time.Duration(stallFactor*r.expected*u.model.factor()*float64(time.Second)))
 		if now.Sub(r.moved) <= patience || u.newest.Sub(r.moved) <= patience/2 {
 			continue
 		}
@@ -224,8 +261,8 @@
 		shard.mu.Lock()
 		u := shard.known[entry.Name]
 		if u == nil {
-			u = &upstream{runs: map[Task]*run{}, orphans: map[Task]orphan{}, newest: now, idle: now}
-			shard.known[entry.Name] = u
+			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, newest: now, idle: now}
+			shard.add(u)
 			added = append(added, entry.Name)
 		}
 		if u.Address != entry.Address {
