--- /dev/null
+++ b/internal/layering/names_test.go
@@ -0,0 +1,48 @@
+package layering
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// platformNames are names of the platform's interfaces that have one place: the
+// folder platform/. Names that are usual words are not listed.
+var platformNames = regexp.MustCompile(
+	`run-start|run-stop|/v1/hold|kv-txn|kv-range|kv-watch|kv-keep|hold_max|fencing_token|listen_addrs|best_effort|set_keys|` +
+		`op/config|servers/|hold_max_ms|slo_ms|cold_left_ms|X-Expect-Instance`)
+
+func TestPlatformNamesStandInItsFolderOnly(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		relative, err := filepath.Rel(root, path)
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() {
+			if relative == "platform" || relative == "journal" || relative == "target" || relative == "docs" ||
+				strings.HasPrefix(relative, ".") && relative != "." {
+				return filepath.SkipDir
+			}
+			return nil
+		}
+		ext := filepath.Ext(path)
+		if ext != ".go" && ext != ".yaml" || strings.HasSuffix(path, "names_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		require.Empty(t, string(platformNames.Find(text)), "%s holds a name of the platform", relative)
+		return nil
+	})
+	require.NoError(t, err)
+}
--- a/internal/logging/buffer.go
+++ b/internal/logging/buffer.go
@@ -7,7 +7,11 @@
 )
 
 const (
-	bufferSize    = 64 << 10 // bytes; a buffer that has grown beyond is written
+	bufferSize = 64 << 10 // bytes; a buffer that has grown beyond is written
+	// maxPending is the most that waits in a buffer, in bytes; lines beyond are
+	// dropped, so that a log that cannot be written, or not as fast, holds
+	// nothing up.
+	maxPending    = 4 * bufferSize
 	flushInterval = 100 * time.Millisecond
 )
 
@@ -27,6 +31,8 @@
 // buffer gathers whole lines.
 type buffer struct {
 	out *output
+	// note returns a line that tells of lines that were dropped.
+	note func(lines int) []byte
 
 	// flushing makes flush return only once all earlier lines are written. It
 	// is held during the write, by design, and taken before mu.
@@ -36,13 +42,21 @@
 	lines     []byte
 	spare     []byte // memory of the lines that were written last
 	scheduled bool
+	urgent    bool // a flush is under way because the buffer was full
+	dropped   int  // lines since the last flush
 }
 
-// Write implements io.Writer. It gets one line at a time.
+// Write implements io.Writer. It gets one line at a time and never waits for the
+// log to be written.
 func (b *buffer) Write(line []byte) (int, error) {
 	b.mu.Lock()
-	b.lines = append(b.lines, line...)
-	full := len(b.lines) > bufferSize
+	if len(b.lines)+len(line) > maxPending {
+		b.dropped++
+	} else {
+		b.lines = append(b.lines, line...)
+	}
+	full := len(b.lines) > bufferSize && !b.urgent
+	b.urgent = b.urgent || full
 	schedule := !b.scheduled
 	b.scheduled = true
 	b.mu.Unlock()
@@ -50,7 +64,7 @@
 		time.AfterFunc(flushInterval, b.expire)
 	}
 	if full {
-		b.flush()
+		go b.flush()
 	}
 	return len(line), nil
 }
@@ -69,9 +83,12 @@
 	b.flushing.Lock()
 	defer b.flushing.Unlock()
 	b.mu.Lock()
-	lines := b.lines
-	b.lines, b.spare = b.spare[:0], nil
+	lines, dropped := b.lines, b.dropped
+	b.lines, b.spare, b.dropped, b.urgent = b.spare[:0], nil, 0, false
 	b.mu.Unlock()
+	if dropped > 0 {
+		lines = append(lines, b.note(dropped)...)
+	}
 	if len(lines) == 0 {
 		return
 	}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -4,8 +4,10 @@
 package logging
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
+	"time"
 
 	"github.com/mustardstep/mustardstep/internal/settings"
 )
@@ -22,7 +24,7 @@
 	var buffers [shardCount]*buffer
 	handler := &sharded{}
 	for i := range buffers {
-		buffers[i] = &buffer{out: out}
+		buffers[i] = &buffer{out: out, note: func(lines int) []byte { return dropNote(s.Format, lines) }}
 		if s.Format == "text" {
 			handler.shards[i] = slog.NewTextHandler(buffers[i], options)
 		} else {
@@ -35,3 +37,12 @@
 		}
 	}
 }
+
+// dropNote returns the line that tells of lines that were dropped.
+func dropNote(format string, lines int) []byte {
+	now := time.Now().Format(time.RFC3339Nano)
+	if format == "text" {
+		return fmt.Appendf(nil, "time=%s level=WARN msg=\"log lines dropped\" lines=%d\n", now, lines)
+	}
+	return fmt.Appendf(nil, `{"time":%q,"level":"WARN","msg":"log lines dropped","lines":%d}`+"\n", now, lines)
+}
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -98,6 +98,38 @@
 	require.Len(t, lines(t, &log), writers*each)
 }
 
+// blocked is a log that cannot be written until it is released.
+type blocked struct {
+	release chan struct{}
+	bytes.Buffer
+}
+
+func (w *blocked) Write(b []byte) (int, error) {
+	<-w.release
+	return w.Buffer.Write(b)
+}
+
+func TestLogThatCannotBeWrittenHoldsNothingUp(t *testing.T) {
+	w := &blocked{release: make(chan struct{})}
+	logger, flush := New(settings.Logging{Level: "info", Format: "json"}, w)
+	line := strings.Repeat("x", 1<<10)
+	for range 2 * shardCount * maxPending >> 10 {
+		logger.Info(line)
+	}
+	close(w.release)
+	flush()
+	dropped, kept := 0, 0
+	for _, l := range lines(t, &w.Buffer) {
+		if l["msg"] == "log lines dropped" {
+			dropped += int(l["lines"].(float64))
+		} else {
+			kept++
+		}
+	}
+	require.Equal(t, 2*shardCount*maxPending>>10, dropped+kept, "every line is written or counted")
+	require.Positive(t, dropped)
+}
+
 func BenchmarkPlacement(b *testing.B) {
 	for _, format := range []string{"json", "text"} {
 		logger, flush := New(settings.Logging{Level: "info", Format: format}, io.Discard)
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -155,9 +155,9 @@
 	for _, name := range names {
 		value, err := json.Marshal(c.upstreams.byName[name].Info)
 		require.NoError(t, err)
-		c.store.Set("servers/"+name, value)
+		c.store.Set("upstreams/"+name, value)
 	}
-	c.store.Set("servers/odd", []byte("{"))
+	c.store.Set("upstreams/odd", []byte("{"))
 	c.store.Set("config", []byte("1"))
 	for i := range nodes {
 		c.start(fmt.Sprintf("vm%d", i))
@@ -182,7 +182,7 @@
 	config := Config{
 		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease,
 		DrainTime: 50 * time.Millisecond, StopTime: longEnough, Seeds: seeds,
-		ConfigurationKey: "config", UpstreamPrefix: "servers/", MemberPrefix: "vm/",
+		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/",
 	}
 	n := &testNode{ended: make(chan struct{})}
 	n.Node = New(config, Dependencies{
--- a/store/storetest/storetest.go
+++ b/store/storetest/storetest.go
@@ -41,14 +41,14 @@
 	const entries = 250
 	var last int64
 	for i := range entries {
-		last = m.Set(fmt.Sprintf("servers/%03d", i), []byte{byte(i)})
+		last = m.Set(fmt.Sprintf("upstreams/%03d", i), []byte{byte(i)})
 	}
 	for _, stale := range []bool{false, true} {
-		items, revision, err := store.List(background(t), s, "servers/", stale)
+		items, revision, err := store.List(background(t), s, "upstreams/", stale)
 		require.NoError(t, err)
 		require.Len(t, items, entries)
 		require.Equal(t, last, revision)
-		require.Equal(t, "servers/249", items[entries-1].Key)
+		require.Equal(t, "upstreams/249", items[entries-1].Key)
 		require.Equal(t, []byte{249}, items[entries-1].Value)
 	}
 }
@@ -138,10 +138,10 @@
 }
 
 func onePrefix(t *testing.T, s store.Store, m *store.Memory) {
-	m.Set("op/config", []byte("1"))
-	m.Set("op/wave/1", []byte("2"))
+	m.Set("config/1", []byte("1"))
+	m.Set("config/2", []byte("2"))
 	m.Set("other", []byte("3"))
-	items, _, err := store.List(background(t), s, "op/", false)
+	items, _, err := store.List(background(t), s, "config/", false)
 	require.NoError(t, err)
 	require.Len(t, items, 2)
 }
