--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -41,6 +41,7 @@
 	}
 	log, flush := logging.New(c.settings.Logging, os.Stdout)
 	defer flush()
+	watchReload(log)
 	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, log) })
 }
 
@@ -72,7 +73,6 @@
 			return fasthttp.Serve(scrapes, func(ctx *fasthttp.RequestCtx) { metrics.Write(ctx) })
 		})
 	})
-	g.Go(func() error { return watchReload(serving, log) })
 	g.Go(func() error {
 		defer readiness.Close()
 		defer scrapes.Close()
@@ -90,21 +90,19 @@
 }
 
 // watchReload logs a changed settings file: all that it can change while a
-// process runs is the list of seeds, which serves the start only.
-func watchReload(ctx context.Context, log *slog.Logger) error {
+// process runs is the list of seeds, which serves the start only. It goes on for
+// the life of the process, since a signal without a receiver would end it, also
+// during a planned stop.
+func watchReload(log *slog.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-hup:
+	go func() {
+		for range hup {
 			if _, err := platform.Load(); err != nil {
 				log.Error("reload failed", slog.Any("error", err))
 				continue
 			}
 			log.Info("reload", slog.String("source", "settings file"), slog.String("effect", "none while the process runs"))
 		}
-	}
+	}()
 }
--- /dev/null
+++ b/internal/command/node_test.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"io"
+	"log/slog"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lineCounter counts writes.
+type lineCounter struct{ lines chan struct{} }
+
+func (w lineCounter) Write(b []byte) (int, error) {
+	w.lines <- struct{}{}
+	return len(b), nil
+}
+
+// A reload must never end the process, whatever has been cancelled meanwhile.
+// Without a receiver the signal would end this test's process.
+func TestReloadSignalEndsNothing(t *testing.T) {
+	w := lineCounter{make(chan struct{}, 4)}
+	watchReload(slog.New(slog.NewTextHandler(io.Writer(w), nil)))
+	for range 2 {
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		select {
+		case <-w.lines:
+		case <-time.After(30 * time.Second):
+			t.Fatal("the reload was not noticed")
+		}
+	}
+}
