Wait for upstreams as long as their round trips ask; look shorter while answers get lost

The upstreams stood idle while jobs waited.

Change: the wait for an answer follows the round trips (30 to 150 ms); while answers get lost a look waits 100 ms instead of 350; one lost look does not suspend an upstream. The scheduler's start comes from its caller, so that it reads no clock.

--- a/node/agents.go
+++ b/node/agents.go
@@ -95,11 +95,8 @@
 	}
 }
 
-// lookMargin is the time beyond its wait within which a look is answered.
-const lookMargin = 150 * time.Millisecond
-
 func (n *Node) look(ctx context.Context, look scheduler.Look) {
-	call, cancel := context.WithTimeout(ctx, look.Wait+lookMargin)
+	call, cancel := context.WithTimeout(ctx, look.Wait+n.trips.patience())
 	result, report := n.deps.Upstreams.Look(call, look)
 	cancel()
 	n.metrics.Looks.Inc()
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -99,16 +99,13 @@
 	}
 }
 
-// orderTimeout is the longest wait for the answer to an order. Upstreams answer
-// within some milliseconds; an order without an answer is resolved by a stop.
-const orderTimeout = 100 * time.Millisecond
-
 func (n *Node) start(ctx context.Context, start scheduler.Start) {
 	sent := time.Now()
-	call, cancel := context.WithTimeout(ctx, orderTimeout)
+	call, cancel := context.WithTimeout(ctx, n.trips.patience())
 	defer cancel()
 	result, clock := n.deps.Upstreams.Start(call, start)
 	now := time.Now()
+	n.answered(result, now.Sub(sent))
 	n.metrics.started(result, now.Sub(sent), start.Waited)
 	if result != scheduler.OrderDone {
 		n.log.Info("start failed", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
@@ -122,13 +119,24 @@
 	}
 }
 
+// answered enters how long an order took.
+func (n *Node) answered(result scheduler.OrderResult, took time.Duration) {
+	if result == scheduler.OrderUnanswered {
+		n.trips.lost()
+	} else {
+		n.trips.observe(took)
+	}
+}
+
 func (n *Node) stopRun(ctx context.Context, stop scheduler.Stop) {
 	for {
 		n.log.Info("stop run", slog.String("job", stop.Run.Job), slog.Int("task", stop.Run.Index), slog.Int("attempt", stop.Run.Attempt),
 			slog.String("upstream", stop.Upstream.Name), slog.String("why", stop.Why))
-		call, cancel := context.WithTimeout(ctx, orderTimeout)
+		sent := time.Now()
+		call, cancel := context.WithTimeout(ctx, n.trips.patience())
 		result, clock := n.deps.Upstreams.Stop(call, stop)
 		cancel()
+		n.answered(result, time.Since(sent))
 		n.metrics.Stops.Inc()
 		actions, again, after := n.scheduler.StopEnded(time.Now(), stop, result, clock)
 		n.act(actions)
--- a/node/node.go
+++ b/node/node.go
@@ -103,6 +103,7 @@
 	origins  origins
 	outboxes outboxes
 	agents   agents
+	trips    roundTrip // to upstreams
 
 	table    atomic.Pointer[routing.Table] // nil before the first configuration
 	registry registry
@@ -130,7 +131,7 @@
 		config: config, deps: deps, metrics: deps.Metrics,
 		log:       deps.Log.With(slog.String("vm", config.VM)),
 		fleet:     fleet.New(self),
-		scheduler: scheduler.New(scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting}),
+		scheduler: scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting}),
 		jobs:      intake.New[Job](),
 		place:     make(chan struct{}, 1),
 		relist:    make(chan struct{}, 1),
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -14,7 +14,7 @@
 	for _, upstreams := range []int{48, 350, 20_000} {
 		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
 			now := time.Unix(1_700_000_000, 0)
-			s := scheduler.New(scheduler.Config{LeaseMax: time.Second, MaxWaiting: 1 << 30})
+			s := scheduler.New(now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 1 << 30})
 			var list []scheduler.Upstream
 			for i := range upstreams {
 				list = append(list, scheduler.Upstream{
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -112,6 +112,9 @@
 		return Look{}, false, pause, false
 	}
 	wait = lookWait
+	if now.Sub(s.start)-time.Duration(s.lost.Load()) < lossyTime {
+		wait = lossyWait
+	}
 	switch { // without a wait where the answer is needed at once
 	case !u.claimed, u.failures > 0:
 		if !u.listed && len(u.runs) == 0 {
@@ -181,6 +184,7 @@
 		u.fail(now)
 	default:
 		u.fail(now)
+		s.noteLoss(now, u)
 	}
 	shard.measure()
 	shard.mu.Unlock()
@@ -194,9 +198,19 @@
 	return a
 }
 
+// noteLoss notes that something went unanswered at an upstream that answered a
+// while ago.
+func (s *Scheduler) noteLoss(now time.Time, u *upstream) {
+	if now.Sub(u.contact) < lossyTime {
+		s.lost.Store(int64(now.Sub(s.start)))
+	}
+}
+
 // fail counts a look without an answer.
 func (u *upstream) fail(now time.Time) {
-	u.retry = now.Add(min(retryLook<<min(u.failures, maxDoublings), maxRetryLook))
+	if u.failures > 0 {
+		u.retry = now.Add(min(retryLook<<min(u.failures-1, maxDoublings), maxRetryLook))
+	}
 	u.failures++
 }
 
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -154,7 +154,7 @@
 	for i := range 2 {
 		m.dispatchers = append(m.dispatchers, &modelDispatcher{
 			name:      fmt.Sprintf("d%d", i),
-			scheduler: scheduler.New(scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000}),
+			scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000}),
 			looking:   map[string]bool{}, cut: map[string]bool{},
 		})
 	}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -72,6 +72,7 @@
 		shard.mu.Unlock()
 		return a
 	case OrderUnanswered:
+		s.noteLoss(now, u)
 		if r.state == runOrdered {
 			r.state = runUnknown
 			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the start was not answered"})
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -106,6 +106,11 @@
 	// lookWait is the longest wait of a look for an end; two looks fall into
 	// one lease.
 	lookWait = 350 * time.Millisecond
+	// lossyWait is the same while answers get lost: a look that is lost hides the
+	// ends until it is given up.
+	lossyWait = 100 * time.Millisecond
+	// lossyTime is the time for which a lost answer counts.
+	lossyTime = 2 * time.Second
 	// startWindow is the time within which an order to start must be carried
 	// out; one that is carried out later is refused by the upstream.
 	startWindow = 400 * time.Millisecond
@@ -117,11 +122,14 @@
 	// orphanGrace is the time within which the origins of runs that were found
 	// on a claimed upstream offer their jobs anew; two beats and a round trip.
 	orphanGrace = 700 * time.Millisecond
-	// retryLook is the pause after a look without an answer. It doubles with each
-	// one up to maxRetryLook, so that what is gone costs little.
+	// retryLook is the pause after the second look in a row without an answer. It
+	// doubles with each one up to maxRetryLook, so that what is gone costs little.
 	retryLook    = 100 * time.Millisecond
 	maxRetryLook = 800 * time.Millisecond
 	maxDoublings = 3
+	// suspectLooks is the number of looks in a row without an answer after which
+	// an upstream gets no tasks: one can be lost.
+	suspectLooks = 2
 	// fencedBound is the time after which what ran on an upstream that another
 	// dispatcher has claimed is over, if that one did not adopt it: the grace for
 	// orphans and the lease that it renewed meanwhile.
@@ -153,6 +161,7 @@
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
 	partial atomic.Bool  // whether upstreams exist that this dispatcher does not claim
 	sweep   atomic.Int64 // when a job was resumed last, in ns since start
+	lost    atomic.Int64 // when an answer was lost last, in ns since start
 	start   time.Time
 	// resumeTime is the time after which resumed jobs may start, in ns.
 	resumeTime atomic.Int64
@@ -160,8 +169,9 @@
 }
 
 // New returns a scheduler that does not dispatch yet.
-func New(config Config) *Scheduler {
-	s := &Scheduler{config: config, start: time.Now()}
+func New(now time.Time, config Config) *Scheduler {
+	s := &Scheduler{config: config, start: now}
+	s.lost.Store(-int64(lossyTime))
 	for i := range shardCount {
 		s.queues[i] = newQueueShard()
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -25,7 +25,7 @@
 func newBench(t *testing.T, names ...string) *bench {
 	b := &bench{
 		t: t, now: time.Unix(1_700_000_000, 0), upstreams: map[string]*schedulertest.Upstream{},
-		scheduler: scheduler.New(scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100}),
+		scheduler: scheduler.New(time.Unix(1_700_000_000, 0), scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100}),
 	}
 	var list []scheduler.Upstream
 	for _, name := range names {
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -103,7 +103,7 @@
 
 // usable tells whether new tasks may be placed there.
 func (u *upstream) usable(now time.Time) bool {
-	return u.listed && u.claimed && !u.Draining && !u.Lapsed && u.failures == 0 && len(u.orphans) == 0 &&
+	return u.listed && u.claimed && !u.Draining && !u.Lapsed && u.failures < suspectLooks && len(u.orphans) == 0 &&
 		!u.fenced && u.health.Allowance(now, len(u.runs)+1) > len(u.runs)
 }
 
