--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -128,8 +128,11 @@
 	}
 }
 
+// maxStopPause bounds the pause between two tries of a stop, which doubles.
+const maxStopPause = 320 * time.Millisecond
+
 func (n *Node) stopRun(ctx context.Context, stop scheduler.Stop) {
-	for {
+	for pause := time.Duration(0); ; {
 		n.log.Info("stop run", slog.String("job", stop.Run.Job), slog.Int("task", stop.Run.Index), slog.Int("attempt", stop.Run.Attempt),
 			slog.String("upstream", stop.Upstream.Name), slog.String("why", stop.Why))
 		sent := time.Now()
@@ -140,7 +143,8 @@
 		n.metrics.Stops.Inc()
 		actions, again, after := n.scheduler.StopEnded(time.Now(), stop, result, clock)
 		n.act(actions)
-		if !again || !sleep(ctx, after) {
+		pause = min(max(2*pause, after), maxStopPause)
+		if !again || !sleep(ctx, pause) {
 			return
 		}
 	}
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -152,7 +152,8 @@
 func (u *upstream) look(now time.Time, token int64, wait time.Duration, s *Scheduler) Look {
 	u.looking = true
 	l := Look{Upstream: u.Upstream, Token: token, LastSeen: u.seen, Wait: wait, Sent: now}
-	if u.clock != 0 && len(u.runs)+len(u.orphans) > 0 {
+	// What does not answer is not renewed, so that its runs are over in time.
+	if u.clock != 0 && u.failures == 0 && len(u.runs)+len(u.orphans) > 0 {
 		l.Until = u.clockNow(now) + lease.Milliseconds()
 		u.bound = now.Add(s.leaseBound())
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -273,3 +273,30 @@
 	b.act(b.scheduler.Looked(b.now, look, result, report))
 	require.Empty(t, b.place(), "the order may still be carried out")
 }
+
+// What runs on an upstream that does not answer is over when its lease is: looks
+// without an answer do not prolong it.
+func TestRunsOnASilentUpstreamAreOverWithTheirLease(t *testing.T) {
+	b := newBench(t, "u1", "u2")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	silent := b.starts[0].Upstream.Name
+	b.lookAll()
+	for range 14 {
+		b.wait(100 * time.Millisecond)
+		for name, u := range b.upstreams {
+			look, due, _, _ := b.scheduler.NextLook(b.now, name)
+			switch {
+			case !due:
+			case name == silent:
+				b.act(b.scheduler.Looked(b.now, look, scheduler.LookUnanswered, scheduler.Report{}))
+			default:
+				result, report := u.Look(b.now, look)
+				b.act(b.scheduler.Looked(b.now, look, result, report))
+			}
+		}
+	}
+	starts := b.place()
+	require.Len(t, starts, 1, "the task starts anew elsewhere")
+	require.NotEqual(t, silent, starts[0].Upstream.Name)
+}
