--- /dev/null
+++ b/scheduler/main_test.go
@@ -0,0 +1,19 @@
+package scheduler_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain gives the model the same seeds in each run; flags on the command line
+// go before.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "60", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
