--- a/intake/intake.go
+++ b/intake/intake.go
@@ -60,8 +60,6 @@
 	vm      string
 	term    uint64
 	offered bool // some dispatcher may have started tasks
-	offers  int  // offers under way
-	count   int
 }
 
 // Done is closed once the job has its answer.
@@ -100,7 +98,7 @@
 		j.waiters++
 		return j, false
 	}
-	j = &Job[S]{ID: id, Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, count: tasks}
+	j = &Job[S]{ID: id, Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1}
 	for i := range tasks {
 		j.open = append(j.open, i)
 	}
