--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -62,8 +62,6 @@
 	Waited, Expected, Left time.Duration
 	// Free is what remains free on the upstream.
 	Free Size
-
-	origin string
 }
 
 // considered is the number of jobs, the first of as many shards, that are tried
@@ -212,7 +210,7 @@
 		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Spec: c.job.Spec, Until: r.until,
 		Waited:   now.Sub(c.job.Sent),
 		Expected: time.Duration(c.expected * u.model.factor() * float64(time.Second)),
-		Left:     c.objective.Sub(now), Free: u.room(), origin: c.job.Origin,
+		Left:     c.objective.Sub(now), Free: u.room(),
 	}, true
 }
 
