--- a/node/term.go
+++ b/node/term.go
@@ -24,6 +24,9 @@
 	// fencedRetry is the time after which upstreams that were claimed by another
 	// dispatcher are claimed anew: the rival is gone or has joined by then.
 	fencedRetry = 4 * time.Second
+	// rivalMemory is the time for which a member that was not heard may have
+	// claimed upstreams: its orders are settled a few looks after it is back.
+	rivalMemory = 3 * time.Second
 	// fencedAlone is the same where no rival can be present: a dispatcher that
 	// was paused has claimed them in passing.
 	fencedAlone = 300 * time.Millisecond
@@ -52,6 +55,8 @@
 	fenced time.Time // when an upstream was first found claimed by another
 	bump   int64     // doubles while tokens are found too low
 	claims string    // the members that the claims of the term depend on
+
+	rivals time.Time // when a present member was not heard last; belongs to decideTerm
 }
 
 // origin is a VM whose jobs this node dispatches.
@@ -114,6 +119,10 @@
 	v := n.fleet.View(now, n.termFor(n.config.VM))
 	n.view.Store(&v)
 	n.logView(old, &v)
+	if len(v.Unheard) > 0 {
+		n.term.rivals = now
+	}
+	n.scheduler.SetRivals(now.Sub(n.term.rivals) < rivalMemory)
 	token := n.term.current()
 	self := n.fleet.Self()
 	switch {
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -147,13 +147,23 @@
 	u.looking = true
 	l := Look{Upstream: u.Upstream, Token: token, LastSeen: u.seen, Wait: wait, Sent: now}
 	// What does not answer is not renewed, so that its runs are over in time.
-	if u.clock != 0 && u.failures == 0 && len(u.runs)+len(u.orphans) > 0 {
+	if u.clock != 0 && u.failures == 0 && (len(u.runs) > 0 || u.wanted()) {
 		l.Until = u.clockNow(now) + lease.Milliseconds()
 		u.bound = now.Add(s.leaseBound())
 	}
 	return l
 }
 
+// wanted tells whether a job may still claim one of the orphans.
+func (u *upstream) wanted() bool {
+	for _, o := range u.orphans {
+		if !o.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // Looked enters the end of a look.
 func (s *Scheduler) Looked(now time.Time, look Look, result LookResult, report Report) Actions {
 	var a Actions
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -275,7 +275,7 @@
 	j := m.jobs[start.Run.Job]
 	result, clock := scheduler.OrderUnanswered, int64(0)
 	m.reach(d, start.Upstream.Name, true, func(answered bool) {
-		work := time.Duration(30+len(start.Run.Job)*17*(start.Run.Index+1)) * time.Millisecond
+		work := time.Duration(300+600*start.Run.Index) * time.Millisecond
 		r, c := m.upstreams[start.Upstream.Name].Start(m.now, start, j.job.Size, work)
 		if answered {
 			result, clock = r, c
@@ -470,7 +470,7 @@
 	m.after(m.between(300, 2500), func() {
 		d := m.dispatchers[m.rand.IntN(2)]
 		name := m.names[m.rand.IntN(len(m.names))]
-		kind := m.rand.IntN(6)
+		kind := m.rand.IntN(7)
 		m.logf("trouble %d: %s, %s", kind, d.name, name)
 		switch kind {
 		case 0:
@@ -491,6 +491,8 @@
 		case 3:
 			m.restarts[name]++
 			m.upstreams[name].Restart(m.now)
+		case 6:
+			m.rival(name)
 		case 5: // the dispatcher lost the origin, which offers its jobs again
 			m.act(m.current, m.current.scheduler.DropOrigin(m.now, "front", 2))
 			for _, id := range m.ids() {
@@ -503,6 +505,41 @@
 	})
 }
 
+// rival cuts an upstream off from the dispatcher that origins follow, and lets
+// the other one claim it, until the cut heals.
+func (m *model) rival(name string) {
+	ours := m.current
+	other := m.dispatchers[0]
+	if other == ours {
+		other = m.dispatchers[1]
+	}
+	if m.now.Before(other.frozen) || ours.scheduler.Rivals() {
+		return
+	}
+	ours.cut[name] = true
+	token := ours.token
+	m.after(m.between(400, 700), func() { ours.scheduler.SetRivals(true) })
+	m.after(m.between(500, 900), func() {
+		if m.current != ours || ours.token != token {
+			return
+		}
+		m.token += 10
+		other.token = m.token
+		m.logf("begin %s %d as a rival on %s", other.name, other.token, name)
+		other.scheduler.Begin(m.now, other.token, modelResumeTime)
+		other.scheduler.SetUpstreams(m.now, []scheduler.Upstream{m.upstreams[name].Info}, true)
+		m.lookLoop(other, name)
+	})
+	m.after(m.between(1500, 4000), func() {
+		ours.cut[name] = false
+		if m.current == ours {
+			other.scheduler.End()
+			m.begin(ours)
+		}
+		m.after(3*time.Second, func() { ours.scheduler.SetRivals(false) })
+	})
+}
+
 func TestNoTaskRunsTwiceAndNoUpstreamIsOverfull(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,6 +122,10 @@
 	// orphanGrace is the time within which the origins of runs that were found
 	// on a claimed upstream offer their jobs anew; two beats and a round trip.
 	orphanGrace = 700 * time.Millisecond
+	// rivalTime is the time for which another dispatcher may renew runs that it
+	// finds beyond the end of their lease: its grace for orphans, the lease that
+	// it renewed last, and a margin.
+	rivalTime = orphanGrace + lease + 200*time.Millisecond
 	// retryLook is the pause after the second look in a row without an answer. It
 	// doubles with each one up to maxRetryLook, so that what is gone costs little.
 	retryLook    = 100 * time.Millisecond
@@ -159,6 +163,7 @@
 	models    models
 
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
+	rivals  atomic.Bool  // whether others may have claimed upstreams that do not answer
 	partial atomic.Bool  // whether upstreams exist that this dispatcher does not claim
 	sweep   atomic.Int64 // when a job was resumed last, in ns since start
 	lost    atomic.Int64 // when an answer was lost last, in ns since start
@@ -220,6 +225,14 @@
 	}
 }
 
+// SetRivals notes whether VMs are present that this one does not hear. One of
+// them may claim an upstream that does not answer here, and renew what runs there
+// until it stops it.
+func (s *Scheduler) SetRivals(rivals bool) { s.rivals.Store(rivals) }
+
+// Rivals returns what SetRivals noted last.
+func (s *Scheduler) Rivals() bool { return s.rivals.Load() }
+
 // Dispatching tells whether a term is on.
 func (s *Scheduler) Dispatching() bool { return s.token.Load() != 0 }
 
@@ -241,8 +254,12 @@
 	if s.partial.Load() {
 		swept = time.Time{}
 	}
+	resume := time.Duration(s.resumeTime.Load())
+	if s.Rivals() {
+		resume += rivalTime
+	}
 	for _, q := range s.queues {
-		q.release(swept, now.Add(-time.Duration(s.resumeTime.Load())))
+		q.release(swept, now.Add(-resume))
 	}
 	for _, q := range s.queues {
 		s.waiting.Add(int64(-q.expire(now, &a)))
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -300,3 +300,48 @@
 	require.Len(t, starts, 1, "the task starts anew elsewhere")
 	require.NotEqual(t, silent, starts[0].Upstream.Name)
 }
+
+// A dispatcher that is not heard may claim an upstream that does not answer here,
+// and renew what runs there until it stops it.
+func TestRunThatARivalRenewsIsNotStartedAnew(t *testing.T) {
+	b := newBench(t, "u1", "u2")
+	j := b.job("a", 0)
+	b.offer(j)
+	starts := b.scheduler.Place(b.now)
+	require.Len(t, starts, 1)
+	name := starts[0].Upstream.Name
+	u := b.upstreams[name]
+	result, clock := u.Start(b.now, starts[0], j.Size, time.Hour)
+	b.act(b.scheduler.StartEnded(b.now, starts[0], result, clock))
+	b.wait(20 * time.Millisecond)
+	b.lookAll()
+
+	rival := scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100})
+	for step := range 100 {
+		b.wait(50 * time.Millisecond)
+		if look, due, _, _ := b.scheduler.NextLook(b.now, name); due {
+			b.act(b.scheduler.Looked(b.now, look, scheduler.LookUnanswered, scheduler.Report{}))
+		}
+		switch {
+		case step == 8:
+			b.scheduler.SetRivals(true)
+		case step == 12:
+			rival.Begin(b.now, 200, resumeTime)
+			rival.SetUpstreams(b.now, []scheduler.Upstream{u.Info}, true)
+		}
+		if step >= 12 {
+			if look, due, _, _ := rival.NextLook(b.now, name); due {
+				result, report := u.Look(b.now, look)
+				rival.Looked(b.now, look, result, report)
+			}
+			for _, stop := range rival.Tick(b.now).Stops {
+				u.Stop(b.now, stop)
+			}
+		}
+		if len(b.scheduler.Place(b.now)) > 0 {
+			require.Zero(t, u.Running(), "the first run goes on at its upstream, %d ms after the cut", 50*step)
+			return
+		}
+	}
+	t.Fatal("the task was not started anew")
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -199,11 +199,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	swept := now
+	grace := time.Duration(0)
+	if scheduler.Rivals() {
+		grace = rivalTime
+	}
 	for _, u := range slices.Clone(s.all) {
 		if u.listed {
 			swept = earlier(swept, u.swept())
 		}
-		if !u.bound.IsZero() && now.After(u.bound) && len(u.runs)+len(u.orphans) > 0 {
+		if !u.bound.IsZero() && now.After(u.bound.Add(grace)) && len(u.runs)+len(u.orphans) > 0 {
 			u.loseAll(now, a)
 		}
 		for task, o := range u.orphans {
