--- a/daemon/configuration_apply.go
+++ b/daemon/configuration_apply.go
@@ -12,7 +12,6 @@
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/configstore"
 	"github.com/mustardstep/mustardstep/internal/peer"
-	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/membership"
@@ -71,19 +70,13 @@
 			deps.seeds = append(deps.seeds, place(seed))
 		}
 	}
-	if s.Platform.Address != "" {
-		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
-		d.limited = platform.NewLimited(client, platform.NewBudget(platform.BudgetConfig{
-			Rate: s.Platform.Rate, Burst: s.Platform.Burst,
-			BackoffMin: s.Platform.BackoffMin, BackoffMax: s.Platform.BackoffMax, Seed: uint64(os.Getpid()),
-		}))
-		deps.store = configstore.New(d.limited)
+	if d.store != nil {
+		deps.store = configstore.New(d.store)
 	}
 	d.configuration = newConfigurator(deps, initial)
 	peer.Handle(d.peers, d.configuration.handle)
 	peer.Handle(d.peers, d.handleStatus)
 	peer.Handle(d.peers, d.handleExplain)
-	peer.Handle(d.peers, d.handleList)
 }
 
 // places returns the daemons that this VM knows, itself included: the newest
@@ -111,9 +104,8 @@
 	if _, drained := s.Get(configuration.PrefixDrains + d.settings.Network.VM); d.drained.Swap(drained) != drained {
 		d.log.Info("drained by an operator", slog.Bool("drained", drained))
 	}
-	select {
-	case d.relist <- struct{}{}:
-	default:
+	if d.pool != nil { // the first state is applied before there is one
+		d.pool.Redrain()
 	}
 }
 
--- a/daemon/configuration_test.go
+++ b/daemon/configuration_test.go
@@ -14,10 +14,10 @@
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/configstore"
-	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/internal/standin"
 	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/stretchr/testify/require"
 )
 
@@ -35,7 +35,7 @@
 
 func newFleet(dataCentres, vms int, notify bool) *fleet {
 	f := &fleet{
-		store: standin.NewFaultyStore(platform.NewMemory()), notify: notify,
+		store: standin.NewFaultyStore(store.NewMemory()), notify: notify,
 		vms: map[string]*configurator{}, stop: map[string]context.CancelFunc{}, cut: map[string]bool{},
 	}
 	for dc := range dataCentres {
@@ -71,7 +71,7 @@
 	c := newConfigurator(configurationDeps{
 		self: p, settings: s, log: slog.New(slog.NewTextHandler(io.Discard, nil)), call: f.call(p),
 		places: func() []place { return append([]place(nil), f.places...) }, apply: func(*configuration.State) {},
-		store: configstore.New(platform.NewLimited(f.store, platform.NewBudget(platform.BudgetConfig{
+		store: configstore.New(store.NewLimited(f.store, store.NewBudget(store.BudgetConfig{
 			Rate: 20, Burst: 40, BackoffMin: 100 * time.Millisecond, BackoffMax: 5 * time.Second,
 		}))),
 	}, configuration.New(0, []configuration.Entry{{Key: "quotas/file", Value: "1"}}))
@@ -164,7 +164,7 @@
 		f.startAll()
 		revision := f.set(t, "vm0-0", "5")
 		f.settle(4 * time.Second)
-		f.store.Set(api.PlatformFaults{Down: true})
+		require.NoError(t, f.store.Set(api.PlatformFaults{Down: true}))
 		for _, p := range f.places {
 			f.end(p.VM)
 			c := f.start(p)
@@ -176,7 +176,7 @@
 	"an old copy of the service is not taken": func(t *testing.T, f *fleet) {
 		f.startAll()
 		f.set(t, "vm0-0", "5")
-		f.store.Set(api.PlatformFaults{Stale: true})
+		require.NoError(t, f.store.Set(api.PlatformFaults{Stale: true}))
 		revision := f.set(t, "vm0-0", "6")
 		f.end("vm1-0")
 		f.start(f.places[3])
@@ -199,7 +199,7 @@
 		f.requireAll(t, revision)
 	},
 	"alone and without the service the file is in force after the wait": func(t *testing.T, f *fleet) {
-		f.store.Set(api.PlatformFaults{Down: true})
+		require.NoError(t, f.store.Set(api.PlatformFaults{Down: true}))
 		f.places = f.places[:1]
 		c := f.start(f.places[0])
 		f.settle(8 * time.Second)
@@ -210,7 +210,7 @@
 	},
 	"calls to a service that is down stay few": func(t *testing.T, f *fleet) {
 		f.startAll()
-		f.store.Set(api.PlatformFaults{Down: true})
+		require.NoError(t, f.store.Set(api.PlatformFaults{Down: true}))
 		f.settle(time.Minute)
 		before := f.store.Calls()
 		f.settle(10 * time.Minute)
--- a/daemon/configuration_watch.go
+++ b/daemon/configuration_watch.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/configstore"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
@@ -56,16 +57,20 @@
 	var state *configuration.State
 	ok := false
 	if w.read {
-		watched, err := c.store.Watch(ctx, w.position, c.settings.Platform.WatchWait)
-		if err != nil {
+		events, at, err := c.store.Watch(ctx, w.position, c.settings.Platform.WatchWait)
+		switch {
+		case errors.Is(err, store.ErrCompacted):
+			c.log.Info("history of the configuration dropped", slog.Int64("after", w.position))
+		case err != nil:
 			c.unanswered(ctx, "watch", err)
 			return
-		}
-		w.position = watched.Revision
-		if len(watched.Events) == 0 && !watched.Compacted {
+		case len(events) == 0:
+			w.position = at
 			return
+		default:
+			w.position = at
+			state, ok = configstore.Update(c.table.Current(), events)
 		}
-		state, ok = configstore.Update(c.table.Current(), watched)
 	}
 	if !ok {
 		var err error
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,23 +11,23 @@
 	"context"
 	"log/slog"
 	"net"
+	"os"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/admission"
 	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
-	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/operators"
 	"github.com/mustardstep/mustardstep/internal/peer"
-	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/settings"
-	"github.com/mustardstep/mustardstep/internal/upstream"
 	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/ownership"
+	"github.com/mustardstep/mustardstep/platform"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/mustardstep/mustardstep/submission"
 	"golang.org/x/sync/errgroup"
 )
@@ -35,9 +35,6 @@
 // Version is the release of the daemon.
 const Version = "0.1.0"
 
-// upstreamConns is the most connections that a daemon keeps to one upstream.
-const upstreamConns = 60
-
 // Daemon is one mustardstepd process.
 type Daemon struct {
 	settings  settings.DaemonProgram
@@ -48,34 +45,29 @@
 	catalog     atomic.Pointer[catalog.Catalog]
 	node        *ownership.Node
 	submissions *submission.Table
-	dispatcher  dispatcher
+	pool        *node.Node // dispatches the tasks
 	quotas      *admission.Quotas
 
-	front     *httpfront.Front
-	peers     *peer.Transport
-	upstreams *upstream.Client
-	directory platform.Directory         // nil without a platform
-	list      atomic.Pointer[api.VMList] // the last one that was read
-	store     platform.Store             // nil without a platform
+	front       *httpfront.Front
+	peers       *peer.Transport
+	store       *store.Limited // nil without a platform
+	incarnation uint64         // at the start
+	started     atomic.Uint64  // jobs
 
 	acting  acting
 	records recorder
-	work    chan dispatch.Assignment // to goroutines that wait for a task
 	jobs    jobSet
 	dropped memberSet
 
-	listed     atomic.Bool     // the platform's list has been read, or there is none
 	draining   context.Context // ends when readiness falls
 	beginDrain context.CancelFunc
-	stopped    atomic.Bool  // the last task has started
+	stopped    atomic.Bool  // the last answer is out
 	forwards   atomic.Int64 // calls of peers in progress
 
 	configuration *configurator
-	limited       *platform.Limited                      // nil without a platform
 	live          atomic.Pointer[settings.DaemonProgram] // settings with those that operators changed
 	services      map[string]serviceEntry                // by key; belongs to applyConfiguration
 	drained       atomic.Bool                            // by an operator
-	relist        chan struct{}                          // asks for the list of upstreams to be applied anew
 }
 
 // New returns a daemon that is not running yet.
@@ -95,11 +87,10 @@
 		return nil, err
 	}
 	d := &Daemon{
-		work:     make(chan dispatch.Assignment),
-		relist:   make(chan struct{}, 1),
-		settings: s,
-		log:      log.With(slog.String("vm", self.VM)),
-		metrics:  newMetrics(),
+		settings:    s,
+		log:         log.With(slog.String("vm", self.VM)),
+		metrics:     newMetrics(),
+		incarnation: self.Incarnation,
 		node: ownership.New(time.Now(), ownership.Config{
 			Membership: membership.Config{
 				Self: self, Seeds: seeds, DataCentres: s.Membership.DataCentres,
@@ -108,20 +99,17 @@
 			},
 			JoinTimeout: s.Membership.JoinTimeout, Budget: s.Jobs.Memory, Fanout: s.Membership.Fanout,
 		}),
-		dispatcher: newDispatcher(&s),
-		quotas:     admission.NewQuotas(),
+		quotas: admission.NewQuotas(),
 	}
 	d.draining, d.beginDrain = context.WithCancel(context.Background())
 	d.decisions = logging.NewDecisions(d.log, s.Logging.Decisions)
 	d.catalog.Store(catalog.Empty())
 	d.submissions = d.node.Submissions()
-	d.upstreams = upstream.NewClient(upstream.Config{
-		DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
-		Permit: d.permit,
-	})
 	if s.Platform.Address != "" {
-		client := platform.NewClient(s.Platform.Address, s.Platform.CallTimeout)
-		d.directory, d.store = client, client
+		d.store = store.NewLimited(platform.NewStore(s.Platform.Address), store.NewBudget(store.BudgetConfig{
+			Rate: s.Platform.Rate, Burst: s.Platform.Burst,
+			BackoffMin: s.Platform.BackoffMin, BackoffMax: s.Platform.BackoffMax, Seed: uint64(os.Getpid()),
+		}))
 	}
 	d.front = httpfront.New(d.frontConfig(), d)
 	d.peers = peer.New(peer.Config{
@@ -132,13 +120,12 @@
 		OnClose:     d.disconnected,
 	})
 	d.metrics.countFrames(d.peers)
-	d.publishDispatch()
-	peer.Handle(d.peers, d.handleLoan)
-	peer.Handle(d.peers, d.handleReturn)
+	d.metrics.countStore(d.store)
 	peer.Handle(d.peers, d.handleSubmit)
 	peer.Handle(d.peers, d.handleCancel)
 	d.handleMembers()
 	d.startConfiguration(initial, place{VM: self.VM, DataCentre: self.DataCentre, Address: self.Address}, seeds)
+	d.pool = d.newPool(self, seeds, &s)
 	return d, nil
 }
 
@@ -147,7 +134,7 @@
 	return httpfront.Config{
 		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: func() int { return d.live.Load().Jobs.MaxTasks },
 		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
-		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: d.metrics.vars, Log: d.log,
+		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Metrics: d.metrics.vars, Histograms: d.metrics.pool.Write, Log: d.log,
 		Operators: operators.Handler(d),
 	}
 }
@@ -173,10 +160,11 @@
 	g.Go(func() error { return d.configuration.run(serving) })
 	g.Go(func() error { return d.keepMembers(serving) })
 	g.Go(func() error { return d.keepHistory(serving) })
-	g.Go(func() error { return d.followUpstreams(serving) })
-	g.Go(func() error { return d.tickDispatch(serving) })
+	g.Go(func() error { return d.followEntries(serving) })
+	g.Go(d.pool.Serve)
 	g.Go(func() error {
 		defer stopServing()
+		defer d.pool.Stop()
 		select {
 		case <-ctx.Done():
 		case <-serving.Done():
@@ -197,8 +185,9 @@
 		return errors.New("draining")
 	case !d.node.Ready():
 		return errors.New("joining")
-	case !d.listed.Load():
-		return errors.New("the platform's list has not been read")
+	}
+	if err := d.pool.Ready(); err != nil {
+		return err
 	}
 	return d.configurationReady()
 }
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -61,12 +61,14 @@
 	defer cancel()
 	d.await(ctx, func() bool { return d.node.Leave(time.Now()) })
 	d.act(d.node.Due(time.Now()))
+	d.pool.Leave()
 	pause(ctx, d.settings.Jobs.DrainDelay)
 	err := d.front.Shutdown(ctx)
 	finished := d.await(ctx, func() bool { return d.forwards.Load() == 0 && len(d.jobs.all()) == 0 })
 	if !finished {
 		d.log.Warn("drain timeout", slog.Int("jobs", len(d.jobs.all())))
 	}
+	d.pool.HandOver(ctx)
 	d.stopped.Store(true)
 	d.handOver(ctx)
 	return err
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -4,129 +4,90 @@
 	"context"
 	"time"
 
-	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
-	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/job"
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// running is a job of this VM; each of its tasks carries it as Work.
+// running is a job of this VM.
 type running struct {
-	entry      *submission.Entry
-	job        *job.Job
-	call       *catalog.Call
-	parameters []byte
-	items      [][]byte
-	deadline   *time.Timer // aborts the job
-	sent       sentTasks
+	entry *submission.Entry
+	id    string // names the job in the pool
+	tasks int
+	// end ends the job from outside, with a *verdict.Error as the cause.
+	end context.CancelCauseFunc
 }
 
-// watchDeadline aborts a job that has not ended at its deadline.
-func (d *Daemon) watchDeadline(run *running, deadline time.Time) {
-	// The timer is set before it runs, since its function reads run.deadline.
-	run.deadline = time.AfterFunc(time.Hour, func() {
-		d.abort(run, verdict.Errorf(verdict.NotRun, verdict.CodeDeadline, "the deadline passed"))
-	})
-	run.deadline.Reset(time.Until(deadline))
-}
-
-// abort ends a job from outside and drops its waiting tasks.
-func (d *Daemon) abort(run *running, failure *verdict.Error) {
-	if outcome, ended := run.job.Abort(failure); ended {
-		d.finish(run, outcome)
+// execute runs a job in the pool and enters its end.
+func (d *Daemon) execute(ctx context.Context, run *running, job node.Job) {
+	defer run.end(nil)
+	if !d.awaitPermission(ctx, run.entry, job.Deadline) {
+		d.finish(run, submission.Outcome{Failure: causeOf(ctx, verdict.Errorf(verdict.NotRun, verdict.CodeDeadline,
+			"this VM got no permission to start tasks before the deadline"))})
+		return
 	}
+	answer := d.pool.Submit(ctx, run.id, job, run.tasks)
+	d.finish(run, outcomeOfJob(ctx, answer))
 }
 
-// finish enters the end of a job.
-func (d *Daemon) finish(run *running, outcome submission.Outcome) {
-	run.deadline.Stop()
-	d.quotas.Release(run.entry.ID.Caller, len(run.items))
-	if outcome.Failure != nil {
-		d.dispatcher.Cancel(run.call.Service, run.entry.ID)
-		d.stopTasks(run)
+// causeOf returns the failure that ended a job from outside, or another one.
+func causeOf(ctx context.Context, otherwise *verdict.Error) *verdict.Error {
+	var failure *verdict.Error
+	if errors.As(context.Cause(ctx), &failure) {
+		return failure
 	}
-	d.submissions.Finish(run.entry, outcome)
-	d.jobs.remove(run)
+	return otherwise
 }
 
-// tickDispatch reconsiders waiting tasks until the context ends.
-func (d *Daemon) tickDispatch(ctx context.Context) error {
-	ticker := time.NewTicker(dispatch.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case now := <-ticker.C:
-			d.place(d.dispatcher.Tick(now))
-			d.lend(now)
-		case <-ctx.Done():
-			return nil
+// outcomeOfJob judges the answer of the pool. The verdict covers the whole
+// submission: it is NotRun only where no task has started and none will.
+func outcomeOfJob(ctx context.Context, a intake.Answer) submission.Outcome {
+	if a.Outcome == intake.Succeeded {
+		for i, result := range a.Results {
+			if result == nil {
+				a.Results[i] = []byte("null")
+			}
 		}
+		return submission.Outcome{Results: a.Results}
+	}
+	failure := *causeOf(ctx, verdict.Errorf(verdict.MayHaveRun, a.Code, "%s", a.Reason).WithRetryAfter(a.RetryAfter))
+	switch {
+	case a.Outcome == intake.NotRun:
+		failure.Verdict = verdict.NotRun
+	case a.Outcome == intake.Failed || a.Done > 0:
+		failure.Verdict = verdict.Ran
+	default:
+		failure.Verdict = verdict.MayHaveRun
 	}
+	return submission.Outcome{Failure: &failure}
 }
 
-// place carries out assignments, each on its own goroutine: a task holds its
-// slot until the upstream answers, so their number is bounded by the slots.
-func (d *Daemon) place(assignments []dispatch.Assignment) {
-	for i := range assignments {
-		d.decisions.Placement(&assignments[i])
-		d.startTask(assignments[i])
-	}
+// abort ends a job from outside: what waits is dropped, what runs is stopped.
+func (d *Daemon) abort(run *running, failure *verdict.Error) { run.end(failure) }
+
+// finish enters the end of a job.
+func (d *Daemon) finish(run *running, outcome submission.Outcome) {
+	d.quotas.Release(run.entry.ID.Caller, run.tasks)
+	d.submissions.Finish(run.entry, outcome)
+	d.jobs.remove(run)
 }
 
-// run sends one task to its upstream and enters the result.
-func (d *Daemon) run(a dispatch.Assignment) {
-	run := a.Task.Work.(*running)
-	if !d.awaitPermission(run.entry, a.Task.Deadline) || !run.job.Offer() {
-		d.release(a, dispatch.Result{Ending: dispatch.Skipped})
-		return
-	}
-	d.metrics.starts.Add(1)
-	sent := time.Now()
-	run.sent.add(a.Task.Index, a.Upstream)
-	result := d.upstreams.Run(a.Upstream.Address, &api.TaskRequest{
-		Submission: a.Task.Submission.String(), Task: a.Task.Index, Tasks: len(run.items),
-		Service: run.call.Service, Call: run.call.Name,
-		Parameters: run.parameters, Item: run.items[a.Task.Index],
-		TimeoutMS: a.Task.Deadline.Sub(sent).Milliseconds(),
-		MilliCPU:  run.call.Size.MilliCPU, MemoryMB: run.call.Size.MemoryMB, Accelerators: run.call.Size.Accelerators,
-	})
-	run.sent.remove(a.Task.Index)
-	ending := dispatch.Result{Ending: dispatch.Done, Took: time.Since(sent), Leaving: result.Leaving}
-	switch failure := result.Failure; {
-	case failure == nil:
-		if outcome, ended := run.job.Complete(a.Task.Index, result.Value); ended {
-			d.finish(run, outcome)
+// permissionPoll is the time between looks at a permission that is missing.
+const permissionPoll = 10 * time.Millisecond
+
+// awaitPermission waits until the tasks of the entry may be offered. It returns
+// false where the deadline passes first, the job was ended, or this process is no
+// longer the incarnation that began the submission.
+func (d *Daemon) awaitPermission(ctx context.Context, e *submission.Entry, deadline time.Time) bool {
+	for {
+		now := time.Now()
+		if _, ok := d.node.StartUntil(now, e); ok {
+			return true
 		}
-	case failure.Code == verdict.CodeNotReady:
-		run.job.Refuse()
-		ending.Ending = dispatch.Withheld
-	case failure.Verdict == verdict.NotRun:
-		d.metrics.refusals.Add(1)
-		run.job.Refuse()
-		ending.Ending = dispatch.Refused
-	default:
-		ending.Ending = dispatch.Failed
-		outcome, ended := run.job.Fail(failure)
-		if ended {
-			d.finish(run, outcome)
-		} else {
-			// The job had ended, so its tasks were stopped; that is no failure
-			// of the upstream.
-			ending.Ending = dispatch.Skipped
+		if e.Starter != d.node.View().Self.ID() || now.After(deadline) || !pause(ctx, permissionPoll) {
+			return false
 		}
 	}
-	d.release(a, ending)
-}
-
-// release returns the slot of an assignment and places what it lets through.
-func (d *Daemon) release(a dispatch.Assignment, result dispatch.Result) {
-	var buffer [4]dispatch.Assignment
-	next, dropped := d.dispatcher.Finish(time.Now(), a, result, buffer[:0])
-	if dropped {
-		d.abort(a.Task.Work.(*running), verdict.Errorf(verdict.NotRun, verdict.CodeUpstreamFailed,
-			"task %d was refused by every upstream that it was offered to", a.Task.Index))
-	}
-	d.place(next)
 }
--- a/daemon/history.go
+++ b/daemon/history.go
@@ -5,10 +5,11 @@
 	"log/slog"
 	"time"
 
-	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/membership"
 	"github.com/mustardstep/mustardstep/ownership"
+	"github.com/mustardstep/mustardstep/store"
 )
 
 // historyPrefix is the place of the founders in the platform's service.
@@ -42,14 +43,14 @@
 func (d *Daemon) readHistory(ctx context.Context) ownership.History {
 	self := d.node.View().Self
 	key := historyPrefix + self.DataCentre
-	found, err := d.store.Range(ctx, key)
+	found, _, err := store.List(ctx, d.store, key, false)
 	if err != nil {
 		d.log.Warn("founder of the data centre", slog.Any("error", err))
 		return ownership.HistoryLost
 	}
 	mine := wire.Founder{Member: encodeMember(self)}
 	var revision int64
-	for _, entry := range found.Entries {
+	for _, entry := range found {
 		var founder wire.Founder
 		if entry.Key != key {
 			continue
@@ -60,20 +61,22 @@
 		if d.present(decodeMember(founder.Member)) {
 			return historyOf(founder)
 		}
-		revision, mine.Lost = entry.ModRevision, true
+		revision, mine.Lost = entry.Revision, true
 	}
 	value, err := mine.MarshalMsg(nil)
 	if err != nil {
 		return ownership.HistoryLost
 	}
-	response, err := d.store.Txn(ctx, &api.TxnRequest{
-		Compares: []api.Compare{{Key: key, ModRevision: revision}},
-		Puts:     []api.KeyValue{{Key: key, Value: value}},
+	_, err = d.store.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: key, Revision: revision}},
+		Writes:     []store.Write{{Key: key, Value: value}},
 	})
-	if err == nil && !response.Succeeded {
+	var conflict *store.ConflictError
+	if errors.As(err, &conflict) {
 		return ownership.HistoryUnknown // another incarnation was first; it is read next
 	}
 	if err != nil {
+		d.log.Warn("founder of the data centre", slog.Any("error", err))
 		return ownership.HistoryLost
 	}
 	return historyOf(mine)
--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -5,6 +5,8 @@
 	"strconv"
 
 	"github.com/mustardstep/mustardstep/internal/peer"
+	"github.com/mustardstep/mustardstep/node"
+	"github.com/mustardstep/mustardstep/store"
 )
 
 // metrics are the counters of one daemon. They are published by the front and
@@ -12,17 +14,16 @@
 type metrics struct {
 	vars *expvar.Map
 
-	calls, complete, failed     *expvar.Int
-	forwards, records           *expvar.Int
-	returnsLost, cancels        *expvar.Int
-	recordFrames                *expvar.Int
-	heartbeats, fills           *expvar.Int
-	starts, refusals, mayHave   *expvar.Int
-	platformCalls, platformFail *expvar.Int
+	calls, complete, failed *expvar.Int
+	forwards, records       *expvar.Int
+	recordFrames            *expvar.Int
+	heartbeats, fills       *expvar.Int
+	mayHave                 *expvar.Int
+	pool                    *node.Metrics
 }
 
 func newMetrics() *metrics {
-	m := &metrics{vars: new(expvar.Map).Init()}
+	m := &metrics{vars: new(expvar.Map).Init(), pool: node.NewMetrics()}
 	counter := func(name string) *expvar.Int {
 		v := new(expvar.Int)
 		m.vars.Set(name, v)
@@ -34,15 +35,10 @@
 	m.mayHave = counter("calls_may_have_run")
 	m.forwards = counter("forwards_sent")
 	m.records = counter("records_sent")
-	m.cancels = counter("task_cancels_sent")
-	m.returnsLost = counter("loan_returns_lost")
 	m.recordFrames = counter("record_frames_sent")
 	m.heartbeats = counter("heartbeats_sent")
 	m.fills = counter("fills_sent")
-	m.starts = counter("task_starts_sent")
-	m.refusals = counter("task_starts_refused")
-	m.platformCalls = counter("platform_calls")
-	m.platformFail = counter("platform_failures")
+	m.countPool()
 	return m
 }
 
@@ -57,3 +53,22 @@
 	}))
 	m.vars.Set("frame_bytes_sent", expvar.Func(func() any { return peers.SentBytes() }))
 }
+
+// countPool publishes what the pool has counted.
+func (m *metrics) countPool() {
+	m.vars.Set("task_starts", expvar.Func(func() any { return m.pool.Starts() }))
+	m.vars.Set("upstream_looks", expvar.Func(func() any { return m.pool.Looks.Get() }))
+	m.vars.Set("run_stops", expvar.Func(func() any { return m.pool.Stops.Get() }))
+}
+
+// countStore publishes the calls of the platform's store.
+func (m *metrics) countStore(s *store.Limited) {
+	calls := func() (made, failed int64) {
+		if s == nil {
+			return 0, 0
+		}
+		return s.Calls()
+	}
+	m.vars.Set("platform_calls", expvar.Func(func() any { made, _ := calls(); return made }))
+	m.vars.Set("platform_failures", expvar.Func(func() any { _, failed := calls(); return failed }))
+}
--- a/daemon/operators_test.go
+++ b/daemon/operators_test.go
@@ -10,7 +10,7 @@
 // TestStopDoesNotWaitForAChange begins a planned stop while a change is tried
 // against a platform that is down.
 func TestStopDoesNotWaitForAChange(t *testing.T) {
-	d := newTestDaemon(t, "vm0")
+	d := newTestDaemon(t, "vm0", closedAddress(t))
 	quota := "5"
 	answered := make(chan *api.ChangeResponse, 1)
 	go func() {
--- a/daemon/own.go
+++ b/daemon/own.go
@@ -1,18 +1,19 @@
 package daemon
 
 import (
+	"context"
 	"encoding/json"
-	"time"
+	"fmt"
 
 	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
-	"github.com/mustardstep/mustardstep/job"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// start queues the tasks of a submission that this VM may start. Where that
-// fails nothing has run, and the entry ends with the verdict NotRun.
+// start runs the tasks of a submission that this VM may start. Where that fails
+// nothing has run, and the entry ends with the verdict NotRun.
 func (d *Daemon) start(r *submission.Request, entry *submission.Entry) {
 	if failure := d.enqueue(r, entry); failure != nil {
 		d.submissions.Finish(entry, submission.Outcome{Failure: failure})
@@ -33,25 +34,31 @@
 	if failure := d.quotas.Admit(entry.ID.Caller, len(items), quota); failure != nil {
 		return failure
 	}
-	run := &running{entry: entry, job: job.New(len(items)), call: call, parameters: r.Parameters}
-	tasks := make([]*dispatch.Task, len(items))
-	for i, item := range items {
-		run.items = append(run.items, item)
-		tasks[i] = &dispatch.Task{Submission: entry.ID, Index: i, Call: call, Deadline: r.Deadline, Work: run}
+	spec := api.TaskSpec{
+		Submission: entry.ID.String(), Tasks: len(items), Service: call.Service, Call: call.Name, Parameters: r.Parameters,
+		MilliCPU: call.Size.MilliCPU, MemoryMB: call.Size.MemoryMB, Accelerators: call.Size.Accelerators,
 	}
+	job := node.Job{
+		Queue: queueOf(call), Spec: string(spec.AppendJSON(nil)), Size: sizeOf(call), Estimate: call.Declared,
+		Once: true, Deadline: r.Deadline, Version: d.configuration.table.Current().Revision(),
+	}
+	for _, item := range items {
+		job.Items = append(job.Items, item)
+	}
+	ctx, end := context.WithCancelCause(context.Background())
+	run := &running{entry: entry, id: d.jobID(entry.ID), tasks: len(items), end: end}
 	d.jobs.add(run)
-	d.watchDeadline(run, r.Deadline)
 	d.submissions.Attach(entry, run)
-	assignments, failure := d.dispatcher.Add(time.Now(), tasks)
-	if failure != nil {
-		d.abort(run, failure)
-		return nil
-	}
-	d.place(assignments)
-	d.borrowNow()
+	go d.execute(ctx, run, job)
 	return nil
 }
 
+// jobID returns a name that no other job ever has. It begins with the
+// submission, for the log.
+func (d *Daemon) jobID(id submission.ID) string {
+	return fmt.Sprintf("%s#%x.%x", id, d.incarnation, d.started.Add(1))
+}
+
 // expand returns the items of the tasks of a request. What the front of this
 // VM has expanded is used while its call is still in force.
 func (d *Daemon) expand(r *submission.Request, call *catalog.Call) ([]json.RawMessage, *verdict.Error) {
--- /dev/null
+++ b/daemon/pool.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/upstream"
+	"github.com/mustardstep/mustardstep/internal/vmlist"
+	"github.com/mustardstep/mustardstep/membership"
+	"github.com/mustardstep/mustardstep/node"
+	"github.com/mustardstep/mustardstep/routing"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/store"
+)
+
+const (
+	// upstreamConns is the most connections that a daemon keeps to one upstream,
+	// which accepts some 60 from all VMs.
+	upstreamConns = 48
+	// slotMilliCPU is what a task takes that declares no size, and what each slot
+	// of an upstream gives that declares none, in thousandths of a core.
+	slotMilliCPU = 1000
+	// lapseMemory is the time for which an upstream whose entry was removed may
+	// still run tasks: two of its leases.
+	lapseMemory = 2 * time.Second
+	// memberPrefix is the place of the VMs that hear each other in the store.
+	memberPrefix = "mustardstep/members/"
+	// lateFactor is the multiple of an answer in time at which it is worth nothing
+	// (package scheduler): a call's deadline.
+	lateFactor = 3
+)
+
+// newPool returns the part of the daemon that dispatches. It shares the transport
+// between the daemons.
+func (d *Daemon) newPool(self membership.Member, seeds []membership.Seed, s *settings.DaemonProgram) *node.Node {
+	config := node.Config{
+		VM: self.VM, DataCentre: self.DataCentre, Incarnation: self.Incarnation, PeerAddress: self.Address,
+		Weight: s.Dispatch.Weight, LeaseMax: s.Dispatch.LeaseMax, MaxWaiting: s.Jobs.MaxQueued, LapseMemory: lapseMemory,
+		UpstreamPrefix: vmlist.UpstreamPrefix, MemberPrefix: memberPrefix,
+	}
+	for _, seed := range seeds {
+		config.Seeds = append(config.Seeds, seed.Address)
+	}
+	deps := node.Dependencies{
+		Upstreams: upstream.NewClient(upstream.Config{
+			DialTimeout: s.Network.DialTimeout, MaxConns: upstreamConns, MaxBody: s.Network.MaxFrame,
+		}),
+		Decoder: decoder{}, Log: d.log, Decisions: d.decisions, Metrics: d.metrics.pool, Peers: d.peers, Drained: d.drainedUpstream,
+	}
+	if d.store != nil {
+		deps.Store = d.store
+	}
+	return node.New(config, deps)
+}
+
+// decoder reads the entries of upstreams. It implements node.Decoder.
+type decoder struct{}
+
+// Configuration implements node.Decoder. The daemons agree on their
+// configuration by themselves.
+func (decoder) Configuration(store.Item) (*routing.Table, error) {
+	return nil, errors.New("the configuration is not an entry of the store")
+}
+
+// Upstream implements node.Decoder.
+func (decoder) Upstream(item store.Item) (scheduler.Upstream, error) {
+	vm, err := vmlist.Decode(item)
+	if err != nil {
+		return scheduler.Upstream{}, err
+	}
+	if vm.State != api.VMLive && vm.State != api.VMLeaving {
+		return scheduler.Upstream{}, errors.Newf("upstream %s is %s", vm.Name, vm.State)
+	}
+	size := scheduler.Size{MilliCPU: int(vm.MilliCPU), MemoryMB: int(vm.MemoryMB), Accelerators: int(vm.Accelerators)}
+	if size.MilliCPU == 0 {
+		size.MilliCPU = vm.Slots * slotMilliCPU
+	}
+	if size.MemoryMB == 0 {
+		size.MemoryMB = math.MaxInt32 // an upstream that declares none is not bound by it
+	}
+	return scheduler.Upstream{
+		Name: vm.Name, Address: vm.Address, Service: vm.Service, DataCentre: vm.DataCentre, Size: size,
+		Draining: vm.State == api.VMLeaving,
+	}, nil
+}
+
+// queueOf returns the queue of a call. An answer is in time within a part of the
+// call's deadline such that it is worth nothing after that.
+func queueOf(call *catalog.Call) *routing.Queue {
+	return &routing.Queue{
+		Name: call.Service + "/" + call.Name, Service: call.Service, Priority: int(catalog.Urgent - call.Priority),
+		MaxAttempts: 1, Stretch: 1, Slack: call.Deadline / lateFactor,
+	}
+}
+
+// sizeOf returns what a task of a call takes.
+func sizeOf(call *catalog.Call) scheduler.Size {
+	size := scheduler.Size{
+		MilliCPU: int(call.Size.MilliCPU), MemoryMB: int(call.Size.MemoryMB), Accelerators: int(call.Size.Accelerators),
+	}
+	if size.MilliCPU == 0 {
+		size.MilliCPU = slotMilliCPU
+	}
+	return size
+}
+
+// followEntries reads the store's list of entry VMs until the context ends.
+func (d *Daemon) followEntries(ctx context.Context) error {
+	if d.store == nil {
+		return nil
+	}
+	for ctx.Err() == nil {
+		d.readEntries(ctx)
+		pause(ctx, d.settings.Platform.ListInterval)
+	}
+	return nil
+}
+
+func (d *Daemon) readEntries(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, d.settings.Platform.CallTimeout)
+	defer cancel()
+	vms, err := vmlist.List(call, d.store, vmlist.EntryPrefix)
+	if err != nil {
+		if ctx.Err() == nil {
+			d.log.Warn("list of entry VMs", slog.Any("error", err))
+		}
+		return
+	}
+	d.followList(vms)
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -31,13 +31,10 @@
 
 func (d *Daemon) ownStatus() *wire.StatusResponse {
 	s := d.configuration.table.Current()
-	var ejected []string
-	if l, lends := d.dispatcher.(lender); lends {
-		ejected = l.Ejected()
-	}
+	token, claimed, ejected := d.pool.Dispatching()
 	return &wire.StatusResponse{
-		Ejected: ejected,
-		VM:      d.settings.Network.VM, DataCentre: d.settings.Network.DataCentre, Version: Version,
+		Ejected: ejected, Token: token, Claimed: claimed,
+		VM: d.settings.Network.VM, DataCentre: d.settings.Network.DataCentre, Version: Version,
 		Revision: s.Revision(), Fingerprint: s.Fingerprint(),
 		Ready: d.Ready() == nil, Draining: d.drained.Load(),
 		Watching: d.configuration.watching.Load(), Members: len(d.places()),
@@ -76,7 +73,7 @@
 	return api.VMStatus{
 		VM: m.VM, DataCentre: m.DataCentre, Address: p.Address, Version: m.Version,
 		Revision: m.Revision, Fingerprint: hex(m.Fingerprint), Ready: m.Ready, Draining: m.Draining,
-		Watching: m.Watching, Members: m.Members, Ejected: m.Ejected, TookUS: time.Since(began).Microseconds(),
+		Watching: m.Watching, Members: m.Members, Ejected: m.Ejected, Token: m.Token, Claimed: m.Claimed, TookUS: time.Since(began).Microseconds(),
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -205,6 +205,16 @@
 	return p != nil && f.alive(now, p)
 }
 
+// LastHeard returns when beats last passed in both directions with a member.
+func (f *Fleet) LastHeard(vm string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[vm]; p != nil {
+		return p.heard
+	}
+	return time.Time{}
+}
+
 // Size returns the number of members that are known, with this one.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 // Outcome is the answer to a job.
@@ -37,10 +38,16 @@
 // Answer is the end of a job.
 type Answer struct {
 	Outcome Outcome
-	Reason  string
+	// Code and Reason say why a job did not succeed.
+	Code   verdict.Code
+	Reason string
 	// RetryAfter is the wait after which the caller may send the job again; 0
 	// gives no advice.
 	RetryAfter time.Duration
+	// Results are what the tasks of a job that succeeded have produced, in order.
+	Results [][]byte
+	// Done is the number of tasks that have ended well.
+	Done int
 }
 
 // Job is a job that a caller waits for. ID, Spec and Arrived are immutable; the
@@ -55,11 +62,13 @@
 	answer  Answer
 	ended   bool
 	open    []int // tasks that have not ended
+	results [][]byte
 	waiters int
 	// The dispatcher that has the job: its VM and term; term 0 stands for none.
 	vm      string
 	term    uint64
-	offered bool // some dispatcher may have started tasks
+	offered bool   // some dispatcher may have started tasks
+	last    string // the VM that it was offered to last
 }
 
 // Done is closed once the job has its answer.
@@ -98,7 +107,7 @@
 		j.waiters++
 		return j, false
 	}
-	j = &Job[S]{ID: id, Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1}
+	j = &Job[S]{ID: id, Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
 	for i := range tasks {
 		j.open = append(j.open, i)
 	}
@@ -110,8 +119,10 @@
 type Offer[S any] struct {
 	Job   *Job[S]
 	Tasks []int
-	// Resumed tells that another dispatcher may have started tasks.
-	Resumed bool
+	// Resumed tells that another dispatcher may have started tasks, Previous the VM
+	// of the last one.
+	Resumed  bool
+	Previous string
 }
 
 // Assign hands a job to a dispatcher, unless it has ended or that one has it.
@@ -122,8 +133,8 @@
 	if j.ended || j.term == term && j.vm == vm {
 		return Offer[S]{}, false
 	}
-	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.open), Resumed: j.offered}
-	j.vm, j.term, j.offered = vm, term, true
+	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.open), Resumed: j.offered, Previous: j.last}
+	j.vm, j.term, j.offered, j.last = vm, term, true, vm
 	return offer, true
 }
 
@@ -158,8 +169,8 @@
 	return jobs
 }
 
-// TaskDone notes that a task has ended well.
-func (t *Table[S]) TaskDone(id string, index int) {
+// TaskDone notes that a task has ended well, and what it has produced.
+func (t *Table[S]) TaskDone(id string, index int, result []byte) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -169,9 +180,10 @@
 	}
 	if at := slices.Index(j.open, index); at >= 0 {
 		j.open = slices.Delete(j.open, at, at+1)
+		j.results[index] = result
 	}
 	if len(j.open) == 0 {
-		s.end(j, Answer{Outcome: Succeeded})
+		s.end(j, Answer{Outcome: Succeeded, Results: j.results})
 	}
 }
 
@@ -191,6 +203,23 @@
 	return j.vm, j.term, true
 }
 
+// Find returns the job with an id that has no answer yet, or nil.
+func (t *Table[S]) Find(id string) *Job[S] {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.jobs[id]
+}
+
+// Progress tells which dispatcher has a job, empty for none, and how many of its
+// tasks have not ended.
+func (t *Table[S]) Progress(j *Job[S]) (vm string, open int) {
+	s := t.shard(j.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return j.vm, len(j.open)
+}
+
 // EndBy gives a job the answer of a dispatcher, unless the job has been handed to
 // another one since: what that one does is not covered by the answer.
 func (t *Table[S]) EndBy(id, vm string, term uint64, a Answer) {
@@ -204,6 +233,7 @@
 
 // end gives a job its answer. The caller holds mu.
 func (s *shard[S]) end(j *Job[S], a Answer) {
+	a.Done = len(j.results) - len(j.open)
 	j.ended, j.answer = true, a
 	delete(s.jobs, j.ID)
 	close(j.done)
@@ -219,7 +249,11 @@
 	if j.waiters > 0 || j.ended {
 		return "", 0, false
 	}
-	s.end(j, Answer{Outcome: GivenUp, Reason: "the caller has left"})
+	a := Answer{Outcome: GivenUp, Code: verdict.CodeCancelled, Reason: "the caller has left"}
+	if !j.offered {
+		a.Outcome = NotRun
+	}
+	s.end(j, a)
 	return j.vm, j.term, true
 }
 
--- a/internal/api/append_test.go
+++ b/internal/api/append_test.go
@@ -8,12 +8,12 @@
 )
 
 func TestAppendJSONEqualsMarshal(t *testing.T) {
-	for name, m := range map[string]*TaskRequest{
-		"zero": {},
-		"full": {Submission: "museum/k", Task: 3, Tasks: 10, Service: "rota-desk", Call: "heat-alert",
-			Parameters: json.RawMessage(`{"a":[1,2]}`), Item: json.RawMessage(`"x"`), TimeoutMS: -5, MilliCPU: 1, MemoryMB: 2, Accelerators: 3},
-		"empty":   {Parameters: json.RawMessage{}, Item: json.RawMessage{}},
-		"quoting": {Submission: "a\"b\\c\n</é\x00\xff&\u2028", Service: "\x7f", Item: json.RawMessage("null")},
+	for name, m := range map[string]*StartOrder{
+		"zero": {Spec: json.RawMessage("null")},
+		"full": {Upstream: "u-1", Born: 1_700_000_000_000, Token: 7, Job: "museum/k#1.2", Task: 3, Attempt: 10, UntilMS: -5,
+			Spec: json.RawMessage(`{"a":[1,2]}`), Item: json.RawMessage(`"x"`)},
+		"empty":   {Spec: json.RawMessage(`{}`), Item: json.RawMessage{}},
+		"quoting": {Upstream: "a\"b\\c\n</é\x00\xff&\u2028", Job: "\x7f", Spec: json.RawMessage("1"), Item: json.RawMessage("null")},
 	} {
 		t.Run(name, func(t *testing.T) {
 			want, err := json.Marshal(m)
@@ -33,10 +33,10 @@
 	})
 }
 
-func BenchmarkTaskRequest(b *testing.B) {
-	m := &TaskRequest{Submission: "museum-01/01JABCDEFGHJKMNPQRSTVWXYZ0", Task: 3, Tasks: 10, Service: "rota-desk", Call: "heat-alert",
-		Parameters: json.RawMessage(`{"gallery":"east","celsius":31.5,"figures":[{"name":"queen"},{"name":"poet"},{"name":"cook"}]}`),
-		Item:       json.RawMessage(`{"name":"queen"}`), TimeoutMS: 20000, MilliCPU: 500, MemoryMB: 256}
+func BenchmarkStartOrder(b *testing.B) {
+	m := &StartOrder{Upstream: "casablanca-rota-desk-07", Token: 7, Job: "museum-01/01JABCDEFGHJKMNPQRSTVWXYZ0#1.2", Task: 3, Attempt: 1,
+		Spec: json.RawMessage(`{"gallery":"east","celsius":31.5,"figures":[{"name":"queen"},{"name":"poet"},{"name":"cook"}]}`),
+		Item: json.RawMessage(`{"name":"queen"}`), UntilMS: 20000}
 	b.Run("marshal", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
--- a/internal/api/configuration_store_gen.go
+++ b/internal/api/configuration_store_gen.go
@@ -13,16 +13,32 @@
 	Fingerprint uint64 `json:"fingerprint"`
 	// ChangeID is the identity of the change that made the revision.
 	ChangeID string `json:"change_id"`
+	// Base is the revision of the state that the parts hold; entries of a
+	// greater revision go before it.
+	Base int64 `json:"base,omitempty"`
+	// Parts is the number of parts that hold the state of the base.
+	Parts int `json:"parts,omitempty"`
 }
 
 // StoredEntry is an entry of the configuration in the platform's service.
 type StoredEntry struct {
+	// Key names the entry within a part.
+	Key string `json:"key,omitempty"`
+	// Deleted tells that the entry was removed at the revision.
+	Deleted bool `json:"deleted,omitempty"`
 	// Value is the content.
 	Value string `json:"value"`
 	// Revision is the revision of the configuration that last changed the entry.
 	Revision int64 `json:"revision"`
 }
 
+// StoredPart is a part of the whole state, which a change of many entries
+// writes.
+type StoredPart struct {
+	// Entries are some of the entries of the base.
+	Entries []StoredEntry `json:"entries"`
+}
+
 // StoredEdit is the trace of one changed entry in the history. The new value
 // is the entry's own or the replaced one of a later change.
 type StoredEdit struct {
--- a/internal/api/operators_gen.go
+++ b/internal/api/operators_gen.go
@@ -155,6 +155,10 @@
 	Members int `json:"members"`
 	// Ejected are the upstreams that it does not use because they fail.
 	Ejected []string `json:"ejected,omitempty"`
+	// Token is the fencing token under which it dispatches; 0 where it does not.
+	Token int64 `json:"token,omitempty"`
+	// Claimed is the number of upstreams that it has claimed as the dispatcher.
+	Claimed int `json:"claimed,omitempty"`
 	// TookUS is the time that it took to answer, in microseconds.
 	TookUS int64 `json:"took_us"`
 	// Unreachable says why it did not answer.
@@ -183,39 +187,29 @@
 	State string `json:"state"`
 	// Reason says why the submission failed or why nothing is known.
 	Reason string `json:"reason,omitempty"`
-	// Service is the service in whose queue the tasks wait or waited.
-	Service string `json:"service,omitempty"`
-	// Waiting is the number of tasks that wait.
+	// Dispatcher is the VM that dispatches the tasks of a submission that is
+	// running.
+	Dispatcher string `json:"dispatcher,omitempty"`
+	// Open is the number of tasks that have not ended.
+	Open int `json:"open"`
+	// Waiting is the number of tasks that wait at the dispatcher.
 	Waiting int `json:"waiting"`
-	// Ahead is the number of tasks of all jobs that wait for the service on the
-	// VM.
+	// Ahead is the number of tasks of all jobs that wait there.
 	Ahead int `json:"ahead"`
-	// ExpectedWaitUS is the expected wait of a task that joins the queue now, in
-	// microseconds.
-	ExpectedWaitUS int64 `json:"expected_wait_us"`
-	// Placed are the placements that are still kept, the oldest first.
+	// Placed are the tasks that run.
 	Placed []Placement `json:"placed"`
 }
 
-// Placement tells where a task went, and why.
+// Placement tells where a task runs.
 type Placement struct {
-	// AtUS is the time of the placement, in microseconds since 1970.
-	AtUS int64 `json:"at_us"`
 	// Task is the index of the task.
 	Task int `json:"task"`
-	// Upstream is the chosen upstream.
+	// Attempt numbers the starts of the task, from 1.
+	Attempt int `json:"attempt"`
+	// Upstream is the upstream that runs it.
 	Upstream string `json:"upstream"`
-	// Reason says why it was chosen.
-	Reason string `json:"reason"`
-	// WaitedUS is the time in the queue, in microseconds.
-	WaitedUS int64 `json:"waited_us"`
-	// Declined is the number of slower slots that the job had declined until
-	// then.
-	Declined int `json:"declined"`
-	// Upstreams is the number of upstreams that were considered.
-	Upstreams int `json:"upstreams"`
-	// Ejected is the number of those that were filtered out by their health.
-	Ejected int `json:"ejected"`
-	// Slots is the number of slots of all.
-	Slots int `json:"slots"`
+	// State is ordered, unknown, started or stopping.
+	State string `json:"state"`
+	// AgeUS is the time since the start was ordered, in microseconds.
+	AgeUS int64 `json:"age_us"`
 }
--- a/internal/api/platform_gen.go
+++ b/internal/api/platform_gen.go
@@ -4,7 +4,7 @@
 
 import ()
 
-// VM is an entry of the platform's list of VMs.
+// VM is the entry of a VM in the platform's store.
 type VM struct {
 	// Name identifies the VM.
 	Name string `json:"name"`
@@ -31,79 +31,6 @@
 	Accelerators int64 `json:"accelerators,omitempty"`
 }
 
-// VMList is a part of the platform's list of VMs (GET
-// /v1/vms?data_centre=D&tag=T): the VMs of a data centre and every entry VM,
-// or all where D is empty. It lags behind the truth.
-type VMList struct {
-	// Tag identifies the content.
-	Tag string `json:"tag"`
-	// Unchanged tells that the content still has the tag that was asked with;
-	// VMs is empty then.
-	Unchanged bool `json:"unchanged,omitempty"`
-	// VMs are the entries in order of name.
-	VMs []VM `json:"vms,omitempty"`
-}
-
-// KeyValue is one entry of the platform's key-value service.
-type KeyValue struct {
-	// Key names the entry.
-	Key string `json:"key"`
-	// Value is the content, a megabyte at most.
-	Value []byte `json:"value,omitempty"`
-	// ModRevision is the store revision of the last change; 0 stands for an
-	// absent entry.
-	ModRevision int64 `json:"mod_revision"`
-	// Deleted tells that the change removed the entry.
-	Deleted bool `json:"deleted,omitempty"`
-}
-
-// RangeResponse answers a read of all entries under a prefix (GET
-// /v1/kv?prefix=P).
-type RangeResponse struct {
-	// Revision is the store revision of the snapshot.
-	Revision int64 `json:"revision"`
-	// Entries are sorted by key.
-	Entries []KeyValue `json:"entries"`
-}
-
-// Compare is a condition of a transaction.
-type Compare struct {
-	// Key names the entry.
-	Key string `json:"key"`
-	// ModRevision is the revision that the entry must have; 0 requires that it
-	// is absent.
-	ModRevision int64 `json:"mod_revision"`
-}
-
-// TxnRequest changes entries at once where all its conditions hold (POST
-// /v1/kv/txn).
-type TxnRequest struct {
-	// Compares are the conditions.
-	Compares []Compare `json:"compares"`
-	// Puts are the entries to write; those marked deleted are removed.
-	Puts []KeyValue `json:"puts,omitempty"`
-}
-
-// TxnResponse answers a TxnRequest.
-type TxnResponse struct {
-	// Succeeded tells whether the conditions held and the entries were written.
-	Succeeded bool `json:"succeeded"`
-	// Revision is the store revision after the transaction.
-	Revision int64 `json:"revision"`
-}
-
-// WatchResponse ends a wait for changes (GET
-// /v1/kv/watch?prefix=P&after=R&wait_ms=T).
-type WatchResponse struct {
-	// Revision is the store revision up to which the events are complete.
-	Revision int64 `json:"revision"`
-	// Compacted tells that events after the asked revision are no longer held;
-	// the prefix must be read anew.
-	Compacted bool `json:"compacted,omitempty"`
-	// Events are the changed entries in order of revision.
-	Events []KeyValue `json:"events,omitempty"`
-}
-
 // PlatformFaults are the fault switches of the platform stand-in's key-value
 // service (POST /standin/faults); each request replaces all of them.
 type PlatformFaults struct {
--- a/internal/api/standin_gen.go
+++ b/internal/api/standin_gen.go
@@ -12,11 +12,10 @@
 const (
 	// UpstreamHealthy runs tasks and answers.
 	UpstreamHealthy UpstreamMode = iota
-	// UpstreamAnswersLost runs tasks and closes the connection in place of an
+	// UpstreamAnswersLost starts tasks and closes the connection in place of an
 	// answer.
 	UpstreamAnswersLost
-	// UpstreamAnswersLate frees the slot of a task at its end and answers after
-	// the delay.
+	// UpstreamAnswersLate starts tasks and answers after the delay.
 	UpstreamAnswersLate
 	// UpstreamSlow runs tasks longer by the factor.
 	UpstreamSlow
@@ -24,7 +23,8 @@
 	UpstreamRefusing
 	// UpstreamFailing starts every task and fails it at once.
 	UpstreamFailing
-	// UpstreamLeaving refuses every task and says that it is leaving.
+	// UpstreamLeaving refuses every task and says in its entry that it is
+	// leaving.
 	UpstreamLeaving
 )
 
--- a/internal/api/upstream_gen.go
+++ b/internal/api/upstream_gen.go
@@ -6,12 +6,10 @@
 	"encoding/json"
 )
 
-// TaskRequest starts one task on an upstream (POST /v1/tasks).
-type TaskRequest struct {
+// TaskSpec is what all tasks of a job have in common.
+type TaskSpec struct {
 	// Submission is the caller's name and idempotency key, joined by a slash.
 	Submission string `json:"submission"`
-	// Task is the index of the task within its job, from 0.
-	Task int `json:"task"`
 	// Tasks is the number of tasks of the job.
 	Tasks int `json:"tasks"`
 	// Service is the name of the called service.
@@ -20,28 +18,22 @@
 	Call string `json:"call"`
 	// Parameters are the parameters of the call.
 	Parameters json.RawMessage `json:"parameters,omitempty"`
-	// Item is the element of the fanned-out parameter that belongs to this task.
-	Item json.RawMessage `json:"item,omitempty"`
-	// TimeoutMS is the time left until the deadline, in milliseconds.
-	TimeoutMS int64 `json:"timeout_ms"`
-	// MilliCPU is the declared processor demand, in thousandths of a core.
+	// MilliCPU is the declared processor demand of a task, in thousandths of a
+	// core.
 	MilliCPU int64 `json:"milli_cpu,omitempty"`
-	// MemoryMB is the declared memory demand, in megabytes.
+	// MemoryMB is the declared memory demand of a task, in megabytes.
 	MemoryMB int64 `json:"memory_mb,omitempty"`
-	// Accelerators is the declared number of accelerators.
+	// Accelerators is the declared number of accelerators of a task.
 	Accelerators int64 `json:"accelerators,omitempty"`
 }
 
 // AppendJSON appends the message as JSON, as encoding/json writes it but for
 // raw values, which must be valid JSON and are copied as they are.
-func (m *TaskRequest) AppendJSON(b []byte) []byte {
+func (m *TaskSpec) AppendJSON(b []byte) []byte {
 	b = append(b, '{')
 	b = append(b, `"submission":`...)
 	b = appendString(b, m.Submission)
 	b = append(b, ',')
-	b = append(b, `"task":`...)
-	b = appendInt(b, m.Task)
-	b = append(b, ',')
 	b = append(b, `"tasks":`...)
 	b = appendInt(b, m.Tasks)
 	b = append(b, ',')
@@ -56,14 +48,6 @@
 		b = appendRaw(b, m.Parameters)
 		b = append(b, ',')
 	}
-	if len(m.Item) > 0 {
-		b = append(b, `"item":`...)
-		b = appendRaw(b, m.Item)
-		b = append(b, ',')
-	}
-	b = append(b, `"timeout_ms":`...)
-	b = appendInt(b, m.TimeoutMS)
-	b = append(b, ',')
 	if m.MilliCPU != 0 {
 		b = append(b, `"milli_cpu":`...)
 		b = appendInt(b, m.MilliCPU)
@@ -82,16 +66,202 @@
 	return closeObject(b)
 }
 
-// TaskResponse is the result of a task.
-type TaskResponse struct {
-	// Started is false where the upstream refused the task before it ran.
-	Started bool `json:"started"`
-	// Result is the JSON value that the task produced.
+// Run names one start of a task.
+type Run struct {
+	// Job is the id of the job.
+	Job string `json:"job"`
+	// Task is the index of the task within its job, from 0.
+	Task int `json:"task"`
+	// Attempt numbers the starts of the task, from 1.
+	Attempt int `json:"attempt"`
+}
+
+// StartOrder orders an upstream to run a task (POST /v1/starts).
+type StartOrder struct {
+	// Upstream is the name of the upstream that is meant.
+	Upstream string `json:"upstream"`
+	// Born is the start of the process that is meant, in ms since 1970; 0 means
+	// any.
+	Born int64 `json:"born,omitempty"`
+	// Token is the sender's fencing token; an upstream does nothing for one
+	// below the greatest that it has seen.
+	Token int64 `json:"token"`
+	// Job is the id of the job.
+	Job string `json:"job"`
+	// Task is the index of the task within its job, from 0.
+	Task int `json:"task"`
+	// Attempt numbers the starts of the task, from 1. A run that is there
+	// already is not started again, nor one that is not above the task's last
+	// one.
+	Attempt int `json:"attempt"`
+	// UntilMS is the time on the upstream's clock, in ms, after which the order
+	// has no effect; the lease of all that runs lasts until then at least.
+	UntilMS int64 `json:"until_ms"`
+	// Spec is the TaskSpec of the job.
+	Spec json.RawMessage `json:"spec"`
+	// Item is the element of the fanned-out parameter that belongs to the task.
+	Item json.RawMessage `json:"item,omitempty"`
+}
+
+// AppendJSON appends the message as JSON, as encoding/json writes it but for
+// raw values, which must be valid JSON and are copied as they are.
+func (m *StartOrder) AppendJSON(b []byte) []byte {
+	b = append(b, '{')
+	b = append(b, `"upstream":`...)
+	b = appendString(b, m.Upstream)
+	b = append(b, ',')
+	if m.Born != 0 {
+		b = append(b, `"born":`...)
+		b = appendInt(b, m.Born)
+		b = append(b, ',')
+	}
+	b = append(b, `"token":`...)
+	b = appendInt(b, m.Token)
+	b = append(b, ',')
+	b = append(b, `"job":`...)
+	b = appendString(b, m.Job)
+	b = append(b, ',')
+	b = append(b, `"task":`...)
+	b = appendInt(b, m.Task)
+	b = append(b, ',')
+	b = append(b, `"attempt":`...)
+	b = appendInt(b, m.Attempt)
+	b = append(b, ',')
+	b = append(b, `"until_ms":`...)
+	b = appendInt(b, m.UntilMS)
+	b = append(b, ',')
+	b = append(b, `"spec":`...)
+	b = appendRaw(b, m.Spec)
+	b = append(b, ',')
+	if len(m.Item) > 0 {
+		b = append(b, `"item":`...)
+		b = appendRaw(b, m.Item)
+		b = append(b, ',')
+	}
+	return closeObject(b)
+}
+
+// StopOrder orders an upstream to end a run, or never to start it (POST
+// /v1/stops).
+type StopOrder struct {
+	// Upstream is the name of the upstream that is meant.
+	Upstream string `json:"upstream"`
+	// Token is the sender's fencing token.
+	Token int64 `json:"token"`
+	// Job is the id of the job.
+	Job string `json:"job"`
+	// Task is the index of the task within its job, from 0.
+	Task int `json:"task"`
+	// Attempt numbers the starts of the task, from 1. A start with one that is
+	// not above it is refused from then on.
+	Attempt int `json:"attempt"`
+}
+
+// AppendJSON appends the message as JSON, as encoding/json writes it but for
+// raw values, which must be valid JSON and are copied as they are.
+func (m *StopOrder) AppendJSON(b []byte) []byte {
+	b = append(b, '{')
+	b = append(b, `"upstream":`...)
+	b = appendString(b, m.Upstream)
+	b = append(b, ',')
+	b = append(b, `"token":`...)
+	b = appendInt(b, m.Token)
+	b = append(b, ',')
+	b = append(b, `"job":`...)
+	b = appendString(b, m.Job)
+	b = append(b, ',')
+	b = append(b, `"task":`...)
+	b = appendInt(b, m.Task)
+	b = append(b, ',')
+	b = append(b, `"attempt":`...)
+	b = appendInt(b, m.Attempt)
+	b = append(b, ',')
+	return closeObject(b)
+}
+
+// OrderAnswer answers an order.
+type OrderAnswer struct {
+	// ClockMS is the upstream's clock, in ms since the start of its process.
+	ClockMS int64 `json:"clock_ms"`
+	// Result is done, fenced, old attempt, late, no room, unhealthy, other
+	// process or rejected; all but done had no effect.
+	Result string `json:"result"`
+}
+
+// LookOrder asks an upstream what runs and what has ended, and renews the
+// lease of all that runs (POST /v1/looks).
+type LookOrder struct {
+	// Upstream is the name of the upstream that is meant.
+	Upstream string `json:"upstream"`
+	// Token is the sender's fencing token.
+	Token int64 `json:"token"`
+	// LastSeen is the number up to which ends need not be listed again.
+	LastSeen int64 `json:"last_seen"`
+	// UntilMS is the end of the lease on the upstream's clock, in ms; 0 renews
+	// nothing.
+	UntilMS int64 `json:"until_ms,omitempty"`
+	// WaitMS is the longest time to wait for an end, in ms.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+}
+
+// AppendJSON appends the message as JSON, as encoding/json writes it but for
+// raw values, which must be valid JSON and are copied as they are.
+func (m *LookOrder) AppendJSON(b []byte) []byte {
+	b = append(b, '{')
+	b = append(b, `"upstream":`...)
+	b = appendString(b, m.Upstream)
+	b = append(b, ',')
+	b = append(b, `"token":`...)
+	b = appendInt(b, m.Token)
+	b = append(b, ',')
+	b = append(b, `"last_seen":`...)
+	b = appendInt(b, m.LastSeen)
+	b = append(b, ',')
+	if m.UntilMS != 0 {
+		b = append(b, `"until_ms":`...)
+		b = appendInt(b, m.UntilMS)
+		b = append(b, ',')
+	}
+	if m.WaitMS != 0 {
+		b = append(b, `"wait_ms":`...)
+		b = appendInt(b, m.WaitMS)
+		b = append(b, ',')
+	}
+	return closeObject(b)
+}
+
+// RunningTask is a run that goes on.
+type RunningTask struct {
+	// Run names it.
+	Run Run `json:"run"`
+	// Percent is the share of the work that is done.
+	Percent int `json:"percent"`
+}
+
+// EndedTask is a run that has ended.
+type EndedTask struct {
+	// Number counts the ends of the process, from 1.
+	Number int64 `json:"number"`
+	// Run names it.
+	Run Run `json:"run"`
+	// How is done, failed, stopped, lapsed or lost.
+	How string `json:"how"`
+	// Result is the JSON value that a task that is done produced.
 	Result json.RawMessage `json:"result,omitempty"`
-	// Error says why the task was refused or failed.
-	Error string `json:"error,omitempty"`
-	// Leaving tells that the upstream takes no more tasks.
-	Leaving bool `json:"leaving,omitempty"`
+}
+
+// LookAnswer answers a LookOrder.
+type LookAnswer struct {
+	// ClockMS is the upstream's clock, in ms since the start of its process.
+	ClockMS int64 `json:"clock_ms"`
+	// Born is the start of the process, in ms since 1970.
+	Born int64 `json:"born"`
+	// Result is answered, fenced or other process.
+	Result string `json:"result"`
+	// Running are the runs that go on.
+	Running []RunningTask `json:"running"`
+	// Ended are the ends above LastSeen.
+	Ended []EndedTask `json:"ended"`
 }
 
 // StartEntry is one line of a stand-in upstream's start log.
--- a/internal/capacity/dispatcher.go
+++ b/internal/capacity/dispatcher.go
@@ -4,9 +4,7 @@
 	"fmt"
 	"time"
 
-	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
-	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/scheduler"
 )
 
 const (
@@ -15,65 +13,95 @@
 	jobTasks  = 10
 	taskTook  = 50 * time.Millisecond
 	decisions = 20_000
+	// maxWaiting lets every measured size wait.
+	maxWaiting = 1 << 30
+	token      = 1
 )
 
 var (
-	measuredCall = &catalog.Call{Service: service, Name: "heat-alert", Priority: catalog.Normal, Declared: taskTook}
-	epoch        = time.Unix(0, 0)
+	epoch    = time.Unix(1_000_000_000, 0)
+	taskSize = scheduler.Size{MilliCPU: 1000}
 )
 
-func upstreamsOf(n int) []dispatch.Upstream {
-	upstreams := make([]dispatch.Upstream, n)
-	for i := range upstreams {
-		upstreams[i] = dispatch.Upstream{
-			Name: fmt.Sprintf("worker-%05d", i), Service: service, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), Slots: slots,
-		}
-	}
-	return upstreams
+// dispatcher is a scheduler that has claimed idle upstreams.
+type dispatcher struct {
+	*scheduler.Scheduler
+	now  time.Time
+	ends map[string]int64 // numbers of the last ends, by upstream
+	jobs int
 }
 
-func newDispatcher(upstreams int) *dispatch.Dispatcher {
-	d := dispatch.New(dispatch.Config{MaxQueued: 1 << 30})
-	d.SetUpstreams(epoch, service, upstreamsOf(upstreams))
+func newDispatcher(upstreams int) *dispatcher {
+	d := &dispatcher{
+		Scheduler: scheduler.New(epoch, scheduler.Config{LeaseMax: time.Second, MaxWaiting: maxWaiting}),
+		now:       epoch, ends: map[string]int64{},
+	}
+	list := make([]scheduler.Upstream, upstreams)
+	for i := range list {
+		list[i] = scheduler.Upstream{
+			Name: fmt.Sprintf("worker-%05d", i), Service: service, Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250),
+			Size: scheduler.Size{MilliCPU: slots * taskSize.MilliCPU},
+		}
+	}
+	d.Begin(d.now, token, 0)
+	d.SetUpstreams(d.now, list, false)
+	for _, u := range list {
+		look, due, _, _ := d.NextLook(d.now, u.Name)
+		if due {
+			d.Looked(d.now, look, scheduler.LookAnswered, scheduler.Report{Clock: 1, Born: 1})
+		}
+	}
 	return d
 }
 
-func addJob(d *dispatch.Dispatcher, number int) []dispatch.Assignment {
-	tasks := make([]*dispatch.Task, jobTasks)
-	for i := range tasks {
-		id := submission.ID{Caller: "museum-01", Key: fmt.Sprint(number)}
-		tasks[i] = &dispatch.Task{Submission: id, Index: i, Call: measuredCall, Deadline: epoch.Add(time.Hour)}
+// addJob offers a job of jobTasks tasks.
+func (d *dispatcher) addJob() {
+	d.jobs++
+	job := scheduler.Job{
+		ID: fmt.Sprintf("%016x", d.jobs), Origin: "vm", OriginIncarnation: 1, Queue: "heat-alert", Service: service,
+		Size: taskSize, Estimate: taskTook, Sent: d.now, Deadline: d.now.Add(time.Hour), Stretch: 1, Slack: time.Hour,
+		MaxAttempts: 1, Once: true,
 	}
-	assignments, failure := d.Add(epoch, tasks)
-	if failure != nil {
-		panic(failure)
+	for i := range jobTasks {
+		job.Tasks = append(job.Tasks, i)
+	}
+	if _, failure := d.Offer(d.now, job); failure != nil {
+		panic(failure) // the sizes are chosen here
 	}
-	return assignments
 }
 
-// fill starts tasks until every slot is taken and a few jobs wait.
-func fill(d *dispatch.Dispatcher, upstreams int) (running []dispatch.Assignment, jobs int) {
-	for ; len(running) < upstreams*slots; jobs++ {
-		running = append(running, addJob(d, jobs)...)
+// end enters the start and the end of a task.
+func (d *dispatcher) end(start scheduler.Start) {
+	name := start.Upstream.Name
+	d.StartEnded(d.now, start, scheduler.OrderDone, 1)
+	look, _ := d.QuickLook(d.now, name)
+	d.ends[name]++
+	actions := d.Looked(d.now, look, scheduler.LookAnswered, scheduler.Report{Clock: 1, Born: 1, Ends: []scheduler.End{
+		{Number: d.ends[name], Run: start.Run, Kind: scheduler.EndDone},
+	}})
+	for _, n := range actions.Notices {
+		d.Delivered([]scheduler.Receipt{n.Receipt})
 	}
-	return running, jobs
 }
 
-// startTime returns the time of one task start under full load, with the end
-// of another task and its part of the queueing of a job.
+// startTime returns the time of one task start under full load, with the end of
+// another task, the look that tells of it and its part of the queueing of a job.
 func startTime(upstreams int) float64 {
 	d := newDispatcher(upstreams)
-	running, jobs := fill(d, upstreams)
-	buffer := make([]dispatch.Assignment, 0, jobTasks)
+	var running []scheduler.Start
+	for len(running) < upstreams*slots {
+		d.addJob()
+		running = append(running, d.Place(d.now)...)
+	}
 	i := 0
 	return nanoseconds(decisions, func() {
 		if i%jobTasks == 0 {
-			running = append(running, addJob(d, jobs+i)...)
+			d.addJob()
 		}
-		a := &running[i%len(running)]
-		next, _ := d.Finish(epoch, *a, dispatch.Result{Took: taskTook}, buffer[:0])
-		if len(next) > 0 {
-			*a = next[0]
+		at := i % len(running)
+		d.end(running[at])
+		if next := d.Place(d.now); len(next) > 0 {
+			running[at] = next[0]
 		}
 		i++
 	})
@@ -97,8 +125,8 @@
 			measure: func(n int) float64 {
 				d := newDispatcher(1)
 				return heapBytes(func() any {
-					for job := range n / jobTasks {
-						addJob(d, job)
+					for range n / jobTasks {
+						d.addJob()
 					}
 					return d
 				})
--- a/internal/capacity/watcher.go
+++ b/internal/capacity/watcher.go
@@ -4,21 +4,25 @@
 	"encoding/json"
 	"fmt"
 
-	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/vmlist"
+	"github.com/mustardstep/mustardstep/store"
 )
 
-// listBytes returns the length of the platform's list of a number of VMs.
-func listBytes(vms int) int {
-	list := api.VMList{Tag: "0123456789abcdef"}
-	for i := range vms {
-		list.VMs = append(list.VMs, api.VM{
-			Name: fmt.Sprintf("worker-%05d", i), Role: api.RoleUpstream, DataCentre: "casablanca", Rack: fmt.Sprintf("rack-%03d", i/8),
+// entryBytes returns the length of the entries of a number of upstreams, as the
+// dispatcher reads them.
+func entryBytes(upstreams int) int {
+	items := make([]store.Item, upstreams)
+	for i := range items {
+		name := fmt.Sprintf("worker-%05d", i)
+		value := jsonBytes(api.VM{
+			Name: name, Role: api.RoleUpstream, DataCentre: "casablanca", Rack: fmt.Sprintf("rack-%03d", i/8),
 			Address: fmt.Sprintf("10.0.%d.%d:80", i/250, i%250), State: api.VMLive, Service: service, Slots: slots,
 			MilliCPU: 64_000, MemoryMB: 128_000, Accelerators: 1,
 		})
+		items[i] = store.Item{Key: vmlist.UpstreamPrefix + name, Value: make([]byte, value), Revision: 1 << 30}
 	}
-	return jsonBytes(list)
+	return jsonBytes(items)
 }
 
 func jsonBytes(value any) int {
@@ -31,21 +35,22 @@
 
 // eventBytes returns the length of a watch's answer with a number of changes.
 func eventBytes(changes int) int {
-	response := api.WatchResponse{Revision: 1 << 30}
+	var events []store.Event
 	for _, e := range entriesOf(changes) {
-		response.Events = append(response.Events, api.KeyValue{
-			Key: "mustardstep/configuration/" + configuration.PrefixQuotas + e.Key, Value: []byte(e.Value), ModRevision: 1 << 30,
-		})
+		value := jsonBytes(api.StoredEntry{Value: e.Value, Revision: e.Revision})
+		events = append(events, store.Event{Item: store.Item{
+			Key: "mustardstep/state/entries/" + e.Key, Value: make([]byte, value), Revision: 1 << 30,
+		}})
 	}
-	return jsonBytes(response)
+	return jsonBytes(events)
 }
 
 func watcherLines(size Size) []line {
 	return []line{
 		{
-			name: "list_bytes", role: "every entry VM", driver: "VMs of the data centre", unit: "bytes",
-			sizes: []int{50, 250, 1000, 4000}, target: size.UpstreamsPerDataCentre() + size.VMs(),
-			measure: func(n int) float64 { return float64(listBytes(n)) },
+			name: "list_bytes", role: "dispatcher", driver: "upstreams of the data centre", unit: "bytes",
+			sizes: []int{50, 250, 1000, 4000}, target: size.UpstreamsPerDataCentre(),
+			measure: func(n int) float64 { return float64(entryBytes(n)) },
 		},
 		{
 			name: "watch_bytes", role: "watcher of a data centre", driver: "changes", unit: "bytes",
--- a/internal/command/ctl_explain.go
+++ b/internal/command/ctl_explain.go
@@ -27,19 +27,18 @@
 	if report.Reason != "" {
 		fmt.Fprintf(w, "reason: %s\n", report.Reason)
 	}
-	if report.Waiting > 0 {
-		fmt.Fprintf(w, "%d tasks wait; %d wait for %s in all; a new one is expected to wait %.1f ms\n",
-			report.Waiting, report.Ahead, report.Service, milliseconds(report.ExpectedWaitUS))
+	if report.Dispatcher == "" {
+		return
 	}
+	fmt.Fprintf(w, "%s dispatches it: %d tasks have not ended, %d of them wait; %d tasks of all jobs wait there\n",
+		report.Dispatcher, report.Open, report.Waiting, report.Ahead)
 	if len(report.Placed) == 0 {
-		fmt.Fprintln(w, "no placement of it is kept")
 		return
 	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "TASK\tUPSTREAM\tREASON\tWAITED MS\tSLOTS DECLINED\tUPSTREAMS CONSIDERED\tEJECTED\tSLOTS")
+	fmt.Fprintln(t, "TASK\tATTEMPT\tUPSTREAM\tSTATE\tFOR MS")
 	for _, p := range report.Placed {
-		fmt.Fprintf(t, "%d\t%s\t%s\t%.1f\t%d\t%d\t%d\t%d\n", p.Task, p.Upstream, p.Reason,
-			milliseconds(p.WaitedUS), p.Declined, p.Upstreams, p.Ejected, p.Slots)
+		fmt.Fprintf(t, "%d\t%d\t%s\t%s\t%.1f\n", p.Task, p.Attempt, p.Upstream, p.State, milliseconds(p.AgeUS))
 	}
 	t.Flush()
 }
--- a/internal/command/ctl_status.go
+++ b/internal/command/ctl_status.go
@@ -80,10 +80,14 @@
 }
 
 func remark(vm api.VMStatus) string {
+	var remarks []string
+	if vm.Token != 0 {
+		remarks = append(remarks, fmt.Sprintf("dispatches to %d upstreams under token %d", vm.Claimed, vm.Token))
+	}
 	if vm.Watching {
-		return "watches the platform"
+		remarks = append(remarks, "watches the configuration")
 	}
-	return ""
+	return strings.Join(remarks, ", ")
 }
 
 func listOr(names []string, none string) string {
--- a/internal/command/ctl_test.go
+++ b/internal/command/ctl_test.go
@@ -105,8 +105,8 @@
 func (b *fakeBackend) Status(context.Context) *api.StatusReport { return &b.status }
 
 func (b *fakeBackend) Explain(_ context.Context, id submission.ID) *api.Explanation {
-	return &api.Explanation{VM: "vm1", State: "running", Service: "rota-desk", Waiting: 2, Ahead: 7, ExpectedWaitUS: 1500,
-		Placed: []api.Placement{{Task: 3, Upstream: "u-" + id.Caller + "-" + id.Key, Reason: "fastest", WaitedUS: 2500}}}
+	return &api.Explanation{VM: "vm1", State: "running", Dispatcher: "vm2", Open: 3, Waiting: 2, Ahead: 7,
+		Placed: []api.Placement{{Task: 3, Attempt: 1, Upstream: "u-" + id.Caller + "-" + id.Key, State: "started", AgeUS: 2500}}}
 }
 
 // startBackend serves a backend and returns its address.
@@ -231,7 +231,7 @@
 		"schema diff":      {"schema diff " + good, nil, exitDiffers, []string{"services/rota-desk/"}, false},
 		"schema show":      {"schema show", nil, 0, []string{"version: 1"}, false},
 		"drain":            {"drain vm7", nil, 0, []string{"revision 3"}, true},
-		"explain":          {"explain museum k1", nil, 0, []string{"running at vm1", "2 tasks wait", "u-museum-k1", "fastest"}, false},
+		"explain":          {"explain museum k1", nil, 0, []string{"running at vm1", "vm2 dispatches it", "2 of them wait", "u-museum-k1", "started"}, false},
 		"explain as JSON":  {"explain museum k1 -o json", nil, 0, []string{`"waiting": 2`}, false},
 		"explain no key":   {"explain museum", nil, subcommands.ExitUsageError, []string{"explain CALLER KEY"}, false},
 		"undrain unknown":  {"undrain vm7", nil, exitInvalid, []string{"not set"}, false},
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -42,15 +42,16 @@
 	log, flush := logging.New(c.settings.Logging, os.Stdout)
 	defer flush()
 	watchReload(log)
-	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, log) })
+	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, c.settings.Logging, log) })
 }
 
 // runNode runs a node with its fronts.
-func runNode(ctx context.Context, s *platform.Settings, own settings.Node, log *slog.Logger) error {
+func runNode(ctx context.Context, s *platform.Settings, own settings.Node, logs settings.Logging, log *slog.Logger) error {
 	metrics := node.NewMetrics()
+	decisions := logging.NewDecisions(log.With(slog.String("vm", s.VM)), logs.Decisions)
 	n := node.New(s.Node(), node.Dependencies{
 		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreams(), Decoder: platform.Decoder{},
-		Log: log, Metrics: metrics,
+		Log: log, Decisions: decisions, Metrics: metrics,
 	})
 	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
 	callers, err := net.Listen("tcp", s.Listen.Callers)
--- a/internal/configstore/codec.go
+++ b/internal/configstore/codec.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/store"
 )
 
 // Keys in the platform's service.
@@ -17,35 +18,76 @@
 	statePrefix   = rootPrefix + "state/"
 	headKey       = statePrefix + "head"
 	entryPrefix   = statePrefix + "entries/"
+	partPrefix    = statePrefix + "parts/"
 	historyPrefix = rootPrefix + "history/"
 )
 
-// historyLimit is the number of accepted changes that are kept.
-const historyLimit = 1000
+const (
+	// historyLimit is the number of accepted changes that are kept.
+	historyLimit = 1000
+	// maxDirect is the most entries that a change writes one by one: with the
+	// head, its condition and the history they fit into a transaction.
+	maxDirect = store.MaxTxn - 4
+	// partBytes is the size above which a part is closed, before JSON and Base64
+	// lengthen it.
+	partBytes = store.MaxValue / 4
+)
 
 func historyKey(revision int64) string { return fmt.Sprintf("%s%020d", historyPrefix, revision) }
 
-// encode returns the transaction that writes a decision.
-func encode(c *configuration.Change, d configuration.Decision, position int64) (*api.TxnRequest, error) {
-	request := &api.TxnRequest{Compares: []api.Compare{{Key: headKey, ModRevision: position}}}
-	put := func(key string, value any) error {
+func partKey(number int) string { return fmt.Sprintf("%s%03d", partPrefix, number) }
+
+// held is where the state that was read lies: the revision and the number of the
+// parts that hold its base.
+type held struct {
+	base  int64
+	parts int
+}
+
+// encode returns the transaction that writes a decision over a state. A change of
+// more entries than a transaction takes writes the whole state in parts.
+func encode(c *configuration.Change, d configuration.Decision, position int64, at held) (store.Txn, error) {
+	txn := store.Txn{Conditions: []store.Condition{{Key: headKey, Revision: position}}}
+	var errs []error
+	put := func(key string, value any) {
 		encoded, err := json.Marshal(value)
-		request.Puts = append(request.Puts, api.KeyValue{Key: key, Value: encoded})
-		return err
+		errs = append(errs, err)
+		txn.Writes = append(txn.Writes, store.Write{Key: key, Value: encoded})
 	}
-	err := put(headKey, api.StoredHead{Revision: d.Revision, Fingerprint: d.Next.Fingerprint(), ChangeID: c.ID})
-	for _, e := range d.Puts {
-		if e.Deleted {
-			request.Puts = append(request.Puts, api.KeyValue{Key: entryPrefix + e.Key, Deleted: true})
-			continue
+	if len(d.Puts) <= maxDirect {
+		for _, e := range d.Puts {
+			put(entryPrefix+e.Key, api.StoredEntry{Value: e.Value, Revision: d.Revision, Deleted: e.Deleted})
+		}
+	} else {
+		parts := split(d.Next)
+		for i, part := range parts {
+			put(partKey(i), part)
 		}
-		err = errors.Join(err, put(entryPrefix+e.Key, api.StoredEntry{Value: e.Value, Revision: e.Revision}))
+		at = held{d.Revision, len(parts)}
 	}
-	err = errors.Join(err, put(historyKey(d.Revision), storedChange(c, d)))
+	put(headKey, api.StoredHead{
+		Revision: d.Revision, Fingerprint: d.Next.Fingerprint(), ChangeID: c.ID, Base: at.base, Parts: at.parts,
+	})
+	put(historyKey(d.Revision), storedChange(c, d))
 	if d.Revision > historyLimit {
-		request.Puts = append(request.Puts, api.KeyValue{Key: historyKey(d.Revision - historyLimit), Deleted: true})
+		txn.Removals = append(txn.Removals, historyKey(d.Revision-historyLimit))
+	}
+	return txn, errors.Join(errs...)
+}
+
+// split divides a state into parts.
+func split(s *configuration.State) []api.StoredPart {
+	parts := []api.StoredPart{{}}
+	size := 0
+	for _, e := range s.Entries("") {
+		if size > 0 && size+len(e.Key)+len(e.Value) > partBytes {
+			parts, size = append(parts, api.StoredPart{}), 0
+		}
+		last := &parts[len(parts)-1]
+		last.Entries = append(last.Entries, api.StoredEntry{Key: e.Key, Value: e.Value, Revision: e.Revision})
+		size += len(e.Key) + len(e.Value)
 	}
-	return request, err
+	return parts
 }
 
 func storedChange(c *configuration.Change, d configuration.Decision) api.StoredChange {
@@ -60,83 +102,102 @@
 
 // decodeHead returns a read of the head alone; ok is false where it is not of
 // the state that this process holds.
-func decodeHead(response *api.RangeResponse, held *configuration.State) (configuration.Read, bool) {
-	read := configuration.Read{ServiceRevision: response.Revision}
-	if len(response.Entries) == 0 {
+func decodeHead(items []store.Item, at int64, state *configuration.State) (read configuration.Read, lies held, ok bool) {
+	read.ServiceRevision = at
+	if len(items) == 0 {
 		read.State = configuration.New(0, nil)
-		return read, held.Revision() == 0
+		return read, lies, state.Revision() == 0
 	}
 	var head api.StoredHead
-	if json.Unmarshal(response.Entries[0].Value, &head) != nil {
-		return read, false
+	if json.Unmarshal(items[0].Value, &head) != nil {
+		return read, lies, false
 	}
-	read.Position, read.State = response.Entries[0].ModRevision, held
-	return read, head.Revision == held.Revision() && head.Fingerprint == held.Fingerprint()
+	read.Position, read.State = items[0].Revision, state
+	return read, held{head.Base, head.Parts}, head.Revision == state.Revision() && head.Fingerprint == state.Fingerprint()
 }
 
 // decode returns a read of the state, and of the history where it was read.
-func decode(response *api.RangeResponse) (configuration.Read, error) {
-	read := configuration.Read{ServiceRevision: response.Revision}
+func decode(items []store.Item, at int64) (configuration.Read, held, error) {
+	read := configuration.Read{ServiceRevision: at}
 	read.Accepted = map[string]int64{}
 	var head api.StoredHead
-	var entries []configuration.Entry
-	for _, kv := range response.Entries {
+	var parts, direct []api.StoredEntry
+	for _, item := range items {
 		var err error
-		switch key, isEntry := strings.CutPrefix(kv.Key, entryPrefix); {
-		case kv.Key == headKey:
-			read.Position = kv.ModRevision
-			err = json.Unmarshal(kv.Value, &head)
+		switch key, isEntry := strings.CutPrefix(item.Key, entryPrefix); {
+		case item.Key == headKey:
+			read.Position = item.Revision
+			err = json.Unmarshal(item.Value, &head)
 		case isEntry:
-			var e configuration.Entry
-			e, err = decodeEntry(key, kv)
-			entries = append(entries, e)
-		case strings.HasPrefix(kv.Key, historyPrefix):
+			e := api.StoredEntry{}
+			err = json.Unmarshal(item.Value, &e)
+			e.Key = key
+			direct = append(direct, e)
+		case strings.HasPrefix(item.Key, partPrefix):
+			var part api.StoredPart
+			if item.Key < partKey(head.Parts) { // the head sorts before the parts
+				err = json.Unmarshal(item.Value, &part)
+			}
+			parts = append(parts, part.Entries...)
+		case strings.HasPrefix(item.Key, historyPrefix):
 			var change api.StoredChange
-			err = json.Unmarshal(kv.Value, &change)
+			err = json.Unmarshal(item.Value, &change)
 			read.Accepted[change.ID] = change.Revision
 		}
 		if err != nil {
-			return read, errors.Wrapf(err, "entry %s of the platform's service", kv.Key)
+			return read, held{}, errors.Wrapf(err, "entry %s of the platform's service", item.Key)
 		}
 	}
-	read.State = configuration.New(head.Revision, entries)
+	read.State = stateOf(head, parts, direct)
 	if read.State.Fingerprint() != head.Fingerprint {
-		return read, errors.Newf("the entries of revision %d do not have its fingerprint", head.Revision)
+		return read, held{}, errors.Newf("the entries of revision %d do not have its fingerprint", head.Revision)
 	}
-	return read, nil
+	return read, held{head.Base, head.Parts}, nil
 }
 
-func decodeEntry(key string, kv api.KeyValue) (configuration.Entry, error) {
-	if kv.Deleted {
-		return configuration.Entry{Key: key, Deleted: true}, nil
+// stateOf puts a state together from the parts and the entries that were written
+// after them.
+func stateOf(head api.StoredHead, parts, direct []api.StoredEntry) *configuration.State {
+	values := map[string]configuration.Entry{}
+	for _, e := range parts {
+		values[e.Key] = configuration.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
+	}
+	for _, e := range direct {
+		switch {
+		case e.Revision <= head.Base:
+		case e.Deleted:
+			delete(values, e.Key)
+		default:
+			values[e.Key] = configuration.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision}
+		}
 	}
-	var stored api.StoredEntry
-	err := json.Unmarshal(kv.Value, &stored)
-	return configuration.Entry{Key: key, Value: stored.Value, Revision: stored.Revision}, err
+	entries := make([]configuration.Entry, 0, len(values))
+	for _, e := range values {
+		entries = append(entries, e)
+	}
+	return configuration.New(head.Revision, entries)
 }
 
 // applyEvents returns the state after the events of a watch.
-func applyEvents(state *configuration.State, events []api.KeyValue) (*configuration.State, bool) {
+func applyEvents(state *configuration.State, events []store.Event) (*configuration.State, bool) {
 	var head api.StoredHead
 	changed := map[string]configuration.Entry{}
-	for _, kv := range events {
-		if kv.Key == headKey {
-			if json.Unmarshal(kv.Value, &head) != nil {
+	for _, event := range events {
+		if event.Key == headKey {
+			if json.Unmarshal(event.Value, &head) != nil {
 				return nil, false
 			}
 			continue
 		}
-		e, err := decodeEntry(strings.TrimPrefix(kv.Key, entryPrefix), kv)
-		if err != nil {
+		key, direct := strings.CutPrefix(event.Key, entryPrefix)
+		var e api.StoredEntry
+		if !direct || event.Deleted || json.Unmarshal(event.Value, &e) != nil {
 			return nil, false
 		}
-		changed[e.Key] = e
+		changed[key] = configuration.Entry{Key: key, Value: e.Value, Revision: e.Revision, Deleted: e.Deleted}
 	}
 	entries := make([]configuration.Entry, 0, len(changed))
 	for _, e := range changed {
-		if e.Deleted {
-			e.Revision = head.Revision
-		}
 		entries = append(entries, e)
 	}
 	switch {
@@ -149,11 +210,11 @@
 	return next, next.Fingerprint() == head.Fingerprint
 }
 
-func decodeHistory(entries []api.KeyValue) ([]api.StoredChange, error) {
-	changes := make([]api.StoredChange, len(entries))
-	for i, kv := range entries {
-		if err := json.Unmarshal(kv.Value, &changes[i]); err != nil {
-			return nil, errors.Wrapf(err, "entry %s of the platform's service", kv.Key)
+func decodeHistory(items []store.Item) ([]api.StoredChange, error) {
+	changes := make([]api.StoredChange, len(items))
+	for i, item := range items {
+		if err := json.Unmarshal(item.Value, &changes[i]); err != nil {
+			return nil, errors.Wrapf(err, "entry %s of the platform's service", item.Key)
 		}
 	}
 	slices.Reverse(changes)
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -3,7 +3,8 @@
 // not moved; configuration.Attempt decides what a failed or lost one means.
 //
 // Keys: mustardstep/state/head holds the revision, mustardstep/state/entries/
-// the entries, and mustardstep/history/ the accepted changes, of which the
+// the entries, mustardstep/state/parts/ the whole state as of the last change of
+// many entries, and mustardstep/history/ the accepted changes, of which the
 // oldest leave as new ones come.
 package configstore
 
@@ -14,7 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
@@ -22,64 +23,68 @@
 const retryPause = 20 * time.Millisecond
 
 // Store reads and changes the configuration. It is safe for concurrent use.
-type Store struct{ kv *platform.Limited }
+type Store struct{ kv *store.Limited }
 
 // New returns a store over the platform's service.
-func New(kv *platform.Limited) *Store { return &Store{kv} }
+func New(kv *store.Limited) *Store { return &Store{kv} }
 
 // Read returns the whole state, without its history, and the revision of the
 // service that it belongs to.
 func (s *Store) Read(ctx context.Context) (*configuration.State, int64, error) {
-	response, err := s.kv.Range(ctx, statePrefix)
+	items, at, err := store.List(ctx, s.kv, statePrefix, false)
 	if err != nil {
 		return nil, 0, err
 	}
-	read, err := decode(response)
-	return read.State, response.Revision, err
+	read, _, err := decode(items, at)
+	return read.State, at, err
 }
 
 // Pause waits until the service may be called again after failures.
 func (s *Store) Pause(ctx context.Context) error { return s.kv.Pause(ctx) }
 
-// Watch waits for a change after a revision of the service. The response has
-// no events where the wait ended without one.
-func (s *Store) Watch(ctx context.Context, after int64, wait time.Duration) (*api.WatchResponse, error) {
+// Watch waits for a change after a revision of the service, and returns that from
+// which to go on. There are no events where the wait ended without one; the error
+// is store.ErrCompacted where they are no longer kept.
+func (s *Store) Watch(ctx context.Context, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
 	return s.kv.Watch(ctx, statePrefix, after, wait)
 }
 
+// watchMargin is the time beyond its wait within which a watch is answered, so
+// that a connection that went silent is noticed.
+const watchMargin = 2 * time.Second
+
 // Update returns the state that results from the events of a watch, or the
 // given one where it is ahead of them. ok is false where the events do not lead
 // to a state, so that it must be read.
-func Update(state *configuration.State, watched *api.WatchResponse) (next *configuration.State, ok bool) {
-	if watched.Compacted {
-		return nil, false
-	}
-	return applyEvents(state, watched.Events)
+func Update(state *configuration.State, events []store.Event) (next *configuration.State, ok bool) {
+	return applyEvents(state, events)
 }
 
 // History returns the accepted changes that are kept, newest first.
 func (s *Store) History(ctx context.Context) ([]api.StoredChange, error) {
-	response, err := s.kv.Range(ctx, historyPrefix)
+	items, _, err := store.List(ctx, s.kv, historyPrefix, false)
 	if err != nil {
 		return nil, err
 	}
-	return decodeHistory(response.Entries)
+	return decodeHistory(items)
 }
 
 // Commit makes a change and returns the state that holds it, or the revision
-// alone where it was accepted before. held is the state of this process.
+// alone where it was accepted before. current returns the state of this process.
 // repeated tells that the change may have been sent before. Its error is a
 // *configuration.Conflict, a *configuration.TooLargeError or a *verdict.Error
 // whose verdict tells whether the change may have been made.
-func (s *Store) Commit(ctx context.Context, held func() *configuration.State, c *configuration.Change, repeated bool) (*configuration.State, int64, error) {
+func (s *Store) Commit(ctx context.Context, current func() *configuration.State, c *configuration.Change, repeated bool) (*configuration.State, int64, error) {
 	attempt := configuration.NewAttempt(c, repeated)
 	for {
-		decision, read, err := s.decide(ctx, attempt, held())
+		decision, read, lies, err := s.decide(ctx, attempt, current())
 		switch {
 		case err == nil && decision.Accepted:
 			return nil, decision.Revision, nil
 		case err == nil:
-			err = s.write(ctx, attempt, c, decision, read.Position)
+			err = s.write(ctx, attempt, c, decision, read.Position, lies)
 		}
 		switch {
 		case err == nil:
@@ -101,59 +106,61 @@
 }
 
 // decide reads what the attempt asks for.
-func (s *Store) decide(ctx context.Context, a *configuration.Attempt, held *configuration.State) (configuration.Decision, configuration.Read, error) {
-	read, err := s.read(ctx, a.Full(), held)
+func (s *Store) decide(ctx context.Context, a *configuration.Attempt, state *configuration.State) (configuration.Decision, configuration.Read, held, error) {
+	read, lies, err := s.read(ctx, a.Full(), state)
 	if err != nil {
-		return configuration.Decision{}, read, errors.Mark(err, errRetry)
+		return configuration.Decision{}, read, lies, errors.Mark(err, errRetry)
 	}
-	decision, err := a.Decide(held, read)
-	return decision, read, err
+	decision, err := a.Decide(state, read)
+	return decision, read, lies, err
 }
 
 // read returns the head with the state of this process where they agree, else
 // the whole state; full includes the history.
-func (s *Store) read(ctx context.Context, full bool, held *configuration.State) (configuration.Read, error) {
+func (s *Store) read(ctx context.Context, full bool, state *configuration.State) (configuration.Read, held, error) {
 	if !full {
-		response, err := s.kv.Range(ctx, headKey)
+		items, at, err := store.List(ctx, s.kv, headKey, false)
 		if err != nil {
-			return configuration.Read{}, err
+			return configuration.Read{}, held{}, err
 		}
-		if read, ok := decodeHead(response, held); ok {
-			return read, nil
+		if read, lies, ok := decodeHead(items, at, state); ok {
+			return read, lies, nil
 		}
 	}
 	prefix := statePrefix
 	if full {
 		prefix = rootPrefix
 	}
-	response, err := s.kv.Range(ctx, prefix)
+	items, at, err := store.List(ctx, s.kv, prefix, false)
 	if err != nil {
-		return configuration.Read{}, err
+		return configuration.Read{}, held{}, err
 	}
-	return decode(response)
+	return decode(items, at)
 }
 
-func (s *Store) write(ctx context.Context, a *configuration.Attempt, c *configuration.Change, d configuration.Decision, position int64) error {
-	request, err := encode(c, d, position)
+func (s *Store) write(ctx context.Context, a *configuration.Attempt, c *configuration.Change, d configuration.Decision, position int64, lies held) error {
+	txn, err := encode(c, d, position, lies)
 	if err != nil {
 		return verdict.Errorf(verdict.NotRun, verdict.CodeInternal, "encode the change: %v", err)
 	}
-	response, err := s.kv.Txn(ctx, request)
-	if err == nil && response.Succeeded {
+	_, err = s.kv.Commit(ctx, txn)
+	var conflict *store.ConflictError
+	switch {
+	case err == nil:
 		return nil
-	}
-	if err == nil {
-		a.Refused(response.Revision)
+	case errors.As(err, &conflict):
+		moved := int64(0)
+		for _, item := range conflict.Items {
+			moved = max(moved, item.Revision)
+		}
+		a.Refused(moved)
 		return errors.Mark(errors.New("another change went ahead"), errRetry)
-	}
-	failure := verdict.From(err)
-	switch {
-	case failure.Code == verdict.CodeTooLarge:
-		return failure
-	case failure.Verdict != verdict.NotRun:
+	case errors.Is(err, store.ErrTooLarge):
+		return verdict.Errorf(verdict.NotRun, verdict.CodeTooLarge, "%v", err)
+	case !errors.Is(err, store.ErrRefused):
 		a.Lost(d)
 	}
-	return errors.Mark(failure, errRetry)
+	return errors.Mark(err, errRetry)
 }
 
 func pause(ctx context.Context) error {
--- a/internal/configstore/store_test.go
+++ b/internal/configstore/store_test.go
@@ -11,8 +11,9 @@
 
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/platform"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/stretchr/testify/require"
 )
@@ -24,19 +25,19 @@
 	table  *configuration.Table
 }
 
-func limited(kv platform.Store) *platform.Limited {
-	return platform.NewLimited(kv, platform.NewBudget(platform.BudgetConfig{
+func limited(kv store.Store) *store.Limited {
+	return store.NewLimited(kv, store.NewBudget(store.BudgetConfig{
 		Rate: 10_000, Burst: 1_000, BackoffMin: time.Millisecond, BackoffMax: 10 * time.Millisecond,
 	}))
 }
 
 var benches = map[string]func(*testing.T) bench{
 	"memory": func(*testing.T) bench {
-		faulty := standin.NewFaultyStore(platform.NewMemory())
+		faulty := standin.NewFaultyStore(store.NewMemory())
 		return bench{New(limited(faulty)), faulty, configuration.NewTable(configuration.New(0, nil))}
 	},
 	"stand-in": func(t *testing.T) bench {
-		faulty := standin.NewFaultyStore(platform.NewMemory())
+		faulty := standin.NewFaultyStore(store.NewMemory())
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		ctx, cancel := context.WithCancel(context.Background())
@@ -46,7 +47,7 @@
 			cancel()
 			require.NoError(t, <-done)
 		})
-		client := platform.NewClient(listener.Addr().String(), 5*time.Second)
+		client := platform.NewStore(listener.Addr().String())
 		return bench{New(limited(client)), faulty, configuration.NewTable(configuration.New(0, nil))}
 	},
 }
@@ -99,7 +100,7 @@
 		require.Nil(t, history[1].Edits[0].Before)
 	},
 	"an answer lost after the write": func(t *testing.T, b bench) {
-		b.faults.Set(api.PlatformFaults{LoseAnswers: 1})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{LoseAnswers: 1}))
 		revision, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
 		require.NoError(t, err)
 		require.EqualValues(t, 1, revision)
@@ -108,7 +109,7 @@
 		require.Len(t, history, 1)
 	},
 	"three answers lost in a row": func(t *testing.T, b bench) {
-		b.faults.Set(api.PlatformFaults{LoseAnswers: 3})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{LoseAnswers: 3}))
 		for i := range 3 {
 			_, err := b.commit(t.Context(), b.set(fmt.Sprint(i), fmt.Sprint(i), "1"), false)
 			require.NoError(t, err)
@@ -118,18 +119,18 @@
 		require.Len(t, history, 3)
 	},
 	"down until the deadline": func(t *testing.T, b bench) {
-		b.faults.Set(api.PlatformFaults{Down: true})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{Down: true}))
 		_, err := b.commit(short(t), b.set("a", "x", "1"), false)
 		require.Equal(t, verdict.NotRun, verdict.From(err).Verdict)
-		b.faults.Set(api.PlatformFaults{})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{}))
 		b.requireStored(t, "quotas/x", "")
 	},
 	"a repetition after an unknown end": func(t *testing.T, b bench) {
 		change := b.set("a", "x", "1")
-		b.faults.Set(api.PlatformFaults{LoseAnswers: 1, Stale: true})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{LoseAnswers: 1, Stale: true}))
 		_, err := b.commit(short(t), change, false)
 		require.Equal(t, verdict.MayHaveRun, verdict.From(err).Verdict)
-		b.faults.Set(api.PlatformFaults{})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{}))
 		revision, err := b.commit(t.Context(), change, true)
 		require.NoError(t, err)
 		require.EqualValues(t, 1, revision)
@@ -148,13 +149,13 @@
 	"a stale read does not hide a later change": func(t *testing.T, b bench) {
 		_, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
 		require.NoError(t, err)
-		b.faults.Set(api.PlatformFaults{Stale: true})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{Stale: true}))
 		other := bench{b.Store, b.faults, configuration.NewTable(b.table.Current())}
 		_, err = other.commit(t.Context(), other.set("b", "x", "2"), false)
 		require.NoError(t, err)
 		_, err = b.commit(short(t), b.set("c", "x", "3"), false)
 		require.Error(t, err)
-		b.faults.Set(api.PlatformFaults{})
+		require.NoError(t, b.faults.Set(api.PlatformFaults{}))
 		b.requireStored(t, "quotas/x", "2")
 	},
 	"a conflict names both revisions": func(t *testing.T, b bench) {
@@ -171,7 +172,7 @@
 		require.Equal(t, "2", *conflict.Theirs[0].After)
 	},
 	"an entry over the limit changes nothing": func(t *testing.T, b bench) {
-		_, err := b.commit(t.Context(), b.set("a", "x", strings.Repeat("x", platform.MaxValue+1)), false)
+		_, err := b.commit(t.Context(), b.set("a", "x", strings.Repeat("x", store.MaxValue+1)), false)
 		var tooLarge *configuration.TooLargeError
 		require.ErrorAs(t, err, &tooLarge)
 		b.requireStored(t, "quotas/x", "")
@@ -220,7 +221,7 @@
 			{Key: "quotas/x", Before: pointer("1")},
 		}}, false)
 		require.NoError(t, err)
-		watched, err := b.Watch(t.Context(), position, time.Minute)
+		watched, _, err := b.Watch(t.Context(), position, time.Minute)
 		require.NoError(t, err)
 		next, ok := Update(follower, watched)
 		require.True(t, ok)
@@ -230,10 +231,39 @@
 		require.True(t, ok)
 		require.EqualValues(t, 99, behind.Revision())
 		b.faults.Compact()
-		watched, err = b.Watch(t.Context(), position, time.Minute)
+		_, _, err = b.Watch(t.Context(), position, time.Minute)
+		require.ErrorIs(t, err, store.ErrCompacted)
+	},
+	"a change of more entries than a transaction takes": func(t *testing.T, b bench) {
+		_, err := b.commit(t.Context(), b.set("a", "x", "1"), false)
+		require.NoError(t, err)
+		follower, position, err := b.Read(t.Context())
+		require.NoError(t, err)
+		large := &configuration.Change{ID: "b", Base: 1, Edits: []configuration.Edit{{Key: "quotas/x", Before: pointer("1")}}}
+		for i := range 3 * store.MaxTxn {
+			large.Edits = append(large.Edits, configuration.Edit{Key: fmt.Sprintf("quotas/y%03d", i), After: pointer(strings.Repeat("7", 9000))})
+		}
+		_, err = b.commit(t.Context(), large, false)
+		require.NoError(t, err)
+		b.requireStored(t, "quotas/x", "")
+		b.requireStored(t, "quotas/y095", strings.Repeat("7", 9000))
+		watched, _, err := b.Watch(t.Context(), position, time.Minute)
+		require.NoError(t, err)
+		_, ok := Update(follower, watched)
+		require.False(t, ok, "the whole state has to be read")
+		for _, change := range []*configuration.Change{
+			{ID: "c", Base: 2, Edits: []configuration.Edit{{Key: "quotas/y001", Before: pointer(strings.Repeat("7", 9000))}}},
+			b.set("d", "x", "2"),
+		} {
+			_, err = b.commit(t.Context(), change, false)
+			require.NoError(t, err)
+		}
+		b.requireStored(t, "quotas/y001", "")
+		b.requireStored(t, "quotas/x", "2")
+		s, _, err := b.Read(t.Context())
 		require.NoError(t, err)
-		_, ok = Update(follower, watched)
-		require.False(t, ok)
+		require.Equal(t, b.table.Current().Fingerprint(), s.Fingerprint())
+		require.Equal(t, 3*store.MaxTxn, s.Len())
 	},
 	"the history keeps the last changes only": func(t *testing.T, b bench) {
 		for i := range historyLimit + 3 {
--- a/internal/httpfront/front.go
+++ b/internal/httpfront/front.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"expvar"
+	"io"
 	"log/slog"
 	"net"
 	"net/url"
@@ -53,6 +54,9 @@
 	IdleTimeout time.Duration
 	// Metrics are shown at /debug/vars.
 	Metrics *expvar.Map
+	// Histograms prints counters and latency histograms as text, at /metrics; nil
+	// shows none.
+	Histograms func(w io.Writer)
 	// Operators serves paths under /v1/operators; nil serves none.
 	Operators fasthttp.RequestHandler
 	// Log receives the faults of connections, at level debug.
@@ -123,6 +127,10 @@
 			c.SetContentType("application/json")
 			c.SetBodyString(f.config.Metrics.String())
 		}
+	case len(path) == 1 && path[0] == "metrics" && f.config.Histograms != nil:
+		if allow(c, fasthttp.MethodGet, fasthttp.MethodHead) {
+			f.config.Histograms(c)
+		}
 	default:
 		refuse(c, fasthttp.StatusNotFound, "", verdict.Errorf(verdict.NotRun, verdict.CodeMalformed, "no such path"))
 	}
--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -11,14 +11,14 @@
 
 // deciding packages are driven by events and the time, so that any front end
 // can use them: they must reach no network, file, encoding or daemon package.
-var deciding = []string{"membership", "submission", "ownership", "job", "dispatch", "dispatch/baseline", "configuration", "health", "admission",
+var deciding = []string{"membership", "submission", "ownership", "configuration", "health", "admission",
 	"fleet", "intake", "routing", "scheduler", "scheduler/schedulertest"}
 
 var forbidden = []string{
 	"net", "os", "encoding/", "syscall", "github.com/valyala/", "github.com/tinylib/",
 	"github.com/mustardstep/mustardstep/internal/wire", "github.com/mustardstep/mustardstep/internal/api",
 	"github.com/mustardstep/mustardstep/internal/peer", "github.com/mustardstep/mustardstep/internal/upstream",
-	"github.com/mustardstep/mustardstep/internal/platform", "github.com/mustardstep/mustardstep/internal/httpfront",
+	"github.com/mustardstep/mustardstep/internal/httpfront",
 	"github.com/mustardstep/mustardstep/daemon", "github.com/mustardstep/mustardstep/node",
 	"github.com/mustardstep/mustardstep/platform", "github.com/mustardstep/mustardstep/store",
 }
--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -4,8 +4,9 @@
 	"context"
 	"log/slog"
 	"sync/atomic"
+	"time"
 
-	"github.com/mustardstep/mustardstep/dispatch"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 )
@@ -13,20 +14,13 @@
 // Decisions logs a line for each routing and placement decision. It is safe
 // for concurrent use; the zero value logs nothing.
 type Decisions struct {
-	logger *slog.Logger
-	// placements holds a logger for each reason of a placement. With the
-	// reason bound beforehand, a line has no more attributes than a record
-	// holds without an allocation.
-	placements map[dispatch.Reason]*slog.Logger
-	enabled    *atomic.Bool
+	logger  *slog.Logger
+	enabled *atomic.Bool
 }
 
 // NewDecisions returns a log of decisions, silent while it is not enabled.
 func NewDecisions(logger *slog.Logger, enabled bool) Decisions {
-	d := Decisions{logger: logger, placements: map[dispatch.Reason]*slog.Logger{}, enabled: &atomic.Bool{}}
-	for _, reason := range []dispatch.Reason{dispatch.Fastest, dispatch.Borrowed, dispatch.Baseline} {
-		d.placements[reason] = logger.With(slog.String("reason", reason.String()))
-	}
+	d := Decisions{logger: logger, enabled: &atomic.Bool{}}
 	d.Enable(enabled)
 	return d
 }
@@ -46,19 +40,36 @@
 		slog.String("home", home), slog.String("owner", owner), slog.String("reason", reason))
 }
 
-// Placement logs to which upstream a task was bound, and why.
-func (d Decisions) Placement(a *dispatch.Assignment) {
+// Offer logs to which dispatcher a job was offered.
+func (d Decisions) Offer(job, dispatcher string, term uint64, tasks int, resumed bool) {
+	if d.silent() {
+		return
+	}
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "offer",
+		slog.String("job", job), slog.String("dispatcher", dispatcher), slog.Uint64("term", term),
+		slog.Int("tasks", tasks), slog.Bool("resumed", resumed))
+}
+
+// Placement logs to which upstream a task was bound, with what decided it.
+func (d Decisions) Placement(start *scheduler.Start) {
 	if d.silent() {
 		return
 	}
-	logger := d.placements[a.Reason]
-	if logger == nil {
-		logger = d.logger.With(slog.String("reason", a.Reason.String()))
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
+		slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
+		slog.String("upstream", start.Upstream.Name), slog.Int64("waited_us", start.Waited.Microseconds()),
+		slog.Int64("expected_us", start.Expected.Microseconds()), slog.Int64("left_us", start.Left.Microseconds()),
+		slog.Int("free_cpu", start.Free.MilliCPU))
+}
+
+// Answer logs the end of a job at the VM that took it.
+func (d Decisions) Answer(job, queue, outcome, reason string, took time.Duration, configuration int64) {
+	if d.silent() {
+		return
 	}
-	logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
-		slog.String("caller", a.Task.Submission.Caller), slog.String("key", a.Task.Submission.Key),
-		slog.Int("task", a.Task.Index), slog.String("upstream", a.Upstream.Name),
-		slog.Int64("waited_us", a.Waited.Microseconds()))
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "answer",
+		slog.String("job", job), slog.String("queue", queue), slog.String("outcome", outcome), slog.String("reason", reason),
+		slog.Int64("took_us", took.Microseconds()), slog.Int64("configuration", configuration))
 }
 
 // Refusal logs that a submission failed, and why.
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -12,20 +12,19 @@
 	"testing"
 	"time"
 
-	"github.com/mustardstep/mustardstep/dispatch"
 	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/stretchr/testify/require"
 )
 
-func testAssignment() *dispatch.Assignment {
-	return &dispatch.Assignment{
-		Task: &dispatch.Task{
-			Submission: submission.ID{Caller: "museum-01", Key: "01JABCDEFGHJKMNPQRSTVWXYZ0"}, Index: 17,
-		},
-		Upstream: &dispatch.Upstream{Name: "casablanca-rota-desk-07"},
-		Waited:   1234 * time.Microsecond,
+func testStart() *scheduler.Start {
+	return &scheduler.Start{
+		Run:      scheduler.Run{Task: scheduler.Task{Job: "5c0e7a21d94b36f8", Index: 17}, Attempt: 1},
+		Upstream: scheduler.Upstream{Name: "casablanca-rota-desk-07"},
+		Waited:   1234 * time.Microsecond, Expected: 60 * time.Millisecond, Left: 90 * time.Millisecond,
+		Free: scheduler.Size{MilliCPU: 2400},
 	}
 }
 
@@ -52,7 +51,7 @@
 	// A millisecond apart, so that the times differ in their text.
 	d.Route(id, "casablanca", "vm1", "forward")
 	time.Sleep(time.Millisecond)
-	d.Placement(testAssignment())
+	d.Placement(testStart())
 	time.Sleep(time.Millisecond)
 	d.Refusal(id, verdict.Errorf(verdict.NotRun, verdict.CodeQuota, "too many"))
 	flush()
@@ -60,8 +59,8 @@
 	require.Len(t, all, 3)
 	for i, want := range []map[string]any{
 		{"msg": "route", "caller": "museum", "key": "k", "home": "casablanca", "owner": "vm1", "reason": "forward"},
-		{"msg": "place", "caller": "museum-01", "key": "01JABCDEFGHJKMNPQRSTVWXYZ0", "task": 17.0,
-			"upstream": "casablanca-rota-desk-07", "reason": dispatch.Reason(0).String(), "waited_us": 1234.0},
+		{"msg": "place", "job": "5c0e7a21d94b36f8", "task": 17.0, "attempt": 1.0, "upstream": "casablanca-rota-desk-07",
+			"waited_us": 1234.0, "expected_us": 60000.0, "left_us": 90000.0, "free_cpu": 2400.0},
 		{"msg": "refuse", "caller": "museum", "key": "k", "verdict": "failed: not run", "code": "quota", "reason": "too many"},
 	} {
 		require.NotEmpty(t, all[i]["time"])
@@ -74,7 +73,7 @@
 func TestSilentDecisions(t *testing.T) {
 	var log bytes.Buffer
 	logger, flush := New(settings.Logging{Level: "info", Format: "text"}, &log)
-	NewDecisions(logger, false).Placement(testAssignment())
+	NewDecisions(logger, false).Placement(testStart())
 	Decisions{}.Route(submission.ID{}, "", "", "")
 	flush()
 	require.Empty(t, log.String())
@@ -89,7 +88,7 @@
 	for range writers {
 		wg.Go(func() {
 			for range each {
-				d.Placement(testAssignment())
+				d.Placement(testStart())
 			}
 		})
 	}
@@ -136,7 +135,7 @@
 		d := NewDecisions(logger.With(slog.String("vm", "vm0")), true)
 		b.Run(format+"/one", func(b *testing.B) {
 			b.ReportAllocs()
-			a := testAssignment()
+			a := testStart()
 			for b.Loop() {
 				d.Placement(a)
 			}
@@ -144,7 +143,7 @@
 		b.Run(format+"/parallel", func(b *testing.B) {
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
-				a := testAssignment()
+				a := testStart()
 				for pb.Next() {
 					d.Placement(a)
 				}
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -12,7 +12,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/internal/platform"
+	"github.com/mustardstep/mustardstep/internal/vmlist"
+	"github.com/mustardstep/mustardstep/platform"
 	"github.com/valyala/fasthttp"
 )
 
@@ -106,7 +107,7 @@
 	if err := c.run("platform", "platform", "-listen", c.platform); err != nil {
 		return err
 	}
-	if err := awaitHTTP(ctx, c.platform, "/v1/vms"); err != nil {
+	if err := awaitTCP(ctx, c.platform); err != nil {
 		return err
 	}
 	speeds := make([]string, len(c.layout.Speeds))
@@ -128,14 +129,14 @@
 func (c *cluster) awaitUpstreams(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	directory := platform.NewClient(c.platform, time.Second)
+	service := platform.NewStore(c.platform)
 	expected := len(c.layout.DataCentres) * c.layout.Upstreams
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		list, err := directory.VMs(ctx, "", "")
-		if err == nil && len(list.VMs) == expected {
-			c.upstreams = list.VMs
+		vms, err := vmlist.List(ctx, service, vmlist.UpstreamPrefix)
+		if err == nil && len(vms) == expected {
+			c.upstreams = vms
 			return nil
 		}
 		select {
--- a/internal/replay/decide.go
+++ b/internal/replay/decide.go
@@ -3,22 +3,17 @@
 import (
 	"container/heap"
 	"fmt"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
-	"github.com/mustardstep/mustardstep/dispatch"
-	"github.com/mustardstep/mustardstep/dispatch/baseline"
-	"github.com/mustardstep/mustardstep/internal/rendezvous"
-	"github.com/mustardstep/mustardstep/membership"
-	"github.com/mustardstep/mustardstep/submission"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// Decide drives the deciding packages by a suite's trace in virtual time,
-// without processes or messages, under every policy. Its figures are those of
-// the decisions alone.
+// Decide drives the scheduler by a suite's trace in virtual time, without
+// processes or messages. Its figures are those of the decisions alone.
 func Decide(suite string, o Options) (*Report, error) {
 	s, known := dispatchScenarios[suite]
 	if !known {
@@ -32,51 +27,51 @@
 	if err != nil {
 		return nil, err
 	}
-	clairvoyant := Clairvoyant(jobs, s.layout.slotSpeeds(), measuredFrom(jobs))
-	var reports []*Report
-	for _, policy := range o.Policies {
-		d := newDriver(&s.layout, policy, services)
-		outcomes := measured(d.run(jobs), measuredFrom(jobs))
-		report := &Report{Suite: suite, Seed: o.Seed, Policy: policy}
-		judge(report, outcomes, nil, nil, s.layout.slotSpeeds().Sum())
-		judgeDispatch(report, outcomes, s.layout.slotSpeeds().Sum())
-		report.VsClairvoyantMean = report.MeanResponseMS / milliseconds(clairvoyant)
-		report.Counters = map[string]int64{"messages": d.messages, "tasks": d.tasks}
-		reports = append(reports, report)
-	}
-	return side(reports), nil
+	d := newDriver(&s.layout, services)
+	outcomes := measured(d.run(jobs), measuredFrom(jobs))
+	report := &Report{Suite: suite, Seed: o.Seed, Policy: policyMustardstep}
+	judge(report, outcomes, nil, nil, s.layout.slotSpeeds().Sum())
+	judgeDispatch(report, outcomes, s.layout.slotSpeeds().Sum())
+	report.Counters = map[string]int64{"starts": d.starts, "looks": d.looks}
+	s.judgeAgainst(report, jobs, o.Policies)
+	return report, nil
 }
 
-// Delays of the virtual network.
 const (
-	// taskOverhead is added to every task.
-	taskOverhead = time.Millisecond
-	// callOverhead is added to every job.
-	callOverhead = 2 * time.Millisecond
+	// hop is the virtual time of a message to an upstream or back.
+	hop = taskOverhead / 2
+	// driverLease is the longest lease of a model upstream.
+	driverLease = time.Second
+	// lookStep is the virtual time between two checks for an end.
+	lookStep = time.Millisecond / 2
+	// driverWaiting bounds the queue.
+	driverWaiting = 1_000_000
+	// driverToken is the fencing token of the only term.
+	driverToken = 1
 )
 
-// driver runs the dispatchers of several VMs in virtual time.
+// driver runs one scheduler against model upstreams in virtual time.
 type driver struct {
-	services *catalog.Catalog
-	rng      *rand.Rand
-	now      time.Time
-	events   eventHeap
-	order    int // of the next event
-	views    *membership.View
-	vms      map[string]decider
-	speeds   map[string]float64 // by upstream
-	left     int                // jobs that have not ended
-	messages int64
-	tasks    int64
+	services  *catalog.Catalog
+	scheduler *scheduler.Scheduler
+	upstreams map[string]*schedulertest.Upstream
+	looking   map[string]bool
+	jobs      map[string]*drivenJob
+	now       time.Time
+	events    eventHeap
+	order     int // of the next event
+	left      int // jobs that have not ended
+	starts    int64
+	looks     int64
 }
 
-// decider is a dispatcher under any policy.
-type decider interface {
-	Add(now time.Time, tasks []*dispatch.Task) ([]dispatch.Assignment, *verdict.Error)
-	Finish(now time.Time, a dispatch.Assignment, r dispatch.Result, next []dispatch.Assignment) ([]dispatch.Assignment, bool)
-	Cancel(service string, id submission.ID) int
-	Tick(now time.Time) []dispatch.Assignment
-	SetUpstreams(now time.Time, service string, upstreams []dispatch.Upstream) []dispatch.Assignment
+// drivenJob is a job on its way.
+type drivenJob struct {
+	trace   *TraceJob
+	arrived time.Time
+	left    int
+	outcome *outcome
+	ended   bool
 }
 
 // event is something that happens at a virtual time.
@@ -105,97 +100,41 @@
 
 func (d *driver) after(wait time.Duration, run func()) {
 	d.order++
-	heap.Push(&d.events, event{d.now.Add(wait), d.order, run})
+	heap.Push(&d.events, event{d.now.Add(max(wait, 0)), d.order, run})
 }
 
-func newDriver(layout *Layout, policy string, services *catalog.Catalog) *driver {
+func newDriver(layout *Layout, services *catalog.Catalog) *driver {
+	start := time.Unix(1_000_000_000, 0)
 	d := &driver{
-		services: services, rng: rand.New(rand.NewPCG(1, 1)), now: time.Unix(0, 0),
-		vms: map[string]decider{}, speeds: map[string]float64{},
-	}
-	var members []membership.Member
-	for _, dataCentre := range layout.DataCentres {
-		for i := range layout.VMs {
-			name := fmt.Sprintf("%s-vm%d", dataCentre, i)
-			members = append(members, membership.Member{VM: name, DataCentre: dataCentre})
-			d.vms[name] = newDecider(policy)
-		}
+		services: services, now: start, upstreams: map[string]*schedulertest.Upstream{}, looking: map[string]bool{},
+		jobs:      map[string]*drivenJob{},
+		scheduler: scheduler.New(start, scheduler.Config{LeaseMax: driverLease, MaxWaiting: driverWaiting}),
 	}
-	d.setPeers(members)
-	d.views = viewOf(d.now, members)
+	var list []scheduler.Upstream
 	for service := range services.Services() {
 		for _, dataCentre := range layout.DataCentres {
-			d.placeUpstreams(layout, service, dataCentre)
+			for i := range layout.Upstreams {
+				u := scheduler.Upstream{
+					Name: fmt.Sprintf("%s-%s-%02d", dataCentre, service, i), Service: service, DataCentre: dataCentre,
+					Size: scheduler.Size{MilliCPU: layout.Slots * drivenTask.MilliCPU},
+				}
+				model := schedulertest.New(start, u, driverLease)
+				model.Speed = layout.Speeds[i%len(layout.Speeds)]
+				d.upstreams[u.Name] = model
+				list = append(list, u)
+			}
 		}
 	}
-	return d
-}
-
-// viewOf returns the view of the first member once all have joined.
-func viewOf(now time.Time, members []membership.Member) *membership.View {
-	config := membership.Config{Self: members[0]}
-	var facts []membership.Fact
-	for _, m := range members {
-		config.DataCentres = append(config.DataCentres, m.DataCentre)
-		facts = append(facts, membership.Fact{Member: m, Admitted: true})
-	}
-	table := membership.NewTable(now, config)
-	table.Learn(now, facts)
-	for _, m := range members {
-		table.Count(now, m)
+	d.scheduler.Begin(start, driverToken, 0)
+	d.scheduler.SetUpstreams(start, list, false)
+	for _, u := range list {
+		d.look(u.Name)
 	}
-	return table.View()
-}
-
-// maxQueued bounds the queues of the driver.
-const maxQueued = 1_000_000
-
-// Settings of the daemon, at their defaults.
-const (
-	drivenLoanTime     = 200 * time.Millisecond
-	drivenBorrowWait   = 10 * time.Millisecond
-	drivenBorrowBudget = 0.03
-)
-
-func newDecider(policy string) decider {
-	if policy != policyMustardstep {
-		return baseline.New(baseline.Policy(policy), maxQueued)
-	}
-	return dispatch.New(dispatch.Config{
-		MaxQueued: maxQueued, LoanTime: drivenLoanTime, BorrowWait: drivenBorrowWait,
-		BorrowBudget: drivenBorrowBudget,
-	})
+	return d
 }
 
-// placeUpstreams divides the upstreams of a data centre among its VMs.
-func (d *driver) placeUpstreams(layout *Layout, service, dataCentre string) {
-	members := d.views.Members(dataCentre)
-	var hashes []uint64
-	for _, m := range members {
-		hashes = append(hashes, rendezvous.Hash(m.VM))
-	}
-	for i, m := range members {
-		var upstreams []dispatch.Upstream
-		for u := range layout.Upstreams {
-			name := fmt.Sprintf("%s-%s-%02d", dataCentre, service, u)
-			d.speeds[name] = layout.Speeds[u%len(layout.Speeds)]
-			upstreams = append(upstreams, dispatch.Upstream{
-				Name: name, Service: service, Slots: dispatch.Share(name, layout.Slots, hashes, hashes[i]),
-			})
-		}
-		d.vms[m.VM].SetUpstreams(d.now, service, upstreams)
-	}
-}
-
-// drivenJob is a job on its way; the tasks carry it as Work.
-type drivenJob struct {
-	trace   *TraceJob
-	vm      decider
-	arrived time.Time
-	left    int
-	ended   bool
-	outcome *outcome
-}
+// drivenTask is what a task takes: a slot.
+var drivenTask = scheduler.Size{MilliCPU: 1000}
 
 // run drives a whole trace and returns its outcomes.
 func (d *driver) run(jobs []TraceJob) []outcome {
@@ -204,10 +143,8 @@
 	for i := range jobs {
 		d.after(time.Duration(jobs[i].ArrivalUS)*time.Microsecond, func() { d.arrive(&jobs[i], &outcomes[i]) })
 	}
-	for _, vm := range d.vms {
-		d.tick(vm)
-	}
-	for len(d.events) > 0 {
+	d.tick()
+	for len(d.events) > 0 && d.left > 0 {
 		e := heap.Pop(&d.events).(event)
 		d.now = e.at
 		e.run()
@@ -215,41 +152,40 @@
 	return outcomes
 }
 
-func (d *driver) tick(vm decider) {
-	d.place(vm, vm.Tick(d.now))
-	d.lend(vm)
-	if d.left > 0 {
-		d.after(dispatch.TickInterval, func() { d.tick(vm) })
-	}
+func (d *driver) tick() {
+	d.act(d.scheduler.Tick(d.now))
+	d.after(scheduler.TickInterval, d.tick)
 }
 
 func (d *driver) arrive(trace *TraceJob, o *outcome) {
-	id := submission.ID{Caller: trace.Caller, Key: trace.Key}
-	owner, _, _ := d.views.Ranked(d.views.HomeOf(id.Caller), id.Hash())
-	job := &drivenJob{trace: trace, vm: d.vms[owner.VM], arrived: d.now, left: len(trace.Tasks), outcome: o}
-	o.job = trace
 	call := d.services.Lookup(trace.Service, trace.Call)
-	tasks := make([]*dispatch.Task, len(trace.Tasks))
-	for i := range tasks {
-		tasks[i] = &dispatch.Task{Submission: id, Index: i, Call: call, Work: job, Deadline: d.now.Add(call.Deadline)}
+	job := &drivenJob{trace: trace, arrived: d.now, left: len(trace.Tasks), outcome: o}
+	o.job = trace
+	id := trace.Caller + "/" + trace.Key
+	d.jobs[id] = job
+	offered := scheduler.Job{
+		ID: id, Origin: "front", OriginIncarnation: 1, Queue: call.Service + "/" + call.Name, Service: call.Service,
+		Size: drivenTask, Priority: int(catalog.Urgent - call.Priority), Estimate: call.Declared,
+		Sent: d.now, Deadline: d.now.Add(call.Deadline), Stretch: 1, Slack: call.Deadline / 3, MaxAttempts: 1, Once: true,
+	}
+	for i := range trace.Tasks {
+		offered.Tasks = append(offered.Tasks, i)
 	}
-	d.tasks += int64(len(tasks))
-	assignments, failure := job.vm.Add(d.now, tasks)
-	if failure != nil {
+	if _, failure := d.scheduler.Offer(d.now, offered); failure != nil {
 		d.end(job, failure)
 		return
 	}
-	d.place(job.vm, assignments)
-	d.borrow(job.vm)
 	if trace.CancelAfterUS > 0 {
 		d.after(time.Duration(trace.CancelAfterUS)*time.Microsecond, func() { d.cancel(job, id) })
 	}
+	d.place()
 }
 
-func (d *driver) cancel(job *drivenJob, id submission.ID) {
+func (d *driver) cancel(job *drivenJob, id string) {
 	if !job.ended {
-		job.vm.Cancel(job.trace.Service, id)
+		d.act(d.scheduler.Withdraw(d.now, "front", []string{id}))
 		d.end(job, verdict.Errorf(verdict.MayHaveRun, verdict.CodeCancelled, "cancelled"))
+		d.place()
 	}
 }
 
@@ -260,75 +196,84 @@
 	d.left--
 }
 
-// place runs assignments: each ends after the true time of its task.
-func (d *driver) place(vm decider, assignments []dispatch.Assignment) {
-	for _, a := range assignments {
-		job := a.Task.Work.(*drivenJob)
-		run := time.Duration(float64(job.trace.Tasks[a.Task.Index].RunUS) / d.speeds[a.Upstream.Name] * float64(time.Microsecond))
-		took := run + taskOverhead
-		d.after(took, func() { d.finish(vm, job, a, took) })
+// place sends the starts that are due.
+func (d *driver) place() {
+	for _, start := range d.scheduler.Place(d.now) {
+		d.starts++
+		model := d.upstreams[start.Upstream.Name]
+		work := time.Duration(d.jobs[start.Run.Job].trace.Tasks[start.Run.Index].RunUS) * time.Microsecond
+		d.after(hop, func() {
+			result, clock := model.Start(d.now, start, drivenTask, work)
+			d.after(hop, func() {
+				d.act(d.scheduler.StartEnded(d.now, start, result, clock))
+				d.look(start.Upstream.Name)
+				d.place()
+			})
+		})
 	}
 }
 
-func (d *driver) finish(vm decider, job *drivenJob, a dispatch.Assignment, took time.Duration) {
-	next, _ := vm.Finish(d.now, a, dispatch.Result{Ending: dispatch.Done, Took: took}, nil)
-	job.left--
-	if job.left == 0 && !job.ended {
-		d.end(job, nil)
+// look looks at an upstream, one look at a time, while one is due.
+func (d *driver) look(name string) {
+	if d.looking[name] {
+		return
 	}
-	d.place(vm, next)
-}
-
-// hop is the time of a message from one VM to another.
-const hop = 500 * time.Microsecond
-
-// exchange is a request and its response.
-const exchange = 2
-
-func (d *driver) setPeers(members []membership.Member) {
-	for _, self := range members {
-		dispatcher, ok := d.vms[self.VM].(*dispatch.Dispatcher)
-		if !ok {
-			continue
-		}
-		var peers []dispatch.Peer
-		for _, m := range members {
-			if m.VM != self.VM {
-				peers = append(peers, dispatch.Peer{VM: m.VM, Near: m.DataCentre == self.DataCentre})
-			}
-		}
-		dispatcher.SetPeers(peers)
+	look, due, wait, _ := d.scheduler.NextLook(d.now, name)
+	d.looking[name] = due || wait > 0
+	switch {
+	case due:
+		d.looks++
+		d.after(hop, func() { d.await(look, d.now.Add(look.Wait)) })
+	case wait > 0:
+		d.after(wait, func() {
+			d.looking[name] = false
+			d.look(name)
+		})
 	}
 }
 
-// lend returns ended loans and asks for new ones.
-func (d *driver) lend(vm decider) {
-	dispatcher, ok := vm.(*dispatch.Dispatcher)
-	if !ok {
+// await answers a look once an end is listed, or at the end of its wait.
+func (d *driver) await(look scheduler.Look, until time.Time) {
+	name := look.Upstream.Name
+	model := d.upstreams[name]
+	result, report := model.Look(d.now, look)
+	if len(report.Ends) == 0 && d.now.Before(until) {
+		look.Until = 0 // the lease is renewed on arrival
+		d.after(lookStep, func() { d.await(look, until) })
 		return
 	}
-	for _, r := range dispatcher.Returns(d.now) {
-		d.messages += exchange
-		lender := d.vms[r.Lender].(*dispatch.Dispatcher)
-		d.after(hop, func() { d.place(lender, lender.TakeBack(d.now, r)) })
-	}
-	d.borrow(vm)
+	d.after(hop, func() {
+		d.looking[name] = false
+		d.act(d.scheduler.Looked(d.now, look, result, report))
+		d.look(name)
+		d.place()
+	})
 }
 
-func (d *driver) borrow(vm decider) {
-	dispatcher, ok := vm.(*dispatch.Dispatcher)
-	if !ok {
-		return
-	}
-	for name, ask := range dispatcher.Borrow(d.now) {
-		d.messages += exchange
-		lender := d.vms[name].(*dispatch.Dispatcher)
+func (d *driver) act(a scheduler.Actions) {
+	for _, stop := range a.Stops {
+		model := d.upstreams[stop.Upstream.Name]
 		d.after(hop, func() {
-			loan := lender.Lend(d.now, ask)
+			result, clock := model.Stop(d.now, stop)
 			d.after(hop, func() {
-				d.place(vm, dispatcher.Borrowed(d.now, name, ask, loan))
-				d.borrow(vm)
+				actions, _, _ := d.scheduler.StopEnded(d.now, stop, result, clock)
+				d.act(actions)
 			})
 		})
 	}
+	var receipts []scheduler.Receipt
+	for _, n := range a.Notices {
+		receipts = append(receipts, n.Receipt)
+		job := d.jobs[n.Task.Job]
+		switch {
+		case job.ended:
+		case n.Kind == scheduler.TaskDone:
+			if job.left--; job.left == 0 {
+				d.end(job, nil)
+			}
+		default:
+			d.end(job, verdict.Errorf(verdict.MayHaveRun, n.Code, "%s", n.Reason))
+		}
+	}
+	d.scheduler.Delivered(receipts)
 }
--- a/internal/replay/faults_steps.go
+++ b/internal/replay/faults_steps.go
@@ -232,16 +232,8 @@
 	return struck
 }
 
-// leaveUpstreams lets the struck upstreams refuse and be listed as leaving.
+// leaveUpstreams lets the struck upstreams refuse tasks and say in their entries
+// that they leave.
 func leaveUpstreams(s *scene) error {
-	if err := s.strikeUpstreams(api.UpstreamFault{Mode: api.UpstreamLeaving}); err != nil {
-		return err
-	}
-	for _, upstream := range s.struckUpstreams() {
-		upstream.State = api.VMLeaving
-		if err := standin.RegisterVM(s.cluster.platform, upstream); err != nil {
-			return err
-		}
-	}
-	return nil
+	return s.strikeUpstreams(api.UpstreamFault{Mode: api.UpstreamLeaving})
 }
--- a/internal/replay/judge_dispatch.go
+++ b/internal/replay/judge_dispatch.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/valyala/fasthttp"
 )
 
@@ -39,17 +40,16 @@
 // usage sums the counters of all daemons.
 type usage struct {
 	Frames     map[string]int64 `json:"frames_sent"`
-	Refused    int64            `json:"task_starts_refused"`
-	Cancelled  int64            `json:"task_cancels_sent"`
-	Borrowed   int64            `json:"slots_borrowed"`
-	Ejections  int64            `json:"upstream_ejections"`
+	Starts     map[string]int64 `json:"task_starts"` // by result
+	Looks      int64            `json:"upstream_looks"`
+	Stops      int64            `json:"run_stops"`
 	Platform   int64            `json:"platform_calls"`
 	FrameBytes int64            `json:"frame_bytes_sent"`
 }
 
 // usage reads the counters of every daemon.
 func (c *cluster) usage() (*usage, error) {
-	sum := &usage{Frames: map[string]int64{}}
+	sum := &usage{Frames: map[string]int64{}, Starts: map[string]int64{}}
 	for _, address := range c.http {
 		_, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/debug/vars", startTimeout)
 		if err != nil {
@@ -68,16 +68,18 @@
 	for kind, n := range other.Frames {
 		u.Frames[kind] += n
 	}
-	u.Refused += other.Refused
-	u.Cancelled += other.Cancelled
-	u.Borrowed += other.Borrowed
-	u.Ejections += other.Ejections
+	for result, n := range other.Starts {
+		u.Starts[result] += n
+	}
+	u.Looks += other.Looks
+	u.Stops += other.Stops
 	u.Platform += other.Platform
 	u.FrameBytes += other.FrameBytes
 }
 
-// judge counts the wasted messages of a whole replay, warm-up included. Each
-// exchange counts twice, for its request and its response.
+// judge counts the wasted messages of a whole replay, warm-up included. An
+// exchange counts twice, for its request and its response. Of each task a start
+// that was carried out and one look that brings its end are useful.
 func (u *usage) judge(report *Report, outcomes []outcome, attempts int) {
 	jobs, tasks, cancels := int64(len(outcomes)), int64(0), int64(0)
 	for _, o := range outcomes {
@@ -86,19 +88,23 @@
 			cancels++
 		}
 	}
+	done, starts := u.Starts[scheduler.OrderDone.String()], int64(0)
+	for _, n := range u.Starts {
+		starts += n
+	}
 	wasted := map[string]int64{
-		"resubmissions":  2 * (int64(attempts) - jobs),
-		"refused_starts": 2 * u.Refused,
-		"task_cancels":   2 * u.Cancelled,
-		"caller_cancels": 2 * cancels,
-		"platform":       2 * u.Platform,
+		"resubmissions": 2 * (int64(attempts) - jobs),
+		"failed_starts": 2 * (starts - done),
+		"stops":         2 * u.Stops,
+		"looks":         2 * max(u.Looks-done, 0),
+		"cancels":       2 * cancels,
+		"platform":      2 * u.Platform,
 	}
 	frames := int64(0)
 	for kind, n := range u.Frames {
 		frames += n
-		if usefulPerJob(kind) {
-			n = max(n-jobs, 0)
-		}
+		perJob, perTask := usefulFrames(kind)
+		n = max(n-perJob*jobs-perTask*tasks, 0)
 		wasted["frame_kind_"+kind] = n
 	}
 	report.Wasted = map[string]int64{}
@@ -112,22 +118,25 @@
 	report.WastedPerTask = float64(total) / float64(max(tasks, 1))
 	report.FramesPerTask = float64(frames) / float64(max(tasks, 1))
 	report.Counters = map[string]int64{
-		"slots_borrowed": u.Borrowed, "upstream_ejections": u.Ejections, "frame_bytes": u.FrameBytes,
+		"starts": starts, "looks": u.Looks, "stops": u.Stops, "frame_bytes": u.FrameBytes,
 	}
 }
 
-// usefulPerJob tells whether one frame of a kind is useful for each job: the
-// forward to the owner and its answer, the start record and its
-// acknowledgement.
-func usefulPerJob(kind string) bool {
+// usefulFrames returns how many frames of a kind are useful for each job and for
+// each task: the forward to the owner, the start record, the offer to the
+// dispatcher and their answers; the end of each task and its acknowledgement.
+func usefulFrames(kind string) (perJob, perTask int64) {
 	number, err := strconv.Atoi(kind)
 	if err != nil {
-		return false
+		return 0, 0
 	}
 	switch wire.Kind(number) {
-	case wire.KindSubmitRequest, wire.KindSubmitResponse, wire.KindRecordRequest, wire.KindRecordResponse:
-		return true
+	case wire.KindSubmitRequest, wire.KindSubmitResponse, wire.KindRecordRequest, wire.KindRecordResponse,
+		wire.KindOfferRequest, wire.KindOfferResponse:
+		return 1, 0
+	case wire.KindEndsRequest, wire.KindEndsResponse:
+		return 0, 1
 	default:
-		return false
+		return 0, 0
 	}
 }
--- a/internal/replay/suite.go
+++ b/internal/replay/suite.go
@@ -20,7 +20,7 @@
 	// Trace is the file of a trace that replaces the generated one; empty
 	// generates.
 	Trace string
-	// Policies are the dispatch policies that a dispatch suite compares.
+	// Policies are the baselines that a dispatch suite compares with.
 	Policies []string
 	// Deployment is the service whose calls a dispatch suite generates.
 	Deployment string
@@ -89,5 +89,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return thinScenario.replay(ctx, policyMustardstep, jobs)
+	return thinScenario.replay(ctx, jobs)
 }
--- a/internal/replay/suite_config.go
+++ b/internal/replay/suite_config.go
@@ -11,8 +11,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/internal/platform"
 	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/platform"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/valyala/fasthttp"
 )
 
@@ -284,8 +285,8 @@
 			lost++
 		}
 	}
-	stored, err := platform.NewClient(r.platform, time.Second).Range(ctx, "mustardstep/state/head")
-	if err == nil && len(stored.Entries) == 0 {
+	stored, _, err := store.List(ctx, platform.NewStore(r.platform), "mustardstep/state/head", false)
+	if err == nil && len(stored) == 0 {
 		err = errors.New("the platform holds no configuration")
 	}
 	return lost, err
--- a/internal/replay/suite_dispatch.go
+++ b/internal/replay/suite_dispatch.go
@@ -9,17 +9,16 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/standin"
-	"golang.org/x/sync/errgroup"
 )
 
 // warmUpSeconds is the first part of a trace, in which the daemons learn. Its
 // jobs run but are not measured.
 const warmUpSeconds = 2
 
-// policyMustardstep is the policy that the others are baselines of.
+// policyMustardstep names the product in reports.
 const policyMustardstep = "mustardstep"
 
-// scenario is a load on a system, replayed under several policies.
+// scenario is a load on a system.
 type scenario struct {
 	layout Layout
 	shape  Shape
@@ -122,8 +121,8 @@
 	return speeds
 }
 
-// compare replays one trace under every policy, each on processes of its own,
-// and returns the report of mustardstep with those of the others beside it.
+// compare replays one trace on processes and returns the report, with those of
+// the baselines beside it. The baselines are simulated on the same trace.
 func compare(ctx context.Context, suite string, o Options) (*Report, error) {
 	s := dispatchScenarios[suite]
 	jobs, err := s.jobs(o)
@@ -134,45 +133,34 @@
 		return nil, errors.New("the trace has no jobs")
 	}
 	s.layout.Service = jobs[0].Service
-	clairvoyant := Clairvoyant(jobs, s.layout.slotSpeeds(), measuredFrom(jobs))
-	reports, err := s.replayAll(ctx, o.Policies, jobs)
+	report, err := s.replay(ctx, jobs)
 	if err != nil {
 		return nil, err
 	}
-	for _, report := range reports {
-		if clairvoyant > 0 {
-			report.VsClairvoyantMean = report.MeanResponseMS / milliseconds(clairvoyant)
-		}
-		report.Suite, report.Seed = suite, o.Seed
-	}
-	return side(reports), nil
+	s.judgeAgainst(report, jobs, o.Policies)
+	return report, nil
 }
 
-// replayAll replays the trace under every policy: the baselines at once, each
-// on processes of its own, then mustardstep alone.
-func (s *scenario) replayAll(ctx context.Context, policies []string, jobs []TraceJob) ([]*Report, error) {
-	reports := make([]*Report, len(policies))
-	run := func(i int) (err error) {
-		reports[i], err = s.replay(ctx, policies[i], jobs)
-		return errors.Wrap(err, policies[i])
+// judgeAgainst puts the clairvoyant schedule and the baselines beside a report.
+func (s *scenario) judgeAgainst(report *Report, jobs []TraceJob, baselines []string) {
+	from := measuredFrom(jobs)
+	if clairvoyant := Clairvoyant(jobs, s.layout.slotSpeeds(), from); clairvoyant > 0 {
+		report.VsClairvoyantMean = report.MeanResponseMS / milliseconds(clairvoyant)
 	}
-	var g errgroup.Group
-	for i, policy := range policies {
-		if policy != policyMustardstep {
-			g.Go(func() error { return run(i) })
+	best := 0.0
+	for _, policy := range baselines {
+		outcomes := measured(simulateBaseline(&s.layout, policy, jobs), from)
+		other := Report{Suite: report.Suite, Seed: report.Seed, Policy: policy}
+		judge(&other, outcomes, nil, nil, s.layout.slotSpeeds().Sum())
+		judgeDispatch(&other, outcomes, s.layout.slotSpeeds().Sum())
+		report.Baselines = append(report.Baselines, other)
+		if excess := other.RatioMean - 1; best == 0 || excess < best {
+			best = excess
 		}
 	}
-	if err := g.Wait(); err != nil {
-		return nil, err
-	}
-	for i, policy := range policies {
-		if policy == policyMustardstep {
-			if err := run(i); err != nil {
-				return nil, err
-			}
-		}
+	if best > 0 {
+		report.VsBestBaselineExcess = (report.RatioMean - 1) / best
 	}
-	return reports, nil
 }
 
 // measuredFrom returns the arrival from which jobs are measured. A trace that
@@ -185,32 +173,8 @@
 	return warmUpUS
 }
 
-// side puts the baselines beside the report of mustardstep, or of the last
-// policy where mustardstep was not run.
-func side(reports []*Report) *Report {
-	main := slices.IndexFunc(reports, func(r *Report) bool { return r.Policy == policyMustardstep })
-	if main < 0 {
-		main = len(reports) - 1
-	}
-	report := reports[main]
-	best := 0.0
-	for i, other := range reports {
-		if i == main {
-			continue
-		}
-		report.Baselines = append(report.Baselines, *other)
-		if excess := other.RatioMean - 1; best == 0 || excess < best {
-			best = excess
-		}
-	}
-	if best > 0 {
-		report.VsBestBaselineExcess = (report.RatioMean - 1) / best
-	}
-	return report
-}
-
-// replay runs the trace under one policy.
-func (s *scenario) replay(ctx context.Context, policy string, jobs []TraceJob) (*Report, error) {
+// replay runs the trace on processes.
+func (s *scenario) replay(ctx context.Context, jobs []TraceJob) (*Report, error) {
 	dir, err := os.MkdirTemp("", "mustardstep-replay-")
 	if err != nil {
 		return nil, err
@@ -219,7 +183,7 @@
 	begin := time.Now()
 	layout := s.layout
 	layout.Dir = dir
-	layout.DaemonArgs = []string{"-policy", policy, "-log-decisions=false"}
+	layout.DaemonArgs = []string{"-log-decisions=false"}
 	c, err := startCluster(ctx, layout)
 	if err != nil {
 		return nil, err
@@ -235,7 +199,7 @@
 	if err := errors.Join(faultErr, startsErr, usageErr, stopErr); err != nil {
 		return nil, err
 	}
-	report := &Report{Policy: policy}
+	report := &Report{Policy: policyMustardstep}
 	judge(report, measured(outcomes, measuredFrom(jobs)), load.denials, starts, c.speedSum())
 	judgeDispatch(report, measured(outcomes, measuredFrom(jobs)), c.speedSum())
 	usage.judge(report, outcomes, load.attempts)
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -205,31 +205,21 @@
 	})
 }
 
-// Dispatch holds the policy by which tasks are placed on upstreams.
+// Dispatch holds what a daemon dispatches with.
 type Dispatch struct {
-	// Policy: dispatch policy; all but mustardstep are baselines to measure against.
-	Policy string
-	// LoanTime: time for which a borrowed slot may start tasks; 0s neither borrows nor lends.
-	LoanTime time.Duration
-	// BorrowWait: expected wait above which slots are borrowed from peers.
-	BorrowWait time.Duration
-	// BorrowBudget: messages that may be spent on borrowing; more shorten the response, fewer waste less, in messages per task.
-	BorrowBudget float64
+	// Weight: what this VM can carry as a dispatcher; of the VMs that hear each other the one with the most dispatches, in thousandths of a core.
+	Weight int
+	// LeaseMax: longest lease that upstreams grant for what they run.
+	LeaseMax time.Duration
 }
 
 // Bind declares the settings on the binder.
 func (s *Dispatch) Bind(b *Binder) {
-	bind(b, &s.Policy, definition[string]{
-		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policy; all but mustardstep are baselines to measure against", unit: "", fallback: "mustardstep", oneOf: []string{"mustardstep", "roundrobin", "leastoutstanding", "twochoices"},
+	bind(b, &s.Weight, definition[int]{
+		flag: "dispatch-weight", env: "MUSTARDSTEP_DISPATCH_WEIGHT", help: "what this VM can carry as a dispatcher; of the VMs that hear each other the one with the most dispatches", unit: "thousandths of a core", fallback: "1000", min: bound[int](1), max: bound[int](1000000),
 	})
-	bind(b, &s.LoanTime, definition[time.Duration]{
-		flag: "loan-time", env: "MUSTARDSTEP_LOAN_TIME", help: "time for which a borrowed slot may start tasks; 0s neither borrows nor lends", unit: "", fallback: "200ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
-	})
-	bind(b, &s.BorrowWait, definition[time.Duration]{
-		flag: "borrow-wait", env: "MUSTARDSTEP_BORROW_WAIT", help: "expected wait above which slots are borrowed from peers", unit: "", fallback: "10ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
-	})
-	bind(b, &s.BorrowBudget, definition[float64]{
-		flag: "borrow-budget", env: "MUSTARDSTEP_BORROW_BUDGET", help: "messages that may be spent on borrowing; more shorten the response, fewer waste less", unit: "messages per task", fallback: "0.03", min: bound[float64](0), max: bound[float64](2),
+	bind(b, &s.LeaseMax, definition[time.Duration]{
+		flag: "lease-max", env: "MUSTARDSTEP_LEASE_MAX", help: "longest lease that upstreams grant for what they run", unit: "", fallback: "1s", min: bound[time.Duration](time.Duration(900000000)), max: bound[time.Duration](time.Duration(60000000000)),
 	})
 }
 
@@ -239,7 +229,7 @@
 	MaxTasks int
 	// Retention: time for which the answer of a submission is kept.
 	Retention time.Duration
-	// MaxQueued: most tasks waiting per service on one VM, in tasks.
+	// MaxQueued: most tasks that wait at this VM while it dispatches, in tasks.
 	MaxQueued int
 	// Memory: memory for records and answers of submissions, in bytes.
 	Memory int
@@ -258,7 +248,7 @@
 		flag: "retention", env: "MUSTARDSTEP_RETENTION", help: "time for which the answer of a submission is kept", unit: "", fallback: "10m", min: bound[time.Duration](time.Duration(1000000000)), max: bound[time.Duration](time.Duration(86400000000000)),
 	})
 	bind(b, &s.MaxQueued, definition[int]{
-		flag: "max-queued", env: "MUSTARDSTEP_MAX_QUEUED", help: "most tasks waiting per service on one VM", unit: "tasks", fallback: "100000", min: bound[int](1), max: bound[int](10000000),
+		flag: "max-queued", env: "MUSTARDSTEP_MAX_QUEUED", help: "most tasks that wait at this VM while it dispatches", unit: "tasks", fallback: "100000", min: bound[int](1), max: bound[int](10000000),
 	})
 	bind(b, &s.Memory, definition[int]{
 		flag: "submission-memory", env: "MUSTARDSTEP_SUBMISSION_MEMORY", help: "memory for records and answers of submissions", unit: "bytes", fallback: "67108864", min: bound[int](1048576), max: bound[int](17179869184),
@@ -547,7 +537,7 @@
 type Trace struct {
 	// File: trace that a dispatch suite replays in place of the one that it generates.
 	File string
-	// Policies: dispatch policies that a suite compares, separated by commas.
+	// Policies: plain policies that a suite is compared with, separated by commas; they are simulated on its trace.
 	Policies []string
 	// Deployment: deployment whose calls are generated.
 	Deployment string
@@ -559,7 +549,7 @@
 		flag: "trace", env: "MUSTARDSTEP_TRACE", help: "trace that a dispatch suite replays in place of the one that it generates", unit: "",
 	})
 	bind(b, &s.Policies, definition[[]string]{
-		flag: "policy", env: "MUSTARDSTEP_POLICY", help: "dispatch policies that a suite compares, separated by commas", unit: "", fallback: "roundrobin,leastoutstanding,twochoices,mustardstep",
+		flag: "baselines", env: "MUSTARDSTEP_BASELINES", help: "plain policies that a suite is compared with, separated by commas; they are simulated on its trace", unit: "", fallback: "roundrobin,leastoutstanding,twochoices",
 	})
 	bind(b, &s.Deployment, definition[string]{
 		flag: "deployment", env: "MUSTARDSTEP_DEPLOYMENT", help: "deployment whose calls are generated", unit: "", fallback: "rota-desk", oneOf: []string{"rota-desk", "kit-desk"},
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,41 +10,41 @@
 )
 
 // setFault sets the fault that a request names.
-func (u *upstream) setFault(c *fasthttp.RequestCtx) {
+func (u *Upstream) setFault(c *fasthttp.RequestCtx) {
 	var fault api.UpstreamFault
-	if err := json.Unmarshal(c.PostBody(), &fault); err != nil {
+	err := json.Unmarshal(c.PostBody(), &fault)
+	if err == nil {
+		err = u.SetFault(fault)
+	}
+	if err != nil {
 		c.Error(err.Error(), fasthttp.StatusBadRequest)
-		return
 	}
+}
+
+// SetFault sets the way in which the upstream misbehaves from now on. One that
+// leaves says so in its entry.
+func (u *Upstream) SetFault(fault api.UpstreamFault) error {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	u.fault = fault
+	u.model.Speed = u.speed
+	if fault.Mode == api.UpstreamSlow {
+		u.model.Speed = u.speed / fault.Factor
+	}
+	u.model.Fail = fault.Mode == api.UpstreamFailing
+	vm := u.vm
+	u.mu.Unlock()
+	if fault.Mode == api.UpstreamLeaving {
+		vm.State = api.VMLeaving
+	}
+	return RegisterVM(u.platform, vm)
 }
 
-func (u *upstream) currentFault() api.UpstreamFault {
+func (u *Upstream) currentFault() api.UpstreamFault {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.fault
 }
 
-// refusal returns the answer of an upstream that takes no tasks, or nil.
-func refusal(mode api.UpstreamMode) *api.TaskResponse {
-	switch mode {
-	case api.UpstreamRefusing:
-		return &api.TaskResponse{Error: "refused by a fault"}
-	case api.UpstreamLeaving:
-		return &api.TaskResponse{Error: "leaving", Leaving: true}
-	default:
-		return nil
-	}
-}
-
-// closeUnanswered closes the connection of a request without an answer.
-func closeUnanswered(c *fasthttp.RequestCtx) {
-	c.HijackSetNoResponse(true)
-	c.Hijack(func(conn net.Conn) { conn.Close() })
-}
-
 // SetUpstreamFault sets the fault of the stand-in upstream at address.
 func SetUpstreamFault(address string, fault api.UpstreamFault) error {
 	return post(address, "/standin/fault", fault)
--- /dev/null
+++ b/internal/standin/faults_test.go
@@ -0,0 +1,150 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/platform"
+	"github.com/mustardstep/mustardstep/store"
+	"github.com/mustardstep/mustardstep/store/storetest"
+	"github.com/stretchr/testify/require"
+)
+
+// subject is a store under test and the switches of what lies behind it.
+type subject struct {
+	store  store.Store
+	faults *FaultyStore
+}
+
+// subjects makes each way to a store with faults.
+var subjects = map[string]func(*testing.T, *store.Memory) subject{
+	"memory": func(_ *testing.T, memory *store.Memory) subject {
+		faulty := NewFaultyStore(memory)
+		return subject{faulty, faulty}
+	},
+	"client": func(t *testing.T, memory *store.Memory) subject {
+		faulty := NewFaultyStore(memory)
+		return subject{platform.NewStore(serveFaulty(t, faulty)), faulty}
+	},
+	"limited client": func(t *testing.T, memory *store.Memory) subject {
+		faulty := NewFaultyStore(memory)
+		budget := store.NewBudget(store.BudgetConfig{
+			Rate: 1000, Burst: 100, BackoffMin: time.Millisecond, BackoffMax: time.Second,
+		})
+		return subject{store.NewLimited(platform.NewStore(serveFaulty(t, faulty)), budget), faulty}
+	},
+}
+
+func serveFaulty(t *testing.T, faulty *FaultyStore) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- ServeStore(ctx, listener, faulty) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return listener.Addr().String()
+}
+
+func TestStandinIsAStore(t *testing.T) {
+	for name, open := range subjects {
+		t.Run(name, func(t *testing.T) {
+			storetest.Run(t, func(t *testing.T, memory *store.Memory) store.Store { return open(t, memory).store })
+		})
+	}
+}
+
+// create returns a change that writes entry a, which must be absent.
+func create() store.Txn {
+	return store.Txn{
+		Conditions: []store.Condition{{Key: "a"}},
+		Writes:     []store.Write{{Key: "a", Value: []byte("1")}},
+	}
+}
+
+// absent requires that entry a was not written, once the fault is over.
+func absent(t *testing.T, ctx context.Context, s subject) {
+	require.NoError(t, s.faults.Set(api.PlatformFaults{}))
+	items, _, err := store.List(ctx, s.store, "a", false)
+	require.NoError(t, err)
+	require.Empty(t, items)
+}
+
+// faultTable holds faults of the service and what its client shows.
+var faultTable = map[string]struct {
+	faults api.PlatformFaults
+	check  func(*testing.T, context.Context, subject)
+}{
+	"down": {api.PlatformFaults{Down: true}, func(t *testing.T, ctx context.Context, s subject) {
+		_, err := s.store.Range(ctx, "", "", false)
+		require.ErrorIs(t, err, store.ErrRefused)
+		_, _, err = s.store.Watch(ctx, "", 0, time.Minute)
+		require.ErrorIs(t, err, store.ErrRefused)
+		_, err = s.store.Commit(ctx, create())
+		require.ErrorIs(t, err, store.ErrRefused)
+		_, err = s.store.Grant(ctx, time.Minute)
+		require.ErrorIs(t, err, store.ErrRefused)
+		require.ErrorIs(t, s.store.Keep(ctx, 1), store.ErrRefused)
+		require.ErrorIs(t, s.store.End(ctx, 1), store.ErrRefused)
+		absent(t, ctx, s)
+	}},
+	"slow beyond the caller's deadline": {api.PlatformFaults{SlowMS: 60_000}, func(t *testing.T, ctx context.Context, s subject) {
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		_, err := s.store.Commit(short, create())
+		require.Error(t, err)
+	}},
+	"slow within the deadline": {api.PlatformFaults{SlowMS: 5}, func(t *testing.T, ctx context.Context, s subject) {
+		_, err := s.store.Commit(ctx, create())
+		require.NoError(t, err)
+	}},
+	"answer lost after the write": {api.PlatformFaults{LoseAnswers: 1}, func(t *testing.T, ctx context.Context, s subject) {
+		_, err := s.store.Commit(ctx, create())
+		require.Error(t, err)
+		require.NotErrorIs(t, err, store.ErrRefused, "the write may have been made")
+		_, err = s.store.Commit(ctx, create())
+		var conflict *store.ConflictError
+		require.ErrorAs(t, err, &conflict, "the lost write took effect")
+	}},
+	"stale read": {api.PlatformFaults{Stale: true}, func(t *testing.T, ctx context.Context, s subject) {
+		written, err := s.store.Commit(ctx, create())
+		require.NoError(t, err)
+		old, err := s.store.Range(ctx, "a", "", false)
+		require.NoError(t, err)
+		require.Empty(t, old.Items)
+		require.Less(t, old.Revision, written, "an old copy shows by its revision")
+	}},
+	"watch cut": {api.PlatformFaults{}, func(t *testing.T, ctx context.Context, s subject) {
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := s.store.Watch(ctx, "", 1, time.Minute)
+			done <- err
+		}()
+		require.NoError(t, s.faults.Set(api.PlatformFaults{CutWatches: true}))
+		require.Error(t, <-done)
+	}},
+	"compaction": {api.PlatformFaults{}, func(t *testing.T, ctx context.Context, s subject) {
+		_, err := s.store.Commit(ctx, create())
+		require.NoError(t, err)
+		s.faults.Compact()
+		_, _, err = s.store.Watch(ctx, "", 0, time.Minute)
+		require.ErrorIs(t, err, store.ErrCompacted)
+	}},
+}
+
+func TestFaults(t *testing.T) {
+	for name, open := range subjects {
+		for what, c := range faultTable {
+			t.Run(name+"/"+what, func(t *testing.T) {
+				s := open(t, store.NewMemory())
+				require.NoError(t, s.faults.Set(c.faults))
+				c.check(t, t.Context(), s)
+			})
+		}
+	}
+}
--- a/internal/standin/platform_faults.go
+++ b/internal/standin/platform_faults.go
@@ -7,51 +7,60 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/internal/platform"
-	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/mustardstep/mustardstep/store"
 )
 
-// FaultyStore is a platform.Store with fault switches over a Memory. It is
-// safe for concurrent use.
+// FaultyStore is a store.Store with fault switches over a Memory. It is safe
+// for concurrent use.
 type FaultyStore struct {
-	*platform.Memory
+	*store.Memory
 	calls atomic.Int64
 
 	mu      sync.Mutex // guards the fields below
 	faults  api.PlatformFaults
-	frozen  *api.RangeResponse // what stale reads show; nil where they are off
-	changed chan struct{}      // closed and replaced by every new setting
+	frozen  *snapshot     // what stale reads show; nil where they are off
+	changed chan struct{} // closed and replaced by every new setting
+}
+
+// snapshot is a copy of all entries.
+type snapshot struct {
+	items    []store.Item
+	revision int64
 }
 
 // NewFaultyStore returns a store without faults over a memory.
-func NewFaultyStore(memory *platform.Memory) *FaultyStore {
+func NewFaultyStore(memory *store.Memory) *FaultyStore {
 	return &FaultyStore{Memory: memory, changed: make(chan struct{})}
 }
 
-// Calls returns the number of calls to the key-value service so far; a waiting
-// watch is one.
+// Calls returns the number of calls so far; a waiting watch is one.
 func (f *FaultyStore) Calls() int64 { return f.calls.Load() }
 
 // Set replaces all switches.
-func (f *FaultyStore) Set(faults api.PlatformFaults) {
-	// A Memory's Range has no error.
-	snapshot, _ := f.Memory.Range(context.Background(), "")
+func (f *FaultyStore) Set(faults api.PlatformFaults) error {
+	items, revision, err := store.List(context.Background(), f.Memory, "", false)
+	if err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
 	case !faults.Stale:
 		f.frozen = nil
 	case f.frozen == nil:
-		f.frozen = snapshot
+		f.frozen = &snapshot{items, revision}
 	}
 	f.faults = faults
 	close(f.changed)
 	f.changed = make(chan struct{})
+	return nil
 }
 
 // enter delays a call, and fails it where the service is down.
 func (f *FaultyStore) enter(ctx context.Context) error {
+	f.calls.Add(1)
 	f.mu.Lock()
 	faults := f.faults
 	f.mu.Unlock()
@@ -59,47 +68,45 @@
 		select {
 		case <-time.After(time.Duration(faults.SlowMS) * time.Millisecond):
 		case <-ctx.Done():
-			return verdict.Errorf(verdict.NotRun, verdict.CodeDeadline, "platform: %v", ctx.Err())
+			return errors.Mark(ctx.Err(), store.ErrRefused)
 		}
 	}
 	if faults.Down {
-		return verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "platform: down")
+		return errors.Wrap(store.ErrRefused, "down by a fault")
 	}
 	return nil
 }
 
-// Range implements platform.Store.
-func (f *FaultyStore) Range(ctx context.Context, prefix string) (*api.RangeResponse, error) {
-	f.calls.Add(1)
+// Range implements store.Store.
+func (f *FaultyStore) Range(ctx context.Context, prefix, after string, stale bool) (store.Page, error) {
 	if err := f.enter(ctx); err != nil {
-		return nil, err
+		return store.Page{}, err
 	}
 	f.mu.Lock()
 	frozen := f.frozen
 	f.mu.Unlock()
 	if frozen == nil {
-		return f.Memory.Range(ctx, prefix)
+		return f.Memory.Range(ctx, prefix, after, stale)
 	}
-	response := &api.RangeResponse{Revision: frozen.Revision, Entries: []api.KeyValue{}}
-	for _, entry := range frozen.Entries {
-		if strings.HasPrefix(entry.Key, prefix) {
-			response.Entries = append(response.Entries, entry)
+	page := store.Page{Revision: frozen.revision}
+	for _, item := range frozen.items {
+		if strings.HasPrefix(item.Key, prefix) && item.Key > after {
+			page.Items = append(page.Items, item)
 		}
 	}
-	return response, nil
+	return page, nil
 }
 
-// Txn implements platform.Store. A lost answer has the verdict MayHaveRun.
-func (f *FaultyStore) Txn(ctx context.Context, request *api.TxnRequest) (*api.TxnResponse, error) {
-	f.calls.Add(1)
+// Commit implements store.Store. A lost answer leaves open what happened.
+func (f *FaultyStore) Commit(ctx context.Context, change store.Txn) (int64, error) {
 	if err := f.enter(ctx); err != nil {
-		return nil, err
+		return 0, err
 	}
-	response, err := f.Memory.Txn(ctx, request)
+	revision, err := f.Memory.Commit(ctx, change)
 	if err == nil && f.loseAnswer() {
-		return nil, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUnreachable, "platform: answer lost")
+		return 0, errors.New("the answer was lost by a fault")
 	}
-	return response, err
+	return revision, err
 }
 
 func (f *FaultyStore) loseAnswer() bool {
@@ -112,20 +119,19 @@
 	return true
 }
 
-// Watch implements platform.Store.
-func (f *FaultyStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (*api.WatchResponse, error) {
-	f.calls.Add(1)
+// Watch implements store.Store.
+func (f *FaultyStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
 	if err := f.enter(ctx); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	go f.cutWatch(ctx, cancel)
-	response, err := f.Memory.Watch(ctx, prefix, after, wait)
-	if err == nil && ctx.Err() != nil {
+	events, at, err := f.Memory.Watch(ctx, prefix, after, wait)
+	if ctx.Err() != nil {
 		err = context.Cause(ctx)
 	}
-	return response, err
+	return events, at, err
 }
 
 // cutWatch cancels a watch when the switches ask for it.
@@ -135,7 +141,7 @@
 		faults, changed := f.faults, f.changed
 		f.mu.Unlock()
 		if faults.CutWatches || faults.Down {
-			cancel(verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "platform: watch cut"))
+			cancel(errors.Wrap(store.ErrRefused, "watch cut by a fault"))
 			return
 		}
 		select {
@@ -145,3 +151,27 @@
 		}
 	}
 }
+
+// Grant implements store.Store.
+func (f *FaultyStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := f.enter(ctx); err != nil {
+		return 0, err
+	}
+	return f.Memory.Grant(ctx, ttl)
+}
+
+// Keep implements store.Store.
+func (f *FaultyStore) Keep(ctx context.Context, lease int64) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	return f.Memory.Keep(ctx, lease)
+}
+
+// End implements store.Store.
+func (f *FaultyStore) End(ctx context.Context, lease int64) error {
+	if err := f.enter(ctx); err != nil {
+		return err
+	}
+	return f.Memory.End(ctx, lease)
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -1,5 +1,5 @@
 // Package standin holds small stand-ins for the systems around mustardstep:
-// upstreams that pretend to run tasks, and the platform's services.
+// upstreams that pretend to run tasks, and the platform's store.
 package standin
 
 import (
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -14,121 +15,201 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/upstream"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
 
-// stopTimeout bounds the wait for requests when a stand-in stops.
-const stopTimeout = time.Second
+const (
+	// stopTimeout bounds the wait for requests when a stand-in stops.
+	stopTimeout = time.Second
+	// leaseMax is the longest lease that a stand-in grants.
+	leaseMax = time.Second
+	// taskMilliCPU is what a task without a declared size takes: a slot.
+	taskMilliCPU = 1000
+)
 
-// upstream pretends to run the tasks of one VM.
-type upstream struct {
-	name  string
-	speed float64 // relative to the fastest
-	slots int
-	time  time.Duration // run time at speed 1 of a task that names none
+// Upstream pretends to run the tasks of one VM. It implements node.Upstreams and
+// is safe for concurrent use.
+type Upstream struct {
+	vm       api.VM
+	platform string // address of the platform stand-in; empty for none
+	speed    float64
+	time     time.Duration // run time at speed 1 of a task that names none
 
 	mu      sync.Mutex // guards the fields below
+	model   *schedulertest.Upstream
 	fault   api.UpstreamFault
-	running int
 	starts  []api.StartEntry
-	stops   map[taskName]chan struct{} // closed to stop a task
+	specs   map[scheduler.Run]api.TaskSpec // of the runs that go on
+	changed chan struct{}                  // closed and replaced by every order
 }
 
-// start notes the start of a task, or refuses it where no slot is free.
-func (u *upstream) start(task *api.TaskRequest) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.running >= u.slots {
-		return false
+// NewUpstream returns an upstream that starts now.
+func NewUpstream(vm api.VM, platform string, speed float64, taskTime time.Duration) *Upstream {
+	u := &Upstream{
+		vm: vm, platform: platform, speed: speed, time: taskTime,
+		specs: map[scheduler.Run]api.TaskSpec{}, changed: make(chan struct{}),
 	}
-	u.running++
+	u.model = schedulertest.New(time.Now(), scheduler.Upstream{Name: vm.Name}, leaseMax)
+	u.model.Speed = speed
+	u.model.Started = u.noteStart
+	u.model.Result = u.result
+	u.model.Ended = func(_ time.Time, run scheduler.Run, _ scheduler.EndKind) { delete(u.specs, run) }
+	return u
+}
+
+func (u *Upstream) noteStart(_ time.Time, run scheduler.Run) {
 	u.starts = append(u.starts, api.StartEntry{
-		Upstream: u.name, Submission: task.Submission, Task: task.Task, AtUS: time.Now().UnixMicro(),
+		Upstream: u.vm.Name, Submission: u.specs[run].Submission, Task: run.Index, AtUS: time.Now().UnixMicro(),
 	})
-	return true
 }
 
-func (u *upstream) end() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.running--
+func (u *Upstream) result(run scheduler.Run) []byte {
+	result, err := json.Marshal(api.StandinResult{Submission: u.specs[run].Submission, Task: run.Index, Upstream: u.vm.Name})
+	if err != nil {
+		return nil // a result that is missing shows as a partial answer
+	}
+	return result
 }
 
-func (u *upstream) handle(c *fasthttp.RequestCtx) {
-	switch string(c.Path()) {
-	case "/v1/tasks":
-		if c.IsDelete() {
-			u.stop(c)
-			return
-		}
-		u.run(c)
-	case "/standin/fault":
-		u.setFault(c)
-	case "/standin/starts":
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		writeJSON(c, fasthttp.StatusOK, api.StartLog{Starts: u.starts})
-	default:
-		c.Error("no such path", fasthttp.StatusNotFound)
+// signal wakes the looks that wait. The caller holds mu.
+func (u *Upstream) signal() {
+	close(u.changed)
+	u.changed = make(chan struct{})
+}
+
+// Start implements node.Upstreams.
+func (u *Upstream) Start(_ context.Context, start scheduler.Start) (scheduler.OrderResult, int64, error) {
+	fault := u.currentFault()
+	result, clock := u.start(start, fault)
+	time.Sleep(lateness(fault))
+	if fault.Mode == api.UpstreamAnswersLost {
+		return scheduler.OrderUnanswered, 0, errors.New("lost by a fault")
 	}
+	return result, clock, nil
 }
 
-func (u *upstream) run(c *fasthttp.RequestCtx) {
-	var task api.TaskRequest
-	if err := json.Unmarshal(c.PostBody(), &task); err != nil {
-		writeJSON(c, fasthttp.StatusBadRequest, api.TaskResponse{Error: err.Error()})
-		return
+func (u *Upstream) start(start scheduler.Start, fault api.UpstreamFault) (scheduler.OrderResult, int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	clock := u.model.Clock(now)
+	if start.Upstream.Name != u.vm.Name || start.Born != 0 && start.Born != u.model.Born() {
+		return scheduler.OrderOtherProcess, clock
 	}
-	fault := u.currentFault()
-	if refused := refusal(fault.Mode); refused != nil {
-		writeJSON(c, fasthttp.StatusServiceUnavailable, refused)
-		return
+	if fault.Mode == api.UpstreamRefusing || fault.Mode == api.UpstreamLeaving {
+		return scheduler.OrderUnhealthy, clock
 	}
-	if !u.start(&task) {
-		writeJSON(c, fasthttp.StatusServiceUnavailable, api.TaskResponse{Error: "no free slot"})
-		return
+	var spec api.TaskSpec
+	if err := json.Unmarshal([]byte(start.Spec), &spec); err != nil {
+		return scheduler.OrderRejected, clock
 	}
-	whole := fault.Mode == api.UpstreamFailing || u.sleep(&task, u.runTime(&task, fault))
-	u.end()
-	if !whole {
-		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: "stopped"})
-		return
+	u.model.Advance(now)
+	size := scheduler.Size{MilliCPU: taskMilliCPU, MemoryMB: int(spec.MemoryMB)}
+	if spec.MilliCPU > 0 {
+		size.MilliCPU = int(spec.MilliCPU)
 	}
-	time.Sleep(lateness(fault))
-	u.answer(c, &task, fault.Mode)
+	if u.vm.Slots > 0 && u.model.Used.MilliCPU+size.MilliCPU > u.vm.Slots*taskMilliCPU {
+		return scheduler.OrderNoRoom, clock
+	}
+	_, present := u.specs[start.Run]
+	if !present {
+		u.specs[start.Run] = spec
+	}
+	result, clock := u.model.Start(now, start, size, u.runTime(start.Item, fault))
+	if result != scheduler.OrderDone && !present {
+		delete(u.specs, start.Run)
+	}
+	u.signal()
+	return result, clock
 }
 
-// answer ends the request of a task that ran.
-func (u *upstream) answer(c *fasthttp.RequestCtx, task *api.TaskRequest, mode api.UpstreamMode) {
-	switch mode {
-	case api.UpstreamAnswersLost:
-		closeUnanswered(c)
-		return
-	case api.UpstreamFailing:
-		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: "failed by a fault"})
-		return
+// Stop implements node.Upstreams.
+func (u *Upstream) Stop(_ context.Context, stop scheduler.Stop) (scheduler.OrderResult, int64, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if stop.Upstream.Name != u.vm.Name {
+		return scheduler.OrderOtherProcess, u.model.Clock(time.Now()), nil
 	}
-	result, err := json.Marshal(api.StandinResult{Submission: task.Submission, Task: task.Task, Upstream: u.name})
-	if err != nil {
-		writeJSON(c, fasthttp.StatusInternalServerError, api.TaskResponse{Started: true, Error: err.Error()})
-		return
+	result, clock := u.model.Stop(time.Now(), stop)
+	u.signal()
+	return result, clock, nil
+}
+
+// Look implements node.Upstreams.
+func (u *Upstream) Look(ctx context.Context, look scheduler.Look) (scheduler.LookResult, scheduler.Report, error) {
+	if look.Upstream.Name != u.vm.Name {
+		return scheduler.LookOtherProcess, scheduler.Report{}, nil
+	}
+	end := time.Now().Add(look.Wait)
+	for {
+		u.mu.Lock()
+		now := time.Now()
+		result, report := u.model.Look(now, look)
+		next, running := u.model.NextEnd(now)
+		changed := u.changed
+		u.mu.Unlock()
+		if len(report.Ends) > 0 || result != scheduler.LookAnswered || !now.Before(end) {
+			return result, report, nil
+		}
+		if !running || end.Before(next) {
+			next = end
+		}
+		timer := time.NewTimer(next.Sub(now))
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return scheduler.LookUnanswered, scheduler.Report{}, ctx.Err()
+		}
+		look.Until = 0 // the lease is renewed on arrival
 	}
-	writeJSON(c, fasthttp.StatusOK, api.TaskResponse{Started: true, Result: result})
 }
 
-func (u *upstream) runTime(task *api.TaskRequest, fault api.UpstreamFault) time.Duration {
+// runTime returns the work of a task, as its time at speed 1.
+func (u *Upstream) runTime(item []byte, fault api.UpstreamFault) time.Duration {
+	if fault.Mode == api.UpstreamFailing {
+		return 0
+	}
 	var own api.StandinTask
 	// An item of another form takes the default time.
-	_ = json.Unmarshal(task.Item, &own)
-	base := u.time
+	_ = json.Unmarshal(item, &own)
 	if own.RunUS > 0 {
-		base = time.Duration(own.RunUS) * time.Microsecond
+		return time.Duration(own.RunUS) * time.Microsecond
+	}
+	return u.time
+}
+
+func (u *Upstream) handle(ctx context.Context, c *fasthttp.RequestCtx) {
+	if upstream.Serve(ctx, u, c) {
+		return
 	}
-	if fault.Mode == api.UpstreamSlow {
-		base = time.Duration(float64(base) * fault.Factor)
+	switch string(c.Path()) {
+	case "/standin/fault":
+		u.setFault(c)
+	case "/standin/starts":
+		writeJSON(c, fasthttp.StatusOK, api.StartLog{Starts: u.Starts()})
+	default:
+		c.Error("no such path", fasthttp.StatusNotFound)
 	}
-	return time.Duration(float64(base) / u.speed)
+}
+
+// Serve serves the upstream on a listener until the context ends.
+func (u *Upstream) Serve(ctx context.Context, listener net.Listener) error {
+	return serve(ctx, listener, func(c *fasthttp.RequestCtx) { u.handle(ctx, c) })
+}
+
+// Starts returns every start so far, in order of time.
+func (u *Upstream) Starts() []api.StartEntry {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return slices.Clone(u.starts)
 }
 
 // RunUpstreams serves the configured number of upstreams until the context
@@ -148,18 +229,15 @@
 		if err != nil {
 			return err
 		}
-		u := &upstream{
-			name:  fmt.Sprintf("%s-%s-%02d", s.DataCentre, s.Service, i),
-			speed: speeds[i%len(speeds)], slots: s.Slots, time: s.TaskTime,
-		}
 		vm := api.VM{
-			Name: u.name, Role: api.RoleUpstream, DataCentre: s.DataCentre, Address: listener.Addr().String(),
-			State: api.VMLive, Service: s.Service, Slots: s.Slots,
+			Name: fmt.Sprintf("%s-%s-%02d", s.DataCentre, s.Service, i), Role: api.RoleUpstream, DataCentre: s.DataCentre,
+			Address: listener.Addr().String(), State: api.VMLive, Service: s.Service, Slots: s.Slots,
 		}
+		u := NewUpstream(vm, s.Platform, speeds[i%len(speeds)], s.TaskTime)
 		if err := RegisterVM(s.Platform, vm); err != nil {
 			return err
 		}
-		g.Go(func() error { return serve(ctx, listener, u.handle) })
+		g.Go(func() error { return u.Serve(ctx, listener) })
 	}
 	return g.Wait()
 }
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -1,39 +1,43 @@
-// Package upstream sends tasks to upstreams over HTTP and turns what happened
-// into a verdict on whether the task may have run.
+// Package upstream speaks the product's own protocol with upstreams: orders to
+// start and stop runs, and looks, as JSON over HTTP (schema/messages/upstream.yaml).
+// Client sends them; Serve is the other side, for stand-ins.
 package upstream
 
 import (
+	"context"
 	"encoding/json"
-	"fmt"
 	"net"
-	"net/url"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
-	"github.com/mustardstep/mustardstep/verdict"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/valyala/fasthttp"
 )
 
+// Paths of the calls.
+const (
+	pathStart = "/v1/starts"
+	pathStop  = "/v1/stops"
+	pathLook  = "/v1/looks"
+)
+
 // Config holds the settings of a Client.
 type Config struct {
 	DialTimeout time.Duration
 	// MaxConns is the most connections to one upstream.
 	MaxConns int
-	// MaxBody is the largest result of a task, in bytes.
+	// MaxBody is the largest answer, in bytes.
 	MaxBody int
-	// Permit is asked right before a request is written. It returns the time
-	// by which the write must have ended, or false where nothing may be sent.
-	// Nil permits everything.
-	Permit func() (until time.Time, ok bool)
 }
 
 // shardCount spreads the upstreams over locks.
 const shardCount = 16
 
-// Client sends tasks. It is safe for concurrent use.
+// Client carries orders and looks to upstreams. It implements node.Upstreams and
+// is safe for concurrent use.
 type Client struct {
 	config Config
 	shards [shardCount]shard
@@ -53,112 +57,129 @@
 	return c
 }
 
-// errDial marks a request that was never sent.
-var errDial = errors.New("dial")
-
 func (c *Client) host(address string) *fasthttp.HostClient {
 	s := &c.shards[rendezvous.Hash(address)%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := s.hosts[address]
 	if h == nil {
-		h = c.newHost(address)
+		h = &fasthttp.HostClient{
+			Addr: address, MaxConns: c.config.MaxConns, MaxResponseBodySize: c.config.MaxBody,
+			Dial: func(address string) (net.Conn, error) {
+				return net.DialTimeout("tcp", address, c.config.DialTimeout)
+			},
+			// What became of an order decides whether it is sent again.
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
+				return false, false
+			},
+		}
 		s.hosts[address] = h
 	}
 	return h
 }
 
-func (c *Client) newHost(address string) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr:     address,
-		MaxConns: c.config.MaxConns,
-		Dial: func(address string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", address, c.config.DialTimeout)
-			if err != nil {
-				return nil, errors.Mark(err, errDial)
-			}
-			return c.guard(conn), nil
-		},
-		MaxResponseBodySize: c.config.MaxBody,
-		// A task must never be sent twice, so the library may not retry.
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
-			return false, false
-		},
+// Start implements node.Upstreams.
+func (c *Client) Start(ctx context.Context, start scheduler.Start) (scheduler.OrderResult, int64, error) {
+	order := api.StartOrder{
+		Upstream: start.Upstream.Name, Born: start.Born, Token: start.Token,
+		Job: start.Run.Job, Task: start.Run.Index, Attempt: start.Run.Attempt,
+		UntilMS: start.Until, Spec: json.RawMessage(start.Spec), Item: start.Item,
 	}
+	return c.order(ctx, start.Upstream.Address, pathStart, order.AppendJSON(nil))
 }
 
-// Result is the end of a task.
-type Result struct {
-	// Value is the JSON value of a task that succeeded.
-	Value []byte
-	// Failure is nil where the task succeeded.
-	Failure *verdict.Error
-	// Leaving tells that the upstream takes no more tasks.
-	Leaving bool
+// Stop implements node.Upstreams.
+func (c *Client) Stop(ctx context.Context, stop scheduler.Stop) (scheduler.OrderResult, int64, error) {
+	order := api.StopOrder{
+		Upstream: stop.Upstream.Name, Token: stop.Token,
+		Job: stop.Run.Job, Task: stop.Run.Index, Attempt: stop.Run.Attempt,
+	}
+	return c.order(ctx, stop.Upstream.Address, pathStop, order.AppendJSON(nil))
 }
 
-// Run starts a task on the upstream at address and waits for its end. The
-// verdict of a failure is NotRun where the task did not start, Ran where it
-// started and failed, and MayHaveRun where no answer came.
-func (c *Client) Run(address string, task *api.TaskRequest) Result {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodPost)
-	request.SetRequestURI("http://" + address + "/v1/tasks")
-	request.Header.SetContentType("application/json")
-	request.SetBodyRaw(task.AppendJSON(nil))
-	timeout := time.Duration(task.TimeoutMS) * time.Millisecond
-	if err := c.host(address).DoTimeout(request, response, timeout); err != nil {
-		return Result{Failure: transportFailure(address, err)}
+func (c *Client) order(ctx context.Context, address, path string, body []byte) (scheduler.OrderResult, int64, error) {
+	var answer api.OrderAnswer
+	if err := c.post(ctx, address, path, body, &answer); err != nil {
+		return scheduler.OrderUnanswered, 0, err
+	}
+	for result := scheduler.OrderDone; result < scheduler.OrderUnanswered; result++ {
+		if answer.Result == result.String() {
+			return result, answer.ClockMS, nil
+		}
+	}
+	return scheduler.OrderUnanswered, 0, errors.Newf("upstream %s answered %q", address, answer.Result)
+}
+
+// Look implements node.Upstreams.
+func (c *Client) Look(ctx context.Context, look scheduler.Look) (scheduler.LookResult, scheduler.Report, error) {
+	order := api.LookOrder{
+		Upstream: look.Upstream.Name, Token: look.Token, LastSeen: look.LastSeen,
+		UntilMS: look.Until, WaitMS: look.Wait.Milliseconds(),
+	}
+	var answer api.LookAnswer
+	if err := c.post(ctx, look.Upstream.Address, pathLook, order.AppendJSON(nil), &answer); err != nil {
+		return scheduler.LookUnanswered, scheduler.Report{}, err
 	}
-	return decode(address, response)
+	report, err := decodeReport(&answer)
+	if err != nil {
+		return scheduler.LookUnanswered, scheduler.Report{}, errors.Wrapf(err, "upstream %s", look.Upstream.Name)
+	}
+	for result := scheduler.LookAnswered; result < scheduler.LookUnanswered; result++ {
+		if answer.Result == result.String() {
+			return result, report, nil
+		}
+	}
+	return scheduler.LookUnanswered, scheduler.Report{}, errors.Newf("upstream %s answered %q", look.Upstream.Name, answer.Result)
 }
 
-// transportFailure judges an error without an answer. The code is CodeNotReady
-// where this process itself withheld the task.
-func transportFailure(address string, err error) *verdict.Error {
-	if errors.Is(err, errNotPermitted) {
-		return verdict.Errorf(verdict.NotRun, verdict.CodeNotReady, "upstream %s: %v", address, err)
+func decodeReport(answer *api.LookAnswer) (scheduler.Report, error) {
+	report := scheduler.Report{Clock: answer.ClockMS, Born: answer.Born}
+	for _, r := range answer.Running {
+		report.Running = append(report.Running, scheduler.Running{Run: decodeRun(r.Run), Percent: r.Percent})
 	}
-	if errors.Is(err, errDial) || errors.Is(err, fasthttp.ErrNoFreeConns) {
-		return verdict.Errorf(verdict.NotRun, verdict.CodeUnreachable, "upstream %s: %v", address, err)
+	for _, e := range answer.Ended {
+		kind, err := decodeKind(e.How)
+		if err != nil {
+			return scheduler.Report{}, err
+		}
+		report.Ends = append(report.Ends, scheduler.End{Number: e.Number, Run: decodeRun(e.Run), Kind: kind, Result: e.Result})
 	}
-	return verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "upstream %s: %v", address, err)
+	return report, nil
+}
+
+func decodeRun(r api.Run) scheduler.Run {
+	return scheduler.Run{Task: scheduler.Task{Job: r.Job, Index: r.Task}, Attempt: r.Attempt}
 }
 
-// decode judges an answer. An answer that cannot be understood proves nothing.
-func decode(address string, response *fasthttp.Response) Result {
-	var answer api.TaskResponse
-	status := response.StatusCode()
-	if err := json.Unmarshal(response.Body(), &answer); err != nil {
-		return Result{Failure: verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed,
-			"upstream %s: status %d without a task response", address, status)}
-	}
-	result := Result{Leaving: answer.Leaving}
-	switch {
-	case status == fasthttp.StatusOK && answer.Started:
-		result.Value = answer.Result
-		if result.Value == nil {
-			result.Value = []byte("null")
+func decodeKind(how string) (scheduler.EndKind, error) {
+	for kind := scheduler.EndDone; kind <= scheduler.EndOther; kind++ {
+		if how == kind.String() {
+			return kind, nil
 		}
-	case status == fasthttp.StatusServiceUnavailable && !answer.Started:
-		result.Failure = verdict.Errorf(verdict.NotRun, verdict.CodeUpstreamFailed, "upstream %s refused: %s", address, answer.Error)
-	case answer.Started:
-		result.Failure = verdict.Errorf(verdict.Ran, verdict.CodeUpstreamFailed, "upstream %s: %s", address, answer.Error)
-	default:
-		result.Failure = verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "upstream %s: status %d: %s", address, status, answer.Error)
-	}
-	return result
+	}
+	return 0, errors.Newf("a run ended as %q, which this release does not know", how)
 }
 
-// Cancel asks the upstream to stop a task. Its result comes from Run.
-func (c *Client) Cancel(address, submission string, task int, timeout time.Duration) error {
+// post sends a body and decodes the answer. An error leaves open whether the call
+// was carried out.
+func (c *Client) post(ctx context.Context, address, path string, body []byte, answer any) error {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
-	request.Header.SetMethod(fasthttp.MethodDelete)
-	request.SetRequestURI(fmt.Sprintf("http://%s/v1/tasks?submission=%s&task=%d", address, url.QueryEscape(submission), task))
-	return c.host(address).DoTimeout(request, response, timeout)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + address + path)
+	request.Header.SetContentType("application/json")
+	request.SetBodyRaw(body)
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return errors.Newf("the call of %s has no deadline", path)
+	}
+	if err := c.host(address).DoDeadline(request, response, deadline); err != nil {
+		return errors.Wrapf(err, "upstream at %s", address)
+	}
+	if status := response.StatusCode(); status != fasthttp.StatusOK {
+		return errors.Newf("upstream at %s: status %d: %s", address, status, response.Body())
+	}
+	return errors.Wrapf(json.Unmarshal(response.Body(), answer), "answer of the upstream at %s", address)
 }
--- a/internal/wire/configuration_codec_gen.go
+++ b/internal/wire/configuration_codec_gen.go
@@ -323,9 +323,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 12
 	// string "v"
-	o = append(o, 0x8a, 0xa1, 0x76)
+	o = append(o, 0x8c, 0xa1, 0x76)
 	o = msgp.AppendString(o, z.VM)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -357,6 +357,12 @@
 	for za0001 := range z.Ejected {
 		o = msgp.AppendString(o, z.Ejected[za0001])
 	}
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendInt64(o, z.Token)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt(o, z.Claimed)
 	return
 }
 
@@ -451,6 +457,18 @@
 					return
 				}
 			}
+		case "t":
+			z.Token, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Token")
+				return
+			}
+		case "c":
+			z.Claimed, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Claimed")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -469,5 +487,6 @@
 	for za0001 := range z.Ejected {
 		s += msgp.StringPrefixSize + len(z.Ejected[za0001])
 	}
+	s += 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
--- a/internal/wire/configuration_gen.go
+++ b/internal/wire/configuration_gen.go
@@ -93,6 +93,10 @@
 	Members int `msg:"m"`
 	// Ejected are the upstreams that it does not use because they fail.
 	Ejected []string `msg:"e"`
+	// Token is the fencing token under which it dispatches; 0 where it does not.
+	Token int64 `msg:"t"`
+	// Claimed is the number of upstreams that it has claimed.
+	Claimed int `msg:"c"`
 }
 
 // Kind returns the frame kind of the message.
--- a/internal/wire/dispatch_gen.go
+++ b/internal/wire/dispatch_gen.go
@@ -6,99 +6,12 @@
 
 // Frame kinds of the messages of this file.
 const (
-	// KindLoanRequest marks a frame that holds a LoanRequest.
-	KindLoanRequest Kind = 32
-	// KindLoanResponse marks a frame that holds a LoanResponse.
-	KindLoanResponse Kind = 33
-	// KindReturnRequest marks a frame that holds a ReturnRequest.
-	KindReturnRequest Kind = 34
-	// KindReturnResponse marks a frame that holds a ReturnResponse.
-	KindReturnResponse Kind = 35
 	// KindExplainRequest marks a frame that holds a ExplainRequest.
 	KindExplainRequest Kind = 40
 	// KindExplainResponse marks a frame that holds a ExplainResponse.
 	KindExplainResponse Kind = 41
-	// KindListRequest marks a frame that holds a ListRequest.
-	KindListRequest Kind = 42
-	// KindListResponse marks a frame that holds a ListResponse.
-	KindListResponse Kind = 43
 )
 
-// LoanRequest asks a peer for free slots of a service.
-type LoanRequest struct {
-	// Service is the name of the service.
-	Service string `msg:"s"`
-	// Call is the call whose tasks wait.
-	Call string `msg:"c"`
-	// Slots is the number of slots that are wanted.
-	Slots int `msg:"n"`
-	// WithinUS is the expected run time of the call that a slot must beat, in
-	// microseconds; 0 takes any.
-	WithinUS int64 `msg:"w"`
-}
-
-// Kind returns the frame kind of the message.
-func (*LoanRequest) Kind() Kind { return KindLoanRequest }
-
-// LoanResponse lends slots. The borrower returns each of them once.
-type LoanResponse struct {
-	// Number distinguishes the loans of the lender; 0 stands for none.
-	Number uint64 `msg:"n"`
-	// ForUS is the time for which the slots may start tasks, in microseconds.
-	ForUS int64 `msg:"f"`
-	// Slots are the lent slots.
-	Slots []LentSlots `msg:"s"`
-	// Left is the number of slots that the lender could still lend.
-	Left int `msg:"l"`
-}
-
-// Kind returns the frame kind of the message.
-func (*LoanResponse) Kind() Kind { return KindLoanResponse }
-
-// LentSlots are slots of one upstream.
-type LentSlots struct {
-	// Upstream is the name of the upstream.
-	Upstream string `msg:"u"`
-	// Address is the HTTP address of the upstream, as host:port.
-	Address string `msg:"a"`
-	// Rack is the rack of the upstream.
-	Rack string `msg:"r"`
-	// Slots is the number of slots.
-	Slots int `msg:"n"`
-	// ExpectedUS is the expected run time of the asked call, in microseconds.
-	ExpectedUS int64 `msg:"e"`
-}
-
-// ReturnRequest gives back slots of a loan.
-type ReturnRequest struct {
-	// Service is the name of the service.
-	Service string `msg:"s"`
-	// Number is that of the loan.
-	Number uint64 `msg:"n"`
-	// Slots are the returned slots.
-	Slots []ReturnedSlots `msg:"r"`
-}
-
-// Kind returns the frame kind of the message.
-func (*ReturnRequest) Kind() Kind { return KindReturnRequest }
-
-// ReturnedSlots are slots of one upstream that are given back.
-type ReturnedSlots struct {
-	// Upstream is the name of the upstream.
-	Upstream string `msg:"u"`
-	// Slots is the number of slots.
-	Slots int `msg:"n"`
-}
-
-// ReturnResponse acknowledges a ReturnRequest.
-type ReturnResponse struct {
-	// Accepted tells that the slots were entered.
-	Accepted bool `msg:"a"`
-}
-
-// Kind returns the frame kind of the message.
-func (*ReturnResponse) Kind() Kind { return KindReturnResponse }
-
 // ExplainRequest asks the owner of a submission what became of its tasks.
 type ExplainRequest struct {
 	// Caller is the name of the calling team.
@@ -119,20 +32,3 @@
 
 // Kind returns the frame kind of the message.
 func (*ExplainResponse) Kind() Kind { return KindExplainResponse }
-
-// ListRequest asks a member of the data centre for the list of VMs that it
-// holds, while the platform does not answer.
-type ListRequest struct {
-}
-
-// Kind returns the frame kind of the message.
-func (*ListRequest) Kind() Kind { return KindListRequest }
-
-// ListResponse answers a ListRequest.
-type ListResponse struct {
-	// List is an api.VMList as JSON; it is empty where the member holds none.
-	List []byte `msg:"l"`
-}
-
-// Kind returns the frame kind of the message.
-func (*ListResponse) Kind() Kind { return KindListResponse }
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -159,16 +159,11 @@
 	o = append(o, 0xa1, 0x65)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Ends)))
 	for za0001 := range z.Ends {
-		// map header, size 3
-		// string "j"
-		o = append(o, 0x83, 0xa1, 0x6a)
-		o = msgp.AppendString(o, z.Ends[za0001].Job)
-		// string "i"
-		o = append(o, 0xa1, 0x69)
-		o = msgp.AppendInt(o, z.Ends[za0001].Index)
-		// string "f"
-		o = append(o, 0xa1, 0x66)
-		o = msgp.AppendBool(o, z.Ends[za0001].Failed)
+		o, err = z.Ends[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Ends", za0001)
+			return
+		}
 	}
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -220,58 +215,23 @@
 				z.Ends = make([]TaskEnd, zb0002)
 			}
 			for za0001 := range z.Ends {
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Ends[za0001].UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Ends", za0001)
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Ends", za0001)
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "j":
-						z.Ends[za0001].Job, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Job")
-							return
-						}
-					case "i":
-						z.Ends[za0001].Index, bts, err = msgp.ReadIntBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Index")
-							return
-						}
-					case "f":
-						z.Ends[za0001].Failed, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001, "Failed")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Ends", za0001)
-							return
-						}
-					}
-				}
 			}
 		case "d":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Drops")
 				return
 			}
-			if cap(z.Drops) >= int(zb0004) {
-				z.Drops = (z.Drops)[:zb0004]
+			if cap(z.Drops) >= int(zb0003) {
+				z.Drops = (z.Drops)[:zb0003]
 			} else {
-				z.Drops = make([]JobDrop, zb0004)
+				z.Drops = make([]JobDrop, zb0003)
 			}
 			for za0002 := range z.Drops {
 				bts, err = z.Drops[za0002].UnmarshalMsg(bts)
@@ -296,7 +256,7 @@
 func (z *EndsRequest) Msgsize() (s int) {
 	s = 1 + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Ends {
-		s += 1 + 2 + msgp.StringPrefixSize + len(z.Ends[za0001].Job) + 2 + msgp.IntSize + 2 + msgp.BoolSize
+		s += z.Ends[za0001].Msgsize()
 	}
 	s += 2 + msgp.ArrayHeaderSize
 	for za0002 := range z.Drops {
@@ -450,9 +410,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *JobDrop) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "j"
-	o = append(o, 0x84, 0xa1, 0x6a)
+	o = append(o, 0x85, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
@@ -460,6 +420,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Reason)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint8(o, z.Code)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendInt64(o, z.RetryAfterUS)
@@ -502,6 +465,12 @@
 				err = msgp.WrapError(err, "Reason")
 				return
 			}
+		case "c":
+			z.Code, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
 		case "d":
 			z.RetryAfterUS, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -522,16 +491,16 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *JobDrop) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 19
+	// map header, size 21
 	// string "j"
-	o = append(o, 0xde, 0x0, 0x13, 0xa1, 0x6a)
+	o = append(o, 0xde, 0x0, 0x15, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -557,6 +526,12 @@
 	for za0001 := range z.Tasks {
 		o = msgp.AppendInt(o, z.Tasks[za0001])
 	}
+	// string "it"
+	o = append(o, 0xa2, 0x69, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Items)))
+	for za0002 := range z.Items {
+		o = msgp.AppendBytes(o, z.Items[za0002])
+	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt(o, z.MilliCPU)
@@ -587,6 +562,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendInt(o, z.MaxAttempts)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Once)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.Resumed)
@@ -672,6 +650,25 @@
 					return
 				}
 			}
+		case "it":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Items")
+				return
+			}
+			if cap(z.Items) >= int(zb0003) {
+				z.Items = (z.Items)[:zb0003]
+			} else {
+				z.Items = make([][]byte, zb0003)
+			}
+			for za0002 := range z.Items {
+				z.Items[za0002], bts, err = msgp.ReadBytesBytes(bts, z.Items[za0002])
+				if err != nil {
+					err = msgp.WrapError(err, "Items", za0002)
+					return
+				}
+			}
 		case "c":
 			z.MilliCPU, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -732,6 +729,12 @@
 				err = msgp.WrapError(err, "MaxAttempts")
 				return
 			}
+		case "u":
+			z.Once, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Once")
+				return
+			}
 		case "r":
 			z.Resumed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -752,16 +755,20 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OfferRequest) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.StringPrefixSize + len(z.Origin) + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Spec) + 2 + msgp.ArrayHeaderSize + (len(z.Tasks) * (msgp.IntSize)) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.StringPrefixSize + len(z.Origin) + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Spec) + 2 + msgp.ArrayHeaderSize + (len(z.Tasks) * (msgp.IntSize)) + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Items {
+		s += msgp.BytesPrefixSize + len(z.Items[za0002])
+	}
+	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "a"
-	o = append(o, 0x84, 0xa1, 0x61)
+	o = append(o, 0x85, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Accepted)
 	// string "w"
 	o = append(o, 0xa1, 0x77)
@@ -769,6 +776,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendString(o, z.Reason)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendUint8(o, z.Code)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendInt64(o, z.RetryAfterUS)
@@ -811,6 +821,12 @@
 				err = msgp.WrapError(err, "Reason")
 				return
 			}
+		case "c":
+			z.Code, bts, err = msgp.ReadUint8Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Code")
+				return
+			}
 		case "d":
 			z.RetryAfterUS, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -831,7 +847,152 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OfferResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z PlacementsRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "j"
+	o = append(o, 0x81, 0xa1, 0x6a)
+	o = msgp.AppendString(o, z.Job)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PlacementsRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "j":
+			z.Job, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z PlacementsRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *PlacementsResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "w"
+	o = append(o, 0x83, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Waiting)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.Ahead)
+	// string "p"
+	o = append(o, 0xa1, 0x70)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Placed)))
+	for za0001 := range z.Placed {
+		o, err = z.Placed[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Placed", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PlacementsResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "w":
+			z.Waiting, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Waiting")
+				return
+			}
+		case "a":
+			z.Ahead, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Ahead")
+				return
+			}
+		case "p":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Placed")
+				return
+			}
+			if cap(z.Placed) >= int(zb0002) {
+				z.Placed = (z.Placed)[:zb0002]
+			} else {
+				z.Placed = make([]TaskPlacement, zb0002)
+			}
+			for za0001 := range z.Placed {
+				bts, err = z.Placed[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Placed", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PlacementsResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Placed {
+		s += z.Placed[za0001].Msgsize()
+	}
 	return
 }
 
@@ -1164,11 +1325,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z TaskEnd) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *TaskEnd) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "j"
-	o = append(o, 0x83, 0xa1, 0x6a)
+	o = append(o, 0x84, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -1176,6 +1337,9 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Failed)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBytes(o, z.Result)
 	return
 }
 
@@ -1215,6 +1379,100 @@
 				err = msgp.WrapError(err, "Failed")
 				return
 			}
+		case "r":
+			z.Result, bts, err = msgp.ReadBytesBytes(bts, z.Result)
+			if err != nil {
+				err = msgp.WrapError(err, "Result")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TaskEnd) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Result)
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskPlacement) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 5
+	// string "i"
+	o = append(o, 0x85, 0xa1, 0x69)
+	o = msgp.AppendInt(o, z.Index)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendInt(o, z.Attempt)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendString(o, z.Upstream)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendString(o, z.State)
+	// string "g"
+	o = append(o, 0xa1, 0x67)
+	o = msgp.AppendInt64(o, z.AgeUS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskPlacement) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Index, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "a":
+			z.Attempt, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Attempt")
+				return
+			}
+		case "u":
+			z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Upstream")
+				return
+			}
+		case "s":
+			z.State, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "State")
+				return
+			}
+		case "g":
+			z.AgeUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "AgeUS")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1228,8 +1486,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z TaskEnd) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.IntSize + 2 + msgp.BoolSize
+func (z *TaskPlacement) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Upstream) + 2 + msgp.StringPrefixSize + len(z.State) + 2 + msgp.Int64Size
 	return
 }
 
