--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -24,6 +24,10 @@
 	KindStateRequest Kind = 71
 	// KindStateResponse marks a frame that holds a StateResponse.
 	KindStateResponse Kind = 72
+	// KindPlacementsRequest marks a frame that holds a PlacementsRequest.
+	KindPlacementsRequest Kind = 73
+	// KindPlacementsResponse marks a frame that holds a PlacementsResponse.
+	KindPlacementsResponse Kind = 74
 )
 
 // FleetMember describes one process that serves callers.
@@ -86,6 +90,9 @@
 	Spec string `msg:"b"`
 	// Tasks are the indexes of the tasks that have not ended.
 	Tasks []int `msg:"n"`
+	// Items are what the tasks work on, one for each; empty where the spec says
+	// it all.
+	Items [][]byte `msg:"it"`
 	// MilliCPU is what each task takes, in thousandths of a core.
 	MilliCPU int `msg:"c"`
 	// MemoryMB is what each task takes, in MB.
@@ -107,6 +114,8 @@
 	SlackUS int64 `msg:"l"`
 	// MaxAttempts is the number of failed runs after which a task has failed.
 	MaxAttempts int `msg:"a"`
+	// Once tells that a task that may have started never starts again.
+	Once bool `msg:"u"`
 	// Resumed tells that an earlier dispatcher may have started tasks of the
 	// job.
 	Resumed bool `msg:"r"`
@@ -123,6 +132,8 @@
 	WrongTerm bool `msg:"w"`
 	// Reason says why the offer was refused.
 	Reason string `msg:"r"`
+	// Code is the verdict.Code of the refusal.
+	Code uint8 `msg:"c"`
 	// RetryAfterUS is the wait after which the job may be accepted, in
 	// microseconds.
 	RetryAfterUS int64 `msg:"d"`
@@ -139,6 +150,8 @@
 	Index int `msg:"i"`
 	// Failed tells that the task has failed for good.
 	Failed bool `msg:"f"`
+	// Result is what a task that ended well has produced.
+	Result []byte `msg:"r"`
 }
 
 // JobDrop tells that a dispatcher gave a job up.
@@ -149,6 +162,8 @@
 	Started bool `msg:"s"`
 	// Reason says why.
 	Reason string `msg:"r"`
+	// Code is the verdict.Code of the failure.
+	Code uint8 `msg:"c"`
 	// RetryAfterUS is the wait after which the job may be accepted, in
 	// microseconds.
 	RetryAfterUS int64 `msg:"d"`
@@ -227,3 +242,39 @@
 
 // Kind returns the frame kind of the message.
 func (*StateResponse) Kind() Kind { return KindStateResponse }
+
+// PlacementsRequest asks a dispatcher where the tasks of a job run.
+type PlacementsRequest struct {
+	// Job is the id of the job.
+	Job string `msg:"j"`
+}
+
+// Kind returns the frame kind of the message.
+func (*PlacementsRequest) Kind() Kind { return KindPlacementsRequest }
+
+// TaskPlacement tells where a task runs.
+type TaskPlacement struct {
+	// Index is the place of the task in its job.
+	Index int `msg:"i"`
+	// Attempt numbers the starts of the task, from 1.
+	Attempt int `msg:"a"`
+	// Upstream is the name of the upstream.
+	Upstream string `msg:"u"`
+	// State is ordered, unknown, started or stopping.
+	State string `msg:"s"`
+	// AgeUS is the time since the start was ordered, in microseconds.
+	AgeUS int64 `msg:"g"`
+}
+
+// PlacementsResponse answers a PlacementsRequest.
+type PlacementsResponse struct {
+	// Waiting is the number of the job's tasks that wait.
+	Waiting int `msg:"w"`
+	// Ahead is the number of tasks of all jobs that wait.
+	Ahead int `msg:"a"`
+	// Placed are the tasks that run.
+	Placed []TaskPlacement `msg:"p"`
+}
+
+// Kind returns the frame kind of the message.
+func (*PlacementsResponse) Kind() Kind { return KindPlacementsResponse }
--- a/node/beats.go
+++ b/node/beats.go
@@ -131,8 +131,8 @@
 	return n.report(b.From.VM)
 }
 
-// disconnected looks at once whether a peer whose connection ended is alive.
-func (n *Node) disconnected(hello wire.Hello) {
+// Disconnected looks at once whether a peer whose connection ended is alive.
+func (n *Node) Disconnected(hello wire.Hello) {
 	if n.serving.Err() != nil {
 		return
 	}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -28,11 +28,11 @@
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS)), Deadline: now.Add(microseconds(r.DeadlineUS)),
 		Stretch: r.Stretch, Slack: microseconds(r.SlackUS), MaxAttempts: r.MaxAttempts,
-		Resumed: r.Resumed, Tasks: r.Tasks,
+		Once: r.Once, Resumed: r.Resumed, Tasks: r.Tasks, Items: r.Items,
 	})
 	if failure != nil {
 		n.log.Info("offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
-		return &wire.OfferResponse{Reason: failure.Reason, RetryAfterUS: failure.RetryAfter.Microseconds()}
+		return &wire.OfferResponse{Reason: failure.Reason, Code: uint8(failure.Code), RetryAfterUS: failure.RetryAfter.Microseconds()}
 	}
 	if len(notices) > 0 {
 		n.act(scheduler.Actions{Notices: notices})
@@ -68,10 +68,7 @@
 		}
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
-			n.log.Info("place", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
-				slog.String("upstream", start.Upstream.Name), slog.Int64("waited_us", start.Waited.Microseconds()),
-				slog.Int64("expected_us", start.Expected.Microseconds()), slog.Int64("left_us", start.Left.Microseconds()),
-				slog.Int("free_cpu", start.Free.MilliCPU))
+			n.decisions.Placement(&start)
 			go n.start(ctx, start)
 		}
 	}
@@ -103,13 +100,13 @@
 	sent := time.Now()
 	call, cancel := context.WithTimeout(ctx, n.trips.patience())
 	defer cancel()
-	result, clock := n.deps.Upstreams.Start(call, start)
+	result, clock, err := n.deps.Upstreams.Start(call, start)
 	now := time.Now()
 	n.answered(result, now.Sub(sent))
 	n.metrics.started(result, now.Sub(sent), start.Waited)
 	if result != scheduler.OrderDone {
 		n.log.Info("start failed", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
-			slog.String("upstream", start.Upstream.Name), slog.String("result", result.String()), slog.Int64("took_us", now.Sub(sent).Microseconds()))
+			slog.String("upstream", start.Upstream.Name), slog.String("result", result.String()), slog.Int64("took_us", now.Sub(sent).Microseconds()), slog.Any("error", err))
 	}
 	n.act(n.scheduler.StartEnded(now, start, result, clock))
 	if result == scheduler.OrderDone {
@@ -137,8 +134,12 @@
 			slog.String("upstream", stop.Upstream.Name), slog.String("why", stop.Why))
 		sent := time.Now()
 		call, cancel := context.WithTimeout(ctx, n.trips.patience())
-		result, clock := n.deps.Upstreams.Stop(call, stop)
+		result, clock, err := n.deps.Upstreams.Stop(call, stop)
 		cancel()
+		if err != nil {
+			n.log.Info("stop failed", slog.String("job", stop.Run.Job), slog.Int("task", stop.Run.Index), slog.Int("attempt", stop.Run.Attempt),
+				slog.String("upstream", stop.Upstream.Name), slog.Any("error", err))
+		}
 		n.answered(result, time.Since(sent))
 		n.metrics.Stops.Inc()
 		actions, again, after := n.scheduler.StopEnded(time.Now(), stop, result, clock)
@@ -158,34 +159,45 @@
 	for _, upstream := range a.Looks {
 		go n.quickLook(n.serving, upstream)
 	}
-	byOrigin := map[string]*wire.EndsRequest{}
+	byOrigin := map[string]*ends{}
 	for _, notice := range a.Notices {
 		r := byOrigin[notice.Origin]
 		if r == nil {
-			r = &wire.EndsRequest{Term: n.termFor(notice.Origin)}
+			r = &ends{EndsRequest: wire.EndsRequest{Term: n.termFor(notice.Origin)}}
 			byOrigin[notice.Origin] = r
 		}
+		if notice.Receipt != (scheduler.Receipt{}) {
+			r.receipts = append(r.receipts, notice.Receipt)
+		}
 		switch notice.Kind {
 		case scheduler.TaskDone, scheduler.TaskFailed:
-			r.Ends = append(r.Ends, wire.TaskEnd{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed})
+			r.Ends = append(r.Ends, wire.TaskEnd{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Result: notice.Result})
 		default:
 			n.log.Info("job dropped", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
 				slog.String("reason", notice.Reason), slog.Bool("started", notice.Kind == scheduler.JobGivenUp))
 			r.Drops = append(r.Drops, wire.JobDrop{
 				Job: notice.Task.Job, Started: notice.Kind == scheduler.JobGivenUp,
-				Reason: notice.Reason, RetryAfterUS: notice.RetryAfter.Microseconds(),
+				Reason: notice.Reason, Code: uint8(notice.Code), RetryAfterUS: notice.RetryAfter.Microseconds(),
 			})
 		}
 	}
 	for origin, r := range byOrigin {
 		if origin == n.config.VM {
-			n.ended(n.config.VM, r)
+			n.ended(n.config.VM, &r.EndsRequest)
+			n.scheduler.Delivered(r.receipts)
 		} else {
 			n.outboxes.add(n, origin, r)
 		}
 	}
 }
 
+// ends are what an origin is to be told, with what is acknowledged to upstreams
+// once it has been.
+type ends struct {
+	wire.EndsRequest
+	receipts []scheduler.Receipt
+}
+
 // outboxes hold the ends that are on their way to their origins.
 type outboxes struct {
 	mu   sync.Mutex // guards the field below
@@ -195,11 +207,11 @@
 // outbox gathers ends for one origin while a message is under way.
 type outbox struct {
 	mu      sync.Mutex // guards the fields below
-	next    wire.EndsRequest
+	next    ends
 	sending bool
 }
 
-func (o *outboxes) add(n *Node, origin string, r *wire.EndsRequest) {
+func (o *outboxes) add(n *Node, origin string, r *ends) {
 	o.mu.Lock()
 	box := o.byVM[origin]
 	if box == nil {
@@ -211,10 +223,12 @@
 	defer box.mu.Unlock()
 	if box.next.Term != r.Term {
 		// What was told in an earlier term has been offered anew since.
-		box.next = wire.EndsRequest{Term: r.Term}
+		box.release(n, box.next.receipts)
+		box.next = ends{EndsRequest: wire.EndsRequest{Term: r.Term}}
 	}
 	box.next.Ends = append(box.next.Ends, r.Ends...)
 	box.next.Drops = append(box.next.Drops, r.Drops...)
+	box.next.receipts = append(box.next.receipts, r.receipts...)
 	if !box.sending {
 		box.sending = true
 		go box.send(n, origin)
@@ -227,14 +241,17 @@
 	for {
 		b.mu.Lock()
 		r := b.next
-		b.next = wire.EndsRequest{Term: r.Term}
+		b.next = ends{EndsRequest: wire.EndsRequest{Term: r.Term}}
 		if len(r.Ends)+len(r.Drops) == 0 {
 			b.sending = false
 			b.mu.Unlock()
 			return
 		}
 		b.mu.Unlock()
-		if err := n.deliver(origin, &r); err != nil {
+		if err := n.deliver(origin, &r.EndsRequest); err == nil {
+			n.scheduler.Delivered(r.receipts)
+		} else {
+			b.release(n, r.receipts)
 			n.log.Info("ends not delivered", slog.String("origin", origin), slog.Int("ends", len(r.Ends)), slog.Any("error", err))
 			before := n.origins.drop(origin)
 			n.act(n.scheduler.DropOrigin(time.Now(), origin, before))
@@ -242,6 +259,14 @@
 	}
 }
 
+// release acknowledges ends that the origin could not be told of, once no
+// dispatcher can be offered their jobs any more.
+func (b *outbox) release(n *Node, receipts []scheduler.Receipt) {
+	if len(receipts) > 0 {
+		time.AfterFunc(scheduler.KeepEnds, func() { n.scheduler.Delivered(receipts) })
+	}
+}
+
 // deliverAttempts is the number of times that ends are sent: once more on a
 // fresh connection.
 const deliverAttempts = 2
--- /dev/null
+++ b/node/explain.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/wire"
+)
+
+// Explanation tells what becomes of a job that has no answer yet.
+type Explanation struct {
+	// Dispatcher is the VM that has the job; empty where none has.
+	Dispatcher string
+	// Open is the number of tasks that have not ended.
+	Open int
+	wire.PlacementsResponse
+}
+
+// Explain asks the dispatcher of a job where its tasks run. known is false for a
+// job that this VM does not keep.
+func (n *Node) Explain(ctx context.Context, id string) (e Explanation, known bool, err error) {
+	j := n.jobs.Find(id)
+	if j == nil {
+		return e, false, nil
+	}
+	e.Dispatcher, e.Open = n.jobs.Progress(j)
+	v := n.view.Load()
+	switch {
+	case e.Dispatcher == "":
+	case e.Dispatcher == n.config.VM:
+		e.PlacementsResponse = *n.placements(id)
+	case e.Dispatcher != v.Dispatcher.VM:
+		err = errors.Newf("the dispatcher %s is not heard", e.Dispatcher)
+	default:
+		err = n.peers.Call(ctx, v.Dispatcher.Address, &wire.PlacementsRequest{Job: id}, &e.PlacementsResponse)
+	}
+	return e, true, err
+}
+
+func (n *Node) handlePlacements(_ context.Context, _ *wire.Hello, r *wire.PlacementsRequest) wire.Message {
+	return n.placements(r.Job)
+}
+
+func (n *Node) placements(id string) *wire.PlacementsResponse {
+	waiting, placed := n.scheduler.Explain(time.Now(), id)
+	response := &wire.PlacementsResponse{Waiting: waiting, Ahead: n.scheduler.Waiting()}
+	for _, p := range placed {
+		response.Placed = append(response.Placed, wire.TaskPlacement{
+			Index: p.Index, Attempt: p.Attempt, Upstream: p.Upstream, State: p.State, AgeUS: p.Age.Microseconds(),
+		})
+	}
+	slices.SortFunc(response.Placed, func(a, b wire.TaskPlacement) int { return cmp.Compare(a.Index, b.Index) })
+	return response
+}
+
+// Dispatching describes what this node dispatches, for operators: the fencing
+// token of its term, 0 without one, the number of upstreams that it has claimed,
+// and the names of those that get no tasks since they fail.
+func (n *Node) Dispatching() (token int64, claimed int, ejected []string) {
+	if token = n.term.current(); token == 0 {
+		return 0, 0, nil
+	}
+	for _, u := range n.scheduler.Summaries() {
+		if u.Claimed {
+			claimed++
+		}
+		if u.Ejected {
+			ejected = append(ejected, u.Name)
+		}
+	}
+	slices.Sort(ejected)
+	return token, claimed, ejected
+}
--- a/node/follow.go
+++ b/node/follow.go
@@ -134,6 +134,9 @@
 
 // followConfiguration keeps the configuration in force.
 func (n *Node) followConfiguration(ctx context.Context) error {
+	if n.config.ConfigurationKey == "" {
+		return nil
+	}
 	return n.follow(ctx, &follower{
 		prefix:  n.config.ConfigurationKey,
 		watches: func() bool { return n.leads() || n.table.Load() == nil },
@@ -277,7 +280,7 @@
 	if err != nil {
 		return err
 	}
-	if err := n.deps.Store.Put(call, n.config.MemberPrefix+n.config.VM, value, granted); err != nil {
+	if err := store.Put(call, n.deps.Store, n.config.MemberPrefix+n.config.VM, value, granted); err != nil {
 		return err
 	}
 	*lease = granted
--- a/node/front.go
+++ b/node/front.go
@@ -10,6 +10,7 @@
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/routing"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 // Job is what a caller asks for.
@@ -18,6 +19,11 @@
 	Spec     string
 	Size     scheduler.Size
 	Estimate time.Duration
+	// Once tells that a task that may have started must not start again; the job
+	// fails instead.
+	Once bool
+	// Items are what the tasks work on; nil where the spec says it all.
+	Items [][]byte
 	// Deadline is the time until which the caller waits.
 	Deadline time.Time
 	// Version is that of the configuration that chose the queue.
@@ -29,6 +35,10 @@
 // caller.
 const answerMargin = 10 * time.Millisecond
 
+// dropLead is the time before the caller's deadline at which a dispatcher drops
+// what has not started, so that the answer can say so: two ticks and a message.
+const dropLead = 50 * time.Millisecond
+
 // Submit runs the tasks of a job and returns its answer. The context ends where
 // the caller has left.
 func (n *Node) Submit(ctx context.Context, id string, job Job, tasks int) intake.Answer {
@@ -56,9 +66,9 @@
 
 // expire gives a job up whose caller waits no longer.
 func (n *Node) expire(j *intake.Job[Job]) {
-	answer := intake.Answer{Outcome: intake.GivenUp, Reason: "the deadline has passed while tasks ran"}
+	answer := intake.Answer{Outcome: intake.GivenUp, Code: verdict.CodeDeadline, Reason: "the deadline has passed while tasks ran"}
 	if !n.jobs.Offered(j) {
-		answer = intake.Answer{Outcome: intake.NotRun, Reason: "no dispatcher was reached before the deadline", RetryAfter: time.Second}
+		answer = intake.Answer{Outcome: intake.NotRun, Code: verdict.CodeUnreachable, Reason: "no dispatcher was reached before the deadline", RetryAfter: time.Second}
 	}
 	if vm, term, ended := n.jobs.End(j.ID, answer); ended {
 		n.withdraw(vm, term, j.ID)
@@ -68,9 +78,7 @@
 func (n *Node) finished(j *intake.Job[Job], a intake.Answer, arrived time.Time) {
 	took := time.Since(arrived)
 	n.metrics.answered(a.Outcome, took)
-	n.log.Info("answer", slog.String("job", j.ID), slog.String("queue", j.Spec.Queue.Name),
-		slog.String("outcome", a.Outcome.String()), slog.String("reason", a.Reason),
-		slog.Int64("took_us", took.Microseconds()), slog.Int64("configuration", j.Spec.Version))
+	n.decisions.Answer(j.ID, j.Spec.Queue.Name, a.Outcome.String(), a.Reason, took, j.Spec.Version)
 }
 
 // offer hands a job to the dispatcher, if there is one.
@@ -82,9 +90,12 @@
 	if !ok {
 		return
 	}
+	if job := &j.Spec; job.Once && o.Resumed && !n.mayResume(o.Previous) {
+		n.giveUp(j, "its dispatcher "+o.Previous+" was not heard for too long to tell what has started")
+		return
+	}
 	request := n.offerRequest(o, v.Term)
-	n.log.Info("offer", slog.String("job", j.ID), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term),
-		slog.Int("tasks", len(o.Tasks)), slog.Bool("resumed", o.Resumed))
+	n.decisions.Offer(j.ID, v.Dispatcher.VM, v.Term, len(o.Tasks), o.Resumed)
 	if v.Dispatcher.VM == n.config.VM {
 		n.offered(o, v, n.enter(request), nil)
 		return
@@ -98,6 +109,23 @@
 	}()
 }
 
+// resumeLimit is the time without word from a dispatcher within which a job that
+// must run once only may be offered to another one: well below the time for which
+// the ends of such jobs stay listed at the upstreams.
+const resumeLimit = time.Second
+
+// mayResume tells whether a dispatcher was heard lately.
+func (n *Node) mayResume(previous string) bool {
+	return previous == n.config.VM || time.Since(n.fleet.LastHeard(previous)) < resumeLimit
+}
+
+// giveUp ends a job of which tasks may have started, and has them stopped.
+func (n *Node) giveUp(j *intake.Job[Job], reason string) {
+	if vm, term, ended := n.jobs.End(j.ID, intake.Answer{Outcome: intake.GivenUp, Code: verdict.CodeOwnerLost, Reason: reason}); ended {
+		n.withdraw(vm, term, j.ID)
+	}
+}
+
 // offered enters the answer to an offer.
 func (n *Node) offered(o intake.Offer[Job], v *fleet.View, response *wire.OfferResponse, err error) {
 	switch {
@@ -113,7 +141,7 @@
 			outcome = intake.GivenUp
 		}
 		n.jobs.EndBy(o.Job.ID, v.Dispatcher.VM, v.Term, intake.Answer{
-			Outcome: outcome, Reason: response.Reason,
+			Outcome: outcome, Code: verdict.Code(response.Code), Reason: response.Reason,
 			RetryAfter: time.Duration(response.RetryAfterUS) * time.Microsecond,
 		})
 	}
@@ -122,12 +150,18 @@
 func (n *Node) offerRequest(o intake.Offer[Job], term uint64) *wire.OfferRequest {
 	now := time.Now()
 	job := &o.Job.Spec
+	var items [][]byte
+	if len(job.Items) > 0 {
+		for _, index := range o.Tasks {
+			items = append(items, job.Items[index])
+		}
+	}
 	return &wire.OfferRequest{
 		Job: o.Job.ID, Origin: n.config.VM, OriginIncarnation: n.fleet.Self().Incarnation, Term: term,
-		Queue: job.Queue.Name, Service: job.Queue.Service, Spec: job.Spec, Tasks: o.Tasks,
+		Queue: job.Queue.Name, Service: job.Queue.Service, Spec: job.Spec, Tasks: o.Tasks, Items: items, Once: job.Once,
 		MilliCPU: job.Size.MilliCPU, MemoryMB: job.Size.MemoryMB, Accelerators: job.Size.Accelerators,
 		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
-		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Sub(now).Microseconds(),
+		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Add(-dropLead).Sub(now).Microseconds(),
 		Stretch: job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
 		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed,
 	}
@@ -172,14 +206,15 @@
 }
 
 // ended enters what a dispatcher tells of tasks and jobs. Work that was done
-// counts whoever tells of it; the rest only from the dispatcher that has the job.
+// counts whoever tells of it, and so does a lost run that must not be repeated;
+// the rest only from the dispatcher that has the job.
 func (n *Node) ended(dispatcher string, r *wire.EndsRequest) {
 	for i := range r.Ends {
 		e := &r.Ends[i]
 		if e.Failed {
-			n.jobs.EndBy(e.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Reason: "a task has failed for good"})
+			n.endBy(e.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: "a task has failed for good"})
 		} else {
-			n.jobs.TaskDone(e.Job, e.Index)
+			n.jobs.TaskDone(e.Job, e.Index, e.Result)
 		}
 	}
 	for i := range r.Drops {
@@ -188,8 +223,19 @@
 		if d.Started {
 			outcome = intake.GivenUp
 		}
-		n.jobs.EndBy(d.Job, dispatcher, r.Term, intake.Answer{
-			Outcome: outcome, Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond,
+		n.endBy(d.Job, dispatcher, r.Term, intake.Answer{
+			Outcome: outcome, Code: verdict.Code(d.Code), Reason: d.Reason, RetryAfter: time.Duration(d.RetryAfterUS) * time.Microsecond,
 		})
 	}
 }
+
+// endBy gives a job the answer of a dispatcher.
+func (n *Node) endBy(id, dispatcher string, term uint64, a intake.Answer) {
+	if j := n.jobs.Find(id); j != nil && j.Spec.Once && a.Outcome != intake.NotRun {
+		if vm, current, ended := n.jobs.End(id, a); ended && (vm != dispatcher || current != term) {
+			n.withdraw(vm, current, id)
+		}
+		return
+	}
+	n.jobs.EndBy(id, dispatcher, term, a)
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -54,6 +54,15 @@
 	m.waits.Update(waited.Seconds())
 }
 
+// Starts returns the number of orders to start a task, by their result.
+func (m *Metrics) Starts() map[string]uint64 {
+	starts := map[string]uint64{}
+	for r, counter := range m.starts {
+		starts[scheduler.OrderResult(r).String()] = counter.Get()
+	}
+	return starts
+}
+
 // Write prints every metric as text.
 func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -8,6 +8,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/routing"
@@ -27,15 +29,16 @@
 )
 
 // Upstreams carries orders and looks to upstreams. Implementations are safe for
-// concurrent use. A context's deadline bounds each call.
+// concurrent use. A context's deadline bounds each call. The error tells why a
+// call is unanswered.
 type Upstreams interface {
 	// Start orders a task to run. clock is the upstream's clock in ms, where the
 	// answer told it.
-	Start(ctx context.Context, start scheduler.Start) (result scheduler.OrderResult, clock int64)
+	Start(ctx context.Context, start scheduler.Start) (result scheduler.OrderResult, clock int64, err error)
 	// Stop ends a run.
-	Stop(ctx context.Context, stop scheduler.Stop) (result scheduler.OrderResult, clock int64)
+	Stop(ctx context.Context, stop scheduler.Stop) (result scheduler.OrderResult, clock int64, err error)
 	// Look asks what runs and renews its lease.
-	Look(ctx context.Context, look scheduler.Look) (scheduler.LookResult, scheduler.Report)
+	Look(ctx context.Context, look scheduler.Look) (scheduler.LookResult, scheduler.Report, error)
 }
 
 // Decoder reads the entries that operators and upstreams write.
@@ -50,6 +53,8 @@
 // Config describes a node.
 type Config struct {
 	VM, DataCentre string
+	// Incarnation distinguishes the processes at a VM; 0 takes the time of day.
+	Incarnation uint64
 	// PeerAddress is the host:port for other VMs.
 	PeerAddress string
 	// Weight is what the VM can carry as a dispatcher, in thousandths of a core.
@@ -58,24 +63,37 @@
 	Seeds []string
 	// LeaseMax is the longest lease that upstreams grant.
 	LeaseMax time.Duration
+	// LapseMemory is the time for which an upstream whose entry has lapsed may
+	// still run tasks.
+	LapseMemory time.Duration
+	// MaxWaiting is the most tasks that wait here while this VM dispatches; 0 takes
+	// maxWaiting.
+	MaxWaiting int
 	// DrainTime is the time for which the balancer may still send new requests
 	// after readiness has fallen; StopTime is the longest time that a planned
 	// stop may take.
 	DrainTime, StopTime time.Duration
-	// Keys of the store.
+	// Keys of the store. Without ConfigurationKey the queues come with the jobs.
 	ConfigurationKey, UpstreamPrefix, MemberPrefix string
 }
 
 // Dependencies are what a node uses.
 type Dependencies struct {
-	Store     store.Store
+	Store     store.Store // nil: no upstream is known
 	Upstreams Upstreams
 	Decoder   Decoder
 	Log       *slog.Logger
+	// Decisions logs a line for each decision about a job; its zero value none.
+	Decisions logging.Decisions
 	Metrics   *Metrics
+	// Peers carries messages between VMs. It is served by its owner, who calls
+	// Disconnected; without one the node listens at PeerAddress itself.
+	Peers *peer.Transport
+	// Drained tells whether operators drain an upstream; nil: none.
+	Drained func(upstream string) bool
 }
 
-// maxWaiting is the most tasks that wait at a dispatcher: some 10 s of the work
+// maxWaiting bounds the tasks that wait at a dispatcher: some 10 s of the work
 // of 350 upstreams, beyond which nothing could be answered in time.
 const maxWaiting = 50_000
 
@@ -89,10 +107,11 @@
 
 // Node is one process.
 type Node struct {
-	config  Config
-	deps    Dependencies
-	log     *slog.Logger
-	metrics *Metrics
+	config    Config
+	deps      Dependencies
+	log       *slog.Logger
+	decisions logging.Decisions
+	metrics   *Metrics
 
 	fleet     *fleet.Fleet
 	scheduler *scheduler.Scheduler
@@ -124,14 +143,15 @@
 // New returns a node that is not running yet.
 func New(config Config, deps Dependencies) *Node {
 	self := fleet.Member{
-		VM: config.VM, Incarnation: uint64(time.Now().UnixMicro()),
+		VM: config.VM, Incarnation: cmp.Or(config.Incarnation, uint64(time.Now().UnixMicro())),
 		DataCentre: config.DataCentre, Address: config.PeerAddress, Weight: config.Weight,
 	}
 	n := &Node{
 		config: config, deps: deps, metrics: deps.Metrics,
 		log:       deps.Log.With(slog.String("vm", config.VM)),
+		decisions: deps.Decisions,
 		fleet:     fleet.New(self),
-		scheduler: scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: maxWaiting}),
+		scheduler: scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting)}),
 		jobs:      intake.New[Job](),
 		place:     make(chan struct{}, 1),
 		relist:    make(chan struct{}, 1),
@@ -144,18 +164,22 @@
 	n.agents.wake = map[string]chan struct{}{}
 	n.registry.init()
 	n.view.Store(&fleet.View{First: self, Local: true, Candidate: true})
-	n.peers = peer.New(peer.Config{
-		Hello:       wire.Hello{VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre, Address: self.Address},
-		DialTimeout: dialTimeout, MaxFrame: maxFrame,
-		OnHello: func(wire.Hello) {},
-		OnClose: n.disconnected,
-	})
+	n.peers = deps.Peers
+	if n.peers == nil {
+		n.peers = peer.New(peer.Config{
+			Hello:       wire.Hello{VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre, Address: self.Address},
+			DialTimeout: dialTimeout, MaxFrame: maxFrame,
+			OnHello: func(wire.Hello) {},
+			OnClose: n.Disconnected,
+		})
+	}
 	n.gauges()
 	peer.Handle(n.peers, n.handleBeat)
 	peer.Handle(n.peers, n.handleOffer)
 	peer.Handle(n.peers, n.handleEnds)
 	peer.Handle(n.peers, n.handleWithdraw)
 	peer.Handle(n.peers, n.handleState)
+	peer.Handle(n.peers, n.handlePlacements)
 	return n
 }
 
@@ -169,34 +193,49 @@
 // Run serves until the context ends, then stops gracefully: it keeps taking
 // requests until the balancer sends no more, and waits for those in progress.
 func (n *Node) Run(ctx context.Context, front Front) error {
-	listener, err := net.Listen("tcp", n.config.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
-	}
+	var g errgroup.Group
+	g.Go(n.Serve)
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			n.drain(front)
+		case <-n.serving.Done():
+		}
+		n.Stop()
+		return nil
+	})
+	return g.Wait()
+}
+
+// Stop ends Serve. Jobs that have no answer yet are dropped.
+func (n *Node) Stop() { n.stop() }
+
+// Serve works until Stop.
+func (n *Node) Serve() error {
+	defer n.stop()
 	n.started = time.Now()
 	n.log.Info("start", slog.String("data_centre", n.config.DataCentre), slog.String("peers", n.config.PeerAddress),
 		slog.Uint64("incarnation", n.fleet.Self().Incarnation))
 	g, serving := errgroup.WithContext(n.serving)
-	g.Go(func() error { return n.peers.Serve(serving, listener) })
+	if n.deps.Peers == nil {
+		listener, err := net.Listen("tcp", n.config.PeerAddress)
+		if err != nil {
+			return errors.Wrap(err, "listen for peers")
+		}
+		g.Go(func() error { return n.peers.Serve(serving, listener) })
+	}
 	g.Go(func() error { return n.keepBeating(serving) })
 	g.Go(func() error { return n.keepTerm(serving) })
 	g.Go(func() error { return n.keepPlacing(serving) })
 	g.Go(func() error { return n.keepTicking(serving) })
-	g.Go(func() error { return n.followConfiguration(serving) })
-	g.Go(func() error { return n.followUpstreams(serving) })
-	g.Go(func() error { return n.followMembers(serving) })
 	g.Go(func() error { return n.keepPulling(serving) })
-	g.Go(func() error { return n.keepRegistered(serving) })
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-			n.drain(front)
-		case <-serving.Done():
-		}
-		n.stop()
-		return nil
-	})
-	err = g.Wait()
+	if n.deps.Store != nil {
+		g.Go(func() error { return n.followConfiguration(serving) })
+		g.Go(func() error { return n.followUpstreams(serving) })
+		g.Go(func() error { return n.followMembers(serving) })
+		g.Go(func() error { return n.keepRegistered(serving) })
+	}
+	err := g.Wait()
 	n.log.Info("stop", slog.Int("jobs_without_answer", n.jobs.Len()))
 	if errors.Is(err, context.Canceled) {
 		return nil
@@ -213,15 +252,25 @@
 	n.log.Info("drain", slog.Int("jobs", n.jobs.Len()))
 	ctx, cancel := context.WithTimeout(n.serving, n.config.StopTime)
 	defer cancel()
-	n.draining.Store(true)
-	n.fleet.Drain()
-	n.wakeControl()
+	n.Leave()
 	if !sleep(ctx, n.config.DrainTime) {
 		return
 	}
 	if err := front.Shutdown(ctx); err != nil {
 		n.log.Warn("requests are cut", slog.Int("jobs", n.jobs.Len()), slog.Any("error", err))
 	}
+	n.HandOver(ctx)
+}
+
+// Leave begins a planned stop: readiness falls, and another VM dispatches.
+func (n *Node) Leave() {
+	n.draining.Store(true)
+	n.fleet.Drain()
+	n.wakeControl()
+}
+
+// HandOver waits until another VM dispatches, if one is heard.
+func (n *Node) HandOver(ctx context.Context) {
 	for n.scheduler.Dispatching() && len(n.view.Load().Heard) > 0 {
 		if !sleep(ctx, handOverPoll) {
 			return
@@ -235,7 +284,7 @@
 	switch {
 	case n.draining.Load():
 		return errors.New("draining")
-	case n.table.Load() == nil:
+	case !n.configured():
 		return errors.New("no configuration yet")
 	case n.view.Load().Dispatcher.VM == "":
 		return errors.New("no dispatcher is heard")
@@ -243,6 +292,9 @@
 	return nil
 }
 
+// configured tells whether the queues are known.
+func (n *Node) configured() bool { return n.config.ConfigurationKey == "" || n.table.Load() != nil }
+
 // Table returns the configuration in force; nil before the first one.
 func (n *Node) Table() *routing.Table { return n.table.Load() }
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -57,19 +57,21 @@
 	return u
 }
 
-func (u *modelUpstreams) Start(_ context.Context, s scheduler.Start) (scheduler.OrderResult, int64) {
+func (u *modelUpstreams) Start(_ context.Context, s scheduler.Start) (scheduler.OrderResult, int64, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.byName[s.Upstream.Name].Start(time.Now(), s, scheduler.Size{MilliCPU: 7000}, u.work)
+	result, clock := u.byName[s.Upstream.Name].Start(time.Now(), s, scheduler.Size{MilliCPU: 7000}, u.work)
+	return result, clock, nil
 }
 
-func (u *modelUpstreams) Stop(_ context.Context, s scheduler.Stop) (scheduler.OrderResult, int64) {
+func (u *modelUpstreams) Stop(_ context.Context, s scheduler.Stop) (scheduler.OrderResult, int64, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.byName[s.Upstream.Name].Stop(time.Now(), s)
+	result, clock := u.byName[s.Upstream.Name].Stop(time.Now(), s)
+	return result, clock, nil
 }
 
-func (u *modelUpstreams) Look(ctx context.Context, l scheduler.Look) (scheduler.LookResult, scheduler.Report) {
+func (u *modelUpstreams) Look(ctx context.Context, l scheduler.Look) (scheduler.LookResult, scheduler.Report, error) {
 	end := time.Now().Add(l.Wait)
 	model := u.byName[l.Upstream.Name]
 	for {
@@ -77,7 +79,7 @@
 		result, report := model.Look(time.Now(), l)
 		u.mu.Unlock()
 		if len(report.Ends) > 0 || result != scheduler.LookAnswered || !time.Now().Before(end) || ctx.Err() != nil {
-			return result, report
+			return result, report, nil
 		}
 		time.Sleep(2 * time.Millisecond)
 	}
@@ -180,7 +182,7 @@
 
 func (c *cluster) start(vm string, seeds ...string) *testNode {
 	config := Config{
-		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease,
+		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapseMemory: 10 * time.Second,
 		DrainTime: 50 * time.Millisecond, StopTime: longEnough, Seeds: seeds,
 		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/",
 	}
--- a/node/registry.go
+++ b/node/registry.go
@@ -16,11 +16,6 @@
 // seconds of its return.
 const lapseGrace = 2500 * time.Millisecond
 
-// lapseMemory is the time for which an upstream whose entry has lapsed may still
-// run tasks: one that was cut off from the store and not from the VMs beside it
-// is back by then.
-const lapseMemory = 10 * time.Second
-
 // upstreamSpacing gathers the changes of upstreams, which write about themselves
 // every other second: a leaving one is known well within the 2 s in which it may
 // still get tasks.
@@ -65,6 +60,13 @@
 	return r.fresh.After(t)
 }
 
+// young tells whether upstreams may run tasks that lapsed before the first listing.
+func (r *registry) young(now time.Time, memory time.Duration) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.since) < memory
+}
+
 func (r *registry) known() bool { return r.revision() > 0 }
 
 // followUpstreams keeps the list of upstreams.
@@ -160,12 +162,15 @@
 		e.lapsed = now
 		n.registry.entries[key] = e
 		n.log.Info("upstream lapsed", slog.String("upstream", e.upstream.Name))
-		for _, d := range []time.Duration{lapseGrace, lapseMemory} {
+		for _, d := range []time.Duration{lapseGrace, n.config.LapseMemory} {
 			time.AfterFunc(d, func() { n.applyUpstreams(time.Now()) })
 		}
 	}
 }
 
+// Redrain takes anew which upstreams operators drain.
+func (n *Node) Redrain() { n.applyUpstreams(time.Now()) }
+
 // applyUpstreams hands the scheduler the upstreams that this node claims.
 func (n *Node) applyUpstreams(now time.Time) {
 	v := n.view.Load()
@@ -173,10 +178,10 @@
 	var list []scheduler.Upstream
 	n.registry.mu.Lock()
 	// One that lapsed before the first listing is not known.
-	partial := now.Sub(n.registry.since) < lapseMemory
+	partial := now.Sub(n.registry.since) < n.config.LapseMemory
 	for key, e := range n.registry.entries {
 		since := now.Sub(e.lapsed)
-		if !e.lapsed.IsZero() && since >= lapseMemory {
+		if !e.lapsed.IsZero() && since >= n.config.LapseMemory {
 			delete(n.registry.entries, key)
 			continue
 		}
@@ -184,6 +189,7 @@
 		case !e.valid:
 		case v.Claims(self, e.upstream.Name, e.upstream.DataCentre):
 			upstream := e.upstream
+			upstream.Draining = upstream.Draining || n.deps.Drained != nil && n.deps.Drained(upstream.Name)
 			upstream.Lapsed = !e.lapsed.IsZero() && since >= lapseGrace
 			list = append(list, upstream)
 		default:
--- a/node/term.go
+++ b/node/term.go
@@ -153,9 +153,12 @@
 
 // mayDispatch tells whether a term can begin.
 func (n *Node) mayDispatch(now time.Time, v *fleet.View) bool {
-	if n.table.Load() == nil || !n.registry.known() {
+	if !n.configured() || n.deps.Store != nil && !n.registry.known() {
 		return false
 	}
+	if v.Dispatcher.VM != "" && !v.Dispatcher.Draining && n.registry.young(now, n.config.LapseMemory) {
+		return false // a sound dispatcher knows upstreams that have lapsed before
+	}
 	settle := settleTime
 	if len(v.Heard)+len(v.Unheard) == 0 {
 		settle = aloneTime
--- /dev/null
+++ b/scheduler/explain.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import "time"
+
+// Placement tells where a task runs.
+type Placement struct {
+	Run
+	Upstream string
+	// State is ordered, unknown, started or stopping.
+	State string
+	// Age is the time since the start was ordered.
+	Age time.Duration
+}
+
+// Explain tells operators how many tasks of a job wait, and where its others run.
+// It reads every upstream.
+func (s *Scheduler) Explain(now time.Time, job string) (waiting int, placed []Placement) {
+	q := s.queueOf(job)
+	q.mu.Lock()
+	if j := q.jobs[job]; j != nil {
+		waiting = len(j.waiting) + len(j.blocked)
+	}
+	q.mu.Unlock()
+	for _, shard := range s.upstreams {
+		shard.mu.Lock()
+		for _, u := range shard.all {
+			for _, r := range u.runs {
+				if r.Job == job {
+					placed = append(placed, Placement{r.Run, u.Name, r.state.String(), now.Sub(r.ordered)})
+				}
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return waiting, placed
+}
+
+// String returns the form shown to operators.
+func (s runState) String() string {
+	return [...]string{"ordered", "unknown", "started", "stopping"}[s]
+}
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 // job is an offered job. The lock of its shard guards it.
@@ -14,10 +16,11 @@
 	blocked  []int   // indexes of tasks whose earlier runs are not over
 	left     int     // tasks that have not ended
 	running  int
-	started  bool // a task may have started
+	starts   int // orders to start a task that are not known to have had no effect
 	attempts map[int]int
 	failures map[int]int
 	avoid    map[int][]string // upstreams on which a task failed
+	results  map[int][]byte   // of ended tasks, where the job must run once only
 	held     time.Time        // when the job was resumed; zero once it may start
 	tier     tier             // as of the last look at the job
 	score    float64
@@ -103,12 +106,25 @@
 }
 
 // dropped returns the notice of a job that is given up.
-func (j *job) dropped(reason string, retryAfter time.Duration) Notice {
+func (j *job) dropped(code verdict.Code, reason string, retryAfter time.Duration) Notice {
 	kind := JobNotRun
-	if j.started || j.Resumed {
+	if j.starts > 0 || j.Resumed {
 		kind = JobGivenUp
 	}
-	return Notice{Origin: j.Origin, Task: Task{Job: j.ID}, Kind: kind, Reason: reason, RetryAfter: retryAfter}
+	return Notice{Origin: j.Origin, Task: Task{Job: j.ID}, Kind: kind, Code: code, Reason: reason, RetryAfter: retryAfter}
+}
+
+// done returns the notice of a task that has ended well.
+func (j *job) done(index int, result []byte, receipt Receipt) Notice {
+	return Notice{Origin: j.Origin, Task: Task{j.ID, index}, Kind: TaskDone, Result: result, Receipt: receipt}
+}
+
+// lost returns the notice of a job that is given up since a run was lost that
+// must not be repeated.
+func (j *job) lost(l lostRun) Notice {
+	notice := j.dropped(verdict.CodeUpstreamFailed, "a task that must not start twice was lost on "+l.upstream, 0)
+	notice.Receipt = l.receipt
+	return notice
 }
 
 // wants tells whether a task waits or runs. The caller holds mu of the shard.
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -33,6 +33,8 @@
 	Number int64
 	Run
 	Kind EndKind
+	// Result is what a run that ended well has produced, where upstreams tell it.
+	Result []byte
 }
 
 // EndKind says how a run ended on an upstream.
@@ -118,7 +120,7 @@
 	case u.listed && u.newest.Sub(s.start) <= time.Duration(s.sweep.Load()):
 		wait = 0
 	case len(u.runs)+len(u.orphans) > 0:
-	case u.seen > u.acked:
+	case u.settled() > u.acked:
 		if pause := u.idle.Add(idleLook).Sub(now); pause > 0 {
 			return Look{}, false, pause, false
 		}
@@ -145,7 +147,7 @@
 // look returns a look. The caller holds mu of the shard.
 func (u *upstream) look(now time.Time, token int64, wait time.Duration, s *Scheduler) Look {
 	u.looking = true
-	l := Look{Upstream: u.Upstream, Token: token, LastSeen: u.seen, Wait: wait, Sent: now}
+	l := Look{Upstream: u.Upstream, Token: token, LastSeen: u.settled(), Wait: wait, Sent: now}
 	// What does not answer is not renewed, so that its runs are over in time.
 	if u.clock != 0 && u.failures == 0 && (len(u.runs) > 0 || u.wanted()) {
 		l.Until = u.clockNow(now) + lease.Milliseconds()
@@ -154,6 +156,30 @@
 	return l
 }
 
+// settled returns the number up to which ends need not be listed again.
+func (u *upstream) settled() int64 {
+	settled := u.seen
+	for number := range u.undelivered {
+		settled = min(settled, number-1)
+	}
+	return settled
+}
+
+// Delivered notes that the origins of jobs have been told of some ends.
+func (s *Scheduler) Delivered(receipts []Receipt) {
+	for _, r := range receipts {
+		if r.Upstream == "" || r.Token != s.token.Load() {
+			continue
+		}
+		shard := s.shardOf(r.Upstream)
+		shard.mu.Lock()
+		if u := shard.known[r.Upstream]; u != nil {
+			delete(u.undelivered, r.Number)
+		}
+		shard.mu.Unlock()
+	}
+}
+
 // wanted tells whether a job may still claim one of the orphans.
 func (u *upstream) wanted() bool {
 	for _, o := range u.orphans {
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -18,7 +18,8 @@
 // The model drives several schedulers against model upstreams through a network
 // that delays, loses and cuts, with dispatchers that are replaced while they
 // still act, and checks after each start that no task runs twice at the same
-// time and that no upstream holds more than it has.
+// time, that no task of a job that must run once only starts twice, and that no
+// upstream holds more than it has.
 
 const (
 	modelLeaseMax = time.Second
@@ -85,6 +86,7 @@
 	current     *modelDispatcher
 	jobs        map[string]*modelJob
 	active      map[scheduler.Task][]string // where a task runs
+	begun       map[scheduler.Task]string   // where a task that must run once only started
 	restarts    map[string]int
 	token       int64
 	done        int
@@ -130,7 +132,7 @@
 func newModel(t *rapid.T) *model {
 	m := &model{
 		t: t, now: modelStart, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), upstreams: map[string]*schedulertest.Upstream{},
-		jobs: map[string]*modelJob{}, active: map[scheduler.Task][]string{}, restarts: map[string]int{},
+		jobs: map[string]*modelJob{}, active: map[scheduler.Task][]string{}, begun: map[scheduler.Task]string{}, restarts: map[string]int{},
 	}
 	for i := range 4 {
 		name := fmt.Sprintf("u%d", i)
@@ -144,6 +146,12 @@
 				m.fail(run.Job, "%v starts on %s while it runs on %v", run, name, at)
 			}
 			m.active[run.Task] = append(m.active[run.Task], name)
+			if m.jobs[run.Job].job.Once {
+				if at := m.begun[run.Task]; at != "" {
+					m.fail(run.Job, "%v starts on %s although it had started on %s", run, name, at)
+				}
+				m.begun[run.Task] = name
+			}
 			if !u.Used.Within(info.Size) {
 				m.fail(name, "%s holds %+v, more than it has", name, u.Used)
 			}
@@ -387,25 +395,27 @@
 		}
 	}
 	for _, n := range a.Notices {
-		m.notice(d, n)
+		m.after(m.delay(), func() { m.notice(d, n) })
 	}
 }
 
 func (m *model) notice(d *modelDispatcher, n scheduler.Notice) {
 	j := m.jobs[n.Task.Job]
-	if j == nil || j.ended || j.at != d {
-		return
-	}
-	switch n.Kind {
-	case scheduler.TaskDone:
+	switch {
+	case j == nil || j.ended:
+	case n.Kind == scheduler.TaskDone:
 		j.open = slices.DeleteFunc(j.open, func(i int) bool { return i == n.Task.Index })
 		if len(j.open) == 0 {
 			j.ended = true
 			m.done++
 		}
-	default:
+	case j.at == d:
+		j.ended = true
+	case j.job.Once && n.Kind != scheduler.JobNotRun:
 		j.ended = true
+		m.act(j.at, j.at.scheduler.Withdraw(m.now, "front", []string{n.Task.Job}))
 	}
+	d.scheduler.Delivered([]scheduler.Receipt{n.Receipt})
 }
 
 // run plays the model.
@@ -448,6 +458,7 @@
 		ID: id, Origin: "front", OriginIncarnation: 1, Queue: "q", Service: "s",
 		Size: scheduler.Size{MilliCPU: 6800, MemoryMB: 64}, Estimate: 200 * time.Millisecond,
 		Sent: m.now, Deadline: m.now.Add(5 * time.Second), Stretch: 1.6, Slack: 60 * time.Millisecond, MaxAttempts: 3,
+		Once: m.rand.IntN(2) == 0,
 	}}
 	for i := range tasks {
 		j.open = append(j.open, i)
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -62,6 +62,7 @@
 	switch result {
 	case OrderDone:
 		u.contact = now
+		r.confirmed = true
 		if r.state == runOrdered {
 			r.state, r.answered = runStarted, now
 		}
@@ -88,16 +89,21 @@
 	case OrderUnhealthy:
 		u.free(now, r)
 		u.health.Fail(now, rendezvous.Hash(r.Job), true)
-		end = endBlamed
+		end = endUnhealthy
 	case OrderRejected:
 		u.free(now, r)
 		end = endFailed
+	case OrderOld:
+		u.free(now, r)
+		if r.once {
+			end = endLost // an earlier start of the task had an effect there
+		}
 	default:
 		u.free(now, r)
 	}
 	shard.measure()
 	shard.mu.Unlock()
-	s.finishRun(now, lostRun{start.Run, start.Upstream.Name, end}, &a)
+	s.finishRun(now, lostRun{run: start.Run, upstream: start.Upstream.Name, end: end}, &a)
 	return a
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -8,7 +8,7 @@
 )
 
 // Offer enters a job, all its tasks or none. The notices tell of tasks that are
-// known to have ended. A failure has the verdict NotRun.
+// known to have ended. A failure has the verdict NotRun, but for a resumed job.
 func (s *Scheduler) Offer(now time.Time, offered Job) ([]Notice, *verdict.Error) {
 	if waiting := s.waiting.Load(); waiting+int64(len(offered.Tasks)) > int64(s.config.MaxWaiting) && !offered.Resumed {
 		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "%d tasks are waiting", waiting).WithRetryAfter(time.Second)
@@ -19,16 +19,15 @@
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(time.Second)
 	}
 	model := s.models.get(offered.Queue, offered.Estimate)
-	ended, waiting := s.queueOf(offered.ID).offer(now, offered, model)
+	notices, waiting, failure := s.queueOf(offered.ID).offer(now, offered, model)
+	if failure != nil {
+		return nil, failure
+	}
 	s.waiting.Add(int64(waiting))
 	if offered.Resumed {
 		s.sweep.Store(int64(now.Sub(s.start)))
 		s.claimOrphans(now, offered.ID)
 	}
-	var notices []Notice
-	for _, index := range ended {
-		notices = append(notices, Notice{Origin: offered.Origin, Task: Task{offered.ID, index}, Kind: TaskDone})
-	}
 	return notices, nil
 }
 
@@ -53,7 +52,12 @@
 	Upstream Upstream
 	Token    int64
 	Run      Run
-	Spec     string
+	// Born is the start of the process for which the order is meant, in ms since
+	// 1970; 0 where it is not known.
+	Born int64
+	Spec string
+	// Item is what the task works on.
+	Item []byte
 	// Until is the time on the upstream's clock, in ms, after which the order
 	// has no effect.
 	Until int64
@@ -201,13 +205,14 @@
 	r := &run{
 		Run: Run{Task{c.job.ID, c.index}, c.attempt}, size: c.job.Size, ordered: now, moved: now,
 		until: u.clockNow(now) + startWindow.Milliseconds(), expected: c.expected, estimate: c.job.Estimate, model: c.model,
+		once: c.job.Once,
 	}
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
 	u.bound = now.Add(s.leaseBound())
 	shard.measure()
 	return Start{
-		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Spec: c.job.Spec, Until: r.until,
+		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Born: u.born, Spec: c.job.Spec, Item: c.job.item(c.index), Until: r.until,
 		Waited:   now.Sub(c.job.Sent),
 		Expected: time.Duration(c.expected * u.model.factor() * float64(time.Second)),
 		Left:     c.objective.Sub(now), Free: u.room(),
@@ -301,11 +306,10 @@
 	s.waiting.Add(-1)
 	r := &run{
 		Run: found, size: owner.Size, state: runStarted, ordered: now, answered: now, moved: now,
-		expected: expected, estimate: owner.Estimate, model: model, adopted: true,
+		expected: expected, estimate: owner.Estimate, model: model, adopted: true, once: owner.Once, confirmed: true,
 	}
 	if !shard.adopt(name, r) {
-		_, requeued, _ := s.queueOf(found.Job).finish(found, name, endLost)
-		s.waiting.Add(int64(requeued))
+		s.waiting.Add(int64(s.queueOf(found.Job).disown(found)))
 	}
 }
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 // noScore is the score of an empty shard.
@@ -19,18 +21,27 @@
 	mu   sync.Mutex // guards the fields below and every store of top
 	jobs map[string]*job
 	heap jobHeap
-	// past holds the tasks of unknown jobs that were found ended.
-	past map[Task]time.Time
+	// past holds the ends that no job has taken.
+	past map[Receipt]pastEnd
 	// fading holds the attempts of runs whose jobs are gone: the tasks start
 	// anew only once these are over.
 	fading map[Task]int
 	// unserved holds when the jobs that ended without success were sent first.
 	unserved map[string]time.Time
-	epoch    time.Time
+	// spent holds the deadlines of jobs that must run once only and were dropped
+	// after a task may have started: they are not taken again.
+	spent map[string]time.Time
+	epoch time.Time
+}
+
+// pastEnd is an end that no job has taken.
+type pastEnd struct {
+	lostRun
+	seen time.Time
 }
 
 func newQueueShard() *queueShard {
-	q := &queueShard{unserved: map[string]time.Time{}}
+	q := &queueShard{unserved: map[string]time.Time{}, spent: map[string]time.Time{}}
 	q.reset()
 	return q
 }
@@ -68,23 +79,38 @@
 	for _, j := range q.jobs {
 		n += len(j.waiting)
 	}
-	q.jobs, q.heap, q.past, q.fading = map[string]*job{}, nil, map[Task]time.Time{}, map[Task]int{}
+	q.jobs, q.heap, q.past, q.fading = map[string]*job{}, nil, map[Receipt]pastEnd{}, map[Task]int{}
 	q.publish()
 	return n
 }
 
-// release lets the jobs start that were resumed before one of two times.
-func (q *queueShard) release(swept, old time.Time) {
+// release lets the jobs start that were resumed before one of two times. A job
+// that must run once only needs the first, and upstreams whose youngest process is
+// older than the job; it is given up after the second. It returns the number of
+// tasks that no longer wait.
+func (q *queueShard) release(swept, old, youngest time.Time, a *Actions) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	n := 0
 	for _, j := range q.jobs {
-		if !j.held.IsZero() && (j.held.Before(swept) || j.held.Before(old)) {
+		switch {
+		case j.held.IsZero():
+		case j.held.Before(swept) && (!j.Once || youngest.Before(j.Sent.Add(-bornMargin))), !j.Once && j.held.Before(old):
 			j.held = time.Time{}
 			q.relist(j)
+		case j.Once && (j.held.Before(swept) || j.held.Before(old)) && len(j.waiting) > 0:
+			n += len(j.waiting)
+			a.Notices = append(a.Notices, j.dropped(verdict.CodeOwnerLost, "whether its tasks have started cannot be told since their dispatcher was lost", 0))
+			q.drop(j)
 		}
 	}
+	return n
 }
 
+// bornMargin is the longest time by which a job seems to be younger than it is:
+// that of an offer.
+const bornMargin = 500 * time.Millisecond
+
 // expire gives up the jobs whose callers wait no longer, and those that are
 // worth nothing any more and have not started; it returns the number of their
 // tasks that waited. What runs is stopped by the origin's withdrawal.
@@ -93,23 +119,30 @@
 	defer q.mu.Unlock()
 	n := 0
 	for _, j := range q.jobs {
-		reason := ""
+		reason, code := "", verdict.CodeDeadline
 		switch {
 		case j.running > 0:
 		case !now.Before(j.Deadline):
 			reason = "the caller's deadline has passed"
-		case !j.started && !j.Resumed && now.Sub(j.Sent) > lateFactor*j.aim():
+		case j.starts == 0 && !j.Resumed && now.Sub(j.Sent) > lateFactor*j.aim():
+			code = verdict.CodeOverloaded
 			reason = "the queue was longer than the time in which an answer is of use"
 		}
 		if reason != "" {
 			n += len(j.waiting)
-			a.Notices = append(a.Notices, j.dropped(reason, time.Second))
+			a.Notices = append(a.Notices, j.dropped(code, reason, time.Second))
 			q.drop(j)
 		}
 	}
-	for task, seen := range q.past {
-		if now.Sub(seen) > pastEndTime {
-			delete(q.past, task)
+	for receipt, past := range q.past {
+		if now.Sub(past.seen) > KeepEnds {
+			delete(q.past, receipt)
+			a.forgotten = append(a.forgotten, receipt)
+		}
+	}
+	for id, deadline := range q.spent {
+		if now.After(deadline) {
+			delete(q.spent, id)
 		}
 	}
 	for id, sent := range q.unserved {
@@ -135,6 +168,9 @@
 		return
 	}
 	q.unserved[j.ID] = j.Sent
+	if j.Once && (j.starts > 0 || j.Resumed) {
+		q.spent[j.ID] = j.Deadline
+	}
 	for _, index := range j.Tasks {
 		if attempt := j.attempts[index]; attempt > 0 && !slices.Contains(idle, index) {
 			q.fading[Task{j.ID, index}] = attempt
@@ -163,36 +199,38 @@
 	return 1
 }
 
-// offer enters a job. It returns the tasks that are known to have ended and the
-// number that wait. A job that is known already moves to its new origin.
-func (q *queueShard) offer(now time.Time, offered Job, model *queueModel) (ended []int, waiting int) {
+// offer enters a job. It returns notices of the tasks that are known to have ended
+// and the number that wait. A job that is known already moves to its new origin.
+func (q *queueShard) offer(now time.Time, offered Job, model *queueModel) (notices []Notice, waiting int, failure *verdict.Error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if known := q.jobs[offered.ID]; known != nil {
 		for _, index := range offered.Tasks {
 			if !known.wants(index) {
-				ended = append(ended, index)
+				notices = append(notices, known.done(index, known.results[index], Receipt{}))
 			}
 		}
 		known.Origin, known.OriginIncarnation = offered.Origin, offered.OriginIncarnation
 		known.Deadline = offered.Deadline
-		return ended, 0
+		for i := range notices {
+			notices[i].Origin = offered.Origin
+		}
+		return notices, 0, nil
+	}
+	if _, spent := q.spent[offered.ID]; spent {
+		return nil, 0, verdict.Errorf(verdict.MayHaveRun, verdict.CodeOwnerLost, "its tasks were stopped while its VM was not heard")
 	}
 	if q.epoch.IsZero() {
 		q.epoch = now
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		attempts: map[int]int{}, failures: map[int]int{}, index: -1,
+		attempts: map[int]int{}, failures: map[int]int{}, results: map[int][]byte{}, index: -1,
 	}
 	if offered.Resumed {
 		j.held = now
 	}
 	for _, index := range offered.Tasks {
-		if _, past := q.past[Task{offered.ID, index}]; past && offered.Resumed {
-			ended = append(ended, index)
-			continue
-		}
 		j.left++
 		if attempt := q.fading[Task{offered.ID, index}]; attempt > 0 {
 			j.blocked = append(j.blocked, index)
@@ -201,17 +239,88 @@
 		}
 		j.waiting = append(j.waiting, index)
 	}
-	if j.left == 0 {
-		return ended, 0
-	}
 	if sent, known := q.unserved[j.ID]; known && sent.Before(j.Sent) {
 		j.Sent = sent
 	}
 	j.tier = j.tierAt(now)
 	j.rescore(q.epoch)
 	q.jobs[j.ID] = j
-	q.relist(j)
-	return ended, len(j.waiting)
+	if offered.Resumed {
+		notices = q.claimPast(j)
+	}
+	if q.jobs[j.ID] == j {
+		q.relist(j)
+	}
+	return notices, len(j.waiting), nil
+}
+
+// claimPast enters the ends of a resumed job's tasks that were found before.
+func (q *queueShard) claimPast(j *job) (notices []Notice) {
+	for receipt, past := range q.past {
+		if past.run.Job != j.ID || q.jobs[j.ID] != j {
+			continue
+		}
+		more, _, _ := q.settle(j, past.lostRun)
+		if len(more) > 0 {
+			delete(q.past, receipt)
+		}
+		notices = append(notices, more...)
+	}
+	return notices
+}
+
+// found enters an end that was listed of a run that this dispatcher neither
+// started nor adopted. started is the number of tasks that wait no longer; stop
+// asks to end the other runs of the job.
+func (q *queueShard) found(now time.Time, l lostRun) (notices []Notice, started int, stop bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	switch j := q.jobs[l.run.Job]; {
+	case j == nil:
+	case slices.Contains(j.waiting, l.run.Index):
+		if j.Resumed {
+			notices, started, stop = q.settle(j, l)
+		}
+	case j.attempts[l.run.Index] == l.run.Attempt:
+		notices, started, stop = q.finished(j, l)
+		started = -started
+	}
+	q.keep(now, l, notices)
+	return notices, started, stop
+}
+
+// keep remembers an end that is to be acknowledged and that no notice brings to
+// an origin. The caller holds mu.
+func (q *queueShard) keep(now time.Time, l lostRun, notices []Notice) {
+	told := slices.ContainsFunc(notices, func(n Notice) bool { return n.Receipt == l.receipt })
+	if l.receipt.Upstream != "" && !told {
+		q.past[l.receipt] = pastEnd{l, now}
+	}
+}
+
+// settle enters the end of a task that waits: an earlier dispatcher started it.
+// The caller holds mu.
+func (q *queueShard) settle(j *job, l lostRun) (notices []Notice, started int, stop bool) {
+	at := slices.Index(j.waiting, l.run.Index)
+	switch {
+	case at < 0:
+		return nil, 0, false
+	case l.end == endDone:
+		j.waiting = slices.Delete(j.waiting, at, at+1)
+		j.starts++
+		j.running++
+		j.attempts[l.run.Index] = l.run.Attempt
+		q.relist(j)
+		notices, _, _ := q.finished(j, l)
+		return notices, 1, false
+	case j.Once:
+		n := len(j.waiting)
+		j.starts++
+		notice := j.lost(l)
+		q.drop(j)
+		return []Notice{notice}, n, true
+	}
+	return nil, 0, false
 }
 
 // candidate is a task that is to be placed.
@@ -293,7 +402,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if j := q.jobs[id]; j != nil {
-		j.started = true
+		j.starts++
 	}
 }
 
@@ -311,63 +420,93 @@
 	}
 	j.waiting = slices.Delete(j.waiting, at, at+1)
 	j.running++
-	j.started = true
+	j.starts++
 	j.attempts[run.Index] = run.Attempt
 	q.relist(j)
 	return j.Job, j.expected, j.model, true
 }
 
-// remember notes that a task of an unknown job has ended well.
-func (q *queueShard) remember(now time.Time, task Task) {
+// disown undoes adopt: the run is no longer there. Where its end was entered
+// meanwhile, nothing changes.
+func (q *queueShard) disown(run Run) (waiting int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.past[task] = now
+	j := q.jobs[run.Job]
+	if j == nil || j.attempts[run.Index] != run.Attempt || slices.Contains(j.waiting, run.Index) {
+		return 0
+	}
+	j.running--
+	j.waiting = append(j.waiting, run.Index)
+	q.relist(j)
+	return 1
 }
 
 // runEnd says how a run ended.
 type runEnd uint8
 
 const (
-	endDone    runEnd = iota
-	endFailed         // by its own fault or the upstream's
-	endLost           // stopped, lapsed or lost: the task starts anew
-	endBlamed         // failed on an upstream that fails most tasks: no attempt is counted
-	endRefused        // the order had no effect
+	endDone      runEnd = iota
+	endFailed           // by its own fault or the upstream's
+	endLost             // stopped, lapsed or lost: the task starts anew
+	endBlamed           // failed on an upstream that fails most tasks: no attempt is counted
+	endRefused          // the order had no effect
+	endUnhealthy        // the same, since the upstream takes no tasks
 )
 
 // finish enters the end of a run. requeued is the number of tasks that wait
 // again; where the job has failed, stop asks to end its other runs.
-func (q *queueShard) finish(run Run, upstream string, end runEnd) (notices []Notice, requeued int, stop bool) {
+func (q *queueShard) finish(now time.Time, l lostRun) (notices []Notice, requeued int, stop bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	run := l.run
 	j := q.jobs[run.Job]
 	if j == nil || j.attempts[run.Index] != run.Attempt || q.fading[run.Task] == run.Attempt {
-		return nil, q.over(run), false
+		requeued = q.over(run)
+	} else {
+		notices, requeued, stop = q.finished(j, l)
 	}
+	q.keep(now, l, notices)
+	return notices, requeued, stop
+}
+
+// finished enters the end of a run of a job. The caller holds mu.
+func (q *queueShard) finished(j *job, l lostRun) (notices []Notice, requeued int, stop bool) {
+	index := l.run.Index
 	j.running--
-	switch end {
-	case endDone:
-		j.attempts[run.Index] = endedAttempt
+	switch {
+	case l.end == endDone:
+		j.attempts[index] = endedAttempt
 		j.left--
+		if j.Once && j.left > 0 {
+			j.results[index] = l.result
+		}
 		if j.left == 0 {
 			q.drop(j)
 		}
-		return []Notice{{Origin: j.Origin, Task: run.Task, Kind: TaskDone}}, 0, false
-	case endFailed:
-		j.failures[run.Index]++
-		if j.failures[run.Index] >= j.MaxAttempts {
+		return []Notice{j.done(index, l.result, l.receipt)}, 0, false
+	case l.end == endFailed:
+		j.failures[index]++
+		if j.failures[index] >= j.MaxAttempts {
 			n := len(j.waiting)
 			q.drop(j)
-			return []Notice{{Origin: j.Origin, Task: run.Task, Kind: TaskFailed}}, -n, true
+			return []Notice{{Origin: j.Origin, Task: l.run.Task, Kind: TaskFailed, Receipt: l.receipt}}, -n, true
 		}
 	}
-	if end == endFailed || end == endBlamed {
+	if l.end == endRefused || l.end == endUnhealthy {
+		j.starts--
+	} else if j.Once {
+		n := len(j.waiting)
+		notice := j.lost(l)
+		q.drop(j)
+		return []Notice{notice}, -n, true
+	}
+	if l.end == endFailed || l.end == endBlamed || l.end == endUnhealthy {
 		if j.avoid == nil {
 			j.avoid = map[int][]string{}
 		}
-		j.avoid[run.Index] = append(j.avoid[run.Index], upstream)
+		j.avoid[index] = append(j.avoid[index], l.upstream)
 	}
-	j.waiting = append([]int{run.Index}, j.waiting...)
+	j.waiting = append([]int{index}, j.waiting...)
 	q.relist(j)
 	return nil, 1, false
 }
@@ -386,10 +525,3 @@
 	}
 	return waiting, ids
 }
-
-// get returns whether the job is known.
-func (q *queueShard) has(id string) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.jobs[id] != nil
-}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -12,8 +12,12 @@
 
 // finished is an end that was listed.
 type finished struct {
-	run  Run
-	kind EndKind
+	run    Run
+	kind   EndKind
+	result []byte
+	number int64
+	// kept tells that the end stays listed until its origin was told.
+	kept bool
 	// known tells that this dispatcher started or adopted the run.
 	known, blamed bool
 }
@@ -70,8 +74,9 @@
 func (u *upstream) reborn() {
 	u.model, u.seen, u.acked, u.clock = speedModel{}, 0, 0, 0
 	clear(u.orphans)
+	clear(u.undelivered)
 	for _, r := range u.runs {
-		r.until = math.MaxInt64
+		r.until, r.replaced = math.MaxInt64, true
 	}
 }
 
@@ -83,6 +88,7 @@
 
 // progress notes that a run is there, and how far it is.
 func (u *upstream) progress(now time.Time, r *run, percent int) {
+	r.confirmed = true
 	if r.state == runOrdered || r.state == runUnknown {
 		if r.state == runUnknown {
 			return // a stop is under way
@@ -97,12 +103,18 @@
 // end enters a listed end.
 func (u *upstream) end(now time.Time, end End) finished {
 	delete(u.orphans, end.Task)
-	f := finished{run: end.Run, kind: end.Kind, blamed: u.health.Ejected()}
+	f := finished{run: end.Run, kind: end.Kind, result: end.Result, number: end.Number, blamed: u.health.Ejected()}
 	r := u.runs[end.Task]
 	if r == nil || r.Attempt != end.Attempt {
+		u.undelivered[end.Number] = struct{}{} // until its job is known, or was not for keepEnds
+		f.kept = true
 		return f
 	}
 	f.known = true
+	if r.once {
+		u.undelivered[end.Number] = struct{}{}
+		f.kept = true
+	}
 	u.free(now, r)
 	switch end.Kind {
 	case EndDone:
@@ -143,7 +155,7 @@
 		}
 		if over {
 			u.free(now, r)
-			a.lost = append(a.lost, lostRun{r.Run, u.Name, endLost})
+			a.lost = append(a.lost, lostRun{run: r.Run, upstream: u.Name, end: r.overAs()})
 		}
 	}
 	for task, o := range u.orphans {
@@ -155,28 +167,33 @@
 
 // finish enters a listed end in its job.
 func (s *Scheduler) finish(now time.Time, upstream string, f finished, a *Actions) {
-	q := s.queueOf(f.run.Job)
-	if !f.known {
-		if f.kind == EndDone && !q.has(f.run.Job) {
-			q.remember(now, f.run.Task)
-		}
-		return
-	}
-	end := endLost
+	l := lostRun{run: f.run, upstream: upstream, end: endLost, result: f.result}
 	switch {
 	case f.kind == EndDone:
-		end = endDone
+		l.end = endDone
 	case f.kind == EndFailed && f.blamed:
-		end = endBlamed
+		l.end = endBlamed
 	case f.kind == EndFailed:
-		end = endFailed
+		l.end = endFailed
+	}
+	if f.kept {
+		l.receipt = Receipt{upstream, f.number, s.token.Load()}
+	}
+	if f.known {
+		s.finishRun(now, l, a)
+		return
+	}
+	notices, started, stop := s.queueOf(f.run.Job).found(now, l)
+	s.waiting.Add(int64(-started))
+	a.Notices = append(a.Notices, notices...)
+	if stop {
+		s.stopRuns(now, "the job was given up", a, f.run.Job)
 	}
-	s.finishRun(now, lostRun{f.run, upstream, end}, a)
 }
 
 // finishRun enters the end of a run in its job.
 func (s *Scheduler) finishRun(now time.Time, l lostRun, a *Actions) {
-	notices, requeued, stop := s.queueOf(l.run.Job).finish(l.run, l.upstream, l.end)
+	notices, requeued, stop := s.queueOf(l.run.Job).finish(now, l)
 	s.waiting.Add(int64(requeued))
 	a.Notices = append(a.Notices, notices...)
 	if stop {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,11 +19,13 @@
 package scheduler
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 // Size is what a task takes or an upstream has.
@@ -85,8 +87,22 @@
 	MaxAttempts int
 	// Resumed tells that an earlier dispatcher may have started tasks.
 	Resumed bool
+	// Once tells that a task that may have started never starts again: the job is
+	// given up instead.
+	Once bool
 	// Tasks are the indexes of the tasks to run.
 	Tasks []int
+	// Items are what the tasks work on, one for each; empty where the spec says
+	// it all.
+	Items [][]byte
+}
+
+// item returns what a task works on.
+func (j *Job) item(index int) []byte {
+	if at := slices.Index(j.Tasks, index); at >= 0 && at < len(j.Items) {
+		return j.Items[at]
+	}
+	return nil
 }
 
 // Config holds the limits of a Scheduler.
@@ -138,14 +154,16 @@
 	// dispatcher has claimed is over, if that one did not adopt it: the grace for
 	// orphans and the lease that it renewed meanwhile.
 	fencedBound = orphanGrace + 1200*time.Millisecond
-	// pastEndTime is the time for which ends of unknown jobs are kept for an
-	// origin that offers them anew.
-	pastEndTime = 3 * time.Second
 	// idleLook is the time after which ends that were listed are acknowledged
 	// though nothing runs.
 	idleLook = 300 * time.Millisecond
 )
 
+// KeepEnds is the time for which the end of a run that no origin was told of is
+// kept for one that offers the job anew, and stays listed at its upstream for
+// another dispatcher to which the job may be offered.
+const KeepEnds = 3 * time.Second
+
 // shardCount is the number of shards of jobs, upstreamShards that of upstreams:
 // a decision scans some of the latter.
 const (
@@ -207,7 +225,9 @@
 // A resumed job starts nothing before every upstream has answered a look that
 // was sent after the job was offered, or resumeTime has passed: what an earlier
 // dispatcher started may still run. By then nothing runs any more that a
-// dispatcher started for an origin that it no longer hears.
+// dispatcher started for an origin that it no longer hears. A job that must run
+// once only is given up in the second case, and where a process of an upstream is
+// younger than the job: what ran there has left no trace.
 func (s *Scheduler) Begin(now time.Time, token int64, resumeTime time.Duration) {
 	s.End()
 	s.resumeTime.Store(int64(resumeTime))
@@ -247,8 +267,13 @@
 		return a
 	}
 	swept := now // every upstream has answered a look sent after this time
+	var youngest time.Time
 	for _, shard := range s.upstreams {
-		swept = earlier(swept, shard.tick(now, s, &a))
+		seen, born := shard.tick(now, s, &a)
+		swept = earlier(swept, seen)
+		if born.After(youngest) {
+			youngest = born
+		}
 	}
 	s.settle(now, &a)
 	if s.partial.Load() {
@@ -259,11 +284,13 @@
 		resume += rivalTime
 	}
 	for _, q := range s.queues {
-		q.release(swept, now.Add(-resume))
+		s.waiting.Add(int64(-q.release(swept, now.Add(-resume), youngest, &a)))
 	}
 	for _, q := range s.queues {
 		s.waiting.Add(int64(-q.expire(now, &a)))
 	}
+	s.Delivered(a.forgotten)
+	a.forgotten = nil
 	return a
 }
 
@@ -284,6 +311,8 @@
 	Notices []Notice
 	// lost are runs that ended without an end on record.
 	lost []lostRun
+	// forgotten are ends that nobody has asked for in time.
+	forgotten []Receipt
 }
 
 // Notice tells an origin what became of a task or of a job.
@@ -291,9 +320,24 @@
 	Origin string
 	Task   Task
 	Kind   NoticeKind
+	// Reason and Code say why a job was given up.
 	Reason string
+	Code   verdict.Code
 	// RetryAfter is the wait after which a dropped job may be accepted.
 	RetryAfter time.Duration
+	// Result is what the task produced.
+	Result []byte
+	// Receipt is to be handed to Delivered once the origin has the notice.
+	Receipt Receipt
+}
+
+// Receipt names an end that stays listed at its upstream until the origin of the
+// job has been told of it. Its zero value names none.
+type Receipt struct {
+	Upstream string
+	Number   int64
+	// Token is that of the term in which the end was listed.
+	Token int64
 }
 
 // NoticeKind is the kind of a Notice.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
+	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/stretchr/testify/require"
 )
 
@@ -252,7 +253,7 @@
 		b.pass(100 * time.Millisecond)
 	}
 	require.Contains(t, b.notices, scheduler.Notice{
-		Origin: "front", Task: scheduler.Task{Job: "b"}, Kind: scheduler.JobNotRun,
+		Origin: "front", Task: scheduler.Task{Job: "b"}, Kind: scheduler.JobNotRun, Code: verdict.CodeOverloaded,
 		Reason: "the queue was longer than the time in which an answer is of use", RetryAfter: time.Second,
 	})
 }
--- a/scheduler/schedulertest/upstream.go
+++ b/scheduler/schedulertest/upstream.go
@@ -30,6 +30,8 @@
 	Used    scheduler.Size
 	Started func(now time.Time, run scheduler.Run)
 	Ended   func(now time.Time, run scheduler.Run, how scheduler.EndKind)
+	// Result returns what a run that ended well has produced; nil: nothing.
+	Result func(run scheduler.Run) []byte
 }
 
 // Run is a run on the model.
@@ -60,9 +62,12 @@
 	u.runs, u.highest, u.Used = map[scheduler.Task]*Run{}, map[scheduler.Task]int{}, scheduler.Size{}
 }
 
-// Clock returns its clock, in ms.
+// Born returns when it started, in ms since 1970.
+func (u *Upstream) Born() int64 { return u.born.UnixMilli() }
+
+// Clock returns its clock, which counts from its start, in ms.
 func (u *Upstream) Clock(now time.Time) int64 {
-	return 1000 + int64(float64(now.Sub(u.born).Milliseconds())*u.ClockRate)
+	return 1 + int64(float64(now.Sub(u.born).Milliseconds())*u.ClockRate)
 }
 
 // stopTime is the time that a stop takes.
@@ -107,7 +112,11 @@
 	u.Used.MilliCPU -= r.size.MilliCPU
 	u.Used.MemoryMB -= r.size.MemoryMB
 	u.number++
-	u.ends = append(u.ends, scheduler.End{Number: u.number, Run: r.Run, Kind: how})
+	end := scheduler.End{Number: u.number, Run: r.Run, Kind: how}
+	if u.Result != nil && how == scheduler.EndDone {
+		end.Result = u.Result(r.Run)
+	}
+	u.ends = append(u.ends, end)
 	if u.Ended != nil {
 		u.Ended(now, r.Run, how)
 	}
@@ -194,5 +203,23 @@
 	return u.number > seen
 }
 
+// NextEnd returns when a run ends if nothing else happens; ok is false without
+// runs.
+func (u *Upstream) NextEnd(now time.Time) (at time.Time, ok bool) {
+	for _, r := range u.runs {
+		end := now.Add(time.Duration(float64(u.until-u.Clock(now)+1)/u.ClockRate) * time.Millisecond)
+		if work := r.last.Add(time.Duration(float64(r.work) / u.Speed)); !u.Stall && work.Before(end) {
+			end = work
+		}
+		if !r.stopping.IsZero() && r.stopping.Before(end) {
+			end = r.stopping
+		}
+		if !ok || end.Before(at) {
+			at, ok = end, true
+		}
+	}
+	return at, ok
+}
+
 // Running returns the number of runs.
 func (u *Upstream) Running() int { return len(u.runs) }
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -50,6 +50,18 @@
 	moved     time.Time // when the percentage changed last
 	abandoned bool      // its end no longer matters to a job
 	adopted   bool
+	once      bool // its task may not start again
+	confirmed bool // the upstream has said that it started
+	replaced  bool // the upstream's process was replaced since
+	stalled   bool // it was held against the upstream that it makes no progress
+}
+
+// overAs tells how a run counts that is over without an end on record.
+func (r *run) overAs() runEnd {
+	if r.confirmed || r.replaced {
+		return endLost
+	}
+	return endRefused
 }
 
 // lostRun is a run that is over without an end on record.
@@ -57,6 +69,8 @@
 	run      Run
 	upstream string
 	end      runEnd
+	result   []byte
+	receipt  Receipt // of an end that was listed
 }
 
 // upstream is what is known of one upstream. The lock of its shard guards it.
@@ -83,7 +97,9 @@
 	looking  bool
 	seen     int64 // number of the last end that was processed
 	acked    int64 // number up to which ends were acknowledged by a look
-	idle     time.Time
+	// undelivered are the numbers of ends of which the origins were not told yet.
+	undelivered map[int64]struct{}
+	idle        time.Time
 
 	health health.Tracker
 	model  speedModel
@@ -126,7 +142,7 @@
 func (u *upstream) loseAll(now time.Time, a *Actions) {
 	for _, r := range u.runs {
 		u.free(now, r)
-		a.lost = append(a.lost, lostRun{r.Run, u.Name, endLost})
+		a.lost = append(a.lost, lostRun{run: r.Run, upstream: u.Name, end: endLost})
 	}
 	clear(u.orphans)
 }
@@ -187,18 +203,19 @@
 	for _, u := range s.known {
 		u.claimed, u.fenced, u.retry, u.failures = false, false, time.Time{}, 0
 		u.runs, u.orphans, u.used = map[Task]*run{}, map[Task]orphan{}, Size{}
-		u.seen, u.acked = 0, 0
+		u.seen, u.acked, u.undelivered = 0, 0, map[int64]struct{}{}
 		u.newest, u.idle = now, now
 		u.bound = time.Time{}
 	}
 }
 
 // tick lets time pass at the upstreams of the shard. It returns the time after
-// which every listed one was sent a look that it has answered.
-func (s *upstreamShard) tick(now time.Time, scheduler *Scheduler, a *Actions) time.Time {
+// which every listed one was sent a look that it has answered, and the start of
+// their youngest process.
+func (s *upstreamShard) tick(now time.Time, scheduler *Scheduler, a *Actions) (swept, youngest time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	swept := now
+	swept = now
 	grace := time.Duration(0)
 	if scheduler.Rivals() {
 		grace = rivalTime
@@ -206,6 +223,9 @@
 	for _, u := range slices.Clone(s.all) {
 		if u.listed {
 			swept = earlier(swept, u.swept())
+			if began := u.began(); began.After(youngest) {
+				youngest = began
+			}
 		}
 		if !u.bound.IsZero() && now.After(u.bound.Add(grace)) && len(u.runs)+len(u.orphans) > 0 {
 			u.loseAll(now, a)
@@ -223,7 +243,13 @@
 		}
 	}
 	s.measure()
-	return swept
+	return swept, youngest
+}
+
+// began returns when the process started, by its clock, which counts from then;
+// a slow clock makes it seem younger.
+func (u *upstream) began() time.Time {
+	return u.clockAt.Add(-time.Duration(u.clock) * time.Millisecond)
 }
 
 // A task stalls where its percentage has not changed for stallFactor times its
@@ -247,8 +273,15 @@
 		if now.Sub(r.moved) <= patience || u.newest.Sub(r.moved) <= patience/2 {
 			continue
 		}
-		r.state, r.stopped, r.abandoned = runStopping, false, false
+		if r.stalled {
+			continue
+		}
+		r.stalled = true
 		u.health.Fail(now, rendezvous.Hash(r.Job), true)
+		if r.once {
+			continue // it may still end; a stop would end its job
+		}
+		r.state, r.stopped, r.abandoned = runStopping, false, false
 		a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), r.Run, "no progress"})
 	}
 }
@@ -265,7 +298,7 @@
 		shard.mu.Lock()
 		u := shard.known[entry.Name]
 		if u == nil {
-			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, newest: now, idle: now}
+			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, undelivered: map[int64]struct{}{}, newest: now, idle: now}
 			shard.add(u)
 			added = append(added, entry.Name)
 		}
--- a/internal/platform/budget_test.go
+++ b/store/budget_test.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"testing"
--- a/store/memory.go
+++ b/store/memory.go
@@ -12,6 +12,9 @@
 // memoryPage is the number of entries that Memory puts on a page.
 const memoryPage = 100
 
+// maxHistory is the number of events that Memory keeps.
+const maxHistory = 10_000
+
 // Memory is a Store in memory, for tests and trials. It is safe for concurrent
 // use. Leases end when their time is over, which is noticed at the next call.
 type Memory struct {
@@ -70,26 +73,43 @@
 	m.remove(key)
 }
 
+// set writes an entry at a revision of its own. The caller holds mu.
 func (m *Memory) set(key string, value []byte, lease int64) int64 {
 	m.revision++
+	m.write(key, value, lease)
+	return m.revision
+}
+
+// write writes an entry at the current revision. The caller holds mu.
+func (m *Memory) write(key string, value []byte, lease int64) {
 	item := Item{Key: key, Value: slices.Clone(value), Revision: m.revision}
 	m.items[key] = memoryItem{item, lease}
 	m.publish(Event{Item: item})
-	return m.revision
 }
 
+// remove removes an entry at a revision of its own. The caller holds mu.
 func (m *Memory) remove(key string) {
-	if _, present := m.items[key]; !present {
-		return
+	if _, present := m.items[key]; present {
+		m.revision++
+		m.erase(key)
+	}
+}
+
+// erase removes an entry at the current revision. The caller holds mu.
+func (m *Memory) erase(key string) {
+	if _, present := m.items[key]; present {
+		delete(m.items, key)
+		m.publish(Event{Item: Item{Key: key, Revision: m.revision}, Deleted: true})
 	}
-	m.revision++
-	delete(m.items, key)
-	m.publish(Event{Item: Item{Key: key, Revision: m.revision}, Deleted: true})
 }
 
 // publish enters an event and wakes the watches. The caller holds mu.
 func (m *Memory) publish(e Event) {
 	m.history = append(m.history, e)
+	if excess := len(m.history) - maxHistory; excess > 0 {
+		m.dropped = m.history[excess-1].Revision
+		m.history = slices.Delete(m.history, 0, excess)
+	}
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -168,19 +188,50 @@
 	}
 }
 
-// Put implements Store.
-func (m *Memory) Put(_ context.Context, key string, value []byte, lease int64) error {
+// Commit implements Store.
+func (m *Memory) Commit(_ context.Context, change Txn) (int64, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.failure != nil {
-		return m.failure
+		return 0, m.failure
+	}
+	if err := change.Check(); err != nil {
+		return 0, err
 	}
 	m.expire()
-	if _, present := m.leases[lease]; lease != 0 && !present {
-		return ErrNoLease
+	if err := m.conflict(change.Conditions); err != nil {
+		return 0, err
 	}
-	m.set(key, value, lease)
-	return nil
+	for _, w := range change.Writes {
+		if _, present := m.leases[w.Lease]; w.Lease != 0 && !present {
+			return 0, ErrNoLease
+		}
+	}
+	m.revision++
+	for _, w := range change.Writes {
+		m.write(w.Key, w.Value, w.Lease)
+	}
+	for _, key := range change.Removals {
+		m.erase(key)
+	}
+	return m.revision, nil
+}
+
+// conflict checks conditions. The caller holds mu.
+func (m *Memory) conflict(conditions []Condition) error {
+	var current ConflictError
+	holds := true
+	for _, c := range conditions {
+		item, present := m.items[c.Key]
+		if present {
+			current.Items = append(current.Items, item.Item)
+		}
+		holds = holds && item.Revision == c.Revision
+	}
+	if holds {
+		return nil
+	}
+	return &current
 }
 
 // Grant implements Store.
--- a/store/store.go
+++ b/store/store.go
@@ -20,8 +20,64 @@
 	// ErrRefused means that the store did nothing: it is too busy, or turns this
 	// VM away.
 	ErrRefused = errors.New("the store refused the call")
+	// ErrTooLarge means that nothing was done since a value or a transaction is
+	// above its limit.
+	ErrTooLarge = errors.New("the store does not hold values or transactions of this size")
 )
 
+// Limits of a Store (the platform's page on its metadata store).
+const (
+	// MaxValue is the largest value of an entry, in bytes.
+	MaxValue = 1 << 20
+	// MaxTxn is the most conditions, writes and removals of one transaction.
+	MaxTxn = 32
+)
+
+// ConflictError tells that a condition of a transaction did not hold, so that
+// nothing was done.
+type ConflictError struct {
+	// Items are the entries of the conditions as they are; absent ones are left
+	// out.
+	Items []Item
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string { return "an entry of the store has changed" }
+
+// Condition requires that the last change of an entry has a revision.
+type Condition struct {
+	Key string
+	// Revision is 0 where the entry must be absent.
+	Revision int64
+}
+
+// Write sets an entry under a lease; 0 stands for none.
+type Write struct {
+	Key   string
+	Value []byte
+	Lease int64
+}
+
+// Txn changes entries, all or none.
+type Txn struct {
+	Conditions []Condition
+	Writes     []Write
+	Removals   []string
+}
+
+// Check returns ErrTooLarge for a transaction that no store takes.
+func (t *Txn) Check() error {
+	if n := len(t.Conditions) + len(t.Writes) + len(t.Removals); n > MaxTxn {
+		return errors.Wrapf(ErrTooLarge, "%d entries, more than %d", n, MaxTxn)
+	}
+	for _, w := range t.Writes {
+		if len(w.Value) > MaxValue {
+			return errors.Wrapf(ErrTooLarge, "%s has %d bytes, more than %d", w.Key, len(w.Value), MaxValue)
+		}
+	}
+	return nil
+}
+
 // Item is an entry.
 type Item struct {
 	Key   string
@@ -53,8 +109,9 @@
 	// Watch waits until an entry under a prefix changes after a revision, or the
 	// wait is over. It returns the revision from which to go on.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
-	// Put writes an entry under a lease; 0 stands for none.
-	Put(ctx context.Context, key string, value []byte, lease int64) error
+	// Commit makes a change and returns its revision. Where a condition does not
+	// hold, the error is a *ConflictError.
+	Commit(ctx context.Context, change Txn) (revision int64, err error)
 	// Grant returns a new lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
 	// Keep renews a lease.
@@ -63,6 +120,12 @@
 	End(ctx context.Context, lease int64) error
 }
 
+// Put writes an entry under a lease; 0 stands for none.
+func Put(ctx context.Context, s Store, key string, value []byte, lease int64) error {
+	_, err := s.Commit(ctx, Txn{Writes: []Write{{key, value, lease}}})
+	return err
+}
+
 // List reads every entry under a prefix, page by page.
 func List(ctx context.Context, s Store, prefix string, stale bool) ([]Item, int64, error) {
 	var items []Item
--- a/store/storetest/storetest.go
+++ b/store/storetest/storetest.go
@@ -23,6 +23,12 @@
 		"values of any bytes":   anyBytes,
 		"the context's end":     contextEnds,
 		"entries of one prefix": onePrefix,
+		"empty":                 empty,
+		"conditions":            conditions,
+		"all or nothing":        allOrNothing,
+		"removal":               removal,
+		"race":                  race,
+		"limits":                limits,
 	} {
 		t.Run(name, func(t *testing.T) {
 			memory := store.NewMemory()
@@ -96,7 +102,7 @@
 	ctx := background(t)
 	id, err := s.Grant(ctx, time.Minute)
 	require.NoError(t, err)
-	require.NoError(t, s.Put(ctx, "vm/1", []byte("x"), id))
+	require.NoError(t, store.Put(ctx, s, "vm/1", []byte("x"), id))
 	require.NoError(t, s.Keep(ctx, id))
 	require.NoError(t, s.End(ctx, id))
 	items, _, err := store.List(ctx, s, "vm/", false)
@@ -104,7 +110,7 @@
 	require.Empty(t, items)
 	require.ErrorIs(t, s.Keep(ctx, id), store.ErrNoLease)
 	require.ErrorIs(t, s.End(ctx, id), store.ErrNoLease)
-	require.ErrorIs(t, s.Put(ctx, "vm/1", []byte("x"), id), store.ErrNoLease)
+	require.ErrorIs(t, store.Put(ctx, s, "vm/1", []byte("x"), id), store.ErrNoLease)
 }
 
 func refused(t *testing.T, s store.Store, m *store.Memory) {
@@ -114,7 +120,7 @@
 	require.ErrorIs(t, err, store.ErrRefused)
 	_, _, err = s.Watch(ctx, "a", 1, time.Millisecond)
 	require.ErrorIs(t, err, store.ErrRefused)
-	require.ErrorIs(t, s.Put(ctx, "a", nil, 0), store.ErrRefused)
+	require.ErrorIs(t, store.Put(ctx, s, "a", nil, 0), store.ErrRefused)
 	_, err = s.Grant(ctx, time.Minute)
 	require.ErrorIs(t, err, store.ErrRefused)
 }
@@ -124,7 +130,7 @@
 	for i := range value {
 		value[i] = byte(i)
 	}
-	require.NoError(t, s.Put(background(t), "bytes", value, 0))
+	require.NoError(t, store.Put(background(t), s, "bytes", value, 0))
 	items, _, err := store.List(background(t), s, "bytes", false)
 	require.NoError(t, err)
 	require.Equal(t, value, items[0].Value)
@@ -145,3 +151,114 @@
 	require.NoError(t, err)
 	require.Len(t, items, 2)
 }
+
+func empty(t *testing.T, s store.Store, _ *store.Memory) {
+	page, err := s.Range(background(t), "a/", "", false)
+	require.NoError(t, err)
+	require.Empty(t, page.Items)
+	require.False(t, page.More)
+}
+
+// create returns a change that writes an entry which must be absent.
+func create(key, value string) store.Txn {
+	return store.Txn{
+		Conditions: []store.Condition{{Key: key}},
+		Writes:     []store.Write{{Key: key, Value: []byte(value)}},
+	}
+}
+
+func conditions(t *testing.T, s store.Store, _ *store.Memory) {
+	ctx := background(t)
+	first, err := s.Commit(ctx, create("a", "1"))
+	require.NoError(t, err)
+	_, err = s.Commit(ctx, create("a", "2"))
+	var conflict *store.ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, []store.Item{{Key: "a", Value: []byte("1"), Revision: first}}, conflict.Items)
+	items, at, err := store.List(ctx, s, "a", false)
+	require.NoError(t, err)
+	require.Equal(t, []byte("1"), items[0].Value)
+	require.Equal(t, first, at, "a change that was refused has no revision")
+	second, err := s.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: "a", Revision: first}, {Key: "b"}},
+		Writes:     []store.Write{{Key: "a", Value: []byte("3")}},
+	})
+	require.NoError(t, err)
+	require.Greater(t, second, first)
+	_, err = s.Commit(ctx, store.Txn{
+		Conditions: []store.Condition{{Key: "b", Revision: second}},
+		Writes:     []store.Write{{Key: "b"}},
+	})
+	require.ErrorAs(t, err, &conflict)
+	require.Empty(t, conflict.Items, "an absent entry is left out")
+}
+
+func allOrNothing(t *testing.T, s store.Store, _ *store.Memory) {
+	ctx := background(t)
+	change := create("a", "1")
+	change.Writes = append(change.Writes, store.Write{Key: "b", Value: []byte("2")})
+	revision, err := s.Commit(ctx, change)
+	require.NoError(t, err)
+	items, _, err := store.List(ctx, s, "", false)
+	require.NoError(t, err)
+	require.Len(t, items, 2)
+	require.Equal(t, revision, items[0].Revision)
+	require.Equal(t, revision, items[1].Revision)
+	change.Writes = append(change.Writes, store.Write{Key: "c"})
+	_, err = s.Commit(ctx, change)
+	require.Error(t, err)
+	items, _, err = store.List(ctx, s, "c", false)
+	require.NoError(t, err)
+	require.Empty(t, items)
+}
+
+func removal(t *testing.T, s store.Store, _ *store.Memory) {
+	ctx := background(t)
+	revision, err := s.Commit(ctx, create("a", "1"))
+	require.NoError(t, err)
+	_, err = s.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: "a", Revision: revision}}, Removals: []string{"a"}})
+	require.NoError(t, err)
+	events, _, err := s.Watch(ctx, "a", revision, time.Second)
+	require.NoError(t, err)
+	require.True(t, events[0].Deleted)
+	_, err = s.Commit(ctx, create("a", "2"))
+	require.NoError(t, err)
+}
+
+func race(t *testing.T, s store.Store, _ *store.Memory) {
+	const racers = 8
+	ctx := background(t)
+	won := make(chan bool, racers)
+	for range racers {
+		go func() {
+			_, err := s.Commit(ctx, create("a", "1"))
+			won <- err == nil
+		}()
+	}
+	winners := 0
+	for range racers {
+		if <-won {
+			winners++
+		}
+	}
+	require.Equal(t, 1, winners)
+}
+
+func limits(t *testing.T, s store.Store, _ *store.Memory) {
+	ctx := background(t)
+	value := make([]byte, store.MaxValue+1)
+	require.NoError(t, store.Put(ctx, s, "a", value[:store.MaxValue], 0))
+	require.ErrorIs(t, store.Put(ctx, s, "b", value, 0), store.ErrTooLarge)
+	var change store.Txn
+	for i := range store.MaxTxn + 1 {
+		change.Writes = append(change.Writes, store.Write{Key: fmt.Sprintf("c/%d", i)})
+	}
+	_, err := s.Commit(ctx, change)
+	require.ErrorIs(t, err, store.ErrTooLarge)
+	change.Writes = change.Writes[:store.MaxTxn]
+	_, err = s.Commit(ctx, change)
+	require.NoError(t, err)
+	items, _, err := store.List(ctx, s, "b", false)
+	require.NoError(t, err)
+	require.Empty(t, items)
+}
