Reclaim upstreams from a rival that is known to have ended; follow unanswered starts

(2) A start whose answer was lost was stopped, which for a job that must run once only ends the job. (3) In the first two seconds of a VM no resumed job could be told apart from one that ran on an upstream that lapsed before.

Ruled out: a shorter wait in general (two dispatchers that do not hear each other would take upstreams from each other in turn).

Change: a dispatcher that hears of a greater token than its own, while nobody else that it hears dispatches, claims again after 0.1 s. An unanswered start of a job that must run once only is looked for, not stopped. The list of upstreams is known to be complete for jobs that were sent after its first reading.

--- a/node/registry.go
+++ b/node/registry.go
@@ -16,6 +16,10 @@
 // seconds of its return.
 const lapseGrace = 2500 * time.Millisecond
 
+// listStale is the time for which another VM may use an upstream that is no longer
+// listed: the spacing of its watch and a slow answer.
+const listStale = 500 * time.Millisecond
+
 // upstreamSpacing gathers the changes of upstreams, which write about themselves
 // every other second: a leaving one is known well within the 2 s in which it may
 // still get tasks.
@@ -178,7 +182,11 @@
 	var list []scheduler.Upstream
 	n.registry.mu.Lock()
 	// One that lapsed before the first listing is not known.
-	partial := now.Sub(n.registry.since) < n.config.LapseMemory
+	var complete time.Time
+	if now.Sub(n.registry.since) < n.config.LapseMemory {
+		complete = n.registry.since.Add(listStale)
+	}
+	partial := false
 	for key, e := range n.registry.entries {
 		since := now.Sub(e.lapsed)
 		if !e.lapsed.IsZero() && since >= n.config.LapseMemory {
@@ -197,6 +205,7 @@
 		}
 	}
 	n.registry.mu.Unlock()
+	n.scheduler.SetComplete(complete)
 	for _, added := range n.scheduler.SetUpstreams(now, list, partial) {
 		n.ensureAgent(added)
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -30,6 +30,10 @@
 	// fencedAlone is the same where no rival can be present: a dispatcher that
 	// was paused has claimed them in passing.
 	fencedAlone = 300 * time.Millisecond
+	// fencedKnown is the same where a member that is heard knows a greater token
+	// than the own one, while none but this node dispatches: the rival's term has
+	// ended, and nothing but a beat is waited for.
+	fencedKnown = 100 * time.Millisecond
 	// dropMargin covers the difference between two VMs in what they know of the
 	// fleet's size, a tick, and the stop of what ran.
 	dropMargin = 200 * time.Millisecond
@@ -229,7 +233,10 @@
 		t.fenced = now
 	default:
 		wait := fencedRetry
-		if len(v.Unheard) == 0 {
+		switch {
+		case n.fleet.Token() > t.token:
+			wait = fencedKnown
+		case len(v.Unheard) == 0:
 			wait = fencedAlone
 		}
 		retry = now.Sub(t.fenced) > wait
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -74,7 +74,11 @@
 		return a
 	case OrderUnanswered:
 		s.noteLoss(now, u)
-		if r.state == runOrdered {
+		switch {
+		case r.state != runOrdered:
+		case r.once: // it may go on: a look tells
+			a.Looks = append(a.Looks, u.Name)
+		default:
 			r.state = runUnknown
 			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the start was not answered"})
 		}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -84,21 +84,35 @@
 	return n
 }
 
-// release lets the jobs start that were resumed before one of two times. A job
-// that must run once only needs the first, and upstreams whose youngest process is
-// older than the job; it is given up after the second. It returns the number of
-// tasks that no longer wait.
-func (q *queueShard) release(swept, old, youngest time.Time, a *Actions) int {
+// resumption is what decides whether resumed jobs may start.
+type resumption struct {
+	// Every upstream has answered a look that was sent after swept. Nothing runs
+	// any more that was started for jobs that were resumed before old.
+	swept, old time.Time
+	// youngest is the start of the youngest process of an upstream.
+	youngest time.Time
+	// Upstreams may be missing that ran tasks before complete.
+	complete time.Time
+}
+
+// release lets the jobs start that were resumed long enough ago. A job that must
+// run once only needs answers of every upstream on which its tasks can have
+// started, by processes that are older than the job; it is given up otherwise. It
+// returns the number of tasks that no longer wait.
+func (q *queueShard) release(r resumption, a *Actions) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	n := 0
 	for _, j := range q.jobs {
+		swept := j.held.Before(r.swept)
+		certain := swept && j.Sent.After(r.complete) && r.youngest.Before(j.Sent.Add(-bornMargin))
+		over := j.held.Before(r.old)
 		switch {
 		case j.held.IsZero():
-		case j.held.Before(swept) && (!j.Once || youngest.Before(j.Sent.Add(-bornMargin))), !j.Once && j.held.Before(old):
+		case j.Once && certain, !j.Once && (over || swept && r.complete.IsZero()):
 			j.held = time.Time{}
 			q.relist(j)
-		case j.Once && (j.held.Before(swept) || j.held.Before(old)) && len(j.waiting) > 0:
+		case j.Once && (swept || over) && len(j.waiting) > 0:
 			n += len(j.waiting)
 			a.Notices = append(a.Notices, j.dropped(verdict.CodeOwnerLost, "whether its tasks have started cannot be told since their dispatcher was lost", 0))
 			q.drop(j)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -183,9 +183,12 @@
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
 	rivals  atomic.Bool  // whether others may have claimed upstreams that do not answer
 	partial atomic.Bool  // whether upstreams exist that this dispatcher does not claim
-	sweep   atomic.Int64 // when a job was resumed last, in ns since start
-	lost    atomic.Int64 // when an answer was lost last, in ns since start
-	start   time.Time
+	// complete is the time, in ns since start, after which the list of upstreams
+	// held every one that may run tasks; 0 stands for ever.
+	complete atomic.Int64
+	sweep    atomic.Int64 // when a job was resumed last, in ns since start
+	lost     atomic.Int64 // when an answer was lost last, in ns since start
+	start    time.Time
 	// resumeTime is the time after which resumed jobs may start, in ns.
 	resumeTime atomic.Int64
 	waiting    atomic.Int64
@@ -279,12 +282,17 @@
 	if s.partial.Load() {
 		swept = time.Time{}
 	}
+	known := resumption{swept: swept, youngest: youngest}
+	if complete := s.complete.Load(); complete != 0 {
+		known.complete = s.start.Add(time.Duration(complete))
+	}
 	resume := time.Duration(s.resumeTime.Load())
 	if s.Rivals() {
 		resume += rivalTime
 	}
+	known.old = now.Add(-resume)
 	for _, q := range s.queues {
-		s.waiting.Add(int64(-q.release(swept, now.Add(-resume), youngest, &a)))
+		s.waiting.Add(int64(-q.release(known, &a)))
 	}
 	for _, q := range s.queues {
 		s.waiting.Add(int64(-q.expire(now, &a)))
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -286,6 +286,16 @@
 	}
 }
 
+// SetComplete notes that before a time other upstreams than those that are listed
+// may have run tasks; a zero time stands for none.
+func (s *Scheduler) SetComplete(since time.Time) {
+	complete := int64(0)
+	if !since.IsZero() {
+		complete = max(int64(since.Sub(s.start)), 1)
+	}
+	s.complete.Store(complete)
+}
+
 // SetUpstreams takes the upstreams that are to be claimed; partial tells that
 // others exist. Those that are gone from the list get nothing new; what they run
 // is followed to its end. It returns the names of the upstreams that are new.
