--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -24,6 +24,7 @@
 		return nil, failure
 	}
 	s.waiting.Add(int64(waiting))
+	s.outlooks.arrive(&offered, model.expected(offered.Estimate))
 	if offered.Resumed {
 		s.sweep.Store(int64(now.Sub(s.start)))
 		s.claimOrphans(now, offered.ID)
@@ -88,22 +89,28 @@
 // placeNext places the task that comes first among those that fit somewhere.
 func (s *Scheduler) placeNext(now time.Time) (Start, bool) {
 	var tried [shardCount]bool
-	for range considered {
+	ahead := 0
+	for full := 0; full < considered; {
 		at := s.firstShard(now, &tried)
 		if at < 0 {
 			return Start{}, false
 		}
 		tried[at] = true
 		q := s.queues[at]
-		c, ok := q.pop()
+		c, ok := q.pop(now)
 		if !ok {
 			continue
 		}
-		if start, ok := s.bind(now, c); ok {
+		start, ok, declined := s.bind(now, c, ahead)
+		if ok {
 			s.waiting.Add(-1)
 			q.markStarted(c.job.ID)
 			return start, true
 		}
+		ahead += c.waiting
+		if !declined {
+			full++
+		}
 		q.unpop(c)
 	}
 	return Start{}, false
@@ -125,18 +132,22 @@
 	return at
 }
 
-// bind reserves room for a task on the upstream that suits it best.
-func (s *Scheduler) bind(now time.Time, c candidate) (Start, bool) {
+// bind reserves room for a task on the upstream that suits it best, unless waiting
+// for a faster one is better; ahead is the number of tasks that come first.
+func (s *Scheduler) bind(now time.Time, c candidate, ahead int) (start Start, ok, declined bool) {
 	for range considered {
-		name, ok := s.choose(now, c)
+		name, cost, ok := s.choose(now, c)
 		if !ok {
-			return Start{}, false
+			return Start{}, false, false
+		}
+		if !c.patience(now, cost) && !s.outlooks.accepts(&c, cost, ahead+c.waiting) {
+			return Start{}, false, true
 		}
 		if start, ok := s.reserve(now, c, name); ok {
-			return start, true
+			return start, true, false
 		}
 	}
-	return Start{}, false
+	return Start{}, false, false
 }
 
 // maxScanned is the number of upstreams that are compared for a task. The best
@@ -144,9 +155,9 @@
 // with the fleet.
 const maxScanned = 64
 
-// choose returns the upstream with the least cost for a task.
-func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
-	best := noScore
+// choose returns the upstream with the least cost for a task, in seconds.
+func (s *Scheduler) choose(now time.Time, c candidate) (name string, best float64, ok bool) {
+	best = noScore
 	scanned := 0
 	from := int(s.turn.Add(1))
 	for i := range upstreamShards {
@@ -175,7 +186,7 @@
 			break
 		}
 	}
-	return name, best < noScore
+	return name, best, best < noScore
 }
 
 // suits tells whether a task may be placed on an upstream.
