--- a/internal/replay/decide.go
+++ b/internal/replay/decide.go
@@ -154,7 +154,6 @@
 
 func (d *driver) tick() {
 	d.act(d.scheduler.Tick(d.now))
-	d.place()
 	d.after(scheduler.TickInterval, d.tick)
 }
 
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -22,7 +22,6 @@
 	avoid    map[int][]string // upstreams on which a task failed
 	results  map[int][]byte   // of ended tasks, where the job must run once only
 	held     time.Time        // when the job was resumed; zero once it may start
-	declined time.Time        // when the next task first found no upstream that was fast enough
 	tier     tier             // as of the last look at the job
 	score    float64
 	index    int // in the heap; -1 outside
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -24,7 +24,6 @@
 		return nil, failure
 	}
 	s.waiting.Add(int64(waiting))
-	s.outlooks.arrive(&offered, model.expected(offered.Estimate))
 	if offered.Resumed {
 		s.sweep.Store(int64(now.Sub(s.start)))
 		s.claimOrphans(now, offered.ID)
@@ -89,28 +88,22 @@
 // placeNext places the task that comes first among those that fit somewhere.
 func (s *Scheduler) placeNext(now time.Time) (Start, bool) {
 	var tried [shardCount]bool
-	ahead := 0
-	for full := 0; full < considered; {
+	for range considered {
 		at := s.firstShard(now, &tried)
 		if at < 0 {
 			return Start{}, false
 		}
 		tried[at] = true
 		q := s.queues[at]
-		c, ok := q.pop(now)
+		c, ok := q.pop()
 		if !ok {
 			continue
 		}
-		start, ok, declined := s.bind(now, c, ahead)
-		if ok {
+		if start, ok := s.bind(now, c); ok {
 			s.waiting.Add(-1)
 			q.markStarted(c.job.ID)
 			return start, true
 		}
-		ahead += c.waiting
-		if !declined {
-			full++
-		}
 		q.unpop(c)
 	}
 	return Start{}, false
@@ -132,22 +125,18 @@
 	return at
 }
 
-// bind reserves room for a task on the upstream that suits it best, unless waiting
-// for a faster one is better; ahead is the number of tasks that come first.
-func (s *Scheduler) bind(now time.Time, c candidate, ahead int) (start Start, ok, declined bool) {
+// bind reserves room for a task on the upstream that suits it best.
+func (s *Scheduler) bind(now time.Time, c candidate) (Start, bool) {
 	for range considered {
-		name, cost, ok := s.choose(now, c)
+		name, ok := s.choose(now, c)
 		if !ok {
-			return Start{}, false, false
-		}
-		if !c.patience(now, cost) && !s.outlooks.accepts(&c, cost, ahead+c.waiting) {
-			return Start{}, false, true
+			return Start{}, false
 		}
 		if start, ok := s.reserve(now, c, name); ok {
-			return start, true, false
+			return start, true
 		}
 	}
-	return Start{}, false, false
+	return Start{}, false
 }
 
 // maxScanned is the number of upstreams that are compared for a task. The best
@@ -155,9 +144,9 @@
 // with the fleet.
 const maxScanned = 64
 
-// choose returns the upstream with the least cost for a task, in seconds.
-func (s *Scheduler) choose(now time.Time, c candidate) (name string, best float64, ok bool) {
-	best = noScore
+// choose returns the upstream with the least cost for a task.
+func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
+	best := noScore
 	scanned := 0
 	from := int(s.turn.Add(1))
 	for i := range upstreamShards {
@@ -186,7 +175,7 @@
 			break
 		}
 	}
-	return name, best, best < noScore
+	return name, best < noScore
 }
 
 // suits tells whether a task may be placed on an upstream.
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -346,8 +346,6 @@
 	objective time.Time
 	avoid     []string
 	model     *queueModel
-	declined  time.Time // when the job first declined a slow upstream, or now
-	waiting   int       // tasks of the job that wait, with this one
 }
 
 // demote moves the jobs at the front of the order that can no longer earn what
@@ -377,7 +375,7 @@
 }
 
 // pop takes the next task of the first job. It returns false where there is none.
-func (q *queueShard) pop(now time.Time) (c candidate, ok bool) {
+func (q *queueShard) pop() (c candidate, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.heap) == 0 {
@@ -392,10 +390,7 @@
 	c = candidate{
 		job: &j.Job, index: index, attempt: last + 1, expected: j.expected,
 		objective: j.Sent.Add(j.aim()),
-		avoid:     j.avoid[index], model: j.model, declined: now, waiting: len(j.waiting) + 1,
-	}
-	if !j.declined.IsZero() {
-		c.declined = j.declined
+		avoid:     j.avoid[index], model: j.model,
 	}
 	q.relist(j)
 	return c, true
@@ -410,9 +405,6 @@
 		q.over(Run{Task{c.job.ID, c.index}, c.attempt})
 		return
 	}
-	if j.declined.IsZero() {
-		j.declined = c.declined
-	}
 	j.running--
 	j.attempts[c.index]--
 	j.waiting = slices.Insert(j.waiting, 0, c.index)
@@ -425,7 +417,6 @@
 	defer q.mu.Unlock()
 	if j := q.jobs[id]; j != nil {
 		j.starts++
-		j.declined = time.Time{}
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -179,7 +179,6 @@
 	upstreams [upstreamShards]*upstreamShard
 	turn      atomic.Uint32 // the shard of upstreams at which the next decision begins
 	models    models
-	outlooks  outlooks
 
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
 	rivals  atomic.Bool  // whether others may have claimed upstreams that do not answer
@@ -272,9 +271,8 @@
 	}
 	swept := now // every upstream has answered a look sent after this time
 	var youngest time.Time
-	surveyed := survey{}
 	for _, shard := range s.upstreams {
-		seen, born := shard.tick(now, s, surveyed, &a)
+		seen, born := shard.tick(now, s, &a)
 		swept = earlier(swept, seen)
 		if born.After(youngest) {
 			youngest = born
@@ -284,7 +282,6 @@
 	if s.partial.Load() {
 		swept = time.Time{}
 	}
-	s.outlooks.tick(surveyed)
 	known := resumption{swept: swept, youngest: youngest}
 	if complete := s.complete.Load(); complete != 0 {
 		known.complete = s.start.Add(time.Duration(complete))
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -117,11 +117,6 @@
 	return u.clock + now.Sub(u.clockAt).Milliseconds()
 }
 
-// sound tells whether tasks are placed there while there is room.
-func (u *upstream) sound() bool {
-	return u.listed && u.claimed && !u.Draining && !u.Lapsed && u.failures < suspectLooks && !u.fenced && !u.health.Ejected()
-}
-
 // usable tells whether new tasks may be placed there.
 func (u *upstream) usable(now time.Time) bool {
 	return u.listed && u.claimed && !u.Draining && !u.Lapsed && u.failures < suspectLooks && len(u.orphans) == 0 &&
@@ -216,8 +211,8 @@
 
 // tick lets time pass at the upstreams of the shard. It returns the time after
 // which every listed one was sent a look that it has answered, and the start of
-// their youngest process; surveyed gathers what the sound ones have.
-func (s *upstreamShard) tick(now time.Time, scheduler *Scheduler, surveyed survey, a *Actions) (swept, youngest time.Time) {
+// their youngest process.
+func (s *upstreamShard) tick(now time.Time, scheduler *Scheduler, a *Actions) (swept, youngest time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	swept = now
@@ -243,9 +238,6 @@
 			}
 		}
 		u.stalled(now, scheduler, a)
-		if u.sound() {
-			surveyed.add(u)
-		}
 		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.looking {
 			s.remove(u)
 		}
