Order the product's jobs by class and work; look without repeating ends

Cause, from the counters of `suite steady`: 20,775 looks for 9,962 starts. An end that stays listed until its origin has it let the next look return at once; after a cancellation or an unknown run that went on for 3 s (80,271 looks in `suite cancel`). On the platform, where no job must run once only, ends of unknown runs were kept too. And jobs went in the order of arrival: a burst let short jobs wait behind long ones.

Change: a look names the number up to which ends are known, and the product's upstreams wait for one above it; ends stay listed only where jobs are offered that must run once only. A job of the product stands back by three times its work and 30 s for each class. `decide` plays 5 s of load by default (it played the 2 s in which nothing is known yet).

--- a/daemon/pool.go
+++ b/daemon/pool.go
@@ -34,6 +34,12 @@
 	// lateFactor is the multiple of an answer in time at which it is worth nothing
 	// (package scheduler): a call's deadline.
 	lateFactor = 3
+	// workAge is the waiting time that a job stands back for each second of its
+	// work: short jobs go first, and none starves.
+	workAge = 3
+	// classGap is the waiting time by which a class stands back behind the one
+	// above it.
+	classGap = 30 * time.Second
 )
 
 // newPool returns the part of the daemon that dispatches. It shares the transport
@@ -41,7 +47,7 @@
 func (d *Daemon) newPool(self membership.Member, seeds []membership.Seed, s *settings.DaemonProgram) *node.Node {
 	config := node.Config{
 		VM: self.VM, DataCentre: self.DataCentre, Incarnation: self.Incarnation, PeerAddress: self.Address,
-		Weight: s.Dispatch.Weight, LeaseMax: s.Dispatch.LeaseMax, MaxWaiting: s.Jobs.MaxQueued, LapseMemory: lapseMemory,
+		Weight: s.Dispatch.Weight, LeaseMax: s.Dispatch.LeaseMax, MaxWaiting: s.Jobs.MaxQueued, LapseMemory: lapseMemory, KeepsEnds: true,
 		UpstreamPrefix: vmlist.UpstreamPrefix, MemberPrefix: memberPrefix,
 	}
 	for _, seed := range seeds {
@@ -90,12 +96,15 @@
 	}, nil
 }
 
-// queueOf returns the queue of a call. An answer is in time within a part of the
-// call's deadline such that it is worth nothing after that.
-func queueOf(call *catalog.Call) *routing.Queue {
+// QueueOf returns the queue of a job of a call. Jobs go in the order of their class
+// and then of their work, of which a second counts as much as workAge of waiting. An
+// answer is worth something until the call's deadline.
+func QueueOf(call *catalog.Call, tasks int) *routing.Queue {
+	class := int(catalog.Urgent - call.Priority)
+	work := time.Duration(tasks) * call.Declared
 	return &routing.Queue{
-		Name: call.Service + "/" + call.Name, Service: call.Service, Priority: int(catalog.Urgent - call.Priority),
-		MaxAttempts: 1, Stretch: 1, Slack: call.Deadline / lateFactor,
+		Name: call.Service + "/" + call.Name, Service: call.Service, Priority: class, MaxAttempts: 1, Stretch: 1,
+		Slack: call.Deadline/lateFactor + workAge*work + time.Duration(class)*classGap,
 	}
 }
 
--- a/internal/api/upstream_gen.go
+++ b/internal/api/upstream_gen.go
@@ -197,6 +197,9 @@
 	Token int64 `json:"token"`
 	// LastSeen is the number up to which ends need not be listed again.
 	LastSeen int64 `json:"last_seen"`
+	// Seen is the number up to which ends are known: the upstream waits for one
+	// above it.
+	Seen int64 `json:"seen,omitempty"`
 	// UntilMS is the end of the lease on the upstream's clock, in ms; 0 renews
 	// nothing.
 	UntilMS int64 `json:"until_ms,omitempty"`
@@ -217,6 +220,11 @@
 	b = append(b, `"last_seen":`...)
 	b = appendInt(b, m.LastSeen)
 	b = append(b, ',')
+	if m.Seen != 0 {
+		b = append(b, `"seen":`...)
+		b = appendInt(b, m.Seen)
+		b = append(b, ',')
+	}
 	if m.UntilMS != 0 {
 		b = append(b, `"until_ms":`...)
 		b = appendInt(b, m.UntilMS)
--- a/internal/capacity/dispatcher.go
+++ b/internal/capacity/dispatcher.go
@@ -33,7 +33,7 @@
 
 func newDispatcher(upstreams int) *dispatcher {
 	d := &dispatcher{
-		Scheduler: scheduler.New(epoch, scheduler.Config{LeaseMax: time.Second, MaxWaiting: maxWaiting}),
+		Scheduler: scheduler.New(epoch, scheduler.Config{LeaseMax: time.Second, MaxWaiting: maxWaiting, KeepsEnds: true}),
 		now:       epoch, ends: map[string]int64{},
 	}
 	list := make([]scheduler.Upstream, upstreams)
--- a/internal/replay/decide.go
+++ b/internal/replay/decide.go
@@ -1,12 +1,14 @@
 package replay
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/daemon"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -19,6 +21,7 @@
 	if !known {
 		return nil, errors.Newf("%q is no dispatch suite", suite)
 	}
+	o.Seconds = cmp.Or(o.Seconds, DefaultSeconds)
 	jobs, err := s.jobs(o)
 	if err != nil {
 		return nil, err
@@ -108,7 +111,7 @@
 	d := &driver{
 		services: services, now: start, upstreams: map[string]*schedulertest.Upstream{}, looking: map[string]bool{},
 		jobs:      map[string]*drivenJob{},
-		scheduler: scheduler.New(start, scheduler.Config{LeaseMax: driverLease, MaxWaiting: driverWaiting}),
+		scheduler: scheduler.New(start, scheduler.Config{LeaseMax: driverLease, MaxWaiting: driverWaiting, KeepsEnds: true}),
 	}
 	var list []scheduler.Upstream
 	for service := range services.Services() {
@@ -154,6 +157,7 @@
 
 func (d *driver) tick() {
 	d.act(d.scheduler.Tick(d.now))
+	d.place()
 	d.after(scheduler.TickInterval, d.tick)
 }
 
@@ -163,10 +167,11 @@
 	o.job = trace
 	id := trace.Caller + "/" + trace.Key
 	d.jobs[id] = job
+	queue := daemon.QueueOf(call, len(trace.Tasks))
 	offered := scheduler.Job{
-		ID: id, Origin: "front", OriginIncarnation: 1, Queue: call.Service + "/" + call.Name, Service: call.Service,
-		Size: drivenTask, Priority: int(catalog.Urgent - call.Priority), Estimate: call.Declared,
-		Sent: d.now, Deadline: d.now.Add(call.Deadline), Stretch: 1, Slack: call.Deadline / 3, MaxAttempts: 1, Once: true,
+		ID: id, Origin: "front", OriginIncarnation: 1, Queue: queue.Name, Service: queue.Service,
+		Size: drivenTask, Priority: queue.Priority, Estimate: call.Declared, Sent: d.now, Deadline: d.now.Add(call.Deadline),
+		Stretch: queue.Stretch, Slack: queue.Slack, MaxAttempts: queue.MaxAttempts, Once: true,
 	}
 	for i := range trace.Tasks {
 		offered.Tasks = append(offered.Tasks, i)
@@ -237,7 +242,7 @@
 	name := look.Upstream.Name
 	model := d.upstreams[name]
 	result, report := model.Look(d.now, look)
-	if len(report.Ends) == 0 && d.now.Before(until) {
+	if !model.HasEnd(d.now, look.Seen) && d.now.Before(until) {
 		look.Until = 0 // the lease is renewed on arrival
 		d.after(lookStep, func() { d.await(look, until) })
 		return
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -152,7 +152,7 @@
 		next, running := u.model.NextEnd(now)
 		changed := u.changed
 		u.mu.Unlock()
-		if len(report.Ends) > 0 || result != scheduler.LookAnswered || !now.Before(end) {
+		if ended(report, look.Seen) || result != scheduler.LookAnswered || !now.Before(end) {
 			return result, report, nil
 		}
 		if !running || end.Before(next) {
@@ -172,6 +172,11 @@
 	}
 }
 
+// ended tells whether an end is listed above a number.
+func ended(report scheduler.Report, seen int64) bool {
+	return len(report.Ends) > 0 && report.Ends[len(report.Ends)-1].Number > seen
+}
+
 // runTime returns the work of a task, as its time at speed 1.
 func (u *Upstream) runTime(item []byte, fault api.UpstreamFault) time.Duration {
 	if fault.Mode == api.UpstreamFailing {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -114,7 +114,7 @@
 // Look implements node.Upstreams.
 func (c *Client) Look(ctx context.Context, look scheduler.Look) (scheduler.LookResult, scheduler.Report, error) {
 	order := api.LookOrder{
-		Upstream: look.Upstream.Name, Token: look.Token, LastSeen: look.LastSeen,
+		Upstream: look.Upstream.Name, Token: look.Token, LastSeen: look.LastSeen, Seen: look.Seen,
 		UntilMS: look.Until, WaitMS: look.Wait.Milliseconds(),
 	}
 	var answer api.LookAnswer
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -62,7 +62,7 @@
 		return
 	}
 	result, report, _ := p.Look(ctx, scheduler.Look{
-		Upstream: scheduler.Upstream{Name: order.Upstream}, Token: order.Token, LastSeen: order.LastSeen,
+		Upstream: scheduler.Upstream{Name: order.Upstream}, Token: order.Token, LastSeen: order.LastSeen, Seen: order.Seen,
 		Until: order.UntilMS, Wait: time.Duration(order.WaitMS) * time.Millisecond,
 	})
 	if result == scheduler.LookUnanswered {
--- a/node/node.go
+++ b/node/node.go
@@ -66,6 +66,8 @@
 	// LapseMemory is the time for which an upstream whose entry has lapsed may
 	// still run tasks.
 	LapseMemory time.Duration
+	// KeepsEnds tells that jobs are submitted that must run once only.
+	KeepsEnds bool
 	// MaxWaiting is the most tasks that wait here while this VM dispatches; 0 takes
 	// maxWaiting.
 	MaxWaiting int
@@ -151,7 +153,7 @@
 		log:       deps.Log.With(slog.String("vm", config.VM)),
 		decisions: deps.Decisions,
 		fleet:     fleet.New(self),
-		scheduler: scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting)}),
+		scheduler: scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), KeepsEnds: config.KeepsEnds}),
 		jobs:      intake.New[Job](),
 		place:     make(chan struct{}, 1),
 		relist:    make(chan struct{}, 1),
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -9,8 +9,9 @@
 type Look struct {
 	Upstream Upstream
 	Token    int64
-	// LastSeen is the number up to which ends need not be listed again.
-	LastSeen int64
+	// LastSeen is the number up to which ends need not be listed again, Seen that
+	// up to which they are known: an upstream waits for one above it.
+	LastSeen, Seen int64
 	// Until is the end of the lease on the upstream's clock, in ms; 0 renews
 	// nothing.
 	Until int64
@@ -147,7 +148,7 @@
 // look returns a look. The caller holds mu of the shard.
 func (u *upstream) look(now time.Time, token int64, wait time.Duration, s *Scheduler) Look {
 	u.looking = true
-	l := Look{Upstream: u.Upstream, Token: token, LastSeen: u.settled(), Wait: wait, Sent: now}
+	l := Look{Upstream: u.Upstream, Token: token, LastSeen: u.settled(), Seen: u.seen, Wait: wait, Sent: now}
 	// What does not answer is not renewed, so that its runs are over in time.
 	if u.clock != 0 && u.failures == 0 && (len(u.runs) > 0 || u.wanted()) {
 		l.Until = u.clockNow(now) + lease.Milliseconds()
@@ -205,7 +206,7 @@
 	var ends []finished
 	switch result {
 	case LookAnswered:
-		ends, found = u.report(now, look, report, &a)
+		ends, found = u.report(now, look, report, s.config.KeepsEnds, &a)
 	case LookFenced:
 		u.contact = now
 		u.giveUp(now, &a)
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -166,7 +166,7 @@
 	for i := range 2 {
 		m.dispatchers = append(m.dispatchers, &modelDispatcher{
 			name:      fmt.Sprintf("d%d", i),
-			scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000}),
+			scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000, KeepsEnds: true}),
 			looking:   map[string]bool{}, cut: map[string]bool{},
 		})
 	}
@@ -369,7 +369,7 @@
 		u.Look(m.now, look) // renews on arrival
 		var poll func()
 		poll = func() {
-			if m.now.Before(until) && !u.HasEnd(m.now, look.LastSeen) {
+			if m.now.Before(until) && !u.HasEnd(m.now, look.Seen) {
 				m.after(5*time.Millisecond, poll)
 				return
 			}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -23,7 +23,7 @@
 }
 
 // report enters an answer. The caller holds mu of the shard.
-func (u *upstream) report(now time.Time, look Look, report Report, a *Actions) (ends []finished, found []foundRun) {
+func (u *upstream) report(now time.Time, look Look, report Report, keeps bool, a *Actions) (ends []finished, found []foundRun) {
 	if report.Born != 0 && report.Born < u.born {
 		return nil, nil // from a process that has ended
 	}
@@ -42,7 +42,7 @@
 			continue
 		}
 		u.seen = end.Number
-		ends = append(ends, u.end(now, end))
+		ends = append(ends, u.end(now, end, keeps))
 	}
 	if look.Sent.Before(u.newest) {
 		return ends, nil // a newer answer has told what runs
@@ -100,14 +100,16 @@
 	}
 }
 
-// end enters a listed end.
-func (u *upstream) end(now time.Time, end End) finished {
+// end enters a listed end; keeps tells that one of an unknown run stays listed.
+func (u *upstream) end(now time.Time, end End, keeps bool) finished {
 	delete(u.orphans, end.Task)
 	f := finished{run: end.Run, kind: end.Kind, result: end.Result, number: end.Number, blamed: u.health.Ejected()}
 	r := u.runs[end.Task]
 	if r == nil || r.Attempt != end.Attempt {
-		u.undelivered[end.Number] = struct{}{} // until its job is known, or was not for keepEnds
-		f.kept = true
+		if keeps {
+			u.undelivered[end.Number] = struct{}{} // until its job is known, or was not for KeepEnds
+			f.kept = true
+		}
 		return f
 	}
 	f.known = true
@@ -176,7 +178,7 @@
 	case f.kind == EndFailed:
 		l.end = endFailed
 	}
-	if f.kept {
+	if f.kept || !f.known {
 		l.receipt = Receipt{upstream, f.number, s.token.Load()}
 	}
 	if f.known {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,6 +111,10 @@
 	LeaseMax time.Duration
 	// MaxWaiting is the most tasks that wait.
 	MaxWaiting int
+	// KeepsEnds tells that jobs are offered that must run once only: ends that no
+	// job has taken stay listed at their upstreams for KeepEnds. Upstreams must then
+	// wait for the ends above Look.Seen.
+	KeepsEnds bool
 }
 
 // Timing of the protocol with the upstreams.
