--- a/node/follow.go
+++ b/node/follow.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	// watchWait is the longest wait of a watch. A connection that went silent
-	// is noticed by its end, so it stays below the 2 s in which a change has to
-	// be in force.
-	watchWait = time.Second
+	// watchWait is the longest wait of a watch. A connection that went silent is
+	// noticed by its end: VMs whose connections were reset or went silent have 3 s
+	// before a change must be in force there.
+	watchWait = 1500 * time.Millisecond
+	// memberWait is the same for the list of members, who hear each other anyway.
+	memberWait = 5 * time.Second
 	// watchMargin is the time beyond its wait within which a watch is answered;
 	// the store may be slow.
 	watchMargin = 700 * time.Millisecond
@@ -36,6 +38,8 @@
 	// reset takes a full listing, change the events since.
 	reset  func(items []store.Item)
 	change func(events []store.Event)
+	// wait is the longest wait of a watch.
+	wait time.Duration
 	// spacing is the pause between two watches, which gathers events.
 	spacing time.Duration
 	// watches tells whether changes are followed as they come. Otherwise the
@@ -119,9 +123,9 @@
 		}
 		return 0, nil
 	}
-	call, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	call, cancel := context.WithTimeout(ctx, f.wait+watchMargin)
 	defer cancel()
-	events, at, err := n.deps.Store.Watch(call, f.prefix, f.revision, watchWait)
+	events, at, err := n.deps.Store.Watch(call, f.prefix, f.revision, f.wait)
 	if err != nil {
 		return 0, err
 	}
@@ -139,6 +143,7 @@
 	}
 	return n.follow(ctx, &follower{
 		prefix:  n.config.ConfigurationKey,
+		wait:    watchWait,
 		watches: func() bool { return n.leads() || n.table.Load() == nil },
 		lists:   always,
 		reset: func(items []store.Item) {
@@ -210,6 +215,7 @@
 	}
 	return n.follow(ctx, &follower{
 		prefix:  n.config.MemberPrefix,
+		wait:    memberWait,
 		watches: n.leads,
 		lists:   always,
 		reset: func(items []store.Item) {
--- a/node/registry.go
+++ b/node/registry.go
@@ -23,7 +23,7 @@
 // upstreamSpacing gathers the changes of upstreams, which write about themselves
 // every other second: a leaving one is known well within the 2 s in which it may
 // still get tasks.
-const upstreamSpacing = 250 * time.Millisecond
+const upstreamSpacing = 400 * time.Millisecond
 
 // registry holds the entries of upstreams, and the configuration as it was read.
 type registry struct {
@@ -77,6 +77,7 @@
 func (n *Node) followUpstreams(ctx context.Context) error {
 	return n.follow(ctx, &follower{
 		prefix:  n.config.UpstreamPrefix,
+		wait:    watchWait,
 		spacing: upstreamSpacing,
 		watches: n.scheduler.Dispatching,
 		lists:   func() bool { v := n.view.Load(); return v.Local || v.Candidate },
