Fetch the list of upstreams from peers at a bounded rate

Change: while another VM dispatches, the pause between two fetches grows with the list, 0.1 s an entry; a VM that dispatches and is turned away by the store fetches as before.

--- a/node/registry.go
+++ b/node/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"sync"
 	"time"
 
@@ -31,6 +32,7 @@
 	at            int64      // revision of the newest change of an entry; 0 before the first listing
 	since         time.Time  // time of the first listing
 	fresh         time.Time  // when the store was heard last
+	pulled        time.Time  // when a peer gave the list last
 	entries       map[string]entry
 	configuration store.Item
 }
@@ -50,6 +52,13 @@
 	return r.at
 }
 
+// pulledAt notes that a peer has given the list.
+func (r *registry) pulledAt(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pulled = now
+}
+
 // touch notes that the store has told of the upstreams.
 func (r *registry) touch(now time.Time) {
 	r.mu.Lock()
@@ -220,7 +229,20 @@
 	if b.Revision > 0 && (table == nil || b.Revision > table.Revision) {
 		return true
 	}
-	return b.Registry > n.registry.revision() && !n.registry.freshSince(time.Now().Add(-registryStale))
+	now := time.Now()
+	return b.Registry > n.registry.revision() && !n.registry.freshSince(now.Add(-registryStale)) && n.mayPull(now)
+}
+
+// mayPull tells whether the list may be fetched from a peer again. While another VM
+// dispatches, the pause grows with the list, so that its bytes a second do not.
+func (n *Node) mayPull(now time.Time) bool {
+	if n.scheduler.Dispatching() {
+		return true
+	}
+	r := &n.registry
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.pulled) > max(pollInterval, time.Duration(len(r.entries))*pullPerEntry)
 }
 
 const (
@@ -229,6 +251,9 @@
 	// registryStale is the time without word from the store after which the list
 	// of upstreams is fetched from a peer: two listings and a slow answer.
 	registryStale = 2*pollInterval + callTimeout/2
+	// pullPerEntry is the part of the pause between two fetches of the list that
+	// each entry adds: 300 bytes take it at 3 KB/s.
+	pullPerEntry = 100 * time.Millisecond
 	// pullTimeout is the longest wait for a peer's state.
 	pullTimeout = 500 * time.Millisecond
 	// pullPause spaces the fetches of a VM that the store turns away: several
@@ -257,6 +282,9 @@
 
 func (n *Node) pullState(ctx context.Context, address string) {
 	request := &wire.StateRequest{Registry: n.registry.revision()}
+	if !n.mayPull(time.Now()) {
+		request.Registry = math.MaxInt64 // only the configuration is wanted
+	}
 	if table := n.table.Load(); table != nil {
 		request.Revision = table.Revision
 	}
@@ -276,6 +304,7 @@
 			items = append(items, store.Item{Key: item.Key, Value: item.Value, Revision: item.Revision})
 		}
 		n.resetUpstreams(items, state.Registry, address)
+		n.registry.pulledAt(time.Now())
 	}
 }
 
