A soak of the platform's daemons under random faults

`mustardstep-replay soak` runs the real daemon as separate processes on loopback addresses, with relays between them and before the store that cut, cut one way, delay, reset and silence connections, signals that kill, stop, freeze and reload, a store that is down, slow, forgets its history, loses answers or turns a VM away, and upstreams that crash, hang on answers, fail, refuse, drain and lapse. It checks from what callers and upstreams see: no task runs twice at the same time, no upstream holds more than it has, nothing starts that no caller sent or whose every attempt was answered with "not run", a success is complete, a planned stop ends by itself, and new jobs are served 5 s after the last fault.

--- a/cmd/mustardstep-replay/main.go
+++ b/cmd/mustardstep-replay/main.go
@@ -6,8 +6,8 @@
 
 func main() {
 	command.Main(
-		command.Suite(), command.Capacity(), command.Demo(), command.Bench(), command.Generate(), command.Decide(),
+		command.Suite(), command.Capacity(), command.Demo(), command.Bench(), command.Generate(), command.Decide(), command.Soak(),
 		// Suites run these in processes of their own.
-		command.Serve("daemon"), command.StandinUpstreams(), command.StandinPlatform(),
+		command.Serve("daemon"), command.Node(), command.StandinUpstreams(), command.StandinPlatform(),
 	)
 }
--- a/cmd/mustardstep-replay/main_test.go
+++ b/cmd/mustardstep-replay/main_test.go
@@ -13,7 +13,7 @@
 // TestMain lets the processes that a demonstration starts from the test binary
 // run the program itself.
 func TestMain(m *testing.M) {
-	if len(os.Args) > 1 && slices.Contains([]string{"daemon", "upstreams", "platform"}, os.Args[1]) {
+	if len(os.Args) > 1 && slices.Contains([]string{"daemon", "node", "upstreams", "platform"}, os.Args[1]) {
 		main()
 	}
 	os.Exit(m.Run())
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -49,7 +49,9 @@
 func runNode(ctx context.Context, s *platform.Settings, own settings.Node, logs settings.Logging, log *slog.Logger) error {
 	metrics := node.NewMetrics()
 	decisions := logging.NewDecisions(log.With(slog.String("vm", s.VM)), logs.Decisions)
-	n := node.New(s.Node(), node.Dependencies{
+	config := s.Node()
+	config.Listen = own.PeerListen
+	n := node.New(config, node.Dependencies{
 		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreams(), Decoder: platform.Decoder{},
 		Log: log, Decisions: decisions, Metrics: metrics,
 	})
--- /dev/null
+++ b/internal/command/soak.go
@@ -0,0 +1,71 @@
+package command
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/subcommands"
+	"github.com/mustardstep/mustardstep/internal/replay"
+	"github.com/mustardstep/mustardstep/internal/settings"
+)
+
+type soakCommand struct {
+	base[settings.ReplaySoakProgram]
+}
+
+// Soak returns the command that strikes real processes with random faults.
+func Soak() subcommands.Command {
+	return &soakCommand{base[settings.ReplaySoakProgram]{name: "soak", synopsis: "run the platform's daemons as processes under random faults; exit 0 only where no promise was broken"}}
+}
+
+func (c *soakCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !c.resolve(f) {
+		return subcommands.ExitUsageError
+	}
+	s := c.settings.Soak
+	status := subcommands.ExitSuccess
+	for i := range s.Seeds {
+		options := replay.SoakOptions{Seed: int64(s.Seed + i), Seconds: s.Seconds, VMs: s.VMs, Upstreams: s.Upstreams}
+		if s.LogDir != "" {
+			options.LogDir = filepath.Join(s.LogDir, fmt.Sprintf("seed-%d", options.Seed))
+			if err := os.MkdirAll(options.LogDir, 0o755); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				return subcommands.ExitFailure
+			}
+		}
+		report, err := replay.RunSoak(ctx, options)
+		switch {
+		case report != nil && s.Output == "json":
+			printReport(report, s.Output)
+		case report != nil:
+			printSoak(report)
+		}
+		switch {
+		case errors.Is(err, replay.ErrBroken):
+			status = exitBroken
+		case err != nil:
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+	}
+	return status
+}
+
+// printSoak prints a line a soak, and what led to a broken promise.
+func printSoak(r *replay.SoakReport) {
+	fmt.Printf("seed %d: %d jobs, %d starts, answers %v, %d faults, %d promises broken\n",
+		r.Seed, r.Jobs, r.Starts, r.Answers, len(r.Acts), len(r.Broken))
+	if len(r.Broken) == 0 {
+		return
+	}
+	for _, act := range r.Acts {
+		fmt.Println("  ", act)
+	}
+	for _, broken := range r.Broken {
+		fmt.Println("  broken:", broken)
+	}
+}
--- a/internal/replay/links.go
+++ b/internal/replay/links.go
@@ -1,6 +1,9 @@
 package replay
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // links holds the state of the network between each pair of processes. It is
 // safe for concurrent use.
@@ -30,6 +33,7 @@
 	defer l.mu.Unlock()
 	for _, link := range l.pairs {
 		link.heal()
+		link.setDelay(0)
 	}
 }
 
@@ -37,8 +41,25 @@
 type link struct {
 	mu     sync.Mutex    // guards the fields below
 	healed chan struct{} // closed by heal; nil while the link is whole
+	delay  time.Duration // of everything that is sent
 	resets map[int]func()
 	next   int
+	silent int // connections with a number below it carry nothing any more
+}
+
+// setDelay delays everything that is sent from now on.
+func (l *link) setDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
+// silence lets the open connections carry nothing any more, without a reset; new
+// ones work.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = l.next
 }
 
 // cut stops the link: what is sent stays on its way until heal.
@@ -60,27 +81,36 @@
 	}
 }
 
-// wait returns once the link is whole.
+// wait returns once the link is whole and its delay is over.
 func (l *link) wait() {
 	for {
 		l.mu.Lock()
-		healed := l.healed
+		healed, delay := l.healed, l.delay
 		l.mu.Unlock()
 		if healed == nil {
+			time.Sleep(delay)
 			return
 		}
 		<-healed
 	}
 }
 
-// onReset registers what ends a connection over the link, until remove.
-func (l *link) onReset(end func()) (remove func()) {
+// carries tells whether a connection was not silenced.
+func (l *link) carries(number int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return number >= l.silent
+}
+
+// onReset registers what ends a connection over the link, until remove, and numbers
+// it.
+func (l *link) onReset(end func()) (number int, remove func()) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	number := l.next
+	number = l.next
 	l.next++
 	l.resets[number] = end
-	return func() {
+	return number, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		delete(l.resets, number)
--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -33,6 +33,11 @@
 // startProcess runs a subcommand of this program, which holds the daemon and
 // the stand-ins, with its log in a file.
 func startProcess(name, logDir string, args ...string) (*process, error) {
+	return startProcessWith(name, logDir, nil, args...)
+}
+
+// startProcessWith is startProcess with further variables of the environment.
+func startProcessWith(name, logDir string, env []string, args ...string) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
@@ -44,6 +49,7 @@
 	defer log.Close()
 	cmd := exec.Command(self, args...)
 	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), env...)
 	// A suite that is killed takes its processes with it.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
--- a/internal/replay/relay.go
+++ b/internal/replay/relay.go
@@ -86,21 +86,24 @@
 		near.Close()
 		far.Close()
 	}
-	defer there.onReset(closeBoth)()
+	number, remove := there.onReset(closeBoth)
+	defer remove()
+	carries := func() bool { return there.carries(number) }
 	var pumps sync.WaitGroup
-	pumps.Go(func() { pump(far, reader, there, closeBoth) })
-	pumps.Go(func() { pump(near, far, back, closeBoth) })
+	pumps.Go(func() { pump(far, reader, there, carries, closeBoth) })
+	pumps.Go(func() { pump(near, far, back, carries, closeBoth) })
 	pumps.Wait()
 }
 
-// pump copies until either end fails; what is on its way at a cut stalls.
-func pump(to net.Conn, from io.Reader, over *link, end func()) {
+// pump copies until either end fails; what is on its way at a cut stalls, and what
+// a silenced connection is given is lost.
+func pump(to net.Conn, from io.Reader, over *link, carries func() bool, end func()) {
 	defer end()
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buf)
 		over.wait()
-		if n > 0 {
+		if n > 0 && carries() {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
--- a/internal/replay/replay_gen.go
+++ b/internal/replay/replay_gen.go
@@ -261,3 +261,21 @@
 	// Idle is the cost without changes.
 	Idle IdleCost `json:"idle"`
 }
+
+// SoakReport is the result of a soak.
+type SoakReport struct {
+	// Seed chose the load and the faults.
+	Seed int64 `json:"seed"`
+	// Seconds is the length of the faults.
+	Seconds float64 `json:"seconds"`
+	// Jobs is the number of jobs.
+	Jobs int `json:"jobs"`
+	// Starts is the number of tasks that upstreams started.
+	Starts int `json:"starts"`
+	// Answers counts the answers to attempts by kind.
+	Answers map[string]int `json:"answers"`
+	// Broken tells of each broken promise.
+	Broken []string `json:"broken"`
+	// Acts tells what was done, with the time in seconds since the begin.
+	Acts []string `json:"acts"`
+}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -385,6 +385,8 @@
 type Node struct {
 	// MetricsPort: port on which counters and latency histograms are served as text, in port.
 	MetricsPort int
+	// PeerListen: address at which other VMs are accepted, host:port, where it differs from the one that the platform's settings give.
+	PeerListen string
 }
 
 // Bind declares the settings on the binder.
@@ -392,6 +394,9 @@
 	bind(b, &s.MetricsPort, definition[int]{
 		flag: "metrics-port", env: "MUSTARDSTEP_METRICS_PORT", help: "port on which counters and latency histograms are served as text", unit: "port", fallback: "9464", min: bound[int](1), max: bound[int](65535),
 	})
+	bind(b, &s.PeerListen, definition[string]{
+		flag: "peer-listen", env: "MUSTARDSTEP_PEER_LISTEN", help: "address at which other VMs are accepted, host:port, where it differs from the one that the platform's settings give", unit: "",
+	})
 }
 
 // Platform holds the addresses and the budget of the platform's services.
@@ -480,6 +485,49 @@
 	})
 }
 
+// Soak holds the settings of a soak with random faults.
+type Soak struct {
+	// Output: form of the report.
+	Output string
+	// Seed: seed of the load and the faults.
+	Seed int
+	// Seeds: number of soaks, one after the other, with seeds that rise by 1.
+	Seeds int
+	// Seconds: time for which faults strike, in seconds.
+	Seconds float64
+	// VMs: entry VMs, in two data centres, in VMs.
+	VMs int
+	// Upstreams: stand-ins for upstreams, in upstreams.
+	Upstreams int
+	// LogDir: directory that keeps the logs of the processes, one directory a seed; empty keeps none.
+	LogDir string
+}
+
+// Bind declares the settings on the binder.
+func (s *Soak) Bind(b *Binder) {
+	bind(b, &s.Output, definition[string]{
+		flag: "o", env: "MUSTARDSTEP_O", help: "form of the report", unit: "", fallback: "table", oneOf: []string{"table", "json"},
+	})
+	bind(b, &s.Seed, definition[int]{
+		flag: "seed", env: "MUSTARDSTEP_SEED", help: "seed of the load and the faults", unit: "", fallback: "1", min: bound[int](0), max: bound[int](1000000000),
+	})
+	bind(b, &s.Seeds, definition[int]{
+		flag: "seeds", env: "MUSTARDSTEP_SEEDS", help: "number of soaks, one after the other, with seeds that rise by 1", unit: "", fallback: "1", min: bound[int](1), max: bound[int](10000),
+	})
+	bind(b, &s.Seconds, definition[float64]{
+		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "time for which faults strike", unit: "seconds", fallback: "20", min: bound[float64](0.1), max: bound[float64](86400),
+	})
+	bind(b, &s.VMs, definition[int]{
+		flag: "vms", env: "MUSTARDSTEP_VMS", help: "entry VMs, in two data centres", unit: "VMs", fallback: "6", min: bound[int](1), max: bound[int](200),
+	})
+	bind(b, &s.Upstreams, definition[int]{
+		flag: "upstreams", env: "MUSTARDSTEP_UPSTREAMS", help: "stand-ins for upstreams", unit: "upstreams", fallback: "12", min: bound[int](1), max: bound[int](1000),
+	})
+	bind(b, &s.LogDir, definition[string]{
+		flag: "log-dir", env: "MUSTARDSTEP_LOG_DIR", help: "directory that keeps the logs of the processes, one directory a seed; empty keeps none", unit: "",
+	})
+}
+
 // Standin holds the settings of the stand-in programs.
 type Standin struct {
 	// Listen: address to listen on, host:port; port 0 takes a free one.
@@ -608,6 +656,16 @@
 	s.Demo.Bind(b)
 }
 
+// ReplaySoakProgram holds every setting of mustardstep-replay soak.
+type ReplaySoakProgram struct {
+	Soak Soak
+}
+
+// Bind declares the settings on the binder.
+func (s *ReplaySoakProgram) Bind(b *Binder) {
+	s.Soak.Bind(b)
+}
+
 // StandinProgram holds every setting of mustardstep-standin.
 type StandinProgram struct {
 	Logging Logging
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -38,6 +38,10 @@
 	platform string // address of the platform stand-in; empty for none
 	speed    float64
 	time     time.Duration // run time at speed 1 of a task that names none
+	// Started and Ended are told of every run, under the lock of the upstream; nil
+	// tells nobody. They are set before the upstream serves.
+	Started func(run scheduler.Run, used scheduler.Size)
+	Ended   func(run scheduler.Run, how scheduler.EndKind)
 
 	mu      sync.Mutex // guards the fields below
 	model   *schedulertest.Upstream
@@ -57,7 +61,12 @@
 	u.model.Speed = speed
 	u.model.Started = u.noteStart
 	u.model.Result = u.result
-	u.model.Ended = func(_ time.Time, run scheduler.Run, _ scheduler.EndKind) { delete(u.specs, run) }
+	u.model.Ended = func(_ time.Time, run scheduler.Run, how scheduler.EndKind) {
+		delete(u.specs, run)
+		if u.Ended != nil {
+			u.Ended(run, how)
+		}
+	}
 	return u
 }
 
@@ -65,6 +74,9 @@
 	u.starts = append(u.starts, api.StartEntry{
 		Upstream: u.vm.Name, Submission: u.specs[run].Submission, Task: run.Index, AtUS: time.Now().UnixMicro(),
 	})
+	if u.Started != nil {
+		u.Started(run, u.model.Used)
+	}
 }
 
 func (u *Upstream) result(run scheduler.Run) []byte {
@@ -119,7 +131,7 @@
 	if !present {
 		u.specs[start.Run] = spec
 	}
-	result, clock := u.model.Start(now, start, size, u.runTime(start.Item, fault))
+	result, clock := u.model.Start(now, start, size, u.runTime(start.Item, &spec, fault))
 	if result != scheduler.OrderDone && !present {
 		delete(u.specs, start.Run)
 	}
@@ -178,11 +190,14 @@
 }
 
 // runTime returns the work of a task, as its time at speed 1.
-func (u *Upstream) runTime(item []byte, fault api.UpstreamFault) time.Duration {
+func (u *Upstream) runTime(item []byte, spec *api.TaskSpec, fault api.UpstreamFault) time.Duration {
 	if fault.Mode == api.UpstreamFailing {
 		return 0
 	}
 	var own api.StandinTask
+	if len(item) == 0 {
+		item = spec.Parameters
+	}
 	// An item of another form takes the default time.
 	_ = json.Unmarshal(item, &own)
 	if own.RunUS > 0 {
@@ -210,6 +225,21 @@
 	return serve(ctx, listener, func(c *fasthttp.RequestCtx) { u.handle(ctx, c) })
 }
 
+// ServeBy serves another protocol of the upstream on a listener until the context
+// ends.
+func (u *Upstream) ServeBy(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
+	return serve(ctx, listener, handler)
+}
+
+// Crash ends every run without a trace, as the end of the process does; a new one
+// runs at once.
+func (u *Upstream) Crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.model.Restart(time.Now())
+	u.signal()
+}
+
 // Starts returns every start so far, in order of time.
 func (u *Upstream) Starts() []api.StartEntry {
 	u.mu.Lock()
--- a/node/node.go
+++ b/node/node.go
@@ -57,6 +57,9 @@
 	Incarnation uint64
 	// PeerAddress is the host:port for other VMs.
 	PeerAddress string
+	// Listen is the address at which other VMs are accepted where it differs from
+	// PeerAddress.
+	Listen string
 	// Weight is what the VM can carry as a dispatcher, in thousandths of a core.
 	Weight int
 	// Seeds are addresses of VMs that may know others, as host:port.
@@ -220,7 +223,7 @@
 		slog.Uint64("incarnation", n.fleet.Self().Incarnation))
 	g, serving := errgroup.WithContext(n.serving)
 	if n.deps.Peers == nil {
-		listener, err := net.Listen("tcp", n.config.PeerAddress)
+		listener, err := net.Listen("tcp", cmp.Or(n.config.Listen, n.config.PeerAddress))
 		if err != nil {
 			return errors.Wrap(err, "listen for peers")
 		}
