--- a/cmd/mustardstep-replay/main_test.go
+++ b/cmd/mustardstep-replay/main_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/mustardstep/mustardstep/internal/replay"
 	"github.com/stretchr/testify/require"
@@ -25,3 +26,15 @@
 	require.Contains(t, output.String(), "heat-alert for 4 figures: complete")
 	require.Contains(t, output.String(), `"submission":"museum-01/demo-1","task":3`)
 }
+
+// TestSoak strikes real processes for some seconds; it has no bound on any time.
+func TestSoak(t *testing.T) {
+	report, err := replay.RunSoak(t.Context(), replay.SoakOptions{Seed: 7, Seconds: 5, VMs: 4, Upstreams: 6, Patience: 10 * time.Minute})
+	if report != nil {
+		for _, line := range append(report.Acts, report.Broken...) {
+			t.Log(line)
+		}
+	}
+	require.NoError(t, err)
+	require.Positive(t, report.Answers["succeeded"])
+}
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -47,6 +48,9 @@
 	Seconds        float64
 	VMs, Upstreams int
 	LogDir         string // keeps the logs of the processes; empty keeps none
+	// Patience is the time for which a job without an answer is sent again; 0 takes
+	// twice the caller's deadline.
+	Patience time.Duration
 }
 
 // soak is a running system with random faults.
@@ -92,6 +96,7 @@
 // faults, and checks the promises from what callers and upstreams see. Its error is
 // ErrBroken where one was broken.
 func RunSoak(ctx context.Context, o SoakOptions) (*SoakReport, error) {
+	o.Patience = cmp.Or(o.Patience, 2*soakDeadline)
 	s := &soak{
 		options: o, rng: rand.New(rand.NewPCG(uint64(o.Seed), 1)), dir: o.LogDir, judge: newSoakJudge(), links: newLinks(),
 		store: standin.NewFaultyStore(store.NewMemory()), begin: time.Now(),
