Bound a lost run by the lease that was asked for; log it

What runs on a silent upstream counted for the longest lease that any upstream grants (1 s), though 0.8 s is asked for.

Ruled out: a shorter lease (a pause of the dispatcher of 0.25 s would end what runs).

Change: the bound is that of the lease asked for, with the upstream's clock 2 % slow since its last answer. A line `run lost` names the run, the upstream and why.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -159,6 +159,10 @@
 	for _, upstream := range a.Looks {
 		go n.quickLook(n.serving, upstream)
 	}
+	for _, l := range a.Lost {
+		n.log.Info("run lost", slog.String("job", l.Job), slog.Int("task", l.Index), slog.Int("attempt", l.Attempt),
+			slog.String("upstream", l.Upstream), slog.Bool("started", l.Started), slog.String("why", l.Why))
+	}
 	byOrigin := map[string]*ends{}
 	for _, notice := range a.Notices {
 		r := byOrigin[notice.Origin]
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -152,7 +152,7 @@
 	// What does not answer is not renewed, so that its runs are over in time.
 	if u.clock != 0 && u.failures == 0 && (len(u.runs) > 0 || u.wanted()) {
 		l.Until = u.clockNow(now) + lease.Milliseconds()
-		u.bound = now.Add(s.leaseBound())
+		u.bound = later(u.bound, s.leaseBound(now, u, lease))
 	}
 	return l
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -209,7 +209,7 @@
 	}
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
-	u.bound = now.Add(s.leaseBound())
+	u.bound = later(u.bound, s.leaseBound(now, u, startWindow))
 	shard.measure()
 	return Start{
 		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Born: u.born, Spec: c.job.Spec, Item: c.job.item(c.index), Until: r.until,
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -157,7 +157,7 @@
 		}
 		if over {
 			u.free(now, r)
-			a.lost = append(a.lost, lostRun{run: r.Run, upstream: u.Name, end: r.overAs()})
+			a.lost = append(a.lost, lostRun{run: r.Run, upstream: u.Name, end: r.overAs(), why: "the upstream does not list it"})
 		}
 	}
 	for task, o := range u.orphans {
@@ -211,6 +211,7 @@
 		return cmp.Or(strings.Compare(a.run.Job, b.run.Job), cmp.Compare(b.run.Index, a.run.Index))
 	})
 	for _, l := range lost {
+		a.Lost = append(a.Lost, LostRun{l.run, l.upstream, l.end == endLost, l.why})
 		s.finishRun(now, l, a)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -219,10 +219,12 @@
 	return s.upstreams[rendezvous.Hash(upstream)%upstreamShards]
 }
 
-// leaseBound is the longest time, by this clock, for which something can run on
-// an upstream after the last order that could have renewed its lease.
-func (s *Scheduler) leaseBound() time.Duration {
-	return time.Duration(float64(s.config.LeaseMax)/(1-clockError)) + leaseMargin
+// leaseBound returns when all that runs on an upstream has ended if its lease was
+// asked for a time by its clock, as far as that is known, and is not renewed.
+func (s *Scheduler) leaseBound(now time.Time, u *upstream, asked time.Duration) time.Time {
+	drift := clockError * float64(now.Sub(u.clockAt))
+	longest := (float64(min(asked, s.config.LeaseMax)) + drift) / (1 - clockError)
+	return now.Add(time.Duration(longest) + leaseMargin)
 }
 
 // Begin starts a term under a fencing token that is greater than every token
@@ -309,6 +311,13 @@
 // TickInterval is the time between two calls of Tick.
 const TickInterval = 20 * time.Millisecond
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -321,12 +330,23 @@
 	Stops   []Stop
 	Looks   []string // upstreams that want a look at once, beside the one under way
 	Notices []Notice
-	// lost are runs that ended without an end on record.
+	// Lost are runs that ended without an end on record, for the log.
+	Lost []LostRun
+	// lost are those that their jobs were not told of yet.
 	lost []lostRun
 	// forgotten are ends that nobody has asked for in time.
 	forgotten []Receipt
 }
 
+// LostRun is a run that is over although its upstream has listed no end.
+type LostRun struct {
+	Run
+	Upstream string
+	// Started tells whether it may have had an effect.
+	Started bool
+	Why     string
+}
+
 // Notice tells an origin what became of a task or of a job.
 type Notice struct {
 	Origin string
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -71,6 +71,7 @@
 	end      runEnd
 	result   []byte
 	receipt  Receipt // of an end that was listed
+	why      string  // of a run that was lost
 }
 
 // upstream is what is known of one upstream. The lock of its shard guards it.
@@ -142,7 +143,7 @@
 func (u *upstream) loseAll(now time.Time, a *Actions) {
 	for _, r := range u.runs {
 		u.free(now, r)
-		a.lost = append(a.lost, lostRun{run: r.Run, upstream: u.Name, end: endLost})
+		a.lost = append(a.lost, lostRun{run: r.Run, upstream: u.Name, end: endLost, why: "its lease has lapsed"})
 	}
 	clear(u.orphans)
 }
