--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -34,6 +34,7 @@
 	if !c.resolve(f) {
 		return subcommands.ExitUsageError
 	}
+	hup := receiveReload()
 	s, err := platform.Load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -41,7 +42,7 @@
 	}
 	log, flush := logging.New(c.settings.Logging, os.Stdout)
 	defer flush()
-	watchReload(log)
+	watchReload(hup, log)
 	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, c.settings.Logging, log) })
 }
 
@@ -92,13 +93,19 @@
 	return nil
 }
 
+// receiveReload receives the signal that the settings file has changed. It is called
+// first, since a signal without a receiver ends the process.
+func receiveReload() <-chan os.Signal {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
 // watchReload logs a changed settings file: all that it can change while a
 // process runs is the list of seeds, which serves the start only. It goes on for
 // the life of the process, since a signal without a receiver would end it, also
 // during a planned stop.
-func watchReload(log *slog.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
+func watchReload(hup <-chan os.Signal, log *slog.Logger) {
 	go func() {
 		for range hup {
 			if _, err := platform.Load(); err != nil {
--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -26,6 +26,7 @@
 type process struct {
 	name   string
 	cmd    *exec.Cmd
+	began  time.Time
 	exited chan struct{}
 	err    error // the exit error; written before exited is closed
 }
@@ -55,7 +56,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, name)
 	}
-	p := &process{name: name, cmd: cmd, exited: make(chan struct{})}
+	p := &process{name: name, cmd: cmd, began: time.Now(), exited: make(chan struct{})}
 	go func() {
 		defer close(p.exited)
 		p.err = cmd.Wait()
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -40,6 +40,9 @@
 	soakLastJobs     = 40
 	soakReadyTimeout = 15 * time.Second
 	soakGraceS       = 6
+	// soakReceives is the time after its start from which a process takes signals:
+	// before it has told the system so, they end it.
+	soakReceives = time.Second
 )
 
 // SoakOptions are the settings of a soak.
@@ -79,8 +82,9 @@
 	metrics          string // port
 	settings         string // path
 
-	mu      sync.Mutex // guards the field below; held while the process is replaced
+	mu      sync.Mutex // guards the fields below; held while the process is replaced
 	process *process
+	ending  *process // that was told to stop last; its addresses are free once it is gone
 }
 
 // soakUpstream is a stand-in and its entry.
@@ -263,10 +267,18 @@
 	return os.WriteFile(v.settings, text, 0o600)
 }
 
-// spawn starts the process of a VM. Its relays open before.
+// spawn starts the process of a VM that has none, once the last one is gone. Its
+// relays open before.
 func (s *soak) spawn(v *soakVM) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.process != nil {
+		return nil
+	}
+	if v.ending != nil {
+		<-v.ending.exited
+	}
+	s.note("start %s", v.name)
 	for _, r := range v.relays {
 		if err := r.open(); err != nil {
 			return err
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -66,13 +66,6 @@
 
 // restart starts a process on a VM that has none.
 func (s *soak) restart(v *soakVM) {
-	v.mu.Lock()
-	gone := v.process == nil
-	v.mu.Unlock()
-	if !gone {
-		return
-	}
-	s.note("start %s", v.name)
 	if err := s.spawn(v); err != nil {
 		s.judge.mu.Lock()
 		defer s.judge.mu.Unlock()
@@ -104,11 +97,17 @@
 	v.mu.Lock()
 	p := v.process
 	v.process = nil
+	if p != nil {
+		v.ending = p
+	}
 	v.mu.Unlock()
 	if p == nil {
 		return func() { s.restart(v) }
 	}
-	p.signal(syscall.SIGHUP)
+	started := time.Since(p.began) > soakReceives
+	if started {
+		p.signal(syscall.SIGHUP)
+	}
 	p.signal(syscall.SIGTERM)
 	p.wake()
 	return func() {
@@ -116,7 +115,7 @@
 		defer timer.Stop()
 		select {
 		case <-p.exited:
-			if p.err != nil {
+			if p.err != nil && started {
 				s.judge.mu.Lock()
 				s.judge.breach("%s ended after SIGTERM with %v", v.name, p.err)
 				s.judge.mu.Unlock()
