One pool of HTTP clients for both protocols with upstreams; a suite for both

Clients of upstreams that are gone were kept for ever, and the sharded map of clients stood in two packages. `internal/hosts` holds it once and forgets what was not called for two minutes. `node/nodetest` is the contract of a carrier of orders; the product's own protocol and the platform's pass it against the same stand-in. It fails on a start that is not repeated safely, a stop before a start, a late or fenced order and a lost answer.

--- /dev/null
+++ b/internal/standin/upstream_test.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/upstream"
+	"github.com/mustardstep/mustardstep/node"
+	"github.com/mustardstep/mustardstep/node/nodetest"
+	"github.com/mustardstep/mustardstep/platform"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+)
+
+// openUpstream serves a stand-in by a protocol and returns its address.
+func openUpstream(t *testing.T, handler func(context.Context, *Upstream, *fasthttp.RequestCtx)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	u := NewUpstream(api.VM{Name: nodetest.Name}, "", 1, time.Hour)
+	done := make(chan error, 1)
+	go func() {
+		done <- u.ServeBy(ctx, listener, func(c *fasthttp.RequestCtx) { handler(ctx, u, c) })
+	}()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return listener.Addr().String()
+}
+
+func TestOwnProtocol(t *testing.T) {
+	nodetest.Run(t, func(t *testing.T) (node.Upstreams, string) {
+		address := openUpstream(t, func(ctx context.Context, u *Upstream, c *fasthttp.RequestCtx) { u.handle(ctx, c) })
+		return upstream.NewClient(upstream.Config{DialTimeout: time.Second, MaxConns: 8, MaxBody: 1 << 20}), address
+	})
+}
+
+func TestPlatformProtocol(t *testing.T) {
+	nodetest.Run(t, func(t *testing.T) (node.Upstreams, string) {
+		address := openUpstream(t, func(ctx context.Context, u *Upstream, c *fasthttp.RequestCtx) {
+			platform.ServeUpstream(ctx, nodetest.Name, u, c)
+		})
+		return platform.NewUpstreams(), address
+	})
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -7,12 +7,11 @@
 	"context"
 	"encoding/json"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
-	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/internal/hosts"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/valyala/fasthttp"
 )
@@ -33,40 +32,17 @@
 	MaxBody int
 }
 
-// shardCount spreads the upstreams over locks.
-const shardCount = 16
-
 // Client carries orders and looks to upstreams. It implements node.Upstreams and
 // is safe for concurrent use.
-type Client struct {
-	config Config
-	shards [shardCount]shard
-}
-
-type shard struct {
-	mu    sync.Mutex // guards hosts
-	hosts map[string]*fasthttp.HostClient
-}
+type Client struct{ hosts *hosts.Pool }
 
 // NewClient returns a client without connections.
 func NewClient(config Config) *Client {
-	c := &Client{config: config}
-	for i := range c.shards {
-		c.shards[i].hosts = map[string]*fasthttp.HostClient{}
-	}
-	return c
-}
-
-func (c *Client) host(address string) *fasthttp.HostClient {
-	s := &c.shards[rendezvous.Hash(address)%shardCount]
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	h := s.hosts[address]
-	if h == nil {
-		h = &fasthttp.HostClient{
-			Addr: address, MaxConns: c.config.MaxConns, MaxResponseBodySize: c.config.MaxBody,
+	return &Client{hosts.NewPool(func(address string) *fasthttp.HostClient {
+		return &fasthttp.HostClient{
+			Addr: address, MaxConns: config.MaxConns, MaxResponseBodySize: config.MaxBody,
 			Dial: func(address string) (net.Conn, error) {
-				return net.DialTimeout("tcp", address, c.config.DialTimeout)
+				return net.DialTimeout("tcp", address, config.DialTimeout)
 			},
 			// What became of an order decides whether it is sent again.
 			MaxIdemponentCallAttempts: 1,
@@ -74,9 +50,7 @@
 				return false, false
 			},
 		}
-		s.hosts[address] = h
-	}
-	return h
+	})}
 }
 
 // Start implements node.Upstreams.
@@ -175,7 +149,7 @@
 	if !ok {
 		return errors.Newf("the call of %s has no deadline", path)
 	}
-	if err := c.host(address).DoDeadline(request, response, deadline); err != nil {
+	if err := c.hosts.Get(time.Now(), address).DoDeadline(request, response, deadline); err != nil {
 		return errors.Wrapf(err, "upstream at %s", address)
 	}
 	if status := response.StatusCode(); status != fasthttp.StatusOK {
