--- a/client/client.go
+++ b/client/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/valyala/fasthttp"
 )
@@ -133,25 +134,13 @@
 			return results, nil
 		}
 		h.add(failure, answered)
-		wait := max(failure.RetryAfter, c.backoff(attempt))
-		if !resubmit(failure) || time.Until(deadline) <= wait || !sleep(ctx, wait) {
+		delay := max(failure.RetryAfter, c.backoff(attempt))
+		if !resubmit(failure) || time.Until(deadline) <= delay || !wait.For(ctx, delay) {
 			return nil, h.overall(failure, answered)
 		}
 	}
 }
 
-// sleep waits, and returns false where the context ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // history is what the attempts of one call leave open.
 type history struct {
 	// doubt tells that an attempt may have run, which an answer "not run"
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -12,6 +12,7 @@
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/configstore"
 	"github.com/mustardstep/mustardstep/internal/settings"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"golang.org/x/sync/errgroup"
 )
@@ -104,7 +105,7 @@
 			c.synced.Store(true)
 			c.log.Warn("no peer and no platform answered: the services file is in force")
 		}
-		pause(ctx, startPause)
+		wait.For(ctx, startPause)
 	}
 }
 
--- a/daemon/configuration_peers.go
+++ b/daemon/configuration_peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 )
 
@@ -87,7 +88,7 @@
 // keepComparing compares with a peer once an interval.
 func (c *configurator) keepComparing(ctx context.Context) error {
 	for {
-		pause(ctx, jittered(c.settings.Configuration.Interval))
+		wait.For(ctx, jittered(c.settings.Configuration.Interval))
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/daemon/drain.go
+++ b/daemon/drain.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/membership"
 	"github.com/mustardstep/mustardstep/verdict"
 )
@@ -62,7 +63,7 @@
 	d.await(ctx, func() bool { return d.node.Leave(time.Now()) })
 	d.act(d.node.Due(time.Now()))
 	d.pool.Leave()
-	pause(ctx, d.settings.Jobs.DrainDelay)
+	wait.For(ctx, d.settings.Jobs.DrainDelay)
 	err := d.front.Shutdown(ctx)
 	finished := d.await(ctx, func() bool { return d.forwards.Load() == 0 && len(d.jobs.all()) == 0 })
 	if !finished {
@@ -94,21 +95,9 @@
 // await waits until a condition holds or the context ends.
 func (d *Daemon) await(ctx context.Context, holds func() bool) bool {
 	for !holds() {
-		if !pause(ctx, drainPoll) {
+		if !wait.For(ctx, drainPoll) {
 			return false
 		}
 	}
 	return true
 }
-
-// pause waits for a time. It returns false where the context ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/daemon/execute.go
+++ b/daemon/execute.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -86,7 +87,7 @@
 		if _, ok := d.node.StartUntil(now, e); ok {
 			return true
 		}
-		if e.Starter != d.node.View().Self.ID() || now.After(deadline) || !pause(ctx, permissionPoll) {
+		if e.Starter != d.node.View().Self.ID() || now.After(deadline) || !wait.For(ctx, permissionPoll) {
 			return false
 		}
 	}
--- a/daemon/history.go
+++ b/daemon/history.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/membership"
 	"github.com/mustardstep/mustardstep/ownership"
@@ -27,7 +28,7 @@
 		d.act(d.node.Due(time.Now()))
 		return nil
 	}
-	for !d.node.Ready() && pause(ctx, historyPoll) {
+	for !d.node.Ready() && wait.For(ctx, historyPoll) {
 		if d.node.NeedsHistory() {
 			h := d.readHistory(ctx)
 			d.log.Info("history", slog.Bool("lost", h == ownership.HistoryLost))
--- a/daemon/pool.go
+++ b/daemon/pool.go
@@ -12,6 +12,7 @@
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/internal/upstream"
 	"github.com/mustardstep/mustardstep/internal/vmlist"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/membership"
 	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/routing"
@@ -126,7 +127,7 @@
 	}
 	for ctx.Err() == nil {
 		d.readEntries(ctx)
-		pause(ctx, d.settings.Platform.ListInterval)
+		wait.For(ctx, d.settings.Platform.ListInterval)
 	}
 	return nil
 }
--- a/internal/configstore/store.go
+++ b/internal/configstore/store.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/configuration"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/store"
 	"github.com/mustardstep/mustardstep/verdict"
 )
@@ -92,7 +93,7 @@
 		case final(err):
 			return nil, 0, err
 		}
-		if pauseErr := pause(ctx); pauseErr != nil {
+		if !wait.For(ctx, retryPause) {
 			return nil, 0, unresolved(attempt, err)
 		}
 	}
@@ -163,17 +164,6 @@
 	return errors.Mark(err, errRetry)
 }
 
-func pause(ctx context.Context) error {
-	timer := time.NewTimer(retryPause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // unresolved says what is known of a change when the time is up.
 func unresolved(a *configuration.Attempt, cause error) error {
 	if a.Unresolved() {
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/platform"
 	"github.com/mustardstep/mustardstep/routing"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -145,11 +146,11 @@
 	var acts sync.WaitGroup
 	for time.Now().Before(end) && ctx.Err() == nil {
 		s.act(ctx, &acts)
-		sleepFor(ctx, s.between(80, 700))
+		wait.For(ctx, s.between(80, 700))
 	}
 	acts.Wait()
 	s.heal()
-	sleepFor(ctx, soakSettle)
+	wait.For(ctx, soakSettle)
 	endLoad()
 	load.Wait()
 	s.lastJobs(ctx)
@@ -227,7 +228,7 @@
 		} else {
 			s.store.Memory.Set(key, value)
 		}
-		sleepFor(ctx, soakBeat)
+		wait.For(ctx, soakBeat)
 	}
 	return nil
 }
@@ -314,12 +315,3 @@
 func (s *soak) between(least, most int) time.Duration {
 	return time.Duration(least+s.rng.IntN(most-least+1)) * time.Millisecond
 }
-
-func sleepFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/wait"
 )
 
 // act begins a random fault; it ends on its own goroutine, so that faults overlap.
@@ -41,9 +42,9 @@
 	}
 	for range 1 + s.rng.IntN(2) {
 		end := faults[s.rng.IntN(len(faults))]()
-		wait := s.between(200, 3500)
+		length := s.between(200, 3500)
 		acts.Go(func() {
-			sleepFor(ctx, wait)
+			wait.For(ctx, length)
 			end()
 		})
 	}
--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/platform"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
@@ -24,7 +25,7 @@
 		first := rng.IntN(len(s.vms))
 		leaves := rng.IntN(20) == 0
 		jobs.Go(func() { s.submit(id, tasks, work, first, leaves) })
-		sleepFor(ctx, time.Duration(rng.ExpFloat64()*float64(soakGap)))
+		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakGap)))
 	}
 	jobs.Wait()
 }
--- a/node/beats.go
+++ b/node/beats.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 				n.beat(ctx, &beating, fleet.Member{Address: seed})
 			}
 		}
-		if !sleep(ctx, fleet.Interval(size)) {
+		if !wait.For(ctx, fleet.Interval(size)) {
 			n.beaters.Wait()
 			return nil
 		}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
@@ -145,7 +146,7 @@
 		actions, again, after := n.scheduler.StopEnded(time.Now(), stop, result, clock)
 		n.act(actions)
 		pause = min(max(2*pause, after), maxStopPause)
-		if !again || !sleep(ctx, pause) {
+		if !again || !wait.For(ctx, pause) {
 			return
 		}
 	}
--- a/node/follow.go
+++ b/node/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/store"
 )
@@ -259,7 +260,7 @@
 			n.log.Debug("registration failed", slog.Any("error", err))
 			pause = storeRetry
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 	if lease != 0 && ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/routing"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -258,7 +259,7 @@
 	ctx, cancel := context.WithTimeout(n.serving, n.config.StopTime)
 	defer cancel()
 	n.Leave()
-	if !sleep(ctx, n.config.DrainTime) {
+	if !wait.For(ctx, n.config.DrainTime) {
 		return
 	}
 	if err := front.Shutdown(ctx); err != nil {
@@ -277,7 +278,7 @@
 // HandOver waits until another VM dispatches, if one is heard.
 func (n *Node) HandOver(ctx context.Context) {
 	for n.scheduler.Dispatching() && len(n.view.Load().Heard) > 0 {
-		if !sleep(ctx, handOverPoll) {
+		if !wait.For(ctx, handOverPoll) {
 			return
 		}
 	}
@@ -313,15 +314,3 @@
 	default:
 	}
 }
-
-// sleep waits, and returns false where the context ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/registry.go
+++ b/node/registry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
@@ -270,11 +271,11 @@
 			return nil
 		case address = <-n.pull:
 		}
-		if !sleep(ctx, pullDelay) {
+		if !wait.For(ctx, pullDelay) {
 			return nil
 		}
 		n.pullState(ctx, address)
-		if !sleep(ctx, pullPause) {
+		if !wait.For(ctx, pullPause) {
 			return nil
 		}
 	}
--- a/store/limited.go
+++ b/store/limited.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/wait"
 )
 
 // Limited is a Store that keeps its calls within a budget. It is safe for
@@ -101,16 +102,10 @@
 	return errors.As(err, &conflict) || errors.Is(err, ErrTooLarge) || errors.Is(err, ErrNoLease) || errors.Is(err, ErrCompacted)
 }
 
+// sleep waits for a time; at the context's end the call is not made.
 func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !wait.For(ctx, d) {
 		return errors.Mark(ctx.Err(), ErrRefused)
 	}
+	return nil
 }
