--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -209,6 +209,7 @@
 	g.Go(func() error {
 		return u.ServeBy(ctx, listener, func(c *fasthttp.RequestCtx) { platform.ServeUpstream(ctx, u.entry.Name, u.Upstream, c) })
 	})
+	g.Go(func() error { return u.KeepTime(ctx) })
 	g.Go(func() error { return s.beat(ctx, u) })
 	return nil
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -231,6 +231,30 @@
 	return serve(ctx, listener, handler)
 }
 
+// KeepTime ends runs when their work or their lease is over, also while nobody asks,
+// until the context ends.
+func (u *Upstream) KeepTime(ctx context.Context) error {
+	for ctx.Err() == nil {
+		u.mu.Lock()
+		now := time.Now()
+		u.model.Advance(now)
+		next, running := u.model.NextEnd(now)
+		changed := u.changed
+		u.mu.Unlock()
+		if !running {
+			next = now.Add(time.Hour) // an order comes first
+		}
+		timer := time.NewTimer(max(next.Sub(now), time.Millisecond))
+		select {
+		case <-timer.C:
+		case <-changed:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+	return nil
+}
+
 // Crash ends every run without a trace, as the end of the process does; a new one
 // runs at once.
 func (u *Upstream) Crash() {
--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -11,6 +11,7 @@
 	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/node/nodetest"
 	"github.com/mustardstep/mustardstep/platform"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
@@ -47,3 +48,18 @@
 		return platform.NewUpstreams(), address
 	})
 }
+
+// TestLeaseLapsesWhileNobodyAsks lets a lease lapse without another call.
+func TestLeaseLapsesWhileNobodyAsks(t *testing.T) {
+	u := NewUpstream(api.VM{Name: nodetest.Name}, "", 1, time.Hour)
+	lapsed := make(chan scheduler.EndKind, 1)
+	u.Ended = func(_ scheduler.Run, how scheduler.EndKind) { lapsed <- how }
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = u.KeepTime(ctx) }()
+	start := scheduler.Start{Upstream: scheduler.Upstream{Name: nodetest.Name}, Token: 1, Run: scheduler.Run{Attempt: 1}, Spec: "{}", Until: 100}
+	result, _, err := u.Start(ctx, start)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.OrderDone, result)
+	require.Equal(t, scheduler.EndLapsed, <-lapsed)
+}
