--- a/internal/replay/soak_judge.go
+++ b/internal/replay/soak_judge.go
@@ -16,10 +16,15 @@
 	running  map[scheduler.Task]string // upstream, of the runs that go on
 	done     map[scheduler.Task]bool
 	starts   int
-	broken   []string
+	broken   []string       // the first soakBreaches of them
+	breaches int
 	answered map[string]int // jobs by their end
 }
 
+// soakBreaches is how many broken promises a report tells in words: enough to find the
+// first cause; those that follow from it are only counted.
+const soakBreaches = 20
+
 // soakJob is what is known of a job that a caller has handed in.
 type soakJob struct {
 	tasks    int
@@ -37,7 +42,10 @@
 
 // breach notes a broken promise. The caller holds mu.
 func (j *soakJudge) breach(format string, args ...any) {
-	j.broken = append(j.broken, fmt.Sprintf(format, args...))
+	j.breaches++
+	if len(j.broken) < soakBreaches {
+		j.broken = append(j.broken, fmt.Sprintf(format, args...))
+	}
 }
 
 // attempt notes that a job is about to be sent.
@@ -128,9 +136,14 @@
 	}
 }
 
-// report returns the counts and the broken promises.
+// report returns the counts and the broken promises; the last line counts those that
+// are not told.
 func (j *soakJudge) report() (jobs, starts int, answered map[string]int, broken []string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	return len(j.jobs), j.starts, j.answered, j.broken
+	broken = j.broken
+	if more := j.breaches - len(broken); more > 0 {
+		broken = append(broken[:len(broken):len(broken)], fmt.Sprintf("%d more", more))
+	}
+	return len(j.jobs), j.starts, j.answered, broken
 }
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -546,8 +546,6 @@
 	Speeds []string
 	// TaskTime: run time of a task at speed 1 where the task names none.
 	TaskTime time.Duration
-	// ListLag: age of the VM list that the platform stand-in shows.
-	ListLag time.Duration
 }
 
 // Bind declares the settings on the binder.
@@ -576,9 +574,6 @@
 	bind(b, &s.TaskTime, definition[time.Duration]{
 		flag: "task-time", env: "MUSTARDSTEP_TASK_TIME", help: "run time of a task at speed 1 where the task names none", unit: "", fallback: "50ms", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(60000000000)),
 	})
-	bind(b, &s.ListLag, definition[time.Duration]{
-		flag: "list-lag", env: "MUSTARDSTEP_LIST_LAG", help: "age of the VM list that the platform stand-in shows", unit: "", fallback: "0s", min: bound[time.Duration](time.Duration(0)), max: bound[time.Duration](time.Duration(600000000000)),
-	})
 }
 
 // Trace holds the settings of the trace that a suite replays.
