--- a/internal/replay/soak_judge.go
+++ b/internal/replay/soak_judge.go
@@ -16,7 +16,7 @@
 	running  map[scheduler.Task]string // upstream, of the runs that go on
 	done     map[scheduler.Task]bool
 	starts   int
-	broken   []string       // the first soakBreaches of them
+	broken   []string // the first soakBreaches of them
 	breaches int
 	answered map[string]int // jobs by their end
 }
