Choose an upstream from what the shards publish, under few locks

Cause: a decision compared 64 upstreams under the locks of 46 shards of 350, and each start and refused start measured its whole shard, 78 upstreams of 20,000. Change: each shard publishes the most room and the least cost on it; shards with nothing better are passed over without their lock; a start or refusal corrects the outline in place of measuring it. 32 upstreams are compared. Among equals of several shards the first met is taken.

--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -164,12 +164,14 @@
 		if len(addresses) == n {
 			return addresses, nil
 		}
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(ports.next))
+		port := strconv.Itoa(ports.next)
+		address := net.JoinHostPort("127.0.0.1", port)
 		ports.next++
 		if ports.next > lastPort {
 			ports.next = firstPort
 		}
-		listener, err := net.Listen("tcp", address)
+		// On all addresses: the soak's VMs, of other processes too, have one each.
+		listener, err := net.Listen("tcp4", net.JoinHostPort("0.0.0.0", port))
 		if err != nil {
 			continue
 		}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -105,7 +105,7 @@
 	default:
 		u.free(now, r)
 	}
-	shard.measure()
+	shard.widen(u)
 	shard.mu.Unlock()
 	s.finishRun(now, lostRun{run: start.Run, upstream: start.Upstream.Name, end: end}, &a)
 	return a
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -139,31 +139,32 @@
 	return Start{}, false
 }
 
-// maxScanned is the number of upstreams that are compared for a task. The best
-// of that many is about as good as the best of all, at a cost that does not grow
-// with the fleet.
-const maxScanned = 64
+// maxScanned is the number of upstreams with room that are compared for a task: the
+// best of 32 is among the best 3 % of all, at a cost that does not grow with the
+// fleet.
+const maxScanned = 32
 
-// choose returns the upstream with the least cost for a task.
+// choose returns the upstream with the least cost for a task. Shards that publish
+// nothing cheaper than what was found are passed over without their lock; among
+// equals of several shards the first that is met is taken, so that the load moves on
+// with each decision.
 func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
 	best := noScore
 	scanned := 0
 	from := int(s.turn.Add(1))
 	for i := range upstreamShards {
-		shard := s.upstreams[(from+i)%upstreamShards]
-		if int(shard.room.Load()) < c.job.Size.MilliCPU {
+		at := (from + i) % upstreamShards
+		if s.outlines[at].hopeless(c.job.Size.MilliCPU, best) {
 			continue
 		}
+		shard := s.upstreams[at]
 		shard.mu.Lock()
 		for _, u := range shard.all {
 			if u.Service != c.job.Service || !c.job.Size.Within(u.room()) {
 				continue
 			}
-			cost := u.cost(c)
-			if cost > best || cost == best && u.Name >= name {
-				scanned++
-			} else if suits(now, u, c) {
-				scanned++
+			scanned++
+			if cost := u.cost(); cost < best && suits(now, u, c) {
 				best, name = cost, u.Name
 			}
 			if scanned >= maxScanned {
@@ -184,10 +185,10 @@
 		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
 
-// cost orders the upstreams for a task: the expected run time, in seconds. Each
-// failure in a row counts like half the speed.
-func (u *upstream) cost(c candidate) float64 {
-	return c.expected * u.model.factor() * float64(uint(1)<<min(u.health.Penalty(), maxPenalty))
+// cost orders the upstreams for a task: the expected run time of a task that takes one
+// second at speed 1. Each failure in a row counts like half the speed.
+func (u *upstream) cost() float64 {
+	return u.model.factor() * float64(uint(1)<<min(u.health.Penalty(), maxPenalty))
 }
 
 // maxPenalty bounds the doublings for failures in a row.
@@ -207,10 +208,11 @@
 		until: u.clockNow(now) + startWindow.Milliseconds(), expected: c.expected, estimate: c.job.Estimate, model: c.model,
 		once: c.job.Once,
 	}
+	before := u.room().MilliCPU
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
 	u.bound = later(u.bound, s.leaseBound(now, u, startWindow))
-	shard.measure()
+	shard.shrunk(before)
 	return Start{
 		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, Born: u.born, Spec: c.job.Spec, Item: c.job.item(c.index), Until: r.until,
 		Waited:   now.Sub(c.job.Sent),
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -181,7 +181,8 @@
 	config    Config
 	queues    [shardCount]*queueShard
 	upstreams [upstreamShards]*upstreamShard
-	turn      atomic.Uint32 // the shard of upstreams at which the next decision begins
+	outlines  [upstreamShards]outline // of the shards of upstreams
+	turn      atomic.Uint32           // the shard of upstreams at which the next decision begins
 	models    models
 
 	token   atomic.Int64 // fencing token of the term; 0 while not dispatching
@@ -206,7 +207,7 @@
 		s.queues[i] = newQueueShard()
 	}
 	for i := range upstreamShards {
-		s.upstreams[i] = &upstreamShard{known: map[string]*upstream{}}
+		s.upstreams[i] = &upstreamShard{outline: &s.outlines[i], known: map[string]*upstream{}}
 	}
 	return s
 }
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -157,11 +158,21 @@
 	return u.newest
 }
 
+// outline is what a shard publishes of its upstreams, as of the last change or tick.
+type outline struct {
+	room  atomic.Int64  // the most that is free on one of them, in thousandths of a core
+	least atomic.Uint64 // bits of the least cost
+}
+
+// hopeless tells whether no upstream of the shard has the room, in thousandths of a
+// core, at less than a cost.
+func (o *outline) hopeless(room int, cost float64) bool {
+	return int(o.room.Load()) < room || math.Float64frombits(o.least.Load()) >= cost
+}
+
 // upstreamShard holds the upstreams whose names hash to it.
 type upstreamShard struct {
-	// room is the most that is free on one of the upstreams, in thousandths of a
-	// core, as of the last change or tick.
-	room atomic.Int64
+	outline *outline
 
 	mu    sync.Mutex // guards the fields below
 	known map[string]*upstream
@@ -185,15 +196,45 @@
 
 func byName(a, b *upstream) int { return strings.Compare(a.Name, b.Name) }
 
-// measure publishes the room of the shard. The caller holds mu.
+// measure publishes the outline of the shard. The caller holds mu.
 func (s *upstreamShard) measure() {
+	most, least := 0, noScore
+	for _, u := range s.all {
+		if u.listed && u.claimed {
+			most = max(most, u.room().MilliCPU)
+			least = min(least, u.cost())
+		}
+	}
+	s.outline.room.Store(int64(most))
+	s.outline.least.Store(math.Float64bits(least))
+}
+
+// shrunk publishes the room of the shard after that of one upstream, before in
+// thousandths of a core, has become less. The caller holds mu.
+func (s *upstreamShard) shrunk(before int) {
+	published := int(s.outline.room.Load())
+	if before < published {
+		return
+	}
 	most := 0
 	for _, u := range s.all {
 		if u.listed && u.claimed {
 			most = max(most, u.room().MilliCPU)
+			if most >= published {
+				break
+			}
 		}
 	}
-	s.room.Store(int64(most))
+	s.outline.room.Store(int64(most))
+}
+
+// widen publishes that an upstream may have more room or a lower cost than the
+// outline says; the next tick narrows it. The caller holds mu.
+func (s *upstreamShard) widen(u *upstream) {
+	if u.listed && u.claimed {
+		s.outline.room.Store(max(s.outline.room.Load(), int64(u.room().MilliCPU)))
+		s.outline.least.Store(math.Float64bits(min(math.Float64frombits(s.outline.least.Load()), u.cost())))
+	}
 }
 
 // begin forgets what an earlier term knew of runs; the listed upstreams are to
