--- a/node/term.go
+++ b/node/term.go
@@ -256,7 +256,7 @@
 // restartTerm begins a new term after a pause of this process: orders that it
 // was about to send belong to the past.
 func (n *Node) restartTerm(now time.Time, pause time.Duration) {
-	n.log.Warn("paused", slog.Duration("for", pause), slog.Bool("dispatching", n.term.current() != 0))
+	n.log.Warn("paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", n.term.current() != 0))
 	if n.term.current() == 0 {
 		return
 	}
