Go on in the next term with jobs that nothing started of; let first tokens lead

Each new term took the waiting jobs as resumed, and held them for up to 3.4 s, since tasks of them might run; 91 ended by their deadlines, and 231 requests were answered with 504. None of them had started anywhere. Change: a scheduler remembers the jobs of which nothing had started when its term ended, and takes them as new where their origin offered them to nobody else since: an offer names the term of the last one. Where no member knows a token, the first one leads the clock by 16 s.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -67,8 +67,10 @@
 	// The dispatcher that has the job: its VM and term; term 0 stands for none.
 	vm      string
 	term    uint64
-	offered bool   // some dispatcher may have started tasks
-	last    string // the VM that it was offered to last
+	offered bool // some dispatcher may have started tasks
+	// The VM and term that it was offered to last, where that may have had an effect.
+	last     string
+	lastTerm uint64
 }
 
 // Done is closed once the job has its answer.
@@ -119,10 +121,11 @@
 type Offer[S any] struct {
 	Job   *Job[S]
 	Tasks []int
-	// Resumed tells that another dispatcher may have started tasks, Previous the VM
-	// of the last one.
+	// Resumed tells that another dispatcher may have started tasks, Previous and
+	// Before the VM and term of the last one.
 	Resumed  bool
 	Previous string
+	Before   uint64
 }
 
 // Assign hands a job to a dispatcher, unless it has ended or that one has it.
@@ -133,8 +136,8 @@
 	if j.ended || j.term == term && j.vm == vm {
 		return Offer[S]{}, false
 	}
-	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.open), Resumed: j.offered, Previous: j.last}
-	j.vm, j.term, j.offered, j.last = vm, term, true, vm
+	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.open), Resumed: j.offered, Previous: j.last, Before: j.lastTerm}
+	j.vm, j.term, j.offered, j.last, j.lastTerm = vm, term, true, vm, term
 	return offer, true
 }
 
@@ -148,8 +151,8 @@
 		return
 	}
 	o.Job.vm, o.Job.term = "", 0
-	if refused && !o.Resumed {
-		o.Job.offered = false
+	if refused {
+		o.Job.offered, o.Job.last, o.Job.lastTerm = o.Resumed, o.Previous, o.Before
 	}
 }
 
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -498,9 +498,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 21
+	// map header, size 22
 	// string "j"
-	o = append(o, 0xde, 0x0, 0x15, 0xa1, 0x6a)
+	o = append(o, 0xde, 0x0, 0x16, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -568,6 +568,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.Resumed)
+	// string "bt"
+	o = append(o, 0xa2, 0x62, 0x74)
+	o = msgp.AppendUint64(o, z.Before)
 	return
 }
 
@@ -741,6 +744,12 @@
 				err = msgp.WrapError(err, "Resumed")
 				return
 			}
+		case "bt":
+			z.Before, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Before")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -759,7 +768,7 @@
 	for za0002 := range z.Items {
 		s += msgp.BytesPrefixSize + len(z.Items[za0002])
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize
+	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Uint64Size
 	return
 }
 
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -119,6 +119,9 @@
 	// Resumed tells that an earlier dispatcher may have started tasks of the
 	// job.
 	Resumed bool `msg:"r"`
+	// Before is the term in which the job was offered last; 0 where it is
+	// offered for the first time.
+	Before uint64 `msg:"bt"`
 }
 
 // Kind returns the frame kind of the message.
--- a/node/front.go
+++ b/node/front.go
@@ -163,7 +163,7 @@
 		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
 		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Add(-dropLead).Sub(now).Microseconds(),
 		Stretch: job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
-		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed,
+		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed, Before: o.Before,
 	}
 }
 
--- a/node/term.go
+++ b/node/term.go
@@ -46,6 +46,10 @@
 	// tokenEpoch keeps tokens within 53 bits, which every JSON reader keeps
 	// exact.
 	tokenEpoch = 1_735_689_600 // 2025-01-01, in s since 1970
+	// tokenLead is added where no member knows a token, in s: all have lost their
+	// memory, and upstreams may hold one that is ahead of the clock by a second for
+	// each term of a series. No series on the platform's days has begun 16 terms.
+	tokenLead = 16
 	// dropBits leave room in a term for the number of times that an origin was
 	// dropped.
 	dropBits = 16
@@ -186,6 +190,9 @@
 	t := &n.term
 	t.mu.Lock()
 	counter := max(n.fleet.Token()>>tokenHashBits, time.Now().Unix()-tokenEpoch) + 1 + t.bump
+	if n.fleet.Token() == 0 {
+		counter += tokenLead
+	}
 	hash := int64(rendezvous.HashPair(n.config.VM, n.fleet.Self().Address) & (1<<tokenHashBits - 1))
 	token := n.fleet.Raise(counter<<tokenHashBits | hash)
 	t.token, t.began, t.fenced, t.claims = token, now, time.Time{}, claimKey(v)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -50,6 +50,12 @@
 	tierWorthless
 )
 
+// untouched tells that no task of the job has started anywhere, and that no order is
+// under way that would start one.
+func (j *job) untouched() bool {
+	return !j.Resumed && j.starts == 0 && len(j.waiting) == j.left
+}
+
 // aim returns the time within which an answer is in time.
 func (j *job) aim() time.Duration {
 	return time.Duration(j.Stretch*j.expected*float64(time.Second)) + j.Slack
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -61,6 +61,7 @@
 	ended   bool
 	at      *modelDispatcher // that has it
 	offered bool
+	before  int64 // token of the last offer
 }
 
 // modelDispatcher is a scheduler with its looks.
@@ -224,9 +225,9 @@
 	}
 	token := d.token
 	offered := j.job
-	offered.Resumed = j.offered
+	offered.Resumed, offered.Before = j.offered, j.before
 	offered.Tasks = slices.Clone(j.open)
-	j.at, j.offered = d, true
+	j.at, j.offered, j.before = d, true, token
 	m.after(m.delay(), func() {
 		if j.ended || d.token != token || m.current != d {
 			return
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -31,7 +31,11 @@
 	// spent holds the deadlines of jobs that must run once only and were dropped
 	// after a task may have started: they are not taken again.
 	spent map[string]time.Time
-	epoch time.Time
+	// untouched holds the jobs of which nothing had started when the term under the
+	// token ended.
+	untouched map[string]struct{}
+	token     int64
+	epoch     time.Time
 }
 
 // pastEnd is an end that no job has taken.
@@ -41,8 +45,8 @@
 }
 
 func newQueueShard() *queueShard {
-	q := &queueShard{unserved: map[string]time.Time{}, spent: map[string]time.Time{}}
-	q.reset()
+	q := &queueShard{unserved: map[string]time.Time{}, spent: map[string]time.Time{}, untouched: map[string]struct{}{}}
+	q.reset(0)
 	return q
 }
 
@@ -71,13 +75,20 @@
 	q.publish()
 }
 
-// reset forgets every job and returns the number of tasks that waited.
-func (q *queueShard) reset() int {
+// reset forgets every job at the end of the term under a token, 0 where none was on,
+// and returns the number of tasks that waited.
+func (q *queueShard) reset(token int64) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if token != 0 {
+		q.untouched, q.token = map[string]struct{}{}, token
+	}
 	n := 0
-	for _, j := range q.jobs {
+	for id, j := range q.jobs {
 		n += len(j.waiting)
+		if j.untouched() {
+			q.untouched[id] = struct{}{}
+		}
 	}
 	q.jobs, q.heap, q.past, q.fading = map[string]*job{}, nil, map[Receipt]pastEnd{}, map[Task]int{}
 	q.publish()
@@ -237,6 +248,9 @@
 	if q.epoch.IsZero() {
 		q.epoch = now
 	}
+	if _, untouched := q.untouched[offered.ID]; untouched && offered.Before == q.token {
+		offered.Resumed = false
+	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
 		attempts: map[int]int{}, failures: map[int]int{}, results: map[int][]byte{}, index: -1,
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,8 +85,10 @@
 	Slack   time.Duration
 	// MaxAttempts is the number of failed runs after which a task has failed.
 	MaxAttempts int
-	// Resumed tells that an earlier dispatcher may have started tasks.
+	// Resumed tells that an earlier dispatcher may have started tasks, Before the
+	// token of the last term in which the job was offered; 0 is unknown.
 	Resumed bool
+	Before  int64
 	// Once tells that a task that may have started never starts again: the job is
 	// given up instead.
 	Once bool
@@ -232,7 +234,9 @@
 // that is known. All jobs of an earlier term are forgotten: their origins offer
 // them anew.
 //
-// A resumed job starts nothing before every upstream has answered a look that
+// A job of which nothing had started when the last term of this scheduler ended, and
+// that was offered to no other one since, is as one that is offered for the first
+// time. Any other resumed job starts nothing before every upstream has answered a look that
 // was sent after the job was offered, or resumeTime has passed: what an earlier
 // dispatcher started may still run. By then nothing runs any more that a
 // dispatcher started for an origin that it no longer hears. A job that must run
@@ -249,9 +253,9 @@
 
 // End stops dispatching. What runs goes on under its lease.
 func (s *Scheduler) End() {
-	s.token.Store(0)
+	token := s.token.Swap(0)
 	for _, q := range s.queues {
-		s.waiting.Add(int64(-q.reset()))
+		s.waiting.Add(int64(-q.reset(token)))
 	}
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -158,6 +158,36 @@
 	require.Len(t, b.place(), 1)
 }
 
+// A job of which nothing had started in the last term waits for no upstream, unless
+// it was offered to another dispatcher since.
+func TestUntouchedJobGoesOnInTheNextTerm(t *testing.T) {
+	for name, c := range map[string]struct {
+		started bool
+		before  int64
+		placed  int
+	}{
+		"nothing started":                   {false, 100, 1},
+		"offered to another one since":      {false, 101, 0},
+		"started, and what runs is unknown": {true, 100, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, "u1")
+			b.offer(b.job("a", 0))
+			if c.started {
+				require.Len(t, b.scheduler.Place(b.now), 1)
+			}
+			b.scheduler.Begin(b.now, 200, resumeTime)
+			silent := scheduler.Upstream{Name: "u2", Service: "s", Size: scheduler.Size{MilliCPU: 16000}}
+			b.scheduler.SetUpstreams(b.now, []scheduler.Upstream{b.upstreams["u1"].Info, silent}, false)
+			j := b.job("a", 0)
+			j.Resumed, j.Before = true, c.before
+			b.offer(j)
+			b.lookAll()
+			require.Len(t, b.place(), c.placed)
+		})
+	}
+}
+
 // A run that an earlier dispatcher started is adopted by the job that its origin
 // offers again.
 func TestRunOfAnEarlierDispatcherIsAdopted(t *testing.T) {
