Watch idle upstreams while other dispatchers may be present; a new process's first answer counts

Traced by the logs of vm4 and vm5: each dispatched and did not hear the other; vm5 had claimed u10 at 45.15 s, vm4 at 45.08 s; u10's process was replaced at 45.21 s. An idle upstream was not looked at, so neither knew. The new process knew no token, and the protocol's start names no process: it took two tasks of vm4 at 45.24 s and two of vm5, which believed it empty, at 45.27 s. Found beside it by reading: where an old process had answered a look that was sent later than the one that its successor answered, the successor's runs were passed over as old news (TestNewProcessAnswersAnOlderLook). Change: where VMs that were not heard may dispatch, a look waits at idle upstreams too; it breaks off with the process, and the claim is renewed before the other dispatcher can use the new process unseen. The stand-in's waiting looks break off so as well; they went on into the new process. What both start within one round trip stays possible. Failing first: TestIdleUpstreamIsWatchedWhileRivalsArePresent, TestNewProcessAnswersAnOlderLook.

--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -157,9 +157,16 @@
 		return scheduler.LookOtherProcess, scheduler.Report{}, nil
 	}
 	end := time.Now().Add(look.Wait)
+	process := int64(0)
 	for {
 		u.mu.Lock()
 		now := time.Now()
+		if born := u.model.Born(); process != 0 && process != born {
+			u.mu.Unlock()
+			return scheduler.LookUnanswered, scheduler.Report{}, errors.New("the process has ended")
+		} else {
+			process = born
+		}
 		result, report := u.model.Look(now, look)
 		next, running := u.model.NextEnd(now)
 		changed := u.changed
--- a/node/term.go
+++ b/node/term.go
@@ -130,7 +130,11 @@
 	if len(v.Unheard) > 0 {
 		n.term.rivals = now
 	}
+	before := n.scheduler.Rivals()
 	n.scheduler.SetRivals(now.Sub(n.term.rivals) < rivalMemory)
+	if !before && n.scheduler.Rivals() {
+		n.agents.wakeAll() // idle upstreams are watched too
+	}
 	token := n.term.current()
 	self := n.fleet.Self()
 	switch {
--- a/scheduler/look.go
+++ b/scheduler/look.go
@@ -121,6 +121,9 @@
 	case u.listed && u.newest.Sub(s.start) <= time.Duration(s.sweep.Load()):
 		wait = 0
 	case len(u.runs)+len(u.orphans) > 0:
+	case u.listed && s.Rivals():
+		// A new process knows no token: another dispatcher may start what it likes
+		// there. A look that waits breaks off with the old process.
 	case u.settled() > u.acked:
 		if pause := u.idle.Add(idleLook).Sub(now); pause > 0 {
 			return Look{}, false, pause, false
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -70,9 +70,11 @@
 
 // reborn notes that a new process runs at the upstream. Orders without an answer
 // may still reach it, and its clock does not tell when they are too late; what
-// ran in the old process is absent from the answer at hand.
+// ran in the old process is absent from the answer at hand, which tells what runs even
+// where the old process has answered a look that was sent later.
 func (u *upstream) reborn() {
 	u.model, u.seen, u.acked, u.clock = speedModel{}, 0, 0, 0
+	u.newest = time.Time{}
 	clear(u.orphans)
 	clear(u.undelivered)
 	for _, r := range u.runs {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -188,6 +188,38 @@
 	}
 }
 
+// Where others may dispatch, a look waits at every upstream: one whose process is
+// replaced is claimed anew before they can use it unseen.
+func TestIdleUpstreamIsWatchedWhileRivalsArePresent(t *testing.T) {
+	b := newBench(t, "u1")
+	b.pass(time.Second)
+	_, due, _, _ := b.scheduler.NextLook(b.now, "u1")
+	require.False(t, due)
+	b.scheduler.SetRivals(true)
+	look, due, _, _ := b.scheduler.NextLook(b.now, "u1")
+	require.True(t, due)
+	require.Positive(t, look.Wait)
+}
+
+// What runs in a new process is known from its first answer, also where the old one has
+// answered a look that was sent later.
+func TestNewProcessAnswersAnOlderLook(t *testing.T) {
+	b := newBench(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	older, due, _, _ := b.scheduler.NextLook(b.now, "u1")
+	require.True(t, due)
+	b.now = b.now.Add(time.Millisecond)
+	newer, due := b.scheduler.QuickLook(b.now, "u1")
+	require.True(t, due)
+	result, report := b.upstreams["u1"].Look(b.now, newer)
+	b.act(b.scheduler.Looked(b.now, newer, result, report))
+	report = scheduler.Report{Clock: 1000, Born: report.Born + 1000, Running: []scheduler.Running{{Run: scheduler.Run{Task: scheduler.Task{Job: "other"}, Attempt: 1}}}}
+	b.act(b.scheduler.Looked(b.now, older, scheduler.LookAnswered, report))
+	b.offer(b.job("b", 0))
+	require.Empty(t, b.scheduler.Place(b.now), "what runs there takes an unknown size")
+}
+
 // A run that an earlier dispatcher started is adopted by the job that its origin
 // offers again.
 func TestRunOfAnEarlierDispatcherIsAdopted(t *testing.T) {
