--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -214,7 +214,7 @@
 	return nil
 }
 
-// beat writes the entry of an upstream again and again, as runners do.
+// beat writes the entry of an upstream again and again, as upstreams do.
 func (s *soak) beat(ctx context.Context, u *soakUpstream) error {
 	for beat := 1; ctx.Err() == nil; beat++ {
 		u.mu.Lock()
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -21,7 +21,7 @@
 		func() func() { return s.planned(v) },
 		func() func() { return s.cutOff(v) },
 		func() func() { return s.cutOneWay(v) },
-		func() func() { return s.cutZone() },
+		func() func() { return s.cutDataCentre() },
 		func() func() { return s.disturb(v, "reset", (*link).reset) },
 		func() func() { return s.disturb(v, "silence", (*link).silence) },
 		func() func() { return s.slowDown(v) },
@@ -158,7 +158,7 @@
 	}
 }
 
-func (s *soak) cutZone() func() {
+func (s *soak) cutDataCentre() func() {
 	s.note("cut the data centres")
 	each := func(do func(*link)) {
 		for _, a := range s.vms {
