Take claimed upstreams back ever more seldom while a rival may be present

A member between them knew the greater token of either, which was read as "the rival's term has ended". Steps between tokens doubled without a bound, to hours ahead of the clock. Ruled out: waiting the full 4 s whenever a VM is not heard; a healed cut with one VM gone would then wait for nothing. Change: while a VM is not heard, the wait doubles with each taking up to 4 s; the step between tokens is bounded with it. Without such a VM nothing changes.

--- a/node/term.go
+++ b/node/term.go
@@ -34,6 +34,9 @@
 	// than the own one, while none but this node dispatches: the rival's term has
 	// ended, and nothing but a beat is waited for.
 	fencedKnown = 100 * time.Millisecond
+	// maxTries bounds the doublings of the wait and of the step between tokens: from
+	// fencedKnown, six reach fencedRetry.
+	maxTries = 6
 	// dropMargin covers the difference between two VMs in what they know of the
 	// fleet's size, a tick, and the stop of what ran.
 	dropMargin = 200 * time.Millisecond
@@ -61,7 +64,7 @@
 	token  int64      // 0 while not dispatching
 	began  time.Time
 	fenced time.Time // when an upstream was first found claimed by another
-	bump   int64     // doubles while tokens are found too low
+	tries  int       // times in a row that upstreams were claimed anew
 	claims string    // the members that the claims of the term depend on
 
 	rivals time.Time // when a present member was not heard last; belongs to decideTerm
@@ -193,7 +196,7 @@
 func (n *Node) beginTerm(now time.Time, v *fleet.View, why string) {
 	t := &n.term
 	t.mu.Lock()
-	counter := max(n.fleet.Token()>>tokenHashBits, time.Now().Unix()-tokenEpoch) + 1 + t.bump
+	counter := max(n.fleet.Token()>>tokenHashBits, time.Now().Unix()-tokenEpoch) + 1<<t.tries
 	if n.fleet.Token() == 0 {
 		counter += tokenLead
 	}
@@ -238,21 +241,14 @@
 	case fenced == 0:
 		t.fenced = time.Time{}
 		if now.Sub(t.began) > fencedRetry {
-			t.bump = 0
+			t.tries = 0
 		}
 	case t.fenced.IsZero():
 		t.fenced = now
 	default:
-		wait := fencedRetry
-		switch {
-		case n.fleet.Token() > t.token:
-			wait = fencedKnown
-		case len(v.Unheard) == 0:
-			wait = fencedAlone
-		}
-		retry = now.Sub(t.fenced) > wait
+		retry = now.Sub(t.fenced) > claimWait(n.fleet.Token() > t.token, len(v.Unheard) > 0, t.tries)
 		if retry {
-			t.bump = 2*t.bump + 1
+			t.tries = min(t.tries+1, maxTries)
 		}
 	}
 	t.mu.Unlock()
@@ -264,6 +260,24 @@
 	}
 }
 
+// claimWait returns the time after which upstreams that another dispatcher has claimed
+// are claimed anew: known tells that a member that is heard knows a greater token than
+// the own one, rivals that members are not heard, one of which may dispatch. Two that
+// dispatch side by side take upstreams from each other ever more seldom.
+func claimWait(known, rivals bool, tries int) time.Duration {
+	wait := fencedRetry
+	switch {
+	case known:
+		wait = fencedKnown
+	case !rivals:
+		wait = fencedAlone
+	}
+	if rivals {
+		wait = min(wait<<tries, fencedRetry)
+	}
+	return wait
+}
+
 // restartTerm begins a new term after a pause of this process: orders that it
 // was about to send belong to the past.
 func (n *Node) restartTerm(now time.Time, pause time.Duration) {
