After a second reading: one agenda, agents in shards, times and errors named

- The agents of upstreams lay under one lock; they lie in 16 shards.
- An error of the clock that notices pauses was replaced by the time of day, silently: it ends the process now, since an unnoticed suspension could start a task twice.

--- a/internal/replay/decide.go
+++ b/internal/replay/decide.go
@@ -2,13 +2,13 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/daemon"
+	"github.com/mustardstep/mustardstep/internal/agenda"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -61,8 +61,7 @@
 	looking   map[string]bool
 	jobs      map[string]*drivenJob
 	now       time.Time
-	events    eventHeap
-	order     int // of the next event
+	agenda    agenda.Agenda
 	left      int // jobs that have not ended
 	starts    int64
 	looks     int64
@@ -77,33 +76,8 @@
 	ended   bool
 }
 
-// event is something that happens at a virtual time.
-type event struct {
-	at    time.Time
-	order int
-	run   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-func (h eventHeap) Less(i, j int) bool {
-	if !h[i].at.Equal(h[j].at) {
-		return h[i].at.Before(h[j].at)
-	}
-	return h[i].order < h[j].order
-}
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
-func (h *eventHeap) Pop() any {
-	last := (*h)[len(*h)-1]
-	*h = (*h)[:len(*h)-1]
-	return last
-}
-
 func (d *driver) after(wait time.Duration, run func()) {
-	d.order++
-	heap.Push(&d.events, event{d.now.Add(max(wait, 0)), d.order, run})
+	d.agenda.Add(d.now.Add(max(wait, 0)), run)
 }
 
 func newDriver(layout *Layout, services *catalog.Catalog) *driver {
@@ -147,10 +121,13 @@
 		d.after(time.Duration(jobs[i].ArrivalUS)*time.Microsecond, func() { d.arrive(&jobs[i], &outcomes[i]) })
 	}
 	d.tick()
-	for len(d.events) > 0 && d.left > 0 {
-		e := heap.Pop(&d.events).(event)
-		d.now = e.at
-		e.run()
+	for d.left > 0 {
+		at, run, ok := d.agenda.Next()
+		if !ok {
+			break
+		}
+		d.now = at
+		run()
 	}
 	return outcomes
 }
--- a/node/agents.go
+++ b/node/agents.go
@@ -6,59 +6,79 @@
 	"sync"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/scheduler"
-	"golang.org/x/sys/unix"
 )
 
-// maxPause is the time between two ticks above which this process counts as
-// having been paused: three times the tenth of a second for which a machine
-// with a quota may stand still.
-const maxPause = 300 * time.Millisecond
+// agents hold a goroutine for each upstream, which looks at it, in shards by the
+// upstream's name.
+type agents struct{ shards [agentShards]agentShard }
 
-// bootTime reads the clock that goes on while the machine is suspended.
-func bootTime() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return time.Duration(time.Now().UnixNano())
-	}
-	return time.Duration(t.Nano())
-}
+// agentShards spreads upstreams over locks: each start wakes an agent.
+const agentShards = 16
 
-// agents hold a goroutine for each upstream, which looks at it.
-type agents struct {
+type agentShard struct {
 	mu   sync.Mutex // guards the field below
 	wake map[string]chan struct{}
 }
 
+func (a *agents) init() {
+	for i := range a.shards {
+		a.shards[i].wake = map[string]chan struct{}{}
+	}
+}
+
+func (a *agents) of(upstream string) *agentShard {
+	return &a.shards[rendezvous.Hash(upstream)%agentShards]
+}
+
 func (a *agents) wakeOne(upstream string) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if c := a.wake[upstream]; c != nil {
+	s := a.of(upstream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.wake[upstream]; c != nil {
 		wake(c)
 	}
 }
 
 func (a *agents) wakeAll() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for _, c := range a.wake {
-		wake(c)
+	for i := range a.shards {
+		s := &a.shards[i]
+		s.mu.Lock()
+		for _, c := range s.wake {
+			wake(c)
+		}
+		s.mu.Unlock()
+	}
+}
+
+func (a *agents) remove(upstream string) {
+	s := a.of(upstream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.wake, upstream)
+}
+
+// enter wakes the agent of an upstream; where there is none, it enters one and
+// returns the channel by which it is woken.
+func (a *agents) enter(upstream string) (woken chan struct{}, added bool) {
+	s := a.of(upstream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	woken = s.wake[upstream]
+	if added = woken == nil; added {
+		woken = make(chan struct{}, 1)
+		s.wake[upstream] = woken
 	}
+	wake(woken)
+	return woken, added
 }
 
-// ensure starts an agent for an upstream that has none.
+// ensureAgent starts an agent for an upstream that has none.
 func (n *Node) ensureAgent(upstream string) {
-	a := &n.agents
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.wake[upstream] != nil {
-		wake(a.wake[upstream])
-		return
+	if woken, added := n.agents.enter(upstream); added {
+		go n.keepLooking(n.serving, upstream, woken)
 	}
-	c := make(chan struct{}, 1)
-	wake(c)
-	a.wake[upstream] = c
-	go n.keepLooking(n.serving, upstream, c)
 }
 
 // keepLooking looks at an upstream while something runs there.
@@ -69,10 +89,7 @@
 		look, due, wait, gone := n.scheduler.NextLook(time.Now(), upstream)
 		switch {
 		case gone:
-			a := &n.agents
-			a.mu.Lock()
-			delete(a.wake, upstream)
-			a.mu.Unlock()
+			n.agents.remove(upstream)
 			return
 		case due:
 			n.look(ctx, look)
--- a/node/beats.go
+++ b/node/beats.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
@@ -70,16 +70,17 @@
 		defer cancel()
 		var answer wire.Beat
 		err := n.peers.Call(ctx, to.Address, n.report(to.VM), &answer)
-		if err != nil {
-			if errors.Is(err, syscall.ECONNREFUSED) && to.VM != "" {
-				n.fleet.Refused(to.VM, to.Incarnation)
-				n.wakeControl()
-			} else if errors.Is(err, context.DeadlineExceeded) {
-				n.peers.Drop(to.Address, err) // the connection may be dead without a reset
-			}
-			return
+		switch {
+		case err == nil:
+			n.heard(&answer, true)
+		case errors.Is(err, syscall.ECONNREFUSED) && to.VM != "":
+			n.fleet.Refused(to.VM, to.Incarnation)
+			n.wakeControl()
+		case errors.Is(err, context.DeadlineExceeded):
+			n.peers.Drop(to.Address, err) // the connection may be dead without a reset
 		}
-		n.heard(&answer, true)
+		// A beat without an answer is told by the line of the view that loses the
+		// member; a line for each would drown it.
 	})
 }
 
@@ -147,6 +148,8 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.fleet.Refused(hello.VM, hello.Incarnation)
 		n.wakeControl()
+	default:
+		n.log.Info("no answer after a connection ended", slog.String("peer", hello.VM), slog.Any("error", err))
 	}
 }
 
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -6,9 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"golang.org/x/sys/unix"
 )
 
 func (n *Node) handleOffer(_ context.Context, _ *wire.Hello, r *wire.OfferRequest) wire.Message {
@@ -75,19 +77,34 @@
 	}
 }
 
+// maxPause is the time between two ticks above which this process counts as
+// having been paused: three times the tenth of a second for which a machine
+// with a quota may stand still.
+const maxPause = 300 * time.Millisecond
+
+// bootTime reads the clock that goes on while the machine is suspended.
+func bootTime() (time.Duration, error) {
+	var t unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return time.Duration(t.Nano()), errors.Wrap(err, "read the clock")
+}
+
 // keepTicking lets time pass for the scheduler, and notices pauses of this
 // process.
 func (n *Node) keepTicking(ctx context.Context) error {
 	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
-	last := bootTime()
-	for {
+	last, err := bootTime()
+	for err == nil {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		now := bootTime()
+		var now time.Duration
+		if now, err = bootTime(); err != nil {
+			break
+		}
 		if pause := now - last; pause > maxPause {
 			n.restartTerm(time.Now(), pause)
 		}
@@ -95,6 +112,7 @@
 		n.act(n.scheduler.Tick(time.Now()))
 		n.wakePlacing()
 	}
+	return err // without the clock a suspension would go unnoticed, and tasks run twice
 }
 
 func (n *Node) start(ctx context.Context, start scheduler.Start) {
--- a/node/node.go
+++ b/node/node.go
@@ -167,7 +167,7 @@
 	n.serving, n.stop = context.WithCancel(context.Background())
 	n.origins.known = map[string]*origin{}
 	n.outboxes.byVM = map[string]*outbox{}
-	n.agents.wake = map[string]chan struct{}{}
+	n.agents.init()
 	n.registry.init()
 	n.view.Store(&fleet.View{First: self, Local: true, Candidate: true})
 	n.peers = deps.Peers
--- a/node/term.go
+++ b/node/term.go
@@ -345,8 +345,7 @@
 	return t.began
 }
 
-// note enters that a VM offers jobs. It returns false where the offer comes from
-// a process that has been replaced.
+// note enters that a VM offers jobs.
 func (o *origins) note(vm string, incarnation uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/agenda"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"pgregory.net/rapid"
@@ -30,30 +30,6 @@
 	modelLength     = 12 * time.Second
 )
 
-// event happens at a time in the model.
-type event struct {
-	at    time.Time
-	order int
-	do    func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	if e[i].at.Equal(e[j].at) {
-		return e[i].order < e[j].order
-	}
-	return e[i].at.Before(e[j].at)
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // modelJob is a job that its origin waits for.
 type modelJob struct {
 	job     scheduler.Job
@@ -79,8 +55,7 @@
 	rand        *rand.Rand
 	trace       []string
 	now         time.Time
-	queue       events
-	order       int
+	agenda      agenda.Agenda
 	upstreams   map[string]*schedulertest.Upstream
 	names       []string
 	dispatchers []*modelDispatcher
@@ -102,8 +77,7 @@
 const lostAnswers = 2
 
 func (m *model) after(d time.Duration, do func()) {
-	m.order++
-	heap.Push(&m.queue, event{m.now.Add(d), m.order, do})
+	m.agenda.Add(m.now.Add(d), do)
 }
 
 // between draws a number of milliseconds.
@@ -426,13 +400,13 @@
 	m.tick()
 	m.arrive(0)
 	m.trouble()
-	for len(m.queue) > 0 {
-		e := heap.Pop(&m.queue).(event)
-		if e.at.After(end) {
+	for {
+		at, do, ok := m.agenda.Next()
+		if !ok || at.After(end) {
 			return
 		}
-		m.now = e.at
-		e.do()
+		m.now = at
+		do()
 	}
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -11,12 +11,12 @@
 // known to have ended. A failure has the verdict NotRun, but for a resumed job.
 func (s *Scheduler) Offer(now time.Time, offered Job) ([]Notice, *verdict.Error) {
 	if waiting := s.waiting.Load(); waiting+int64(len(offered.Tasks)) > int64(s.config.MaxWaiting) && !offered.Resumed {
-		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "%d tasks are waiting", waiting).WithRetryAfter(time.Second)
+		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "%d tasks are waiting", waiting).WithRetryAfter(verdict.LeastRetryAfter)
 	}
 	if !offered.Resumed && !s.fits(offered.Service, offered.Size) {
 		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
 			"no upstream of service %s has %d thousandths of a core, %d MB and %d accelerators",
-			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(time.Second)
+			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(verdict.LeastRetryAfter)
 	}
 	model := s.models.get(offered.Queue, offered.Estimate)
 	notices, waiting, failure := s.queueOf(offered.ID).offer(now, offered, model)
