scheduler: remember completed jobs, so that a repeated offer starts nothing again

Change: completed jobs are remembered for CompletionRetention, at-most-once jobs until their callers' deadlines. A repeated offer gets the results, or 'may have run' once these are dropped.

TestCompletedJobIsNotStartedAgain fails in its three cases without the change.

--- a/scheduler/at_most_once_test.go
+++ b/scheduler/at_most_once_test.go
@@ -160,3 +160,43 @@
 	require.NotNil(t, failure)
 	require.Equal(t, verdict.MayHaveRun, failure.Verdict)
 }
+
+// TestCompletedJobIsNotStartedAgain guards against a second start of the tasks of a
+// job that has completed: because its origin did not receive the last report and offers
+// the job again, or because an earlier offer of the job was held up on its way.
+func TestCompletedJobIsNotStartedAgain(t *testing.T) {
+	for name, c := range map[string]struct{ delivered, resumed bool }{
+		"the report was lost":                     {false, true},
+		"a repeated offer was held up on its way": {true, true},
+		"the first offer was held up on its way":  {true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newAtMostOnceHarness(t, "u1", "u2")
+			b.upstreams["u1"].Result = func(scheduler.Run) []byte { return []byte("result") }
+			b.upstreams["u2"].Result = b.upstreams["u1"].Result
+			b.advance(time.Second) // the upstreams' processes are older than the job
+			j := b.atMostOnceJob("a", 0, 1)
+			b.offer(j)
+			require.Len(t, b.place(), 2)
+			b.advanceWithPolls(1100 * time.Millisecond)
+			require.Len(t, b.notices, 2)
+			if c.delivered {
+				b.scheduler.ConfirmDelivery([]scheduler.CompletionRef{b.notices[0].Completion, b.notices[1].Completion})
+			}
+			b.notices = nil
+			j.Resumed = c.resumed
+			b.offer(j)
+			b.advanceWithPolls(time.Second)
+			require.Empty(t, b.place())
+			require.Len(t, b.notices, 2)
+			for _, n := range b.notices {
+				require.Equal(t, scheduler.TaskDone, n.Kind)
+				require.Equal(t, "result", string(n.Result))
+			}
+			b.advanceWithPolls(scheduler.CompletionRetention)
+			_, failure := b.scheduler.Offer(b.now, j)
+			require.NotNil(t, failure, "the results are no longer kept")
+			require.Equal(t, verdict.MayHaveRun, failure.Verdict)
+		})
+	}
+}
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -13,12 +13,12 @@
 }
 
 // applyUnmatched applies unmatched completions to a resumed job. The caller holds mu.
-func (s *jobShard) applyUnmatched(j *job) (notices []Notice) {
+func (s *jobShard) applyUnmatched(now time.Time, j *job) (notices []Notice) {
 	for ref, c := range s.unmatched {
 		if c.run.Job != j.ID || s.jobs[j.ID] != j {
 			continue
 		}
-		more, _, _ := s.finishWaiting(j, c.finishedRun)
+		more, _, _ := s.finishWaiting(now, j, c.finishedRun)
 		if len(more) > 0 {
 			delete(s.unmatched, ref)
 		}
@@ -37,10 +37,10 @@
 	case j == nil:
 	case slices.Contains(j.waiting, f.run.Index):
 		if j.Resumed {
-			notices, dequeued, stop = s.finishWaiting(j, f)
+			notices, dequeued, stop = s.finishWaiting(now, j, f)
 		}
 	case j.attempts[f.run.Index] == f.run.Attempt:
-		notices, dequeued, stop = s.finishCurrentRun(j, f)
+		notices, dequeued, stop = s.finishCurrentRun(now, j, f)
 		dequeued = -dequeued // finishCurrentRun counts tasks that wait again
 	}
 	s.retain(now, f, notices)
@@ -58,7 +58,7 @@
 
 // finishWaiting processes the completion of a run that an earlier dispatcher
 // started, for a task that waits here. The caller holds mu.
-func (s *jobShard) finishWaiting(j *job, f finishedRun) (notices []Notice, dequeued int, stop bool) {
+func (s *jobShard) finishWaiting(now time.Time, j *job, f finishedRun) (notices []Notice, dequeued int, stop bool) {
 	at := slices.Index(j.waiting, f.run.Index)
 	switch {
 	case at < 0:
@@ -69,7 +69,7 @@
 		j.running++
 		j.attempts[f.run.Index] = f.run.Attempt
 		s.updateHeap(j)
-		notices, _, _ := s.finishCurrentRun(j, f)
+		notices, _, _ := s.finishCurrentRun(now, j, f)
 		return notices, 1, false
 	case j.AtMostOnce:
 		n := len(j.waiting)
@@ -104,25 +104,26 @@
 	if j == nil || j.attempts[run.Index] != run.Attempt || s.terminating[run.Task] == run.Attempt {
 		requeued = s.unblock(run)
 	} else {
-		notices, requeued, stop = s.finishCurrentRun(j, f)
+		notices, requeued, stop = s.finishCurrentRun(now, j, f)
 	}
 	s.retain(now, f, notices)
 	return notices, requeued, stop
 }
 
 // finishCurrentRun processes the end of a task's current run. The caller holds mu.
-func (s *jobShard) finishCurrentRun(j *job, f finishedRun) (notices []Notice, requeued int, stop bool) {
+func (s *jobShard) finishCurrentRun(now time.Time, j *job, f finishedRun) (notices []Notice, requeued int, stop bool) {
 	index := f.run.Index
 	j.running--
 	switch {
 	case f.outcome == outcomeDone:
 		j.attempts[index] = finishedAttempt
 		j.unfinished--
-		if j.AtMostOnce && j.unfinished > 0 {
+		if len(f.result) > 0 {
 			j.results[index] = f.result
 		}
 		if j.unfinished == 0 {
 			s.remove(j)
+			s.completed[j.ID] = &completedJob{finishedAt: now, deadline: j.Deadline, atMostOnce: j.AtMostOnce, results: j.results}
 		}
 		return []Notice{j.doneNotice(index, f.result, f.completion)}, 0, false
 	case f.outcome == outcomeFailed:
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -34,6 +34,8 @@
 	// rejectedUntil holds the deadlines of at-most-once jobs that were abandoned
 	// after a task may have started. They are rejected if offered again.
 	rejectedUntil map[string]time.Time
+	// completed holds the jobs that have completed recently, by id.
+	completed map[string]*completedJob
 	// unstartedJobs holds the jobs that had no started task at the end of the term with
 	// lastToken.
 	unstartedJobs map[string]struct{}
@@ -42,7 +44,10 @@
 }
 
 func newJobShard() *jobShard {
-	s := &jobShard{firstSent: map[string]time.Time{}, rejectedUntil: map[string]time.Time{}, unstartedJobs: map[string]struct{}{}}
+	s := &jobShard{
+		firstSent: map[string]time.Time{}, rejectedUntil: map[string]time.Time{}, completed: map[string]*completedJob{},
+		unstartedJobs: map[string]struct{}{},
+	}
 	s.reset(0)
 	return s
 }
@@ -158,6 +163,7 @@
 			s.remove(j)
 		}
 	}
+	s.expireCompleted(now)
 	for ref, c := range s.unmatched {
 		if now.Sub(c.listedAt) > CompletionRetention {
 			delete(s.unmatched, ref)
@@ -243,6 +249,10 @@
 		}
 		return notices, 0, nil
 	}
+	if done := s.completed[offered.ID]; done != nil {
+		notices, failure = done.answer(offered)
+		return notices, 0, failure
+	}
 	if _, rejected := s.rejectedUntil[offered.ID]; rejected {
 		return nil, 0, verdict.Errorf(verdict.MayHaveRun, verdict.CodeOwnerLost, "the tasks were stopped while the origin was unreachable")
 	}
@@ -275,7 +285,7 @@
 	j.rescore(s.epoch)
 	s.jobs[j.ID] = j
 	if offered.Resumed {
-		notices = s.applyUnmatched(j)
+		notices = s.applyUnmatched(now, j)
 	}
 	if s.jobs[j.ID] == j { // no completion has ended the job
 		s.updateHeap(j)
