--- a/daemon/route.go
+++ b/daemon/route.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/membership"
 	"github.com/mustardstep/mustardstep/ownership"
@@ -84,7 +85,13 @@
 		case <-ctx.Done():
 		}
 		timer.Stop()
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() == nil:
+		case t.hops > 0 && errors.Is(ctx.Err(), context.Canceled):
+			// This VM stops. The VM that has forwarded the call routes it again.
+			t.answer = submission.Answer{Reroute: true}
+			return t.answer
+		default:
 			return t.deadlineAnswer()
 		}
 	}
