fleet: a dispatcher in each data centre once the upstreams exceed one VM

Change: a fleet with more upstreams than its most capable member can dispatch for is divided by data centre. View, heartbeats, timeouts and claims refer to the scope. The division spreads with heartbeats and lasts while a process of the fleet runs, so that a short list during an outage of the store changes no claims.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,19 +1,20 @@
 // Package fleet tracks the VMs that serve callers and decides which of them
 // dispatches.
 //
-// It imports no network package and reads no clock. A VM sends heartbeats to
-// the highest-ranked members, to the highest-ranked members of its data centre,
-// and to the others in rotation. The number of heartbeats thus grows linearly
-// with the number of VMs. A member is reachable while heartbeats and their
-// answers pass in both directions. The highest-ranked of the members that reach
-// each other dispatches. This needs no consensus: two groups, or two VMs with
+// It imports no network package and reads no clock. The members that share a
+// dispatcher form a scope: the whole fleet, or each data centre if the fleet is
+// large. A VM sends heartbeats to the highest-ranked members of its scope, to the
+// highest-ranked members of its data centre, and to all others in rotation. The
+// number of heartbeats thus grows linearly with the number of VMs. A member is
+// reachable while heartbeats and their answers pass in both directions. The
+// highest-ranked of the members of a scope that reach each other dispatches. This needs no consensus: two groups, or two VMs with
 // different views, may each have a dispatcher for a while, because the fencing
 // tokens of the upstreams let only one of them start tasks on an upstream.
 //
 // A member is present if it is reachable or if the platform's store lists it. Until
 // the list in the store has been read, all known members are present. A group of
-// fewer than half of the present members claims only its members' share of the
-// upstreams of each data centre and leaves the rest to the other members.
+// fewer than half of the present members of its scope claims only its members' share
+// of the upstreams of each data centre and leaves the rest to the other members.
 package fleet
 
 import (
@@ -111,13 +112,16 @@
 	listRead bool             // the list in the store has been read
 	token    int64
 	digest   uint64
-	round    int
-	rotation int // position in the rotation of heartbeat targets
+	scope    Scope
+	// scopeSize is the number of known members of the scope, including this one.
+	scopeSize int
+	round     int
+	rotation  int // position in the rotation of heartbeat targets
 }
 
 // New returns a fleet that knows only its own member.
 func New(self Member) *Fleet {
-	return &Fleet{self: self, peers: map[string]*peer{}, digest: memberHash(self)}
+	return &Fleet{self: self, scopeSize: 1, peers: map[string]*peer{}, digest: memberHash(self)}
 }
 
 // memberHash returns a member's contribution to the digest. The digest is the
@@ -167,6 +171,8 @@
 	if p != nil {
 		listed = p.listed
 		f.digest ^= memberHash(p.heartbeat.Member)
+	} else if f.inScope(m) {
+		f.scopeSize++
 	}
 	f.digest ^= memberHash(m)
 	f.peers[m.VM] = &peer{heartbeat: Heartbeat{Member: m}, listed: listed}
@@ -242,6 +248,25 @@
 	return len(f.peers) + 1
 }
 
+// Interval returns the time between two rounds of heartbeats.
+func (f *Fleet) Interval() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return HeartbeatInterval(f.scopeSize)
+}
+
+// Timeout returns the time without contact after which a member of the scope is
+// unreachable.
+func (f *Fleet) Timeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.timeout()
+}
+
+// timeout returns the time without contact after which a member is unreachable. The
+// caller holds mu.
+func (f *Fleet) timeout() time.Duration { return HeartbeatTimeout(f.scopeSize) }
+
 // HeartbeatTargets starts the next round of heartbeats and returns the members
 // to send them to.
 func (f *Fleet) HeartbeatTargets(now time.Time) []Member {
@@ -275,7 +300,7 @@
 			}
 		}
 	}
-	walk(candidateCount, func(*peer) bool { return true })
+	walk(candidateCount, func(p *peer) bool { return f.inScope(p.heartbeat.Member) })
 	walk(localCandidateCount, func(p *peer) bool { return p.heartbeat.Member.DataCentre == f.self.DataCentre })
 	if len(ranked) > 0 && f.round%slowRounds == 0 {
 		f.rotation++
@@ -333,11 +358,11 @@
 
 // reachable reports whether a member is reachable. The caller holds mu.
 func (f *Fleet) reachable(now time.Time, p *peer) bool {
-	return !p.refused && now.Sub(p.lastContact) < HeartbeatTimeout(len(f.peers)+1)
+	return !p.refused && now.Sub(p.lastContact) < f.timeout()
 }
 
 // unresponsive reports whether a member refused a connection or has not
 // answered heartbeats for more than half of the timeout. The caller holds mu.
 func (f *Fleet) unresponsive(now time.Time, p *peer) bool {
-	return p.refused || !p.firstAttempt.IsZero() && now.Sub(p.firstAttempt) > HeartbeatTimeout(len(f.peers)+1)/2
+	return p.refused || !p.firstAttempt.IsZero() && now.Sub(p.firstAttempt) > f.timeout()/2
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -20,8 +20,10 @@
 	return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.VM, b.VM))
 }
 
-// View is a member's view of its fleet at one time.
+// View is a member's view of its scope at one time.
 type View struct {
+	// Scope is the set of members to which all other fields refer.
+	Scope Scope
 	// TopRanked is the highest-ranked of the reachable members and this one. It
 	// is the member that dispatches.
 	TopRanked Member
@@ -58,12 +60,15 @@
 func (f *Fleet) View(now time.Time, term uint64) View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := View{TopRanked: f.self, TopInDataCentre: true}
+	v := View{Scope: f.scope, TopRanked: f.self, TopInDataCentre: true}
 	if term != 0 {
 		v.Dispatcher, v.Term = f.self, term
 	}
 	for _, p := range f.peers {
 		m := p.heartbeat.Member
+		if !f.inScope(m) {
+			continue
+		}
 		if !f.reachable(now, p) {
 			if p.listed || !f.listRead {
 				v.Unreachable = append(v.Unreachable, m)
@@ -100,11 +105,20 @@
 	return v
 }
 
+// InScope reports whether the upstreams of a data centre belong to the scope of a
+// member.
+func (v *View) InScope(self Member, dataCentre string) bool {
+	return v.Scope == ScopeFleet || dataCentre == self.DataCentre
+}
+
 // ShouldClaim reports whether the dispatcher of this group claims an upstream
-// in a data centre. A minority claims the upstreams for which one of its
+// in a data centre of its scope. A minority claims the upstreams for which one of its
 // members ranks first by rendezvous hashing, among all present members of that
 // data centre.
 func (v *View) ShouldClaim(self Member, upstream, dataCentre string) bool {
+	if !v.InScope(self, dataCentre) {
+		return false
+	}
 	if !v.Minority {
 		return true
 	}
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -259,9 +259,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "f"
-	o = append(o, 0x88, 0xa1, 0x66)
+	o = append(o, 0x89, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -279,6 +279,9 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendInt64(o, z.UpstreamsRevision)
+	// string "dv"
+	o = append(o, 0xa2, 0x64, 0x76)
+	o = msgp.AppendBool(o, z.Divided)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Answered)
@@ -346,6 +349,12 @@
 				err = msgp.WrapError(err, "UpstreamsRevision")
 				return
 			}
+		case "dv":
+			z.Divided, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Divided")
+				return
+			}
 		case "a":
 			z.Answered, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -391,7 +400,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -62,6 +62,9 @@
 	ConfigurationRevision int64 `msg:"r"`
 	// UpstreamsRevision is the store revision of the sender's list of upstreams.
 	UpstreamsRevision int64 `msg:"u"`
+	// Divided is true if the sender knows that each data centre has a dispatcher
+	// of its own.
+	Divided bool `msg:"dv"`
 	// Answered is true if the receiver has recently answered a heartbeat of the
 	// sender.
 	Answered bool `msg:"a"`
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -27,7 +27,7 @@
 				n.sendHeartbeat(ctx, &pending, fleet.Member{Address: seed})
 			}
 		}
-		if !wait.For(ctx, fleet.HeartbeatInterval(size)) {
+		if !wait.For(ctx, n.fleet.Interval()) {
 			n.heartbeatCalls.Wait()
 			return nil
 		}
@@ -37,7 +37,7 @@
 // peerTimeout returns the time without an answer after which a member counts as
 // unreachable. It is also the timeout of calls to members, so that an answer that
 // is late but within this time still counts.
-func (n *Node) peerTimeout() time.Duration { return fleet.HeartbeatTimeout(n.fleet.Size()) }
+func (n *Node) peerTimeout() time.Duration { return n.fleet.Timeout() }
 
 // pendingAddresses holds the addresses with an unanswered heartbeat.
 type pendingAddresses struct {
@@ -91,7 +91,7 @@
 	digest, differs := n.fleet.Digest(peer)
 	h := &wire.FleetHeartbeat{
 		From: toWire(n.fleet.Self()), Term: n.termFor(peer), Token: n.fleet.Token(),
-		UpstreamsRevision: n.registry.revision(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
+		UpstreamsRevision: n.registry.revision(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
@@ -110,6 +110,9 @@
 	n.fleet.RecordHeartbeat(time.Now(), fleet.Heartbeat{
 		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, Digest: h.Digest,
 	}, bidirectional)
+	if h.Divided {
+		n.fleet.RecordDivision()
+	}
 	var known []fleet.Member
 	for _, m := range h.Members {
 		known = append(known, fromWire(m))
@@ -120,7 +123,7 @@
 	}
 	v := n.view.Load()
 	isDispatcher := v.Dispatcher.VM == h.From.VM
-	if bidirectional && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) {
+	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) {
 		n.wakeTermLoop()
 	}
 	if n.shouldPull(h) {
--- a/node/registry.go
+++ b/node/registry.go
@@ -36,6 +36,9 @@
 	pulledAt      time.Time  // when a peer last sent the list
 	entries       map[string]entry
 	configuration store.Item
+	// scopeSince is the time since which dispatchers have claimed upstreams by the
+	// present scope, as far as this process knows.
+	scopeSince time.Time
 }
 
 // entry is the store entry of an upstream.
@@ -46,7 +49,18 @@
 	lapsedAt time.Time // when the entry was removed; zero while it exists
 }
 
-func (r *registry) init() { r.entries = map[string]entry{} }
+// scopeSettleTime is how long the dispatchers of an earlier scope may still have runs on
+// upstreams that this node does not claim in the present one. It covers the lease of
+// such runs and the time for which their completions are listed.
+const scopeSettleTime = scheduler.CompletionRetention
+
+func (r *registry) init() { r.entries, r.scopeSince = map[string]entry{}, time.Now() }
+
+func (r *registry) setScopeSince(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.scopeSince = now
+}
 
 func (r *registry) revision() int64 {
 	r.mu.Lock()
@@ -203,7 +217,7 @@
 	if now.Sub(n.registry.listedAt) < n.config.LapsedRetention {
 		completeSince = n.registry.listedAt.Add(staleListTime)
 	}
-	partial := false // whether other upstreams exist that this node does not claim
+	partial := false // whether upstreams that this node does not claim may have runs of its jobs
 	for key, e := range n.registry.entries {
 		lapsedFor := now.Sub(e.lapsedAt)
 		if !e.lapsedAt.IsZero() && lapsedFor >= n.config.LapsedRetention {
@@ -218,10 +232,12 @@
 			upstream.Missing = !e.lapsedAt.IsZero() && lapsedFor >= lapseGrace
 			list = append(list, upstream)
 		default:
-			partial = true
+			partial = partial || v.InScope(self, e.upstream.DataCentre) || now.Sub(n.registry.scopeSince) < scopeSettleTime
 		}
 	}
+	count := len(n.registry.entries)
 	n.registry.mu.Unlock()
+	n.fleet.RecordUpstreamCount(count)
 	n.scheduler.SetListCompleteSince(completeSince)
 	for _, added := range n.scheduler.SetUpstreams(now, list, partial) {
 		n.ensurePoller(added)
--- a/node/term.go
+++ b/node/term.go
@@ -136,6 +136,10 @@
 	v := n.fleet.View(now, n.termFor(n.config.VM))
 	n.view.Store(&v)
 	n.logView(old, &v)
+	if old.Scope != v.Scope {
+		n.registry.setScopeSince(now)
+		time.AfterFunc(scopeSettleTime, func() { n.applyUpstreams(time.Now()) })
+	}
 	if len(v.Unreachable) > 0 {
 		n.term.rivalSeenAt = now
 	}
@@ -167,10 +171,10 @@
 // logView logs a view that differs from the previous one in its dispatcher or its
 // members.
 func (n *Node) logView(old, v *fleet.View) {
-	if old.Dispatcher.VM == v.Dispatcher.VM && old.Term == v.Term && len(old.Reachable) == len(v.Reachable) && len(old.Unreachable) == len(v.Unreachable) {
+	if old.Scope == v.Scope && old.Dispatcher.VM == v.Dispatcher.VM && old.Term == v.Term && len(old.Reachable) == len(v.Reachable) && len(old.Unreachable) == len(v.Unreachable) {
 		return
 	}
-	n.log.Info("fleet view changed", slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.TopRanked.VM),
+	n.log.Info("fleet view changed", slog.String("scope", v.Scope.String()), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.TopRanked.VM),
 		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
 }
 
@@ -191,12 +195,12 @@
 
 // claimKey identifies the set of members on which the claims of a view depend.
 func claimKey(v *fleet.View) string {
+	key := v.Scope.String()
 	if !v.Minority {
-		return "all"
+		return key
 	}
-	key := ""
 	for _, r := range v.Reachable {
-		key += r.Member.VM + " "
+		key += " " + r.Member.VM
 	}
 	return key
 }
@@ -213,7 +217,7 @@
 	token := n.fleet.NextToken(counter<<tokenHashBits | hash)
 	t.token, t.startedAt, t.fencedSince, t.claimKey = token, now, time.Time{}, claimKey(v)
 	t.mu.Unlock()
-	n.log.Info("term started", slog.Int64("token", token), slog.String("why", reason), slog.Int("heard", len(v.Reachable)),
+	n.log.Info("term started", slog.Int64("token", token), slog.String("why", reason), slog.String("scope", v.Scope.String()), slog.Int("heard", len(v.Reachable)),
 		slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
 	n.metrics.Terms.Inc()
 	n.scheduler.BeginTerm(now, token, resumeDelay(n.peerTimeout(), n.config.LeaseMax))
