scheduler, node: a notice of an earlier term and a job removed during placement have no effect

Read from the code: node.apply labelled every notice with the term at the time of sending. A job abandoned before a start in one term and offered again in the next one could be answered 'not run' while it ran.

Change: notices carry the term of the job's offer, and all but 'task done' are dropped if the origin's term differs.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -26,7 +26,7 @@
 	n.origins.record(r.Origin, r.OriginIncarnation)
 	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 	notices, failure := n.scheduler.Offer(now, scheduler.Job{
-		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
+		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS)), Deadline: now.Add(microseconds(r.DeadlineUS)),
@@ -196,6 +196,11 @@
 		if notice.Completion != (scheduler.CompletionRef{}) {
 			r.refs = append(r.refs, notice.Completion)
 		}
+		if notice.Kind != scheduler.TaskDone && notice.Term != r.Term {
+			n.log.Info("notice dropped, the job belongs to another term", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
+				slog.Uint64("notice_term", notice.Term), slog.Uint64("term", r.Term))
+			continue
+		}
 		switch notice.Kind {
 		case scheduler.TaskDone, scheduler.TaskFailed:
 			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Result: notice.Result})
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -131,7 +131,7 @@
 		if j.failures[index] >= j.MaxAttempts {
 			n := len(j.waiting)
 			s.remove(j)
-			return []Notice{{Origin: j.Origin, Task: f.run.Task, Kind: TaskFailed, Completion: f.completion}}, -n, true
+			return []Notice{{Origin: j.Origin, Term: j.Term, Task: f.run.Task, Kind: TaskFailed, Completion: f.completion}}, -n, true
 		}
 	}
 	if f.outcome == outcomeNoEffect || f.outcome == outcomeUnhealthy {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -118,12 +118,12 @@
 	if j.starts > 0 || j.Resumed {
 		kind = JobAbandoned
 	}
-	return Notice{Origin: j.Origin, Task: Task{Job: j.ID}, Kind: kind, Code: code, Reason: reason, RetryAfter: retryAfter}
+	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{Job: j.ID}, Kind: kind, Code: code, Reason: reason, RetryAfter: retryAfter}
 }
 
 // doneNotice returns the notice that a task has succeeded.
 func (j *job) doneNotice(index int, result []byte, ref CompletionRef) Notice {
-	return Notice{Origin: j.Origin, Task: Task{j.ID, index}, Kind: TaskDone, Result: result, Completion: ref}
+	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskDone, Result: result, Completion: ref}
 }
 
 // lostNotice returns the notice that an at-most-once job is abandoned because a
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -242,10 +242,10 @@
 				notices = append(notices, existing.doneNotice(index, existing.results[index], CompletionRef{}))
 			}
 		}
-		existing.Origin, existing.OriginIncarnation = offered.Origin, offered.OriginIncarnation
+		existing.Origin, existing.OriginIncarnation, existing.Term = offered.Origin, offered.OriginIncarnation, offered.Term
 		existing.Deadline = offered.Deadline
 		for i := range notices {
-			notices[i].Origin = offered.Origin
+			notices[i].Origin, notices[i].Term = offered.Origin, offered.Term
 		}
 		return notices, 0, nil
 	}
@@ -352,28 +352,42 @@
 	return c, true
 }
 
-// putBack returns a task that could not be placed.
-func (s *jobShard) putBack(c candidate) {
+// putBack returns a task that could not be placed. present is false if the job was
+// removed meanwhile; requeued is then the number of tasks that wait again.
+func (s *jobShard) putBack(c candidate) (present bool, requeued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.jobs[c.job.ID]
-	if j == nil || &j.Job != c.job {
-		s.unblock(Run{Task{c.job.ID, c.index}, c.attempt})
-		return
+	j, requeued := s.current(c)
+	if j == nil {
+		return false, requeued
 	}
 	j.running--
 	j.attempts[c.index]--
 	j.waiting = slices.Insert(j.waiting, 0, c.index)
 	s.updateHeap(j)
+	return true, 0
 }
 
-// noteStart counts a start order that may take effect.
-func (s *jobShard) noteStart(id string) {
+// noteStart counts a start order that may take effect. The results are those of
+// putBack: the order for a job that was removed must not be sent.
+func (s *jobShard) noteStart(c candidate) (present bool, requeued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if j := s.jobs[id]; j != nil {
-		j.starts++
+	j, requeued := s.current(c)
+	if j == nil {
+		return false, requeued
+	}
+	j.starts++
+	return true, 0
+}
+
+// current returns the job of a candidate, or nil if the job was removed since pop; its
+// task can then start again for a job with the same id. The caller holds mu.
+func (s *jobShard) current(c candidate) (j *job, requeued int) {
+	if j := s.jobs[c.job.ID]; j != nil && &j.Job == c.job {
+		return j, 0
 	}
+	return nil, s.unblock(Run{Task{c.job.ID, c.index}, c.attempt})
 }
 
 // adopt records that a waiting task is already running as the given attempt. It
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -101,16 +101,48 @@
 		if !ok {
 			continue
 		}
-		if start, ok := s.bind(now, c); ok {
-			s.waiting.Add(-1)
-			shard.noteStart(c.job.ID)
+		start, bound := s.bind(now, c)
+		if s.settle(now, shard, c, start, bound) {
 			return start, true
 		}
-		shard.putBack(c)
 	}
 	return Start{}, false
 }
 
+// settle records whether capacity was reserved for a task taken from a shard. It reports
+// whether the start order must be sent: the job may have been removed meanwhile.
+func (s *Scheduler) settle(now time.Time, shard *jobShard, c candidate, start Start, bound bool) bool {
+	present, waiting := shard.noteStart, -1
+	if !bound {
+		present, waiting = shard.putBack, 0
+	}
+	ok, requeued := present(c)
+	if !ok {
+		waiting = requeued - 1
+	}
+	s.waiting.Add(int64(waiting))
+	if bound && !ok {
+		s.cancelReservation(now, start)
+	}
+	return bound && ok
+}
+
+// cancelReservation frees the capacity reserved for a start order that is not sent,
+// because its job was removed or its term ended meanwhile.
+func (s *Scheduler) cancelReservation(now time.Time, start Start) {
+	shard := s.upstreamShardFor(start.Upstream.Name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	u := shard.byName[start.Upstream.Name]
+	if u == nil {
+		return
+	}
+	if r := u.runs[start.Run.Task]; r != nil && r.Run == start.Run && r.state == runOrdered {
+		u.release(now, r)
+		shard.noteReleased(u)
+	}
+}
+
 // firstShard returns the untried shard with the lowest score, or -1.
 func (s *Scheduler) firstShard(now time.Time, tried *[jobShardCount]bool) int {
 	at, first := -1, noScore
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -287,6 +287,9 @@
 // Notice informs an origin about a task or a job.
 type Notice struct {
 	Origin string
+	// Term is the term in which the origin offered the job. If the origin has offered
+	// it again since, only TaskDone still holds.
+	Term uint64
 	// Task identifies the task, or only the job if Kind is JobNotRun or JobAbandoned.
 	Task Task
 	Kind NoticeKind
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -39,12 +39,14 @@
 }
 
 // Job is a job as its origin offers it. Once it is accepted, only Origin,
-// OriginIncarnation and Deadline change, when the job is offered again.
+// OriginIncarnation, Term and Deadline change, when the job is offered again.
 type Job struct {
 	ID string
 	// Origin is the VM that took the job from its caller, OriginIncarnation its process.
 	Origin            string
 	OriginIncarnation uint64
+	// Term identifies the offer at its origin. Notices about the job name it.
+	Term uint64
 	// Queue is the key of the run time model. Service is the service whose
 	// upstreams may run the tasks.
 	Queue, Service string
