node: only likely dispatchers fetch the list of upstreams from peers

Change: the list is fetched by members that may dispatch soon, only if the store has not answered; fetches of a configuration are spread over 20 ms per member.

--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -59,6 +59,13 @@
 	}
 }
 
+// ScopeSize returns the number of known members of the scope, including this one.
+func (f *Fleet) ScopeSize() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.scopeSize
+}
+
 // Divided reports whether the fleet is divided by data centre.
 func (f *Fleet) Divided() bool {
 	f.mu.Lock()
--- a/node/registry.go
+++ b/node/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -107,7 +108,7 @@
 		maxWait:     watchWait,
 		interval:    upstreamWatchInterval,
 		shouldWatch: n.scheduler.Dispatching,
-		shouldList:  func() bool { v := n.view.Load(); return v.TopInDataCentre || v.Candidate },
+		shouldList:  n.mayDispatchSoon,
 		relist:      n.relistSignal,
 		onList: func(items []store.Item) {
 			n.registry.recordUpdate(time.Now())
@@ -246,22 +247,32 @@
 	n.wakePlaceLoop()
 }
 
+// mayDispatchSoon reports whether this node ranks so high that it needs the list of
+// upstreams before it becomes the dispatcher.
+func (n *Node) mayDispatchSoon() bool {
+	v := n.view.Load()
+	return v.TopInDataCentre || v.Candidate
+}
+
 // shouldPull reports whether to fetch state from a peer: because its configuration
-// is newer, or because its list of upstreams is newer, the store has not answered
-// for registryMaxAge, and canPullUpstreams allows it.
+// is newer, or because its list of upstreams is newer and should be fetched.
 func (n *Node) shouldPull(h *wire.FleetHeartbeat) bool {
 	table := n.table.Load()
 	if h.ConfigurationRevision > 0 && (table == nil || h.ConfigurationRevision > table.Revision) {
 		return true
 	}
-	now := time.Now()
-	return h.UpstreamsRevision > n.registry.revision() && !n.registry.updatedSince(now.Add(-registryMaxAge)) && n.canPullUpstreams(now)
+	return h.UpstreamsRevision > n.registry.revision() && n.shouldPullUpstreams(time.Now())
 }
 
-// canPullUpstreams reports whether the list may be fetched from a peer again.
-// While another VM dispatches, the interval grows with the length of the list,
-// which limits the bandwidth.
-func (n *Node) canPullUpstreams(now time.Time) bool {
+// shouldPullUpstreams reports whether to fetch the list of upstreams from a peer: the
+// store has not answered for registryMaxAge, and this node may need the list soon. The
+// others never fetch it: a change of the configuration makes all members fetch state
+// at the same time, and a list to each of them would fill the link of the dispatcher.
+// While another VM dispatches, the interval grows with the length of the list.
+func (n *Node) shouldPullUpstreams(now time.Time) bool {
+	if n.registry.updatedSince(now.Add(-registryMaxAge)) || !n.mayDispatchSoon() {
+		return false
+	}
 	if n.scheduler.Dispatching() {
 		return true
 	}
@@ -274,6 +285,9 @@
 const (
 	// pullDelay gives the store's watch the time to deliver a change first.
 	pullDelay = 60 * time.Millisecond
+	// pullSpread is the time for each member over which the fetches of a change are
+	// spread, so that they do not fill the link of the member that serves them.
+	pullSpread = 20 * time.Millisecond
 	// registryMaxAge is the time without an answer of the store after which the
 	// list of upstreams is fetched from a peer. It covers two listings and a slow
 	// answer.
@@ -298,7 +312,7 @@
 			return nil
 		case address = <-n.pullFrom:
 		}
-		if !wait.For(ctx, pullDelay) {
+		if !wait.For(ctx, pullDelay+rand.N(time.Duration(n.fleet.ScopeSize())*pullSpread)) {
 			return nil
 		}
 		n.pullState(ctx, address)
@@ -312,7 +326,7 @@
 // they are newer.
 func (n *Node) pullState(ctx context.Context, address string) {
 	request := &wire.StateRequest{UpstreamsRevision: n.registry.revision()}
-	if !n.canPullUpstreams(time.Now()) {
+	if !n.shouldPullUpstreams(time.Now()) {
 		request.UpstreamsRevision = math.MaxInt64 // request the configuration only
 	}
 	if table := n.table.Load(); table != nil {
