node, scheduler: the next dispatcher learns of completions that an earlier one reports

Change: an origin that gets a completion from another dispatcher than the job's present one tells the present one before it answers the report. If that is not certain, the completions stay listed at their upstreams, where the next dispatcher finds them.

TestTaskCompletedUnderEarlierDispatcherIsNotStarted and TestCompletionOfEarlierDispatcherReachesTheNextOne.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -329,6 +329,16 @@
 	}
 }
 
+// Address returns the address of another member, or an empty string if it is unknown.
+func (f *Fleet) Address(vm string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[vm]; p != nil {
+		return p.heartbeat.Member.Address
+	}
+	return ""
+}
+
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -179,14 +179,15 @@
 }
 
 // CompleteTask records the result of a task that succeeded. The last one
-// answers the job.
-func (t *Table[S]) CompleteTask(id string, index int, result []byte) {
+// answers the job. CompleteTask returns the dispatcher that the job is assigned to;
+// term is 0 if there is none or the job is already answered.
+func (t *Table[S]) CompleteTask(id string, index int, result []byte) (vm string, term uint64) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[id]
 	if j == nil || j.finished {
-		return
+		return "", 0
 	}
 	if at := slices.Index(j.unfinished, index); at >= 0 {
 		j.unfinished = slices.Delete(j.unfinished, at, at+1)
@@ -195,6 +196,7 @@
 	if len(j.unfinished) == 0 {
 		s.finish(j, Answer{Outcome: Succeeded, Results: j.results})
 	}
+	return j.vm, j.term
 }
 
 // Finish answers a job and returns the dispatcher that had it. finished is
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -214,9 +214,10 @@
 // MarshalMsg implements msgp.Marshaler
 func (z CompletionsResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 0
-	_ = z
-	o = append(o, 0x80)
+	// map header, size 1
+	// string "i"
+	o = append(o, 0x81, 0xa1, 0x69)
+	o = msgp.AppendBool(o, z.Incomplete)
 	return
 }
 
@@ -238,6 +239,12 @@
 			return
 		}
 		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Incomplete, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incomplete")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -252,7 +259,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z CompletionsResponse) Msgsize() (s int) {
-	s = 1
+	s = 1 + 2 + msgp.BoolSize
 	return
 }
 
@@ -1509,6 +1516,142 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TasksDoneRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "o"
+	o = append(o, 0x82, 0xa1, 0x6f)
+	o = msgp.AppendString(o, z.Origin)
+	// string "e"
+	o = append(o, 0xa1, 0x65)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Completions)))
+	for za0001 := range z.Completions {
+		o, err = z.Completions[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Completions", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TasksDoneRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "o":
+			z.Origin, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Origin")
+				return
+			}
+		case "e":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Completions")
+				return
+			}
+			if cap(z.Completions) >= int(zb0002) {
+				z.Completions = (z.Completions)[:zb0002]
+			} else {
+				z.Completions = make([]TaskCompletion, zb0002)
+			}
+			for za0001 := range z.Completions {
+				bts, err = z.Completions[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Completions", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TasksDoneRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Completions {
+		s += z.Completions[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z TasksDoneResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "k"
+	o = append(o, 0x81, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Known)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TasksDoneResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "k":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z TasksDoneResponse) Msgsize() (s int) {
+	s = 1 + 2 + msgp.BoolSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *WithdrawRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -16,6 +16,10 @@
 	KindCompletionsRequest Kind = 67
 	// KindCompletionsResponse is the frame kind of CompletionsResponse messages.
 	KindCompletionsResponse Kind = 68
+	// KindTasksDoneRequest is the frame kind of TasksDoneRequest messages.
+	KindTasksDoneRequest Kind = 75
+	// KindTasksDoneResponse is the frame kind of TasksDoneResponse messages.
+	KindTasksDoneResponse Kind = 76
 	// KindWithdrawRequest is the frame kind of WithdrawRequest messages.
 	KindWithdrawRequest Kind = 69
 	// KindWithdrawResponse is the frame kind of WithdrawResponse messages.
@@ -196,13 +200,39 @@
 // Kind returns the frame kind of the message.
 func (*CompletionsRequest) Kind() Kind { return KindCompletionsRequest }
 
-// CompletionsResponse acknowledges a CompletionsRequest.
+// CompletionsResponse answers a CompletionsRequest.
 type CompletionsResponse struct {
+	// Incomplete is true if another dispatcher has a job now and does not know
+	// yet that a task of it has completed. The completions must then stay listed
+	// at their upstreams.
+	Incomplete bool `msg:"i"`
 }
 
 // Kind returns the frame kind of the message.
 func (*CompletionsResponse) Kind() Kind { return KindCompletionsResponse }
 
+// TasksDoneRequest tells the dispatcher of some jobs that tasks have
+// completed under an earlier dispatcher.
+type TasksDoneRequest struct {
+	// Origin is the VM that took the jobs.
+	Origin string `msg:"o"`
+	// Completions lists the completed tasks.
+	Completions []TaskCompletion `msg:"e"`
+}
+
+// Kind returns the frame kind of the message.
+func (*TasksDoneRequest) Kind() Kind { return KindTasksDoneRequest }
+
+// TasksDoneResponse answers a TasksDoneRequest.
+type TasksDoneResponse struct {
+	// Known is true if the dispatcher has all of the jobs, so that it starts
+	// none of the tasks.
+	Known bool `msg:"k"`
+}
+
+// Kind returns the frame kind of the message.
+func (*TasksDoneResponse) Kind() Kind { return KindTasksDoneResponse }
+
 // WithdrawRequest asks a dispatcher to stop all tasks of some jobs, because
 // no caller waits for them.
 type WithdrawRequest struct {
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -215,14 +215,29 @@
 	}
 	for origin, r := range byOrigin {
 		if origin == n.config.VM {
-			n.applyCompletions(n.config.VM, &r.CompletionsRequest)
-			n.scheduler.ConfirmDelivery(r.refs)
+			n.deliverLocally(r)
 		} else {
 			n.outboxes.add(n, origin, r)
 		}
 	}
 }
 
+// deliverLocally processes a report to this node.
+func (n *Node) deliverLocally(r *originReport) {
+	moved := n.applyCompletions(n.config.VM, &r.CompletionsRequest)
+	if len(moved) == 0 {
+		n.scheduler.ConfirmDelivery(r.refs)
+		return
+	}
+	go func() {
+		if n.forwardCompletions(n.runCtx, moved) {
+			n.scheduler.ConfirmDelivery(r.refs)
+		} else {
+			confirmLater(n, r.refs)
+		}
+	}()
+}
+
 // originReport is a report to an origin, with the references of the completions to
 // confirm to the scheduler once the report is delivered.
 type originReport struct {
@@ -256,7 +271,7 @@
 	if box.next.Term != r.Term {
 		// Reports of an earlier term are dropped: the origin offers their jobs again
 		// in the new term.
-		box.confirmLater(n, box.next.refs)
+		confirmLater(n, box.next.refs)
 		box.next = originReport{CompletionsRequest: wire.CompletionsRequest{Term: r.Term}}
 	}
 	box.next.Completions = append(box.next.Completions, r.Completions...)
@@ -284,7 +299,7 @@
 		if err := n.deliver(origin, &r.CompletionsRequest); err == nil {
 			n.scheduler.ConfirmDelivery(r.refs)
 		} else {
-			b.confirmLater(n, r.refs)
+			confirmLater(n, r.refs)
 			n.log.Info("completions not delivered", slog.String("origin", origin), slog.Int("ends", len(r.Completions)), slog.Any("error", err))
 			before := n.origins.countAbandon(origin)
 			n.apply(n.scheduler.AbandonJobsOf(time.Now(), origin, before))
@@ -295,7 +310,7 @@
 // confirmLater confirms undelivered completions to the scheduler after
 // CompletionRetention. Until then they stay listed at their upstreams, where a
 // dispatcher that is offered their jobs finds them.
-func (b *outbox) confirmLater(n *Node, refs []scheduler.CompletionRef) {
+func confirmLater(n *Node, refs []scheduler.CompletionRef) {
 	if len(refs) > 0 {
 		time.AfterFunc(scheduler.CompletionRetention, func() { n.scheduler.ConfirmDelivery(refs) })
 	}
@@ -309,15 +324,13 @@
 func (n *Node) deliver(origin string, r *wire.CompletionsRequest) error {
 	var err error
 	for range deliverAttempts {
-		address := ""
-		for _, m := range n.fleet.Peers() {
-			if m.VM == origin {
-				address = m.Address
-			}
-		}
 		ctx, cancel := context.WithTimeout(n.runCtx, n.peerTimeout()/2)
-		err = n.peers.Call(ctx, address, r, &wire.CompletionsResponse{})
+		var response wire.CompletionsResponse
+		err = n.peers.Call(ctx, n.fleet.Address(origin), r, &response)
 		cancel()
+		if err == nil && response.Incomplete {
+			return errors.New("the dispatcher that has a job now does not know that a task of it has completed")
+		}
 		if err == nil {
 			return nil
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -193,6 +193,7 @@
 	peer.Handle(n.peers, n.handleHeartbeat)
 	peer.Handle(n.peers, n.handleOffer)
 	peer.Handle(n.peers, n.handleCompletions)
+	peer.Handle(n.peers, n.handleTasksDone)
 	peer.Handle(n.peers, n.handleWithdraw)
 	peer.Handle(n.peers, n.handleState)
 	peer.Handle(n.peers, n.handlePlacements)
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/stretchr/testify/require"
 )
@@ -34,3 +35,41 @@
 	answer, _ := n.jobs.Answer(j)
 	require.Equal(t, intake.NotRun, answer.Outcome)
 }
+
+// TestCompletionOfEarlierDispatcherReachesTheNextOne guards against a second start around a
+// hand-over: a dispatcher may acknowledge a completion to its upstream only once the next
+// dispatcher of the job knows of it.
+func TestCompletionOfEarlierDispatcherReachesTheNextOne(t *testing.T) {
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease},
+		Dependencies{Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics()})
+	now := time.Now()
+	n.startTerm(now, n.view.Load(), "test")
+	term := n.termFor("vm0")
+	report := func(id string, task int) bool {
+		r := &wire.CompletionsRequest{Term: 1, Completions: []wire.TaskCompletion{{Job: id, Index: task}}}
+		return n.handleCompletions(t.Context(), &wire.Hello{VM: "old"}, r).(*wire.CompletionsResponse).Incomplete
+	}
+	add := func(id, vm string) *intake.Job[Job] {
+		j, _ := n.jobs.AddOrJoin(now, id, Job{Queue: &testQueue, Deadline: now.Add(time.Minute)}, 2)
+		n.jobs.Assign(j, "old", 1)
+		n.jobs.Assign(j, vm, term)
+		return j
+	}
+
+	j := add("offered", "vm0")
+	_, failure := n.scheduler.Offer(now, scheduler.Job{
+		ID: "offered", Origin: "vm0", Queue: "q", Sent: now, Deadline: now.Add(time.Minute), AtMostOnce: true, Resumed: true, Tasks: []int{0, 1},
+	})
+	require.Nil(t, failure)
+	require.False(t, report("offered", 0))
+	require.Equal(t, 1, n.scheduler.Waiting())
+	require.False(t, report("offered", 1))
+	require.Zero(t, n.scheduler.Waiting(), "also if the report answers the job")
+	answer, _ := n.jobs.Answer(j)
+	require.Equal(t, intake.Succeeded, answer.Outcome)
+
+	add("on its way", "vm0")
+	require.True(t, report("on its way", 0), "the offer has not arrived")
+	add("elsewhere", "unreachable")
+	require.True(t, report("elsewhere", 0))
+}
--- a/node/submit.go
+++ b/node/submit.go
@@ -202,22 +202,27 @@
 	}()
 }
 
-func (n *Node) handleCompletions(_ context.Context, from *wire.Hello, r *wire.CompletionsRequest) wire.Message {
-	n.applyCompletions(from.VM, r)
-	return &wire.CompletionsResponse{}
+func (n *Node) handleCompletions(ctx context.Context, from *wire.Hello, r *wire.CompletionsRequest) wire.Message {
+	moved := n.applyCompletions(from.VM, r)
+	return &wire.CompletionsResponse{Incomplete: !n.forwardCompletions(ctx, moved)}
 }
 
 // applyCompletions processes the report of a dispatcher. A completed task counts
 // whichever dispatcher reports it, and so does the failure of an at-most-once job
 // that may have started. All else counts only if it comes from the dispatcher that
-// has the job.
-func (n *Node) applyCompletions(dispatcher string, r *wire.CompletionsRequest) {
+// has the job. applyCompletions returns the completed tasks of jobs that another
+// dispatcher has now, by its VM.
+func (n *Node) applyCompletions(dispatcher string, r *wire.CompletionsRequest) (moved map[string][]wire.TaskCompletion) {
+	moved = map[string][]wire.TaskCompletion{}
 	for i := range r.Completions {
 		completion := &r.Completions[i]
 		if completion.Failed {
 			n.finishJob(completion.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: "a task has failed and is not retried"})
-		} else {
-			n.jobs.CompleteTask(completion.Job, completion.Index, completion.Result)
+			continue
+		}
+		vm, term := n.jobs.CompleteTask(completion.Job, completion.Index, completion.Result)
+		if term != 0 && (vm != dispatcher || term != r.Term) {
+			moved[vm] = append(moved[vm], *completion)
 		}
 	}
 	for i := range r.Abandoned {
@@ -230,6 +235,46 @@
 			Outcome: outcome, Code: verdict.Code(abandoned.Code), Reason: abandoned.Reason, RetryAfter: time.Duration(abandoned.RetryAfterUS) * time.Microsecond,
 		})
 	}
+	return moved
+}
+
+// forwardCompletions tells the dispatchers of some jobs which of their tasks have
+// completed under an earlier dispatcher. A dispatcher starts the tasks of a resumed job
+// that no upstream lists. The earlier dispatcher must therefore not acknowledge a
+// completion to its upstream before the present one knows of it; forwardCompletions
+// returns false if that is not certain.
+func (n *Node) forwardCompletions(ctx context.Context, moved map[string][]wire.TaskCompletion) bool {
+	complete := true
+	for vm, completions := range moved {
+		request := &wire.TasksDoneRequest{Origin: n.config.VM, Completions: completions}
+		if vm == n.config.VM {
+			complete = n.recordTasksDone(request) && complete
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, n.peerTimeout()/2)
+		var response wire.TasksDoneResponse
+		err := n.peers.Call(callCtx, n.fleet.Address(vm), request, &response)
+		cancel()
+		if err != nil {
+			n.log.Info("dispatcher not told of completed tasks", slog.String("dispatcher", vm), slog.Int("tasks", len(completions)), slog.Any("error", err))
+		}
+		complete = err == nil && response.Known && complete
+	}
+	return complete
+}
+
+func (n *Node) handleTasksDone(_ context.Context, _ *wire.Hello, r *wire.TasksDoneRequest) wire.Message {
+	return &wire.TasksDoneResponse{Known: n.recordTasksDone(r)}
+}
+
+// recordTasksDone passes the completed tasks to the scheduler. It returns false if a job
+// is unknown here.
+func (n *Node) recordTasksDone(r *wire.TasksDoneRequest) bool {
+	known := true
+	for _, c := range r.Completions {
+		known = n.scheduler.CompleteElsewhere(time.Now(), scheduler.Task{Job: c.Job, Index: c.Index}, c.Result) && known
+	}
+	return known
 }
 
 // finishJob ends a job with the answer of a dispatcher.
--- a/scheduler/at_most_once_test.go
+++ b/scheduler/at_most_once_test.go
@@ -200,3 +200,32 @@
 		})
 	}
 }
+
+// TestTaskCompletedUnderEarlierDispatcherIsNotStarted replays a hand-over: the earlier
+// dispatcher reports a completion to the origin and acknowledges it to the upstream while
+// the job waits at the next one, whose polls therefore list neither the run nor its
+// completion.
+func TestTaskCompletedUnderEarlierDispatcherIsNotStarted(t *testing.T) {
+	b := newAtMostOnceHarness(t, "u1", "u2")
+	b.advance(time.Second)
+	j := b.atMostOnceJob("a", 0, 1)
+	task := func(index int) scheduler.Task { return scheduler.Task{Job: "a", Index: index} }
+	require.False(t, b.scheduler.CompleteElsewhere(b.now, task(0), nil), "the offer has not arrived")
+	b.advance(time.Second)
+	j.Resumed = true
+	b.offer(j)
+	require.True(t, b.scheduler.CompleteElsewhere(b.now, task(0), nil))
+	b.advanceWithPolls(200 * time.Millisecond)
+	starts := b.place()
+	require.Len(t, starts, 1)
+	require.Equal(t, 1, starts[0].Run.Index)
+	require.Zero(t, b.scheduler.Waiting())
+
+	b = newAtMostOnceHarness(t, "u1", "u2")
+	b.resume()
+	require.True(t, b.scheduler.CompleteElsewhere(b.now, task(0), nil))
+	require.True(t, b.scheduler.CompleteElsewhere(b.now, task(0), nil), "the job is remembered")
+	b.advanceWithPolls(200 * time.Millisecond)
+	require.Empty(t, b.place())
+	require.Empty(t, b.notices)
+}
--- a/scheduler/completed_job.go
+++ b/scheduler/completed_job.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mustardstep/mustardstep/verdict"
@@ -44,3 +45,33 @@
 		}
 	}
 }
+
+// CompleteElsewhere records that a task has completed under an earlier dispatcher, which
+// has reported it to the origin. The task is not started here. CompleteElsewhere returns
+// false if the job is unknown.
+func (s *Scheduler) CompleteElsewhere(now time.Time, task Task, result []byte) bool {
+	known, dequeued := s.jobShardFor(task.Job).completeElsewhere(now, task, result)
+	s.waiting.Add(int64(-dequeued))
+	return known
+}
+
+func (s *jobShard) completeElsewhere(now time.Time, task Task, result []byte) (known bool, dequeued int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[task.Job]
+	if j == nil {
+		return s.completed[task.Job] != nil, 0
+	}
+	if at := slices.Index(j.waiting, task.Index); at >= 0 {
+		j.waiting, dequeued = slices.Delete(j.waiting, at, at+1), 1
+	} else if at := slices.Index(j.blocked, task.Index); at >= 0 {
+		j.blocked = slices.Delete(j.blocked, at, at+1)
+	} else {
+		return true, 0 // it runs here or has completed
+	}
+	j.running++
+	j.starts++
+	s.updateHeap(j)
+	s.completeTask(now, j, task.Index, result)
+	return true, dequeued
+}
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -110,23 +110,30 @@
 	return notices, requeued, stop
 }
 
+// completeTask records the result of a running task. The job is removed with its last
+// one. The caller holds mu.
+func (s *jobShard) completeTask(now time.Time, j *job, index int, result []byte) {
+	j.running--
+	j.attempts[index] = finishedAttempt
+	j.unfinished--
+	if len(result) > 0 {
+		j.results[index] = result
+	}
+	if j.unfinished == 0 {
+		s.remove(j)
+		s.completed[j.ID] = &completedJob{finishedAt: now, deadline: j.Deadline, atMostOnce: j.AtMostOnce, results: j.results}
+	}
+}
+
 // finishCurrentRun processes the end of a task's current run. The caller holds mu.
 func (s *jobShard) finishCurrentRun(now time.Time, j *job, f finishedRun) (notices []Notice, requeued int, stop bool) {
 	index := f.run.Index
-	j.running--
-	switch {
-	case f.outcome == outcomeDone:
-		j.attempts[index] = finishedAttempt
-		j.unfinished--
-		if len(f.result) > 0 {
-			j.results[index] = f.result
-		}
-		if j.unfinished == 0 {
-			s.remove(j)
-			s.completed[j.ID] = &completedJob{finishedAt: now, deadline: j.Deadline, atMostOnce: j.AtMostOnce, results: j.results}
-		}
+	if f.outcome == outcomeDone {
+		s.completeTask(now, j, index, f.result)
 		return []Notice{j.doneNotice(index, f.result, f.completion)}, 0, false
-	case f.outcome == outcomeFailed:
+	}
+	j.running--
+	if f.outcome == outcomeFailed {
 		j.failures[index]++
 		if j.failures[index] >= j.MaxAttempts {
 			n := len(j.waiting)
