--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	bufferSize = 64 << 10 // bytes
+	bufferSize = 16 << 10 // bytes
 	queueSize  = 1024     // frames
 )
 
