A panic while serving a request ends that request only

Cause: none of the entrances for requests (calls between VMs, callers' HTTP of both daemons) recovered from a panic, so that one unexpected message could terminate a process with all its jobs. Found by reading; no message is known that causes a panic.

Change: the panic is logged with the peer or path and the stack.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -118,6 +118,7 @@
 		MaxFrame:    s.Network.MaxFrame,
 		OnHello:     d.handleHello,
 		OnClose:     d.handleDisconnect,
+		Log:         d.log,
 	})
 	d.metrics.publishFrames(d.peers)
 	d.metrics.publishStore(d.store)
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/internal/panics"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/valyala/fasthttp"
@@ -100,6 +101,10 @@
 func (s *Server) Shutdown(ctx context.Context) error { return s.server.ShutdownWithContext(ctx) }
 
 func (s *Server) handle(c *fasthttp.RequestCtx) {
+	defer panics.Recover(s.config.Log, func(err error) {
+		c.ResetBody()
+		writeError(c, fasthttp.StatusInternalServerError, "", verdict.Errorf(verdict.MayHaveRun, verdict.CodeInternal, "%v", err))
+	}, slog.String("path", string(c.Path())))
 	path, failure := splitPath(c)
 	if failure != nil {
 		writeError(c, statusOf(failure), "", failure)
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -4,12 +4,14 @@
 	"bufio"
 	"context"
 	"fmt"
+	"log/slog"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/panics"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -46,6 +48,8 @@
 	// OnClose is called with the peer's hello when a connection is closed after
 	// the handshake. It may be nil and may be called concurrently.
 	OnClose func(wire.Hello)
+	// Log receives panics of handlers. It may be nil.
+	Log *slog.Logger
 }
 
 type handler func(ctx context.Context, from *wire.Hello, payload []byte) (wire.Message, error)
@@ -184,7 +188,10 @@
 	}
 }
 
+// serveCall serves a request. If its handler panics, the connection is closed, because
+// the caller must not take the request for one that has not run.
 func (t *Transport) serveCall(ctx context.Context, c *conn, f frame) {
+	defer panics.Recover(t.config.Log, c.close, slog.String("peer", c.hello.VM), slog.Any("kind", f.kind))
 	var response wire.Message
 	handle := t.handlers[f.kind]
 	if handle == nil {
--- a/node/node.go
+++ b/node/node.go
@@ -187,6 +187,7 @@
 			DialTimeout: dialTimeout, MaxFrame: maxFrame,
 			OnHello: func(wire.Hello) {},
 			OnClose: n.PeerDisconnected,
+			Log:     n.log,
 		})
 	}
 	n.registerGauges()
