fleet: only a member that dispatches or is about to divides the fleet

Cause, found by reading: a small VM that had listed the upstreams before it knew the more capable members would have divided a fleet for good that one dispatcher can serve (48 upstreams exceed a VM with 0.1 cores).

TestOnlyADispatcherDividesTheFleet fails if every VM that lists upstreams may decide.

--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -7,8 +7,8 @@
 // capable member is therefore divided by data centre: each data centre has a dispatcher
 // of its own for its own upstreams, and its callers' tasks stay within it.
 //
-// The division is a fact that only spreads: a member that finds it necessary divides,
-// the others learn of it with heartbeats, and the fleet stays divided as long as any of
+// The division is a fact that only spreads: a member that dispatches, or is about to,
+// divides the fleet, the others learn of it with heartbeats, and the fleet stays divided as long as any of
 // its processes runs. A list of upstreams that is short for a while, because entries
 // lapsed during an outage of the store, thus makes no dispatcher give up its claims.
 type Scope uint8
@@ -30,13 +30,16 @@
 const upstreamsPerCore = 400
 
 // RecordUpstreamCount divides the fleet if its upstreams are too many for one
-// dispatcher.
-func (f *Fleet) RecordUpstreamCount(count int) {
+// dispatcher, and reports whether it did so now. Only a member that dispatches or is about
+// to may call it: one that has just started may not know the more capable members yet.
+func (f *Fleet) RecordUpstreamCount(count int) (divided bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if 1000*count > upstreamsPerCore*f.greatestWeight() {
-		f.divide()
+	if f.scope == ScopeDataCentre || 1000*count <= upstreamsPerCore*f.greatestWeight() {
+		return false
 	}
+	f.divide()
+	return true
 }
 
 // RecordDivision records that a member has learnt that the fleet is divided.
--- a/node/registry.go
+++ b/node/registry.go
@@ -69,6 +69,13 @@
 	return r.newest
 }
 
+// size returns the number of entries, including lapsed ones.
+func (r *registry) size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries)
+}
+
 // recordPull notes that a peer has sent the list.
 func (r *registry) recordPull(now time.Time) {
 	r.mu.Lock()
@@ -236,9 +243,10 @@
 			partial = partial || v.InScope(self, e.upstream.DataCentre) || now.Sub(n.registry.scopeSince) < scopeSettleTime
 		}
 	}
-	count := len(n.registry.entries)
 	n.registry.mu.Unlock()
-	n.fleet.RecordUpstreamCount(count)
+	if n.scheduler.Dispatching() && n.fleet.RecordUpstreamCount(n.registry.size()) {
+		n.wakeTermLoop()
+	}
 	n.scheduler.SetListCompleteSince(completeSince)
 	for _, added := range n.scheduler.SetUpstreams(now, list, partial) {
 		n.ensurePoller(added)
--- a/node/registry_test.go
+++ b/node/registry_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/store"
 	"github.com/stretchr/testify/require"
 )
 
@@ -31,3 +32,29 @@
 		require.False(t, n.shouldPullUpstreams(now), "the store has answered")
 	}
 }
+
+// TestOnlyADispatcherDividesTheFleet guards against a division for good by a small VM that
+// has listed the upstreams before it knows the more capable members.
+func TestOnlyADispatcherDividesTheFleet(t *testing.T) {
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", Weight: 100, LeaseMax: testLease, ConfigurationKey: "config"},
+		Dependencies{Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+	now := time.Now()
+	var items []store.Item
+	for i := range 48 {
+		items = append(items, store.Item{Key: fmt.Sprintf("u%d", i), Value: []byte(`{"Service":"rota"}`), Revision: int64(i + 1)})
+	}
+	n.replaceUpstreams(items, 48, "test")
+	n.updateTerm(now)
+	require.False(t, n.fleet.Divided(), "it cannot dispatch without a configuration")
+
+	n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: fleet.Member{VM: "vm1", Incarnation: 1, DataCentre: "a", Weight: 800}}, true)
+	n.applyConfiguration(store.Item{Key: "config", Value: []byte("1"), Revision: 1}, "test")
+	n.started = now.Add(-time.Minute)
+	n.updateTerm(now)
+	require.False(t, n.fleet.Divided(), "another member ranks higher")
+
+	n.fleet.HeartbeatTargets(now.Add(time.Second)) // not answered
+	n.updateTerm(now.Add(time.Minute))
+	require.False(t, n.fleet.Divided(), "the unreachable member can dispatch for all upstreams")
+	require.NotZero(t, n.term.current())
+}
--- a/node/term.go
+++ b/node/term.go
@@ -153,6 +153,8 @@
 	switch {
 	case token != 0 && v.Dispatcher.VM != self.VM:
 		n.endTerm(v.Dispatcher.VM + " dispatches")
+	case token == 0 && v.TopRanked.VM == self.VM && n.canStartTerm(now, &v) && n.fleet.RecordUpstreamCount(n.registry.size()):
+		n.wakeTermLoop() // the next view has the reduced scope
 	case token == 0 && v.TopRanked.VM == self.VM && n.canStartTerm(now, &v):
 		n.startTerm(now, &v, "highest-ranked reachable member")
 	case token != 0:
