--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -7,9 +7,10 @@
 // highest-ranked members of its data centre, and to all others in rotation. The
 // number of heartbeats thus grows linearly with the number of VMs. A member is
 // reachable while heartbeats and their answers pass in both directions. The
-// highest-ranked of the members of a scope that reach each other dispatches. This needs no consensus: two groups, or two VMs with
-// different views, may each have a dispatcher for a while, because the fencing
-// tokens of the upstreams let only one of them start tasks on an upstream.
+// highest-ranked of the members of a scope that reach each other dispatches. This
+// needs no consensus: two groups, or two VMs with different views, may each have a
+// dispatcher for a while, because the fencing tokens of the upstreams let only one of
+// them start tasks on an upstream.
 //
 // A member is present if it is reachable or if the platform's store lists it. Until
 // the list in the store has been read, all known members are present. A group of
--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -8,9 +8,10 @@
 // of its own for its own upstreams, and its callers' tasks stay within it.
 //
 // The division is a fact that only spreads: a member that dispatches, or is about to,
-// divides the fleet, the others learn of it with heartbeats, and the fleet stays divided as long as any of
-// its processes runs. A list of upstreams that is short for a while, because entries
-// lapsed during an outage of the store, thus makes no dispatcher give up its claims.
+// divides the fleet, the others learn of it with heartbeats, and the fleet stays
+// divided as long as any of its processes runs. A list of upstreams that is short for
+// a while, because entries lapsed during an outage of the store, thus makes no
+// dispatcher give up its claims.
 type Scope uint8
 
 // Scopes.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -233,7 +233,7 @@
 		if n.forwardCompletions(n.runCtx, moved) {
 			n.scheduler.ConfirmDelivery(r.refs)
 		} else {
-			confirmLater(n, r.refs)
+			n.confirmLater(r.refs)
 		}
 	}()
 }
@@ -271,7 +271,7 @@
 	if box.next.Term != r.Term {
 		// Reports of an earlier term are dropped: the origin offers their jobs again
 		// in the new term.
-		confirmLater(n, box.next.refs)
+		n.confirmLater(box.next.refs)
 		box.next = originReport{CompletionsRequest: wire.CompletionsRequest{Term: r.Term}}
 	}
 	box.next.Completions = append(box.next.Completions, r.Completions...)
@@ -299,7 +299,7 @@
 		if err := n.deliver(origin, &r.CompletionsRequest); err == nil {
 			n.scheduler.ConfirmDelivery(r.refs)
 		} else {
-			confirmLater(n, r.refs)
+			n.confirmLater(r.refs)
 			n.log.Info("completions not delivered", slog.String("origin", origin), slog.Int("ends", len(r.Completions)), slog.Any("error", err))
 			before := n.origins.countAbandon(origin)
 			n.apply(n.scheduler.AbandonJobsOf(time.Now(), origin, before))
@@ -310,7 +310,7 @@
 // confirmLater confirms undelivered completions to the scheduler after
 // CompletionRetention. Until then they stay listed at their upstreams, where a
 // dispatcher that is offered their jobs finds them.
-func confirmLater(n *Node, refs []scheduler.CompletionRef) {
+func (n *Node) confirmLater(refs []scheduler.CompletionRef) {
 	if len(refs) > 0 {
 		time.AfterFunc(scheduler.CompletionRetention, func() { n.scheduler.ConfirmDelivery(refs) })
 	}
--- a/node/registry.go
+++ b/node/registry.go
@@ -57,6 +57,7 @@
 
 func (r *registry) init() { r.entries, r.scopeSince = map[string]entry{}, time.Now() }
 
+// setScopeSince notes that the scope of the dispatchers has changed.
 func (r *registry) setScopeSince(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
