--- a/internal/peer/panic_test.go
+++ b/internal/peer/panic_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 
 	"github.com/mustardstep/mustardstep/internal/wire"
@@ -14,10 +15,9 @@
 // process. The caller must not learn that the request has not run.
 func TestPanickingHandlerEndsItsConnectionOnly(t *testing.T) {
 	server := newTestTransport()
-	fail := true
+	var failed atomic.Bool
 	Handle(server, func(_ context.Context, _ *wire.Hello, m *wire.CancelRequest) wire.Message {
-		if fail {
-			fail = false
+		if !failed.Swap(true) {
 			panic("unexpected state")
 		}
 		return &wire.SubmitResponse{Reason: "served"}
