Log what shows that a run is lost, and tell a refused connection from silence

Callers saw: nothing changes for them.

A poll or order that was refused because no process listens, one whose connection was closed and one without any response were all 'unanswered', and 'run lost' named neither the process, nor the runs lost with it, nor the age of the last response.

Change: order results 'disconnected' and 'no process', poll result 'no process'; both are still treated as unanswered. 'run lost' has process, sharing and contact_ms. The tests of calls to a closed port expect the more specific result; they are as strict as before.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -139,7 +139,7 @@
 // observeOrder updates the timeout for calls to upstreams from the response time
 // of an order.
 func (n *Node) observeOrder(result scheduler.OrderResult, took time.Duration) {
-	if result == scheduler.OrderUnanswered {
+	if result >= scheduler.OrderUnanswered {
 		n.rtt.observeTimeout()
 	} else {
 		n.rtt.observe(took)
@@ -184,7 +184,8 @@
 	}
 	for _, lost := range a.Lost {
 		n.log.Info("run lost", slog.String("job", lost.Job), slog.Int("task", lost.Index), slog.Int("attempt", lost.Attempt),
-			slog.String("upstream", lost.Upstream), slog.Bool("started", lost.MayHaveRun), slog.String("why", lost.Reason))
+			slog.String("upstream", lost.Upstream), slog.Bool("started", lost.MayHaveRun), slog.String("why", lost.Reason),
+			slog.Int64("process", lost.ProcessStart), slog.Int("sharing", lost.Sharing), slog.Int64("contact_ms", lost.Contact.Milliseconds()))
 	}
 	byOrigin := map[string]*originReport{}
 	for _, notice := range a.Notices {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -17,7 +17,7 @@
 	Jobs, Terms, Polls, Stops *metrics.Counter
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
-	starts      [scheduler.OrderUnanswered + 1]*metrics.Counter
+	starts      []*metrics.Counter
 	taskWaits   *metrics.Histogram
 	startTimes  *metrics.Histogram
 }
@@ -38,8 +38,8 @@
 	for o := range m.answerTimes {
 		m.answerTimes[o] = set.NewHistogram(fmt.Sprintf("mustardstep_answer_seconds{outcome=%q}", intake.Outcome(o)))
 	}
-	for r := range m.starts {
-		m.starts[r] = set.NewCounter(fmt.Sprintf("mustardstep_starts_total{result=%q}", scheduler.OrderResult(r)))
+	for _, r := range scheduler.OrderResults() {
+		m.starts = append(m.starts, set.NewCounter(fmt.Sprintf("mustardstep_starts_total{result=%q}", r)))
 	}
 	return m
 }
--- a/node/nodetest/nodetest.go
+++ b/node/nodetest/nodetest.go
@@ -180,8 +180,8 @@
 	defer cancel()
 	result, _, err := f.Start(ctx, scheduler.Start{Upstream: f.upstream, Token: token, Run: run(0, 1), Spec: Spec, Until: f.clock + validMS})
 	require.Error(t, err)
-	require.Equal(t, scheduler.OrderUnanswered, result)
+	require.Equal(t, scheduler.OrderNoProcess, result, "no process listens at the address")
 	polled, _, err := f.Poll(ctx, scheduler.Poll{Upstream: f.upstream, Token: token})
 	require.Error(t, err)
-	require.Equal(t, scheduler.PollUnanswered, polled)
+	require.Equal(t, scheduler.PollNoProcess, polled)
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -30,15 +30,36 @@
 	// OrderUnanswered means that the order may have had an effect, or may still
 	// have one.
 	OrderUnanswered
+	// OrderDisconnected means that the upstream closed the connection before its
+	// response. The order may have had an effect.
+	OrderDisconnected
+	// OrderNoProcess means that no process listens at the upstream's address. The order
+	// was not sent.
+	OrderNoProcess
+
+	orderResultCount = iota
 )
 
+// OrderResults returns all order results.
+func OrderResults() []OrderResult {
+	all := make([]OrderResult, orderResultCount)
+	for i := range all {
+		all[i] = OrderResult(i)
+	}
+	return all
+}
+
 // String returns the name used in logs.
 func (r OrderResult) String() string {
 	return [...]string{
 		"done", "fenced", "old attempt", "late", "no room", "unhealthy", "other process", "rejected", "unanswered",
+		"disconnected", "no process",
 	}[r]
 }
 
+// unanswered reports whether the order got no response.
+func (r OrderResult) unanswered() bool { return r >= OrderUnanswered }
+
 // HandleStartResult processes the result of a start order. clock is the upstream's
 // clock, or 0 if the response did not contain it.
 func (s *Scheduler) HandleStartResult(now time.Time, start Start, result OrderResult, clock int64) Actions {
@@ -72,7 +93,7 @@
 		}
 		shard.mu.Unlock()
 		return a
-	case OrderUnanswered:
+	case OrderUnanswered, OrderDisconnected, OrderNoProcess:
 		s.noteLostResponse(now, u)
 		switch {
 		case r.state != runOrdered: // a poll has already reported the run
@@ -131,10 +152,10 @@
 	r := u.runs[stop.Run.Task]
 	if r == nil || r.Run != stop.Run {
 		_, orphaned := u.orphans[stop.Run.Task]
-		return a, orphaned && result == OrderUnanswered, stopRetryDelay
+		return a, orphaned && result.unanswered(), stopRetryDelay
 	}
 	switch result {
-	case OrderUnanswered:
+	case OrderUnanswered, OrderDisconnected, OrderNoProcess:
 		return a, true, stopRetryDelay
 	case OrderFenced:
 		u.fence(now, &a)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -239,7 +239,7 @@
 	r := &run{
 		Run: Run{Task{c.job.ID, c.index}, c.attempt}, size: c.job.Size, orderedAt: now, progressAt: now,
 		validUntil: u.clockNow(now) + startWindow.Milliseconds(), expected: c.expected, estimate: c.job.Estimate, model: c.model,
-		atMostOnce: c.job.AtMostOnce,
+		atMostOnce: c.job.AtMostOnce, processStart: u.processStart,
 	}
 	before := u.freeSize().MilliCPU
 	u.runs[r.Task] = r
@@ -364,6 +364,7 @@
 		return false
 	}
 	delete(u.orphans, r.Task)
+	r.processStart = u.processStart
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
 	s.recomputeBounds()
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -78,11 +78,13 @@
 	PollOtherProcess
 	// PollUnanswered means that no response arrived.
 	PollUnanswered
+	// PollNoProcess means that no process listens at the upstream's address.
+	PollNoProcess
 )
 
 // String returns the name used in logs.
 func (r PollResult) String() string {
-	return [...]string{"answered", "fenced", "other process", "unanswered"}[r]
+	return [...]string{"answered", "fenced", "other process", "unanswered", "no process"}[r]
 }
 
 // String returns the name used in logs.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -148,6 +148,7 @@
 // releaseAbsent removes runs that the upstream reports neither as active nor as
 // completed.
 func (u *upstream) releaseAbsent(now time.Time, poll Poll, report PollReport, listed map[Run]int, a *Actions) {
+	var absent []*run
 	for _, r := range u.runs {
 		if _, present := listed[r.Run]; present {
 			continue
@@ -162,10 +163,10 @@
 			over = report.Clock > r.validUntil && r.orderedAt.Before(poll.Sent)
 		}
 		if over {
-			u.release(now, r)
-			a.unapplied = append(a.unapplied, finishedRun{run: r.Run, upstream: u.Name, outcome: r.absentOutcome(), lossReason: "the upstream does not list the run"})
+			absent = append(absent, r)
 		}
 	}
+	u.lose(now, absent, "the upstream does not list the run", (*run).absentOutcome, a)
 	for task, o := range u.orphans {
 		if _, present := listed[o.Run]; !present && o.foundAt.Before(poll.Sent) {
 			delete(u.orphans, task)
@@ -217,7 +218,10 @@
 		return cmp.Or(strings.Compare(a.run.Job, b.run.Job), cmp.Compare(b.run.Index, a.run.Index))
 	})
 	for _, f := range lost {
-		a.Lost = append(a.Lost, LostRun{f.run, f.upstream, f.outcome == outcomeLost, f.lossReason})
+		a.Lost = append(a.Lost, LostRun{
+			Run: f.run, Upstream: f.upstream, MayHaveRun: f.outcome == outcomeLost, Reason: f.loss.reason,
+			ProcessStart: f.loss.processStart, Sharing: f.loss.sharing, Contact: f.loss.contact,
+		})
 		s.finishRun(now, f, a)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -282,6 +282,14 @@
 	// MayHaveRun reports whether the run may have had an effect.
 	MayHaveRun bool
 	Reason     string
+	// ProcessStart is the start time of the process that had the run, in ms since 1970;
+	// 0 if unknown.
+	ProcessStart int64
+	// Sharing is the number of runs of the upstream that were lost together, including
+	// this one.
+	Sharing int
+	// Contact is the time since the upstream's last response.
+	Contact time.Duration
 }
 
 // Notice informs an origin about a task or a job.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -48,10 +49,11 @@
 	progressAt      time.Time // time of the last change of percent
 	unneeded        bool      // its job no longer needs the outcome
 	adopted         bool
-	atMostOnce      bool // the task must not start again
-	confirmed       bool // the upstream has reported that the run started
-	processReplaced bool // the upstream's process was replaced after the order
-	stallReported   bool // the stall was recorded as a failure of the upstream
+	atMostOnce      bool  // the task must not start again
+	confirmed       bool  // the upstream has reported that the run started
+	processReplaced bool  // the upstream's process was replaced after the order
+	processStart    int64 // of the process that got the order, in ms since 1970; 0 if unknown
+	stallReported   bool  // the stall was recorded as a failure of the upstream
 }
 
 // absentOutcome returns the outcome of a run that is over without a completion.
@@ -69,7 +71,25 @@
 	outcome    runOutcome
 	result     []byte
 	completion CompletionRef // set if a listed completion must be delivered
-	lossReason string        // set for runs in Actions.Lost
+	loss       loss          // set for runs in Actions.Lost
+}
+
+// loss is what is known about the loss of a run.
+type loss struct {
+	reason       string
+	processStart int64 // of the process that had the run
+	sharing      int   // runs of the upstream that were lost together
+	contact      time.Duration
+}
+
+// lose removes runs that are over without a completion, and records why.
+func (u *upstream) lose(now time.Time, runs []*run, reason string, outcome func(*run) runOutcome, a *Actions) {
+	for _, r := range runs {
+		u.release(now, r)
+		a.unapplied = append(a.unapplied, finishedRun{run: r.Run, upstream: u.Name, outcome: outcome(r), loss: loss{
+			reason: reason, processStart: r.processStart, sharing: len(runs), contact: now.Sub(u.lastContact),
+		}})
+	}
 }
 
 // upstream is the state of one upstream. The lock of its shard guards it.
@@ -140,10 +160,7 @@
 
 // loseRuns removes all runs, records them as lost, and drops all orphans.
 func (u *upstream) loseRuns(now time.Time, a *Actions) {
-	for _, r := range u.runs {
-		u.release(now, r)
-		a.unapplied = append(a.unapplied, finishedRun{run: r.Run, upstream: u.Name, outcome: outcomeLost, lossReason: "the lease has expired"})
-	}
+	u.lose(now, slices.Collect(maps.Values(u.runs)), "the lease has expired", func(*run) runOutcome { return outcomeLost }, a)
 	clear(u.orphans)
 }
 
