Reproduce: tasks that crash their upstreams, four failing tests

Callers saw: late answers and 504 for jobs that can be done while another queue's tasks crash their upstreams.

Evidence, on this code: one task with a caller that waits half a minute crashes 22 upstreams; the runs of an upstream that refuses connections start again only after 0.9 s, with their lease; the second start of a suspect takes runs of other jobs along; a job that is sent again starts with a clean record.

--- /dev/null
+++ b/scheduler/crash_test.go
@@ -0,0 +1,179 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+// crashTime is the time from the start of a deadly task to the crash of its upstream,
+// downTime the time until a new process runs there.
+const (
+	crashTime = 10 * time.Millisecond
+	downTime  = 3 * time.Second
+)
+
+// crashHarness is a testHarness whose upstreams can crash. While one is down, calls to
+// it are refused.
+type crashHarness struct {
+	*testHarness
+	deadly    map[scheduler.Task]bool
+	downUntil map[string]time.Time
+	crashes   map[scheduler.Task]int // by deadly task
+	together  []scheduler.Run        // other runs that ended with a deadly one
+	running   map[string]map[scheduler.Run]bool
+}
+
+func newCrashHarness(t *testing.T, names ...string) *crashHarness {
+	h := &crashHarness{
+		testHarness: newTestHarness(t, names...), deadly: map[scheduler.Task]bool{}, downUntil: map[string]time.Time{},
+		crashes: map[scheduler.Task]int{}, running: map[string]map[scheduler.Run]bool{},
+	}
+	for name, u := range h.upstreams {
+		h.running[name] = map[scheduler.Run]bool{}
+		u.OnStart = func(_ time.Time, run scheduler.Run) { h.running[name][run] = true }
+		u.OnCompletion = func(_ time.Time, run scheduler.Run, _ scheduler.CompletionKind) { delete(h.running[name], run) }
+	}
+	return h
+}
+
+func (h *crashHarness) crash(name string) {
+	h.upstreams[name].Restart(h.now)
+	h.downUntil[name] = h.now.Add(downTime)
+}
+
+// step places tasks, lets deadly ones crash their upstreams and polls, for crashTime.
+func (h *crashHarness) step() {
+	for _, s := range h.scheduler.Place(h.now) {
+		h.starts = append(h.starts, s)
+		if h.now.Before(h.downUntil[s.Upstream.Name]) {
+			h.record(h.scheduler.HandleStartResult(h.now, s, scheduler.OrderNoProcess, 0))
+			continue
+		}
+		result, clock := h.upstreams[s.Upstream.Name].Start(h.now, s, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		h.record(h.scheduler.HandleStartResult(h.now, s, result, clock))
+	}
+	h.advance(crashTime)
+	for name, runs := range h.running {
+		var killers []scheduler.Task
+		for run := range runs {
+			if h.deadly[run.Task] {
+				killers = append(killers, run.Task)
+			}
+		}
+		if len(killers) == 0 {
+			continue
+		}
+		for _, task := range killers {
+			h.crashes[task]++
+		}
+		for run := range runs {
+			if !h.deadly[run.Task] {
+				h.together = append(h.together, run)
+			}
+		}
+		h.crash(name)
+	}
+	for name, u := range h.upstreams {
+		for range 2 {
+			poll, due, _, _ := h.scheduler.NextPoll(h.now, name)
+			switch {
+			case !due:
+			case h.now.Before(h.downUntil[name]):
+				h.record(h.scheduler.HandlePollResult(h.now, poll, scheduler.PollNoProcess, scheduler.PollReport{}))
+			default:
+				result, report := u.Poll(h.now, poll)
+				h.record(h.scheduler.HandlePollResult(h.now, poll, result, report))
+			}
+		}
+	}
+}
+
+func (h *crashHarness) run(d time.Duration) {
+	for end := h.now.Add(d); h.now.Before(end); {
+		h.step()
+	}
+}
+
+// noticesOf returns the kinds of the notices about a job.
+func (h *crashHarness) noticesOf(job string) (kinds []scheduler.NoticeKind) {
+	for _, n := range h.notices {
+		if n.Task.Job == job {
+			kinds = append(kinds, n.Kind)
+		}
+	}
+	return kinds
+}
+
+func upstreamNames(n int) (names []string) {
+	for i := range n {
+		names = append(names, fmt.Sprintf("u%d", i))
+	}
+	return names
+}
+
+// longJob returns a job whose caller waits for half a minute.
+func (h *crashHarness) longJob(id string, tasks ...int) scheduler.Job {
+	j := h.job(id, tasks...)
+	j.Deadline = h.now.Add(30 * time.Second)
+	j.Stretch = 20
+	return j
+}
+
+func TestTaskCrashesOneUpstreamAfterTheOther(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(12)...)
+	killer := scheduler.Task{Job: "a", Index: 0}
+	h.deadly[killer] = true
+	h.offer(h.longJob("a", 0, 1))
+	h.run(20 * time.Second)
+	require.Equal(t, 2, h.crashes[killer], "the task is given up after two crashes")
+	require.Contains(t, h.noticesOf("a"), scheduler.TaskFailed)
+}
+
+func TestRunsOfCrashedUpstreamWaitForTheirLease(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(3)...)
+	h.offer(h.longJob("a", 0))
+	h.run(50 * time.Millisecond)
+	require.Len(t, h.starts, 1)
+	h.crash(h.starts[0].Upstream.Name)
+	h.run(50 * time.Millisecond)
+	require.Len(t, h.starts, 2, "a refused connection shows at once that nothing runs there")
+	require.NotEqual(t, h.starts[0].Upstream.Name, h.starts[1].Upstream.Name)
+}
+
+func TestSuspectTakesRunsOfOtherJobsAlong(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(6)...)
+	h.deadly[scheduler.Task{Job: "a", Index: 0}] = true
+	for i := range 6 {
+		h.offer(h.longJob(fmt.Sprintf("other%d", i), 0))
+	}
+	h.offer(h.longJob("a", 0))
+	h.run(crashTime)
+	for i := range 8 {
+		h.offer(h.longJob(fmt.Sprintf("later%d", i), 0, 1))
+	}
+	h.run(5 * time.Second)
+	require.LessOrEqual(t, len(h.together), 1, "only the first crash may end a run of another job: %v", h.together)
+	for i := range 6 {
+		require.Equal(t, []scheduler.NoticeKind{scheduler.TaskDone}, h.noticesOf(fmt.Sprintf("other%d", i)))
+	}
+}
+
+func TestCrashesAreForgottenWhenTheCallerSendsTheJobAgain(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(12)...)
+	killer := scheduler.Task{Job: "a", Index: 0}
+	h.deadly[killer] = true
+	for range 6 {
+		h.offer(h.longJob("a", 0))
+		for before := h.crashes[killer]; h.crashes[killer] == before && len(h.noticesOf("a")) == 0; {
+			h.step()
+		}
+		h.record(h.scheduler.Withdraw(h.now, "front", []string{"a"}))
+		h.run(1300 * time.Millisecond)
+	}
+	require.Equal(t, 2, h.crashes[killer])
+	require.Contains(t, h.noticesOf("a"), scheduler.TaskFailed)
+}
