scheduler: give a task up after two crashes, and run suspects isolated

Callers saw: while some tasks of one queue crash every upstream that starts them, jobs of all queues are answered late or with 504.

Cause: nothing counted the crashes under a task. Only the caller's deadline ended its attempts, each placed beside other jobs' tasks, and what was counted (failed runs) was dropped when the caller sent the job again.

Evidence: TestTaskCrashesOneUpstreamAfterTheOther (22 crashes by one task), TestSuspectTakesRunsOfOtherJobsAlong, TestRunsOfCrashedUpstreamWaitForTheirLease and TestCrashesAreForgottenWhenTheCallerSendsTheJobAgain failed before.

Change: each crash is attributed to the runs that it ended, by queue and age, learnt from suspects that crash another upstream while they run isolated. A likely culprit runs isolated; the second crash then gives it up, with the reason in the answer. Crashes within 50 ms of each other, lost leases and leaving upstreams accuse nobody. Five lost runs of any kind give a task up. While a tenth of the upstreams is down, likely culprits of a queue known for crashes wait. The history of a job outlives its offer by two minutes. A start order that was refused a connection certainly had no effect, so the task is placed again at once. TestJobFailsAfterItsAttempts expects the reason too.

--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -1352,9 +1352,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskCompletion) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "j"
-	o = append(o, 0x84, 0xa1, 0x6a)
+	o = append(o, 0x85, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -1362,6 +1362,9 @@
 	// string "f"
 	o = append(o, 0xa1, 0x66)
 	o = msgp.AppendBool(o, z.Failed)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendString(o, z.Reason)
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBytes(o, z.Result)
@@ -1404,6 +1407,12 @@
 				err = msgp.WrapError(err, "Failed")
 				return
 			}
+		case "w":
+			z.Reason, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Reason")
+				return
+			}
 		case "r":
 			z.Result, bts, err = msgp.ReadBytesBytes(bts, z.Result)
 			if err != nil {
@@ -1424,7 +1433,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskCompletion) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BytesPrefixSize + len(z.Result)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.BytesPrefixSize + len(z.Result)
 	return
 }
 
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -167,6 +167,8 @@
 	Index int `msg:"i"`
 	// Failed is true if the task has failed and is not retried.
 	Failed bool `msg:"f"`
+	// Reason tells why the task is not retried.
+	Reason string `msg:"w"`
 	// Result is the output of a task that succeeded.
 	Result []byte `msg:"r"`
 }
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -185,7 +185,7 @@
 	for _, lost := range a.Lost {
 		n.log.Info("run lost", slog.String("job", lost.Job), slog.Int("task", lost.Index), slog.Int("attempt", lost.Attempt),
 			slog.String("upstream", lost.Upstream), slog.Bool("started", lost.MayHaveRun), slog.String("why", lost.Reason),
-			slog.Int64("process", lost.ProcessStart), slog.Int("sharing", lost.Sharing), slog.Int64("contact_ms", lost.Contact.Milliseconds()))
+			slog.Int64("process", lost.ProcessStart), slog.Int("sharing", lost.Sharing), slog.Int64("contact_ms", lost.Contact.Milliseconds()), slog.Float64("suspicion", lost.Suspicion))
 	}
 	byOrigin := map[string]*originReport{}
 	for _, notice := range a.Notices {
@@ -204,7 +204,7 @@
 		}
 		switch notice.Kind {
 		case scheduler.TaskDone, scheduler.TaskFailed:
-			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Result: notice.Result})
+			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Reason: notice.Reason, Result: notice.Result})
 		default:
 			n.log.Info("job abandoned", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
 				slog.String("reason", notice.Reason), slog.Bool("started", notice.Kind == scheduler.JobAbandoned))
--- a/node/submit.go
+++ b/node/submit.go
@@ -217,7 +217,7 @@
 	for i := range r.Completions {
 		completion := &r.Completions[i]
 		if completion.Failed {
-			n.finishJob(completion.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: "a task has failed and is not retried"})
+			n.finishJob(completion.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: completion.Reason})
 			continue
 		}
 		vm, term := n.jobs.CompleteTask(completion.Job, completion.Index, completion.Result)
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -91,6 +91,7 @@
 	outcomeUpstreamFault            // failed on an ejected upstream: not counted as an attempt
 	outcomeNoEffect                 // the start order had no effect
 	outcomeUnhealthy                // the start order had no effect: the upstream takes no tasks
+	outcomeCrashed                  // the upstream crashed: like outcomeLost, but the task is suspected
 )
 
 // finish processes the end of a run. requeued is the number of tasks that wait
@@ -133,13 +134,16 @@
 		return []Notice{j.doneNotice(index, f.result, f.completion)}, 0, false
 	}
 	j.running--
-	if f.outcome == outcomeFailed {
-		j.failures[index]++
-		if j.failures[index] >= j.MaxAttempts {
-			n := len(j.waiting)
-			s.remove(j)
-			return []Notice{{Origin: j.Origin, Term: j.Term, Task: f.run.Task, Kind: TaskFailed, Completion: f.completion}}, -n, true
-		}
+	before := s.history(f.run.Task)
+	history := before.after(f)
+	if history != before {
+		s.setHistory(now, f.run.Task, history)
+	}
+	if reason := history.hopeless(j.MaxAttempts); reason != "" {
+		n := len(j.waiting)
+		notice := j.failedNotice(index, reason, f.completion)
+		s.remove(j)
+		return []Notice{notice}, -n, true
 	}
 	if f.outcome == outcomeNoEffect || f.outcome == outcomeUnhealthy {
 		j.starts--
@@ -155,6 +159,9 @@
 		}
 		j.avoid[index] = append(j.avoid[index], f.upstream)
 	}
+	if history.suspect() {
+		j.markSuspect(index, history.Suspicion)
+	}
 	j.waiting = append([]int{index}, j.waiting...)
 	s.updateHeap(j)
 	return nil, 1, false
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -18,8 +18,8 @@
 	running    int
 	starts     int              // start orders that may have had an effect
 	attempts   map[int]int      // number of the latest attempt by task index, or finishedAttempt
-	failures   map[int]int      // number of failed runs by task index
 	avoid      map[int][]string // upstreams on which a task failed
+	suspects   map[int]float64  // suspicion of tasks that must run isolated; nil if there is none
 	results    map[int][]byte   // of finished tasks, for at-most-once jobs
 	resumedAt  time.Time        // when the job was resumed; zero once it may start
 	tier       tier             // as of the last update of the score
@@ -126,6 +126,11 @@
 	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskDone, Result: result, Completion: ref}
 }
 
+// failedNotice returns the notice that a task has failed and is not started again.
+func (j *job) failedNotice(index int, reason string, ref CompletionRef) Notice {
+	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskFailed, Code: verdict.CodeUpstreamFailed, Reason: reason, Completion: ref}
+}
+
 // lostNotice returns the notice that an at-most-once job is abandoned because a
 // run of it was lost.
 func (j *job) lostNotice(f finishedRun) Notice {
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -18,11 +18,15 @@
 // jobShard holds the jobs whose ids hash to it. The jobs of one queue are spread over
 // all shards.
 type jobShard struct {
-	topBits atomic.Uint64 // math.Float64bits of the first job's score, or of noScore
+	topBits     atomic.Uint64 // math.Float64bits of the first job's score, or of noScore
+	suspectJobs atomic.Int32  // length of suspects
 
 	mu   sync.Mutex // guards the fields below and every store of topBits
 	jobs map[string]*job
 	heap jobHeap
+	// suspects holds the jobs with waiting suspects, by id. Suspects do not count for the
+	// heap.
+	suspects map[string]*job
 	// unmatched holds completions that no notice has reported to an origin.
 	unmatched map[CompletionRef]unmatchedCompletion
 	// terminating holds the attempt numbers of active runs whose jobs were removed.
@@ -34,6 +38,9 @@
 	// rejectedUntil holds the deadlines of at-most-once jobs that were abandoned
 	// after a task may have started. They are rejected if offered again.
 	rejectedUntil map[string]time.Time
+	// histories holds what is known about unsuccessful runs, by job id. It is kept across
+	// terms.
+	histories map[string]*jobHistory
 	// completed holds the jobs that have completed recently, by id.
 	completed map[string]*completedJob
 	// unstartedJobs holds the jobs that had no started task at the end of the term with
@@ -46,7 +53,7 @@
 func newJobShard() *jobShard {
 	s := &jobShard{
 		firstSent: map[string]time.Time{}, rejectedUntil: map[string]time.Time{}, completed: map[string]*completedJob{},
-		unstartedJobs: map[string]struct{}{},
+		unstartedJobs: map[string]struct{}{}, histories: map[string]*jobHistory{},
 	}
 	s.reset(0)
 	return s
@@ -65,7 +72,8 @@
 
 // updateHeap adds, moves or removes a job in the heap. The caller holds mu.
 func (s *jobShard) updateHeap(j *job) {
-	wanted := j.resumedAt.IsZero() && len(j.waiting) > 0
+	s.trackSuspects(j)
+	wanted := j.resumedAt.IsZero() && j.firstOrdinary() >= 0
 	switch {
 	case wanted && j.index < 0:
 		heap.Push(&s.heap, j)
@@ -93,6 +101,8 @@
 		}
 	}
 	s.jobs, s.heap, s.unmatched, s.terminating = map[string]*job{}, nil, map[CompletionRef]unmatchedCompletion{}, map[Task]int{}
+	s.suspects = map[string]*job{}
+	s.suspectJobs.Store(0)
 	s.publish()
 	return n
 }
@@ -164,6 +174,7 @@
 		}
 	}
 	s.expireCompleted(now)
+	s.expireHistories(now)
 	for ref, c := range s.unmatched {
 		if now.Sub(c.listedAt) > CompletionRetention {
 			delete(s.unmatched, ref)
@@ -195,6 +206,7 @@
 	delete(s.jobs, j.ID)
 	if j.unfinished == 0 {
 		delete(s.firstSent, j.ID)
+		delete(s.histories, j.ID)
 		return
 	}
 	s.firstSent[j.ID] = j.Sent
@@ -264,11 +276,20 @@
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		attempts: map[int]int{}, failures: map[int]int{}, results: map[int][]byte{}, index: -1,
+		attempts: map[int]int{}, results: map[int][]byte{}, index: -1,
 	}
 	if offered.Resumed {
 		j.resumedAt = now
 	}
+	for _, index := range offered.Tasks {
+		history := s.history(Task{j.ID, index})
+		if reason := history.hopeless(j.MaxAttempts); reason != "" {
+			return []Notice{j.failedNotice(index, reason, CompletionRef{})}, 0, nil
+		}
+		if history.suspect() {
+			j.markSuspect(index, history.Suspicion)
+		}
+	}
 	for _, index := range offered.Tasks {
 		j.unfinished++
 		if attempt := s.terminating[Task{offered.ID, index}]; attempt > 0 {
@@ -295,13 +316,15 @@
 
 // candidate is a task to be placed.
 type candidate struct {
-	job      *Job
-	index    int
-	attempt  int
-	expected float64   // run time at speed 1, in seconds
-	targetAt time.Time // when the answer becomes late
-	avoid    []string
-	model    *queueModel
+	job       *Job
+	index     int
+	attempt   int
+	expected  float64   // run time at speed 1, in seconds
+	targetAt  time.Time // when the answer becomes late
+	avoid     []string
+	model     *queueModel
+	isolation isolation
+	suspicion float64
 }
 
 // demote lowers the jobs at the top of the heap that can no longer reach their tier.
@@ -338,18 +361,27 @@
 		return candidate{}, false
 	}
 	j := s.heap[0]
-	index := j.waiting[0]
-	j.waiting = j.waiting[1:]
+	return s.take(j, j.firstOrdinary()), true
+}
+
+// take removes the waiting task at a position. The caller holds mu.
+func (s *jobShard) take(j *job, at int) candidate {
+	index := j.waiting[at]
+	if at == 0 {
+		j.waiting = j.waiting[1:]
+	} else {
+		j.waiting = slices.Delete(slices.Clone(j.waiting), at, at+1)
+	}
 	j.running++
 	last := j.attempts[index]
 	j.attempts[index] = last + 1
-	c = candidate{
+	c := candidate{
 		job: &j.Job, index: index, attempt: last + 1, expected: j.expected,
 		targetAt: j.Sent.Add(j.targetTime()),
 		avoid:    j.avoid[index], model: j.model,
 	}
 	s.updateHeap(j)
-	return c, true
+	return c
 }
 
 // putBack returns a task that could not be placed. present is false if the job was
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -76,7 +76,10 @@
 
 // Place assigns waiting tasks to upstreams with free capacity.
 func (s *Scheduler) Place(now time.Time) []Start {
-	var starts []Start
+	if !s.Dispatching() || s.waiting.Load() <= 0 {
+		return nil
+	}
+	starts := s.placeSuspects(now)
 	for s.Dispatching() && s.waiting.Load() > 0 {
 		start, ok := s.placeNext(now)
 		if !ok {
@@ -193,7 +196,7 @@
 		shard := s.upstreamShards[at]
 		shard.mu.Lock()
 		for _, u := range shard.all {
-			if u.Service != c.job.Service || !c.job.Size.FitsIn(u.freeSize()) {
+			if u.Service != c.job.Service || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) {
 				continue
 			}
 			scanned++
@@ -214,7 +217,7 @@
 
 // suits reports whether a task may be placed on an upstream.
 func suits(now time.Time, u *upstream, c candidate) bool {
-	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now) &&
+	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now) && u.accepts(now, c.isolation) &&
 		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
 
@@ -240,10 +243,12 @@
 		Run: Run{Task{c.job.ID, c.index}, c.attempt}, size: c.job.Size, orderedAt: now, progressAt: now,
 		validUntil: u.clockNow(now) + startWindow.Milliseconds(), expected: c.expected, estimate: c.job.Estimate, model: c.model,
 		atMostOnce: c.job.AtMostOnce, processStart: u.processStart,
+		queue: c.job.Queue, isolation: c.isolation,
 	}
 	before := u.freeSize().MilliCPU
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
+	u.isolation = c.isolation
 	u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, startWindow))
 	shard.noteReserved(before)
 	return Start{
@@ -345,7 +350,7 @@
 	s.waiting.Add(-1)
 	r := &run{
 		Run: found, size: j.Size, state: runStarted, orderedAt: now, answeredAt: now, progressAt: now,
-		expected: expected, estimate: j.Estimate, model: model, adopted: true, atMostOnce: j.AtMostOnce, confirmed: true,
+		expected: expected, estimate: j.Estimate, model: model, queue: j.Queue, adopted: true, atMostOnce: j.AtMostOnce, confirmed: true,
 	}
 	if !shard.adopt(name, r) {
 		s.waiting.Add(int64(s.jobShardFor(found.Job).undoAdopt(found)))
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -217,13 +217,13 @@
 	var completions []listedCompletion
 	switch result {
 	case PollAnswered:
-		completions, found = u.handleReport(now, poll, report, s.config.RetainCompletions, &a)
+		completions, found = u.handleReport(now, poll, report, s, &a)
 	case PollFenced:
 		u.lastContact = now
 		u.fence(now, &a)
 	case PollOtherProcess:
 		u.lastContact = now
-		u.claimed = false
+		u.noteCrash(now, "another process listens at the address", false, &s.blame, &a)
 		u.notePollFailure(now)
 	default:
 		u.notePollFailure(now)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -26,13 +26,13 @@
 // handleReport processes the report of a poll. It returns the completions that were
 // not processed before, and the runs that their jobs may adopt. The caller holds mu of
 // the shard.
-func (u *upstream) handleReport(now time.Time, poll Poll, report PollReport, retain bool, a *Actions) (completions []listedCompletion, found []foundRun) {
+func (u *upstream) handleReport(now time.Time, poll Poll, report PollReport, s *Scheduler, a *Actions) (completions []listedCompletion, found []foundRun) {
 	if report.ProcessStart != 0 && report.ProcessStart < u.processStart {
 		return nil, nil // from a process that was replaced
 	}
 	if report.ProcessStart > u.processStart {
 		if u.processStart != 0 {
-			u.handleNewProcess()
+			u.handleNewProcess(now, &s.blame, a)
 		}
 		u.processStart = report.ProcessStart
 	}
@@ -45,7 +45,7 @@
 			continue
 		}
 		u.lastSeen = c.Number
-		completions = append(completions, u.complete(now, c, retain))
+		completions = append(completions, u.complete(now, c, s.config.RetainCompletions))
 	}
 	if poll.Sent.Before(u.lastPoll) {
 		return completions, nil // a newer poll has already reported the active runs
@@ -75,10 +75,10 @@
 // orders may still reach the new process, and its clock does not tell when they
 // expire. The current report comes from the new process: it lists no run of the old
 // one, and it is valid even if the old process answered a poll that was sent later.
-func (u *upstream) handleNewProcess() {
+func (u *upstream) handleNewProcess(now time.Time, b *blame, a *Actions) {
+	u.noteCrash(now, "the upstream's process was replaced", true, b, a)
 	u.model, u.lastSeen, u.lastAcked, u.clock = speedModel{}, 0, 0, 0
 	u.lastPoll = time.Time{}
-	clear(u.orphans)
 	clear(u.undelivered)
 	for _, r := range u.runs {
 		r.validUntil, r.processReplaced = math.MaxInt64, true
@@ -166,7 +166,9 @@
 			absent = append(absent, r)
 		}
 	}
-	u.lose(now, absent, "the upstream does not list the run", (*run).absentOutcome, a)
+	for _, r := range absent {
+		u.lose(now, r, r.absentOutcome(), u.newLoss(now, r, "the upstream does not list the run", len(absent)), a)
+	}
 	for task, o := range u.orphans {
 		if _, present := listed[o.Run]; !present && o.foundAt.Before(poll.Sent) {
 			delete(u.orphans, task)
@@ -219,8 +221,8 @@
 	})
 	for _, f := range lost {
 		a.Lost = append(a.Lost, LostRun{
-			Run: f.run, Upstream: f.upstream, MayHaveRun: f.outcome == outcomeLost, Reason: f.loss.reason,
-			ProcessStart: f.loss.processStart, Sharing: f.loss.sharing, Contact: f.loss.contact,
+			Run: f.run, Upstream: f.upstream, MayHaveRun: f.outcome == outcomeLost || f.outcome == outcomeCrashed, Reason: f.loss.reason,
+			ProcessStart: f.loss.processStart, Sharing: f.loss.sharing, Contact: f.loss.contact, Suspicion: f.loss.suspicion(),
 		})
 		s.finishRun(now, f, a)
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -114,6 +114,8 @@
 	bounds         [upstreamShardCount]shardBounds // one for each shard of upstreams
 	nextShard      atomic.Uint32                   // shard of upstreams at which the next placement begins
 	models         queueModels
+	blame          blame
+	serviceSizes   atomic.Pointer[map[string]int] // number of upstreams to claim by service
 
 	token            atomic.Int64 // fencing token of the term; 0 while not dispatching
 	unreachablePeers atomic.Bool  // whether unreachable peers may have claimed unresponsive upstreams
@@ -290,6 +292,8 @@
 	Sharing int
 	// Contact is the time since the upstream's last response.
 	Contact time.Duration
+	// Suspicion is the probability that the run crashed its upstream.
+	Suspicion float64
 }
 
 // Notice informs an origin about a task or a job.
@@ -301,7 +305,7 @@
 	// Task identifies the task, or only the job if Kind is JobNotRun or JobAbandoned.
 	Task Task
 	Kind NoticeKind
-	// Reason and Code tell why a job was abandoned.
+	// Reason and Code tell why a task has failed or a job was abandoned.
 	Reason string
 	Code   verdict.Code
 	// RetryAfter is the delay after which an abandoned job may be accepted.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -49,8 +48,12 @@
 	progressAt      time.Time // time of the last change of percent
 	unneeded        bool      // its job no longer needs the outcome
 	adopted         bool
-	atMostOnce      bool  // the task must not start again
-	confirmed       bool  // the upstream has reported that the run started
+	atMostOnce      bool   // the task must not start again
+	confirmed       bool   // the upstream has reported that the run started
+	disconnected    bool   // the connection of the start order was closed before the response
+	crash           *crash // set once the process that may have executed the order has ended
+	queue           string
+	isolation       isolation
 	processReplaced bool  // the upstream's process was replaced after the order
 	processStart    int64 // of the process that got the order, in ms since 1970; 0 if unknown
 	stallReported   bool  // the stall was recorded as a failure of the upstream
@@ -74,24 +77,6 @@
 	loss       loss          // set for runs in Actions.Lost
 }
 
-// loss is what is known about the loss of a run.
-type loss struct {
-	reason       string
-	processStart int64 // of the process that had the run
-	sharing      int   // runs of the upstream that were lost together
-	contact      time.Duration
-}
-
-// lose removes runs that are over without a completion, and records why.
-func (u *upstream) lose(now time.Time, runs []*run, reason string, outcome func(*run) runOutcome, a *Actions) {
-	for _, r := range runs {
-		u.release(now, r)
-		a.unapplied = append(a.unapplied, finishedRun{run: r.Run, upstream: u.Name, outcome: outcome(r), loss: loss{
-			reason: reason, processStart: r.processStart, sharing: len(runs), contact: now.Sub(u.lastContact),
-		}})
-	}
-}
-
 // upstream is the state of one upstream. The lock of its shard guards it.
 type upstream struct {
 	Upstream
@@ -106,6 +91,10 @@
 	runs    map[Task]*run
 	orphans map[Task]orphan
 	used    Size
+	// isolation is that of the runs. Until heldUntil the upstream gets no other tasks than
+	// suspects.
+	isolation isolation
+	heldUntil time.Time
 	// leaseEnd is the time after which no run ordered so far is active, unless a
 	// lease is renewed.
 	leaseEnd     time.Time
@@ -154,16 +143,11 @@
 	delete(u.runs, r.Task)
 	u.used = u.used.minus(r.size)
 	if len(u.runs) == 0 {
+		u.isolation = isolatedNot
 		u.idleSince = now
 	}
 }
 
-// loseRuns removes all runs, records them as lost, and drops all orphans.
-func (u *upstream) loseRuns(now time.Time, a *Actions) {
-	u.lose(now, slices.Collect(maps.Values(u.runs)), "the lease has expired", func(*run) runOutcome { return outcomeLost }, a)
-	clear(u.orphans)
-}
-
 // polledAt returns the sending time of the newest answered poll, or the zero time
 // if the upstream is not claimed.
 func (u *upstream) polledAt() time.Time {
@@ -192,7 +176,7 @@
 			}
 		}
 		if !u.leaseEnd.IsZero() && now.After(u.leaseEnd.Add(margin)) && len(u.runs)+len(u.orphans) > 0 {
-			u.loseRuns(now, a)
+			u.loseAll(now, a)
 		}
 		for task, o := range u.orphans {
 			if !o.stopping && now.Sub(o.foundAt) > orphanTimeout {
@@ -267,6 +251,11 @@
 // listed gets no new tasks, and its active runs are followed until they complete.
 func (s *Scheduler) SetUpstreams(now time.Time, list []Upstream, partial bool) (added []string) {
 	s.partialList.Store(partial)
+	sizes := map[string]int{}
+	for _, entry := range list {
+		sizes[entry.Service]++
+	}
+	s.serviceSizes.Store(&sizes)
 	listed := map[string]bool{}
 	for _, entry := range list {
 		listed[entry.Name] = true
--- a/scheduler/upstream_shard.go
+++ b/scheduler/upstream_shard.go
@@ -99,6 +99,6 @@
 		u.runs, u.orphans, u.used = map[Task]*run{}, map[Task]orphan{}, Size{}
 		u.lastSeen, u.lastAcked, u.undelivered = 0, 0, map[int64]struct{}{}
 		u.lastPoll, u.idleSince = now, now
-		u.leaseEnd = time.Time{}
+		u.leaseEnd, u.isolation, u.heldUntil = time.Time{}, isolatedNot, time.Time{}
 	}
 }
