node: detect at once that the process of an upstream has ended

Callers saw: runs of a crashed upstream start again about 0.9 s after the crash, too late for most callers.

Cause: a crash was noticed when the lease ended. The failed poll was taken for a lost message, and the next ones used pooled connections that the same crash had closed.

Ruled out: taking a refused connection as proof.

Change: while a node dispatches, it keeps a connection to each upstream that carries no request. The end of the process closes it; if a new one is then refused, the runs are over. A connection that the peer has closed makes the client drop its other idle ones.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/processwatch"
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/internal/upstream"
 	"github.com/mustardstep/mustardstep/internal/vmlist"
@@ -56,6 +57,7 @@
 		config.Seeds = append(config.Seeds, seed.Address)
 	}
 	deps := node.Dependencies{
+		WatchProcess: processwatch.Watch,
 		Upstreams: upstream.NewClient(upstream.Config{
 			DialTimeout: s.Network.DialTimeout, MaxConns: maxUpstreamConns, MaxBody: s.Network.MaxFrame,
 		}),
--- a/internal/clientpool/failure.go
+++ b/internal/clientpool/failure.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -19,11 +20,12 @@
 }
 
 // FailedOrder returns the result of an order whose call to the upstream failed.
-func FailedOrder(err error) scheduler.OrderResult {
+func (p *Pool) FailedOrder(address string, err error) scheduler.OrderResult {
 	switch {
 	case refused(err):
 		return scheduler.OrderNoProcess
 	case disconnected(err):
+		p.dropIdle(address)
 		return scheduler.OrderDisconnected
 	default:
 		return scheduler.OrderUnanswered
@@ -31,9 +33,16 @@
 }
 
 // FailedPoll returns the result of a poll whose call to the upstream failed.
-func FailedPoll(err error) scheduler.PollResult {
-	if refused(err) {
+func (p *Pool) FailedPoll(address string, err error) scheduler.PollResult {
+	switch {
+	case refused(err):
 		return scheduler.PollNoProcess
+	case disconnected(err):
+		p.dropIdle(address)
 	}
 	return scheduler.PollUnanswered
 }
+
+// dropIdle closes the idle connections to an address. If one was closed by the peer, the
+// others probably were as well, and a new connection shows whether a process listens.
+func (p *Pool) dropIdle(address string) { p.Get(time.Now(), address).CloseIdleConnections() }
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/google/subcommands"
 	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/internal/processwatch"
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/platform"
@@ -54,7 +55,7 @@
 	config := s.NodeConfig()
 	config.Listen = nodeSettings.PeerListen
 	n := node.New(config, node.Dependencies{
-		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreamClient(), Decoder: platform.Decoder{},
+		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreamClient(), WatchProcess: processwatch.Watch, Decoder: platform.Decoder{},
 		Log: log, Decisions: decisions, Metrics: metrics,
 	})
 	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -76,7 +76,7 @@
 func (c *Client) sendOrder(ctx context.Context, address, path string, body []byte) (scheduler.OrderResult, int64, error) {
 	var response api.OrderResponse
 	if err := c.post(ctx, address, path, body, &response); err != nil {
-		return clientpool.FailedOrder(err), 0, err
+		return c.clients.FailedOrder(address, err), 0, err
 	}
 	// An upstream can return every result before OrderUnanswered.
 	for result := scheduler.OrderDone; result < scheduler.OrderUnanswered; result++ {
@@ -95,7 +95,7 @@
 	}
 	var response api.PollResponse
 	if err := c.post(ctx, poll.Upstream.Address, pathPoll, request.AppendJSON(nil), &response); err != nil {
-		return clientpool.FailedPoll(err), scheduler.PollReport{}, err
+		return c.clients.FailedPoll(poll.Upstream.Address, err), scheduler.PollReport{}, err
 	}
 	report, err := decodeReport(&response)
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -104,6 +104,10 @@
 	// Peers exchanges messages with other VMs. Its owner serves it and calls
 	// PeerDisconnected. If nil, the node creates a transport and listens itself.
 	Peers *peer.Transport
+	// WatchProcess watches the process at the address of an upstream, as
+	// processwatch.Watch does. If nil, the runs of an upstream that has crashed end with
+	// their lease.
+	WatchProcess func(ctx context.Context, address string) error
 	// Drained reports whether operators have drained an upstream. If nil, none is
 	// drained.
 	Drained func(upstream string) bool
--- a/node/pollers.go
+++ b/node/pollers.go
@@ -19,13 +19,14 @@
 const pollerShards = 16
 
 type pollerShard struct {
-	mu   sync.Mutex // guards the field below
-	wake map[string]chan struct{}
+	mu      sync.Mutex // guards the fields below
+	wake    map[string]chan struct{}
+	watches map[string]*processWatch
 }
 
 func (p *pollers) init() {
 	for i := range p.shards {
-		p.shards[i].wake = map[string]chan struct{}{}
+		p.shards[i].wake, p.shards[i].watches = map[string]chan struct{}{}, map[string]*processWatch{}
 	}
 }
 
@@ -58,6 +59,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.wake, upstream)
+	if watch := s.watches[upstream]; watch != nil {
+		watch.stop()
+		delete(s.watches, upstream)
+	}
 }
 
 // add wakes the poller of an upstream. If there is none, it registers one and
@@ -124,6 +129,9 @@
 		n.log.Info("upstream poll failed", slog.String("upstream", poll.Upstream.Name), slog.Int64("token", poll.Token),
 			slog.String("result", result.String()), slog.Int64("took_us", time.Since(poll.Sent).Microseconds()), slog.Any("error", err))
 	}
+	if result == scheduler.PollAnswered {
+		n.watchProcess(poll.Upstream)
+	}
 	now := time.Now()
 	for _, completion := range report.Completions {
 		if completion.Number > poll.Acked && completion.Kind != scheduler.CompletionDone {
--- a/node/term.go
+++ b/node/term.go
@@ -243,6 +243,7 @@
 	t.token = 0
 	t.mu.Unlock()
 	n.scheduler.EndTerm()
+	n.pollers.stopWatches()
 	n.log.Info("term ended", slog.String("why", reason))
 }
 
