Unsuccessful runs of a task are counted across dispatchers, owners and resubmissions

Cause: failed runs were counted by the dispatcher for one offer of the job, and crashes nowhere; an offer to the next dispatcher carried neither.

Change: package history holds the counts and the decision to give a task up. What remains: if the VM that is origin and dispatcher of a job is lost, its counts are lost with it; two such losses would be needed for a fourth crash.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -7,10 +7,12 @@
 package intake
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/verdict"
 )
@@ -73,6 +75,8 @@
 	// VM and term of the last dispatcher whose offer may have had an effect.
 	lastVM   string
 	lastTerm uint64
+	// histories counts the unsuccessful runs of tasks by their index; nil if there are none.
+	histories map[int]history.Task
 }
 
 // Done returns a channel that is closed once the job is answered.
@@ -85,15 +89,17 @@
 type Table[S any] struct{ shards [shardCount]shard[S] }
 
 type shard[S any] struct {
-	mu   sync.Mutex // guards jobs and the mutable fields of each job
+	mu   sync.Mutex // guards the fields below and the mutable fields of each job
 	jobs map[string]*Job[S]
+	// ended holds the histories of jobs that were answered without success, by id.
+	ended map[string]endedJob
 }
 
 // New returns an empty table.
 func New[S any]() *Table[S] {
 	t := &Table[S]{}
 	for i := range t.shards {
-		t.shards[i].jobs = map[string]*Job[S]{}
+		t.shards[i].jobs, t.shards[i].ended = map[string]*Job[S]{}, map[string]endedJob{}
 	}
 	return t
 }
@@ -117,6 +123,10 @@
 	for i := range tasks {
 		j.unfinished = append(j.unfinished, i)
 	}
+	if ended, present := s.ended[id]; present {
+		j.histories = ended.histories
+		delete(s.ended, id)
+	}
 	s.jobs[id] = j
 	return j, true
 }
@@ -130,6 +140,8 @@
 	Resumed      bool
 	PreviousVM   string
 	PreviousTerm uint64
+	// Histories counts the unsuccessful runs of tasks by their index.
+	Histories map[int]history.Task
 }
 
 // Assign assigns a job to a dispatcher. It returns false if the job is answered
@@ -141,7 +153,7 @@
 	if j.finished || j.term == term && j.vm == vm {
 		return Offer[S]{}, false
 	}
-	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.unfinished), Resumed: j.mayHaveStarted, PreviousVM: j.lastVM, PreviousTerm: j.lastTerm}
+	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.unfinished), Resumed: j.mayHaveStarted, PreviousVM: j.lastVM, PreviousTerm: j.lastTerm, Histories: maps.Clone(j.histories)}
 	j.vm, j.term, j.mayHaveStarted, j.lastVM, j.lastTerm = vm, term, true, vm, term
 	return offer, true
 }
@@ -251,6 +263,9 @@
 	a.CompletedTasks = len(j.results) - len(j.unfinished)
 	j.finished, j.answer = true, a
 	delete(s.jobs, j.ID)
+	if a.Outcome != Succeeded && len(j.histories) > 0 {
+		s.rememberEnded(j)
+	}
 	close(j.done)
 }
 
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -97,9 +97,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *CompletionsRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "t"
-	o = append(o, 0x83, 0xa1, 0x74)
+	o = append(o, 0x84, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Term)
 	// string "e"
 	o = append(o, 0xa1, 0x65)
@@ -121,6 +121,16 @@
 			return
 		}
 	}
+	// string "hs"
+	o = append(o, 0xa2, 0x68, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Histories)))
+	for za0003 := range z.Histories {
+		o, err = z.Histories[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Histories", za0003)
+			return
+		}
+	}
 	return
 }
 
@@ -186,6 +196,25 @@
 					return
 				}
 			}
+		case "hs":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Histories")
+				return
+			}
+			if cap(z.Histories) >= int(zb0004) {
+				z.Histories = (z.Histories)[:zb0004]
+			} else {
+				z.Histories = make([]TaskHistory, zb0004)
+			}
+			for za0003 := range z.Histories {
+				bts, err = z.Histories[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Histories", za0003)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -208,6 +237,10 @@
 	for za0002 := range z.Abandoned {
 		s += z.Abandoned[za0002].Msgsize()
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Histories {
+		s += z.Histories[za0003].Msgsize()
+	}
 	return
 }
 
@@ -511,12 +544,132 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *HistoriesRequest) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 1
+	// string "hs"
+	o = append(o, 0x81, 0xa2, 0x68, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Histories)))
+	for za0001 := range z.Histories {
+		o, err = z.Histories[za0001].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Histories", za0001)
+			return
+		}
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HistoriesRequest) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "hs":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Histories")
+				return
+			}
+			if cap(z.Histories) >= int(zb0002) {
+				z.Histories = (z.Histories)[:zb0002]
+			} else {
+				z.Histories = make([]TaskHistory, zb0002)
+			}
+			for za0001 := range z.Histories {
+				bts, err = z.Histories[za0001].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Histories", za0001)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *HistoriesRequest) Msgsize() (s int) {
+	s = 1 + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Histories {
+		s += z.Histories[za0001].Msgsize()
+	}
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z HistoriesResponse) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 0
+	_ = z
+	o = append(o, 0x80)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *HistoriesResponse) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z HistoriesResponse) Msgsize() (s int) {
+	s = 1
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 22
+	// map header, size 23
 	// string "j"
-	o = append(o, 0xde, 0x0, 0x16, 0xa1, 0x6a)
+	o = append(o, 0xde, 0x0, 0x17, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -584,6 +737,16 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBool(o, z.Resumed)
+	// string "hs"
+	o = append(o, 0xa2, 0x68, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Histories)))
+	for za0003 := range z.Histories {
+		o, err = z.Histories[za0003].MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Histories", za0003)
+			return
+		}
+	}
 	// string "bt"
 	o = append(o, 0xa2, 0x62, 0x74)
 	o = msgp.AppendUint64(o, z.PreviousTerm)
@@ -760,6 +923,25 @@
 				err = msgp.WrapError(err, "Resumed")
 				return
 			}
+		case "hs":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Histories")
+				return
+			}
+			if cap(z.Histories) >= int(zb0004) {
+				z.Histories = (z.Histories)[:zb0004]
+			} else {
+				z.Histories = make([]TaskHistory, zb0004)
+			}
+			for za0003 := range z.Histories {
+				bts, err = z.Histories[za0003].UnmarshalMsg(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Histories", za0003)
+					return
+				}
+			}
 		case "bt":
 			z.PreviousTerm, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -784,7 +966,11 @@
 	for za0002 := range z.Items {
 		s += msgp.BytesPrefixSize + len(z.Items[za0002])
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Uint64Size
+	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
+	for za0003 := range z.Histories {
+		s += z.Histories[za0003].Msgsize()
+	}
+	s += 3 + msgp.Uint64Size
 	return
 }
 
@@ -1437,6 +1623,112 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *TaskHistory) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 7
+	// string "j"
+	o = append(o, 0x87, 0xa1, 0x6a)
+	o = msgp.AppendString(o, z.Job)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendInt(o, z.Index)
+	// string "f"
+	o = append(o, 0xa1, 0x66)
+	o = msgp.AppendInt(o, z.Failures)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt(o, z.Crashes)
+	// string "ci"
+	o = append(o, 0xa2, 0x63, 0x69)
+	o = msgp.AppendInt(o, z.CrashesIsolated)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendInt(o, z.Losses)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendFloat64(o, z.Suspicion)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *TaskHistory) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "j":
+			z.Job, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Job")
+				return
+			}
+		case "i":
+			z.Index, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "f":
+			z.Failures, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Failures")
+				return
+			}
+		case "c":
+			z.Crashes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Crashes")
+				return
+			}
+		case "ci":
+			z.CrashesIsolated, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "CrashesIsolated")
+				return
+			}
+		case "l":
+			z.Losses, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Losses")
+				return
+			}
+		case "s":
+			z.Suspicion, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Suspicion")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *TaskHistory) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 3 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskPlacement) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -20,6 +20,10 @@
 	KindTasksDoneRequest Kind = 75
 	// KindTasksDoneResponse is the frame kind of TasksDoneResponse messages.
 	KindTasksDoneResponse Kind = 76
+	// KindHistoriesRequest is the frame kind of HistoriesRequest messages.
+	KindHistoriesRequest Kind = 77
+	// KindHistoriesResponse is the frame kind of HistoriesResponse messages.
+	KindHistoriesResponse Kind = 78
 	// KindWithdrawRequest is the frame kind of WithdrawRequest messages.
 	KindWithdrawRequest Kind = 69
 	// KindWithdrawResponse is the frame kind of WithdrawResponse messages.
@@ -82,6 +86,26 @@
 // Kind returns the frame kind of the message.
 func (*FleetHeartbeat) Kind() Kind { return KindFleetHeartbeat }
 
+// TaskHistory counts the runs of a task that did not succeed.
+type TaskHistory struct {
+	// Job is the ID of the job.
+	Job string `msg:"j"`
+	// Index is the index of the task in its job.
+	Index int `msg:"i"`
+	// Failures is the number of runs that have failed.
+	Failures int `msg:"f"`
+	// Crashes is the number of runs that are likely to have crashed their
+	// upstreams.
+	Crashes int `msg:"c"`
+	// CrashesIsolated is the number of Crashes that happened while the task was
+	// isolated.
+	CrashesIsolated int `msg:"ci"`
+	// Losses is the number of runs that were lost for another reason.
+	Losses int `msg:"l"`
+	// Suspicion is the probability that the task has crashed an upstream.
+	Suspicion float64 `msg:"s"`
+}
+
 // OfferRequest asks a dispatcher to run tasks of a job. The sender stays
 // responsible for the job.
 type OfferRequest struct {
@@ -132,6 +156,9 @@
 	// Resumed is true if an earlier dispatcher may have started tasks of the
 	// job.
 	Resumed bool `msg:"r"`
+	// Histories counts the unsuccessful runs of the tasks, as earlier
+	// dispatchers have reported them.
+	Histories []TaskHistory `msg:"hs"`
 	// PreviousTerm is the term of the previous offer of the job, or 0 for its
 	// first offer.
 	PreviousTerm uint64 `msg:"bt"`
@@ -197,6 +224,8 @@
 	Completions []TaskCompletion `msg:"e"`
 	// Abandoned lists the abandoned jobs.
 	Abandoned []AbandonedJob `msg:"d"`
+	// Histories lists the tasks with a further run that did not succeed.
+	Histories []TaskHistory `msg:"hs"`
 }
 
 // Kind returns the frame kind of the message.
@@ -235,6 +264,24 @@
 // Kind returns the frame kind of the message.
 func (*TasksDoneResponse) Kind() Kind { return KindTasksDoneResponse }
 
+// HistoriesRequest tells a new dispatcher of unsuccessful runs of jobs that
+// were answered without success. Their callers may send them again to any
+// VM.
+type HistoriesRequest struct {
+	// Histories counts the runs by task.
+	Histories []TaskHistory `msg:"hs"`
+}
+
+// Kind returns the frame kind of the message.
+func (*HistoriesRequest) Kind() Kind { return KindHistoriesRequest }
+
+// HistoriesResponse acknowledges a HistoriesRequest.
+type HistoriesResponse struct {
+}
+
+// Kind returns the frame kind of the message.
+func (*HistoriesResponse) Kind() Kind { return KindHistoriesResponse }
+
 // WithdrawRequest asks a dispatcher to stop all tasks of some jobs, because
 // no caller waits for them.
 type WithdrawRequest struct {
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -31,7 +32,7 @@
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS)), Deadline: now.Add(microseconds(r.DeadlineUS)),
 		Stretch: r.Stretch, Slack: microseconds(r.SlackUS), MaxAttempts: r.MaxAttempts,
-		AtMostOnce: r.AtMostOnce, Resumed: r.Resumed, PreviousToken: int64(r.PreviousTerm >> abandonBits), Tasks: r.Tasks, Items: r.Items,
+		AtMostOnce: r.AtMostOnce, Resumed: r.Resumed, PreviousToken: int64(r.PreviousTerm >> abandonBits), Histories: historiesFromWire(r.Histories), Tasks: r.Tasks, Items: r.Items,
 	})
 	if failure != nil {
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
@@ -197,6 +198,12 @@
 		if notice.Completion != (scheduler.CompletionRef{}) {
 			r.refs = append(r.refs, notice.Completion)
 		}
+		if notice.History != (history.Task{}) {
+			r.Histories = append(r.Histories, historyToWire(notice.Task, notice.History))
+		}
+		if notice.Kind == scheduler.TaskRetried {
+			continue
+		}
 		if notice.Kind != scheduler.TaskDone && notice.Term != r.Term {
 			n.log.Info("notice dropped, the job belongs to another term", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
 				slog.Uint64("notice_term", notice.Term), slog.Uint64("term", r.Term))
@@ -277,6 +284,7 @@
 	}
 	box.next.Completions = append(box.next.Completions, r.Completions...)
 	box.next.Abandoned = append(box.next.Abandoned, r.Abandoned...)
+	box.next.Histories = append(box.next.Histories, r.Histories...)
 	box.next.refs = append(box.next.refs, r.refs...)
 	if !box.sending {
 		box.sending = true
@@ -291,7 +299,7 @@
 		b.mu.Lock()
 		r := b.next
 		b.next = originReport{CompletionsRequest: wire.CompletionsRequest{Term: r.Term}}
-		if len(r.Completions)+len(r.Abandoned) == 0 {
+		if len(r.Completions)+len(r.Abandoned)+len(r.Histories) == 0 {
 			b.sending = false
 			b.mu.Unlock()
 			return
--- a/node/node.go
+++ b/node/node.go
@@ -148,6 +148,8 @@
 	registry registry
 	view     atomic.Pointer[fleet.View]
 
+	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
+
 	started   time.Time
 	draining  atomic.Bool
 	runCtx    context.Context // cancelled by Stop; in a graceful stop, after the last answer is sent
@@ -199,6 +201,7 @@
 	peer.Handle(n.peers, n.handleOffer)
 	peer.Handle(n.peers, n.handleCompletions)
 	peer.Handle(n.peers, n.handleTasksDone)
+	peer.Handle(n.peers, n.handleHistories)
 	peer.Handle(n.peers, n.handleWithdraw)
 	peer.Handle(n.peers, n.handleState)
 	peer.Handle(n.peers, n.handlePlacements)
--- a/node/submit.go
+++ b/node/submit.go
@@ -166,6 +166,7 @@
 		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Add(-abandonLead).Sub(now).Microseconds(),
 		Stretch: job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
 		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed, PreviousTerm: o.PreviousTerm,
+		Histories: historiesToWire(o.Job.ID, o.Histories),
 	}
 }
 
@@ -174,6 +175,10 @@
 	if v.Dispatcher.VM == "" {
 		return
 	}
+	if v.Term != n.historiesSentTerm {
+		n.historiesSentTerm = v.Term
+		n.sendEndedHistories(v)
+	}
 	for _, j := range n.jobs.Unassigned(v.Dispatcher.VM, v.Term) {
 		n.offer(j, v)
 	}
@@ -213,6 +218,7 @@
 // has the job. applyCompletions returns the completed tasks of jobs that another
 // dispatcher has now, by its VM.
 func (n *Node) applyCompletions(dispatcher string, r *wire.CompletionsRequest) (moved map[string][]wire.TaskCompletion) {
+	n.recordHistories(r.Histories)
 	moved = map[string][]wire.TaskCompletion{}
 	for i := range r.Completions {
 		completion := &r.Completions[i]
--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -33,9 +33,6 @@
 	// common cause, such as the loss of a rack, unless a queue is known for crashes. It
 	// covers the time until such crashes are detected.
 	commonCauseTime = 50 * time.Millisecond
-	// minSuspicion is the probability of having crashed an upstream from which on a
-	// task is a suspect.
-	minSuspicion = 0.1
 	// costlySuspicion is the probability from which on a suspect waits while many
 	// upstreams are down.
 	costlySuspicion = 0.4
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -135,13 +135,13 @@
 	}
 	j.running--
 	before := s.history(f.run.Task)
-	history := before.after(f)
-	if history != before {
-		s.setHistory(now, f.run.Task, history)
+	after := withRun(before, f)
+	if after != before {
+		s.setHistory(now, f.run.Task, after)
 	}
-	if reason := history.hopeless(j.MaxAttempts); reason != "" {
+	if reason := after.Hopeless(j.MaxAttempts); reason != "" {
 		n := len(j.waiting)
-		notice := j.failedNotice(index, reason, f.completion)
+		notice := j.failedNotice(index, reason, after, f.completion)
 		s.remove(j)
 		return []Notice{notice}, -n, true
 	}
@@ -159,10 +159,13 @@
 		}
 		j.avoid[index] = append(j.avoid[index], f.upstream)
 	}
-	if history.suspect() {
-		j.markSuspect(index, history.Suspicion)
+	if after.Suspect() {
+		j.markSuspect(index, after.Suspicion)
 	}
 	j.waiting = append([]int{index}, j.waiting...)
 	s.updateHeap(j)
-	return nil, 1, false
+	if after != before {
+		notices = []Notice{j.retriedNotice(index, after)}
+	}
+	return notices, 1, false
 }
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/mustardstep/mustardstep/history"
 )
 
 // loss is what is known about the loss of a run.
@@ -58,7 +60,7 @@
 // lossOutcome returns the outcome of a lost run. A crash that the run is not likely to have
 // caused counts like any other loss.
 func lossOutcome(l loss) runOutcome {
-	if l.suspicion() >= minSuspicion {
+	if l.suspicion() >= history.MinSuspicion {
 		return outcomeCrashed
 	}
 	return outcomeLost
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
@@ -127,8 +128,14 @@
 }
 
 // failedNotice returns the notice that a task has failed and is not started again.
-func (j *job) failedNotice(index int, reason string, ref CompletionRef) Notice {
-	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskFailed, Code: verdict.CodeUpstreamFailed, Reason: reason, Completion: ref}
+func (j *job) failedNotice(index int, reason string, h history.Task, ref CompletionRef) Notice {
+	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskFailed, Code: verdict.CodeUpstreamFailed, Reason: reason, History: h, Completion: ref}
+}
+
+// retriedNotice returns the notice that a run of a task did not succeed and that the task
+// is started again.
+func (j *job) retriedNotice(index int, h history.Task) Notice {
+	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskRetried, History: h}
 }
 
 // lostNotice returns the notice that an at-most-once job is abandoned because a
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -248,6 +248,7 @@
 func (s *jobShard) offer(now time.Time, offered Job, model *queueModel) (notices []Notice, waiting int, failure *verdict.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.mergeHistories(now, offered.ID, offered.Histories)
 	if existing := s.jobs[offered.ID]; existing != nil {
 		for _, index := range offered.Tasks {
 			if !existing.isOpen(index) {
@@ -282,12 +283,12 @@
 		j.resumedAt = now
 	}
 	for _, index := range offered.Tasks {
-		history := s.history(Task{j.ID, index})
-		if reason := history.hopeless(j.MaxAttempts); reason != "" {
-			return []Notice{j.failedNotice(index, reason, CompletionRef{})}, 0, nil
+		known := s.history(Task{j.ID, index})
+		if reason := known.Hopeless(j.MaxAttempts); reason != "" {
+			return []Notice{j.failedNotice(index, reason, known, CompletionRef{})}, 0, nil
 		}
-		if history.suspect() {
-			j.markSuspect(index, history.Suspicion)
+		if known.Suspect() {
+			j.markSuspect(index, known.Suspicion)
 		}
 	}
 	for _, index := range offered.Tasks {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -28,6 +28,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/verdict"
 )
@@ -311,7 +312,8 @@
 	// RetryAfter is the delay after which an abandoned job may be accepted.
 	RetryAfter time.Duration
 	// Result is the output of the task.
-	Result []byte
+	Result  []byte
+	History history.Task
 	// Completion must be passed to ConfirmDelivery once the origin has the notice.
 	Completion CompletionRef
 }
@@ -338,6 +340,9 @@
 	JobNotRun
 	// JobAbandoned means that the job was abandoned after a task may have started.
 	JobAbandoned
+	// TaskRetried means that a run of the task did not succeed and that the task is
+	// started again. History counts such runs.
+	TaskRetried
 )
 
 // Stop orders an upstream to terminate a run.
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mustardstep/mustardstep/history"
 )
 
 // Size is the resource demand of a task or the capacity of an upstream.
@@ -70,6 +72,8 @@
 	// 0 if unknown.
 	Resumed       bool
 	PreviousToken int64
+	// Histories counts the unsuccessful runs of tasks that the origin knows of, by index.
+	Histories map[int]history.Task
 	// AtMostOnce forbids starting a task again that may have started. The job is
 	// abandoned instead.
 	AtMostOnce bool
