scheduler: tests of capacities that shrink and grow, and of crashes, in the model

The model test now changes the capacity of upstreams under running work, around hand-overs and with stops that are not finished, and lets upstreams crash, also under tasks that crash each one that starts them.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -3,12 +3,14 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/eventqueue"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
@@ -18,8 +20,9 @@
 // The model test runs several schedulers against fake upstreams over a simulated
 // network that delays and loses messages and disconnects VMs. Dispatchers are
 // replaced while they are still active. After each start the test checks that no
-// task runs twice at the same time, that no at-most-once task starts twice, and
-// that no upstream exceeds its capacity.
+// task runs twice at the same time, that no at-most-once task starts twice, that no
+// upstream exceeds its capacity, which shrinks and grows, and that no task crashes more
+// than maxModelCrashes upstreams.
 
 const (
 	modelLeaseMax = time.Second
@@ -28,6 +31,13 @@
 	modelAbandonTime   = 600 * time.Millisecond
 	modelResumeTimeout = modelAbandonTime + 1060*time.Millisecond
 	modelLength        = 12 * time.Second
+	// modelListDelay is the longest time until a dispatcher learns that the capacity of an
+	// upstream has changed.
+	modelListDelay = 900 * time.Millisecond
+	// modelCrashTime is the time from the start of a deadly task to the crash.
+	modelCrashTime = 10 * time.Millisecond
+	// A task that has crashed three upstreams may be started twice more.
+	maxModelCrashes = 5
 )
 
 // modelJob is a job from the view of its origin.
@@ -38,6 +48,14 @@
 	dispatcher    *modelDispatcher // that has the job
 	offered       bool
 	previousToken int64 // token of the last offer
+	histories     map[int]history.Task
+	deadly        bool // task 0 crashes its upstreams
+}
+
+// formerSize is a capacity that an upstream had until a time.
+type formerSize struct {
+	size  scheduler.Size
+	until time.Time
 }
 
 // modelDispatcher is a scheduler and the state of its polls.
@@ -66,8 +84,50 @@
 	restarts    map[string]int
 	token       int64
 	done        int
+	formerSizes map[string][]formerSize
+	downUntil   map[string]time.Time // by upstream: no process runs until then
+	crashes     map[scheduler.Task]int
+}
+
+// allowedSize returns the capacity of an upstream that dispatchers may still assume.
+func (m *model) allowedSize(name string) scheduler.Size {
+	allowed := m.upstreams[name].Info.Size
+	for _, former := range m.formerSizes[name] {
+		if m.now.Sub(former.until) <= modelListDelay {
+			allowed.MilliCPU = max(allowed.MilliCPU, former.size.MilliCPU)
+		}
+	}
+	return allowed
+}
+
+// resize changes the capacity of an upstream. The dispatcher learns of it later.
+func (m *model) resize(name string) {
+	u := m.upstreams[name]
+	m.formerSizes[name] = append(m.formerSizes[name], formerSize{u.Info.Size, m.now})
+	u.Info.Size.MilliCPU = []int{5000, 8000, 14000, 16000}[m.rand.IntN(4)]
+	m.logf("fault: %s has %d milli-CPU", name, u.Info.Size.MilliCPU)
+	m.after(m.randomMillis(50, int(modelListDelay.Milliseconds())-50), func() {
+		if m.current != nil {
+			m.current.scheduler.SetUpstreams(m.now, m.list(), false)
+		}
+	})
+}
+
+// crash ends the process of an upstream. Dispatchers that reach it notice at once.
+func (m *model) crash(name string) {
+	m.logf("fault: %s crashes", name)
+	m.restarts[name]++
+	m.upstreams[name].Restart(m.now)
+	m.downUntil[name] = m.now.Add(m.randomMillis(300, 2000))
+	for _, d := range m.dispatchers {
+		if !d.disconnected[name] && !m.now.Before(d.frozenUntil) {
+			m.after(m.delay(), func() { m.execute(d, d.scheduler.HandleProcessGone(m.now, name, "")) })
+		}
+	}
 }
 
+func (m *model) down(name string) bool { return m.now.Before(m.downUntil[name]) }
+
 // delayedOrderPercent is the percentage of orders that get no response and are
 // executed seconds later.
 const delayedOrderPercent = 4
@@ -108,6 +168,7 @@
 	m := &model{
 		t: t, now: modelStart, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), upstreams: map[string]*schedulertest.Upstream{},
 		jobs: map[string]*modelJob{}, running: map[scheduler.Task][]string{}, startedOn: map[scheduler.Task]string{}, restarts: map[string]int{},
+		formerSizes: map[string][]formerSize{}, downUntil: map[string]time.Time{}, crashes: map[scheduler.Task]int{},
 	}
 	for i := range 4 {
 		name := fmt.Sprintf("u%d", i)
@@ -127,9 +188,22 @@
 				}
 				m.startedOn[run.Task] = name
 			}
-			if !u.Used.FitsIn(info.Size) {
+			if !u.Used.FitsIn(m.allowedSize(name)) {
 				m.fail(name, "%s is overcommitted: %+v in use", name, u.Used)
 			}
+			if m.jobs[run.Job].deadly && run.Index == 0 {
+				process := m.restarts[name]
+				m.after(modelCrashTime, func() {
+					if m.restarts[name] != process || !slices.Contains(m.running[run.Task], name) {
+						return
+					}
+					m.crashes[run.Task]++
+					if m.crashes[run.Task] > maxModelCrashes {
+						m.fail(run.Job, "%v has crashed %d upstreams", run.Task, m.crashes[run.Task])
+					}
+					m.crash(name)
+				})
+			}
 		}
 		u.OnCompletion = func(_ time.Time, run scheduler.Run, kind scheduler.CompletionKind) {
 			m.logf("%s attempt %d of task %d ends on %s: %v", run.Job, run.Attempt, run.Index, name, kind)
@@ -201,6 +275,7 @@
 	offered := j.job
 	offered.Resumed, offered.PreviousToken = j.offered, j.previousToken
 	offered.Tasks = slices.Clone(j.open)
+	offered.Histories = maps.Clone(j.histories)
 	j.dispatcher, j.offered, j.previousToken = d, true, token
 	m.after(m.delay(), func() {
 		if j.finished || d.token != token || m.current != d {
@@ -235,6 +310,8 @@
 // response is delivered. With faulty, the message may be delayed and its response lost.
 func (m *model) send(d *modelDispatcher, name string, faulty bool, do func(answered bool), lost func()) {
 	switch {
+	case m.down(name):
+		m.after(m.delay(), lost)
 	case d.disconnected[name]:
 		m.after(100*time.Millisecond, lost)
 	case faulty && m.rand.IntN(100) < delayedOrderPercent:
@@ -243,15 +320,25 @@
 		process := m.restarts[name]
 		m.after(m.randomMillis(1500, 5000), func() {
 			// The upstream rejects an order that names an earlier process.
-			if m.restarts[name] == process {
+			if m.restarts[name] == process && !m.down(name) {
 				do(false)
 			}
 		})
 	case faulty && m.rand.IntN(100) < lostResponsePercent:
 		m.after(100*time.Millisecond, lost)
-		m.after(m.delay(), func() { do(false) })
+		m.after(m.delay(), func() {
+			if !m.down(name) {
+				do(false)
+			}
+		})
 	default:
-		m.after(m.delay(), func() { do(true) })
+		m.after(m.delay(), func() {
+			if m.down(name) {
+				lost()
+				return
+			}
+			do(true)
+		})
 	}
 }
 
@@ -379,6 +466,8 @@
 	j := m.jobs[n.Task.Job]
 	switch {
 	case j == nil || j.finished:
+	case n.Kind == scheduler.TaskRetried:
+		j.histories[n.Task.Index] = j.histories[n.Task.Index].Merge(n.History)
 	case n.Kind == scheduler.TaskDone:
 		j.open = slices.DeleteFunc(j.open, func(i int) bool { return i == n.Task.Index })
 		if len(j.open) == 0 {
@@ -435,7 +524,7 @@
 		Size: scheduler.Size{MilliCPU: 6800, MemoryMB: 64}, Estimate: 200 * time.Millisecond,
 		Sent: m.now, Deadline: m.now.Add(5 * time.Second), Stretch: 1.6, Slack: 60 * time.Millisecond, MaxAttempts: 3,
 		AtMostOnce: m.rand.IntN(2) == 0,
-	}}
+	}, histories: map[int]history.Task{}, deadly: m.rand.IntN(10) == 0}
 	for i := range tasks {
 		j.open = append(j.open, i)
 	}
@@ -457,7 +546,7 @@
 	m.after(m.randomMillis(300, 2500), func() {
 		d := m.dispatchers[m.rand.IntN(2)]
 		name := m.names[m.rand.IntN(len(m.names))]
-		kind := m.rand.IntN(7)
+		kind := m.rand.IntN(9)
 		m.logf("fault %d: %s, %s", kind, d.name, name)
 		switch kind {
 		case 0:
@@ -480,6 +569,10 @@
 			m.upstreams[name].Restart(m.now)
 		case 6:
 			m.injectCompetitor(name)
+		case 7:
+			m.resize(name)
+		case 8:
+			m.crash(name)
 		case 5: // the dispatcher loses contact with the origin, which offers its jobs again
 			m.execute(m.current, m.current.scheduler.AbandonJobsOf(m.now, "front", 2))
 			for _, id := range m.ids() {
