Entries of other writers: refuse what cannot be used, and keep following the rest

Operators of similar systems saw: one odd entry among those of the upstreams (deep nesting, a number too large, a port out of range) ended the machines that read the list, or made them stop following it.

Here: the entry VMs of serve stopped following the list of VMs while one entry could not be decoded (vmlist.List failed as a whole). A panic of the decoder would have ended the process. Entries with the ports 0, 65536, 99999 and -1, a host name, a capacity near the largest integer, negative memory or odd names were taken for good upstreams: sums of capacities overflow, tasks are sent there again and again, and a name with a line break goes into a header. Deep nesting and numbers beyond 64 bits were refused before.

The list returns invalid entries beside the others, and each is logged once per revision. A panic while decoding an entry counts as an invalid entry. An odd entry under the key of an upstream takes it out of use for new tasks until its next good entry.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -67,6 +67,7 @@
 	configuration   *configSyncer
 	liveSettings    atomic.Pointer[settings.DaemonProgram] // settings with the overrides of the configuration
 	parsedServices  map[string]serviceEntry                // by key; only accessed by applyConfiguration
+	invalidEntries  map[string]int64                       // revisions by key of invalid VM entries; only accessed by pollEntryVMs
 	operatorDrained atomic.Bool                            // an operator has drained this VM
 }
 
--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -94,10 +94,11 @@
 	if size.MemoryMB == 0 {
 		size.MemoryMB = math.MaxInt32 // no memory limit if the upstream declares none
 	}
-	return scheduler.Upstream{
+	u := scheduler.Upstream{
 		Name: vm.Name, Address: vm.Address, Service: vm.Service, DataCentre: vm.DataCentre, Size: size,
 		Draining: vm.State == api.VMLeaving,
-	}, nil
+	}
+	return u, u.Validate()
 }
 
 // QueueOf returns the queue for a job of a call with the given number of tasks. A
@@ -134,10 +135,23 @@
 	return nil
 }
 
+// logInvalidEntries logs each invalid entry once.
+func (d *Daemon) logInvalidEntries(invalid []vmlist.InvalidEntry) {
+	logged := map[string]int64{}
+	for _, e := range invalid {
+		if d.invalidEntries[e.Key] != e.Revision {
+			d.log.Warn("VM entry ignored", slog.String("key", e.Key), slog.Int64("revision", e.Revision), slog.Any("error", e.Err))
+		}
+		logged[e.Key] = e.Revision
+	}
+	d.invalidEntries = logged
+}
+
 func (d *Daemon) listEntryVMs(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, d.settings.Platform.CallTimeout)
 	defer cancel()
-	vms, err := vmlist.List(call, d.store, vmlist.EntryPrefix)
+	vms, invalid, err := vmlist.List(call, d.store, vmlist.EntryPrefix)
+	d.logInvalidEntries(invalid)
 	if err != nil {
 		if ctx.Err() == nil {
 			d.log.Warn("cannot list entry VMs", slog.Any("error", err))
--- a/internal/replay/cluster.go
+++ b/internal/replay/cluster.go
@@ -135,7 +135,7 @@
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for {
-		vms, err := vmlist.List(ctx, platformStore, vmlist.UpstreamPrefix)
+		vms, _, err := vmlist.List(ctx, platformStore, vmlist.UpstreamPrefix)
 		if err == nil && len(vms) == expected {
 			c.upstreams = vms
 			return nil
--- a/internal/vmlist/vmlist.go
+++ b/internal/vmlist/vmlist.go
@@ -30,19 +30,25 @@
 	return store.Put(ctx, s, keyPrefix+vm.Role+"/"+vm.Name, value, 0)
 }
 
-// List returns the VMs whose keys start with prefix.
-func List(ctx context.Context, s store.Store, prefix string) ([]api.VM, error) {
+// InvalidEntry is an entry that describes no VM. Another writer may have left it.
+type InvalidEntry struct {
+	Key      string
+	Revision int64
+	Err      error
+}
+
+// List returns the VMs whose keys start with prefix, and the invalid entries among them.
+func List(ctx context.Context, s store.Store, prefix string) (vms []api.VM, invalid []InvalidEntry, err error) {
 	items, _, err := store.List(ctx, s, prefix, false)
-	if err != nil {
-		return nil, err
-	}
-	vms := make([]api.VM, len(items))
-	for i, item := range items {
-		if vms[i], err = Decode(item); err != nil {
-			return nil, err
+	for _, item := range items {
+		vm, err := Decode(item)
+		if err != nil {
+			invalid = append(invalid, InvalidEntry{item.Key, item.Revision, err})
+			continue
 		}
+		vms = append(vms, vm)
 	}
-	return vms, nil
+	return vms, invalid, err
 }
 
 // Decode decodes and validates a VM entry.
--- a/node/registry.go
+++ b/node/registry.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -179,7 +180,7 @@
 		return
 	}
 	e := entry{item: item}
-	upstream, err := n.deps.Decoder.Upstream(item)
+	upstream, err := n.decodeUpstream(item)
 	if err != nil {
 		n.log.Warn("upstream entry ignored", slog.String("key", item.Key), slog.Any("error", err))
 	} else {
@@ -192,6 +193,17 @@
 	n.registry.entries[item.Key] = e
 }
 
+// decodeUpstream decodes an entry. Any writer may have left it, so a panic of the decoder
+// counts as an invalid entry.
+func (n *Node) decodeUpstream(item store.Item) (u scheduler.Upstream, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Newf("the decoder panicked: %v", r)
+		}
+	}()
+	return n.deps.Decoder.Upstream(item)
+}
+
 // markLapsed records that an entry is gone from the store. The caller must hold
 // the registry's lock.
 func (n *Node) markLapsed(now time.Time, key string) {
--- a/node/registry_test.go
+++ b/node/registry_test.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
 	"github.com/stretchr/testify/require"
 )
@@ -58,3 +62,47 @@
 	require.False(t, n.fleet.Divided(), "the unreachable member can dispatch for all upstreams")
 	require.NotZero(t, n.term.current())
 }
+
+// panickingDecoder panics on the value "panic".
+type panickingDecoder struct{ testDecoder }
+
+func (d panickingDecoder) Upstream(item store.Item) (scheduler.Upstream, error) {
+	if string(item.Value) == "panic" {
+		panic("odd entry")
+	}
+	return d.testDecoder.Upstream(item)
+}
+
+func TestOddEntryEndsTheWatchOfUpstreams(t *testing.T) {
+	var log bytes.Buffer
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease},
+		Dependencies{Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: NewMetrics(), Decoder: panickingDecoder{}})
+	items := []store.Item{
+		{Key: "u1", Value: []byte(`{"Name":"u1","Service":"rota"}`), Revision: 1},
+		{Key: "odd", Value: []byte("panic"), Revision: 2},
+		{Key: "u2", Value: []byte(`{"Name":"u2","Service":"rota"}`), Revision: 3},
+	}
+	used := func() (names []string) {
+		for key, e := range n.registry.entries {
+			if e.valid {
+				names = append(names, key)
+			}
+		}
+		slices.Sort(names)
+		return names
+	}
+	for range 3 { // the list is read again and again
+		n.replaceUpstreams(items, 3, "test")
+	}
+	require.Equal(t, []string{"u1", "u2"}, used())
+	require.Len(t, n.scheduler.Summaries(), 2)
+	require.Equal(t, 1, strings.Count(log.String(), "upstream entry ignored"))
+	require.Contains(t, log.String(), "key=odd")
+
+	items[0] = store.Item{Key: "u1", Value: []byte("\xff"), Revision: 4}
+	n.replaceUpstreams(items, 4, "test")
+	require.Equal(t, []string{"u2"}, used(), "the entry of u1 names no upstream to use")
+	items[0] = store.Item{Key: "u1", Value: []byte(`{"Name":"u1","Service":"rota"}`), Revision: 5}
+	n.replaceUpstreams(items, 5, "test")
+	require.Equal(t, []string{"u1", "u2"}, used(), "its next good entry counts")
+}
