soak: upstreams that are down for a while, tasks that crash them, capacities that change

The stand-in upstreams of the soak end like processes: all connections are closed and new ones refused until they start again. One job of sixty crashes each upstream that starts it; capacities shrink and grow. The checker judges from outside that no such task is started three times more after three crashes, that an upstream is not filled beyond its capacity (a smaller one counts after 4 s without a fault that hides the change), and that no job is answered as failed without the failures or crashes that allow it.

--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -70,8 +70,12 @@
 	upstreams []*soakUpstream
 	startedAt time.Time
 
-	mu     sync.Mutex // guards events
-	events []string
+	deadly deadlyJobs
+
+	mu             sync.Mutex // guards the fields below
+	events         []string
+	disturbances   int       // active faults that may hide changes of the store
+	disturbedUntil time.Time // end of the last one
 }
 
 // soakVM is an entry VM and its process.
@@ -89,15 +93,6 @@
 	stopping *process // last process that was sent SIGTERM; holds its addresses until it exits
 }
 
-// soakUpstream is a simulated upstream and its entry in the store.
-type soakUpstream struct {
-	*standin.Upstream
-	entry scheduler.Upstream
-
-	mu           sync.Mutex // guards entry.Draining and unregistered
-	unregistered bool       // the entry is absent from the store
-}
-
 // RunSoak runs a cluster of real daemon processes under random faults. It checks the
 // dispatcher's invariants on what callers and upstreams observe, and returns
 // ErrInvariantViolated with the report if one was violated.
@@ -105,7 +100,7 @@
 	o.RetryTimeout = cmp.Or(o.RetryTimeout, 2*soakCallerDeadline)
 	s := &soakTest{
 		options: o, rng: rand.New(rand.NewPCG(uint64(o.Seed), 1)), dir: o.LogDir, checker: newSoakChecker(), links: newLinks(),
-		store: standin.NewFaultyStore(store.NewMemory()), startedAt: time.Now(),
+		store: standin.NewFaultyStore(store.NewMemory()), startedAt: time.Now(), deadly: deadlyJobs{ids: map[string]bool{}},
 	}
 	if s.dir == "" {
 		dir, err := os.MkdirTemp("", "mustardstep-soak-")
@@ -203,17 +198,18 @@
 		Name: fmt.Sprintf("u%02d", i), Address: listener.Addr().String(), Service: soakService,
 		DataCentre: fmt.Sprintf("dc%d", i%soakDataCentres), Size: scheduler.Size{MilliCPU: soakUpstreamMilliCPU, MemoryMB: 32_768},
 	}}
+	u.largest = u.entry.Size
 	u.Upstream = standin.NewUpstream(api.VM{Name: u.entry.Name}, "", []float64{0.6, 1, 1}[i%3], soakMeanTaskTime)
 	u.OnStart = func(run scheduler.Run, used scheduler.Size) {
-		s.checker.recordStart(u.entry.Name, u.entry.Size, run, used)
+		s.recordStart(u, run, used)
 	}
 	u.OnCompletion = func(run scheduler.Run, kind scheduler.CompletionKind) {
 		s.checker.recordCompletion(u.entry.Name, run, kind)
 	}
 	s.upstreams = append(s.upstreams, u)
-	g.Go(func() error {
-		return u.ServeHandler(ctx, listener, func(c *fasthttp.RequestCtx) { platform.ServeUpstream(ctx, u.entry.Name, u.Upstream, c) })
-	})
+	name := u.entry.Name
+	u.process = standin.NewProcess(listener, func(c *fasthttp.RequestCtx) { platform.ServeUpstream(ctx, name, u.Upstream, c) })
+	g.Go(func() error { return u.process.Run(ctx) })
 	g.Go(func() error { return u.CompleteRuns(ctx) })
 	g.Go(func() error { return s.publishEntry(ctx, u) })
 	return nil
@@ -222,9 +218,9 @@
 // publishEntry rewrites the entry of an upstream periodically, as real upstreams do.
 func (s *soakTest) publishEntry(ctx context.Context, u *soakUpstream) error {
 	for version := 1; ctx.Err() == nil; version++ {
-		u.mu.Lock()
-		entry, unregistered := u.entry, u.unregistered
-		u.mu.Unlock()
+		var entry scheduler.Upstream
+		var unregistered bool
+		u.update(func() { entry, unregistered = u.entry, u.unregistered })
 		key, value, err := platform.UpstreamEntry(entry, version)
 		if err != nil {
 			return err
--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -15,6 +15,9 @@
 	jobs           map[string]*soakJob
 	running        map[scheduler.Task]string // upstream of each task that is running
 	completed      map[scheduler.Task]bool
+	crashes        map[scheduler.Task]int // upstreams that crashed while they ran the task
+	failures       map[scheduler.Task]int // runs that failed or whose lease expired
+	startsBeyond   map[scheduler.Task]int // starts of a deadly task after maxDeadlyCrashes
 	starts         int
 	violations     []string // the first maxSoakViolations, described
 	violationCount int
@@ -36,7 +39,8 @@
 
 func newSoakChecker() *soakChecker {
 	return &soakChecker{
-		jobs: map[string]*soakJob{}, running: map[scheduler.Task]string{}, completed: map[scheduler.Task]bool{}, answers: map[string]int{},
+		jobs: map[string]*soakJob{}, running: map[scheduler.Task]string{}, completed: map[scheduler.Task]bool{}, crashes: map[scheduler.Task]int{},
+		failures: map[scheduler.Task]int{}, startsBeyond: map[scheduler.Task]int{}, answers: map[string]int{},
 	}
 }
 
@@ -61,8 +65,9 @@
 }
 
 // recordStart records the start of a run and checks that the used resources fit the
-// upstream's capacity.
-func (c *soakChecker) recordStart(upstream string, capacity scheduler.Size, run scheduler.Run, used scheduler.Size) {
+// upstream's capacity. A deadly task must not be started maxDeadlyStarts times after it
+// has crashed maxDeadlyCrashes upstreams.
+func (c *soakChecker) recordStart(upstream string, capacity scheduler.Size, run scheduler.Run, used scheduler.Size, deadly bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
@@ -75,11 +80,46 @@
 		c.violation("%v started on %s while its task was running on %s", run, upstream, other)
 	}
 	c.running[run.Task] = upstream
+	if deadly && c.crashes[run.Task] >= maxDeadlyCrashes {
+		c.startsBeyond[run.Task]++
+		if c.startsBeyond[run.Task] == maxDeadlyStarts {
+			c.violation("%v was started %d times after %d upstreams had crashed under its task", run, maxDeadlyStarts, maxDeadlyCrashes)
+		}
+	}
 	if !used.FitsIn(capacity) {
 		c.violation("upstream %s exceeds its capacity: used %+v of %+v with %v", upstream, used, capacity, run)
 	}
 }
 
+// Limits of the starts of a task that crashes its upstreams.
+const (
+	maxDeadlyCrashes = 3
+	maxDeadlyStarts  = 3
+)
+
+// recordCrash records the crash of an upstream.
+func (c *soakChecker) recordCrash(upstream string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task, at := range c.running {
+		if at == upstream {
+			c.crashes[task]++
+		}
+	}
+}
+
+// mayHaveFailed reports whether a task of a job has failed as often, or lost as many runs
+// with their upstreams, as a task that is given up. The caller must hold mu.
+func (c *soakChecker) mayHaveFailed(id string, tasks int) bool {
+	for index := range tasks {
+		task := scheduler.Task{Job: id, Index: index}
+		if c.crashes[task] >= 2 || c.failures[task]+c.crashes[task] >= 3 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordCompletion records the completion of a run.
 func (c *soakChecker) recordCompletion(upstream string, run scheduler.Run, kind scheduler.CompletionKind) {
 	c.mu.Lock()
@@ -87,8 +127,11 @@
 	if c.running[run.Task] == upstream {
 		delete(c.running, run.Task)
 	}
-	if kind == scheduler.CompletionDone {
+	switch kind {
+	case scheduler.CompletionDone:
 		c.completed[run.Task] = true
+	case scheduler.CompletionFailed, scheduler.CompletionLapsed:
+		c.failures[run.Task]++
 	}
 }
 
@@ -116,6 +159,9 @@
 		c.violation("job %s was answered with unexpected status %d", id, a.Status)
 	default:
 		c.answers["failed"]++
+		if !c.mayHaveFailed(id, job.tasks) {
+			c.violation("job %s was answered as failed but no task has failed or lost its upstreams often enough", id)
+		}
 	}
 	job.answered = true
 	return false
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -18,23 +18,29 @@
 	// Each function injects a fault and returns the function that ends it. A fault that is
 	// listed twice is drawn twice as often.
 	faults := []func() func(){
-		func() func() { return s.kill(v) },
-		func() func() { return s.kill(v) },
-		func() func() { return s.freeze(v) },
-		func() func() { return s.stopGracefully(v) },
-		func() func() { return s.isolate(v) },
-		func() func() { return s.cutOutbound(v) },
-		func() func() { return s.cutDataCentres() },
-		func() func() { return s.disruptConnections(v, "reset", (*link).reset) },
-		func() func() { return s.disruptConnections(v, "silence", (*link).blackhole) },
-		func() func() { return s.delayTraffic(v) },
-		func() func() { return s.injectStoreFault(api.PlatformFaults{Down: true}, "down") },
-		func() func() { return s.injectStoreFault(api.PlatformFaults{SlowMS: 300}, "slow") },
-		func() func() { return s.injectStoreFault(api.PlatformFaults{LoseAnswers: 20}, "lost answers") },
-		func() func() { return s.injectStoreFault(api.PlatformFaults{CutWatches: true}, "cut watches") },
-		func() func() { return s.compactStore() },
-		func() func() { return s.cutStore(v) },
+		func() func() { return s.disturbed(s.kill(v)) },
+		func() func() { return s.disturbed(s.kill(v)) },
+		func() func() { return s.disturbed(s.freeze(v)) },
+		func() func() { return s.disturbed(s.stopGracefully(v)) },
+		func() func() { return s.disturbed(s.isolate(v)) },
+		func() func() { return s.disturbed(s.cutOutbound(v)) },
+		func() func() { return s.disturbed(s.cutDataCentres()) },
+		func() func() { return s.disturbed(s.disruptConnections(v, "reset", (*link).reset)) },
+		func() func() { return s.disturbed(s.disruptConnections(v, "silence", (*link).blackhole)) },
+		func() func() { return s.disturbed(s.delayTraffic(v)) },
+		func() func() { return s.disturbed(s.injectStoreFault(api.PlatformFaults{Down: true}, "down")) },
+		func() func() { return s.disturbed(s.injectStoreFault(api.PlatformFaults{SlowMS: 300}, "slow")) },
+		func() func() {
+			return s.disturbed(s.injectStoreFault(api.PlatformFaults{LoseAnswers: 20}, "lost answers"))
+		},
+		func() func() {
+			return s.disturbed(s.injectStoreFault(api.PlatformFaults{CutWatches: true}, "cut watches"))
+		},
+		func() func() { return s.disturbed(s.compactStore()) },
+		func() func() { return s.disturbed(s.cutStore(v)) },
 		func() func() { return s.crashUpstream(u) },
+		func() func() { return s.resize(u) },
+		func() func() { return s.resize(u) },
 		func() func() { return s.injectUpstreamFault(u, api.UpstreamFault{Mode: api.UpstreamSlow, Factor: 6}) },
 		func() func() { return s.injectUpstreamFault(u, api.UpstreamFault{Mode: api.UpstreamFailing}) },
 		func() func() { return s.injectUpstreamFault(u, api.UpstreamFault{Mode: api.UpstreamRefusing}) },
@@ -42,7 +48,7 @@
 		func() func() {
 			return s.injectUpstreamFault(u, api.UpstreamFault{Mode: api.UpstreamAnswersLate, DelayMS: 400})
 		},
-		func() func() { return s.removeEntry(u) },
+		func() func() { return s.disturbed(s.removeEntry(u)) },
 		func() func() { return s.drainUpstream(u) },
 	}
 	for range 1 + s.rng.IntN(2) {
@@ -221,12 +227,6 @@
 	return func() { s.links.get(v.name, platformName).heal() }
 }
 
-func (s *soakTest) crashUpstream(u *soakUpstream) func() {
-	s.recordEvent("crash %s", u.entry.Name)
-	u.Crash()
-	return func() {}
-}
-
 func (s *soakTest) injectUpstreamFault(u *soakUpstream, fault api.UpstreamFault) func() {
 	s.recordEvent("upstream %s is %v", u.entry.Name, fault.Mode)
 	if err := u.SetFault(fault); err != nil {
--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -24,6 +24,9 @@
 		runTime := time.Duration((0.2 + rng.ExpFloat64()) * float64(soakMeanTaskTime))
 		firstVM := rng.IntN(len(s.vms))
 		abandons := rng.IntN(20) == 0
+		if rng.IntN(soakDeadlyShare) == 0 {
+			s.deadly.add(id)
+		}
 		jobs.Go(func() { s.submit(id, tasks, runTime, firstVM, abandons) })
 		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakMeanArrival)))
 	}
--- a/internal/replay/soak_test.go
+++ b/internal/replay/soak_test.go
@@ -18,35 +18,63 @@
 	}{
 		"no violation": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
-			checker.recordStart("u0", large, run, small)
+			checker.recordStart("u0", large, run, small, false)
 			checker.recordCompletion("u0", run, scheduler.CompletionDone)
 			checker.recordAnswer("a", platform.JobResponse{Status: 200, Succeeded: true})
 		}, ""},
-		"start without a submission": {func(checker *soakChecker) { checker.recordStart("u0", large, run, small) }, "no caller sent its job"},
+		"start without a submission": {func(checker *soakChecker) { checker.recordStart("u0", large, run, small, false) }, "no caller sent its job"},
 		"concurrent runs of a task": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
-			checker.recordStart("u0", large, run, small)
-			checker.recordStart("u1", large, run, small)
+			checker.recordStart("u0", large, run, small, false)
+			checker.recordStart("u1", large, run, small, false)
 		}, "while its task was running on u0"},
 		"upstream over capacity": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
-			checker.recordStart("u0", small, run, large)
+			checker.recordStart("u0", small, run, large, false)
 		}, "exceeds its capacity"},
 		"success with an unfinished task": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 2)
-			checker.recordStart("u0", large, run, small)
+			checker.recordStart("u0", large, run, small, false)
 			checker.recordCompletion("u0", run, scheduler.CompletionDone)
 			checker.recordAnswer("a", platform.JobResponse{Status: 200, Succeeded: true})
 		}, "task 1 has not succeeded"},
 		"not run after a start": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
-			checker.recordStart("u0", large, run, small)
+			checker.recordStart("u0", large, run, small, false)
 			checker.recordCompletion("u0", run, scheduler.CompletionStopped)
 			checker.recordAnswer("a", platform.JobResponse{Status: 503, NotRun: true})
 		}, "every attempt"},
+		"too many starts after crashes": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			for range maxDeadlyCrashes + maxDeadlyStarts {
+				checker.recordStart("u0", large, run, small, true)
+				checker.recordCrash("u0")
+				checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			}
+		}, "was started 3 times after 3 upstreams"},
+		"starts within the limit": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			for range maxDeadlyCrashes + maxDeadlyStarts - 1 {
+				checker.recordStart("u0", large, run, small, true)
+				checker.recordCrash("u0")
+				checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			}
+			checker.recordAnswer("a", platform.JobResponse{Status: 200})
+		}, ""},
+		"failed without a cause": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			checker.recordStart("u0", large, run, small, false)
+			checker.recordCrash("u0")
+			checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			checker.recordAnswer("a", platform.JobResponse{Status: 200})
+		}, "answered as failed but no task"},
 		"run left after the answer": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
-			checker.recordStart("u0", large, run, small)
+			for range 3 {
+				checker.recordStart("u0", large, run, small, false)
+				checker.recordCompletion("u0", run, scheduler.CompletionFailed)
+			}
+			checker.recordStart("u0", large, run, small, false)
 			checker.recordAnswer("a", platform.JobResponse{Status: 200})
 		}, "still running on u0"},
 	} {
--- /dev/null
+++ b/internal/replay/soak_upstreams.go
@@ -0,0 +1,119 @@
+package replay
+
+import (
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/scheduler"
+)
+
+const (
+	// soakCrashTime is the time from the start of a deadly task to the crash of its
+	// upstream.
+	soakCrashTime = 10 * time.Millisecond
+	// soakDownTime is the time for which such an upstream is down.
+	soakDownTime = 1500 * time.Millisecond
+	// soakDeadlyShare is the number of jobs of which one is deadly.
+	soakDeadlyShare = 60
+	// soakShrinkGrace is the time after which dispatchers must respect a capacity that has
+	// shrunk: the platform's contact time and one interval between entries.
+	soakShrinkGrace = 3*time.Second + soakEntryInterval
+)
+
+// soakUpstream is a simulated upstream and its entry in the store.
+type soakUpstream struct {
+	*standin.Upstream
+	process *standin.Process
+
+	mu           sync.Mutex // guards the fields below
+	entry        scheduler.Upstream
+	unregistered bool // the entry is absent from the store
+	// largest is the largest capacity that dispatchers may still assume.
+	largest scheduler.Size
+}
+
+// deadlyJobs holds the ids of jobs whose first task crashes its upstreams.
+type deadlyJobs struct {
+	mu  sync.Mutex // guards the field below
+	ids map[string]bool
+}
+
+func (d *deadlyJobs) add(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ids[id] = true
+}
+
+// has reports whether a run crashes its upstream.
+func (d *deadlyJobs) has(run scheduler.Run) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return run.Index == 0 && d.ids[run.Job]
+}
+
+// recordStart checks a start, and crashes the upstream if the task is deadly.
+func (s *soakTest) recordStart(u *soakUpstream, run scheduler.Run, used scheduler.Size) {
+	u.mu.Lock()
+	name, capacity := u.entry.Name, u.largest
+	u.mu.Unlock()
+	deadly := s.deadly.has(run)
+	s.checker.recordStart(name, capacity, run, used, deadly)
+	if deadly {
+		time.AfterFunc(soakCrashTime, func() { s.crash(u, soakDownTime) })
+	}
+}
+
+// crash ends the process of an upstream for the given time.
+func (s *soakTest) crash(u *soakUpstream, down time.Duration) {
+	s.checker.recordCrash(u.entry.Name)
+	u.process.Crash(down)
+	u.Crash()
+}
+
+func (s *soakTest) crashUpstream(u *soakUpstream) func() {
+	s.recordEvent("crash %s", u.entry.Name)
+	s.crash(u, s.randomMillis(0, 2000))
+	return func() {}
+}
+
+// resize changes the capacity of an upstream. A smaller one counts after soakShrinkGrace,
+// and only if no dispatcher can have missed the change.
+func (s *soakTest) resize(u *soakUpstream) func() {
+	size := scheduler.Size{MilliCPU: []int{7_000, 14_000, soakUpstreamMilliCPU, 21_000}[s.rng.IntN(4)], MemoryMB: 32_768}
+	s.recordEvent("capacity of %s is %d milli-CPU", u.entry.Name, size.MilliCPU)
+	u.update(func() {
+		u.entry.Size = size
+		u.largest.MilliCPU = max(u.largest.MilliCPU, size.MilliCPU)
+	})
+	time.AfterFunc(soakShrinkGrace, func() {
+		u.update(func() {
+			if u.entry.Size == size && !s.disturbedSince(time.Now().Add(-soakShrinkGrace)) {
+				u.largest = size
+			}
+		})
+	})
+	return func() {}
+}
+
+// disturbed records a fault that may hide a change of the store from a dispatcher, until
+// it has ended and its effects are over.
+func (s *soakTest) disturbed(end func()) func() {
+	s.mu.Lock()
+	s.disturbances++
+	s.mu.Unlock()
+	return func() {
+		end()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.disturbances--
+		s.disturbedUntil = time.Now()
+	}
+}
+
+// disturbedSince reports whether such a fault was active after a time.
+func (s *soakTest) disturbedSince(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.disturbances > 0 || s.disturbedUntil.After(t)
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -323,7 +323,11 @@
 
 // serve runs an HTTP server until the context ends, then shuts it down.
 func serve(ctx context.Context, listener net.Listener, handler fasthttp.RequestHandler) error {
-	server := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true}
+	return serveWith(ctx, listener, &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, CloseOnShutdown: true})
+}
+
+// serveWith runs the given HTTP server until the context ends, then shuts it down.
+func serveWith(ctx context.Context, listener net.Listener, server *fasthttp.Server) error {
 	stop := context.AfterFunc(ctx, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 		defer cancel()
