scheduler: runs lost without a crash abandon a job, they do not fail it

A task that five silent upstreams had lost was answered as failed, although nothing says that it cannot be done.

Cause: the limit of lost runs, which bounds the starts of a task whose upstreams crash without a trace, used the answer of a task that crashes them.

Evidence: by reading; TestHopeless told the two apart only after the change.

Change: five lost runs end the job as given up ('may have run'). The log has a line 'suspect runs isolated', the answer says if a suspect waited until the deadline, and the metric mustardstep_jobs_with_suspects counts such jobs.

Measured: tests of scheduler, history, node and logging pass.

--- a/history/history.go
+++ b/history/history.go
@@ -32,8 +32,8 @@
 	maxCrashes = 2
 	// maxSharedCrashes replaces maxCrashes if other tasks may have caused every crash.
 	maxSharedCrashes = 3
-	// maxLosses is the number of lost runs, including crashes, after which a task is
-	// given up. An upstream that falls silent may have crashed.
+	// maxLosses is the number of lost runs, including crashes, after which a task is not
+	// started again. An upstream that falls silent may have crashed.
 	maxLosses = 5
 )
 
@@ -70,7 +70,7 @@
 // run isolated.
 func (t Task) Suspect() bool { return t.Suspicion >= MinSuspicion }
 
-// Hopeless returns the reason why the task is not started again, or an empty string.
+// Hopeless returns the reason why the task has failed for good, or an empty string.
 // maxFailures is the number of failed runs after which a task fails.
 func (t Task) Hopeless(maxFailures int) string {
 	switch {
@@ -78,8 +78,15 @@
 		return fmt.Sprintf("%d runs of a task have failed", t.Failures)
 	case t.Crashes >= maxCrashes && t.CrashesIsolated > 0, t.Crashes >= maxSharedCrashes:
 		return fmt.Sprintf("%d upstreams crashed while they ran a task", t.Crashes)
-	case t.Crashes+t.Losses >= maxLosses:
-		return fmt.Sprintf("%d runs of a task were lost with their upstreams", t.Crashes+t.Losses)
+	}
+	return ""
+}
+
+// Exhausted returns the reason why the task is not started again although it may be
+// sound, or an empty string.
+func (t Task) Exhausted() string {
+	if lost := t.Crashes + t.Losses; lost >= maxLosses {
+		return fmt.Sprintf("%d runs of a task were lost with their upstreams", lost)
 	}
 	return ""
 }
--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -57,6 +57,11 @@
 	if d.disabled() {
 		return
 	}
+	if start.Suspicion > 0 {
+		d.logger.LogAttrs(context.Background(), slog.LevelInfo, "suspect runs isolated",
+			slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
+			slog.String("upstream", start.Upstream.Name), slog.Float64("suspicion", start.Suspicion))
+	}
 	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
 		slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
 		slog.String("upstream", start.Upstream.Name), slog.Int64("waited_us", start.Waited.Microseconds()),
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -73,6 +73,7 @@
 	set := n.metrics.set
 	set.NewGauge("mustardstep_jobs_open", func() float64 { return float64(n.jobs.Len()) })
 	set.NewGauge("mustardstep_tasks_waiting", func() float64 { return float64(n.scheduler.Waiting()) })
+	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
 	set.NewGauge("mustardstep_configuration_version", func() float64 {
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 // unmatchedCompletion is a completion that no notice has reported to an origin, since
@@ -145,6 +147,13 @@
 		s.remove(j)
 		return []Notice{notice}, -n, true
 	}
+	if reason := after.Exhausted(); reason != "" {
+		n := len(j.waiting)
+		notice := j.abandonNotice(verdict.CodeUpstreamFailed, reason, 0)
+		notice.Completion, notice.History = f.completion, after
+		s.remove(j)
+		return []Notice{notice}, -n, true
+	}
 	if f.outcome == outcomeNoEffect || f.outcome == outcomeUnhealthy {
 		j.starts--
 	} else if j.AtMostOnce {
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -51,6 +51,15 @@
 	s.suspectJobs.Store(int32(len(s.suspects)))
 }
 
+// WaitingSuspects returns the number of jobs with suspects that wait.
+func (s *Scheduler) WaitingSuspects() int {
+	n := 0
+	for _, shard := range s.jobShards {
+		n += int(shard.suspectJobs.Load())
+	}
+	return n
+}
+
 // popSuspects removes all waiting suspects, in the order of their jobs.
 func (s *jobShard) popSuspects() (all []candidate) {
 	if s.suspectJobs.Load() == 0 {
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -163,6 +163,9 @@
 		case j.running > 0:
 		case !now.Before(j.Deadline):
 			reason = "the caller's deadline has passed"
+			if j.hasWaitingSuspect() {
+				reason = "an upstream crashed under a task, and the deadline passed before it could be tried again"
+			}
 		case j.starts == 0 && !j.Resumed && now.Sub(j.Sent) > lateFactor*j.targetTime():
 			code = verdict.CodeOverloaded
 			reason = "the job waited longer than the time in which its answer is useful"
@@ -287,6 +290,9 @@
 		if reason := known.Hopeless(j.MaxAttempts); reason != "" {
 			return []Notice{j.failedNotice(index, reason, known, CompletionRef{})}, 0, nil
 		}
+		if reason := known.Exhausted(); reason != "" {
+			return nil, 0, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "%s", reason)
+		}
 		if known.Suspect() {
 			j.markSuspect(index, known.Suspicion)
 		}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -67,6 +67,9 @@
 	Waited, Expected, Left time.Duration
 	// Free is the remaining free capacity of the upstream.
 	Free Size
+	// Suspicion is the probability that the task has crashed an upstream. If it is not 0,
+	// the task runs isolated.
+	Suspicion float64
 }
 
 // maxTried bounds two searches: placeNext tries the first jobs of at most this many
@@ -255,7 +258,7 @@
 		Upstream: u.Upstream, Token: s.token.Load(), Run: r.Run, ProcessStart: u.processStart, Spec: c.job.Spec, Item: c.job.item(c.index), Until: r.validUntil,
 		Waited:   now.Sub(c.job.Sent),
 		Expected: time.Duration(c.expected * u.model.slowdown() * float64(time.Second)),
-		Left:     c.targetAt.Sub(now), Free: u.freeSize(),
+		Left:     c.targetAt.Sub(now), Free: u.freeSize(), Suspicion: c.suspicion,
 	}, true
 }
 
