scheduler: a run of a new process is not lost with the old one

Cause: a start order can reach the new process of an upstream, and be confirmed, before a poll shows that the old one was replaced. Since crashes end confirmed runs, that run counted as lost and its task could start twice at the same time.

Evidence: TestRunOfNewProcessIsLostWithTheOldOne failed before.

Change: the runs that the first report of the new process lists are its own.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -68,15 +68,15 @@
 
 // noteCrash records that the upstream's process has ended. The runs that it confirmed
 // are over. A start order that is pending is decided by its result; a new process may
-// still execute one that gets no response. With replaced, a new process runs already and
-// may have received the pending orders. The tasks are suspected unless the process was
-// expected to leave.
-func (u *upstream) noteCrash(now time.Time, evidence string, replaced bool, b *blame, a *Actions) {
+// still execute one that gets no response. successor is the first report of a new process,
+// if one runs already: it may have received the pending orders, and the runs that it
+// reports are its own. The tasks are suspected unless the process was expected to leave.
+func (u *upstream) noteCrash(now time.Time, evidence string, successor *PollReport, b *blame, a *Actions) {
 	u.claimed = false
 	clear(u.orphans)
 	var involved []*run
 	for _, r := range u.runs {
-		if r.crash == nil && (!replaced || r.confirmed || r.disconnected) {
+		if r.crash == nil && (successor == nil || (r.confirmed || r.disconnected) && !successor.reports(r.Run)) {
 			involved = append(involved, r)
 		}
 	}
@@ -98,6 +98,12 @@
 	u.loseCrashed(now, a)
 }
 
+// reports reports whether a run is active or has completed on the upstream.
+func (r *PollReport) reports(run Run) bool {
+	return slices.ContainsFunc(r.Running, func(running Running) bool { return running.Run == run }) ||
+		slices.ContainsFunc(r.Completions, func(c Completion) bool { return c.Run == run })
+}
+
 // loseCrashed removes the runs that a process which has ended had confirmed, or whose
 // start orders it may have executed.
 func (u *upstream) loseCrashed(now time.Time, a *Actions) {
@@ -120,7 +126,7 @@
 	shard := s.upstreamShardFor(name)
 	shard.mu.Lock()
 	if u := shard.byName[name]; u != nil && u.Address == address {
-		u.noteCrash(now, "the upstream's process has ended", false, &s.blame, &a)
+		u.noteCrash(now, "the upstream's process has ended", nil, &s.blame, &a)
 		u.notePollFailure(now)
 		shard.recomputeBounds()
 	}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -267,3 +267,23 @@
 	last := b.notices[len(b.notices)-1]
 	require.Equal(t, scheduler.TaskFailed, last.Kind)
 }
+
+// A start order can reach a new process before a poll shows that the old one was replaced.
+func TestRunOfNewProcessIsLostWithTheOldOne(t *testing.T) {
+	for _, speed := range []float64{1, 1000} { // the run is active, or has completed
+		b := newTestHarness(t, "u1", "u2", "u3")
+		for _, u := range b.upstreams {
+			u.Restart(b.now.Add(time.Millisecond))
+			u.Speed = speed
+		}
+		b.now = b.now.Add(10 * time.Millisecond)
+		b.offer(b.job("a", 0, 1, 2, 3))
+		require.Len(t, b.place(), 4)
+		for range 120 {
+			b.advance(10 * time.Millisecond)
+			b.pollAll()
+			require.Empty(t, b.place(), "the runs are on the new processes")
+		}
+		require.Len(t, b.notices, 4)
+	}
+}
