scheduler: try to place waiting suspects every 5 ms only

Callers saw: nothing measured; the dispatcher took all waiting suspects out of their queues and put them back with each message, found by reading.

--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -19,6 +19,10 @@
 // renewed while suspects wait.
 const holdTime = 100 * time.Millisecond
 
+// suspectInterval is the time between two attempts to place suspects. Ordinary tasks are
+// placed with each message, which is too often to search for idle upstreams.
+const suspectInterval = 5 * time.Millisecond
+
 // firstOrdinary returns the position in waiting of the first task that is not a
 // suspect, or -1.
 func (j *job) firstOrdinary() int {
@@ -99,6 +103,10 @@
 // placeSuspects places waiting suspects on idle upstreams, and holds back an upstream
 // for each one that remains.
 func (s *Scheduler) placeSuspects(now time.Time) (starts []Start) {
+	last, at := s.suspectsPlacedAt.Load(), int64(now.Sub(s.start))
+	if at-last < int64(suspectInterval) && last != 0 || !s.suspectsPlacedAt.CompareAndSwap(last, at) {
+		return nil
+	}
 	var suspects []waitingSuspect
 	for _, shard := range s.jobShards {
 		for _, c := range shard.popSuspects() {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -127,6 +127,8 @@
 	lastResume        atomic.Int64 // time of the last offer of a resumed job, in ns since start
 	lastLoss          atomic.Int64 // time of the last lost response, in ns since start
 	start             time.Time
+	// suspectsPlacedAt is the time of the last attempt to place suspects, in ns since start.
+	suspectsPlacedAt atomic.Int64
 	// resumeTimeout is the time after which resumed jobs may start, in ns.
 	resumeTimeout atomic.Int64
 	waiting       atomic.Int64
