--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -128,6 +128,15 @@
 	}
 }
 
+// end removes a job that is over. It returns the results of finishCurrentRun: the notice
+// about the end, minus the number of tasks that no longer wait, and that the other runs of
+// the job must be stopped. The caller holds mu.
+func (s *jobShard) end(j *job, notice Notice) (notices []Notice, requeued int, stop bool) {
+	waiting := len(j.waiting)
+	s.remove(j)
+	return []Notice{notice}, -waiting, true
+}
+
 // finishCurrentRun processes the end of a task's current run. The caller holds mu.
 func (s *jobShard) finishCurrentRun(now time.Time, j *job, f finishedRun) (notices []Notice, requeued int, stop bool) {
 	index := f.run.Index
@@ -142,25 +151,17 @@
 		s.setHistory(now, f.run.Task, after)
 	}
 	if reason := after.Hopeless(j.MaxAttempts); reason != "" {
-		n := len(j.waiting)
-		notice := j.failedNotice(index, reason, after, f.completion)
-		s.remove(j)
-		return []Notice{notice}, -n, true
+		return s.end(j, j.failedNotice(index, reason, after, f.completion))
 	}
 	if reason := after.Exhausted(); reason != "" {
-		n := len(j.waiting)
 		notice := j.abandonNotice(verdict.CodeUpstreamFailed, reason, 0)
 		notice.Completion, notice.History = f.completion, after
-		s.remove(j)
-		return []Notice{notice}, -n, true
+		return s.end(j, notice)
 	}
 	if f.outcome == outcomeNoEffect || f.outcome == outcomeUnhealthy {
 		j.starts--
 	} else if j.AtMostOnce {
-		n := len(j.waiting)
-		notice := j.lostNotice(f)
-		s.remove(j)
-		return []Notice{notice}, -n, true
+		return s.end(j, j.lostNotice(f))
 	}
 	if f.outcome == outcomeFailed || f.outcome == outcomeUpstreamFault || f.outcome == outcomeUnhealthy {
 		if j.avoid == nil {
--- /dev/null
+++ b/scheduler/job_queue.go
@@ -0,0 +1,115 @@
+package scheduler
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+)
+
+// candidate is a task to be placed.
+type candidate struct {
+	job       *Job
+	index     int
+	attempt   int
+	expected  float64   // run time at speed 1, in seconds
+	targetAt  time.Time // when the answer becomes late
+	avoid     []string
+	model     *queueModel
+	isolation isolation
+	suspicion float64
+}
+
+// demote lowers the jobs at the top of the heap that can no longer reach their tier.
+// The caller holds mu.
+func (s *jobShard) demote(now time.Time) {
+	for len(s.heap) > 0 {
+		j := s.heap[0]
+		t := j.tierAt(now)
+		if t <= j.tier {
+			break
+		}
+		j.tier = t
+		j.rescore(s.epoch)
+		heap.Fix(&s.heap, 0)
+	}
+	s.publish()
+}
+
+// refresh demotes jobs as demote does, but takes the lock only if a task waits.
+func (s *jobShard) refresh(now time.Time) {
+	if s.topScore() == noScore {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demote(now)
+}
+
+// pop removes the next task of the first job. ok is false if no task waits.
+func (s *jobShard) pop() (c candidate, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.heap) == 0 {
+		return candidate{}, false
+	}
+	j := s.heap[0]
+	return s.take(j, j.firstOrdinary()), true
+}
+
+// take removes the waiting task at a position. The caller holds mu.
+func (s *jobShard) take(j *job, at int) candidate {
+	index := j.waiting[at]
+	if at == 0 {
+		j.waiting = j.waiting[1:]
+	} else {
+		j.waiting = slices.Delete(slices.Clone(j.waiting), at, at+1)
+	}
+	j.running++
+	last := j.attempts[index]
+	j.attempts[index] = last + 1
+	c := candidate{
+		job: &j.Job, index: index, attempt: last + 1, expected: j.expected,
+		targetAt: j.Sent.Add(j.targetTime()),
+		avoid:    j.avoid[index], model: j.model,
+	}
+	s.updateHeap(j)
+	return c
+}
+
+// putBack returns a task that could not be placed. present is false if the job was
+// removed meanwhile; requeued is then the number of tasks that wait again.
+func (s *jobShard) putBack(c candidate) (present bool, requeued int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, requeued := s.current(c)
+	if j == nil {
+		return false, requeued
+	}
+	j.running--
+	j.attempts[c.index]--
+	j.waiting = slices.Insert(j.waiting, 0, c.index)
+	s.updateHeap(j)
+	return true, 0
+}
+
+// noteStart counts a start order that may take effect. The results are those of
+// putBack: the order for a job that was removed must not be sent.
+func (s *jobShard) noteStart(c candidate) (present bool, requeued int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j, requeued := s.current(c)
+	if j == nil {
+		return false, requeued
+	}
+	j.starts++
+	return true, 0
+}
+
+// current returns the job of a candidate, or nil if the job was removed since pop; its
+// task can then start again for a job with the same id. The caller holds mu.
+func (s *jobShard) current(c candidate) (j *job, requeued int) {
+	if j := s.jobs[c.job.ID]; j != nil && &j.Job == c.job {
+		return j, 0
+	}
+	return nil, s.unblock(Run{Task{c.job.ID, c.index}, c.attempt})
+}
