soak: a crashed upstream ends its runs before its connections close

Trace: the dispatcher saw the closed connection and started the task again 0.2 ms later, before the stand-in had ended the run. A fault of the soak: a real process ends its runs with its connections, or before.

Change: CrashFor ends the runs, and refuses requests until the upstream is back; then the connections are closed.

--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -67,8 +67,8 @@
 // crash ends the process of an upstream for the given time.
 func (s *soakTest) crash(u *soakUpstream, down time.Duration) {
 	s.checker.recordCrash(u.entry.Name)
+	u.CrashFor(down) // first, so that its runs have ended when the dispatcher notices
 	u.process.Crash(down)
-	u.Crash()
 }
 
 func (s *soakTest) crashUpstream(u *soakUpstream) func() {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -43,12 +43,13 @@
 	OnStart      func(run scheduler.Run, used scheduler.Size)
 	OnCompletion func(run scheduler.Run, kind scheduler.CompletionKind)
 
-	mu      sync.Mutex // guards the fields below
-	model   *schedulertest.Upstream
-	fault   api.UpstreamFault
-	starts  []api.StartEntry
-	specs   map[scheduler.Run]api.TaskSpec // by active run
-	changed chan struct{}                  // closed and replaced by wakeWaiters
+	mu        sync.Mutex // guards the fields below
+	downUntil time.Time  // requests get no response until then
+	model     *schedulertest.Upstream
+	fault     api.UpstreamFault
+	starts    []api.StartEntry
+	specs     map[scheduler.Run]api.TaskSpec // by active run
+	changed   chan struct{}                  // closed and replaced by wakeWaiters
 }
 
 // NewUpstream returns an upstream whose simulated process starts now.
@@ -98,6 +99,9 @@
 	fault := u.currentFault()
 	result, clock := u.start(start, fault)
 	time.Sleep(answerDelay(fault))
+	if result == scheduler.OrderUnanswered {
+		return result, clock, errDown
+	}
 	if fault.Mode == api.UpstreamAnswersLost {
 		return scheduler.OrderUnanswered, 0, errors.New("injected fault: response lost")
 	}
@@ -109,6 +113,9 @@
 	defer u.mu.Unlock()
 	now := time.Now()
 	clock := u.model.Clock(now)
+	if now.Before(u.downUntil) {
+		return scheduler.OrderUnanswered, clock
+	}
 	if start.Upstream.Name != u.vm.Name || start.ProcessStart != 0 && start.ProcessStart != u.model.ProcessStart() {
 		return scheduler.OrderOtherProcess, clock
 	}
@@ -272,6 +279,23 @@
 	u.wakeWaiters()
 }
 
+// CrashFor simulates a crash after which no process runs for the given time. It has no
+// effect while none runs. Callers close the upstream's connections afterwards.
+func (u *Upstream) CrashFor(down time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	if now.Before(u.downUntil) {
+		return
+	}
+	u.downUntil = now.Add(down)
+	u.model.Restart(now)
+	u.wakeWaiters()
+}
+
+// errDown is the error of a request to an upstream without a process.
+var errDown = errors.New("injected fault: the process has ended")
+
 // Starts returns all starts so far, in order of time.
 func (u *Upstream) Starts() []api.StartEntry {
 	u.mu.Lock()
