scheduler: a crash is not excused by one that came before the start of the task

Cause: crashes within 50 ms of each other have a common cause, so that the loss of a rack accuses nobody. A task that was not accused starts again at once, and its next crash, 10 ms later, was excused by the one before: five crashes within 0.1 s. Also found in the trace: a job that is offered again after five lost runs was answered as not run.

Evidence: TestQuickCrashesExcuseEachOther (5 crashes) and TestTaskThatIsGivenUpIsSaidNotToHaveRun failed before.

Change: an upstream that has confirmed a run after the earlier crash was detected did not crash for the same cause. A job that is given up when it is offered is abandoned, not refused.

--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"slices"
 	"sync"
 	"time"
 )
@@ -85,6 +86,8 @@
 	// isolated means that the task was a suspect and shared its upstream only with
 	// probable suspects.
 	isolated bool
+	// confirmed means that the upstream had confirmed the run.
+	confirmed bool
 }
 
 // recent reports whether an upstream has crashed so recently that a further crash has the
@@ -99,7 +102,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(now, service)
-	common := s.recent(now)
+	common := s.recent(now) && !startedAfter(runs, now.Sub(s.crashes[len(s.crashes)-1]))
 	s.crashes = append(s.crashes, now)
 	suspicions := make([]float64, len(runs))
 	if common {
@@ -123,6 +126,13 @@
 	return suspicions
 }
 
+// startedAfter reports whether an upstream confirmed a run that is not older than the given
+// age. It was then alive when the crash of that age had been detected, and did not crash
+// for the same cause.
+func startedAfter(runs []crashedRun, age time.Duration) bool {
+	return slices.ContainsFunc(runs, func(r crashedRun) bool { return r.confirmed && r.age <= age })
+}
+
 // confirm records a crash whose cause is known.
 func (s *serviceBlame) confirm(now time.Time, r crashedRun) {
 	s.confirmed[r.queue]++
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -84,7 +84,7 @@
 	if len(involved) > 0 && !u.Draining && !u.Missing {
 		crashed := make([]crashedRun, len(involved))
 		for i, r := range involved {
-			crashed[i] = crashedRun{queue: r.queue, age: now.Sub(r.orderedAt), isolated: r.isolation != isolatedNot}
+			crashed[i] = crashedRun{queue: r.queue, age: now.Sub(r.orderedAt), isolated: r.isolation != isolatedNot, confirmed: r.confirmed}
 		}
 		suspicions = b.attribute(now, u.Service, crashed)
 	}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -287,3 +287,27 @@
 		require.Len(t, b.notices, 4)
 	}
 }
+
+// Seed 1003 of the soak: another upstream crashed at the same time, and each restart of
+// the task within the window for common causes was excused by the crash before.
+func TestQuickCrashesExcuseEachOther(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(10)...)
+	killer := scheduler.Task{Job: "a", Index: 0}
+	h.deadly[killer] = true
+	h.offer(h.longJob("b", 0, 1, 2))
+	h.step()
+	h.crash(h.starts[0].Upstream.Name)
+	h.offer(h.longJob("a", 0))
+	h.run(10 * time.Second)
+	require.LessOrEqual(t, h.crashes[killer], 3)
+	require.Contains(t, h.noticesOf("a"), scheduler.TaskFailed)
+	require.NotContains(t, h.noticesOf("b"), scheduler.TaskFailed)
+}
+
+func TestTaskThatIsGivenUpIsSaidNotToHaveRun(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(2)...)
+	j := h.longJob("a", 0)
+	j.Histories = map[int]history.Task{0: {Losses: 5}}
+	h.offer(j)
+	require.Equal(t, []scheduler.NoticeKind{scheduler.JobAbandoned}, h.noticesOf("a"))
+}
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -291,7 +291,9 @@
 			return []Notice{j.failedNotice(index, reason, known, CompletionRef{})}, 0, nil
 		}
 		if reason := known.Exhausted(); reason != "" {
-			return nil, 0, verdict.Errorf(verdict.MayHaveRun, verdict.CodeUpstreamFailed, "%s", reason)
+			notice := j.abandonNotice(verdict.CodeUpstreamFailed, reason, 0)
+			notice.Kind = JobAbandoned // the task has run in an earlier attempt of the caller
+			return []Notice{notice}, 0, nil
 		}
 		if known.Suspect() {
 			j.markSuspect(index, known.Suspicion)
