Model test: the origin tells the present dispatcher of an earlier one's completions

The earlier dispatcher reported a completion to the origin and acknowledged it to the upstream, while the present one had been frozen and did not know of it; its upstream then crashed. The product prevents this (forwardCompletions, Scheduler.CompleteElsewhere: the present dispatcher is told first, otherwise the completion stays listed). The model left that step out, and now has it; its checks are unchanged.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -464,6 +464,12 @@
 
 func (m *model) handleNotice(d *modelDispatcher, n scheduler.Notice) {
 	j := m.jobs[n.Task.Job]
+	if n.Kind == scheduler.TaskDone && j != nil && j.dispatcher != nil && j.dispatcher != d && !j.finished {
+		// The origin tells the present dispatcher before the earlier one acknowledges.
+		if !j.dispatcher.scheduler.CompleteElsewhere(m.now, n.Task, n.Result) {
+			return // the completion stays listed
+		}
+	}
 	switch {
 	case j == nil || j.finished:
 	case n.Kind == scheduler.TaskRetried:
