intake: the histories of an ended job are copied before they are sent

Callers saw: nothing so far; found by reading the change. An origin lists the histories of ended jobs for a new dispatcher while a caller may send one of these jobs again, which changes the same map: concurrent iteration and write of a map end the process.

Evidence: TestHistoriesOfEndedJobChangeWhileTheyAreSent failed before.

Change: EndedHistories returns copies. A comment of scheduler/blame.go names the suspects it speaks of.

Measured: go test -race ./intake ./scheduler, tests of histories and crashes, passes.

--- a/intake/histories.go
+++ b/intake/histories.go
@@ -55,7 +55,7 @@
 		s.mu.Lock()
 		s.expireEnded(now)
 		for id, ended := range s.ended {
-			all[id] = ended.histories
+			all[id] = maps.Clone(ended.histories) // a caller may send the job again meanwhile
 		}
 		s.mu.Unlock()
 	}
--- a/intake/histories_test.go
+++ b/intake/histories_test.go
@@ -31,6 +31,19 @@
 	require.Empty(t, table.EndedHistories(now), "the job has succeeded")
 }
 
+// The histories of an ended job are sent while its caller may send the job again.
+func TestHistoriesOfEndedJobChangeWhileTheyAreSent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New[string]()
+	table.AddOrJoin(now, "a", "", 1)
+	table.MergeHistory("a", 0, history.Task{Losses: 1})
+	table.Finish("a", Answer{Outcome: Abandoned})
+	sent := table.EndedHistories(now)
+	table.AddOrJoin(now, "a", "", 1)
+	table.MergeHistory("a", 0, history.Task{Losses: 2})
+	require.Equal(t, map[string]map[int]history.Task{"a": {0: {Losses: 1}}}, sent)
+}
+
 func TestHistoriesOfEndedJobsAreBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := New[string]()
--- a/scheduler/blame.go
+++ b/scheduler/blame.go
@@ -48,7 +48,7 @@
 	// exposureTime is the time for which a crashed upstream counts as missing.
 	exposureTime = 4 * time.Second
 	// maxExposure is the share of a service's upstreams that may have crashed recently
-	// before such suspects wait.
+	// before suspects of at least costlySuspicion wait.
 	maxExposure = 0.1
 )
 
