--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,11 +16,11 @@
 type scenario func(log *record, program string, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"cancelled":  playCancelled,
-	"cut":        playCut,
-	"drained":    playDrained,
-	"freeze":     playFreeze,
-	"other-kind": playOtherKind,
+	"cancelled": playCancelled,
+	"cut":       playCut,
+	"drained":   playDrained,
+	"freeze":    playFreeze,
+	"press":     playPress,
 }
 
 func main() {
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -18,11 +18,14 @@
 	running map[string]map[string]runKey
 	// cancelled holds when the cancelling of a job was acknowledged.
 	cancelled map[string]time.Time
-	starts    int
+	// rejected tells of each answered job whether all its sends were rejected.
+	rejected map[string]bool
+	started  map[string]bool // by job
+	starts   int
 }
 
 func newRecord() *record {
-	return &record{began: time.Now(), running: map[string]map[string]runKey{}, cancelled: map[string]time.Time{}}
+	return &record{began: time.Now(), running: map[string]map[string]runKey{}, cancelled: map[string]time.Time{}, rejected: map[string]bool{}, started: map[string]bool{}}
 }
 
 // write adds a line. The caller holds mu.
@@ -55,6 +58,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.starts++
+	r.started[jobOf(run.task)] = true
 	r.write("start on %s: %s, token %d, %d of %d thousandths of a core in use", on.id, run, o.Token, used.CPU, on.capacity.CPU)
 	if used.CPU > on.capacity.CPU || used.Mem > on.capacity.Mem {
 		r.breachLocked("LIMIT", "server %s has %d thousandths of a core, the start of %s brings it to %d", on.id, on.capacity.CPU, run, used.CPU)
