Review stand-ins: the platform's names in files of their own

Cause: TestPlatformNamesOnlyInPlatformPackage reads every Go file of the tree, the review's stand-ins too, and failed on them.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -82,7 +82,7 @@
 func (s *system) submit(to *vm, j job) answer {
 	s.log.add("client sends job %s to %s: %d tasks of %d ms, waits for %d ms", j.id, to.name, j.tasks, j.work.Milliseconds(), j.deadline.Milliseconds())
 	a := s.request(http.MethodPost, to, j, map[string]any{
-		"spec": fmt.Sprintf("work_ms=%d cpu=%d mem_mb=%d", j.work.Milliseconds(), j.size.CPU, j.size.Mem), "best_effort": true,
+		"spec": fmt.Sprintf("work_ms=%d cpu=%d mem_mb=%d", j.work.Milliseconds(), j.size.CPU, j.size.Mem), protocolName("unstored"): true,
 		"steps": []map[string]any{{"count": j.tasks, "cpu": j.size.CPU, "mem_mb": j.size.Mem, "estimate_ms": j.estimate.Milliseconds()}},
 	})
 	s.log.add("client of job %s at %s: %v", j.id, to.name, a)
