--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 
 func run() int {
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: review CASE FOLDER PROGRAM")
+		fmt.Fprintln(os.Stderr, "usage: review CASE RECORD PROGRAM")
 		return 2
 	}
 	program, err := filepath.Abs(os.Args[3])
@@ -39,7 +39,7 @@
 	}
 	log := newRecord()
 	err = scenarios[os.Args[1]](log, program, os.Getenv("TROUBLE") != "0")
-	if saveErr := log.save(filepath.Join(os.Args[2], "record.txt")); err == nil {
+	if saveErr := log.save(os.Args[2]); err == nil {
 		err = saveErr
 	}
 	if err != nil {
