Review stand-ins: remove what no script uses

Changed: the crash of a server and its state are removed from the stand-in of a server. No script caused one.

--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -66,8 +66,7 @@
 	finished []finishedRun
 	lastEnd  int
 	changed  chan struct{} // closed and replaced after each end
-	down     bool
-	cutOff   bool // no packet passes in either direction
+	cutOff   bool          // no packet passes in either direction
 	seq      int
 }
 
@@ -84,7 +83,7 @@
 	r.server = &http.Server{Handler: r}
 	log.add("server %s begins a life at %s: kind %s, %d thousandths of a core", id, listener.Addr(), kind, capacity.CPU)
 	r.register()
-	go func() { _ = r.server.Serve(listener) }() // ends with crash
+	go func() { _ = r.server.Serve(listener) }() // ends with the process
 	go r.beat()
 	go r.watchLease()
 	return r, nil
@@ -94,7 +93,7 @@
 func (r *runner) register() {
 	r.mu.Lock()
 	r.seq++
-	seq, silent := r.seq, r.down || r.cutOff
+	seq, silent := r.seq, r.cutOff
 	r.mu.Unlock()
 	if silent {
 		return
@@ -108,34 +107,12 @@
 func (r *runner) beat() {
 	for {
 		time.Sleep(heartbeat)
-		if r.isDown() {
-			return
-		}
 		r.register()
 	}
 }
 
-func (r *runner) isDown() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.down
-}
-
 func (r *runner) clock() int64 { return 1 + time.Since(r.born).Milliseconds() }
 
-// crash ends the life of the server: it closes its connections and refuses new ones.
-func (r *runner) crash() {
-	r.mu.Lock()
-	r.down = true
-	for _, a := range r.active {
-		r.log.end(r.id, a.runKey, "crashed")
-	}
-	r.active = map[string]*activeRun{}
-	r.mu.Unlock()
-	r.log.add("server %s crashes", r.id)
-	_ = r.server.Close() // ends the accept loop too
-}
-
 // setCut cuts the server off from all VMs and from the store, or heals the cut. It works
 // on meanwhile.
 func (r *runner) setCut(cut bool) {
@@ -167,10 +144,6 @@
 	for {
 		time.Sleep(2 * time.Millisecond)
 		r.mu.Lock()
-		if r.down {
-			r.mu.Unlock()
-			return
-		}
 		if len(r.active) > 0 && time.Now().After(r.lease) {
 			for _, a := range r.active {
 				r.finish(a, "lapsed")
@@ -242,10 +215,6 @@
 		r.swallow(request)
 	}
 	r.mu.Lock()
-	if r.down {
-		r.mu.Unlock()
-		panic(http.ErrAbortHandler)
-	}
 	if o.Token < r.fence {
 		r.mu.Unlock()
 		r.refuse(w, "fence")
@@ -358,10 +327,6 @@
 		}
 		r.mu.Lock()
 	}
-	if r.down {
-		r.mu.Unlock()
-		panic(http.ErrAbortHandler)
-	}
 	if r.cutOff {
 		r.mu.Unlock()
 		r.swallow(request)
