Review case 4: one job keeps the servers at work

The scheduler may serve a late job before one that was sent earlier, so the waiting request could get its turn before the VM stopped.

--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -161,15 +161,14 @@
 	if stopped == other {
 		other = s.vms[1]
 	}
-	long := func() job {
-		return job{newJobID(), "touch-up", 4, 3500 * time.Millisecond, size{CPU: 6800, Mem: 64}, 3500 * time.Millisecond, 20 * time.Second}
+	long := func(work time.Duration) job {
+		return job{newJobID(), "touch-up", 4, work, size{CPU: 6800, Mem: 64}, work, 20 * time.Second}
 	}
 	var clients sync.WaitGroup
-	for range 3 { // keep all servers at work for 10.5 s
-		clients.Go(func() { s.submit(other, long()) })
-		time.Sleep(300 * time.Millisecond) // a busy machine must not change the order of the jobs
-	}
-	waiting := long()
+	// The servers are at work until the stopped VM has ended: no order of jobs matters.
+	clients.Go(func() { s.submit(other, long(7*time.Second)) })
+	time.Sleep(300 * time.Millisecond)
+	waiting := long(900 * time.Millisecond)
 	sent := time.Now()
 	var received answer
 	var ended time.Time
@@ -178,7 +177,7 @@
 		received = s.submit(stopped, waiting)
 		ended, atWork = time.Now(), log.atWork(waiting.id)
 	})
-	time.Sleep(time.Second)
+	time.Sleep(300 * time.Millisecond)
 	termAt := time.Now()
 	if trouble {
 		stopped.signal(syscall.SIGTERM)
