scheduler: one record per job id in place of seven maps

What a dispatcher remembers of a job stood in seven maps beside the jobs (completed, rejectedUntil, unstartedJobs, terminating, unmatched, firstSent, histories), each with its own key and lifetime, and offer consulted them one after the other. They are now fields of one jobRecord per id, which expires as a whole.

No change of behaviour is intended.

--- a/scheduler/completed_job.go
+++ b/scheduler/completed_job.go
@@ -31,19 +31,15 @@
 	return notices, nil
 }
 
-// expireCompleted forgets completed jobs after CompletionRetention. At-most-once jobs
-// lose their results then, and are remembered until their callers' deadlines. The
-// caller holds mu.
-func (s *jobShard) expireCompleted(now time.Time) {
-	for id, c := range s.completed {
-		switch {
-		case now.Sub(c.finishedAt) <= CompletionRetention:
-		case c.atMostOnce && now.Before(c.deadline):
-			c.results = nil
-		default:
-			delete(s.completed, id)
-		}
+// expire reports whether the job can be forgotten, which is so after
+// CompletionRetention. At-most-once jobs lose their results then, and are remembered
+// until their callers' deadlines.
+func (c *completedJob) expire(now time.Time) bool {
+	if now.Sub(c.finishedAt) <= CompletionRetention {
+		return false
 	}
+	c.results = nil
+	return !c.atMostOnce || !now.Before(c.deadline)
 }
 
 // CompleteElsewhere records that a task has completed under an earlier dispatcher, which
@@ -58,10 +54,11 @@
 func (s *jobShard) completeElsewhere(now time.Time, task Task, result []byte) (known bool, dequeued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.jobs[task.Job]
-	if j == nil {
-		return s.completed[task.Job] != nil, 0
+	r := s.records[task.Job]
+	if r == nil || r.job == nil {
+		return r != nil && r.completed != nil, 0
 	}
+	j := r.job
 	if at := slices.Index(j.waiting, task.Index); at >= 0 {
 		j.waiting, dequeued = slices.Delete(j.waiting, at, at+1), 1
 	} else if at := slices.Index(j.blocked, task.Index); at >= 0 {
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -14,15 +14,16 @@
 	listedAt time.Time
 }
 
-// applyUnmatched applies unmatched completions to a resumed job. The caller holds mu.
-func (s *jobShard) applyUnmatched(now time.Time, j *job) (notices []Notice) {
-	for ref, c := range s.unmatched {
-		if c.run.Job != j.ID || s.jobs[j.ID] != j {
-			continue
+// applyUnmatched applies unmatched completions to the job of a record, which is resumed.
+// The caller holds mu.
+func (s *jobShard) applyUnmatched(now time.Time, r *jobRecord) (notices []Notice) {
+	for ref, c := range r.unmatched {
+		if r.job == nil {
+			break
 		}
-		more, _, _ := s.finishWaiting(now, j, c.finishedRun)
+		more, _, _ := s.finishWaiting(now, r.job, c.finishedRun)
 		if len(more) > 0 {
-			delete(s.unmatched, ref)
+			delete(r.unmatched, ref)
 		}
 		notices = append(notices, more...)
 	}
@@ -35,7 +36,7 @@
 func (s *jobShard) finishUnknown(now time.Time, f finishedRun) (notices []Notice, dequeued int, stop bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch j := s.jobs[f.run.Job]; {
+	switch j := s.job(f.run.Job); {
 	case j == nil:
 	case slices.Contains(j.waiting, f.run.Index):
 		if j.Resumed {
@@ -54,7 +55,11 @@
 func (s *jobShard) retain(now time.Time, f finishedRun, notices []Notice) {
 	delivered := slices.ContainsFunc(notices, func(n Notice) bool { return n.Completion == f.completion })
 	if f.completion.Upstream != "" && !delivered {
-		s.unmatched[f.completion] = unmatchedCompletion{f, now}
+		r := s.record(f.run.Job)
+		if r.unmatched == nil {
+			r.unmatched = map[CompletionRef]unmatchedCompletion{}
+		}
+		r.unmatched[f.completion] = unmatchedCompletion{f, now}
 	}
 }
 
@@ -103,8 +108,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	run := f.run
-	j := s.jobs[run.Job]
-	if j == nil || j.attempts[run.Index] != run.Attempt || s.terminating[run.Task] == run.Attempt {
+	r := s.record(run.Job)
+	j := r.job
+	if j == nil || j.attempts[run.Index] != run.Attempt || r.terminating[run.Index] == run.Attempt {
 		requeued = s.unblock(run)
 	} else {
 		notices, requeued, stop = s.finishCurrentRun(now, j, f)
@@ -124,7 +130,7 @@
 	}
 	if j.unfinished == 0 {
 		s.remove(j)
-		s.completed[j.ID] = &completedJob{finishedAt: now, deadline: j.Deadline, atMostOnce: j.AtMostOnce, results: j.results}
+		s.record(j.ID).completed = &completedJob{finishedAt: now, deadline: j.Deadline, atMostOnce: j.AtMostOnce, results: j.results}
 	}
 }
 
@@ -145,7 +151,7 @@
 		return []Notice{j.doneNotice(index, f.result, f.completion)}, 0, false
 	}
 	j.running--
-	before := s.history(f.run.Task)
+	before := s.record(j.ID).histories[index]
 	after := withRun(before, f)
 	if after != before {
 		s.setHistory(now, f.run.Task, after)
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -17,7 +17,7 @@
 func (s *Scheduler) Explain(now time.Time, job string) (waiting int, placed []Placement) {
 	shard := s.jobShardFor(job)
 	shard.mu.Lock()
-	if j := shard.jobs[job]; j != nil {
+	if j := shard.job(job); j != nil {
 		waiting = len(j.waiting) + len(j.blocked)
 	}
 	shard.mu.Unlock()
--- a/scheduler/histories.go
+++ b/scheduler/histories.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mustardstep/mustardstep/history"
@@ -9,12 +10,6 @@
 // maxHistories limits the jobs with histories in a shard.
 const maxHistories = 4096
 
-// jobHistory holds the histories of a job's tasks by their index.
-type jobHistory struct {
-	tasks     map[int]history.Task
-	changedAt time.Time
-}
-
 // withRun returns a history with a finished run added.
 func withRun(t history.Task, f finishedRun) history.Task {
 	switch {
@@ -28,45 +23,38 @@
 	return t
 }
 
-// history returns the history of a task. The caller holds mu.
-func (s *jobShard) history(task Task) history.Task {
-	if known := s.histories[task.Job]; known != nil {
-		return known.tasks[task.Index]
-	}
-	return history.Task{}
-}
-
 // setHistory replaces the history of a task. If too many jobs have one, that of the job
 // that changed first is dropped. The caller holds mu.
 func (s *jobShard) setHistory(now time.Time, task Task, h history.Task) {
-	known := s.histories[task.Job]
-	if known == nil {
-		if len(s.histories) >= maxHistories {
-			s.dropOldestHistory()
+	r := s.record(task.Job)
+	if r.histories == nil {
+		if s.historyJobs >= maxHistories {
+			s.dropOldestHistories()
 		}
-		known = &jobHistory{tasks: map[int]history.Task{}}
-		s.histories[task.Job] = known
+		s.historyJobs++
+		r.histories = map[int]history.Task{}
 	}
-	known.tasks[task.Index], known.changedAt = h, now
+	r.histories[task.Index], r.historiesChangedAt = h, now
 }
 
-func (s *jobShard) dropOldestHistory() {
-	oldest := ""
-	for id, h := range s.histories {
-		if oldest == "" || h.changedAt.Before(s.histories[oldest].changedAt) {
-			oldest = id
+func (s *jobShard) dropOldestHistories() {
+	var oldest *jobRecord
+	for _, r := range s.records {
+		if r.histories != nil && (oldest == nil || r.historiesChangedAt.Before(oldest.historiesChangedAt)) {
+			oldest = r
 		}
 	}
-	delete(s.histories, oldest)
+	s.dropHistories(oldest)
+	if oldest.empty() {
+		maps.DeleteFunc(s.records, func(_ string, r *jobRecord) bool { return r == oldest })
+	}
 }
 
-// expireHistories forgets histories after history.Retention, unless their job is present.
-// The caller holds mu.
-func (s *jobShard) expireHistories(now time.Time) {
-	for id, h := range s.histories {
-		if s.jobs[id] == nil && now.Sub(h.changedAt) > history.Retention {
-			delete(s.histories, id)
-		}
+// dropHistories forgets the histories of a job. The caller holds mu.
+func (s *jobShard) dropHistories(r *jobRecord) {
+	if r.histories != nil {
+		r.histories = nil
+		s.historyJobs--
 	}
 }
 
@@ -85,10 +73,12 @@
 // mergeHistories adds what another VM knows about the tasks of a job. The caller holds mu.
 func (s *jobShard) mergeHistories(now time.Time, job string, histories map[int]history.Task) {
 	for index, h := range histories {
-		task := Task{job, index}
-		known := s.history(task)
+		var known history.Task
+		if r := s.records[job]; r != nil {
+			known = r.histories[index]
+		}
 		if merged := known.Merge(h); merged != known {
-			s.setHistory(now, task, merged)
+			s.setHistory(now, Task{job, index}, merged)
 		}
 	}
 }
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -108,7 +108,7 @@
 // current returns the job of a candidate, or nil if the job was removed since pop; its
 // task can then start again for a job with the same id. The caller holds mu.
 func (s *jobShard) current(c candidate) (j *job, requeued int) {
-	if j := s.jobs[c.job.ID]; j != nil && &j.Job == c.job {
+	if j := s.job(c.job.ID); j != nil && &j.Job == c.job {
 		return j, 0
 	}
 	return nil, s.unblock(Run{Task{c.job.ID, c.index}, c.attempt})
--- /dev/null
+++ b/scheduler/job_record.go
@@ -0,0 +1,96 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mustardstep/mustardstep/history"
+)
+
+// jobRecord is what a dispatcher knows about a job id: the submission that it serves, and
+// what earlier submissions and terms have left behind. The lock of its shard guards it.
+type jobRecord struct {
+	// job is the submission in progress; nil if there is none.
+	job *job
+	// firstSent is the time at which a job that did not succeed was first sent, or zero. A
+	// job that is sent again counts its waiting time from then on.
+	firstSent time.Time
+	// rejectedUntil is the deadline of an at-most-once job that was abandoned after a task
+	// may have started, or zero. Until then the job is rejected if offered again.
+	rejectedUntil time.Time
+	// completed is set if all tasks have succeeded recently.
+	completed *completedJob
+	// unstartedIn is the token of the term at whose end no task of the job had started,
+	// or 0.
+	unstartedIn int64
+	// terminating holds the attempt numbers of active runs whose submission was removed, by
+	// task index. Their tasks can start again only after these runs are over.
+	terminating map[int]int
+	// unmatched holds completions that no notice has reported to an origin.
+	unmatched map[CompletionRef]unmatchedCompletion
+	// histories holds what is known about unsuccessful runs by task index, as of
+	// historiesChangedAt. They are kept across terms.
+	histories          map[int]history.Task
+	historiesChangedAt time.Time
+}
+
+// empty reports whether nothing is known about the job.
+func (r *jobRecord) empty() bool {
+	return r.job == nil && r.firstSent.IsZero() && r.rejectedUntil.IsZero() && r.completed == nil && r.unstartedIn == 0 &&
+		len(r.terminating) == 0 && len(r.unmatched) == 0 && len(r.histories) == 0
+}
+
+// endTerm drops what is valid in one term only. token is that of the term that ends, or 0
+// if there was none.
+func (r *jobRecord) endTerm(token int64) {
+	if token != 0 {
+		r.unstartedIn = 0
+	}
+	if r.job != nil && r.job.unstarted() {
+		r.unstartedIn = token
+	}
+	r.job, r.terminating, r.unmatched = nil, nil, nil
+}
+
+// expire drops what is no longer needed, except histories. It returns the references of unmatched
+// completions that have expired.
+func (r *jobRecord) expire(now time.Time) (expired []CompletionRef) {
+	for ref, c := range r.unmatched {
+		if now.Sub(c.listedAt) > CompletionRetention {
+			delete(r.unmatched, ref)
+			expired = append(expired, ref)
+		}
+	}
+	if r.completed != nil && r.completed.expire(now) {
+		r.completed = nil
+	}
+	if now.After(r.rejectedUntil) {
+		r.rejectedUntil = time.Time{}
+	}
+	if now.Sub(r.firstSent) > firstSentRetention {
+		r.firstSent = time.Time{}
+	}
+	return expired
+}
+
+// firstSentRetention is the time for which the first sending time of an unsuccessful
+// job is kept. Callers send such a job again within seconds.
+const firstSentRetention = 6 * time.Second
+
+// record returns the record of a job, which is added if there is none. The caller holds
+// mu.
+func (s *jobShard) record(id string) *jobRecord {
+	r := s.records[id]
+	if r == nil {
+		r = &jobRecord{}
+		s.records[id] = r
+	}
+	return r
+}
+
+// job returns the submission of a job that is in progress, or nil. The caller holds mu.
+func (s *jobShard) job(id string) *job {
+	if r := s.records[id]; r != nil {
+		return r.job
+	}
+	return nil
+}
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
@@ -21,41 +22,21 @@
 	topBits     atomic.Uint64 // math.Float64bits of the first job's score, or of noScore
 	suspectJobs atomic.Int32  // length of suspects
 
-	mu   sync.Mutex // guards the fields below and every store of topBits
-	jobs map[string]*job
-	heap jobHeap
+	mu sync.Mutex // guards the fields below and every store of topBits
+	// records holds what is known about jobs, by id.
+	records map[string]*jobRecord
+	heap    jobHeap
 	// suspects holds the jobs with waiting suspects, by id. Suspects do not count for the
 	// heap.
-	suspects map[string]*job
-	// unmatched holds completions that no notice has reported to an origin.
-	unmatched map[CompletionRef]unmatchedCompletion
-	// terminating holds the attempt numbers of active runs whose jobs were removed.
-	// Their tasks can start again only after these runs are over.
-	terminating map[Task]int
-	// firstSent holds the times at which jobs that did not succeed were first sent. A
-	// job that is sent again counts its waiting time from then on.
-	firstSent map[string]time.Time
-	// rejectedUntil holds the deadlines of at-most-once jobs that were abandoned
-	// after a task may have started. They are rejected if offered again.
-	rejectedUntil map[string]time.Time
-	// histories holds what is known about unsuccessful runs, by job id. It is kept across
-	// terms.
-	histories map[string]*jobHistory
-	// completed holds the jobs that have completed recently, by id.
-	completed map[string]*completedJob
-	// unstartedJobs holds the jobs that had no started task at the end of the term with
-	// lastToken.
-	unstartedJobs map[string]struct{}
-	lastToken     int64
-	epoch         time.Time // zero point of the scores: the first offer
+	suspects    map[string]*job
+	historyJobs int       // number of records with histories
+	lastToken   int64     // token of the last term that has ended
+	epoch       time.Time // zero point of the scores: the first offer
 }
 
 func newJobShard() *jobShard {
-	s := &jobShard{
-		firstSent: map[string]time.Time{}, rejectedUntil: map[string]time.Time{}, completed: map[string]*completedJob{},
-		unstartedJobs: map[string]struct{}{}, histories: map[string]*jobHistory{},
-	}
-	s.reset(0)
+	s := &jobShard{records: map[string]*jobRecord{}, suspects: map[string]*job{}}
+	s.publish()
 	return s
 }
 
@@ -91,17 +72,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if token != 0 {
-		s.unstartedJobs, s.lastToken = map[string]struct{}{}, token
+		s.lastToken = token
 	}
 	n := 0
-	for id, j := range s.jobs {
-		n += len(j.waiting)
-		if j.unstarted() {
-			s.unstartedJobs[id] = struct{}{}
+	for id, r := range s.records {
+		if r.job != nil {
+			n += len(r.job.waiting)
+		}
+		r.endTerm(token)
+		if r.empty() {
+			delete(s.records, id)
 		}
 	}
-	s.jobs, s.heap, s.unmatched, s.terminating = map[string]*job{}, nil, map[CompletionRef]unmatchedCompletion{}, map[Task]int{}
-	s.suspects = map[string]*job{}
+	s.heap, s.suspects = nil, map[string]*job{}
 	s.suspectJobs.Store(0)
 	s.publish()
 	return n
@@ -122,17 +105,20 @@
 // job requires answers of all upstreams on which its tasks can have started, from
 // processes older than the job; otherwise it is abandoned. releaseResumed returns
 // the number of tasks that no longer wait.
-func (s *jobShard) releaseResumed(r resumeCriteria, a *Actions) int {
+func (s *jobShard) releaseResumed(c resumeCriteria, a *Actions) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for _, j := range s.jobs {
-		polled := j.resumedAt.Before(r.oldestPoll)
-		runsKnown := polled && j.Sent.After(r.listCompleteSince) && r.latestProcessStart.Before(j.Sent.Add(-processStartMargin))
-		timedOut := j.resumedAt.Before(r.resumedBefore)
+	for _, r := range s.records {
+		j := r.job
+		if j == nil || j.resumedAt.IsZero() {
+			continue
+		}
+		polled := j.resumedAt.Before(c.oldestPoll)
+		runsKnown := polled && j.Sent.After(c.listCompleteSince) && c.latestProcessStart.Before(j.Sent.Add(-processStartMargin))
+		timedOut := j.resumedAt.Before(c.resumedBefore)
 		switch {
-		case j.resumedAt.IsZero():
-		case j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && r.listCompleteSince.IsZero()):
+		case j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && c.listCompleteSince.IsZero()):
 			j.resumedAt = time.Time{}
 			s.updateHeap(j)
 		case j.AtMostOnce && (polled || timedOut) && len(j.waiting) > 0:
@@ -157,68 +143,70 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
-	for _, j := range s.jobs {
-		reason, code := "", verdict.CodeDeadline
-		switch {
-		case j.running > 0:
-		case !now.Before(j.Deadline):
-			reason = "the caller's deadline has passed"
-			if j.hasWaitingSuspect() {
-				reason = "an upstream crashed under a task, and the deadline passed before it could be tried again"
-			}
-		case j.starts == 0 && !j.Resumed && now.Sub(j.Sent) > lateFactor*j.targetTime():
-			code = verdict.CodeOverloaded
-			reason = "the job waited longer than the time in which its answer is useful"
-		}
-		if reason != "" {
-			n += len(j.waiting)
-			a.Notices = append(a.Notices, j.abandonNotice(code, reason, verdict.MinRetryAfter))
-			s.remove(j)
+	for id, r := range s.records {
+		if notice := r.expiredJob(now); notice != nil {
+			n += len(r.job.waiting)
+			a.Notices = append(a.Notices, *notice)
+			s.remove(r.job)
 		}
-	}
-	s.expireCompleted(now)
-	s.expireHistories(now)
-	for ref, c := range s.unmatched {
-		if now.Sub(c.listedAt) > CompletionRetention {
-			delete(s.unmatched, ref)
-			a.expired = append(a.expired, ref)
+		a.expired = append(a.expired, r.expire(now)...)
+		if r.job == nil && now.Sub(r.historiesChangedAt) > history.Retention {
+			s.dropHistories(r)
 		}
-	}
-	for id, deadline := range s.rejectedUntil {
-		if now.After(deadline) {
-			delete(s.rejectedUntil, id)
-		}
-	}
-	for id, sent := range s.firstSent {
-		if now.Sub(sent) > firstSentRetention {
-			delete(s.firstSent, id)
+		if r.empty() {
+			delete(s.records, id)
 		}
 	}
 	return n
 }
 
-// firstSentRetention is the time for which the first sending time of an unsuccessful
-// job is kept. Callers send such a job again within seconds.
-const firstSentRetention = 6 * time.Second
+// expiredJob returns the notice that abandons the job if it has no active runs and its
+// caller no longer waits, or if it has not started and its answer can no longer have
+// value; otherwise nil.
+func (r *jobRecord) expiredJob(now time.Time) *Notice {
+	j := r.job
+	if j == nil || j.running > 0 {
+		return nil
+	}
+	reason, code := "", verdict.CodeDeadline
+	switch {
+	case !now.Before(j.Deadline):
+		reason = "the caller's deadline has passed"
+		if j.hasWaitingSuspect() {
+			reason = "an upstream crashed under a task, and the deadline passed before it could be tried again"
+		}
+	case j.starts == 0 && !j.Resumed && now.Sub(j.Sent) > lateFactor*j.targetTime():
+		code = verdict.CodeOverloaded
+		reason = "the job waited longer than the time in which its answer is useful"
+	default:
+		return nil
+	}
+	notice := j.abandonNotice(code, reason, verdict.MinRetryAfter)
+	return &notice
+}
 
 // remove removes a job. Its active runs become terminating. The caller holds mu.
 func (s *jobShard) remove(j *job) {
 	waiting := j.waiting
 	j.waiting = nil
 	s.updateHeap(j)
-	delete(s.jobs, j.ID)
+	r := s.record(j.ID)
+	r.job = nil
 	if j.unfinished == 0 {
-		delete(s.firstSent, j.ID)
-		delete(s.histories, j.ID)
+		r.firstSent = time.Time{}
+		s.dropHistories(r)
 		return
 	}
-	s.firstSent[j.ID] = j.Sent
+	r.firstSent = j.Sent
 	if j.AtMostOnce && (j.starts > 0 || j.Resumed) {
-		s.rejectedUntil[j.ID] = j.Deadline
+		r.rejectedUntil = j.Deadline
 	}
 	for _, index := range j.Tasks {
 		if attempt := j.attempts[index]; attempt > 0 && !slices.Contains(waiting, index) {
-			s.terminating[Task{j.ID, index}] = attempt
+			if r.terminating == nil {
+				r.terminating = map[int]int{}
+			}
+			r.terminating[index] = attempt
 		}
 	}
 }
@@ -227,11 +215,12 @@
 // again for a job with the same id. It returns the number of tasks that wait again.
 // The caller holds mu.
 func (s *jobShard) unblock(run Run) (waiting int) {
-	if s.terminating[run.Task] != run.Attempt {
+	r := s.records[run.Job]
+	if r == nil || r.terminating[run.Index] != run.Attempt {
 		return 0
 	}
-	delete(s.terminating, run.Task)
-	j := s.jobs[run.Job]
+	delete(r.terminating, run.Index)
+	j := r.job
 	if j == nil {
 		return 0
 	}
@@ -252,7 +241,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mergeHistories(now, offered.ID, offered.Histories)
-	if existing := s.jobs[offered.ID]; existing != nil {
+	r := s.record(offered.ID)
+	if existing := r.job; existing != nil {
 		for _, index := range offered.Tasks {
 			if !existing.isOpen(index) {
 				notices = append(notices, existing.doneNotice(index, existing.results[index], CompletionRef{}))
@@ -265,17 +255,17 @@
 		}
 		return notices, 0, nil
 	}
-	if done := s.completed[offered.ID]; done != nil {
-		notices, failure = done.answer(offered)
+	if r.completed != nil {
+		notices, failure = r.completed.answer(offered)
 		return notices, 0, failure
 	}
-	if _, rejected := s.rejectedUntil[offered.ID]; rejected {
+	if !r.rejectedUntil.IsZero() {
 		return nil, 0, verdict.Errorf(verdict.MayHaveRun, verdict.CodeOwnerLost, "the tasks were stopped while the origin was unreachable")
 	}
 	if s.epoch.IsZero() {
 		s.epoch = now
 	}
-	if _, unstarted := s.unstartedJobs[offered.ID]; unstarted && offered.PreviousToken == s.lastToken {
+	if r.unstartedIn != 0 && r.unstartedIn == s.lastToken && offered.PreviousToken == s.lastToken {
 		offered.Resumed = false
 	}
 	j := &job{
@@ -286,7 +276,7 @@
 		j.resumedAt = now
 	}
 	for _, index := range offered.Tasks {
-		known := s.history(Task{j.ID, index})
+		known := r.histories[index]
 		if reason := known.Hopeless(j.MaxAttempts); reason != "" {
 			return []Notice{j.failedNotice(index, reason, known, CompletionRef{})}, 0, nil
 		}
@@ -301,23 +291,23 @@
 	}
 	for _, index := range offered.Tasks {
 		j.unfinished++
-		if attempt := s.terminating[Task{offered.ID, index}]; attempt > 0 {
+		if attempt := r.terminating[index]; attempt > 0 {
 			j.blocked = append(j.blocked, index)
 			j.attempts[index] = attempt
 			continue
 		}
 		j.waiting = append(j.waiting, index)
 	}
-	if sent, seen := s.firstSent[j.ID]; seen && sent.Before(j.Sent) {
-		j.Sent = sent
+	if !r.firstSent.IsZero() && r.firstSent.Before(j.Sent) {
+		j.Sent = r.firstSent
 	}
 	j.tier = j.tierAt(now)
 	j.rescore(s.epoch)
-	s.jobs[j.ID] = j
+	r.job = j
 	if offered.Resumed {
-		notices = s.applyUnmatched(now, j)
+		notices = s.applyUnmatched(now, r)
 	}
-	if s.jobs[j.ID] == j { // no completion has ended the job
+	if r.job == j { // no completion has ended the job
 		s.updateHeap(j)
 	}
 	return notices, len(j.waiting), nil
@@ -329,7 +319,7 @@
 func (s *jobShard) adopt(run Run) (Job, float64, *queueModel, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.jobs[run.Job]
+	j := s.job(run.Job)
 	if j == nil {
 		return Job{}, 0, nil, false
 	}
@@ -350,7 +340,7 @@
 func (s *jobShard) undoAdopt(run Run) (waiting int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.jobs[run.Job]
+	j := s.job(run.Job)
 	if j == nil || j.attempts[run.Index] != run.Attempt || slices.Contains(j.waiting, run.Index) {
 		return 0
 	}
@@ -365,8 +355,8 @@
 func (s *jobShard) withdraw(match func(*Job) bool) (waiting int, ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, j := range s.jobs {
-		if match(&j.Job) {
+	for _, r := range s.records {
+		if j := r.job; j != nil && match(&j.Job) {
 			waiting += len(j.waiting)
 			ids = append(ids, j.ID)
 			s.remove(j)
