scheduler: a run is identified by its upstream and its attempt number

Cause: the end of a run that this dispatcher does not track was matched with the active run of its task by the attempt number alone, and a job that is sent again counted from 1. So the ends of two runs were equal.

A run is now identified by its upstream and its attempt number (runRef). The upstream itself keeps these unique: it executes no attempt of a task a second time. The same comparison guards runs that end after their job was removed, and adopted runs. Attempt numbers also rise across submissions and terms of a dispatcher, so that a job that is sent again is not rejected by an upstream that has ended an earlier run, and a late stop order for an earlier run does not end a new one.

--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -42,7 +42,7 @@
 		if j.Resumed {
 			notices, dequeued, stop = s.finishWaiting(now, j, f)
 		}
-	case j.attempts[f.run.Index] == f.run.Attempt:
+	case j.current[f.run.Index] == f.ref():
 		notices, dequeued, stop = s.finishCurrentRun(now, j, f)
 		dequeued = -dequeued // finishCurrentRun counts tasks that wait again
 	}
@@ -74,7 +74,7 @@
 		j.waiting = slices.Delete(j.waiting, at, at+1)
 		j.starts++
 		j.running++
-		j.attempts[f.run.Index] = f.run.Attempt
+		j.current[f.run.Index] = f.ref()
 		s.updateHeap(j)
 		notices, _, _ := s.finishCurrentRun(now, j, f)
 		return notices, 1, false
@@ -107,23 +107,27 @@
 func (s *jobShard) finish(now time.Time, f finishedRun) (notices []Notice, requeued int, stop bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	run := f.run
-	r := s.record(run.Job)
-	j := r.job
-	if j == nil || j.attempts[run.Index] != run.Attempt || r.terminating[run.Index] == run.Attempt {
-		requeued = s.unblock(run)
-	} else {
+	if j := s.job(f.run.Job); j != nil && j.runs(f) {
 		notices, requeued, stop = s.finishCurrentRun(now, j, f)
+	} else {
+		requeued = s.unblock(f.run.Task, f.ref())
 	}
 	s.retain(now, f, notices)
 	return notices, requeued, stop
 }
 
+// runs reports whether a run that this dispatcher has ordered or adopted is the active
+// run of its task.
+func (j *job) runs(f finishedRun) bool {
+	ref := j.current[f.run.Index]
+	return ref == f.ref() || ref == runRef{attempt: f.run.Attempt} // ended while it was being placed
+}
+
 // completeTask records the result of a running task. The job is removed with its last
 // one. The caller holds mu.
 func (s *jobShard) completeTask(now time.Time, j *job, index int, result []byte) {
 	j.running--
-	j.attempts[index] = finishedAttempt
+	delete(j.current, index)
 	j.unfinished--
 	if len(result) > 0 {
 		j.results[index] = result
@@ -151,6 +155,7 @@
 		return []Notice{j.doneNotice(index, f.result, f.completion)}, 0, false
 	}
 	j.running--
+	delete(j.current, index)
 	before := s.record(j.ID).histories[index]
 	after := withRun(before, f)
 	if after != before {
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -18,7 +18,7 @@
 	unfinished int     // number of tasks that have not finished
 	running    int
 	starts     int              // start orders that may have had an effect
-	attempts   map[int]int      // number of the latest attempt by task index, or finishedAttempt
+	current    map[int]runRef   // active run by task index
 	avoid      map[int][]string // upstreams on which a task failed
 	suspects   map[int]float64  // suspicion of tasks that must run isolated; nil if there is none
 	results    map[int][]byte   // of finished tasks, for at-most-once jobs
@@ -148,8 +148,6 @@
 
 // isOpen reports whether a task waits or runs. The caller holds mu of the shard.
 func (j *job) isOpen(index int) bool {
-	return slices.Contains(j.waiting, index) || slices.Contains(j.blocked, index) || j.attempts[index] > 0 && j.attempts[index] != finishedAttempt
+	_, active := j.current[index]
+	return active || slices.Contains(j.waiting, index) || slices.Contains(j.blocked, index)
 }
-
-// finishedAttempt marks a finished task in job.attempts.
-const finishedAttempt = -1
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -65,10 +65,10 @@
 		j.waiting = slices.Delete(slices.Clone(j.waiting), at, at+1)
 	}
 	j.running++
-	last := j.attempts[index]
-	j.attempts[index] = last + 1
+	attempt := s.records[j.ID].nextAttempt(index)
+	j.current[index] = runRef{attempt: attempt}
 	c := candidate{
-		job: &j.Job, index: index, attempt: last + 1, expected: j.expected,
+		job: &j.Job, index: index, attempt: attempt, expected: j.expected,
 		targetAt: j.Sent.Add(j.targetTime()),
 		avoid:    j.avoid[index], model: j.model,
 	}
@@ -86,15 +86,16 @@
 		return false, requeued
 	}
 	j.running--
-	j.attempts[c.index]--
+	delete(j.current, c.index)
+	s.records[j.ID].returnAttempt(c.index, c.attempt)
 	j.waiting = slices.Insert(j.waiting, 0, c.index)
 	s.updateHeap(j)
 	return true, 0
 }
 
-// noteStart counts a start order that may take effect. The results are those of
-// putBack: the order for a job that was removed must not be sent.
-func (s *jobShard) noteStart(c candidate) (present bool, requeued int) {
+// noteStart counts a start order to an upstream that may take effect. The results are
+// those of putBack: the order for a job that was removed must not be sent.
+func (s *jobShard) noteStart(c candidate, upstream string) (present bool, requeued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j, requeued := s.current(c)
@@ -102,6 +103,7 @@
 		return false, requeued
 	}
 	j.starts++
+	j.current[c.index] = runRef{upstream, c.attempt}
 	return true, 0
 }
 
@@ -111,5 +113,5 @@
 	if j := s.job(c.job.ID); j != nil && &j.Job == c.job {
 		return j, 0
 	}
-	return nil, s.unblock(Run{Task{c.job.ID, c.index}, c.attempt})
+	return nil, s.unblock(Task{c.job.ID, c.index}, runRef{attempt: c.attempt})
 }
--- a/scheduler/job_record.go
+++ b/scheduler/job_record.go
@@ -22,9 +22,14 @@
 	// unstartedIn is the token of the term at whose end no task of the job had started,
 	// or 0.
 	unstartedIn int64
-	// terminating holds the attempt numbers of active runs whose submission was removed, by
-	// task index. Their tasks can start again only after these runs are over.
-	terminating map[int]int
+	// attempts holds the highest attempt number of each task that this dispatcher has used
+	// or seen. Numbers rise across submissions and terms, until attemptsUntil if there is
+	// no job.
+	attempts      map[int]int
+	attemptsUntil time.Time
+	// terminating holds the active runs whose submission was removed, by task index. Their
+	// tasks can start again only after these runs are over.
+	terminating map[int]runRef
 	// unmatched holds completions that no notice has reported to an origin.
 	unmatched map[CompletionRef]unmatchedCompletion
 	// histories holds what is known about unsuccessful runs by task index, as of
@@ -36,7 +41,7 @@
 // empty reports whether nothing is known about the job.
 func (r *jobRecord) empty() bool {
 	return r.job == nil && r.firstSent.IsZero() && r.rejectedUntil.IsZero() && r.completed == nil && r.unstartedIn == 0 &&
-		len(r.terminating) == 0 && len(r.unmatched) == 0 && len(r.histories) == 0
+		len(r.attempts) == 0 && len(r.terminating) == 0 && len(r.unmatched) == 0 && len(r.histories) == 0
 }
 
 // endTerm drops what is valid in one term only. token is that of the term that ends, or 0
@@ -45,8 +50,11 @@
 	if token != 0 {
 		r.unstartedIn = 0
 	}
-	if r.job != nil && r.job.unstarted() {
-		r.unstartedIn = token
+	if r.job != nil {
+		if r.job.unstarted() {
+			r.unstartedIn = token
+		}
+		r.attemptsUntil = r.job.Deadline.Add(attemptRetention)
 	}
 	r.job, r.terminating, r.unmatched = nil, nil, nil
 }
@@ -69,13 +77,52 @@
 	if now.Sub(r.firstSent) > firstSentRetention {
 		r.firstSent = time.Time{}
 	}
+	if r.job == nil && len(r.terminating) == 0 && now.After(r.attemptsUntil) {
+		r.attempts = nil
+	}
 	return expired
 }
 
+// nextAttempt returns the number of the next run of a task and counts it as used.
+func (r *jobRecord) nextAttempt(index int) int {
+	next := r.attempts[index] + 1
+	r.noteAttempt(index, next)
+	return next
+}
+
+// noteAttempt records that an attempt number of a task is in use.
+func (r *jobRecord) noteAttempt(index, attempt int) {
+	if r.attempts == nil {
+		r.attempts = map[int]int{}
+	}
+	r.attempts[index] = max(r.attempts[index], attempt)
+}
+
+// returnAttempt makes a number available again that no upstream has seen.
+func (r *jobRecord) returnAttempt(index, attempt int) {
+	if r.attempts[index] == attempt {
+		r.attempts[index]--
+	}
+}
+
 // firstSentRetention is the time for which the first sending time of an unsuccessful
 // job is kept. Callers send such a job again within seconds.
 const firstSentRetention = 6 * time.Second
 
+// attemptRetention is the time for which attempt numbers are kept after the caller's
+// deadline. It exceeds the time after which an order may be executed late.
+const attemptRetention = 10 * time.Second
+
+// runRef identifies a run among all runs of its task, of any submission and of any
+// dispatcher. An attempt number alone does not: a dispatcher that does not know of earlier
+// runs counts from 1. An upstream, however, executes no attempt of a task a second time.
+// The zero value refers to no run.
+type runRef struct {
+	// upstream is empty while the run is being placed.
+	upstream string
+	attempt  int
+}
+
 // record returns the record of a job, which is added if there is none. The caller holds
 // mu.
 func (s *jobShard) record(id string) *jobRecord {
--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -47,7 +47,7 @@
 		if !ok {
 			return
 		}
-		present, _ := r.shard.noteStart(c)
+		present, _ := r.shard.noteStart(c, "u")
 		require.True(r.t, present)
 	}
 }
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -187,13 +187,12 @@
 
 // remove removes a job. Its active runs become terminating. The caller holds mu.
 func (s *jobShard) remove(j *job) {
-	waiting := j.waiting
 	j.waiting = nil
 	s.updateHeap(j)
 	r := s.record(j.ID)
 	r.job = nil
 	if j.unfinished == 0 {
-		r.firstSent = time.Time{}
+		r.firstSent, r.attempts = time.Time{}, nil
 		s.dropHistories(r)
 		return
 	}
@@ -201,35 +200,34 @@
 	if j.AtMostOnce && (j.starts > 0 || j.Resumed) {
 		r.rejectedUntil = j.Deadline
 	}
-	for _, index := range j.Tasks {
-		if attempt := j.attempts[index]; attempt > 0 && !slices.Contains(waiting, index) {
-			if r.terminating == nil {
-				r.terminating = map[int]int{}
-			}
-			r.terminating[index] = attempt
+	r.attemptsUntil = j.Deadline.Add(attemptRetention)
+	for index, ref := range j.current {
+		if r.terminating == nil {
+			r.terminating = map[int]runRef{}
 		}
+		r.terminating[index] = ref
 	}
 }
 
 // unblock records the end of a run whose job was removed, so that its task can start
 // again for a job with the same id. It returns the number of tasks that wait again.
 // The caller holds mu.
-func (s *jobShard) unblock(run Run) (waiting int) {
-	r := s.records[run.Job]
-	if r == nil || r.terminating[run.Index] != run.Attempt {
+func (s *jobShard) unblock(task Task, over runRef) (waiting int) {
+	r := s.records[task.Job]
+	if r == nil || r.terminating[task.Index] != over {
 		return 0
 	}
-	delete(r.terminating, run.Index)
+	delete(r.terminating, task.Index)
 	j := r.job
 	if j == nil {
 		return 0
 	}
-	at := slices.Index(j.blocked, run.Index)
+	at := slices.Index(j.blocked, task.Index)
 	if at < 0 {
 		return 0
 	}
 	j.blocked = slices.Delete(j.blocked, at, at+1)
-	j.waiting = append(j.waiting, run.Index)
+	j.waiting = append(j.waiting, task.Index)
 	s.updateHeap(j)
 	return 1
 }
@@ -270,7 +268,7 @@
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		attempts: map[int]int{}, results: map[int][]byte{}, index: -1,
+		current: map[int]runRef{}, results: map[int][]byte{}, index: -1,
 	}
 	if offered.Resumed {
 		j.resumedAt = now
@@ -291,9 +289,8 @@
 	}
 	for _, index := range offered.Tasks {
 		j.unfinished++
-		if attempt := r.terminating[index]; attempt > 0 {
+		if _, active := r.terminating[index]; active {
 			j.blocked = append(j.blocked, index)
-			j.attempts[index] = attempt
 			continue
 		}
 		j.waiting = append(j.waiting, index)
@@ -313,39 +310,41 @@
 	return notices, len(j.waiting), nil
 }
 
-// adopt records that a waiting task is already running as the given attempt. It
-// returns the job, the expected run time at speed 1 in seconds, and the queue's model;
-// false means that the task does not wait.
-func (s *jobShard) adopt(run Run) (Job, float64, *queueModel, bool) {
+// adopt records that a waiting task is already running. It returns the job, the expected
+// run time at speed 1 in seconds, and the queue's model; false means that the task does
+// not wait.
+func (s *jobShard) adopt(found foundRun) (Job, float64, *queueModel, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.job(run.Job)
+	j := s.job(found.Job)
 	if j == nil {
 		return Job{}, 0, nil, false
 	}
-	at := slices.Index(j.waiting, run.Index)
+	at := slices.Index(j.waiting, found.Index)
 	if at < 0 {
 		return Job{}, 0, nil, false
 	}
 	j.waiting = slices.Delete(j.waiting, at, at+1)
 	j.running++
 	j.starts++
-	j.attempts[run.Index] = run.Attempt
+	j.current[found.Index] = found.ref()
+	s.records[found.Job].noteAttempt(found.Index, found.Attempt)
 	s.updateHeap(j)
 	return j.Job, j.expected, j.model, true
 }
 
 // undoAdopt reverts adopt if the run has disappeared. It changes nothing if the
 // completion of the run was processed meanwhile.
-func (s *jobShard) undoAdopt(run Run) (waiting int) {
+func (s *jobShard) undoAdopt(found foundRun) (waiting int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.job(run.Job)
-	if j == nil || j.attempts[run.Index] != run.Attempt || slices.Contains(j.waiting, run.Index) {
+	j := s.job(found.Job)
+	if j == nil || j.current[found.Index] != found.ref() {
 		return 0
 	}
+	delete(j.current, found.Index)
 	j.running--
-	j.waiting = append(j.waiting, run.Index)
+	j.waiting = append(j.waiting, found.Index)
 	s.updateHeap(j)
 	return 1
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -118,11 +118,15 @@
 // settle records whether capacity was reserved for a task taken from a shard. It reports
 // whether the start order must be sent: the job may have been removed meanwhile.
 func (s *Scheduler) settle(now time.Time, shard *jobShard, c candidate, start Start, bound bool) bool {
-	present, waiting := shard.noteStart, -1
-	if !bound {
-		present, waiting = shard.putBack, 0
+	var ok bool
+	var requeued int
+	waiting := 0
+	if bound {
+		ok, requeued = shard.noteStart(c, start.Upstream.Name)
+		waiting = -1
+	} else {
+		ok, requeued = shard.putBack(c)
 	}
-	ok, requeued := present(c)
 	if !ok {
 		waiting = requeued - 1
 	}
@@ -318,7 +322,7 @@
 func (s *Scheduler) adoptOrphans(now time.Time, id string) {
 	for _, shard := range s.upstreamShards {
 		for _, found := range shard.orphansOf(id) {
-			s.adopt(now, shard, found.upstream, found.Run)
+			s.adopt(now, shard, found)
 		}
 	}
 }
@@ -330,6 +334,8 @@
 	upstream string
 }
 
+func (f foundRun) ref() runRef { return runRef{f.upstream, f.Attempt} }
+
 func (s *upstreamShard) orphansOf(job string) []foundRun {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -345,17 +351,17 @@
 }
 
 // adopt assigns an orphan to its job if the task waits.
-func (s *Scheduler) adopt(now time.Time, shard *upstreamShard, name string, found Run) {
+func (s *Scheduler) adopt(now time.Time, shard *upstreamShard, found foundRun) {
 	j, expected, model, ok := s.jobShardFor(found.Job).adopt(found)
 	if !ok {
 		return
 	}
 	s.waiting.Add(-1)
 	r := &run{
-		Run: found, size: j.Size, state: runStarted, orderedAt: now, answeredAt: now, progressAt: now,
+		Run: found.Run, size: j.Size, state: runStarted, orderedAt: now, answeredAt: now, progressAt: now,
 		expected: expected, estimate: j.Estimate, model: model, queue: j.Queue, adopted: true, atMostOnce: j.AtMostOnce, confirmed: true,
 	}
-	if !shard.adopt(name, r) {
+	if !shard.adopt(found.upstream, r) {
 		s.waiting.Add(int64(s.jobShardFor(found.Job).undoAdopt(found)))
 	}
 }
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -232,7 +232,7 @@
 	shard.recomputeBounds()
 	shard.mu.Unlock()
 	for _, f := range found {
-		s.adopt(now, shard, f.upstream, f.Run)
+		s.adopt(now, shard, f)
 	}
 	for _, c := range completions {
 		s.handleCompletion(now, poll.Upstream.Name, c, &a)
--- a/scheduler/schedulertest/upstream.go
+++ b/scheduler/schedulertest/upstream.go
@@ -224,3 +224,6 @@
 
 // Running returns the number of active runs.
 func (u *Upstream) Running() int { return len(u.runs) }
+
+// HasRun reports whether a run of the task is active.
+func (u *Upstream) HasRun(task scheduler.Task) bool { return u.runs[task] != nil }
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -77,6 +77,8 @@
 	loss       loss          // set for runs in Actions.Lost
 }
 
+func (f *finishedRun) ref() runRef { return runRef{f.upstream, f.run.Attempt} }
+
 // upstream is the state of one upstream. The lock of its shard guards it.
 type upstream struct {
 	Upstream
