A closed idle connection and a refused one end no run

Cause: processwatch took a closed idle connection together with a refused new one for the end of the upstream's process. A reset and a cut that refuses give the same two signs. The same holds for an order whose connection was closed before the response (OrderDisconnected), and an order that was answered after a crash was taken for one of the process that had crashed; the next process may have executed it.

Now only a report of another process at the same address ends runs at once. The two signs are a suspicion: the upstream gets no tasks and is polled at once, its lease is not renewed, and its runs end with the lease. A suspicion accuses the tasks as before, and is withdrawn if the process answers a poll that was sent after it. The end of a run whose job was withdrawn meanwhile still counts in the history of its task.

--- a/internal/processwatch/processwatch.go
+++ b/internal/processwatch/processwatch.go
@@ -1,9 +1,8 @@
-// Package processwatch detects at once that the process at an address has ended.
+// Package processwatch detects at once that the process at an address seems to have ended.
 //
-// A refused connection does not prove it, because a network fault can refuse new
-// connections while the process works on, or break a connection that is in use. The end
-// of a process also closes the connections that are not in use. Watch therefore keeps
-// one such connection.
+// The end of a process closes its connections, also those that are not in use, and new
+// ones are refused. Watch keeps one connection that is not in use. Faults of the network
+// can close it and refuse new ones while the process works on, so this is no proof.
 package processwatch
 
 import (
@@ -16,9 +15,9 @@
 	"github.com/mustardstep/mustardstep/internal/wait"
 )
 
-// ErrProcessGone means that the process has ended and no other one listens at its
+// ErrRefused means that the process has probably ended, and no other one listens at its
 // address.
-var ErrProcessGone = errors.New("its idle connection was closed and a new one was refused")
+var ErrRefused = errors.New("its idle connection was closed and a new one was refused")
 
 const (
 	// dialTimeout allows for tens of network round trips.
@@ -27,7 +26,7 @@
 	minLifetime = time.Second
 )
 
-// Watch returns ErrProcessGone when the process at the address ends. It returns another
+// Watch returns ErrRefused when the process at the address seems to have ended. It returns another
 // error if that can no longer be detected, or if the context ends. A process that closes
 // idle connections gets a new one.
 func Watch(ctx context.Context, address string) error {
@@ -37,7 +36,7 @@
 		connected := time.Now()
 		conn, err := dialer.DialContext(ctx, "tcp", address)
 		if !first && errors.Is(err, syscall.ECONNREFUSED) {
-			return ErrProcessGone
+			return ErrRefused
 		}
 		if err != nil {
 			return errors.Wrapf(err, "connect to %s", address)
--- a/internal/processwatch/processwatch_test.go
+++ b/internal/processwatch/processwatch_test.go
@@ -45,7 +45,7 @@
 	conn := <-s.conns
 	require.NoError(t, s.listener.Close())
 	require.NoError(t, conn.Close())
-	require.ErrorIs(t, <-result, ErrProcessGone)
+	require.ErrorIs(t, <-result, ErrRefused)
 }
 
 func TestRefusedConnectionAloneIsNoEnd(t *testing.T) {
@@ -59,7 +59,7 @@
 	default:
 	}
 	require.NoError(t, conn.Close())
-	require.ErrorIs(t, <-result, ErrProcessGone)
+	require.ErrorIs(t, <-result, ErrRefused)
 }
 
 func TestClosedConnectionAloneIsNoEnd(t *testing.T) {
@@ -69,5 +69,5 @@
 	conn := <-s.conns // connects again
 	require.NoError(t, s.listener.Close())
 	require.NoError(t, conn.Close())
-	require.ErrorIs(t, <-result, ErrProcessGone)
+	require.ErrorIs(t, <-result, ErrRefused)
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,7 +14,7 @@
 type Metrics struct {
 	set *metrics.Set
 
-	Jobs, Terms, Polls, Stops, UpstreamCrashes *metrics.Counter
+	Jobs, Terms, Polls, Stops, SuspectedCrashes *metrics.Counter
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
 	starts      []*metrics.Counter
@@ -26,13 +26,13 @@
 func NewMetrics() *Metrics {
 	set := metrics.NewSet()
 	m := &Metrics{
-		set:             set,
-		Jobs:            set.NewCounter("mustardstep_jobs_total"),
-		Terms:           set.NewCounter("mustardstep_terms_total"),
-		Polls:           set.NewCounter("mustardstep_looks_total"),
-		Stops:           set.NewCounter("mustardstep_stops_total"),
-		UpstreamCrashes: set.NewCounter("mustardstep_upstream_crashes_total"),
-		taskWaits:       set.NewHistogram("mustardstep_task_wait_seconds"),
+		set:              set,
+		Jobs:             set.NewCounter("mustardstep_jobs_total"),
+		Terms:            set.NewCounter("mustardstep_terms_total"),
+		Polls:            set.NewCounter("mustardstep_looks_total"),
+		Stops:            set.NewCounter("mustardstep_stops_total"),
+		SuspectedCrashes: set.NewCounter("mustardstep_upstream_suspected_crashes_total"),
+		taskWaits:        set.NewHistogram("mustardstep_task_wait_seconds"),
 		startTimes: set.NewHistogram(
 			"mustardstep_start_seconds"),
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -105,8 +105,8 @@
 	// PeerDisconnected. If nil, the node creates a transport and listens itself.
 	Peers *peer.Transport
 	// WatchProcess watches the process at the address of an upstream, as
-	// processwatch.Watch does. If nil, the runs of an upstream that has crashed end with
-	// their lease.
+	// processwatch.Watch does. If nil, only failed polls tell that an upstream may have
+	// crashed.
 	WatchProcess func(ctx context.Context, address string) error
 	// Drained reports whether operators have drained an upstream. If nil, none is
 	// drained.
--- a/node/process_watch.go
+++ b/node/process_watch.go
@@ -43,12 +43,12 @@
 			delete(s.watches, upstream.Name)
 		}
 		s.mu.Unlock()
-		if !errors.Is(err, processwatch.ErrProcessGone) {
+		if !errors.Is(err, processwatch.ErrRefused) {
 			return // the runs end with their lease
 		}
-		n.log.Info("upstream crashed", slog.String("upstream", upstream.Name), slog.String("address", upstream.Address), slog.Any("evidence", err))
-		n.metrics.UpstreamCrashes.Inc()
-		n.apply(n.scheduler.HandleProcessGone(time.Now(), upstream.Name, upstream.Address))
+		n.log.Info("upstream may have crashed", slog.String("upstream", upstream.Name), slog.String("address", upstream.Address), slog.Any("evidence", err))
+		n.metrics.SuspectedCrashes.Inc()
+		n.apply(n.scheduler.HandleSuspectedCrash(time.Now(), upstream.Name, upstream.Address))
 		n.wakePlaceLoop()
 	}()
 }
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -110,12 +110,26 @@
 	if j := s.job(f.run.Job); j != nil && j.runs(f) {
 		notices, requeued, stop = s.finishCurrentRun(now, j, f)
 	} else {
+		s.finishTerminating(now, f)
 		requeued = s.unblock(f.run.Task, f.ref())
 	}
 	s.retain(now, f, notices)
 	return notices, requeued, stop
 }
 
+// finishTerminating records the end of a run whose job was removed in the history of its
+// task: the caller may send the job again. The caller holds mu.
+func (s *jobShard) finishTerminating(now time.Time, f finishedRun) {
+	r := s.records[f.run.Job]
+	if r == nil || r.terminating[f.run.Index] != f.ref() {
+		return
+	}
+	before := r.histories[f.run.Index]
+	if after := withRun(before, f); after != before {
+		s.setHistory(now, f.run.Task, after)
+	}
+}
+
 // runs reports whether a run that this dispatcher has ordered or adopted is the active
 // run of its task.
 func (j *job) runs(f finishedRun) bool {
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -18,9 +18,11 @@
 	crash *crash
 }
 
-// crash is a run's part in the crash of its upstream.
+// crash is a run's part in a crash of its upstream. The crash is only suspected until
+// another process answers; the run may be active until its lease has expired.
 type crash struct {
 	loss
+	at        time.Time
 	suspicion float64 // probability that the run caused the crash
 	// isolated means that the upstream had confirmed the run, and that only probable
 	// suspects shared it.
@@ -66,20 +68,41 @@
 	return outcomeLost
 }
 
-// noteCrash records that the upstream's process has ended. The runs that it confirmed
-// are over. A start order that is pending is decided by its result; a new process may
-// still execute one that gets no response. successor is the first report of a new process,
-// if one runs already: it may have received the pending orders, and the runs that it
-// reports are its own. The tasks are suspected unless the process was expected to leave.
+// noteCrash records that the upstream's process has ended, since another one has answered.
+// The runs that the old process confirmed are over. A start order that is pending may reach
+// the new process. successor is the first report of the new process, if it is the
+// upstream's own: the runs that it reports are its own. The tasks are suspected unless the
+// process was expected to leave.
 func (u *upstream) noteCrash(now time.Time, evidence string, successor *PollReport, b *blame, a *Actions) {
 	u.claimed = false
 	clear(u.orphans)
-	var involved []*run
+	var ended []*run
 	for _, r := range u.runs {
-		if r.crash == nil && (successor == nil || (r.confirmed || r.disconnected) && !successor.reports(r.Run)) {
-			involved = append(involved, r)
+		if successor != nil && successor.reports(r.Run) {
+			r.crash = nil
+		} else if r.confirmed {
+			ended = append(ended, r)
 		}
 	}
+	u.accuse(now, evidence, ended, b)
+	for _, r := range ended {
+		l := r.crash.loss
+		l.crash = r.crash
+		u.lose(now, r, lossOutcome(l), l, a)
+	}
+}
+
+// suspectCrash records signs that the upstream's process has ended. A fault of the network
+// can cause them while the runs go on: they end with their lease, which is not renewed.
+func (u *upstream) suspectCrash(now time.Time, evidence string, b *blame) {
+	u.claimed = false
+	u.notePollFailure(now)
+	u.accuse(now, evidence, slices.Collect(maps.Values(u.runs)), b)
+}
+
+// accuse attributes a crash to the runs that no suspected crash was attributed to before.
+func (u *upstream) accuse(now time.Time, evidence string, runs []*run, b *blame) {
+	involved := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.crash != nil })
 	var suspicions []float64
 	if len(involved) > 0 && !u.Draining && !u.Missing {
 		crashed := make([]crashedRun, len(involved))
@@ -89,13 +112,22 @@
 		suspicions = b.attribute(now, u.Service, crashed)
 	}
 	for i, r := range involved {
-		r.crash = &crash{loss: u.newLoss(now, r, evidence, len(involved))}
+		r.crash = &crash{loss: u.newLoss(now, r, evidence, len(involved)), at: now}
 		if suspicions != nil {
 			r.crash.suspicion = suspicions[i]
 			r.crash.isolated = r.confirmed && (r.isolation != isolatedNot || len(involved) == 1)
 		}
 	}
-	u.loseCrashed(now, a)
+}
+
+// dropSuspicion withdraws a suspected crash once the process has answered a poll that was
+// sent after it.
+func (u *upstream) dropSuspicion(sent time.Time) {
+	for _, r := range u.runs {
+		if r.crash != nil && r.crash.at.Before(sent) {
+			r.crash = nil
+		}
+	}
 }
 
 // reports reports whether a run is active or has completed on the upstream.
@@ -104,33 +136,20 @@
 		slices.ContainsFunc(r.Completions, func(c Completion) bool { return c.Run == run })
 }
 
-// loseCrashed removes the runs that a process which has ended had confirmed, or whose
-// start orders it may have executed.
-func (u *upstream) loseCrashed(now time.Time, a *Actions) {
-	for _, r := range slices.Collect(maps.Values(u.runs)) {
-		if r.crash != nil && (r.confirmed || r.disconnected) {
-			l := r.crash.loss
-			l.crash = r.crash
-			u.lose(now, r, lossOutcome(l), l, a)
-		}
-	}
-}
-
-// HandleProcessGone records that the process of an upstream has ended and that no other
-// one listens at its address.
-func (s *Scheduler) HandleProcessGone(now time.Time, name, address string) Actions {
+// HandleSuspectedCrash records that an upstream has closed a connection without a request
+// and refuses new ones. It gets no tasks until it answers a poll.
+func (s *Scheduler) HandleSuspectedCrash(now time.Time, name, address string) Actions {
 	var a Actions
 	if !s.Dispatching() {
 		return a
 	}
 	shard := s.upstreamShardFor(name)
 	shard.mu.Lock()
+	defer shard.mu.Unlock()
 	if u := shard.byName[name]; u != nil && u.Address == address {
-		u.noteCrash(now, "the upstream's process has ended", nil, &s.blame, &a)
-		u.notePollFailure(now)
+		u.suspectCrash(now, "the upstream has closed an idle connection and refuses new ones", &s.blame)
+		a.Polls = append(a.Polls, name)
 		shard.recomputeBounds()
 	}
-	shard.mu.Unlock()
-	s.finishLost(now, &a)
 	return a
 }
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -44,7 +44,7 @@
 func (h *crashHarness) crash(name string) {
 	h.upstreams[name].Restart(h.now)
 	h.downUntil[name] = h.now.Add(downTime)
-	h.record(h.scheduler.HandleProcessGone(h.now, name, h.upstreams[name].Info.Address))
+	h.record(h.scheduler.HandleSuspectedCrash(h.now, name, h.upstreams[name].Info.Address))
 }
 
 // step places tasks, lets deadly ones crash their upstreams and polls, for crashTime.
@@ -135,15 +135,72 @@
 	require.Contains(t, h.noticesOf("a"), scheduler.TaskFailed)
 }
 
-func TestRunsOfCrashedUpstreamWaitForTheirLease(t *testing.T) {
+// A new process shows that the runs of the one before are over.
+func TestRunsOfReplacedProcessWaitForTheirLease(t *testing.T) {
 	h := newCrashHarness(t, upstreamNames(3)...)
 	h.offer(h.longJob("a", 0))
 	h.run(50 * time.Millisecond)
 	require.Len(t, h.starts, 1)
 	h.crash(h.starts[0].Upstream.Name)
+	clear(h.downUntil) // another process is there at once
 	h.run(100 * time.Millisecond)
-	require.Len(t, h.starts, 2, "nothing runs where the process has ended")
-	require.NotEqual(t, h.starts[0].Upstream.Name, h.starts[1].Upstream.Name)
+	require.Len(t, h.starts, 2, "nothing runs where the process was replaced")
+}
+
+// Review case 2: a cut that refuses connections, and a reset of the idle one, look like the
+// end of the upstream's process, which works on. Nothing may start elsewhere before the
+// lease has ended; the suspicion stops its renewal.
+func TestRefusingCutEndsRuns(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(3)...)
+	h.offer(h.longJob("a", 0))
+	h.run(50 * time.Millisecond)
+	require.Len(t, h.starts, 1)
+	cut := h.upstreams[h.starts[0].Upstream.Name]
+	h.record(h.scheduler.HandleSuspectedCrash(h.now, cut.Info.Name, cut.Info.Address))
+	h.downUntil[cut.Info.Name] = h.now.Add(downTime)
+	cutAt := h.now
+	for len(h.starts) == 1 {
+		h.step()
+		require.Less(t, h.now.Sub(cutAt), 1200*time.Millisecond, "a lease is at most 1 s long by a clock that may be 2 % slow")
+	}
+	require.Zero(t, cut.Running(), "the run went on for %v", h.now.Sub(cutAt))
+}
+
+// A suspected upstream that answers again has not crashed: its run goes on, and the task is
+// not accused.
+func TestHealedCutAccusesItsTasks(t *testing.T) {
+	h := newCrashHarness(t, upstreamNames(3)...)
+	h.offer(h.longJob("a", 0))
+	h.run(50 * time.Millisecond)
+	require.Len(t, h.starts, 1)
+	cut := h.upstreams[h.starts[0].Upstream.Name]
+	h.record(h.scheduler.HandleSuspectedCrash(h.now, cut.Info.Name, cut.Info.Address))
+	h.run(2 * time.Second)
+	require.Len(t, h.starts, 1)
+	require.Equal(t, []scheduler.NoticeKind{scheduler.TaskDone}, h.noticesOf("a"))
+	require.Zero(t, h.lastHistory(scheduler.Task{Job: "a"}))
+}
+
+// An order that was pending when the process ended may have reached the next process.
+func TestAnsweredOrderIsLostWithTheProcessBefore(t *testing.T) {
+	for _, result := range []scheduler.OrderResult{scheduler.OrderDone, scheduler.OrderDisconnected} {
+		b := newTestHarness(t, "u1", "u2")
+		b.offer(b.job("a", 0))
+		starts := b.scheduler.Place(b.now)
+		require.Len(t, starts, 1)
+		u := b.upstreams[starts[0].Upstream.Name]
+		b.now = b.now.Add(10 * time.Millisecond)
+		u.Restart(b.now)
+		poll, ok := b.scheduler.ImmediatePoll(b.now, u.Info.Name)
+		require.True(t, ok)
+		b.record(b.scheduler.HandlePollResult(b.now, poll, scheduler.PollOtherProcess, scheduler.PollReport{}))
+		_, clock := u.Start(b.now, starts[0], scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		if result != scheduler.OrderDone {
+			clock = 0
+		}
+		b.record(b.scheduler.HandleStartResult(b.now, starts[0], result, clock))
+		require.Empty(t, b.scheduler.Place(b.now), "%v: the run is at work in the new process", result)
+	}
 }
 
 func TestSuspectTakesRunsOfOtherJobsAlong(t *testing.T) {
@@ -193,7 +250,7 @@
 		h.downUntil[name] = h.now.Add(downTime)
 	}
 	for _, name := range rack { // the crashes are detected one after the other
-		h.record(h.scheduler.HandleProcessGone(h.now, name, ""))
+		h.record(h.scheduler.HandleSuspectedCrash(h.now, name, ""))
 		h.step()
 	}
 	h.run(6 * time.Second)
@@ -233,14 +290,14 @@
 	killer := scheduler.Task{Job: "a", Index: 0}
 	crashes := 0
 	var known history.Task
-	for range 4 { // each dispatcher is lost after the first crash that it sees
+	for range 4 { // each dispatcher is lost after the first crash that it reports
 		h := newCrashHarness(t, upstreamNames(6)...)
 		h.deadly[killer] = true
 		j := h.longJob("a", 0)
 		j.Histories = map[int]history.Task{0: known}
 		h.offer(j)
-		for range 50 {
-			if h.crashes[killer] > 0 {
+		for range 200 {
+			if h.lastHistory(killer) != (history.Task{}) {
 				break
 			}
 			h.step()
--- a/scheduler/model_faults_test.go
+++ b/scheduler/model_faults_test.go
@@ -46,7 +46,7 @@
 	m.downUntil[name] = m.now.Add(m.randomMillis(300, 2000))
 	for _, d := range m.dispatchers {
 		if !d.disconnected[name] && !m.now.Before(d.frozenUntil) {
-			m.after(m.delay(), func() { m.execute(d, d.scheduler.HandleProcessGone(m.now, name, "")) })
+			m.after(m.delay(), func() { m.execute(d, d.scheduler.HandleSuspectedCrash(m.now, name, "")) })
 		}
 	}
 }
@@ -58,7 +58,7 @@
 	m.after(m.randomMillis(300, 2500), func() {
 		d := m.dispatchers[m.rand.IntN(2)]
 		name := m.names[m.rand.IntN(len(m.names))]
-		kind := m.rand.IntN(9)
+		kind := m.rand.IntN(10)
 		m.logf("fault %d: %s, %s", kind, d.name, name)
 		switch kind {
 		case 0:
@@ -85,6 +85,12 @@
 			m.resize(name)
 		case 8:
 			m.crash(name)
+		case 9: // looks like a crash, but the upstream works on
+			d.disconnected[name] = true
+			m.after(m.randomMillis(200, 3000), func() { d.disconnected[name] = false })
+			if !m.now.Before(d.frozenUntil) {
+				m.execute(d, d.scheduler.HandleSuspectedCrash(m.now, name, ""))
+			}
 		case 5: // the dispatcher loses contact with the origin, which offers its jobs again
 			m.execute(m.current, m.current.scheduler.AbandonJobsOf(m.now, "front", 2))
 			for _, id := range m.ids() {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -91,19 +91,14 @@
 			r.state = runStopping
 			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the run is no longer needed"})
 		}
-		u.loseCrashed(now, &a)
 		shard.mu.Unlock()
-		s.finishLost(now, &a)
 		return a
 	case OrderNoProcess:
 		u.release(now, r)
 		outcome = outcomeUnhealthy
 	case OrderUnanswered, OrderDisconnected:
 		s.noteLostResponse(now, u)
-		r.disconnected = result == OrderDisconnected
-		u.loseCrashed(now, &a)
 		switch {
-		case u.runs[r.Task] != r: // lost in a crash
 		case r.state != runOrdered: // a poll has already reported the run
 		case r.atMostOnce: // may still run; a poll reports it
 			a.Polls = append(a.Polls, u.Name)
@@ -112,7 +107,6 @@
 			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the start order was not answered"})
 		}
 		shard.mu.Unlock()
-		s.finishLost(now, &a)
 		return a
 	case OrderFenced:
 		u.release(now, r)
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -223,7 +223,9 @@
 		u.fence(now, &a)
 	case PollOtherProcess:
 		u.lastContact = now
-		u.noteCrash(now, "another process listens at the address", nil, &s.blame, &a)
+		if poll.Upstream.Address == u.Address {
+			u.noteCrash(now, "another process listens at the address", nil, &s.blame, &a)
+		}
 		u.notePollFailure(now)
 	default:
 		u.notePollFailure(now)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -36,6 +36,7 @@
 		}
 		u.processStart = report.ProcessStart
 	}
+	u.dropSuspicion(poll.Sent)
 	u.setClock(now, report.Clock)
 	firstClaim := !u.claimed
 	u.claimed, u.pollFailures, u.lastContact = true, 0, now
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -50,8 +50,7 @@
 	adopted         bool
 	atMostOnce      bool   // the task must not start again
 	confirmed       bool   // the upstream has reported that the run started
-	disconnected    bool   // the connection of the start order was closed before the response
-	crash           *crash // set once the process that may have executed the order has ended
+	crash           *crash // set if the process that may have executed the order may have crashed
 	queue           string
 	isolation       isolation
 	processReplaced bool  // the upstream's process was replaced after the order
