scheduler: a job that is sent again takes over its runs, or waits for their end

Cause: only a job that its origin marked as resumed took over runs that upstreams had reported. For any other job these runs were not looked at, and a term that had just begun did not wait for the reports of its upstreams. The same gap on related paths: a retry started beside such a run, a resumed job beside one that was being stopped, and the runs of a job outlived the deadline of its caller while its origin was silent, so that the caller could send it again to another dispatcher.

The record of a job id now holds all active runs that do not belong to the present submission: those of removed ones and those that upstreams report. A task of any submission, new or resumed, or retried, takes such a run over if this dispatcher has not started it, and otherwise waits until it is over. A new job waits until every upstream has answered in the term, or the leases of an earlier dispatcher have expired. A dispatcher stops the runs of a job 0.2 s after the caller's deadline by itself. The orphans of an upstream that another dispatcher has claimed are kept until its runs are over.

Tests that failed before: TestResubmissionStartsBesideOrphan, TestResubmissionStartsBeforeUpstreamsHaveAnswered, TestRetryStartsBesideOrphan, TestRunOutlivesCallersDeadline. The harness of the older tests calls Tick once before the first offer, since a new job now waits for the first reports.

--- a/scheduler/at_most_once_test.go
+++ b/scheduler/at_most_once_test.go
@@ -20,6 +20,7 @@
 	b.scheduler.BeginTerm(b.now, 200, resumeTimeout)
 	b.scheduler.SetUpstreams(b.now, list, false)
 	b.pollAll()
+	b.record(b.scheduler.Tick(b.now))
 	return b
 }
 
--- a/scheduler/completed_job.go
+++ b/scheduler/completed_job.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mustardstep/mustardstep/verdict"
@@ -59,11 +58,8 @@
 		return r != nil && r.completed != nil, 0
 	}
 	j := r.job
-	if at := slices.Index(j.waiting, task.Index); at >= 0 {
-		j.waiting, dequeued = slices.Delete(j.waiting, at, at+1), 1
-	} else if at := slices.Index(j.blocked, task.Index); at >= 0 {
-		j.blocked = slices.Delete(j.blocked, at, at+1)
-	} else {
+	dequeued, waits := j.dequeue(task.Index)
+	if !waits {
 		return true, 0 // it runs here or has completed
 	}
 	j.running++
--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -14,8 +14,7 @@
 	listedAt time.Time
 }
 
-// applyUnmatched applies unmatched completions to the job of a record, which is resumed.
-// The caller holds mu.
+// applyUnmatched applies unmatched completions to the job of a record. The caller holds mu.
 func (s *jobShard) applyUnmatched(now time.Time, r *jobRecord) (notices []Notice) {
 	for ref, c := range r.unmatched {
 		if r.job == nil {
@@ -36,16 +35,17 @@
 func (s *jobShard) finishUnknown(now time.Time, f finishedRun) (notices []Notice, dequeued int, stop bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch j := s.job(f.run.Job); {
-	case j == nil:
-	case slices.Contains(j.waiting, f.run.Index):
-		if j.Resumed {
+	index := f.run.Index
+	if j := s.job(f.run.Job); j != nil {
+		s.records[f.run.Job].noteAttempt(index, f.run.Attempt)
+		if j.current[index] == f.ref() {
+			notices, dequeued, stop = s.finishCurrentRun(now, j, f)
+			dequeued = -dequeued // finishCurrentRun counts tasks that wait again
+		} else {
 			notices, dequeued, stop = s.finishWaiting(now, j, f)
 		}
-	case j.current[f.run.Index] == f.ref():
-		notices, dequeued, stop = s.finishCurrentRun(now, j, f)
-		dequeued = -dequeued // finishCurrentRun counts tasks that wait again
 	}
+	dequeued -= s.forget(f.run.Task, f.ref())
 	s.retain(now, f, notices)
 	return notices, dequeued, stop
 }
@@ -63,21 +63,22 @@
 	}
 }
 
-// finishWaiting processes the completion of a run that an earlier dispatcher
-// started, for a task that waits here. The caller holds mu.
+// finishWaiting processes the completion of a run that this dispatcher neither started nor
+// adopted, for a task that waits here. It does not count for an at-most-once job that is
+// offered for the first time. The caller holds mu.
 func (s *jobShard) finishWaiting(now time.Time, j *job, f finishedRun) (notices []Notice, dequeued int, stop bool) {
-	at := slices.Index(j.waiting, f.run.Index)
-	switch {
-	case at < 0:
+	if !j.Resumed && j.AtMostOnce || !slices.Contains(j.waiting, f.run.Index) && !slices.Contains(j.blocked, f.run.Index) {
 		return nil, 0, false
+	}
+	switch {
 	case f.outcome == outcomeDone:
-		j.waiting = slices.Delete(j.waiting, at, at+1)
+		dequeued, _ = j.dequeue(f.run.Index)
 		j.starts++
 		j.running++
 		j.current[f.run.Index] = f.ref()
 		s.updateHeap(j)
 		notices, _, _ := s.finishCurrentRun(now, j, f)
-		return notices, 1, false
+		return notices, dequeued, false
 	case j.AtMostOnce:
 		n := len(j.waiting)
 		j.starts++
@@ -111,7 +112,7 @@
 		notices, requeued, stop = s.finishCurrentRun(now, j, f)
 	} else {
 		s.finishTerminating(now, f)
-		requeued = s.unblock(f.run.Task, f.ref())
+		requeued = s.forget(f.run.Task, f.ref())
 	}
 	s.retain(now, f, notices)
 	return notices, requeued, stop
@@ -121,7 +122,7 @@
 // task: the caller may send the job again. The caller holds mu.
 func (s *jobShard) finishTerminating(now time.Time, f finishedRun) {
 	r := s.records[f.run.Job]
-	if r == nil || r.terminating[f.run.Index] != f.ref() {
+	if r == nil || !slices.Contains(r.others[f.run.Index], f.ref()) {
 		return
 	}
 	before := r.histories[f.run.Index]
@@ -197,10 +198,10 @@
 	if after.Suspect() {
 		j.markSuspect(index, after.Suspicion)
 	}
-	j.waiting = append([]int{index}, j.waiting...)
+	requeued = s.records[j.ID].enqueue(index)
 	s.updateHeap(j)
 	if after != before {
 		notices = []Notice{j.retriedNotice(index, after)}
 	}
-	return notices, 1, false
+	return notices, requeued, false
 }
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -56,6 +56,14 @@
 		l.crash = r.crash
 		u.lose(now, r, lossOutcome(l), l, a)
 	}
+	u.loseOrphans(a)
+}
+
+// loseOrphans removes all orphans because they are over.
+func (u *upstream) loseOrphans(a *Actions) {
+	for _, o := range u.orphans {
+		a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
+	}
 	clear(u.orphans)
 }
 
@@ -75,7 +83,7 @@
 // process was expected to leave.
 func (u *upstream) noteCrash(now time.Time, evidence string, successor *PollReport, b *blame, a *Actions) {
 	u.claimed = false
-	clear(u.orphans)
+	u.loseOrphans(a)
 	var ended []*run
 	for _, r := range u.runs {
 		if successor != nil && successor.reports(r.Run) {
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -47,7 +47,7 @@
 
 // trackSuspects keeps the set of jobs with waiting suspects. The caller holds mu.
 func (s *jobShard) trackSuspects(j *job) {
-	if j.resumedAt.IsZero() && j.hasWaitingSuspect() {
+	if j.heldSince.IsZero() && j.hasWaitingSuspect() {
 		s.suspects[j.ID] = j
 	} else {
 		delete(s.suspects, j.ID)
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -14,7 +14,7 @@
 	model      *queueModel
 	expected   float64 // run time of a task at speed 1, in seconds
 	waiting    []int   // indexes of tasks to start, in order
-	blocked    []int   // indexes of tasks whose earlier runs are still active
+	blocked    []int   // indexes of tasks with other active runs
 	unfinished int     // number of tasks that have not finished
 	running    int
 	starts     int              // start orders that may have had an effect
@@ -22,7 +22,7 @@
 	avoid      map[int][]string // upstreams on which a task failed
 	suspects   map[int]float64  // suspicion of tasks that must run isolated; nil if there is none
 	results    map[int][]byte   // of finished tasks, for at-most-once jobs
-	resumedAt  time.Time        // when the job was resumed; zero once it may start
+	heldSince  time.Time        // when the job was offered; zero once it may start
 	tier       tier             // as of the last update of the score
 	score      float64
 	index      int // position in the heap; -1 if not in it
@@ -51,10 +51,10 @@
 	tierNoValue
 )
 
-// unstarted reports whether no task of the job has started and no start order is
-// pending.
+// unstarted reports whether no task of the job has started, in any submission, and no start
+// order is pending.
 func (j *job) unstarted() bool {
-	return !j.Resumed && j.starts == 0 && len(j.waiting) == j.unfinished
+	return !j.Resumed && j.heldSince.IsZero() && j.starts == 0 && len(j.waiting) == j.unfinished
 }
 
 // targetTime returns the time, from Sent, within which an answer is in time.
@@ -146,6 +146,20 @@
 	return notice
 }
 
+// dequeue removes a task that waits. dequeued is 1 if it waited for an upstream, and 0 if it
+// was blocked.
+func (j *job) dequeue(index int) (dequeued int, ok bool) {
+	if at := slices.Index(j.waiting, index); at >= 0 {
+		j.waiting = slices.Delete(slices.Clone(j.waiting), at, at+1)
+		return 1, true
+	}
+	if at := slices.Index(j.blocked, index); at >= 0 {
+		j.blocked = slices.Delete(j.blocked, at, at+1)
+		return 0, true
+	}
+	return 0, false
+}
+
 // isOpen reports whether a task waits or runs. The caller holds mu of the shard.
 func (j *job) isOpen(index int) bool {
 	_, active := j.current[index]
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -77,7 +77,7 @@
 }
 
 // putBack returns a task that could not be placed. present is false if the job was
-// removed meanwhile; requeued is then the number of tasks that wait again.
+// removed meanwhile. requeued is the number of tasks that wait again.
 func (s *jobShard) putBack(c candidate) (present bool, requeued int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,10 +87,11 @@
 	}
 	j.running--
 	delete(j.current, c.index)
-	s.records[j.ID].returnAttempt(c.index, c.attempt)
-	j.waiting = slices.Insert(j.waiting, 0, c.index)
+	r := s.records[j.ID]
+	r.returnAttempt(c.index, c.attempt)
+	requeued = r.enqueue(c.index) // a run of the task may have been found meanwhile
 	s.updateHeap(j)
-	return true, 0
+	return true, requeued
 }
 
 // noteStart counts a start order to an upstream that may take effect. The results are
@@ -113,5 +114,5 @@
 	if j := s.job(c.job.ID); j != nil && &j.Job == c.job {
 		return j, 0
 	}
-	return nil, s.unblock(Task{c.job.ID, c.index}, runRef{attempt: c.attempt})
+	return nil, s.forget(Task{c.job.ID, c.index}, runRef{attempt: c.attempt})
 }
--- a/scheduler/job_record.go
+++ b/scheduler/job_record.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mustardstep/mustardstep/history"
@@ -27,9 +28,10 @@
 	// no job.
 	attempts      map[int]int
 	attemptsUntil time.Time
-	// terminating holds the active runs whose submission was removed, by task index. Their
-	// tasks can start again only after these runs are over.
-	terminating map[int]runRef
+	// others holds the active runs, by task index, that do not belong to job: those of
+	// removed submissions, and those that upstreams report and this dispatcher has not
+	// started. Their tasks can start only after these runs are over, or adopt one.
+	others map[int][]runRef
 	// unmatched holds completions that no notice has reported to an origin.
 	unmatched map[CompletionRef]unmatchedCompletion
 	// histories holds what is known about unsuccessful runs by task index, as of
@@ -41,7 +43,7 @@
 // empty reports whether nothing is known about the job.
 func (r *jobRecord) empty() bool {
 	return r.job == nil && r.firstSent.IsZero() && r.rejectedUntil.IsZero() && r.completed == nil && r.unstartedIn == 0 &&
-		len(r.attempts) == 0 && len(r.terminating) == 0 && len(r.unmatched) == 0 && len(r.histories) == 0
+		len(r.attempts) == 0 && len(r.others) == 0 && len(r.unmatched) == 0 && len(r.histories) == 0
 }
 
 // endTerm drops what is valid in one term only. token is that of the term that ends, or 0
@@ -56,7 +58,7 @@
 		}
 		r.attemptsUntil = r.job.Deadline.Add(attemptRetention)
 	}
-	r.job, r.terminating, r.unmatched = nil, nil, nil
+	r.job, r.others, r.unmatched = nil, nil, nil
 }
 
 // expire drops what is no longer needed, except histories. It returns the references of unmatched
@@ -77,12 +79,46 @@
 	if now.Sub(r.firstSent) > firstSentRetention {
 		r.firstSent = time.Time{}
 	}
-	if r.job == nil && len(r.terminating) == 0 && now.After(r.attemptsUntil) {
+	if r.job == nil && len(r.others) == 0 && now.After(r.attemptsUntil) {
 		r.attempts = nil
 	}
 	return expired
 }
 
+// addOther records an active run that does not belong to the job.
+func (r *jobRecord) addOther(index int, ref runRef) {
+	if slices.Contains(r.others[index], ref) {
+		return
+	}
+	if r.others == nil {
+		r.others = map[int][]runRef{}
+	}
+	r.others[index] = append(r.others[index], ref)
+}
+
+// removeOther forgets such a run. It returns false if it was not recorded.
+func (r *jobRecord) removeOther(index int, ref runRef) bool {
+	at := slices.Index(r.others[index], ref)
+	if at < 0 {
+		return false
+	}
+	if r.others[index] = slices.Delete(r.others[index], at, at+1); len(r.others[index]) == 0 {
+		delete(r.others, index)
+	}
+	return true
+}
+
+// enqueue lets a task of the job wait for an upstream, or for the end of the other runs of
+// the task. It returns the number of tasks that wait for an upstream.
+func (r *jobRecord) enqueue(index int) int {
+	if len(r.others[index]) > 0 {
+		r.job.blocked = append(r.job.blocked, index)
+		return 0
+	}
+	r.job.waiting = append([]int{index}, r.job.waiting...)
+	return 1
+}
+
 // nextAttempt returns the number of the next run of a task and counts it as used.
 func (r *jobRecord) nextAttempt(index int) int {
 	next := r.attempts[index] + 1
--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -27,7 +27,7 @@
 }
 
 func (r *recordTest) offer(j Job) ([]Notice, int, *verdict.Error) {
-	return r.shard.offer(r.now, j, newQueueModel(time.Second))
+	return r.shard.offer(r.now, j, newQueueModel(time.Second), true)
 }
 
 func offered(change func(*Job)) recordStep {
@@ -121,7 +121,7 @@
 			require.Equal(t, c.notices, kinds)
 			require.Equal(t, c.waiting, waiting)
 			if job := r.shard.job("a"); job != nil {
-				require.Equal(t, c.resumed, !job.resumedAt.IsZero())
+				require.Equal(t, c.resumed, !job.heldSince.IsZero())
 			}
 		})
 	}
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -54,7 +54,7 @@
 // updateHeap adds, moves or removes a job in the heap. The caller holds mu.
 func (s *jobShard) updateHeap(j *job) {
 	s.trackSuspects(j)
-	wanted := j.resumedAt.IsZero() && j.firstOrdinary() >= 0
+	wanted := j.heldSince.IsZero() && j.firstOrdinary() >= 0
 	switch {
 	case wanted && j.index < 0:
 		heap.Push(&s.heap, j)
@@ -90,36 +90,39 @@
 	return n
 }
 
-// resumeCriteria decide whether resumed jobs may start.
-type resumeCriteria struct {
+// releaseCriteria decide whether jobs that are held may start.
+type releaseCriteria struct {
 	// Every upstream has answered a poll sent at oldestPoll or later. The runs that
 	// earlier dispatchers started for a job resumed before resumedBefore are over.
 	oldestPoll, resumedBefore time.Time
 	// latestProcessStart is the latest start time of an upstream's process.
 	latestProcessStart time.Time
+	// settled means that all runs of earlier dispatchers are known or over.
+	settled bool
 	// Before listCompleteSince, upstreams that are not listed may have run tasks.
 	listCompleteSince time.Time
 }
 
-// releaseResumed lets resumed jobs start once the criteria are met. An at-most-once
-// job requires answers of all upstreams on which its tasks can have started, from
-// processes older than the job; otherwise it is abandoned. releaseResumed returns
+// releaseHeld lets jobs start once the criteria are met. A resumed at-most-once job
+// requires answers of all upstreams on which its tasks can have started, from
+// processes older than the job; otherwise it is abandoned. releaseHeld returns
 // the number of tasks that no longer wait.
-func (s *jobShard) releaseResumed(c resumeCriteria, a *Actions) int {
+func (s *jobShard) releaseHeld(c releaseCriteria, a *Actions) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := 0
 	for _, r := range s.records {
 		j := r.job
-		if j == nil || j.resumedAt.IsZero() {
+		if j == nil || j.heldSince.IsZero() {
 			continue
 		}
-		polled := j.resumedAt.Before(c.oldestPoll)
+		polled := j.heldSince.Before(c.oldestPoll)
 		runsKnown := polled && j.Sent.After(c.listCompleteSince) && c.latestProcessStart.Before(j.Sent.Add(-processStartMargin))
-		timedOut := j.resumedAt.Before(c.resumedBefore)
+		timedOut := j.heldSince.Before(c.resumedBefore)
 		switch {
-		case j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && c.listCompleteSince.IsZero()):
-			j.resumedAt = time.Time{}
+		case !j.Resumed && !c.settled:
+		case !j.Resumed, j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && c.listCompleteSince.IsZero()):
+			j.heldSince = time.Time{}
 			s.updateHeap(j)
 		case j.AtMostOnce && (polled || timedOut) && len(j.waiting) > 0:
 			n += len(j.waiting)
@@ -135,18 +138,19 @@
 // maximum duration of an offer.
 const processStartMargin = 500 * time.Millisecond
 
-// expire abandons jobs without active runs whose callers no longer wait, and unstarted
-// jobs whose answers can no longer have value. It returns the number of their waiting
-// tasks. A job with active runs is removed when its origin withdraws it. expire also
-// drops records whose retention time has passed.
-func (s *jobShard) expire(now time.Time, a *Actions) int {
+// expire abandons jobs whose callers no longer wait, and unstarted jobs whose answers can
+// no longer have value. It returns the number of their waiting tasks and the ids of those
+// whose runs must be stopped. expire also drops records whose retention time has passed.
+func (s *jobShard) expire(now time.Time, a *Actions) (waiting int, stop []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
 	for id, r := range s.records {
 		if notice := r.expiredJob(now); notice != nil {
-			n += len(r.job.waiting)
+			waiting += len(r.job.waiting)
 			a.Notices = append(a.Notices, *notice)
+			if r.job.running > 0 {
+				stop = append(stop, id)
+			}
 			s.remove(r.job)
 		}
 		a.expired = append(a.expired, r.expire(now)...)
@@ -157,19 +161,23 @@
 			delete(s.records, id)
 		}
 	}
-	return n
+	return waiting, stop
 }
 
-// expiredJob returns the notice that abandons the job if it has no active runs and its
-// caller no longer waits, or if it has not started and its answer can no longer have
-// value; otherwise nil.
+// expiredJob returns the notice that abandons the job if its caller no longer waits, or if
+// it has not started and its answer can no longer have value; otherwise nil.
 func (r *jobRecord) expiredJob(now time.Time) *Notice {
 	j := r.job
-	if j == nil || j.running > 0 {
+	if j == nil {
 		return nil
 	}
 	reason, code := "", verdict.CodeDeadline
 	switch {
+	case j.running > 0:
+		if now.Before(j.Deadline.Add(withdrawTimeout)) {
+			return nil
+		}
+		reason = "the caller's deadline has passed while tasks were running"
 	case !now.Before(j.Deadline):
 		reason = "the caller's deadline has passed"
 		if j.hasWaitingSuspect() {
@@ -185,6 +193,11 @@
 	return &notice
 }
 
+// withdrawTimeout is the time after the caller's deadline within which the origin withdraws
+// a job that runs. It is not waited for any longer: the origin may be paused, and the caller
+// may send the job again to a VM that has another dispatcher.
+const withdrawTimeout = 200 * time.Millisecond
+
 // remove removes a job. Its active runs become terminating. The caller holds mu.
 func (s *jobShard) remove(j *job) {
 	j.waiting = nil
@@ -202,40 +215,39 @@
 	}
 	r.attemptsUntil = j.Deadline.Add(attemptRetention)
 	for index, ref := range j.current {
-		if r.terminating == nil {
-			r.terminating = map[int]runRef{}
-		}
-		r.terminating[index] = ref
+		r.addOther(index, ref)
 	}
 }
 
-// unblock records the end of a run whose job was removed, so that its task can start
-// again for a job with the same id. It returns the number of tasks that wait again.
-// The caller holds mu.
-func (s *jobShard) unblock(task Task, over runRef) (waiting int) {
+// forget records that a run which does not belong to the present submission is over, so
+// that its task can start. It returns the number of tasks that wait again. The caller holds
+// mu.
+func (s *jobShard) forget(task Task, over runRef) (waiting int) {
 	r := s.records[task.Job]
-	if r == nil || r.terminating[task.Index] != over {
+	if r == nil || !r.removeOther(task.Index, over) || r.job == nil || len(r.others[task.Index]) > 0 {
 		return 0
 	}
-	delete(r.terminating, task.Index)
-	j := r.job
-	if j == nil {
-		return 0
-	}
-	at := slices.Index(j.blocked, task.Index)
+	at := slices.Index(r.job.blocked, task.Index)
 	if at < 0 {
 		return 0
 	}
-	j.blocked = slices.Delete(j.blocked, at, at+1)
-	j.waiting = append(j.waiting, task.Index)
-	s.updateHeap(j)
-	return 1
+	r.job.blocked = slices.Delete(r.job.blocked, at, at+1)
+	waiting = r.enqueue(task.Index)
+	s.updateHeap(r.job)
+	return waiting
+}
+
+// forgetOrphan records that a run which this dispatcher has not started is over.
+func (s *jobShard) forgetOrphan(orphan foundRun) (waiting int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.forget(orphan.Task, orphan.ref())
 }
 
 // offer adds a job. It returns notices for tasks that are known to have finished and
 // the number of waiting tasks. A job that is already present moves to its new
-// origin.
-func (s *jobShard) offer(now time.Time, offered Job, model *queueModel) (notices []Notice, waiting int, failure *verdict.Error) {
+// origin. settled means that the runs of earlier dispatchers are known.
+func (s *jobShard) offer(now time.Time, offered Job, model *queueModel, settled bool) (notices []Notice, waiting int, failure *verdict.Error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.mergeHistories(now, offered.ID, offered.Histories)
@@ -263,15 +275,16 @@
 	if s.epoch.IsZero() {
 		s.epoch = now
 	}
-	if r.unstartedIn != 0 && r.unstartedIn == s.lastToken && offered.PreviousToken == s.lastToken {
+	unstarted := r.unstartedIn != 0 && r.unstartedIn == s.lastToken && offered.PreviousToken == s.lastToken
+	if unstarted {
 		offered.Resumed = false
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
 		current: map[int]runRef{}, results: map[int][]byte{}, index: -1,
 	}
-	if offered.Resumed {
-		j.resumedAt = now
+	if offered.Resumed || !settled && !unstarted {
+		j.heldSince = now
 	}
 	for _, index := range offered.Tasks {
 		known := r.histories[index]
@@ -289,11 +302,11 @@
 	}
 	for _, index := range offered.Tasks {
 		j.unfinished++
-		if _, active := r.terminating[index]; active {
+		if len(r.others[index]) > 0 {
 			j.blocked = append(j.blocked, index)
-			continue
+		} else {
+			j.waiting = append(j.waiting, index)
 		}
-		j.waiting = append(j.waiting, index)
 	}
 	if !r.firstSent.IsZero() && r.firstSent.Before(j.Sent) {
 		j.Sent = r.firstSent
@@ -301,7 +314,7 @@
 	j.tier = j.tierAt(now)
 	j.rescore(s.epoch)
 	r.job = j
-	if offered.Resumed {
+	if len(r.unmatched) > 0 {
 		notices = s.applyUnmatched(now, r)
 	}
 	if r.job == j { // no completion has ended the job
@@ -310,27 +323,47 @@
 	return notices, len(j.waiting), nil
 }
 
+// otherRuns returns the active runs of a job's waiting tasks that do not belong to it.
+func (s *jobShard) otherRuns(id string) (found []foundRun) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.records[id]
+	if r == nil || r.job == nil {
+		return nil
+	}
+	for _, index := range r.job.blocked {
+		for _, ref := range r.others[index] {
+			found = append(found, foundRun{Run{Task{id, index}, ref.attempt}, ref.upstream})
+		}
+	}
+	return found
+}
+
 // adopt records that a waiting task is already running. It returns the job, the expected
 // run time at speed 1 in seconds, and the queue's model; false means that the task does
-// not wait.
-func (s *jobShard) adopt(found foundRun) (Job, float64, *queueModel, bool) {
+// not wait. Its job, if there is one, then cannot start the task before the run is over.
+func (s *jobShard) adopt(found foundRun) (offered Job, expected float64, model *queueModel, dequeued int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.job(found.Job)
+	r := s.record(found.Job)
+	r.noteAttempt(found.Index, found.Attempt)
+	j := r.job
 	if j == nil {
-		return Job{}, 0, nil, false
+		r.addOther(found.Index, found.ref())
+		return Job{}, 0, nil, 0, false
 	}
-	at := slices.Index(j.waiting, found.Index)
-	if at < 0 {
-		return Job{}, 0, nil, false
+	if dequeued, ok = j.dequeue(found.Index); !ok {
+		if j.current[found.Index] != found.ref() {
+			r.addOther(found.Index, found.ref())
+		}
+		return Job{}, 0, nil, 0, false
 	}
-	j.waiting = slices.Delete(j.waiting, at, at+1)
+	r.removeOther(found.Index, found.ref())
 	j.running++
 	j.starts++
 	j.current[found.Index] = found.ref()
-	s.records[found.Job].noteAttempt(found.Index, found.Attempt)
 	s.updateHeap(j)
-	return j.Job, j.expected, j.model, true
+	return j.Job, j.expected, j.model, dequeued, true
 }
 
 // undoAdopt reverts adopt if the run has disappeared. It changes nothing if the
@@ -338,15 +371,15 @@
 func (s *jobShard) undoAdopt(found foundRun) (waiting int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j := s.job(found.Job)
-	if j == nil || j.current[found.Index] != found.ref() {
-		return 0
+	r := s.records[found.Job]
+	if r == nil || r.job == nil || r.job.current[found.Index] != found.ref() {
+		return s.forget(found.Task, found.ref())
 	}
-	delete(j.current, found.Index)
-	j.running--
-	j.waiting = append(j.waiting, found.Index)
-	s.updateHeap(j)
-	return 1
+	delete(r.job.current, found.Index)
+	r.job.running--
+	waiting = r.enqueue(found.Index)
+	s.updateHeap(r.job)
+	return waiting
 }
 
 // withdraw removes the matching jobs. It returns the number of their waiting tasks
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -110,7 +110,7 @@
 		return a
 	case OrderFenced:
 		u.release(now, r)
-		u.fence(now, &a)
+		u.fence(now)
 	case OrderOtherProcess:
 		u.release(now, r)
 		u.claimed, u.retryAt = false, now
@@ -161,7 +161,7 @@
 	case OrderUnanswered, OrderDisconnected, OrderNoProcess:
 		return a, true, stopRetryDelay
 	case OrderFenced:
-		u.fence(now, &a)
+		u.fence(now)
 		return a, false, 0
 	default:
 		r.state, r.stopAnswered, r.answeredAt = runStopping, true, now
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -20,14 +20,18 @@
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(verdict.MinRetryAfter)
 	}
 	model := s.models.get(offered.Queue, offered.Estimate)
-	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model)
+	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model, s.settled.Load())
 	if failure != nil {
 		return nil, failure
 	}
 	s.waiting.Add(int64(waiting))
 	if offered.Resumed {
 		s.lastResume.Store(int64(now.Sub(s.start)))
-		s.adoptOrphans(now, offered.ID)
+	}
+	for _, found := range s.jobShardFor(offered.ID).otherRuns(offered.ID) {
+		if _, orphan := s.upstreamShardFor(found.upstream).find(found); orphan {
+			s.adopt(now, found)
+		}
 	}
 	return notices, nil
 }
@@ -120,17 +124,12 @@
 func (s *Scheduler) settle(now time.Time, shard *jobShard, c candidate, start Start, bound bool) bool {
 	var ok bool
 	var requeued int
-	waiting := 0
 	if bound {
 		ok, requeued = shard.noteStart(c, start.Upstream.Name)
-		waiting = -1
 	} else {
 		ok, requeued = shard.putBack(c)
 	}
-	if !ok {
-		waiting = requeued - 1
-	}
-	s.waiting.Add(int64(waiting))
+	s.waiting.Add(int64(requeued - 1))
 	if bound && !ok {
 		s.cancelReservation(now, start)
 	}
@@ -318,15 +317,6 @@
 	}
 }
 
-// adoptOrphans assigns orphans to the job that offers their tasks.
-func (s *Scheduler) adoptOrphans(now time.Time, id string) {
-	for _, shard := range s.upstreamShards {
-		for _, found := range shard.orphansOf(id) {
-			s.adopt(now, shard, found)
-		}
-	}
-}
-
 // foundRun is a run that an upstream reports and that this dispatcher does not track
 // yet.
 type foundRun struct {
@@ -336,34 +326,36 @@
 
 func (f foundRun) ref() runRef { return runRef{f.upstream, f.Attempt} }
 
-func (s *upstreamShard) orphansOf(job string) []foundRun {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var found []foundRun
-	for _, u := range s.byName {
-		for _, o := range u.orphans {
-			if o.Job == job && !o.stopping {
-				found = append(found, foundRun{o.Run, u.Name})
-			}
-		}
-	}
-	return found
-}
-
 // adopt assigns an orphan to its job if the task waits.
-func (s *Scheduler) adopt(now time.Time, shard *upstreamShard, found foundRun) {
-	j, expected, model, ok := s.jobShardFor(found.Job).adopt(found)
+func (s *Scheduler) adopt(now time.Time, found foundRun) {
+	shard, jobs := s.upstreamShardFor(found.upstream), s.jobShardFor(found.Job)
+	j, expected, model, dequeued, ok := jobs.adopt(found)
 	if !ok {
+		if active, _ := shard.find(found); !active { // its end may have been processed before
+			s.waiting.Add(int64(jobs.forgetOrphan(found)))
+		}
 		return
 	}
-	s.waiting.Add(-1)
+	s.waiting.Add(int64(-dequeued))
 	r := &run{
 		Run: found.Run, size: j.Size, state: runStarted, orderedAt: now, answeredAt: now, progressAt: now,
 		expected: expected, estimate: j.Estimate, model: model, queue: j.Queue, adopted: true, atMostOnce: j.AtMostOnce, confirmed: true,
 	}
 	if !shard.adopt(found.upstream, r) {
-		s.waiting.Add(int64(s.jobShardFor(found.Job).undoAdopt(found)))
+		s.waiting.Add(int64(jobs.undoAdopt(found)))
+	}
+}
+
+// find reports whether a run is active on its upstream, and whether it is an orphan.
+func (s *upstreamShard) find(f foundRun) (active, orphan bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.byName[f.upstream]
+	if u == nil {
+		return false, false
 	}
+	orphan = u.orphans[f.Task].Run == f.Run
+	return orphan || u.runs[f.Task] != nil && u.runs[f.Task].Run == f.Run, orphan
 }
 
 // adopt turns an orphan into a run if it is still present.
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -26,6 +26,7 @@
 			poll, due, _, _ := s.NextPoll(now, "u")
 			require.True(t, due)
 			s.HandlePollResult(now, poll, PollAnswered, PollReport{Clock: 1, ProcessStart: 1})
+			s.Tick(now) // every upstream has answered
 			_, failure := s.Offer(now, Job{ID: "a", Origin: "front", Queue: "q", Service: "rota", Size: Size{MilliCPU: 600}, Sent: now, Deadline: now.Add(time.Second), Tasks: []int{0}})
 			require.Nil(t, failure)
 			shard := s.jobShardFor("a")
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -220,7 +220,7 @@
 		completions, found = u.handleReport(now, poll, report, s, &a)
 	case PollFenced:
 		u.lastContact = now
-		u.fence(now, &a)
+		u.fence(now)
 	case PollOtherProcess:
 		u.lastContact = now
 		if poll.Upstream.Address == u.Address {
@@ -234,7 +234,7 @@
 	shard.recomputeBounds()
 	shard.mu.Unlock()
 	for _, f := range found {
-		s.adopt(now, shard, f)
+		s.adopt(now, f)
 	}
 	for _, c := range completions {
 		s.handleCompletion(now, poll.Upstream.Name, c, &a)
@@ -260,9 +260,8 @@
 }
 
 // fence marks an upstream as claimed by another dispatcher. Runs that this dispatcher
-// does not adopt are over after fencedRunTimeout.
-func (u *upstream) fence(now time.Time, a *Actions) {
+// knows are over after fencedRunTimeout.
+func (u *upstream) fence(now time.Time) {
 	u.claimed, u.fenced = false, true
 	u.leaseEnd = now.Add(fencedRunTimeout)
-	clear(u.orphans)
 }
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -173,6 +173,7 @@
 	for task, o := range u.orphans {
 		if _, present := listed[o.Run]; !present && o.foundAt.Before(poll.Sent) {
 			delete(u.orphans, task)
+			a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
 		}
 	}
 }
@@ -213,8 +214,12 @@
 	}
 }
 
-// finishLost applies the ends of lost runs to their jobs.
+// finishLost applies the ends of lost runs and of orphans to their jobs.
 func (s *Scheduler) finishLost(now time.Time, a *Actions) {
+	for _, o := range a.orphansOver {
+		s.waiting.Add(int64(s.jobShardFor(o.Job).forgetOrphan(o)))
+	}
+	a.orphansOver = nil
 	lost := a.unapplied
 	a.unapplied = nil
 	slices.SortFunc(lost, func(a, b finishedRun) int {
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -87,3 +87,128 @@
 		b.advanceWithPolls(time.Second)
 	}
 }
+
+// beginTerm starts a term under the next token.
+func (b *testHarness) beginTerm(token int64) {
+	b.scheduler.BeginTerm(b.now, token, resumeTimeout)
+}
+
+// Review case 3: a job is sent again after the terms of two dispatchers, while a run of its
+// first submission is kept alive until an origin offers the job again.
+func TestResubmissionStartsBesideOrphan(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	for _, age := range []time.Duration{0, 300 * time.Millisecond, 690 * time.Millisecond, 710 * time.Millisecond, 730 * time.Millisecond} {
+		b := newTestHarness(t, "u1", "u2", "u3")
+		b.offer(b.job("a", 0))
+		require.Len(t, b.place(), 1)
+		b.beginTerm(200)
+		b.pollAll()
+		for end := b.now.Add(age); b.now.Before(end); {
+			b.advance(10 * time.Millisecond)
+			b.pollAll()
+		}
+		b.offer(b.job("a", 0))
+		b.place()
+		require.LessOrEqual(t, len(b.runsOf(task)), 1, "the job was sent again after %v", age)
+		for range 150 {
+			b.advance(10 * time.Millisecond)
+			b.pollAll()
+			b.place()
+			b.executeStops()
+			require.LessOrEqual(t, len(b.runsOf(task)), 1, "the job was sent again after %v", age)
+		}
+		require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind, "the job was sent again after %v", age)
+	}
+}
+
+// executeStops executes the stop orders that were not executed yet.
+func (b *testHarness) executeStops() {
+	stops := b.stops
+	b.stops = nil
+	for _, stop := range stops {
+		result, clock := b.upstreams[stop.Upstream.Name].Stop(b.now, stop)
+		a, _, _ := b.scheduler.HandleStopResult(b.now, stop, result, clock)
+		b.record(a)
+	}
+}
+
+// A job that is offered as new may have been sent before to another VM. Its runs are known
+// only once every upstream has answered in the term, or their leases have expired.
+func TestResubmissionStartsBeforeUpstreamsHaveAnswered(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	for _, silence := range []time.Duration{0, 300 * time.Millisecond, time.Hour} {
+		b := newTestHarness(t, "u1", "u2", "u3")
+		b.offer(b.job("a", 0))
+		require.Len(t, b.place(), 1)
+		silent := b.starts[0].Upstream.Name
+		b.beginTerm(200)
+		b.pollWithout(silent)
+		b.offer(b.job("a", 0))
+		for began := b.now; b.now.Sub(began) < 1500*time.Millisecond; {
+			b.place()
+			require.LessOrEqual(t, len(b.runsOf(task)), 1)
+			b.advance(10 * time.Millisecond)
+			if b.now.Sub(began) < silence {
+				b.pollWithout(silent)
+			} else {
+				b.pollAll()
+			}
+		}
+		b.place()
+		if silence == time.Hour {
+			require.Len(t, b.starts, 2, "the lease has expired")
+		} else {
+			require.Len(t, b.starts, 1, "the run goes on")
+		}
+	}
+}
+
+// While a run of an earlier submission is active, the failure of the present one must not
+// start the task again.
+func TestRetryStartsBesideOrphan(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	b := newTestHarness(t, "u1", "u2", "u3")
+	b.offer(b.job("a", 0))
+	starts := b.place()
+	require.Len(t, starts, 1)
+	first := starts[0].Upstream.Name
+	second := "u1"
+	if first == second {
+		second = "u2"
+	}
+	// Another dispatcher has started the task as well; this one finds its run.
+	orphan := scheduler.Start{Upstream: b.upstreams[second].Info, Token: 100, Run: scheduler.Run{Task: task, Attempt: 7}, Until: b.upstreams[second].Clock(b.now) + 400}
+	result, _ := b.upstreams[second].Start(b.now, orphan, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Hour)
+	require.Equal(t, scheduler.OrderDone, result)
+	poll, ok := b.scheduler.ImmediatePoll(b.now, second)
+	require.True(t, ok)
+	answered, report := b.upstreams[second].Poll(b.now, poll)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, answered, report))
+	b.upstreams[first].Fail = true
+	for range 130 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.executeStops()
+		b.place()
+		if !b.upstreams[first].HasRun(task) {
+			require.LessOrEqual(t, len(b.runsOf(task)), 1)
+		}
+	}
+	require.Len(t, b.starts, 2)
+	require.Equal(t, 8, b.starts[1].Run.Attempt)
+}
+
+// The origin of a job can fall silent. Nobody waits for its runs after the deadline, and the
+// caller may send the job again to a VM that has another dispatcher.
+func TestRunOutlivesCallersDeadline(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	j := b.job("a", 0)
+	j.Deadline = b.now.Add(300 * time.Millisecond)
+	b.offer(j)
+	require.Len(t, b.place(), 1)
+	b.advanceWithPolls(600 * time.Millisecond)
+	b.executeStops()
+	b.advanceWithPolls(100 * time.Millisecond)
+	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}))
+	require.Equal(t, scheduler.JobAbandoned, b.notices[len(b.notices)-1].Kind)
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,6 +89,10 @@
 	// another dispatcher has claimed are over, unless that dispatcher adopts
 	// them: its orphanTimeout, the lease that it renewed meanwhile, and a margin.
 	fencedRunTimeout = orphanTimeout + 1200*time.Millisecond
+	// maxForeignLease is the time after which no run is active that an earlier dispatcher
+	// has started or found, on an upstream that has not answered in this term. It covers
+	// clockError and the error of the clock value from which the lease was computed.
+	maxForeignLease = lease*105/100 + leaseMargin
 	// idleAckDelay is the time after which an idle upstream is polled to
 	// acknowledge its completions.
 	idleAckDelay = 300 * time.Millisecond
@@ -120,6 +124,7 @@
 
 	token            atomic.Int64 // fencing token of the term; 0 while not dispatching
 	unreachablePeers atomic.Bool  // whether unreachable peers may have claimed unresponsive upstreams
+	settled          atomic.Bool  // whether all runs of earlier dispatchers are known or over
 	partialList      atomic.Bool  // whether upstreams exist that this dispatcher does not claim
 	// listCompleteSince is the time, in ns since start, from which the list of
 	// upstreams included all that may run tasks; 0 if it always did.
@@ -129,6 +134,7 @@
 	start             time.Time
 	// suspectsPlacedAt is the time of the last attempt to place suspects, in ns since start.
 	suspectsPlacedAt atomic.Int64
+	termStart        atomic.Int64 // in ns since start
 	// resumeTimeout is the time after which resumed jobs may start, in ns.
 	resumeTimeout atomic.Int64
 	waiting       atomic.Int64
@@ -167,6 +173,10 @@
 // known so far. It drops all jobs of an earlier term; their origins offer them
 // again.
 //
+// A new job waits until the runs of earlier dispatchers are known, because its caller may
+// have sent it before: until every upstream has answered in this term, or maxForeignLease
+// has passed.
+//
 // A job that had no started task when this scheduler's last term ended, and that
 // was not offered to another dispatcher since, is treated as new. All tasks of
 // any other resumed job wait until every upstream has answered a poll that was
@@ -179,17 +189,26 @@
 // abandoned if the process of any upstream started after the job was sent: the runs
 // of the previous process have left no record.
 func (s *Scheduler) BeginTerm(now time.Time, token int64, resumeTimeout time.Duration) {
-	s.EndTerm()
+	former := s.token.Swap(0)
 	s.resumeTimeout.Store(int64(resumeTimeout))
+	s.settled.Store(false)
+	s.termStart.Store(int64(now.Sub(s.start)))
+	// The jobs are reset last, so that no report of the earlier term is recorded afterwards.
 	for _, shard := range s.upstreamShards {
 		shard.beginTerm(now)
 	}
+	s.resetJobs(former)
 	s.token.Store(token)
 }
 
 // EndTerm stops dispatching. Active runs continue until their lease expires.
 func (s *Scheduler) EndTerm() {
-	token := s.token.Swap(0)
+	s.resetJobs(s.token.Swap(0))
+}
+
+// resetJobs removes all jobs at the end of the term with the given token, or 0 if there was
+// none.
+func (s *Scheduler) resetJobs(token int64) {
 	for _, shard := range s.jobShards {
 		s.waiting.Add(int64(-shard.reset(token)))
 	}
@@ -229,7 +248,12 @@
 	if s.partialList.Load() {
 		oldestPoll = time.Time{}
 	}
-	criteria := resumeCriteria{oldestPoll: oldestPoll, latestProcessStart: latestStart}
+	sizes := s.serviceSizes.Load()
+	allAnswered := !oldestPoll.IsZero() && sizes != nil && len(*sizes) > 0
+	if allAnswered || now.Sub(s.start)-time.Duration(s.termStart.Load()) > maxForeignLease {
+		s.settled.Store(true)
+	}
+	criteria := releaseCriteria{oldestPoll: oldestPoll, latestProcessStart: latestStart, settled: s.settled.Load()}
 	if complete := s.listCompleteSince.Load(); complete != 0 {
 		criteria.listCompleteSince = s.start.Add(time.Duration(complete))
 	}
@@ -239,10 +263,16 @@
 	}
 	criteria.resumedBefore = now.Add(-timeout)
 	for _, shard := range s.jobShards {
-		s.waiting.Add(int64(-shard.releaseResumed(criteria, &a)))
+		s.waiting.Add(int64(-shard.releaseHeld(criteria, &a)))
 	}
+	var overdue []string
 	for _, shard := range s.jobShards {
-		s.waiting.Add(int64(-shard.expire(now, &a)))
+		waiting, stop := shard.expire(now, &a)
+		s.waiting.Add(int64(-waiting))
+		overdue = append(overdue, stop...)
+	}
+	if len(overdue) > 0 {
+		s.stopRuns(now, "the caller's deadline has passed", &a, overdue...)
 	}
 	s.ConfirmDelivery(a.expired)
 	a.expired = nil
@@ -276,6 +306,8 @@
 	// unapplied lists lost runs that were not yet applied to their jobs; finishLost
 	// applies them and moves them to Lost.
 	unapplied []finishedRun
+	// orphansOver lists orphans that are over; finishLost applies them to their jobs.
+	orphansOver []foundRun
 	// expired lists completions that matched no job within CompletionRetention.
 	expired []CompletionRef
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -38,6 +38,7 @@
 	b.scheduler.BeginTerm(b.now, 100, resumeTimeout)
 	b.scheduler.SetUpstreams(b.now, list, false)
 	b.pollAll()
+	b.record(b.scheduler.Tick(b.now))
 	return b
 }
 
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -180,7 +180,7 @@
 			u.loseAll(now, a)
 		}
 		for task, o := range u.orphans {
-			if !o.stopping && now.Sub(o.foundAt) > orphanTimeout {
+			if !o.stopping && !u.fenced && now.Sub(o.foundAt) > orphanTimeout {
 				o.stopping = true
 				u.orphans[task] = o
 				a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), o.Run, "no job has adopted the run"})
