Model test: callers send jobs again, every dispatcher learns of sizes

A third of the jobs whose tasks may run more than once has a deadline below the longest run and is sent again, twice at most, 1.3 s after it.

A dispatcher that origins had left was never told that an upstream had shrunk, unlike on the platform, where each watches the store. Now each dispatcher is told within the same bound, which stays.

--- a/scheduler/model_faults_test.go
+++ b/scheduler/model_faults_test.go
@@ -25,15 +25,16 @@
 	return allowed
 }
 
-// resize changes the capacity of an upstream. The dispatcher learns of it later.
+// resize changes the capacity of an upstream. Every dispatcher learns of it later, also one
+// that origins have left.
 func (m *model) resize(name string) {
 	u := m.upstreams[name]
 	m.formerSizes[name] = append(m.formerSizes[name], formerSize{u.Info.Size, m.now})
 	u.Info.Size.MilliCPU = []int{5000, 8000, 14000, 16000}[m.rand.IntN(4)]
 	m.logf("fault: %s has %d milli-CPU", name, u.Info.Size.MilliCPU)
 	m.after(m.randomMillis(50, int(modelListDelay.Milliseconds())-50), func() {
-		if m.current != nil {
-			m.current.scheduler.SetUpstreams(m.now, m.list(), false)
+		for _, d := range m.dispatchers {
+			m.tellList(d, d.listed, d.partial)
 		}
 	})
 }
@@ -125,7 +126,7 @@
 		other.token = m.token
 		m.logf("begin term on %s, token %d, competing for %s", other.name, other.token, name)
 		other.scheduler.BeginTerm(m.now, other.token, modelResumeTimeout)
-		other.scheduler.SetUpstreams(m.now, []scheduler.Upstream{m.upstreams[name].Info}, true)
+		m.tellList(other, []string{name}, true)
 		m.pollLoop(other, name)
 	})
 	m.after(m.randomMillis(1500, 4000), func() {
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -43,7 +43,8 @@
 // modelJob is a job from the view of its origin.
 type modelJob struct {
 	job           scheduler.Job
-	open          []int
+	tasks         int
+	open          []int // indexes of the tasks that are not done
 	finished      bool
 	dispatcher    *modelDispatcher // that has the job
 	offered       bool
@@ -59,6 +60,8 @@
 	token        int64
 	frozenUntil  time.Time // inactive until then
 	polling      map[string]bool
+	listed       []string // upstreams that it may use
+	partial      bool     // whether there are others
 	disconnected map[string]bool // upstreams that it cannot reach
 }
 
@@ -177,12 +180,14 @@
 	return m
 }
 
-func (m *model) list() []scheduler.Upstream {
+// tellList tells a dispatcher which upstreams it may use, and their present sizes.
+func (m *model) tellList(d *modelDispatcher, names []string, partial bool) {
+	d.listed, d.partial = names, partial
 	var list []scheduler.Upstream
-	for _, name := range m.names {
+	for _, name := range names {
 		list = append(list, m.upstreams[name].Info)
 	}
-	return list
+	d.scheduler.SetUpstreams(m.now, list, partial)
 }
 
 // beginTerm makes d the dispatcher to which origins offer their jobs.
@@ -193,7 +198,7 @@
 	old := m.current
 	m.current = d
 	d.scheduler.BeginTerm(m.now, d.token, modelResumeTimeout)
-	d.scheduler.SetUpstreams(m.now, m.list(), false)
+	m.tellList(d, m.names, false)
 	for _, name := range m.names {
 		m.pollLoop(d, name)
 	}
@@ -485,21 +490,47 @@
 		Size: scheduler.Size{MilliCPU: 6800, MemoryMB: 64}, Estimate: 200 * time.Millisecond,
 		Sent: m.now, Deadline: m.now.Add(5 * time.Second), Stretch: 1.6, Slack: 60 * time.Millisecond, MaxAttempts: 3,
 		AtMostOnce: m.rand.IntN(2) == 0,
-	}, histories: map[int]history.Task{}, deadly: m.rand.IntN(10) == 0}
-	for i := range tasks {
+	}, tasks: tasks, histories: map[int]history.Task{}, deadly: m.rand.IntN(10) == 0}
+	m.jobs[id] = j
+	if !j.job.AtMostOnce && m.rand.IntN(3) == 0 {
+		m.submit(j, resubmittedDeadline, 3)
+	} else {
+		m.submit(j, 5*time.Second, 1)
+	}
+	m.after(m.randomMillis(20, 200), func() { m.arrive(n + 1) })
+}
+
+const (
+	// resubmittedDeadline is the time after which the caller of a job that is sent again
+	// gives up. It is shorter than the longest run.
+	resubmittedDeadline = 1200 * time.Millisecond
+	// resubmitDelay is the time after which a caller sends a job again.
+	resubmitDelay = 1300 * time.Millisecond
+)
+
+// submit sends a job to its origin. If it is not complete at its deadline, it is withdrawn,
+// and sent again until the given number of attempts is used up.
+func (m *model) submit(j *modelJob, deadline time.Duration, attempts int) {
+	m.logf("%s is submitted", j.job.ID)
+	j.finished, j.offered, j.previousToken, j.dispatcher = false, false, 0, nil
+	j.job.Sent, j.job.Deadline = m.now, m.now.Add(deadline)
+	j.open = nil
+	for i := range j.tasks {
 		j.open = append(j.open, i)
 	}
-	m.jobs[id] = j
 	m.offer(j)
-	m.after(5*time.Second, func() {
+	m.after(deadline, func() {
 		if !j.finished {
 			j.finished = true
-			if j.dispatcher == m.current {
-				m.execute(j.dispatcher, j.dispatcher.scheduler.Withdraw(m.now, "front", []string{id}))
+			m.logf("%s is withdrawn", j.job.ID)
+			if d := j.dispatcher; d != nil && d == m.current {
+				m.execute(d, d.scheduler.Withdraw(m.now, "front", []string{j.job.ID}))
 			}
 		}
+		if len(j.open) > 0 && attempts > 1 {
+			m.after(resubmitDelay, func() { m.submit(j, deadline, attempts-1) })
+		}
 	})
-	m.after(m.randomMillis(20, 200), func() { m.arrive(n + 1) })
 }
 
 func TestNoTaskRunsTwiceAndNoUpstreamIsOvercommitted(t *testing.T) {
