--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -296,6 +296,26 @@
 	require.Equal(t, 2, next[1].Run.Attempt)
 }
 
+// An unhealthy upstream answers a stop order without executing it. The start order may then
+// still be executed, late, after a poll that does not list the run.
+func TestStopThatWasRefusedEndsRun(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	b.offer(b.job("a", 0))
+	starts := b.scheduler.Place(b.now)
+	require.Len(t, starts, 1)
+	b.record(b.scheduler.HandleStartResult(b.now, starts[0], scheduler.OrderUnanswered, 0))
+	require.Len(t, b.stops, 1)
+	actions, retry, _ := b.scheduler.HandleStopResult(b.now, b.stops[0], scheduler.OrderUnhealthy, 0)
+	b.record(actions)
+	require.True(t, retry)
+	b.advance(20 * time.Millisecond)
+	b.pollAll()
+	require.Empty(t, b.place(), "the start order may be executed until its time has passed")
+	b.advance(500 * time.Millisecond)
+	b.pollAll()
+	require.Len(t, b.place(), 1)
+}
+
 func TestDrainingUpstreamGetsNoNewTasks(t *testing.T) {
 	b := newTestHarness(t, "u1")
 	info := b.upstreams["u1"].Info
