Submissions of a job have numbers in the messages between VMs

The report that a dispatcher has abandoned a job, and the withdrawal of a job by its origin, named the job by its id alone. Delayed, for example by a freeze, until the caller has sent the job to the same VM again, they ended the second submission: its caller could get "not run" for a job that runs, or its runs were stopped and nobody was told.

An origin now numbers the submissions that it takes, rising across its processes. Offers, withdrawals and reports of failures carry the number, and only those of the present submission count. A task that is done counts for every submission, as before. WithdrawRequest names one job, as it always did in practice.

Tests: TestDelayedWithdrawalEndsNextSubmission and TestFailureOfEarlierSubmissionEndsTheNextOne fail if the number is not compared.

--- a/intake/histories_test.go
+++ b/intake/histories_test.go
@@ -20,7 +20,7 @@
 	second, _ := table.Assign(j, "vm2", 2)
 	require.Equal(t, map[int]history.Task{1: crash}, second.Histories)
 
-	table.Finish("a", Answer{Outcome: Abandoned})
+	table.Finish("a", j.Submission, Answer{Outcome: Abandoned})
 	require.Equal(t, map[string]map[int]history.Task{"a": {1: crash}}, table.EndedHistories(now))
 	again, _ := table.AddOrJoin(now.Add(time.Second), "a", "", 2)
 	third, _ := table.Assign(again, "vm2", 2)
@@ -35,9 +35,9 @@
 func TestHistoriesOfEndedJobChangeWhileTheyAreSent(t *testing.T) {
 	now := time.Unix(1000, 0)
 	table := New[string]()
-	table.AddOrJoin(now, "a", "", 1)
+	j, _ := table.AddOrJoin(now, "a", "", 1)
 	table.MergeHistory("a", 0, history.Task{Losses: 1})
-	table.Finish("a", Answer{Outcome: Abandoned})
+	table.Finish("a", j.Submission, Answer{Outcome: Abandoned})
 	sent := table.EndedHistories(now)
 	table.AddOrJoin(now, "a", "", 1)
 	table.MergeHistory("a", 0, history.Task{Losses: 2})
@@ -49,9 +49,9 @@
 	table := New[string]()
 	end := func(at time.Time, n int) {
 		id := fmt.Sprint(n)
-		table.AddOrJoin(at, id, "", 1)
+		j, _ := table.AddOrJoin(at, id, "", 1)
 		table.MergeHistory(id, 0, history.Task{Losses: 1})
-		table.Finish(id, Answer{Outcome: Abandoned})
+		table.Finish(id, j.Submission, Answer{Outcome: Abandoned})
 	}
 	for n := range 2 * shardCount * maxEnded {
 		end(now, n)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mustardstep/mustardstep/history"
@@ -53,11 +54,13 @@
 	CompletedTasks int
 }
 
-// Job is a job that at least one caller waits for. ID, Spec and Arrived are
+// Job is a job that at least one caller waits for. ID, Submission, Spec and Arrived are
 // immutable; the lock of its shard guards the other fields.
 type Job[S any] struct {
-	ID      string
-	Arrived time.Time
+	ID string
+	// Submission distinguishes the submissions of a job to this VM, also across processes.
+	Submission uint64
+	Arrived    time.Time
 	// Spec describes the job. It is opaque to this package.
 	Spec S
 
@@ -86,7 +89,10 @@
 
 // Table holds the unanswered jobs in shards by id. It is safe for concurrent
 // use.
-type Table[S any] struct{ shards [shardCount]shard[S] }
+type Table[S any] struct {
+	shards         [shardCount]shard[S]
+	lastSubmission atomic.Uint64
+}
 
 type shard[S any] struct {
 	mu   sync.Mutex // guards the fields below and the mutable fields of each job
@@ -108,6 +114,18 @@
 	return &t.shards[rendezvous.Hash(id)%shardCount]
 }
 
+// nextSubmission returns a number above all earlier ones, also of earlier processes as long
+// as the time of day does not run backwards.
+func (t *Table[S]) nextSubmission(now time.Time) uint64 {
+	for {
+		last := t.lastSubmission.Load()
+		next := max(last+1, uint64(now.UnixMicro()))
+		if t.lastSubmission.CompareAndSwap(last, next) {
+			return next
+		}
+	}
+}
+
 // AddOrJoin adds a job with the given number of tasks. If a job with the same
 // id is in progress, it adds a waiter to that one instead. added reports
 // whether the job was added.
@@ -119,7 +137,7 @@
 		j.waiters++
 		return j, false
 	}
-	j = &Job[S]{ID: id, Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
+	j = &Job[S]{ID: id, Submission: t.nextSubmission(now), Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
 	for i := range tasks {
 		j.unfinished = append(j.unfinished, i)
 	}
@@ -211,15 +229,15 @@
 	return j.vm, j.term
 }
 
-// Finish answers a job and returns the dispatcher that had it. finished is
-// false if no unanswered job has the id. NotRun becomes Abandoned if the job is
-// unassigned and an earlier dispatcher may have started tasks.
-func (t *Table[S]) Finish(id string, a Answer) (vm string, term uint64, finished bool) {
+// Finish answers a submission of a job and returns the dispatcher that had it. finished is
+// false if it is not unanswered. NotRun becomes Abandoned if the job is unassigned and an
+// earlier dispatcher may have started tasks.
+func (t *Table[S]) Finish(id string, submission uint64, a Answer) (vm string, term uint64, finished bool) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	j := s.jobs[id]
-	if j == nil || j.finished {
+	if j == nil || j.finished || j.Submission != submission {
 		return "", 0, false
 	}
 	if a.Outcome == NotRun && j.mayHaveStarted && j.term == 0 {
@@ -246,14 +264,14 @@
 	return j.vm, len(j.unfinished)
 }
 
-// FinishBy answers a job on behalf of a dispatcher. It does nothing if the job
-// has been assigned to another one since, because the answer does not cover
-// what that one does.
-func (t *Table[S]) FinishBy(id, vm string, term uint64, a Answer) {
+// FinishBy answers a submission of a job on behalf of a dispatcher. It does nothing if the
+// job has been assigned to another one since, because the answer does not cover what that
+// one does.
+func (t *Table[S]) FinishBy(id string, submission uint64, vm string, term uint64, a Answer) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if j := s.jobs[id]; j != nil && j.vm == vm && j.term == term {
+	if j := s.jobs[id]; j != nil && j.Submission == submission && j.vm == vm && j.term == term {
 		s.finish(j, a)
 	}
 }
--- a/internal/replay/simulate.go
+++ b/internal/replay/simulate.go
@@ -165,7 +165,7 @@
 
 func (s *simulator) cancel(job *simulatedJob, id string) {
 	if !job.finished {
-		s.apply(s.scheduler.Withdraw(s.now, "front", []string{id}))
+		s.apply(s.scheduler.Withdraw(s.now, "front", id, 0))
 		s.finish(job, verdict.Errorf(verdict.MayHaveRun, verdict.CodeCancelled, "cancelled"))
 		s.place()
 	}
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -9,10 +9,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *AbandonedJob) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "j"
-	o = append(o, 0x85, 0xa1, 0x6a)
+	o = append(o, 0x86, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
+	// string "su"
+	o = append(o, 0xa2, 0x73, 0x75)
+	o = msgp.AppendUint64(o, z.Submission)
 	// string "s"
 	o = append(o, 0xa1, 0x73)
 	o = msgp.AppendBool(o, z.Started)
@@ -52,6 +55,12 @@
 				err = msgp.WrapError(err, "Job")
 				return
 			}
+		case "su":
+			z.Submission, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
+			}
 		case "s":
 			z.Started, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -90,7 +99,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *AbandonedJob) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.Uint8Size + 2 + msgp.Int64Size
 	return
 }
 
@@ -667,9 +676,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 23
+	// map header, size 24
 	// string "j"
-	o = append(o, 0xde, 0x0, 0x17, 0xa1, 0x6a)
+	o = append(o, 0xde, 0x0, 0x18, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -677,6 +686,9 @@
 	// string "oi"
 	o = append(o, 0xa2, 0x6f, 0x69)
 	o = msgp.AppendUint64(o, z.OriginIncarnation)
+	// string "su"
+	o = append(o, 0xa2, 0x73, 0x75)
+	o = msgp.AppendUint64(o, z.Submission)
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendUint64(o, z.Term)
@@ -789,6 +801,12 @@
 				err = msgp.WrapError(err, "OriginIncarnation")
 				return
 			}
+		case "su":
+			z.Submission, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
+			}
 		case "t":
 			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -962,7 +980,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *OfferRequest) Msgsize() (s int) {
-	s = 3 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.StringPrefixSize + len(z.Origin) + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Spec) + 2 + msgp.ArrayHeaderSize + (len(z.Tasks) * (msgp.IntSize)) + 3 + msgp.ArrayHeaderSize
+	s = 3 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.StringPrefixSize + len(z.Origin) + 3 + msgp.Uint64Size + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.StringPrefixSize + len(z.Service) + 2 + msgp.StringPrefixSize + len(z.Spec) + 2 + msgp.ArrayHeaderSize + (len(z.Tasks) * (msgp.IntSize)) + 3 + msgp.ArrayHeaderSize
 	for za0002 := range z.Items {
 		s += msgp.BytesPrefixSize + len(z.Items[za0002])
 	}
@@ -1538,10 +1556,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskCompletion) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 5
+	// map header, size 6
 	// string "j"
-	o = append(o, 0x85, 0xa1, 0x6a)
+	o = append(o, 0x86, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
+	// string "su"
+	o = append(o, 0xa2, 0x73, 0x75)
+	o = msgp.AppendUint64(o, z.Submission)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
 	o = msgp.AppendInt(o, z.Index)
@@ -1581,6 +1602,12 @@
 				err = msgp.WrapError(err, "Job")
 				return
 			}
+		case "su":
+			z.Submission, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
+			}
 		case "i":
 			z.Index, bts, err = msgp.ReadIntBytes(bts)
 			if err != nil {
@@ -1619,7 +1646,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskCompletion) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.BytesPrefixSize + len(z.Result)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.BytesPrefixSize + len(z.Result)
 	return
 }
 
@@ -1954,18 +1981,18 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z *WithdrawRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z WithdrawRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 2
+	// map header, size 3
 	// string "o"
-	o = append(o, 0x82, 0xa1, 0x6f)
+	o = append(o, 0x83, 0xa1, 0x6f)
 	o = msgp.AppendString(o, z.Origin)
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
-	o = msgp.AppendArrayHeader(o, uint32(len(z.Jobs)))
-	for za0001 := range z.Jobs {
-		o = msgp.AppendString(o, z.Jobs[za0001])
-	}
+	o = msgp.AppendString(o, z.Job)
+	// string "su"
+	o = append(o, 0xa2, 0x73, 0x75)
+	o = msgp.AppendUint64(o, z.Submission)
 	return
 }
 
@@ -1994,23 +2021,16 @@
 				return
 			}
 		case "j":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			z.Job, bts, err = msgp.ReadStringBytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "Jobs")
+				err = msgp.WrapError(err, "Job")
 				return
 			}
-			if cap(z.Jobs) >= int(zb0002) {
-				z.Jobs = (z.Jobs)[:zb0002]
-			} else {
-				z.Jobs = make([]string, zb0002)
-			}
-			for za0001 := range z.Jobs {
-				z.Jobs[za0001], bts, err = msgp.ReadStringBytes(bts)
-				if err != nil {
-					err = msgp.WrapError(err, "Jobs", za0001)
-					return
-				}
+		case "su":
+			z.Submission, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Submission")
+				return
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -2025,11 +2045,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *WithdrawRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Jobs {
-		s += msgp.StringPrefixSize + len(z.Jobs[za0001])
-	}
+func (z WithdrawRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size
 	return
 }
 
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -115,6 +115,9 @@
 	Origin string `msg:"o"`
 	// OriginIncarnation is the incarnation of the sender.
 	OriginIncarnation uint64 `msg:"oi"`
+	// Submission numbers the submissions that the sender has taken. It
+	// distinguishes submissions of one job to one VM.
+	Submission uint64 `msg:"su"`
 	// Term is the dispatcher's term as known to the sender. The offer is refused
 	// in any other term.
 	Term uint64 `msg:"t"`
@@ -190,6 +193,9 @@
 type TaskCompletion struct {
 	// Job is the ID of the job.
 	Job string `msg:"j"`
+	// Submission is the number of the submission whose task has failed. A
+	// success counts for every submission.
+	Submission uint64 `msg:"su"`
 	// Index is the index of the task in its job.
 	Index int `msg:"i"`
 	// Failed is true if the task has failed and is not retried.
@@ -204,6 +210,8 @@
 type AbandonedJob struct {
 	// Job is the ID of the job.
 	Job string `msg:"j"`
+	// Submission is the number of the abandoned submission.
+	Submission uint64 `msg:"su"`
 	// Started is true if a task of the job may have started.
 	Started bool `msg:"s"`
 	// Reason explains why the job was abandoned.
@@ -282,13 +290,16 @@
 // Kind returns the frame kind of the message.
 func (*HistoriesResponse) Kind() Kind { return KindHistoriesResponse }
 
-// WithdrawRequest asks a dispatcher to stop all tasks of some jobs, because
-// no caller waits for them.
+// WithdrawRequest asks a dispatcher to stop all tasks of a submission,
+// because no caller waits for it.
 type WithdrawRequest struct {
-	// Origin is the VM that took the jobs.
+	// Origin is the VM that took the job.
 	Origin string `msg:"o"`
-	// Jobs holds the IDs of the jobs.
-	Jobs []string `msg:"j"`
+	// Job is the ID of the job.
+	Job string `msg:"j"`
+	// Submission is the number of the submission. A later one of the same job
+	// goes on.
+	Submission uint64 `msg:"su"`
 }
 
 // Kind returns the frame kind of the message.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -27,7 +27,7 @@
 	n.origins.record(r.Origin, r.OriginIncarnation)
 	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
 	notices, failure := n.scheduler.Offer(now, scheduler.Job{
-		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
+		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS)), Deadline: now.Add(microseconds(r.DeadlineUS)),
@@ -49,12 +49,12 @@
 }
 
 func (n *Node) handleWithdraw(_ context.Context, _ *wire.Hello, r *wire.WithdrawRequest) wire.Message {
-	n.withdrawJobs(r.Origin, r.Jobs)
+	n.withdrawJob(r.Origin, r.Job, r.Submission)
 	return &wire.WithdrawResponse{}
 }
 
-func (n *Node) withdrawJobs(origin string, jobs []string) {
-	n.apply(n.scheduler.Withdraw(time.Now(), origin, jobs))
+func (n *Node) withdrawJob(origin, job string, submission uint64) {
+	n.apply(n.scheduler.Withdraw(time.Now(), origin, job, submission))
 	n.wakePlaceLoop()
 }
 
@@ -211,12 +211,12 @@
 		}
 		switch notice.Kind {
 		case scheduler.TaskDone, scheduler.TaskFailed:
-			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Reason: notice.Reason, Result: notice.Result})
+			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Submission: notice.Submission, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Reason: notice.Reason, Result: notice.Result})
 		default:
 			n.log.Info("job abandoned", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
 				slog.String("reason", notice.Reason), slog.Bool("started", notice.Kind == scheduler.JobAbandoned))
 			r.Abandoned = append(r.Abandoned, wire.AbandonedJob{
-				Job: notice.Task.Job, Started: notice.Kind == scheduler.JobAbandoned,
+				Job: notice.Task.Job, Submission: notice.Submission, Started: notice.Kind == scheduler.JobAbandoned,
 				Reason: notice.Reason, Code: uint8(notice.Code), RetryAfterUS: notice.RetryAfter.Microseconds(),
 			})
 		}
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -26,7 +26,7 @@
 	second := n.termFor("vm0")
 	n.jobs.Assign(j, "vm0", second)
 
-	abandoned := scheduler.Notice{Origin: "vm0", Task: scheduler.Task{Job: "j"}, Kind: scheduler.JobNotRun, Term: first}
+	abandoned := scheduler.Notice{Origin: "vm0", Task: scheduler.Task{Job: "j"}, Kind: scheduler.JobNotRun, Term: first, Submission: j.Submission}
 	n.apply(scheduler.Actions{Notices: []scheduler.Notice{abandoned}})
 	require.NotNil(t, n.jobs.Find("j"), "the job has been offered again since")
 
@@ -36,6 +36,37 @@
 	require.Equal(t, intake.NotRun, answer.Outcome)
 }
 
+// TestFailureOfEarlierSubmissionEndsTheNextOne guards against an answer "not run" for a job
+// that runs: the report that a dispatcher has abandoned the first submission of a job is
+// delayed until its caller has sent it again to the same VM.
+func TestFailureOfEarlierSubmissionEndsTheNextOne(t *testing.T) {
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease},
+		Dependencies{Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics()})
+	now := time.Now()
+	n.startTerm(now, n.view.Load(), "test")
+	term := n.termFor("vm0")
+	spec := Job{Queue: &testQueue, Deadline: now.Add(time.Minute)}
+	first, _ := n.jobs.AddOrJoin(now, "j", spec, 1)
+	n.jobs.Assign(first, "vm0", term)
+	n.expire(first)
+	second, added := n.jobs.AddOrJoin(now, "j", spec, 1)
+	require.True(t, added)
+	n.jobs.Assign(second, "vm0", term)
+
+	task := scheduler.Task{Job: "j"}
+	n.apply(scheduler.Actions{Notices: []scheduler.Notice{
+		{Origin: "vm0", Task: task, Kind: scheduler.JobNotRun, Term: term, Submission: first.Submission},
+		{Origin: "vm0", Task: task, Kind: scheduler.TaskFailed, Term: term, Submission: first.Submission},
+	}})
+	n.expire(first)
+	require.NotNil(t, n.jobs.Find("j"), "the second submission goes on")
+	n.apply(scheduler.Actions{Notices: []scheduler.Notice{
+		{Origin: "vm0", Task: task, Kind: scheduler.TaskFailed, Term: term, Submission: second.Submission},
+	}})
+	answer, _ := n.jobs.Answer(second)
+	require.Equal(t, intake.Failed, answer.Outcome)
+}
+
 // TestCompletionOfEarlierDispatcherReachesTheNextOne guards against a second start around a
 // hand-over: a dispatcher may acknowledge a completion to its upstream only once the next
 // dispatcher of the job knows of it.
--- a/node/submit.go
+++ b/node/submit.go
@@ -55,7 +55,7 @@
 	case <-j.Done():
 	case <-ctx.Done():
 		if vm, term, last := n.jobs.RemoveWaiter(j); last {
-			n.withdraw(vm, term, id)
+			n.withdraw(vm, term, j)
 		}
 	case <-timer.C:
 		n.expire(j)
@@ -71,8 +71,8 @@
 	if !n.jobs.MayHaveStarted(j) {
 		answer = intake.Answer{Outcome: intake.NotRun, Code: verdict.CodeUnreachable, Reason: "no dispatcher was reached before the deadline", RetryAfter: verdict.MinRetryAfter}
 	}
-	if vm, term, ended := n.jobs.Finish(j.ID, answer); ended {
-		n.withdraw(vm, term, j.ID)
+	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, answer); ended {
+		n.withdraw(vm, term, j)
 	}
 }
 
@@ -123,8 +123,8 @@
 
 // abandon ends a job whose tasks may have started, and stops the tasks.
 func (n *Node) abandon(j *intake.Job[Job], reason string) {
-	if vm, term, ended := n.jobs.Finish(j.ID, intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeOwnerLost, Reason: reason}); ended {
-		n.withdraw(vm, term, j.ID)
+	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeOwnerLost, Reason: reason}); ended {
+		n.withdraw(vm, term, j)
 	}
 }
 
@@ -142,7 +142,7 @@
 		if o.Resumed {
 			outcome = intake.Abandoned
 		}
-		n.jobs.FinishBy(o.Job.ID, v.Dispatcher.VM, v.Term, intake.Answer{
+		n.jobs.FinishBy(o.Job.ID, o.Job.Submission, v.Dispatcher.VM, v.Term, intake.Answer{
 			Outcome: outcome, Code: verdict.Code(response.Code), Reason: response.Reason,
 			RetryAfter: time.Duration(response.RetryAfterUS) * time.Microsecond,
 		})
@@ -159,7 +159,7 @@
 		}
 	}
 	return &wire.OfferRequest{
-		Job: o.Job.ID, Origin: n.config.VM, OriginIncarnation: n.fleet.Self().Incarnation, Term: term,
+		Job: o.Job.ID, Origin: n.config.VM, OriginIncarnation: n.fleet.Self().Incarnation, Submission: o.Job.Submission, Term: term,
 		Queue: job.Queue.Name, Service: job.Queue.Service, Spec: job.Spec, Tasks: o.Tasks, Items: items, AtMostOnce: job.AtMostOnce,
 		MilliCPU: job.Size.MilliCPU, MemoryMB: job.Size.MemoryMB, Accelerators: job.Size.Accelerators,
 		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
@@ -185,12 +185,12 @@
 }
 
 // withdraw asks the dispatcher of a job to stop its tasks.
-func (n *Node) withdraw(vm string, term uint64, id string) {
+func (n *Node) withdraw(vm string, term uint64, j *intake.Job[Job]) {
 	if term == 0 {
 		return
 	}
 	if vm == n.config.VM {
-		n.withdrawJobs(n.config.VM, []string{id})
+		n.withdrawJob(n.config.VM, j.ID, j.Submission)
 		return
 	}
 	v := n.view.Load()
@@ -200,9 +200,9 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(n.runCtx, n.peerTimeout())
 		defer cancel()
-		request := wire.WithdrawRequest{Origin: n.config.VM, Jobs: []string{id}}
+		request := wire.WithdrawRequest{Origin: n.config.VM, Job: j.ID, Submission: j.Submission}
 		if err := n.peers.Call(ctx, v.Dispatcher.Address, &request, &wire.WithdrawResponse{}); err != nil {
-			n.log.Info("job withdrawal failed", slog.String("job", id), slog.String("dispatcher", vm), slog.Any("error", err))
+			n.log.Info("job withdrawal failed", slog.String("job", j.ID), slog.String("dispatcher", vm), slog.Any("error", err))
 		}
 	}()
 }
@@ -223,7 +223,7 @@
 	for i := range r.Completions {
 		completion := &r.Completions[i]
 		if completion.Failed {
-			n.finishJob(completion.Job, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: completion.Reason})
+			n.finishJob(completion.Job, completion.Submission, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: completion.Reason})
 			continue
 		}
 		vm, term := n.jobs.CompleteTask(completion.Job, completion.Index, completion.Result)
@@ -237,7 +237,7 @@
 		if abandoned.Started {
 			outcome = intake.Abandoned
 		}
-		n.finishJob(abandoned.Job, dispatcher, r.Term, intake.Answer{
+		n.finishJob(abandoned.Job, abandoned.Submission, dispatcher, r.Term, intake.Answer{
 			Outcome: outcome, Code: verdict.Code(abandoned.Code), Reason: abandoned.Reason, RetryAfter: time.Duration(abandoned.RetryAfterUS) * time.Microsecond,
 		})
 	}
@@ -283,13 +283,13 @@
 	return known
 }
 
-// finishJob ends a job with the answer of a dispatcher.
-func (n *Node) finishJob(id, dispatcher string, term uint64, a intake.Answer) {
+// finishJob ends a submission of a job with the answer of a dispatcher.
+func (n *Node) finishJob(id string, submission uint64, dispatcher string, term uint64, a intake.Answer) {
 	if j := n.jobs.Find(id); j != nil && j.Spec.AtMostOnce && a.Outcome != intake.NotRun {
-		if vm, current, ended := n.jobs.Finish(id, a); ended && (vm != dispatcher || current != term) {
-			n.withdraw(vm, current, id)
+		if vm, current, ended := n.jobs.Finish(id, submission, a); ended && (vm != dispatcher || current != term) {
+			n.withdraw(vm, current, j)
 		}
 		return
 	}
-	n.jobs.FinishBy(id, dispatcher, term, a)
+	n.jobs.FinishBy(id, submission, dispatcher, term, a)
 }
--- a/scheduler/capacity_test.go
+++ b/scheduler/capacity_test.go
@@ -40,7 +40,7 @@
 	b.advance(20 * time.Millisecond)
 	b.pollAll()
 	b.resize("u1", 8000)
-	b.record(b.scheduler.Withdraw(b.now, "front", []string{"a"}))
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
 	require.Len(t, b.stops, 2)
 	b.offer(b.job("b", 0))
 	require.Empty(t, b.place(), "the stops are not finished")
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -230,7 +230,7 @@
 		for before := h.crashes[killer]; h.crashes[killer] == before && len(h.noticesOf("a")) == 0; {
 			h.step()
 		}
-		h.record(h.scheduler.Withdraw(h.now, "front", []string{"a"}))
+		h.record(h.scheduler.Withdraw(h.now, "front", "a", 0))
 		h.run(1300 * time.Millisecond)
 	}
 	require.Equal(t, 2, h.crashes[killer])
@@ -318,7 +318,7 @@
 		b.offer(b.job("a", 0))
 		b.place()
 		b.advanceWithPolls(1100 * time.Millisecond)
-		b.record(b.scheduler.Withdraw(b.now, "front", []string{"a"}))
+		b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
 	}
 	require.Len(t, b.starts, 2, "MaxAttempts is 2")
 	last := b.notices[len(b.notices)-1]
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -119,23 +119,23 @@
 	if j.starts > 0 || j.Resumed {
 		kind = JobAbandoned
 	}
-	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{Job: j.ID}, Kind: kind, Code: code, Reason: reason, RetryAfter: retryAfter}
+	return Notice{Origin: j.Origin, Term: j.Term, Submission: j.Submission, Task: Task{Job: j.ID}, Kind: kind, Code: code, Reason: reason, RetryAfter: retryAfter}
 }
 
 // doneNotice returns the notice that a task has succeeded.
 func (j *job) doneNotice(index int, result []byte, ref CompletionRef) Notice {
-	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskDone, Result: result, Completion: ref}
+	return Notice{Origin: j.Origin, Term: j.Term, Submission: j.Submission, Task: Task{j.ID, index}, Kind: TaskDone, Result: result, Completion: ref}
 }
 
 // failedNotice returns the notice that a task has failed and is not started again.
 func (j *job) failedNotice(index int, reason string, h history.Task, ref CompletionRef) Notice {
-	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskFailed, Code: verdict.CodeUpstreamFailed, Reason: reason, History: h, Completion: ref}
+	return Notice{Origin: j.Origin, Term: j.Term, Submission: j.Submission, Task: Task{j.ID, index}, Kind: TaskFailed, Code: verdict.CodeUpstreamFailed, Reason: reason, History: h, Completion: ref}
 }
 
 // retriedNotice returns the notice that a run of a task did not succeed and that the task
 // is started again.
 func (j *job) retriedNotice(index int, h history.Task) Notice {
-	return Notice{Origin: j.Origin, Term: j.Term, Task: Task{j.ID, index}, Kind: TaskRetried, History: h}
+	return Notice{Origin: j.Origin, Term: j.Term, Submission: j.Submission, Task: Task{j.ID, index}, Kind: TaskRetried, History: h}
 }
 
 // lostNotice returns the notice that an at-most-once job is abandoned because a
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -253,16 +253,13 @@
 	s.mergeHistories(now, offered.ID, offered.Histories)
 	r := s.record(offered.ID)
 	if existing := r.job; existing != nil {
+		existing.Origin, existing.OriginIncarnation, existing.Term = offered.Origin, offered.OriginIncarnation, offered.Term
+		existing.Submission, existing.Deadline = offered.Submission, offered.Deadline
 		for _, index := range offered.Tasks {
 			if !existing.isOpen(index) {
 				notices = append(notices, existing.doneNotice(index, existing.results[index], CompletionRef{}))
 			}
 		}
-		existing.Origin, existing.OriginIncarnation, existing.Term = offered.Origin, offered.OriginIncarnation, offered.Term
-		existing.Deadline = offered.Deadline
-		for i := range notices {
-			notices[i].Origin, notices[i].Term = offered.Origin, offered.Term
-		}
 		return notices, 0, nil
 	}
 	if r.completed != nil {
@@ -396,3 +393,17 @@
 	}
 	return waiting, ids
 }
+
+// withdrawSubmission removes a submission of a job. It returns the number of its waiting
+// tasks, and whether it was present.
+func (s *jobShard) withdrawSubmission(origin, id string, submission uint64) (waiting int, removed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.job(id)
+	if j == nil || j.Origin != origin || j.Submission != submission {
+		return 0, false
+	}
+	waiting = len(j.waiting)
+	s.remove(j)
+	return waiting, true
+}
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -60,8 +60,8 @@
 	token        int64
 	frozenUntil  time.Time // inactive until then
 	polling      map[string]bool
-	listed       []string // upstreams that it may use
-	partial      bool     // whether there are others
+	listed       []string        // upstreams that it may use
+	partial      bool            // whether there are others
 	disconnected map[string]bool // upstreams that it cannot reach
 }
 
@@ -444,7 +444,7 @@
 		j.finished = true
 	case j.job.AtMostOnce && n.Kind != scheduler.JobNotRun:
 		j.finished = true
-		m.execute(j.dispatcher, j.dispatcher.scheduler.Withdraw(m.now, "front", []string{n.Task.Job}))
+		m.execute(j.dispatcher, j.dispatcher.scheduler.Withdraw(m.now, "front", n.Task.Job, 0))
 	}
 	d.scheduler.ConfirmDelivery([]scheduler.CompletionRef{n.Completion})
 }
@@ -524,7 +524,7 @@
 			j.finished = true
 			m.logf("%s is withdrawn", j.job.ID)
 			if d := j.dispatcher; d != nil && d == m.current {
-				m.execute(d, d.scheduler.Withdraw(m.now, "front", []string{j.job.ID}))
+				m.execute(d, d.scheduler.Withdraw(m.now, "front", j.job.ID, 0))
 			}
 		}
 		if len(j.open) > 0 && attempts > 1 {
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -265,15 +265,14 @@
 	}, true
 }
 
-// Withdraw removes jobs of an origin and stops their runs.
-func (s *Scheduler) Withdraw(now time.Time, origin string, ids []string) Actions {
+// Withdraw removes a submission of a job and stops its runs. Another submission of the same
+// job goes on.
+func (s *Scheduler) Withdraw(now time.Time, origin, job string, submission uint64) Actions {
 	var a Actions
-	for _, id := range ids {
-		waiting, removed := s.jobShardFor(id).withdraw(func(j *Job) bool { return j.ID == id && j.Origin == origin })
-		s.waiting.Add(int64(-waiting))
-		if len(removed) > 0 {
-			s.stopRuns(now, "the origin has withdrawn the job", &a, removed...)
-		}
+	waiting, removed := s.jobShardFor(job).withdrawSubmission(origin, job, submission)
+	s.waiting.Add(int64(-waiting))
+	if removed {
+		s.stopRuns(now, "the origin has withdrawn the job", &a, job)
 	}
 	return a
 }
--- a/scheduler/place_test.go
+++ b/scheduler/place_test.go
@@ -15,7 +15,7 @@
 	now := time.Unix(1_700_000_000, 0)
 	for _, bound := range []bool{true, false} {
 		for name, remove := range map[string]func(*Scheduler){
-			"withdrawn":    func(s *Scheduler) { s.Withdraw(now, "front", []string{"a"}) },
+			"withdrawn":    func(s *Scheduler) { s.Withdraw(now, "front", "a", 0) },
 			"a new term":   func(s *Scheduler) { s.BeginTerm(now, 2, time.Second) },
 			"still wanted": func(*Scheduler) {},
 		} {
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -54,7 +54,7 @@
 	require.Len(t, b.place(), 1)
 	cut := b.starts[0].Upstream.Name
 	b.advanceWithout(1200*time.Millisecond, cut)
-	b.record(b.scheduler.Withdraw(b.now, "front", []string{"a"}))
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
 	b.advanceWithout(200*time.Millisecond, cut)
 	require.Empty(t, b.runsOf(task))
 
@@ -78,7 +78,7 @@
 		starts := b.place()
 		require.Len(t, starts, 1)
 		require.Equal(t, attempt+1, starts[0].Run.Attempt)
-		b.record(b.scheduler.Withdraw(b.now, "front", []string{"a"}))
+		b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
 		require.Len(t, b.stops, attempt+1)
 		stop := b.stops[attempt]
 		result, clock := b.upstreams["u1"].Stop(b.now, stop)
@@ -88,6 +88,23 @@
 	}
 }
 
+// The withdrawal of the first submission is delayed until the job has come to the same VM
+// again.
+func TestDelayedWithdrawalEndsNextSubmission(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	first, second := b.job("a", 0), b.job("a", 0)
+	first.Submission, second.Submission = 1, 2
+	b.offer(first)
+	require.Len(t, b.place(), 1)
+	b.offer(second)
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", first.Submission))
+	require.Empty(t, b.stops)
+	b.advanceWithPolls(1100 * time.Millisecond)
+	require.Len(t, b.notices, 1)
+	require.Equal(t, scheduler.TaskDone, b.notices[0].Kind)
+	require.Equal(t, second.Submission, b.notices[0].Submission)
+}
+
 // beginTerm starts a term under the next token.
 func (b *testHarness) beginTerm(token int64) {
 	b.scheduler.BeginTerm(b.now, token, resumeTimeout)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -337,6 +337,9 @@
 	// Term is the term in which the origin offered the job. If the origin has offered
 	// it again since, only TaskDone still holds.
 	Term uint64
+	// Submission is the submission of the job that the notice is about. TaskDone holds for
+	// every submission.
+	Submission uint64
 	// Task identifies the task, or only the job if Kind is JobNotRun or JobAbandoned.
 	Task Task
 	Kind NoticeKind
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -41,12 +41,14 @@
 }
 
 // Job is a job as its origin offers it. Once it is accepted, only Origin,
-// OriginIncarnation, Term and Deadline change, when the job is offered again.
+// OriginIncarnation, Submission, Term and Deadline change, when the job is offered again.
 type Job struct {
 	ID string
 	// Origin is the VM that took the job from its caller, OriginIncarnation its process.
 	Origin            string
 	OriginIncarnation uint64
+	// Submission distinguishes the submissions of the job to its origin.
+	Submission uint64
 	// Term identifies the offer at its origin. Notices about the job name it.
 	Term uint64
 	// Queue is the key of the run time model. Service is the service whose
