scheduler: leases of 0.5 s, polls that wait 0.2 s

Lever: the length of the lease and how often it is renewed.

The margin beyond the error of clocks is 50 ms, since the time at which a response was sent is already covered.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,10 +52,10 @@
 	// lease is the lease that a poll requests for all runs of an upstream. It is
 	// well below the platform's limit of 1 s, so that the capacity held by a
 	// failed dispatcher is soon free.
-	lease = 800 * time.Millisecond
+	lease = 500 * time.Millisecond
 	// maxPollWait is the longest time that a poll waits for a completion. Two
 	// polls fit into one lease.
-	maxPollWait = 350 * time.Millisecond
+	maxPollWait = 200 * time.Millisecond
 	// lossyPollWait replaces maxPollWait while responses are being lost: a lost
 	// poll hides completions until it times out.
 	lossyPollWait = 100 * time.Millisecond
@@ -68,7 +68,7 @@
 	// platform documents 2 %.
 	clockError = 0.02
 	// leaseMargin allows for network and timer delays in addition to clockError.
-	leaseMargin = 100 * time.Millisecond
+	leaseMargin = 50 * time.Millisecond
 	// orphanTimeout is the time within which origins must offer the jobs of
 	// orphaned runs again. It covers two heartbeats and a round trip.
 	orphanTimeout = 700 * time.Millisecond
