--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -27,7 +27,7 @@
 }
 
 func (r *recordTest) offer(j Job) ([]Notice, int, *verdict.Error) {
-	return r.shard.offer(r.now, j, newQueueModel(time.Second), true)
+	return r.shard.offer(r.now, j, newQueueModel(time.Second), termState{r.token, true})
 }
 
 func offered(change func(*Job)) recordStep {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -109,7 +109,9 @@
 // complete processes a completion. If retain is set, the completion of an unknown run
 // stays listed.
 func (u *upstream) complete(now time.Time, c Completion, retain bool) listedCompletion {
-	delete(u.orphans, c.Task)
+	if u.orphans[c.Task].Run == c.Run {
+		delete(u.orphans, c.Task)
+	}
 	f := listedCompletion{run: c.Run, kind: c.Kind, result: c.Result, number: c.Number, upstreamFault: u.health.Ejected()}
 	r := u.runs[c.Task]
 	if r == nil || r.Attempt != c.Attempt {
