scheduler: a job that another dispatcher has had since counts as resumed

The first one ignored that the offer was marked as resumed, since it had the job. In its next term the job even counted as new.

Now such an offer makes the job a resumed one: it waits until its runs are known, and is not said not to have run. An offer after a lost response, with no other dispatcher in between, changes nothing.

Two rows of TestJobRecordTransitions failed before.

--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -87,6 +87,11 @@
 func (s *jobShard) move(now time.Time, j *job, offered Job, t termState) (notices []Notice) {
 	j.Origin, j.OriginIncarnation, j.Term = offered.Origin, offered.OriginIncarnation, offered.Term
 	j.Submission, j.Deadline = offered.Submission, offered.Deadline
+	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
+		// Another dispatcher has had the job since and may have started tasks.
+		j.Resumed, j.heldSince = true, now
+		s.updateHeap(j)
+	}
 	for _, index := range offered.Tasks {
 		if !j.isOpen(index) {
 			notices = append(notices, j.doneNotice(index, j.results[index], CompletionRef{}))
--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -84,10 +84,14 @@
 		waiting int
 		resumed bool // the tasks wait for answers of upstreams
 	}{
-		"no past":                                         {waiting: 2},
-		"resumed, no past":                                {next: func(j *Job) { j.Resumed = true }, waiting: 2, resumed: true},
-		"in progress":                                     {past: []recordStep{offered(nil)}},
-		"in progress, one task done":                      {past: []recordStep{offered(nil), started, finished(0, outcomeDone)}, notices: []NoticeKind{TaskDone}},
+		"no past":                               {waiting: 2},
+		"resumed, no past":                      {next: func(j *Job) { j.Resumed = true }, waiting: 2, resumed: true},
+		"in progress":                           {past: []recordStep{offered(nil)}},
+		"in progress, one task done":            {past: []recordStep{offered(nil), started, finished(0, outcomeDone)}, notices: []NoticeKind{TaskDone}},
+		"in progress, same dispatcher before":   {past: []recordStep{offered(nil)}, next: func(j *Job) { j.Resumed, j.PreviousToken = true, 7 }},
+		"in progress, another dispatcher since": {past: []recordStep{offered(nil)}, next: func(j *Job) { j.Resumed, j.PreviousToken = true, 9 }, resumed: true},
+		"in progress, another dispatcher since, next term": {past: []recordStep{offered(nil), offered(func(j *Job) { j.Resumed, j.PreviousToken = true, 9 }), termEnded},
+			next: func(j *Job) { j.Resumed, j.PreviousToken = true, 7 }, waiting: 2, resumed: true},
 		"done":                                            {past: []recordStep{offered(nil), started, finished(0, outcomeDone), finished(1, outcomeDone)}, notices: []NoticeKind{TaskDone, TaskDone}},
 		"done and forgotten":                              {past: []recordStep{offered(nil), started, finished(0, outcomeDone), finished(1, outcomeDone), passed(4 * time.Second)}, waiting: 2},
 		"withdrawn before a start":                        {past: []recordStep{offered(nil), withdrawn}, waiting: 2},
