scheduler: a job with started tasks in an earlier submission is not "not run"

The record of the job knows better, and the job is now abandoned as one that may have run (504).

TestResubmissionIsSaidNotToHaveRun failed before.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -18,6 +18,7 @@
 	unfinished int     // number of tasks that have not finished
 	running    int
 	starts     int              // start orders that may have had an effect
+	ranBefore  bool             // an earlier submission may have started tasks
 	current    map[int]runRef   // active run by task index
 	avoid      map[int][]string // upstreams on which a task failed
 	suspects   map[int]float64  // suspicion of tasks that must run isolated; nil if there is none
@@ -116,7 +117,7 @@
 // abandonNotice returns the notice that the job is abandoned.
 func (j *job) abandonNotice(code verdict.Code, reason string, retryAfter time.Duration) Notice {
 	kind := JobNotRun
-	if j.starts > 0 || j.Resumed {
+	if j.starts > 0 || j.Resumed || j.ranBefore {
 		kind = JobAbandoned
 	}
 	return Notice{Origin: j.Origin, Term: j.Term, Submission: j.Submission, Task: Task{Job: j.ID}, Kind: kind, Code: code, Reason: reason, RetryAfter: retryAfter}
--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -61,6 +61,7 @@
 	}
 	for _, index := range offered.Tasks {
 		j.unfinished++
+		j.ranBefore = j.ranBefore || r.attempts[index] > 0
 		if len(r.others[index]) > 0 {
 			j.blocked = append(j.blocked, index)
 		} else {
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// A job whose first submission has started tasks must not be said not to have run, even if
+// the second one starts none.
+func TestResubmissionIsSaidNotToHaveRun(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
+	b.executeStops()
+	b.advanceWithPolls(300 * time.Millisecond)
+	b.offer(b.job("b", 0, 1)) // leaves no capacity
+	require.Len(t, b.place(), 2)
+	again := b.job("a", 0)
+	again.Deadline = b.now.Add(500 * time.Millisecond)
+	b.offer(again)
+	require.Empty(t, b.place())
+	b.advanceWithPolls(600 * time.Millisecond)
+	require.Len(t, b.notices, 1)
+	require.Equal(t, scheduler.JobAbandoned, b.notices[0].Kind)
+}
+
 // The withdrawal of the first submission is delayed until the job has come to the same VM
 // again.
 func TestDelayedWithdrawalEndsNextSubmission(t *testing.T) {
