Log the runs that a dispatcher finds, and those that outlive its account

A run that was counted as over and went on left no line at all.

If a poll lists such a run as active or completed, a warning names the reason and the counter mustardstep_runs_resurfaced_total{how} rises; an active one shows a fault when it happens. Runs of another term that a poll finds get a line, a placement names the token of its order, and at debug level each completion and its acknowledgement are logged.

Nothing that is decided has changed.

--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -64,7 +64,7 @@
 	}
 	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
 		slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
-		slog.String("upstream", start.Upstream.Name), slog.Int64("waited_us", start.Waited.Microseconds()),
+		slog.String("upstream", start.Upstream.Name), slog.Int64("token", start.Token), slog.Int64("waited_us", start.Waited.Microseconds()),
 		slog.Int64("expected_us", start.Expected.Microseconds()), slog.Int64("left_us", start.Left.Microseconds()),
 		slog.Int("free_cpu", start.Free.MilliCPU))
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -21,9 +21,9 @@
 
 func testStart() *scheduler.Start {
 	return &scheduler.Start{
-		Run:      scheduler.Run{Task: scheduler.Task{Job: "5c0e7a21d94b36f8", Index: 17}, Attempt: 1},
-		Upstream: scheduler.Upstream{Name: "casablanca-rota-desk-07"},
-		Waited:   1234 * time.Microsecond, Expected: 60 * time.Millisecond, Left: 90 * time.Millisecond,
+		Run:   scheduler.Run{Task: scheduler.Task{Job: "5c0e7a21d94b36f8", Index: 17}, Attempt: 1},
+		Token: 7, Upstream: scheduler.Upstream{Name: "casablanca-rota-desk-07"},
+		Waited: 1234 * time.Microsecond, Expected: 60 * time.Millisecond, Left: 90 * time.Millisecond,
 		Free: scheduler.Size{MilliCPU: 2400},
 	}
 }
@@ -60,7 +60,7 @@
 	for i, want := range []map[string]any{
 		{"msg": "route", "caller": "museum", "key": "k", "home": "casablanca", "owner": "vm1", "reason": "forward"},
 		{"msg": "place", "job": "5c0e7a21d94b36f8", "task": 17.0, "attempt": 1.0, "upstream": "casablanca-rota-desk-07",
-			"waited_us": 1234.0, "expected_us": 60000.0, "left_us": 90000.0, "free_cpu": 2400.0},
+			"token": 7.0, "waited_us": 1234.0, "expected_us": 60000.0, "left_us": 90000.0, "free_cpu": 2400.0},
 		{"msg": "refuse", "caller": "museum", "key": "k", "verdict": "failed: not run", "code": "quota", "reason": "too many"},
 	} {
 		require.NotEmpty(t, all[i]["time"])
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -183,11 +183,7 @@
 	for _, upstream := range a.Polls {
 		go n.pollNow(n.runCtx, upstream)
 	}
-	for _, lost := range a.Lost {
-		n.log.Info("run lost", slog.String("job", lost.Job), slog.Int("task", lost.Index), slog.Int("attempt", lost.Attempt),
-			slog.String("upstream", lost.Upstream), slog.Bool("started", lost.MayHaveRun), slog.String("why", lost.Reason),
-			slog.Int64("process", lost.ProcessStart), slog.Int("sharing", lost.Sharing), slog.Int64("contact_ms", lost.Contact.Milliseconds()), slog.Float64("suspicion", lost.Suspicion))
-	}
+	n.logRuns(&a)
 	byOrigin := map[string]*originReport{}
 	for _, notice := range a.Notices {
 		r := byOrigin[notice.Origin]
@@ -230,6 +226,24 @@
 	}
 }
 
+// logRuns logs the runs that were lost, found or listed after they had counted as over.
+func (n *Node) logRuns(a *scheduler.Actions) {
+	for _, lost := range a.Lost {
+		n.log.Info("run lost", slog.String("job", lost.Job), slog.Int("task", lost.Index), slog.Int("attempt", lost.Attempt),
+			slog.String("upstream", lost.Upstream), slog.Bool("started", lost.MayHaveRun), slog.String("why", lost.Reason),
+			slog.Int64("process", lost.ProcessStart), slog.Int("sharing", lost.Sharing), slog.Int64("contact_ms", lost.Contact.Milliseconds()), slog.Float64("suspicion", lost.Suspicion))
+	}
+	for _, found := range a.Found {
+		n.log.Info("run of another term found", slog.String("job", found.Job), slog.Int("task", found.Index), slog.Int("attempt", found.Attempt),
+			slog.String("upstream", found.Upstream))
+	}
+	for _, r := range a.Resurfaced {
+		n.metrics.observeResurfaced(r.State)
+		n.log.Warn("run that counted as over was listed", slog.String("job", r.Job), slog.Int("task", r.Index), slog.Int("attempt", r.Attempt),
+			slog.String("upstream", r.Upstream), slog.String("how", r.State), slog.String("why_over", r.Reason), slog.Int64("since_ms", r.Since.Milliseconds()))
+	}
+}
+
 // deliverLocally processes a report to this node.
 func (n *Node) deliverLocally(r *originReport) {
 	moved := n.applyCompletions(n.config.VM, &r.CompletionsRequest)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -55,6 +55,11 @@
 	m.taskWaits.Update(waited.Seconds())
 }
 
+// observeResurfaced counts a run that counted as over and was listed in the given state.
+func (m *Metrics) observeResurfaced(state string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
+}
+
 // Starts returns the number of start orders by result.
 func (m *Metrics) Starts() map[string]uint64 {
 	starts := map[string]uint64{}
--- a/node/pollers.go
+++ b/node/pollers.go
@@ -131,18 +131,32 @@
 	}
 	if result == scheduler.PollAnswered {
 		n.watchProcess(poll.Upstream)
+		n.logCompletions(ctx, poll, report.Completions)
 	}
 	now := time.Now()
-	for _, completion := range report.Completions {
-		if completion.Number > poll.Acked && completion.Kind != scheduler.CompletionDone {
-			n.log.Info("run finished without success", slog.String("job", completion.Job), slog.Int("task", completion.Index), slog.Int("attempt", completion.Attempt),
-				slog.String("upstream", poll.Upstream.Name), slog.String("how", completion.Kind.String()))
-		}
-	}
 	n.apply(n.scheduler.HandlePollResult(now, poll, result, report))
 	n.wakePlaceLoop()
 }
 
+// logCompletions logs the completions that a poll lists for the first time or again, and at
+// debug level those that succeeded and those that the poll has acknowledged.
+func (n *Node) logCompletions(ctx context.Context, poll scheduler.Poll, completions []scheduler.Completion) {
+	for _, c := range completions {
+		if c.Number <= poll.Acked {
+			continue
+		}
+		level, message := slog.LevelInfo, "run finished without success"
+		if c.Kind == scheduler.CompletionDone {
+			level, message = slog.LevelDebug, "run finished"
+		}
+		n.log.LogAttrs(ctx, level, message, slog.String("job", c.Job), slog.Int("task", c.Index), slog.Int("attempt", c.Attempt),
+			slog.String("upstream", poll.Upstream.Name), slog.String("how", c.Kind.String()), slog.Int64("number", c.Number))
+	}
+	if poll.Acked > 0 {
+		n.log.LogAttrs(ctx, slog.LevelDebug, "completions acknowledged", slog.String("upstream", poll.Upstream.Name), slog.Int64("up_to", poll.Acked))
+	}
+}
+
 // pollNow polls an upstream at once, without waiting for a completion, if the
 // scheduler needs the state of its runs.
 func (n *Node) pollNow(ctx context.Context, upstream string) {
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -14,6 +14,10 @@
 	Notices []Notice
 	// Lost lists runs that ended without a listed completion, for the log.
 	Lost []LostRun
+	// Found lists active runs that this dispatcher has not started, for the log.
+	Found []FoundRun
+	// Resurfaced lists runs that counted as over and are listed, for the log.
+	Resurfaced []ResurfacedRun
 	// unapplied lists lost runs that were not yet applied to their jobs; finishLost
 	// applies them and moves them to Lost.
 	unapplied []finishedRun
@@ -42,6 +46,13 @@
 	Suspicion float64
 }
 
+// FoundRun is an active run that an upstream reports and that this dispatcher has not
+// started in its term.
+type FoundRun struct {
+	Run
+	Upstream string
+}
+
 // Notice informs an origin about a task or a job.
 type Notice struct {
 	Origin string
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -45,6 +45,7 @@
 // lose removes a run that is over without a completion.
 func (u *upstream) lose(now time.Time, r *run, outcome runOutcome, l loss, a *Actions) {
 	u.release(now, r)
+	u.noteOver(now, r.Run, l.reason)
 	a.unapplied = append(a.unapplied, finishedRun{run: r.Run, upstream: u.Name, outcome: outcome, loss: l})
 }
 
@@ -56,12 +57,13 @@
 		l.crash = r.crash
 		u.lose(now, r, lossOutcome(l), l, a)
 	}
-	u.loseOrphans(a)
+	u.loseOrphans(now, "the lease has expired", a)
 }
 
 // loseOrphans removes all orphans because they are over.
-func (u *upstream) loseOrphans(a *Actions) {
+func (u *upstream) loseOrphans(now time.Time, reason string, a *Actions) {
 	for _, o := range u.orphans {
+		u.noteOver(now, o.Run, reason)
 		a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
 	}
 	clear(u.orphans)
@@ -83,7 +85,7 @@
 // process was expected to leave.
 func (u *upstream) noteCrash(now time.Time, evidence string, successor *PollReport, b *blame, a *Actions) {
 	u.claimed = false
-	u.loseOrphans(a)
+	u.loseOrphans(now, evidence, a)
 	var ended []*run
 	for _, r := range u.runs {
 		if successor != nil && successor.reports(r.Run) {
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -129,6 +129,7 @@
 	default:
 		u.release(now, r)
 	}
+	u.noteOver(now, r.Run, "the start order failed: "+result.String())
 	shard.noteReleased(u)
 	shard.mu.Unlock()
 	s.finishRun(now, finishedRun{run: start.Run, upstream: start.Upstream.Name, outcome: outcome}, &a)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -46,6 +46,7 @@
 			continue
 		}
 		u.lastSeen = c.Number
+		u.noteListed(now, c.Run, c.Kind.String(), a)
 		completions = append(completions, u.complete(now, c, s.config.RetainCompletions))
 	}
 	if poll.Sent.Before(u.lastPoll) {
@@ -55,6 +56,7 @@
 	listed := map[Run]int{}
 	for _, r := range report.Running {
 		listed[r.Run] = r.Percent
+		u.noteListed(now, r.Run, activeState, a)
 		known := u.runs[r.Task]
 		if known != nil && known.Attempt == r.Attempt {
 			u.noteProgress(now, known, r.Percent)
@@ -64,6 +66,7 @@
 			if _, present := u.orphans[r.Task]; !present {
 				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: now}
 				u.leaseEnd = now.Add(fencedRunTimeout)
+				a.Found = append(a.Found, FoundRun{r.Run, u.Name})
 			}
 			found = append(found, foundRun{r.Run, u.Name})
 		}
@@ -148,6 +151,9 @@
 	r.model.observe(r.estimate, work)
 }
 
+// absentReason is the reason of the loss of a run that a poll does not list.
+const absentReason = "the upstream does not list the run"
+
 // releaseAbsent removes runs that the upstream reports neither as active nor as
 // completed.
 func (u *upstream) releaseAbsent(now time.Time, poll Poll, report PollReport, listed map[Run]int, a *Actions) {
@@ -170,11 +176,12 @@
 		}
 	}
 	for _, r := range absent {
-		u.lose(now, r, r.absentOutcome(), u.newLoss(now, r, "the upstream does not list the run", len(absent)), a)
+		u.lose(now, r, r.absentOutcome(), u.newLoss(now, r, absentReason, len(absent)), a)
 	}
 	for task, o := range u.orphans {
 		if _, present := listed[o.Run]; !present && o.foundAt.Before(poll.Sent) {
 			delete(u.orphans, task)
+			u.noteOver(now, o.Run, absentReason)
 			a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
 		}
 	}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -15,13 +15,15 @@
 
 // testHarness runs a scheduler against fake upstreams that respond immediately.
 type testHarness struct {
-	t         *testing.T
-	now       time.Time
-	scheduler *scheduler.Scheduler
-	upstreams map[string]*schedulertest.Upstream
-	notices   []scheduler.Notice
-	stops     []scheduler.Stop
-	starts    []scheduler.Start
+	t          *testing.T
+	now        time.Time
+	scheduler  *scheduler.Scheduler
+	upstreams  map[string]*schedulertest.Upstream
+	notices    []scheduler.Notice
+	stops      []scheduler.Stop
+	starts     []scheduler.Start
+	found      []scheduler.FoundRun
+	resurfaced []scheduler.ResurfacedRun
 }
 
 func newTestHarness(t *testing.T, names ...string) *testHarness {
@@ -64,6 +66,8 @@
 func (b *testHarness) record(a scheduler.Actions) {
 	b.notices = append(b.notices, a.Notices...)
 	b.stops = append(b.stops, a.Stops...)
+	b.found = append(b.found, a.Found...)
+	b.resurfaced = append(b.resurfaced, a.Resurfaced...)
 }
 
 // pollAll executes all due polls.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -109,6 +109,8 @@
 	// undelivered holds the numbers of completions not yet delivered to their origins.
 	undelivered map[int64]struct{}
 	idleSince   time.Time
+	// over holds the runs that have counted as over without a completion, across terms.
+	over map[Run]overRun
 
 	health health.Tracker
 	model  speedModel
@@ -186,6 +188,7 @@
 				a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), o.Run, "no job has adopted the run"})
 			}
 		}
+		u.expireOver(now)
 		u.checkStalls(now, scheduler, a)
 		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.polling {
 			s.remove(u)
