scheduler: a job of the last term starts beside the run of another dispatcher

Callers saw: a task with two runs at once after a pause of the VM that dispatches.

Cause: a job of which nothing had started when a term ended was exempt in the next term of the same dispatcher from waiting for the upstreams' first reports. PreviousToken tells only where its origin has offered it. Its caller may have sent it to another origin since, whose dispatcher has started it. A VM that wakes up also reads requests that were sent during its pause and given up since; if it reads one before the pause is noticed, the job counts as unstarted in the term that follows, and starts on the first upstream that answers.

Evidence: TestUnstartedJobStartsBesideRunOfAnotherDispatcher, which failed before: two runs if the other upstream answers 100 ms later.

Change: such a job is treated as a new one, no better: it waits until every upstream has answered in the term, or the leases of earlier terms have expired. It still does not wait as long as a resumed job. The test that fixed the exemption (starts at once although an upstream is silent) demanded the fault; in its place one that demands the times after which each kind of job starts, and one that an unstarted job starts as soon as every upstream has answered.

--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -42,7 +42,7 @@
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
 		current: map[int]runRef{}, results: map[int][]byte{}, index: -1,
 	}
-	if offered.Resumed || !t.settled && !unstarted {
+	if offered.Resumed || !t.settled {
 		j.heldSince = now
 	}
 	for _, index := range offered.Tasks {
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -249,3 +249,31 @@
 	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}))
 	require.Equal(t, scheduler.JobAbandoned, b.notices[len(b.notices)-1].Kind)
 }
+
+// A job waits when the term of its dispatcher ends. Meanwhile its caller sends it again to
+// another VM, whose dispatcher starts it on an upstream that has not answered since.
+func TestUnstartedJobStartsBesideRunOfAnotherDispatcher(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	for _, silence := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond} {
+		b := newTestHarness(t, "u1", "u2")
+		b.offer(b.job("a", 0))
+		other := scheduler.Start{Upstream: b.upstreams["u2"].Info, Token: 150, Run: scheduler.Run{Task: task, Attempt: 1}, Until: b.upstreams["u2"].Clock(b.now) + 400}
+		result, _ := b.upstreams["u2"].Start(b.now, other, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		require.Equal(t, scheduler.OrderDone, result)
+		b.beginTerm(200)
+		again := b.job("a", 0)
+		again.Resumed, again.PreviousToken = true, 100
+		b.offer(again)
+		for began := b.now; b.now.Sub(began) < 1300*time.Millisecond; {
+			if b.now.Sub(began) < silence {
+				b.pollWithout("u2")
+			} else {
+				b.pollAll()
+			}
+			b.place()
+			require.LessOrEqual(t, len(b.runsOf(task)), 1, "u2 was silent for %v", silence)
+			b.advance(10 * time.Millisecond)
+		}
+		require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -176,8 +176,8 @@
 // has passed.
 //
 // A job that had no started task when this scheduler's last term ended, and that
-// was not offered to another dispatcher since, is treated as new. All tasks of
-// any other resumed job wait until every upstream has answered a poll that was
+// its origin did not offer to another dispatcher since, is treated as new: its caller may
+// have sent it to another origin meanwhile. All tasks of any other resumed job wait until every upstream has answered a poll that was
 // sent after the offer, or until resumeTimeout has passed, since runs that an earlier
 // dispatcher started may still be active. resumeTimeout must be long enough that,
 // when it has passed, no run is left that a dispatcher started for an origin that it
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -164,17 +164,19 @@
 	require.Len(t, b.place(), 1)
 }
 
-// A job that had no started task in the last term starts without waiting for every
-// upstream, unless it was offered to another dispatcher since.
-func TestUnstartedJobStartsAtOnceInNextTerm(t *testing.T) {
+// A job that had no started task in the last term waits like a new one: until every upstream
+// has answered, or the leases of earlier terms have expired. Otherwise, or if it was offered to
+// another dispatcher since, it waits like any resumed job.
+func TestUnstartedJobWaitsLikeANewOneInNextTerm(t *testing.T) {
+	const leasesExpired = 600 * time.Millisecond
 	for name, c := range map[string]struct {
 		started       bool
 		previousToken int64
-		placed        int
+		startsAfter   time.Duration
 	}{
-		"nothing started":                      {false, 100, 1},
-		"offered to another dispatcher since":  {false, 101, 0},
-		"started, and active runs are unknown": {true, 100, 0},
+		"nothing started":                      {false, 100, leasesExpired},
+		"offered to another dispatcher since":  {false, 101, resumeTimeout},
+		"started, and active runs are unknown": {true, 100, resumeTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newTestHarness(t, "u1")
@@ -188,12 +190,33 @@
 			j := b.job("a", 0)
 			j.Resumed, j.PreviousToken = true, c.previousToken
 			b.offer(j)
-			b.pollAll()
-			require.Len(t, b.place(), c.placed)
+			began := b.now
+			for len(b.place()) == 0 {
+				require.Less(t, b.now.Sub(began), 2*resumeTimeout)
+				b.advance(10 * time.Millisecond)
+				b.pollWithout(silent.Name)
+			}
+			require.InDelta(t, c.startsAfter, b.now.Sub(began), float64(50*time.Millisecond))
 		})
 	}
 }
 
+// In the next term, a job that had no started task starts as soon as every upstream has answered.
+func TestUnstartedJobStartsOnceUpstreamsHaveAnswered(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	b.offer(b.job("a", 0))
+	b.beginTerm(200)
+	j := b.job("a", 0)
+	j.Resumed, j.PreviousToken = true, 100
+	b.offer(j)
+	b.pollWithout("u2")
+	b.record(b.scheduler.Tick(b.now))
+	require.Empty(t, b.place())
+	b.pollAll()
+	b.record(b.scheduler.Tick(b.now))
+	require.Len(t, b.place(), 1)
+}
+
 // While peers are unreachable, an idle upstream is polled with a wait. If its process
 // is replaced, it is claimed again before a competing dispatcher can use it.
 func TestIdleUpstreamIsPolledWhilePeersAreUnreachable(t *testing.T) {
