scheduler: a job starts between an upstream's report and its registration

Callers could see: a task with two runs at once, just after another VM has begun to dispatch.

Cause: the result of a poll is applied to the upstream first and to the jobs afterwards, under other locks. In between the upstream counted as having answered in the term. If it was the last one, a tick let the new jobs start that had waited for the reports, before the runs in this report were registered.

No run of the real processes was traced to it.

Change: an upstream counts as having answered only when no report of it is being applied.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -205,42 +205,66 @@
 // HandlePollResult processes the result of a poll.
 func (s *Scheduler) HandlePollResult(now time.Time, poll Poll, result PollResult, report PollReport) Actions {
 	var a Actions
+	if news, ok := s.receive(now, poll, result, report, &a); ok {
+		s.applyNews(now, news, &a)
+	}
+	return a
+}
+
+// upstreamNews is what a poll has revealed and jobs do not know yet.
+type upstreamNews struct {
+	name        string
+	upstream    *upstream
+	found       []foundRun
+	completions []listedCompletion
+}
+
+// receive applies the result of a poll to its upstream. ok is false if the result is
+// outdated; otherwise applyNews must be called.
+func (s *Scheduler) receive(now time.Time, poll Poll, result PollResult, report PollReport, a *Actions) (news upstreamNews, ok bool) {
 	shard := s.upstreamShardFor(poll.Upstream.Name)
 	shard.mu.Lock()
+	defer shard.mu.Unlock()
 	u := shard.byName[poll.Upstream.Name]
 	if u == nil || poll.Token != s.token.Load() {
-		shard.mu.Unlock()
-		return a
+		return news, false
 	}
 	u.polling = false
-	var found []foundRun
-	var completions []listedCompletion
+	news.name, news.upstream = u.Name, u
 	switch result {
 	case PollAnswered:
-		completions, found = u.handleReport(now, poll, report, s, &a)
+		news.completions, news.found = u.handleReport(now, poll, report, s, a)
 	case PollFenced:
 		u.lastContact = now
 		u.fence(now)
 	case PollOtherProcess:
 		u.lastContact = now
 		if poll.Upstream.Address == u.Address {
-			u.noteCrash(now, "another process listens at the address", nil, &s.blame, &a)
+			u.noteCrash(now, "another process listens at the address", nil, &s.blame, a)
 		}
 		u.notePollFailure(now)
 	default:
 		u.notePollFailure(now)
 		s.noteLostResponse(now, u)
 	}
+	u.applying++
 	shard.recomputeBounds()
-	shard.mu.Unlock()
-	for _, f := range found {
+	return news, true
+}
+
+// applyNews applies what a poll has revealed to the jobs.
+func (s *Scheduler) applyNews(now time.Time, news upstreamNews, a *Actions) {
+	for _, f := range news.found {
 		s.adopt(now, f)
 	}
-	for _, c := range completions {
-		s.handleCompletion(now, poll.Upstream.Name, c, &a)
+	for _, c := range news.completions {
+		s.handleCompletion(now, news.name, c, a)
 	}
-	s.finishLost(now, &a)
-	return a
+	s.finishLost(now, a)
+	shard := s.upstreamShardFor(news.name)
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	news.upstream.applying--
 }
 
 // noteLostResponse records a lost response of an upstream that has responded
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -102,6 +102,7 @@
 	pollFailures int // consecutive failed polls
 	retryAt      time.Time
 	lastPoll     time.Time // sending time of the newest answered poll
+	applying     int       // reports whose runs and completions are being applied to their jobs
 	lastContact  time.Time // time of the last response
 	polling      bool      // a poll is pending
 	lastSeen     int64     // number of the last processed completion
@@ -152,9 +153,9 @@
 }
 
 // polledAt returns the sending time of the newest answered poll, or the zero time
-// if the upstream is not claimed.
+// if the upstream is not claimed, or if jobs do not know yet what it has reported.
 func (u *upstream) polledAt() time.Time {
-	if !u.claimed {
+	if !u.claimed || u.applying > 0 {
 		return time.Time{}
 	}
 	return u.lastPoll
