node: after a pause, tasks are decided before the pause is noticed

Callers could see: a task with two runs at once within milliseconds of the dispatching VM waking up from a pause.

Cause: only the tick loop looked for pauses. Other goroutines may run first after a pause: they accepted offers of requests that were sent during the pause, in the term from before it, and placed tasks by what was known then. Orders carry the old token, so they are rejected wherever the next dispatcher has claimed the upstream, but not where it could not.

Change: offers and placements check for a pause as the tick does, under one lock, so that none of them goes on before the new term has begun. The detector has its own file.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -11,7 +11,6 @@
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
-	"golang.org/x/sys/unix"
 )
 
 func (n *Node) handleOffer(_ context.Context, _ *wire.Hello, r *wire.OfferRequest) wire.Message {
@@ -20,6 +19,9 @@
 
 // acceptOffer passes an offered job to the scheduler.
 func (n *Node) acceptOffer(r *wire.OfferRequest) *wire.OfferResponse {
+	if err := n.checkPause(); err != nil {
+		return &wire.OfferResponse{WrongTerm: true, Reason: err.Error()}
+	}
 	if r.Term == 0 || r.Term != n.termFor(r.Origin) {
 		return &wire.OfferResponse{WrongTerm: true, Reason: "this VM does not dispatch in the offer's term"}
 	}
@@ -67,6 +69,9 @@
 			return nil
 		case <-n.placeSignal:
 		}
+		if err := n.checkPause(); err != nil {
+			return err
+		}
 		now := time.Now()
 		if !n.canPlace(now) {
 			continue // the next tick tries again
@@ -79,41 +84,22 @@
 	}
 }
 
-// maxPause is the time between two ticks above which this process counts as
-// paused. It is three times the 100 ms for which a CPU quota may stop a VM.
-const maxPause = 300 * time.Millisecond
-
-// bootTime reads the boot clock, which also advances while the machine is
-// suspended.
-func bootTime() (time.Duration, error) {
-	var t unix.Timespec
-	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
-	return time.Duration(t.Nano()), errors.Wrap(err, "read the boot clock")
-}
-
-// tickLoop calls the scheduler's Tick and detects pauses of this process.
+// tickLoop calls the scheduler's Tick.
 func (n *Node) tickLoop(ctx context.Context) error {
 	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
-	last, err := bootTime()
-	for err == nil {
+	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
 		}
-		var now time.Duration
-		if now, err = bootTime(); err != nil {
-			break
-		}
-		if pause := now - last; pause > maxPause {
-			n.restartTerm(time.Now(), pause)
+		if err := n.checkPause(); err != nil {
+			return err
 		}
-		last = now
 		n.apply(n.scheduler.Tick(time.Now()))
 		n.wakePlaceLoop()
 	}
-	return err // without the clock, suspensions stay undetected and tasks may run twice
 }
 
 // startRun sends a start order and passes the answer to the scheduler.
--- a/node/node.go
+++ b/node/node.go
@@ -142,6 +142,7 @@
 	origins  origins
 	outboxes outboxes
 	pollers  pollers
+	pauses   pauseDetector
 	rtt      rttEstimator // of calls to upstreams
 
 	table    atomic.Pointer[routing.Table] // nil before the first configuration
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/routing"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
@@ -388,3 +389,17 @@
 	origin := c.otherThan(first)
 	require.Equal(t, intake.Succeeded, origin.submit(context.Background(), "a", 2, waitTimeout).Outcome)
 }
+
+// After a pause an offer may be handled before the next tick. It must not be accepted in the
+// term from before the pause.
+func TestOfferAfterPauseIsAcceptedInOutdatedTerm(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	n := c.dispatcher()
+	before := n.termFor("vm9")
+	n.pauses.mu.Lock()
+	n.pauses.last -= 2 * maxPause
+	n.pauses.mu.Unlock()
+	response := n.acceptOffer(&wire.OfferRequest{Job: "a", Origin: "vm9", Term: before, Queue: "alert", Service: "rota", Tasks: []int{0}})
+	require.True(t, response.WrongTerm, "the offer names the term from before the pause")
+	require.Greater(t, n.termFor("vm9"), before)
+}
--- /dev/null
+++ b/node/pause.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// maxPause is the time without activity above which this process counts as
+// paused. It is three times the 100 ms for which a CPU quota may stop a VM.
+const maxPause = 300 * time.Millisecond
+
+// pauseDetector finds pauses of this process. The tick loop checks it every
+// scheduler.TickInterval, so that a longer gap between two checks is a pause.
+type pauseDetector struct {
+	mu   sync.Mutex    // guards the field below; held while a pause is handled
+	last time.Duration // boot time of the last check; 0 before the first one
+}
+
+// bootTime reads the boot clock, which also advances while the machine is
+// suspended.
+func bootTime() (time.Duration, error) {
+	var t unix.Timespec
+	err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t)
+	return time.Duration(t.Nano()), errors.Wrap(err, "read the boot clock")
+}
+
+// checkPause starts a new term if this process was paused since the last check: what it
+// knows is outdated. Whatever decides on the start of tasks must call it first, since after
+// a pause it may run before the tick loop.
+func (n *Node) checkPause() error {
+	n.pauses.mu.Lock()
+	defer n.pauses.mu.Unlock()
+	now, err := bootTime()
+	if err != nil {
+		return err // without the clock, pauses stay undetected and tasks may run twice
+	}
+	if last := n.pauses.last; last != 0 && now-last > maxPause {
+		n.restartTerm(time.Now(), now-last)
+	}
+	n.pauses.last = now
+	return nil
+}
+
+// restartTerm starts a new term after a pause of this process, because orders
+// that it was about to send are outdated.
+func (n *Node) restartTerm(now time.Time, pause time.Duration) {
+	n.log.Warn("process was paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", n.term.current() != 0))
+	if n.term.current() == 0 {
+		return
+	}
+	v := n.fleet.View(now, n.termFor(n.config.VM))
+	n.startTerm(now, &v, "this process was paused")
+	n.wakeTermLoop()
+}
--- a/node/term.go
+++ b/node/term.go
@@ -297,18 +297,6 @@
 	return wait
 }
 
-// restartTerm starts a new term after a pause of this process, because orders
-// that it was about to send are outdated.
-func (n *Node) restartTerm(now time.Time, pause time.Duration) {
-	n.log.Warn("process was paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", n.term.current() != 0))
-	if n.term.current() == 0 {
-		return
-	}
-	v := n.fleet.View(now, n.termFor(n.config.VM))
-	n.startTerm(now, &v, "this process was paused")
-	n.wakeTermLoop()
-}
-
 // abandonUnreachable abandons the jobs of VMs that have become unreachable, and
 // the jobs of earlier incarnations of the reachable VMs.
 func (n *Node) abandonUnreachable(now time.Time, v *fleet.View) {
