node: terms that start together leave two tokens

Callers could see: their jobs wait until the deadline, or a term in which the offers name another token than the orders.

Cause: the term loop and the notice of a pause start terms from different goroutines. Two starts could interleave, so that the scheduler kept the lower token while offers named the higher one. Offers named a term before the scheduler had begun it; a job accepted in between was removed again.

Change: beginning and ending a term exclude each other, and offers name a term once the scheduler has begun it.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -403,3 +403,23 @@
 	require.True(t, response.WrongTerm, "the offer names the term from before the pause")
 	require.Greater(t, n.termFor("vm9"), before)
 }
+
+// The term loop and the notice of a pause may start terms at the same time. The scheduler must
+// end up with the token that offers name.
+func TestTermsThatStartTogetherLeaveDifferentTokens(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	n := c.dispatcher()
+	for range 100 {
+		var starters sync.WaitGroup
+		for range 4 {
+			starters.Go(func() { n.startTerm(time.Now(), n.view.Load(), "test") })
+		}
+		starters.Wait()
+		n.term.transition.Lock()
+		poll, ok := n.scheduler.ImmediatePoll(time.Now(), "u0")
+		token := n.term.current()
+		n.term.transition.Unlock()
+		require.True(t, ok)
+		require.Equal(t, token, poll.Token)
+	}
+}
--- a/node/pause.go
+++ b/node/pause.go
@@ -48,11 +48,14 @@
 // restartTerm starts a new term after a pause of this process, because orders
 // that it was about to send are outdated.
 func (n *Node) restartTerm(now time.Time, pause time.Duration) {
-	n.log.Warn("process was paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", n.term.current() != 0))
-	if n.term.current() == 0 {
+	n.term.transition.Lock()
+	defer n.term.transition.Unlock()
+	dispatching := n.term.current() != 0
+	n.log.Warn("process was paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", dispatching))
+	if !dispatching {
 		return
 	}
 	v := n.fleet.View(now, n.termFor(n.config.VM))
-	n.startTerm(now, &v, "this process was paused")
+	n.beginTerm(now, &v, "this process was paused")
 	n.wakeTermLoop()
 }
--- a/node/term.go
+++ b/node/term.go
@@ -64,6 +64,9 @@
 
 // term holds the state of this node's term as dispatcher.
 type term struct {
+	// transition is held while a term begins or ends. It is locked before mu.
+	transition sync.Mutex
+
 	mu          sync.Mutex // guards the fields below
 	token       int64      // 0 while not dispatching
 	startedAt   time.Time
@@ -209,6 +212,13 @@
 
 // startTerm starts a term under a new token and claims the upstreams.
 func (n *Node) startTerm(now time.Time, v *fleet.View, reason string) {
+	n.term.transition.Lock()
+	defer n.term.transition.Unlock()
+	n.beginTerm(now, v, reason)
+}
+
+// beginTerm is startTerm for a caller that holds transition.
+func (n *Node) beginTerm(now time.Time, v *fleet.View, reason string) {
 	t := &n.term
 	t.mu.Lock()
 	counter := max(n.fleet.Token()>>tokenHashBits, time.Now().Unix()-tokenEpoch) + 1<<t.reclaims
@@ -217,12 +227,16 @@
 	}
 	hash := int64(rendezvous.HashPair(n.config.VM, n.fleet.Self().Address) & (1<<tokenHashBits - 1))
 	token := n.fleet.NextToken(counter<<tokenHashBits | hash)
-	t.token, t.startedAt, t.fencedSince, t.claimKey = token, now, time.Time{}, claimKey(v)
+	t.startedAt, t.fencedSince, t.claimKey = now, time.Time{}, claimKey(v)
 	t.mu.Unlock()
 	n.log.Info("term started", slog.Int64("token", token), slog.String("why", reason), slog.String("scope", v.Scope.String()), slog.Int("heard", len(v.Reachable)),
 		slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
 	n.metrics.Terms.Inc()
 	n.scheduler.BeginTerm(now, token, resumeDelay(n.peerTimeout(), n.config.LeaseMax))
+	// Offers name the new term only now: BeginTerm removes the jobs that it finds.
+	t.mu.Lock()
+	t.token = token
+	t.mu.Unlock()
 	wake(n.relistSignal)
 	n.applyUpstreams(now)
 	n.pollers.wakeAll()
@@ -239,6 +253,8 @@
 // endTerm stops dispatching. Active runs continue under their leases.
 func (n *Node) endTerm(reason string) {
 	t := &n.term
+	t.transition.Lock()
+	defer t.transition.Unlock()
 	t.mu.Lock()
 	t.token = 0
 	t.mu.Unlock()
