scheduler: a task is done if another dispatcher's run of it succeeded

What callers see: a task whose run here failed starts again although a run of another dispatcher, which this one followed meanwhile, has ended done. That breaks TWICE: a start after a run has ended done, and the end is taken note of.

Cause: the end of such a run applies only to a task that waits. If the task runs here at that time, the end is kept for the next offer of the job, and the task that waits again after its own run does not look at it.

The ends that were kept are now applied whenever a run of the job ends.

Evidence: TestTaskIsRetriedAfterAnotherDispatchersRunSucceeded fails before the change with a second start (attempt 4), and passes after it.

--- a/scheduler/completion.go
+++ b/scheduler/completion.go
@@ -14,19 +14,21 @@
 	listedAt time.Time
 }
 
-// applyUnmatched applies unmatched completions to the job of a record. The caller holds mu.
-func (s *jobShard) applyUnmatched(now time.Time, r *jobRecord) (notices []Notice) {
+// applyUnmatched applies unmatched completions to the job of a record. dequeued is the
+// number of tasks that no longer wait; stop means that the other runs of the job must be
+// stopped. The caller holds mu.
+func (s *jobShard) applyUnmatched(now time.Time, r *jobRecord) (notices []Notice, dequeued int, stop bool) {
 	for ref, c := range r.unmatched {
 		if r.job == nil {
 			break
 		}
-		more, _, _ := s.finishWaiting(now, r.job, c.finishedRun)
+		more, n, ended := s.finishWaiting(now, r.job, c.finishedRun)
 		if len(more) > 0 {
 			delete(r.unmatched, ref)
 		}
-		notices = append(notices, more...)
+		notices, dequeued, stop = append(notices, more...), dequeued+n, stop || ended
 	}
-	return notices
+	return notices, dequeued, stop
 }
 
 // finishUnknown processes the completion of a run that this dispatcher neither
@@ -110,6 +112,9 @@
 	defer s.mu.Unlock()
 	if j := s.job(f.run.Job); j != nil && j.runs(f) {
 		notices, requeued, stop = s.finishCurrentRun(now, j, f)
+		// Another dispatcher's run of the task may have succeeded meanwhile.
+		more, dequeued, ended := s.applyUnmatched(now, s.records[j.ID])
+		notices, requeued, stop = append(notices, more...), requeued-dequeued, stop || ended
 	} else {
 		s.finishTerminating(now, f)
 		requeued = s.forget(f.run.Task, f.ref())
--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -75,7 +75,7 @@
 	j.rescore(s.epoch)
 	r.job = j
 	if len(r.unmatched) > 0 {
-		notices = s.applyUnmatched(now, r)
+		notices, _, _ = s.applyUnmatched(now, r)
 	}
 	if r.job == j { // no completion has ended the job
 		s.updateHeap(j)
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -249,3 +249,42 @@
 	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}))
 	require.Equal(t, scheduler.JobAbandoned, b.notices[len(b.notices)-1].Kind)
 }
+
+// startElsewhere makes another dispatcher, which an upstream's new process does not know to
+// be outdated, start a run there.
+func (b *testHarness) startElsewhere(name string, run scheduler.Run, work time.Duration) {
+	u := b.upstreams[name]
+	b.now = b.now.Add(10 * time.Millisecond)
+	u.Restart(b.now)
+	start := scheduler.Start{Upstream: u.Info, Token: 50, Run: run, Until: u.Clock(b.now) + 5000}
+	result, _ := u.Start(b.now, start, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, work)
+	require.Equal(b.t, scheduler.OrderDone, result)
+}
+
+// The run of another dispatcher succeeds while the task runs here too. When the run here
+// fails, the task is done.
+func TestTaskIsRetriedAfterAnotherDispatchersRunSucceeded(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	b := newTestHarness(t, "u1", "u2")
+	b.offer(b.job("a", 0))
+	starts := b.place()
+	require.Len(t, starts, 1)
+	first, second := starts[0].Upstream.Name, "u1"
+	if first == second {
+		second = "u2"
+	}
+	b.upstreams[first].Fail = true
+	b.startElsewhere(second, scheduler.Run{Task: task, Attempt: 3}, 200*time.Millisecond)
+	poll, ok := b.scheduler.ImmediatePoll(b.now, second)
+	require.True(t, ok)
+	result, report := b.upstreams[second].Poll(b.now, poll)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, result, report))
+	for range 130 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.place()
+	}
+	require.Len(t, b.starts, 1)
+	require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
+	require.Zero(t, b.scheduler.Waiting())
+}
