scheduler: "old attempt" does not prove that a run is over

What callers see: a task runs twice at the same time.

Cause: an upstream answers "old attempt" if it has had a run of the task with the order's number or a higher one. HandleStartResult released the task at once, and it started elsewhere. The run that the upstream knows may be active: its process was replaced and knew no token when an earlier dispatcher's order arrived, after this dispatcher had last polled the process before. The answered order even extends the lease of that run.

The order now keeps the task and its capacity until a poll that was sent after the answer shows what runs there. A run that is listed is adopted, or blocks the task until it is over; if polls fail, the task waits until the longest lease has expired. At-most-once jobs are still abandoned at once.

Evidence: TestTaskRejectedAsOldAttemptStartsBesideItsRun fails before the change with two runs of the task at the same time, and passes after it.

--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -122,10 +122,16 @@
 		u.release(now, r)
 		outcome = outcomeFailed
 	case OrderOldAttempt:
-		u.release(now, r)
-		if r.atMostOnce {
-			outcome = outcomeLost // an earlier start of the task had an effect on this upstream
+		if !r.atMostOnce {
+			// Another dispatcher may have started that run: a poll shows whether it is active.
+			r.state, r.answeredAt = runRejected, now
+			u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
+			shard.mu.Unlock()
+			a.Polls = append(a.Polls, start.Upstream.Name)
+			return a
 		}
+		u.release(now, r)
+		outcome = outcomeLost // an earlier start of the task had an effect on this upstream
 	default:
 		u.release(now, r)
 	}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -60,7 +60,7 @@
 			u.noteProgress(now, known, r.Percent)
 			continue
 		}
-		if known == nil || firstClaim {
+		if known == nil || firstClaim || known.state == runRejected {
 			if _, present := u.orphans[r.Task]; !present {
 				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: now}
 				u.leaseEnd = now.Add(fencedRunTimeout)
@@ -95,10 +95,10 @@
 // noteProgress records the progress of an active run.
 func (u *upstream) noteProgress(now time.Time, r *run, percent int) {
 	r.confirmed = true
-	if r.state == runOrdered || r.state == runUnknown {
-		if r.state == runUnknown {
-			return // a stop order is pending
-		}
+	switch r.state {
+	case runUnknown:
+		return // a stop order is pending
+	case runOrdered, runRejected:
 		r.state, r.answeredAt = runStarted, now
 	}
 	if percent != r.percent {
@@ -158,7 +158,7 @@
 		}
 		over := false
 		switch r.state {
-		case runStarted:
+		case runStarted, runRejected:
 			over = r.answeredAt.Before(poll.Sent)
 		case runStopping:
 			over = r.stopAnswered && r.answeredAt.Before(poll.Sent)
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -261,6 +261,48 @@
 	require.Equal(b.t, scheduler.OrderDone, result)
 }
 
+// "old attempt" does not tell whether the run that the upstream knows is over.
+func TestTaskRejectedAsOldAttemptStartsBesideItsRun(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	for _, c := range []struct {
+		work, silence time.Duration
+		starts        int
+	}{
+		{time.Second, 0, 1},                      // the run is found and adopted
+		{time.Second, 300 * time.Millisecond, 1}, // the same, once polls are answered
+		{10 * time.Second, 10 * time.Second, 2},  // its lease expires
+		{15 * time.Millisecond, 0, 1},            // its end is found
+		{15 * time.Millisecond, 300 * time.Millisecond, 1},
+	} {
+		b := newTestHarness(t, "u1", "u2")
+		b.offer(b.job("a", 0))
+		starts := b.scheduler.Place(b.now)
+		require.Len(t, starts, 1)
+		name := starts[0].Upstream.Name
+		b.startElsewhere(name, scheduler.Run{Task: task, Attempt: 3}, c.work)
+		b.advance(20 * time.Millisecond)
+		result, clock := b.upstreams[name].Start(b.now, starts[0], scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		require.Equal(t, scheduler.OrderOldAttempt, result)
+		b.starts = starts
+		b.record(b.scheduler.HandleStartResult(b.now, starts[0], result, clock))
+		for began := b.now; b.now.Sub(began) < 2*time.Second; {
+			b.place()
+			require.LessOrEqual(t, len(b.runsOf(task)), 1, "%+v", c)
+			b.advance(10 * time.Millisecond)
+			if b.now.Sub(began) < c.silence {
+				b.pollWithout(name)
+			} else {
+				b.pollAll()
+			}
+		}
+		require.Len(t, b.starts, c.starts, "%+v", c)
+		if c.starts == 1 {
+			require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind, "%+v", c)
+			require.Zero(t, b.scheduler.Waiting())
+		}
+	}
+}
+
 // The run of another dispatcher succeeds while the task runs here too. When the run here
 // fails, the task is done.
 func TestTaskIsRetriedAfterAnotherDispatchersRunSucceeded(t *testing.T) {
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -28,6 +28,7 @@
 const (
 	runOrdered  runState = iota // the start order is pending
 	runUnknown                  // the start order was not answered
+	runRejected                 // the upstream has had a run of the task with this number or a higher one
 	runStarted                  // the upstream has confirmed the run
 	runStopping                 // a stop order is pending
 )
@@ -60,7 +61,7 @@
 
 // absentOutcome returns the outcome of a run that is over without a completion.
 func (r *run) absentOutcome() runOutcome {
-	if r.confirmed || r.processReplaced {
+	if r.confirmed || r.processReplaced && r.state != runRejected {
 		return outcomeLost
 	}
 	return outcomeNoEffect
