scheduler: leases that orders for the former process request from the new one

What callers see: a task runs twice at the same time, after an upstream's process was replaced and the upstream was cut off soon after.

Cause: the ends of leases are times on the upstream's clock, which counts from the start of its process. A poll or start order that was sent to the process before names a time far ahead of the new process's clock, which then grants its longest lease (1 s) instead of the 0.4 or 0.5 s requested. leaseEnd assumed the requested length, so runs counted as over up to 0.5 s too early.

A report of a new process now sets leaseEnd to the end of the longest lease.

Evidence: TestRunsOfNewProcessOutliveTheirLease fails before the change with two runs 580 ms after the cut, and passes after it. An order that reaches a new process which has not reported yet is not covered.

--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/stretchr/testify/require"
 )
 
@@ -368,3 +369,70 @@
 	h.offer(j)
 	require.Equal(t, []scheduler.NoticeKind{scheduler.JobAbandoned}, h.noticesOf("a"))
 }
+
+// replaceProcess offers a task, gets its start executed or pending, and replaces the process
+// of its upstream, which answers a poll that was sent to the process before.
+func (b *testHarness) replaceProcess(confirmed bool) (u *schedulertest.Upstream, start scheduler.Start, clock int64) {
+	for name := range b.upstreams {
+		b.pollImmediately(name) // sets the clock
+	}
+	b.offer(b.job("a", 0))
+	starts := b.scheduler.Place(b.now)
+	require.Len(b.t, starts, 1)
+	u = b.upstreams[starts[0].Upstream.Name]
+	clock = u.Clock(b.now)
+	if confirmed {
+		b.record(b.scheduler.HandleStartResult(b.now, starts[0], scheduler.OrderDone, clock))
+	}
+	b.now = b.now.Add(10 * time.Millisecond)
+	u.Restart(b.now)
+	b.advance(20 * time.Millisecond)
+	b.pollImmediately(u.Info.Name)
+	return u, starts[0], clock
+}
+
+// pollImmediately executes a poll without a wait.
+func (b *testHarness) pollImmediately(name string) {
+	poll, ok := b.scheduler.ImmediatePoll(b.now, name)
+	require.True(b.t, ok)
+	result, report := b.upstreams[name].Poll(b.now, poll)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, result, report))
+}
+
+// cutWithRun starts a task on each of two upstreams. The response of the given one is lost,
+// and it is cut off.
+func (b *testHarness) cutWithRun(cut *schedulertest.Upstream) {
+	j := b.job("b", 0, 1)
+	j.Size.MilliCPU = 15000
+	b.offer(j)
+	for _, start := range b.scheduler.Place(b.now) {
+		u, work := b.upstreams[start.Upstream.Name], 100*time.Millisecond
+		if u == cut {
+			work = 5 * time.Second
+		}
+		result, clock := u.Start(b.now, start, j.Size, work)
+		if u == cut {
+			result, clock = scheduler.OrderUnanswered, 0
+		}
+		b.record(b.scheduler.HandleStartResult(b.now, start, result, clock))
+	}
+	require.Equal(b.t, 1, cut.Running())
+	for began := b.now; b.now.Sub(began) < 1500*time.Millisecond; {
+		b.advance(10 * time.Millisecond)
+		b.pollWithout(cut.Info.Name)
+		b.place()
+		for _, index := range j.Tasks {
+			require.LessOrEqual(b.t, len(b.runsOf(scheduler.Task{Job: "b", Index: index})), 1, "after %v", b.now.Sub(began))
+		}
+	}
+}
+
+// A poll that was sent to the process before asks the new one, whose clock is behind, for
+// the longest lease.
+func TestRunsOfNewProcessOutliveTheirLease(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	b.advance(20 * time.Second)
+	u, _, _ := b.replaceProcess(true)
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
+	b.cutWithRun(u)
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -32,7 +32,7 @@
 	}
 	if report.ProcessStart > u.processStart {
 		if u.processStart != 0 {
-			u.handleNewProcess(now, &report, &s.blame, a)
+			u.handleNewProcess(now, &report, s, a)
 		}
 		u.processStart = report.ProcessStart
 	}
@@ -74,10 +74,12 @@
 
 // handleNewProcess records that the upstream's process was replaced. Unanswered
 // orders may still reach the new process, and its clock does not tell when they
-// expire. The current report comes from the new process: it lists no run of the old
-// one, and it is valid even if the old process answered a poll that was sent later.
-func (u *upstream) handleNewProcess(now time.Time, report *PollReport, b *blame, a *Actions) {
-	u.noteCrash(now, "the upstream's process was replaced", report, b, a)
+// expire: the leases that they and earlier polls request end far ahead of it. The
+// current report comes from the new process: it lists no run of the old one, and it is
+// valid even if the old process answered a poll that was sent later.
+func (u *upstream) handleNewProcess(now time.Time, report *PollReport, s *Scheduler, a *Actions) {
+	u.noteCrash(now, "the upstream's process was replaced", report, &s.blame, a)
+	u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
 	u.model, u.lastSeen, u.lastAcked, u.clock = speedModel{}, 0, 0, 0
 	u.lastPoll = time.Time{}
 	clear(u.undelivered)
