scheduler: late responses of a replaced process do not set the clock

What callers see: a task runs twice at the same time, after an upstream's process was replaced and the upstream was cut off soon after.

Cause: responses of different connections overtake each other. The response of a process that was replaced set the estimate of the upstream's clock after the new process had reported. Orders and polls then named times far ahead of the new process's clock, which granted its longest lease, while the scheduler counted with the requested one.

The clock in the response to an order now counts only if the order was sent to the process that has reported last. Stop orders name it, as start orders do.

--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -98,6 +98,8 @@
 	Upstream Upstream
 	Token    int64
 	Run      Run
+	// ProcessStart is as in Start.
+	ProcessStart int64
 	// Reason is used for logging only.
 	Reason string
 }
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -436,3 +436,25 @@
 	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
 	b.cutWithRun(u)
 }
+
+// A response of the process before must not set the clock: leases that are computed from it
+// are longer than the scheduler assumes.
+func TestLateResponseOfReplacedProcessProlongsLeases(t *testing.T) {
+	for _, late := range []string{"start", "stop"} {
+		t.Run(late, func(t *testing.T) {
+			b := newTestHarness(t, "u1", "u2")
+			b.advance(20 * time.Second)
+			u, start, clock := b.replaceProcess(late == "stop")
+			b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
+			b.advance(400 * time.Millisecond)
+			if late == "start" {
+				b.record(b.scheduler.HandleStartResult(b.now, start, scheduler.OrderNoRoom, clock))
+			} else {
+				stop := scheduler.Stop{Upstream: u.Info, Token: start.Token, Run: start.Run, ProcessStart: start.ProcessStart}
+				a, _, _ := b.scheduler.HandleStopResult(b.now, stop, scheduler.OrderDone, clock)
+				b.record(a)
+			}
+			b.cutWithRun(u)
+		})
+	}
+}
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -78,7 +78,9 @@
 		shard.mu.Unlock()
 		return a
 	}
-	u.setClock(now, clock)
+	if start.ProcessStart == u.processStart {
+		u.setClock(now, clock)
+	}
 	outcome := outcomeNoEffect
 	switch result {
 	case OrderDone:
@@ -89,7 +91,7 @@
 		}
 		if r.unneeded && r.state == runStarted {
 			r.state = runStopping
-			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the run is no longer needed"})
+			a.Stops = append(a.Stops, u.stop(start.Token, r.Run, "the run is no longer needed"))
 		}
 		shard.mu.Unlock()
 		return a
@@ -104,7 +106,7 @@
 			a.Polls = append(a.Polls, u.Name)
 		default:
 			r.state = runUnknown
-			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the start order was not answered"})
+			a.Stops = append(a.Stops, u.stop(start.Token, r.Run, "the start order was not answered"))
 		}
 		shard.mu.Unlock()
 		return a
@@ -157,7 +159,9 @@
 	if u == nil {
 		return a, false, 0
 	}
-	u.setClock(now, clock)
+	if stop.ProcessStart == u.processStart {
+		u.setClock(now, clock)
+	}
 	r := u.runs[stop.Run.Task]
 	if r == nil || r.Run != stop.Run {
 		_, orphaned := u.orphans[stop.Run.Task]
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -308,7 +308,7 @@
 				r.unneeded = true
 				if r.state == runStarted {
 					r.state, r.stopAnswered = runStopping, false
-					a.Stops = append(a.Stops, Stop{u.Upstream, token, r.Run, reason})
+					a.Stops = append(a.Stops, u.stop(token, r.Run, reason))
 				}
 			}
 		}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -137,6 +137,11 @@
 // freeSize returns the free capacity.
 func (u *upstream) freeSize() Size { return u.Size.minus(u.used) }
 
+// stop returns an order to stop a run.
+func (u *upstream) stop(token int64, run Run, reason string) Stop {
+	return Stop{Upstream: u.Upstream, Token: token, Run: run, ProcessStart: u.processStart, Reason: reason}
+}
+
 // release removes a run and frees its capacity.
 func (u *upstream) release(now time.Time, r *run) {
 	if u.runs[r.Task] != r {
@@ -184,7 +189,7 @@
 			if !o.stopping && !u.fenced && now.Sub(o.foundAt) > orphanTimeout {
 				o.stopping = true
 				u.orphans[task] = o
-				a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), o.Run, "no job has adopted the run"})
+				a.Stops = append(a.Stops, u.stop(scheduler.token.Load(), o.Run, "no job has adopted the run"))
 			}
 		}
 		u.checkStalls(now, scheduler, a)
@@ -234,7 +239,7 @@
 			continue // may still complete; a stop would abandon its job
 		}
 		r.state, r.stopAnswered, r.unneeded = runStopping, false, false
-		a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), r.Run, "no progress"})
+		a.Stops = append(a.Stops, u.stop(scheduler.token.Load(), r.Run, "no progress"))
 	}
 }
 
