node: successive processes of a VM use different fencing tokens

Cause: the low bits of a token were a hash of the VM and its address, which a restarted process shares with the one before. If it doesn't know the tokens of that process, because no member has heard of them, and the counters of seconds agree, it uses the same token. Upstreams then execute late orders of the former process, after the new one has seen that nothing runs there.

The hash now includes the incarnation, which differs between the processes.

Evidence: TestRestartedProcessUsesTokenOfTheOneBefore fails before the change: two processes that start terms in the same second use one token. It passes after it.

--- a/node/term.go
+++ b/node/term.go
@@ -215,8 +215,7 @@
 	if n.fleet.Token() == 0 {
 		counter += tokenLead
 	}
-	hash := int64(rendezvous.HashPair(n.config.VM, n.fleet.Self().Address) & (1<<tokenHashBits - 1))
-	token := n.fleet.NextToken(counter<<tokenHashBits | hash)
+	token := n.fleet.NextToken(counter<<tokenHashBits | processHash(n.fleet.Self()))
 	t.token, t.startedAt, t.fencedSince, t.claimKey = token, now, time.Time{}, claimKey(v)
 	t.mu.Unlock()
 	n.log.Info("term started", slog.Int64("token", token), slog.String("why", reason), slog.String("scope", v.Scope.String()), slog.Int("heard", len(v.Reachable)),
@@ -228,6 +227,13 @@
 	n.pollers.wakeAll()
 }
 
+// processHash returns the low bits of a process's tokens. They differ between successive
+// processes of a VM, since orders of a former process may still be executed.
+func processHash(m fleet.Member) int64 {
+	process := rendezvous.Score(rendezvous.HashPair(m.VM, m.Address), m.Incarnation)
+	return int64(process & (1<<tokenHashBits - 1))
+}
+
 // resumeDelay returns the time after which nothing runs that another dispatcher
 // has started for an origin it can no longer reach. By then that dispatcher has
 // abandoned the origin's jobs, and the last lease it renewed has expired even on
