A job waits until earlier dispatchers have ended their terms

What callers see: a job that is sent again to another VM at a hand-over runs beside the run of its first submission.

Cause: a new job starts once every upstream has answered, or maxForeignLease after the start of the term. The latter holds only if the earlier dispatcher renews nothing after that start. It works on until it hears of the term, for a heartbeat interval (0.1 to 0.4 s), and may reach an upstream that this VM cannot reach.

maxForeignLease now also counts from the last time at which a reachable member reported a term. Nothing changes if every upstream answers, or if the earlier dispatcher is not reachable.

Evidence: without the change TestJobStartsWhileEarlierDispatcherReportsItsTerm fails with a start after 580 ms, and the model of TestEarlierDispatcherRenewsAfterTermBegan showed two runs 580 ms after the start of the term, for renewals that go on for 100 ms and more. Renewals by an earlier dispatcher that is not reachable are not covered.

--- a/node/term.go
+++ b/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,6 +144,9 @@
 	if len(v.Unreachable) > 0 {
 		n.term.rivalSeenAt = now
 	}
+	if slices.ContainsFunc(v.Reachable, func(h fleet.Heartbeat) bool { return h.Term != 0 }) {
+		n.scheduler.NotePeerDispatching(now)
+	}
 	before := n.scheduler.HasUnreachablePeers()
 	n.scheduler.SetUnreachablePeers(now.Sub(n.term.rivalSeenAt) < rivalTimeout)
 	if !before && n.scheduler.HasUnreachablePeers() {
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -330,3 +330,41 @@
 	require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
 	require.Zero(t, b.scheduler.Waiting())
 }
+
+// An earlier dispatcher that has not heard of the present term renews the lease of a run on
+// an upstream that this dispatcher cannot reach. It reports that it dispatches. Its caller sends the job again to a VM that
+// offers it here, as new.
+func TestEarlierDispatcherRenewsAfterTermBegan(t *testing.T) {
+	for _, unaware := range []time.Duration{0, 100 * time.Millisecond, 290 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+		t.Run(unaware.String(), func(t *testing.T) {
+			b := newTestHarness(t, "u1", "u2")
+			former := b.scheduler
+			b.offer(b.job("a", 0))
+			starts := b.place()
+			require.Len(t, starts, 1)
+			silent := b.upstreams[starts[0].Upstream.Name]
+			silent.Speed = 0.1 // a long run
+
+			b.scheduler = scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100})
+			list := []scheduler.Upstream{b.upstreams["u1"].Info, b.upstreams["u2"].Info}
+			b.scheduler.SetUpstreams(b.now, list, false)
+			b.beginTerm(200)
+			b.pollWithout(silent.Info.Name)
+			b.offer(b.job("a", 0))
+			task := scheduler.Task{Job: "a", Index: 0}
+			for began := b.now; b.now.Sub(began) < 4*time.Second; {
+				if b.now.Sub(began) < unaware {
+					b.scheduler.NotePeerDispatching(b.now)
+					if poll, due, _, _ := former.NextPoll(b.now, silent.Info.Name); due {
+						result, report := silent.Poll(b.now, poll)
+						former.HandlePollResult(b.now, poll, result, report)
+					}
+				}
+				b.place()
+				require.LessOrEqual(t, len(b.runsOf(task)), 1, "after %v", b.now.Sub(began))
+				b.advance(10 * time.Millisecond)
+				b.pollWithout(silent.Info.Name)
+			}
+		})
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -88,8 +88,8 @@
 	// them: its orphanTimeout, the lease that it renewed meanwhile, and a margin.
 	fencedRunTimeout = orphanTimeout + 1200*time.Millisecond
 	// maxForeignLease is the time after which no run is active that an earlier dispatcher
-	// has started or found, on an upstream that has not answered in this term. It covers
-	// clockError and the error of the clock value from which the lease was computed.
+	// has started or found, on an upstream that has not answered in this term, once that
+	// dispatcher has ended its term. It covers clockError and the error of the clock value from which the lease was computed.
 	maxForeignLease = lease*105/100 + leaseMargin
 	// idleAckDelay is the time after which an idle upstream is polled to
 	// acknowledge its completions.
@@ -133,6 +133,9 @@
 	// suspectsPlacedAt is the time of the last attempt to place suspects, in ns since start.
 	suspectsPlacedAt atomic.Int64
 	termStart        atomic.Int64 // in ns since start
+	// peerDispatchedAt is the last time at which another dispatcher may have renewed leases,
+	// in ns since start.
+	peerDispatchedAt atomic.Int64
 	// resumeTimeout is the time after which resumed jobs may start, in ns.
 	resumeTimeout atomic.Int64
 	waiting       atomic.Int64
@@ -173,7 +176,7 @@
 //
 // A new job waits until the runs of earlier dispatchers are known, because its caller may
 // have sent it before: until every upstream has answered in this term, or maxForeignLease
-// has passed.
+// has passed since the start of the term and the last call of NotePeerDispatching.
 //
 // A job that had no started task when this scheduler's last term ended, and that
 // was not offered to another dispatcher since, is treated as new. All tasks of
@@ -217,6 +220,12 @@
 // until it stops them.
 func (s *Scheduler) SetUnreachablePeers(present bool) { s.unreachablePeers.Store(present) }
 
+// NotePeerDispatching records that another VM reports that it dispatches. It renews the leases
+// of its runs until it has heard of this term.
+func (s *Scheduler) NotePeerDispatching(now time.Time) {
+	s.peerDispatchedAt.Store(int64(now.Sub(s.start)))
+}
+
 // HasUnreachablePeers returns the value passed to SetUnreachablePeers.
 func (s *Scheduler) HasUnreachablePeers() bool { return s.unreachablePeers.Load() }
 
@@ -248,7 +257,8 @@
 	}
 	sizes := s.serviceSizes.Load()
 	allAnswered := !oldestPoll.IsZero() && sizes != nil && len(*sizes) > 0
-	if allAnswered || now.Sub(s.start)-time.Duration(s.termStart.Load()) > maxForeignLease {
+	lastRenewal := time.Duration(max(s.termStart.Load(), s.peerDispatchedAt.Load()))
+	if allAnswered || now.Sub(s.start)-lastRenewal > maxForeignLease {
 		s.settled.Store(true)
 	}
 	criteria := releaseCriteria{oldestPoll: oldestPoll, latestProcessStart: latestStart, settled: s.settled.Load()}
