--- a/scheduler/model_faults_test.go
+++ b/scheduler/model_faults_test.go
@@ -59,7 +59,7 @@
 	m.after(m.randomMillis(300, 2500), func() {
 		d := m.dispatchers[m.rand.IntN(2)]
 		name := m.names[m.rand.IntN(len(m.names))]
-		kind := m.rand.IntN(10)
+		kind := m.rand.IntN(11)
 		m.logf("fault %d: %s, %s", kind, d.name, name)
 		switch kind {
 		case 0:
@@ -86,6 +86,10 @@
 			m.resize(name)
 		case 8:
 			m.crash(name)
+		case 10: // a pause that the dispatcher does not notice
+			if pause := m.now.Add(m.randomMillis(50, 290)); pause.After(d.frozenUntil) {
+				d.frozenUntil = pause
+			}
 		case 9: // looks like a crash, but the upstream works on
 			d.disconnected[name] = true
 			m.after(m.randomMillis(200, 3000), func() { d.disconnected[name] = false })
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -94,6 +94,9 @@
 // no response.
 const lostResponsePercent = 2
 
+// lateResponsePercent is the percentage of orders whose response is processed late.
+const lateResponsePercent = 4
+
 func (m *model) after(d time.Duration, do func()) {
 	m.events.Schedule(m.now.Add(d), do)
 }
@@ -106,6 +109,14 @@
 // delay returns a random message delay.
 func (m *model) delay() time.Duration { return m.randomMillis(1, 12) }
 
+// responseDelay returns the delay of an order's response, which may be processed late.
+func (m *model) responseDelay() time.Duration {
+	if m.rand.IntN(100) < lateResponsePercent {
+		return m.randomMillis(50, 290)
+	}
+	return m.delay()
+}
+
 func (m *model) logf(format string, args ...any) {
 	m.trace = append(m.trace, fmt.Sprintf("%6d ", m.now.Sub(modelStart).Milliseconds())+fmt.Sprintf(format, args...))
 }
@@ -310,7 +321,7 @@
 		r, c := m.upstreams[start.Upstream.Name].Start(m.now, start, j.job.Size, work)
 		if answered {
 			result, clock = r, c
-			m.after(m.delay(), func() { m.handleStartResult(d, start, result, clock) })
+			m.after(m.responseDelay(), func() { m.handleStartResult(d, start, result, clock) })
 		}
 	}, func() { m.handleStartResult(d, start, scheduler.OrderUnanswered, 0) })
 }
@@ -336,7 +347,7 @@
 	m.send(d, stop.Upstream.Name, true, func(answered bool) {
 		result, clock := m.upstreams[stop.Upstream.Name].Stop(m.now, stop)
 		if answered {
-			m.after(m.delay(), func() { handleResult(result, clock) })
+			m.after(m.responseDelay(), func() { handleResult(result, clock) })
 		}
 	}, func() { handleResult(scheduler.OrderUnanswered, 0) })
 }
