scheduler: orphans keep the time at which they were found across terms

What callers see: a run that nobody waits for goes on while the task runs elsewhere.

Cause: a dispatcher renews the lease of a run that it has not started for orphanTimeout, so that an origin can offer its job. Every new term found such a run anew. A dispatcher that begins terms in succession, since it is paused again and again or reclaims upstreams, renewed it without end. Other dispatchers that cannot reach it count on one orphanTimeout (peerRenewalTime, fencedRunTimeout).

The time now carries over to the next term of the same dispatcher.

Evidence: TestTermsInSuccessionRenewOrphan fails before the change: the run was still active after ten terms of 0.6 s. It passes after it.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -62,12 +62,17 @@
 		}
 		if known == nil || firstClaim || known.state == runRejected {
 			if _, present := u.orphans[r.Task]; !present {
-				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: now}
+				foundAt, again := u.orphanSince[r.Run]
+				if !again {
+					foundAt = now
+				}
+				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: foundAt}
 				u.leaseEnd = now.Add(fencedRunTimeout)
 			}
 			found = append(found, foundRun{r.Run, u.Name})
 		}
 	}
+	u.orphanSince = nil
 	u.releaseAbsent(now, poll, report, listed, a)
 	return completions, found
 }
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -368,3 +368,22 @@
 		})
 	}
 }
+
+// A dispatcher that begins one term after the other finds an orphan anew each time, and
+// renews it.
+func TestTermsInSuccessionRenewOrphan(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.upstreams["u1"].Speed = 0.1
+	began := b.now
+	for token := int64(200); token < 1200; token += 100 {
+		b.beginTerm(token)
+		for range 60 { // 0.6 s
+			b.advance(10 * time.Millisecond)
+			b.pollAll()
+			b.executeStops()
+		}
+	}
+	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}), "after %v", b.now.Sub(began))
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -92,7 +92,10 @@
 
 	runs    map[Task]*run
 	orphans map[Task]orphan
-	used    Size
+	// orphanSince tells when the orphans of earlier terms were found, until the first report
+	// of this term.
+	orphanSince map[Run]time.Time
+	used        Size
 	// isolation is that of the runs. Until heldUntil the upstream gets no other tasks than
 	// suspects.
 	isolation isolation
--- a/scheduler/upstream_shard.go
+++ b/scheduler/upstream_shard.go
@@ -96,6 +96,12 @@
 	defer s.mu.Unlock()
 	for _, u := range s.byName {
 		u.claimed, u.fenced, u.retryAt, u.pollFailures = false, false, time.Time{}, 0
+		for _, o := range u.orphans {
+			if u.orphanSince == nil {
+				u.orphanSince = map[Run]time.Time{}
+			}
+			u.orphanSince[o.Run] = o.foundAt
+		}
 		u.runs, u.orphans, u.used = map[Task]*run{}, map[Task]orphan{}, Size{}
 		u.lastSeen, u.lastAcked, u.undelivered = 0, 0, map[int64]struct{}{}
 		u.lastPoll, u.idleSince = now, now
