scheduler: no task starts after its caller's deadline

What callers see: a task runs twice at the same time, after the VM that dispatches was paused for longer than the caller waits.

Cause: the deadline was checked by Tick only. A process that wakes after a pause places tasks before its first tick, also those whose callers have given up and sent the job again to another VM. The same holds for a job that is offered to the next term: it may start before a tick.

A task is no longer placed once the deadline of its job has passed; the next tick removes the job.

Evidence: TestTaskStartsAfterCallersDeadline fails before the change with a start 2.5 s after the deadline, and passes after it.

--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -142,11 +142,11 @@
 	return starts
 }
 
-// mustWait reports whether a suspect must wait: the upstreams may be crashing for a common
-// cause, or the suspect is likely to crash another one and so many have crashed recently
-// that the others are needed for other tasks.
+// mustWait reports whether a suspect must wait: its caller no longer waits, the upstreams may
+// be crashing for a common cause, or the suspect is likely to crash another one and so many
+// have crashed recently that the others are needed for other tasks.
 func (s *Scheduler) mustWait(now time.Time, c candidate) bool {
-	if s.blame.settling(now, c.job.Service) {
+	if c.expired(now) || s.blame.settling(now, c.job.Service) {
 		return true
 	}
 	sizes := s.serviceSizes.Load()
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -13,12 +13,17 @@
 	attempt   int
 	expected  float64   // run time at speed 1, in seconds
 	targetAt  time.Time // when the answer becomes late
+	deadline  time.Time // until which the caller waits
 	avoid     []string
 	model     *queueModel
 	isolation isolation
 	suspicion float64
 }
 
+// expired reports whether the caller no longer waits. It may have sent the job again to
+// another VM; the next tick removes the job.
+func (c *candidate) expired(now time.Time) bool { return !now.Before(c.deadline) }
+
 // demote lowers the jobs at the top of the heap that can no longer reach their tier.
 // The caller holds mu.
 func (s *jobShard) demote(now time.Time) {
@@ -69,8 +74,8 @@
 	j.current[index] = runRef{attempt: attempt}
 	c := candidate{
 		job: &j.Job, index: index, attempt: attempt, expected: j.expected,
-		targetAt: j.Sent.Add(j.targetTime()),
-		avoid:    j.avoid[index], model: j.model,
+		targetAt: j.Sent.Add(j.targetTime()), deadline: j.Deadline,
+		avoid: j.avoid[index], model: j.model,
 	}
 	s.updateHeap(j)
 	return c
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -169,6 +169,9 @@
 
 // bind reserves capacity for a task on the upstream with the lowest cost.
 func (s *Scheduler) bind(now time.Time, c candidate) (Start, bool) {
+	if c.expired(now) {
+		return Start{}, false
+	}
 	for range maxTried {
 		name, ok := s.choose(now, c)
 		if !ok {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -430,3 +430,18 @@
 	}
 	t.Fatal("the task was not started again")
 }
+
+// A process that was paused places tasks before its next tick, which expires jobs. The caller
+// may have sent the job again to another VM meanwhile.
+func TestTaskStartsAfterCallersDeadline(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	j := b.job("a", 0)
+	j.Deadline = b.now.Add(1500 * time.Millisecond)
+	b.offer(j)
+	b.now = b.now.Add(4 * time.Second)
+	require.Empty(t, b.scheduler.Place(b.now))
+	b.record(b.scheduler.Tick(b.now))
+	require.Len(t, b.notices, 1)
+	require.Equal(t, scheduler.JobNotRun, b.notices[0].Kind)
+	require.Zero(t, b.scheduler.Waiting())
+}
