--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -365,7 +365,7 @@
 	Attempt int `msg:"a"`
 	// Upstream is the name of the upstream.
 	Upstream string `msg:"u"`
-	// State is ordered, unknown, started or stopping.
+	// State is ordered, unknown, rejected, started or stopping.
 	State string `msg:"s"`
 	// AgeUS is the time since the start order was sent, in microseconds.
 	AgeUS int64 `msg:"g"`
--- a/node/term.go
+++ b/node/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -146,6 +147,9 @@
 	if len(v.Unreachable) > 0 {
 		n.term.rivalSeenAt = now
 	}
+	if slices.ContainsFunc(v.Reachable, func(h fleet.Heartbeat) bool { return h.Term != 0 }) {
+		n.scheduler.NotePeerDispatching(now)
+	}
 	before := n.scheduler.HasUnreachablePeers()
 	n.scheduler.SetUnreachablePeers(now.Sub(n.term.rivalSeenAt) < rivalTimeout)
 	if !before && n.scheduler.HasUnreachablePeers() {
@@ -225,8 +229,7 @@
 	if n.fleet.Token() == 0 {
 		counter += tokenLead
 	}
-	hash := int64(rendezvous.HashPair(n.config.VM, n.fleet.Self().Address) & (1<<tokenHashBits - 1))
-	token := n.fleet.NextToken(counter<<tokenHashBits | hash)
+	token := n.fleet.NextToken(counter<<tokenHashBits | processHash(n.fleet.Self()))
 	t.startedAt, t.fencedSince, t.claimKey = now, time.Time{}, claimKey(v)
 	t.mu.Unlock()
 	n.log.Info("term started", slog.Int64("token", token), slog.String("why", reason), slog.String("scope", v.Scope.String()), slog.Int("heard", len(v.Reachable)),
@@ -242,6 +245,13 @@
 	n.pollers.wakeAll()
 }
 
+// processHash returns the low bits of a process's tokens. They differ between successive
+// processes of a VM, since orders of a former process may still be executed.
+func processHash(m fleet.Member) int64 {
+	process := rendezvous.Score(rendezvous.HashPair(m.VM, m.Address), m.Incarnation)
+	return int64(process & (1<<tokenHashBits - 1))
+}
+
 // resumeDelay returns the time after which nothing runs that another dispatcher
 // has started for an origin it can no longer reach. By then that dispatcher has
 // abandoned the origin's jobs, and the last lease it renewed has expired even on
--- a/scheduler/explain.go
+++ b/scheduler/explain.go
@@ -6,7 +6,7 @@
 type Placement struct {
 	Run
 	Upstream string
-	// State is ordered, unknown, started or stopping.
+	// State is ordered, unknown, rejected, started or stopping.
 	State string
 	// Age is the time since the start order was issued.
 	Age time.Duration
@@ -37,5 +37,5 @@
 
 // String returns the name shown to operators.
 func (s runState) String() string {
-	return [...]string{"ordered", "unknown", "started", "stopping"}[s]
+	return [...]string{"ordered", "unknown", "rejected", "started", "stopping"}[s]
 }
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -78,7 +78,9 @@
 		shard.mu.Unlock()
 		return a
 	}
-	u.setClock(now, clock)
+	if start.ProcessStart == u.processStart {
+		u.setClock(now, clock)
+	}
 	outcome := outcomeNoEffect
 	switch result {
 	case OrderDone:
@@ -89,7 +91,7 @@
 		}
 		if r.unneeded && r.state == runStarted {
 			r.state = runStopping
-			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the run is no longer needed"})
+			a.Stops = append(a.Stops, u.stop(start.Token, r.Run, "the run is no longer needed"))
 		}
 		shard.mu.Unlock()
 		return a
@@ -104,7 +106,7 @@
 			a.Polls = append(a.Polls, u.Name)
 		default:
 			r.state = runUnknown
-			a.Stops = append(a.Stops, Stop{u.Upstream, start.Token, r.Run, "the start order was not answered"})
+			a.Stops = append(a.Stops, u.stop(start.Token, r.Run, "the start order was not answered"))
 		}
 		shard.mu.Unlock()
 		return a
@@ -122,10 +124,16 @@
 		u.release(now, r)
 		outcome = outcomeFailed
 	case OrderOldAttempt:
-		u.release(now, r)
-		if r.atMostOnce {
-			outcome = outcomeLost // an earlier start of the task had an effect on this upstream
+		if !r.atMostOnce {
+			// Another dispatcher may have started that run: a poll shows whether it is active.
+			r.state, r.answeredAt = runRejected, now
+			u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
+			shard.mu.Unlock()
+			a.Polls = append(a.Polls, start.Upstream.Name)
+			return a
 		}
+		u.release(now, r)
+		outcome = outcomeLost // an earlier start of the task had an effect on this upstream
 	default:
 		u.release(now, r)
 	}
@@ -152,7 +160,9 @@
 	if u == nil {
 		return a, false, 0
 	}
-	u.setClock(now, clock)
+	if stop.ProcessStart == u.processStart {
+		u.setClock(now, clock)
+	}
 	r := u.runs[stop.Run.Task]
 	if r == nil || r.Run != stop.Run {
 		_, orphaned := u.orphans[stop.Run.Task]
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -169,6 +169,9 @@
 
 // bind reserves capacity for a task on the upstream with the lowest cost.
 func (s *Scheduler) bind(now time.Time, c candidate) (Start, bool) {
+	if c.expired(now) {
+		return Start{}, false
+	}
 	for range maxTried {
 		name, ok := s.choose(now, c)
 		if !ok {
@@ -308,7 +311,7 @@
 				r.unneeded = true
 				if r.state == runStarted {
 					r.state, r.stopAnswered = runStopping, false
-					a.Stops = append(a.Stops, Stop{u.Upstream, token, r.Run, reason})
+					a.Stops = append(a.Stops, u.stop(token, r.Run, reason))
 				}
 			}
 		}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -32,7 +32,7 @@
 	}
 	if report.ProcessStart > u.processStart {
 		if u.processStart != 0 {
-			u.handleNewProcess(now, &report, &s.blame, a)
+			u.handleNewProcess(now, &report, s, a)
 		}
 		u.processStart = report.ProcessStart
 	}
@@ -62,25 +62,32 @@
 			u.noteProgress(now, known, r.Percent)
 			continue
 		}
-		if known == nil || firstClaim {
+		if known == nil || firstClaim || known.state == runRejected {
 			if _, present := u.orphans[r.Task]; !present {
-				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: now}
+				foundAt, again := u.orphanSince[r.Run]
+				if !again {
+					foundAt = now
+				}
+				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: foundAt}
 				u.leaseEnd = now.Add(fencedRunTimeout)
 				a.Found = append(a.Found, FoundRun{r.Run, u.Name})
 			}
 			found = append(found, foundRun{r.Run, u.Name})
 		}
 	}
+	u.orphanSince = nil
 	u.releaseAbsent(now, poll, report, listed, a)
 	return completions, found
 }
 
 // handleNewProcess records that the upstream's process was replaced. Unanswered
 // orders may still reach the new process, and its clock does not tell when they
-// expire. The current report comes from the new process: it lists no run of the old
-// one, and it is valid even if the old process answered a poll that was sent later.
-func (u *upstream) handleNewProcess(now time.Time, report *PollReport, b *blame, a *Actions) {
-	u.noteCrash(now, "the upstream's process was replaced", report, b, a)
+// expire: the leases that they and earlier polls request end far ahead of it. The
+// current report comes from the new process: it lists no run of the old one, and it is
+// valid even if the old process answered a poll that was sent later.
+func (u *upstream) handleNewProcess(now time.Time, report *PollReport, s *Scheduler, a *Actions) {
+	u.noteCrash(now, "the upstream's process was replaced", report, &s.blame, a)
+	u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
 	u.model, u.lastSeen, u.lastAcked, u.clock = speedModel{}, 0, 0, 0
 	u.lastPoll = time.Time{}
 	clear(u.undelivered)
@@ -98,10 +105,10 @@
 // noteProgress records the progress of an active run.
 func (u *upstream) noteProgress(now time.Time, r *run, percent int) {
 	r.confirmed = true
-	if r.state == runOrdered || r.state == runUnknown {
-		if r.state == runUnknown {
-			return // a stop order is pending
-		}
+	switch r.state {
+	case runUnknown:
+		return // a stop order is pending
+	case runOrdered, runRejected:
 		r.state, r.answeredAt = runStarted, now
 	}
 	if percent != r.percent {
@@ -164,7 +171,7 @@
 		}
 		over := false
 		switch r.state {
-		case runStarted:
+		case runStarted, runRejected:
 			over = r.answeredAt.Before(poll.Sent)
 		case runStopping:
 			over = r.stopAnswered && r.answeredAt.Before(poll.Sent)
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -277,3 +277,141 @@
 		require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
 	}
 }
+
+// startElsewhere makes another dispatcher, which an upstream's new process does not know to
+// be outdated, start a run there.
+func (b *testHarness) startElsewhere(name string, run scheduler.Run, work time.Duration) {
+	u := b.upstreams[name]
+	b.now = b.now.Add(10 * time.Millisecond)
+	u.Restart(b.now)
+	start := scheduler.Start{Upstream: u.Info, Token: 50, Run: run, Until: u.Clock(b.now) + 5000}
+	result, _ := u.Start(b.now, start, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, work)
+	require.Equal(b.t, scheduler.OrderDone, result)
+}
+
+// "old attempt" does not tell whether the run that the upstream knows is over.
+func TestTaskRejectedAsOldAttemptStartsBesideItsRun(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	for _, c := range []struct {
+		work, silence time.Duration
+		starts        int
+	}{
+		{time.Second, 0, 1},                      // the run is found and adopted
+		{time.Second, 300 * time.Millisecond, 1}, // the same, once polls are answered
+		{10 * time.Second, 10 * time.Second, 2},  // its lease expires
+		{15 * time.Millisecond, 0, 1},            // its end is found
+		{15 * time.Millisecond, 300 * time.Millisecond, 1},
+	} {
+		b := newTestHarness(t, "u1", "u2")
+		b.offer(b.job("a", 0))
+		starts := b.scheduler.Place(b.now)
+		require.Len(t, starts, 1)
+		name := starts[0].Upstream.Name
+		b.startElsewhere(name, scheduler.Run{Task: task, Attempt: 3}, c.work)
+		b.advance(20 * time.Millisecond)
+		result, clock := b.upstreams[name].Start(b.now, starts[0], scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		require.Equal(t, scheduler.OrderOldAttempt, result)
+		b.starts = starts
+		b.record(b.scheduler.HandleStartResult(b.now, starts[0], result, clock))
+		for began := b.now; b.now.Sub(began) < 2*time.Second; {
+			b.place()
+			require.LessOrEqual(t, len(b.runsOf(task)), 1, "%+v", c)
+			b.advance(10 * time.Millisecond)
+			if b.now.Sub(began) < c.silence {
+				b.pollWithout(name)
+			} else {
+				b.pollAll()
+			}
+		}
+		require.Len(t, b.starts, c.starts, "%+v", c)
+		if c.starts == 1 {
+			require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind, "%+v", c)
+			require.Zero(t, b.scheduler.Waiting())
+		}
+	}
+}
+
+// The run of another dispatcher succeeds while the task runs here too. When the run here
+// fails, the task is done.
+func TestTaskIsRetriedAfterAnotherDispatchersRunSucceeded(t *testing.T) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	b := newTestHarness(t, "u1", "u2")
+	b.offer(b.job("a", 0))
+	starts := b.place()
+	require.Len(t, starts, 1)
+	first, second := starts[0].Upstream.Name, "u1"
+	if first == second {
+		second = "u2"
+	}
+	b.upstreams[first].Fail = true
+	b.startElsewhere(second, scheduler.Run{Task: task, Attempt: 3}, 200*time.Millisecond)
+	poll, ok := b.scheduler.ImmediatePoll(b.now, second)
+	require.True(t, ok)
+	result, report := b.upstreams[second].Poll(b.now, poll)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, result, report))
+	for range 130 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.place()
+	}
+	require.Len(t, b.starts, 1)
+	require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
+	require.Zero(t, b.scheduler.Waiting())
+}
+
+// An earlier dispatcher that has not heard of the present term renews the lease of a run on
+// an upstream that this dispatcher cannot reach. It reports that it dispatches. Its caller sends the job again to a VM that
+// offers it here, as new.
+func TestEarlierDispatcherRenewsAfterTermBegan(t *testing.T) {
+	for _, unaware := range []time.Duration{0, 100 * time.Millisecond, 290 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+		t.Run(unaware.String(), func(t *testing.T) {
+			b := newTestHarness(t, "u1", "u2")
+			former := b.scheduler
+			b.offer(b.job("a", 0))
+			starts := b.place()
+			require.Len(t, starts, 1)
+			silent := b.upstreams[starts[0].Upstream.Name]
+			silent.Speed = 0.1 // a long run
+
+			b.scheduler = scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100})
+			list := []scheduler.Upstream{b.upstreams["u1"].Info, b.upstreams["u2"].Info}
+			b.scheduler.SetUpstreams(b.now, list, false)
+			b.beginTerm(200)
+			b.pollWithout(silent.Info.Name)
+			b.offer(b.job("a", 0))
+			task := scheduler.Task{Job: "a", Index: 0}
+			for began := b.now; b.now.Sub(began) < 4*time.Second; {
+				if b.now.Sub(began) < unaware {
+					b.scheduler.NotePeerDispatching(b.now)
+					if poll, due, _, _ := former.NextPoll(b.now, silent.Info.Name); due {
+						result, report := silent.Poll(b.now, poll)
+						former.HandlePollResult(b.now, poll, result, report)
+					}
+				}
+				b.place()
+				require.LessOrEqual(t, len(b.runsOf(task)), 1, "after %v", b.now.Sub(began))
+				b.advance(10 * time.Millisecond)
+				b.pollWithout(silent.Info.Name)
+			}
+		})
+	}
+}
+
+// A dispatcher that begins one term after the other finds an orphan anew each time, and
+// renews it.
+func TestTermsInSuccessionRenewOrphan(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.upstreams["u1"].Speed = 0.1
+	began := b.now
+	for token := int64(200); token < 1200; token += 100 {
+		b.beginTerm(token)
+		for range 60 { // 0.6 s
+			b.advance(10 * time.Millisecond)
+			b.pollAll()
+			b.executeStops()
+		}
+	}
+	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}), "after %v", b.now.Sub(began))
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -28,6 +28,7 @@
 const (
 	runOrdered  runState = iota // the start order is pending
 	runUnknown                  // the start order was not answered
+	runRejected                 // the upstream has had a run of the task with this number or a higher one
 	runStarted                  // the upstream has confirmed the run
 	runStopping                 // a stop order is pending
 )
@@ -60,7 +61,7 @@
 
 // absentOutcome returns the outcome of a run that is over without a completion.
 func (r *run) absentOutcome() runOutcome {
-	if r.confirmed || r.processReplaced {
+	if r.confirmed || r.processReplaced && r.state != runRejected {
 		return outcomeLost
 	}
 	return outcomeNoEffect
@@ -91,7 +92,10 @@
 
 	runs    map[Task]*run
 	orphans map[Task]orphan
-	used    Size
+	// orphanSince tells when the orphans of earlier terms were found, until the first report
+	// of this term.
+	orphanSince map[Run]time.Time
+	used        Size
 	// isolation is that of the runs. Until heldUntil the upstream gets no other tasks than
 	// suspects.
 	isolation isolation
@@ -139,6 +143,11 @@
 // freeSize returns the free capacity.
 func (u *upstream) freeSize() Size { return u.Size.minus(u.used) }
 
+// stop returns an order to stop a run.
+func (u *upstream) stop(token int64, run Run, reason string) Stop {
+	return Stop{Upstream: u.Upstream, Token: token, Run: run, ProcessStart: u.processStart, Reason: reason}
+}
+
 // release removes a run and frees its capacity.
 func (u *upstream) release(now time.Time, r *run) {
 	if u.runs[r.Task] != r {
@@ -186,7 +195,7 @@
 			if !o.stopping && !u.fenced && now.Sub(o.foundAt) > orphanTimeout {
 				o.stopping = true
 				u.orphans[task] = o
-				a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), o.Run, "no job has adopted the run"})
+				a.Stops = append(a.Stops, u.stop(scheduler.token.Load(), o.Run, "no job has adopted the run"))
 			}
 		}
 		u.expireOver(now)
@@ -237,7 +246,7 @@
 			continue // may still complete; a stop would abandon its job
 		}
 		r.state, r.stopAnswered, r.unneeded = runStopping, false, false
-		a.Stops = append(a.Stops, Stop{u.Upstream, scheduler.token.Load(), r.Run, "no progress"})
+		a.Stops = append(a.Stops, u.stop(scheduler.token.Load(), r.Run, "no progress"))
 	}
 }
 
