scheduler: a job of another origin counts as one that has not started

Callers could see: a task with two runs at once after a pause of the VM that dispatches, if the caller had sent the job to two VMs.

Cause: a job counted as unstarted in the last term for any origin that named this term. An origin names the term of its own last offer; that offer can still be on its way, or have met a term in which another origin's offer of the same job started nothing. The origin knows nothing of the dispatcher in between.

Change: what had not started is remembered as an offer: term, origin and submission.

--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -34,8 +34,7 @@
 	if s.epoch.IsZero() {
 		s.epoch = now
 	}
-	unstarted := r.unstartedIn != 0 && r.unstartedIn == s.lastToken && offered.PreviousToken == s.lastToken
-	if unstarted {
+	if s.lastToken != 0 && offered.PreviousToken == s.lastToken && r.unstarted == (offerRef{s.lastToken, offered.Origin, offered.Submission}) {
 		offered.Resumed = false
 	}
 	j := &job{
--- a/scheduler/job_record.go
+++ b/scheduler/job_record.go
@@ -20,9 +20,9 @@
 	rejectedUntil time.Time
 	// completed is set if all tasks have succeeded recently.
 	completed *completedJob
-	// unstartedIn is the token of the term at whose end no task of the job had started,
-	// or 0.
-	unstartedIn int64
+	// unstarted is the offer of the job of which no task had started when the last term
+	// ended, or zero.
+	unstarted offerRef
 	// attempts holds the highest attempt number of each task that this dispatcher has used
 	// or seen. Numbers rise across submissions and terms, until attemptsUntil if there is
 	// no job.
@@ -42,7 +42,7 @@
 
 // empty reports whether nothing is known about the job.
 func (r *jobRecord) empty() bool {
-	return r.job == nil && r.firstSent.IsZero() && r.rejectedUntil.IsZero() && r.completed == nil && r.unstartedIn == 0 &&
+	return r.job == nil && r.firstSent.IsZero() && r.rejectedUntil.IsZero() && r.completed == nil && r.unstarted == (offerRef{}) &&
 		len(r.attempts) == 0 && len(r.others) == 0 && len(r.unmatched) == 0 && len(r.histories) == 0
 }
 
@@ -50,11 +50,11 @@
 // if there was none.
 func (r *jobRecord) endTerm(token int64) {
 	if token != 0 {
-		r.unstartedIn = 0
+		r.unstarted = offerRef{}
 	}
 	if r.job != nil {
 		if r.job.unstarted() {
-			r.unstartedIn = token
+			r.unstarted = offerRef{token, r.job.Origin, r.job.Submission}
 		}
 		r.attemptsUntil = r.job.Deadline.Add(attemptRetention)
 	}
@@ -149,6 +149,14 @@
 // deadline. It exceeds the time after which an order may be executed late.
 const attemptRetention = 10 * time.Second
 
+// offerRef identifies an offer of a job. The same job may come from several origins, each of
+// which knows only to which dispatchers it has offered the job itself.
+type offerRef struct {
+	token      int64
+	origin     string
+	submission uint64
+}
+
 // runRef identifies a run among all runs of its task, of any submission and of any
 // dispatcher. An attempt number alone does not: a dispatcher that does not know of earlier
 // runs counts from 1. An upstream, however, executes no attempt of a task a second time.
--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -100,6 +100,7 @@
 		"withdrawn while running, all runs over":          {past: []recordStep{offered(nil), started, withdrawn, finished(0, outcomeLost), finished(1, outcomeLost)}, waiting: 2},
 		"unstarted when the term ended":                   {past: []recordStep{offered(nil), termEnded}, next: func(j *Job) { j.Resumed, j.PreviousToken = true, 7 }, waiting: 2},
 		"unstarted, another dispatcher since":             {past: []recordStep{offered(nil), termEnded}, next: func(j *Job) { j.Resumed, j.PreviousToken = true, 9 }, waiting: 2, resumed: true},
+		"unstarted, another origin":                       {past: []recordStep{offered(nil), termEnded}, next: func(j *Job) { j.Resumed, j.PreviousToken, j.Origin = true, 7, "other" }, waiting: 2, resumed: true},
 		"unstarted, another term since":                   {past: []recordStep{offered(nil), termEnded, termEnded}, next: func(j *Job) { j.Resumed, j.PreviousToken = true, 7 }, waiting: 2, resumed: true},
 		"running when the term ended":                     {past: []recordStep{offered(nil), started, termEnded}, next: func(j *Job) { j.Resumed, j.PreviousToken = true, 7 }, waiting: 2, resumed: true},
 		"at most once, withdrawn while running":           {past: []recordStep{offered(atMostOnce), started, withdrawn}, next: atMostOnce, refused: true},
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -415,3 +415,63 @@
 	}
 	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}), "after %v", b.now.Sub(began))
 }
+
+// A dispatcher that was paused accepts a job in its old term, which ends without a start of
+// the job. Meanwhile the next dispatcher has started the job for another origin. In the next
+// term, either origin may offer the job first.
+func TestJobAcceptedAfterPauseStartsBesideRunOfNextDispatcher(t *testing.T) {
+	for _, origin := range []string{"front", "other"} {
+		for _, silence := range []time.Duration{20 * time.Millisecond, 300 * time.Millisecond, time.Hour} {
+			testJobAcceptedAfterPause(t, origin, silence)
+		}
+	}
+}
+
+// testJobAcceptedAfterPause replays the hand-overs, with the given origin and the given
+// silence of the upstream that has the run.
+func testJobAcceptedAfterPause(t *testing.T, origin string, silence time.Duration) {
+	task := scheduler.Task{Job: "a", Index: 0}
+	b := newTestHarness(t, "u1", "u2", "u3")
+	next := b.dispatcherWithToken(150)
+	next.offer(b.job("a", 0))
+	require.Len(t, next.place(), 1)
+	silent := next.starts[0].Upstream.Name
+
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1, "the upstream rejects the order of the old term")
+	require.Equal(t, []string{silent}, b.runsOf(task))
+	b.beginTerm(200)
+	again := b.job("a", 0)
+	again.Resumed, again.PreviousToken, again.Origin = true, 100, origin
+	b.offer(again)
+	for began := b.now; b.now.Sub(began) < resumeTimeout+600*time.Millisecond; {
+		if b.now.Sub(began) < silence {
+			b.pollWithout(silent)
+		} else {
+			b.pollAll()
+		}
+		b.place()
+		require.LessOrEqual(t, len(b.runsOf(task)), 1, "origin %s, %s answers after %v", origin, silent, silence)
+		b.advance(10 * time.Millisecond)
+	}
+	if silence == time.Hour {
+		require.Len(t, b.starts, 2, "the lease has expired")
+	} else {
+		require.Len(t, b.starts, 1, "the run goes on")
+	}
+}
+
+// dispatcherWithToken returns the harness of another dispatcher of the same upstreams, which
+// has claimed them with a token.
+func (b *testHarness) dispatcherWithToken(token int64) *testHarness {
+	other := &testHarness{t: b.t, now: b.now, upstreams: b.upstreams, scheduler: scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100})}
+	var list []scheduler.Upstream
+	for _, u := range b.upstreams {
+		list = append(list, u.Info)
+	}
+	other.beginTerm(token)
+	other.scheduler.SetUpstreams(other.now, list, false)
+	other.pollAll()
+	other.record(other.scheduler.Tick(other.now))
+	return other
+}
