scheduler: the first report of a new process ends the runs that it has just started

Callers saw: on the stand-ins, a task with two runs at once after an upstream was reborn under its name; the run before it also kept its capacity (LIMIT).

Cause: the first report of a new process ended every confirmed run that it does not list. A start order that the new process had executed after it took the report, and answered before the report arrived, counted as one of the old process.

Change: only runs that were confirmed before the answered poll was sent end with the old process. The next poll decides about the others.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -78,19 +78,20 @@
 	return outcomeLost
 }
 
-// noteCrash records that the upstream's process has ended, since another one has answered.
-// The runs that the old process confirmed are over. A start order that is pending may reach
+// noteCrash records that the upstream's process has ended, since another one has answered a
+// poll that was sent at the given time. The runs that were confirmed before are over; those
+// confirmed later may belong to the new process, whose answer can be older than they are. A start order that is pending may reach
 // the new process. successor is the first report of the new process, if it is the
 // upstream's own: the runs that it reports are its own. The tasks are suspected unless the
 // process was expected to leave.
-func (u *upstream) noteCrash(now time.Time, evidence string, successor *PollReport, b *blame, a *Actions) {
+func (u *upstream) noteCrash(now, polled time.Time, evidence string, successor *PollReport, b *blame, a *Actions) {
 	u.claimed = false
 	u.loseOrphans(now, evidence, a)
 	var ended []*run
 	for _, r := range u.runs {
 		if successor != nil && successor.reports(r.Run) {
 			r.crash = nil
-		} else if r.confirmed {
+		} else if r.confirmed && r.answeredAt.Before(polled) {
 			ended = append(ended, r)
 		}
 	}
--- a/scheduler/crash_test.go
+++ b/scheduler/crash_test.go
@@ -458,3 +458,38 @@
 		})
 	}
 }
+
+// A poll that a new process has answered can be older than the start orders that the
+// process has executed since. Their runs are its own.
+func TestReportOfNewProcessIsOlderThanItsRuns(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2", "u3", "u4")
+	j := b.job("a", 0)
+	j.Deadline, j.Stretch = b.now.Add(30*time.Second), 20
+	b.offer(j)
+	starts := b.scheduler.Place(b.now)
+	require.Len(t, starts, 1)
+	task, u := starts[0].Run.Task, b.upstreams[starts[0].Upstream.Name]
+	b.now = b.now.Add(10 * time.Millisecond)
+	u.Restart(b.now)
+	poll, ok := b.scheduler.ImmediatePoll(b.now, u.Info.Name)
+	require.True(t, ok)
+	answered, report := u.Poll(b.now, poll)
+	result, clock := u.Start(b.now, starts[0], scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+	require.Equal(t, scheduler.OrderDone, result)
+	b.record(b.scheduler.HandleStartResult(b.now, starts[0], result, clock))
+	b.record(b.scheduler.HandlePollResult(b.now, poll, answered, report))
+	other := b.job("b", 0, 1)
+	other.Deadline, other.Stretch = b.now.Add(30*time.Second), 20
+	b.offer(other)
+	for range 30 {
+		b.place()
+		require.LessOrEqual(t, len(b.runsOf(task)), 1)
+		b.advance(10 * time.Millisecond)
+		for name, v := range b.upstreams { // the next answer of u is on its way
+			if poll, due, _, _ := b.scheduler.NextPoll(b.now, name); due && v != u {
+				result, report := v.Poll(b.now, poll)
+				b.record(b.scheduler.HandlePollResult(b.now, poll, result, report))
+			}
+		}
+	}
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -240,7 +240,7 @@
 	case PollOtherProcess:
 		u.lastContact = now
 		if poll.Upstream.Address == u.Address {
-			u.noteCrash(now, "another process listens at the address", nil, &s.blame, a)
+			u.noteCrash(now, poll.Sent, "another process listens at the address", nil, &s.blame, a)
 		}
 		u.notePollFailure(now)
 	default:
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -32,7 +32,7 @@
 	}
 	if report.ProcessStart > u.processStart {
 		if u.processStart != 0 {
-			u.handleNewProcess(now, &report, s, a)
+			u.handleNewProcess(now, poll.Sent, &report, s, a)
 		}
 		u.processStart = report.ProcessStart
 	}
@@ -85,8 +85,8 @@
 // expire: the leases that they and earlier polls request end far ahead of it. The
 // current report comes from the new process: it lists no run of the old one, and it is
 // valid even if the old process answered a poll that was sent later.
-func (u *upstream) handleNewProcess(now time.Time, report *PollReport, s *Scheduler, a *Actions) {
-	u.noteCrash(now, "the upstream's process was replaced", report, &s.blame, a)
+func (u *upstream) handleNewProcess(now, polled time.Time, report *PollReport, s *Scheduler, a *Actions) {
+	u.noteCrash(now, polled, "the upstream's process was replaced", report, &s.blame, a)
 	u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
 	u.model, u.lastSeen, u.lastAcked, u.clock = speedModel{}, 0, 0, 0
 	u.lastPoll = time.Time{}
