soak: judge every pair of runs of a task

Cause: the checker kept one upstream per task. The start of a second run replaced the first one, and the end of the second left none, so a third run beside the first was not seen. The stand-in answered a start without room before it looked at the token, the deadline and the lease, although a start that is answered with `old` or `room` extends the lease, and it answered `room` to a start of a run that is already there.

Change: the checker keeps every run until its upstream ends it, and names both runs with their upstreams, times and fencing tokens. All starts and ends go to runs.log in the log directory. The stand-in rejects late and fenced starts first and renews the lease with `room`. Half of the soak's upstreams have a clock that is 2% slow.

--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -99,7 +99,7 @@
 func RunSoak(ctx context.Context, o SoakOptions) (*SoakReport, error) {
 	o.RetryTimeout = cmp.Or(o.RetryTimeout, 2*soakCallerDeadline)
 	s := &soakTest{
-		options: o, rng: rand.New(rand.NewPCG(uint64(o.Seed), 1)), dir: o.LogDir, checker: newSoakChecker(), links: newLinks(),
+		options: o, rng: rand.New(rand.NewPCG(uint64(o.Seed), 1)), dir: o.LogDir, links: newLinks(),
 		store: standin.NewFaultyStore(store.NewMemory()), startedAt: time.Now(), deadly: deadlyJobs{ids: map[string]bool{}},
 	}
 	if s.dir == "" {
@@ -110,10 +110,16 @@
 		defer os.RemoveAll(dir)
 		s.dir = dir
 	}
+	runLog, err := os.Create(filepath.Join(s.dir, "runs.log"))
+	if err != nil {
+		return nil, err
+	}
+	defer runLog.Close()
+	s.checker = newSoakChecker(runLog)
 	servingCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	g, servingCtx := errgroup.WithContext(servingCtx)
-	err := s.start(servingCtx, g)
+	err = s.start(servingCtx, g)
 	if err == nil {
 		s.runWithFaults(ctx, servingCtx, g)
 	}
@@ -200,8 +206,9 @@
 	}}
 	u.largest = u.entry.Size
 	u.Upstream = standin.NewUpstream(api.VM{Name: u.entry.Name}, "", []float64{0.6, 1, 1}[i%3], soakMeanTaskTime)
-	u.OnStart = func(run scheduler.Run, used scheduler.Size) {
-		s.recordStart(u, run, used)
+	u.SetClockRate([]float64{1, 0.98}[i%2])
+	u.OnStart = func(run scheduler.Run, token int64, used scheduler.Size) {
+		s.recordStart(u, run, token, used)
 	}
 	u.OnCompletion = func(run scheduler.Run, kind scheduler.CompletionKind) {
 		s.checker.recordCompletion(u.entry.Name, run, kind)
--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/mustardstep/mustardstep/platform"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -13,7 +16,7 @@
 type soakChecker struct {
 	mu             sync.Mutex // guards the fields below
 	jobs           map[string]*soakJob
-	running        map[scheduler.Task]string // upstream of each task that is running
+	running        map[scheduler.Task][]soakRun
 	completed      map[scheduler.Task]bool
 	crashes        map[scheduler.Task]int // upstreams that crashed while they ran the task
 	failures       map[scheduler.Task]int // runs that failed or whose lease expired
@@ -22,6 +25,16 @@
 	violations     []string // the first maxSoakViolations, described
 	violationCount int
 	answers        map[string]int // answers to attempts by outcome
+	startedAt      time.Time
+	runLog         io.Writer // gets a line for each start and end of a run
+}
+
+// soakRun is a run that has not ended.
+type soakRun struct {
+	scheduler.Run
+	upstream string
+	token    int64 // of the order that started it
+	startMS  int64 // since the start of the test
 }
 
 // maxSoakViolations is the number of violations that a report describes. The first ones
@@ -37,10 +50,11 @@
 	answered bool
 }
 
-func newSoakChecker() *soakChecker {
+func newSoakChecker(runLog io.Writer) *soakChecker {
 	return &soakChecker{
-		jobs: map[string]*soakJob{}, running: map[scheduler.Task]string{}, completed: map[scheduler.Task]bool{}, crashes: map[scheduler.Task]int{},
+		jobs: map[string]*soakJob{}, running: map[scheduler.Task][]soakRun{}, completed: map[scheduler.Task]bool{}, crashes: map[scheduler.Task]int{},
 		failures: map[scheduler.Task]int{}, startsBeyond: map[scheduler.Task]int{}, answers: map[string]int{},
+		startedAt: time.Now(), runLog: runLog,
 	}
 }
 
@@ -65,9 +79,10 @@
 }
 
 // recordStart records the start of a run and checks that the used resources fit the
-// upstream's capacity. A deadly task must not be started maxDeadlyStarts times after it
+// upstream's capacity, and that no other run of the task is at work on any upstream,
+// whichever submission of the job it belongs to. A deadly task must not be started maxDeadlyStarts times after it
 // has crashed maxDeadlyCrashes upstreams.
-func (c *soakChecker) recordStart(upstream string, capacity scheduler.Size, run scheduler.Run, used scheduler.Size, deadly bool) {
+func (c *soakChecker) recordStart(upstream string, capacity scheduler.Size, run scheduler.Run, token int64, used scheduler.Size, deadly bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.starts++
@@ -76,10 +91,14 @@
 	} else {
 		job.started = true
 	}
-	if other := c.running[run.Task]; other != "" {
-		c.violation("%v started on %s while its task was running on %s", run, upstream, other)
+	started := soakRun{Run: run, upstream: upstream, token: token, startMS: time.Since(c.startedAt).Milliseconds()}
+	c.log("start %v on %s, token %d", run, upstream, token)
+	for _, other := range c.running[run.Task] {
+		c.violation("%v started on %s at %d ms by token %d while its task was running on %s, attempt %d since %d ms by token %d",
+			run, upstream, started.startMS, token, other.upstream, other.Attempt, other.startMS, other.token)
 	}
-	c.running[run.Task] = upstream
+	c.removeRuns(upstream, run)
+	c.running[run.Task] = append(c.running[run.Task], started)
 	if deadly && c.crashes[run.Task] >= maxDeadlyCrashes {
 		c.startsBeyond[run.Task]++
 		if c.startsBeyond[run.Task] == maxDeadlyStarts {
@@ -101,13 +120,32 @@
 func (c *soakChecker) recordCrash(upstream string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for task, at := range c.running {
-		if at == upstream {
-			c.crashes[task]++
+	for task, runs := range c.running {
+		for _, r := range runs {
+			if r.upstream == upstream {
+				c.crashes[task]++
+			}
 		}
 	}
 }
 
+// removeRuns removes the runs of a task on an upstream up to an attempt: an upstream has
+// at most one run of a task. The caller must hold mu.
+func (c *soakChecker) removeRuns(upstream string, last scheduler.Run) {
+	left := slices.DeleteFunc(c.running[last.Task], func(r soakRun) bool { return r.upstream == upstream && r.Attempt <= last.Attempt })
+	if len(left) == 0 {
+		delete(c.running, last.Task)
+		return
+	}
+	c.running[last.Task] = left
+}
+
+// log writes a line with the elapsed time to the log of the runs. The caller must hold mu.
+func (c *soakChecker) log(format string, args ...any) {
+	// The log is for people; a test does not fail for lack of it.
+	_, _ = fmt.Fprintf(c.runLog, "%7.3f "+format+"\n", append([]any{time.Since(c.startedAt).Seconds()}, args...)...)
+}
+
 // mayHaveFailed reports whether a task of a job has failed as often, or lost as many runs
 // with their upstreams, as a task that is given up. The caller must hold mu.
 func (c *soakChecker) mayHaveFailed(id string, tasks int) bool {
@@ -124,9 +162,8 @@
 func (c *soakChecker) recordCompletion(upstream string, run scheduler.Run, kind scheduler.CompletionKind) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.running[run.Task] == upstream {
-		delete(c.running, run.Task)
-	}
+	c.log("end %v on %s: %v", run, upstream, kind)
+	c.removeRuns(upstream, run)
 	switch kind {
 	case scheduler.CompletionDone:
 		c.completed[run.Task] = true
@@ -176,9 +213,11 @@
 			c.violation("every attempt of job %s was answered with \"not run\" but one of its tasks started", id)
 		}
 	}
-	for task, upstream := range c.running {
+	for task, runs := range c.running {
 		if job := c.jobs[task.Job]; job != nil && job.answered {
-			c.violation("%v was still running on %s at the end although its job was answered", task, upstream)
+			for _, r := range runs {
+				c.violation("%v was still running on %s at the end although its job was answered", task, r.upstream)
+			}
 		}
 	}
 }
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -53,12 +53,12 @@
 }
 
 // recordStart checks a start, and crashes the upstream if the task is deadly.
-func (s *soakTest) recordStart(u *soakUpstream, run scheduler.Run, used scheduler.Size) {
+func (s *soakTest) recordStart(u *soakUpstream, run scheduler.Run, token int64, used scheduler.Size) {
 	u.mu.Lock()
 	name, capacity := u.entry.Name, u.largest
 	u.mu.Unlock()
 	deadly := s.deadly.has(run)
-	s.checker.recordStart(name, capacity, run, used, deadly)
+	s.checker.recordStart(name, capacity, run, token, used, deadly)
 	if deadly {
 		time.AfterFunc(soakCrashTime, func() { s.crash(u, soakDownTime) })
 	}
@@ -67,7 +67,9 @@
 // crash ends the process of an upstream for the given time.
 func (s *soakTest) crash(u *soakUpstream, down time.Duration) {
 	s.checker.recordCrash(u.entry.Name)
-	u.CrashFor(down) // first, so that its runs have ended when the dispatcher notices
+	if !u.CrashFor(down) { // first, so that its runs have ended when the dispatcher notices
+		return
+	}
 	u.process.Crash(down)
 }
 
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -40,13 +40,14 @@
 	taskTime time.Duration // default run time of a task at speed 1
 	// OnStart and OnCompletion, if set, are called for every run with mu held. They
 	// must be set before the upstream serves requests.
-	OnStart      func(run scheduler.Run, used scheduler.Size)
+	OnStart      func(run scheduler.Run, token int64, used scheduler.Size)
 	OnCompletion func(run scheduler.Run, kind scheduler.CompletionKind)
 
 	mu        sync.Mutex // guards the fields below
 	downUntil time.Time  // requests get no response until then
 	model     *schedulertest.Upstream
 	fault     api.UpstreamFault
+	token     int64 // of the start that is being executed
 	starts    []api.StartEntry
 	specs     map[scheduler.Run]api.TaskSpec // by active run
 	changed   chan struct{}                  // closed and replaced by wakeWaiters
@@ -76,7 +77,7 @@
 		Upstream: u.vm.Name, Submission: u.specs[run].Submission, Task: run.Index, AtUS: time.Now().UnixMicro(),
 	})
 	if u.OnStart != nil {
-		u.OnStart(run, u.model.Used)
+		u.OnStart(run, u.token, u.model.Used)
 	}
 }
 
@@ -131,9 +132,10 @@
 	if spec.MilliCPU > 0 {
 		size.MilliCPU = int(spec.MilliCPU)
 	}
-	if u.vm.Slots > 0 && u.model.Used.MilliCPU+size.MilliCPU > u.vm.Slots*taskMilliCPU {
-		return scheduler.OrderNoRoom, clock
+	if u.vm.Slots > 0 && !u.model.HasRun(start.Run.Task) && u.model.Used.MilliCPU+size.MilliCPU > u.vm.Slots*taskMilliCPU {
+		return u.rejectForRoom(now, start)
 	}
+	u.token = start.Token
 	_, present := u.specs[start.Run]
 	if !present {
 		u.specs[start.Run] = spec
@@ -146,6 +148,24 @@
 	return result, clock
 }
 
+// rejectForRoom rejects a start that does not fit. Unless it is fenced or late, it raises
+// the token and renews the lease. The caller holds mu.
+func (u *Upstream) rejectForRoom(now time.Time, start scheduler.Start) (scheduler.OrderResult, int64) {
+	clock := u.model.Clock(now)
+	if start.Until < clock {
+		return scheduler.OrderLate, clock
+	}
+	result, _ := u.model.Poll(now, scheduler.Poll{Token: start.Token, Until: start.Until})
+	if result == scheduler.PollFenced {
+		return scheduler.OrderFenced, clock
+	}
+	return scheduler.OrderNoRoom, clock
+}
+
+// SetClockRate sets the rate of the upstream's clock relative to real time. It must be
+// called before the upstream serves requests.
+func (u *Upstream) SetClockRate(rate float64) { u.model.ClockRate = rate }
+
 // Stop implements node.UpstreamClient.
 func (u *Upstream) Stop(_ context.Context, stop scheduler.Stop) (scheduler.OrderResult, int64, error) {
 	u.mu.Lock()
@@ -279,18 +299,20 @@
 	u.wakeWaiters()
 }
 
-// CrashFor simulates a crash after which no process runs for the given time. It has no
-// effect while none runs. Callers close the upstream's connections afterwards.
-func (u *Upstream) CrashFor(down time.Duration) {
+// CrashFor simulates a crash after which no process runs for the given time. It reports
+// whether a process ran; otherwise it has no effect. Callers close the upstream's
+// connections afterwards.
+func (u *Upstream) CrashFor(down time.Duration) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := time.Now()
 	if now.Before(u.downUntil) {
-		return
+		return false
 	}
 	u.downUntil = now.Add(down)
 	u.model.Restart(now)
 	u.wakeWaiters()
+	return true
 }
 
 // errDown is the error of a request to an upstream without a process.
--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -64,3 +64,27 @@
 	require.Equal(t, scheduler.OrderDone, result)
 	require.Equal(t, scheduler.CompletionLapsed, <-lapsed)
 }
+
+// TestStartWithoutRoomRenewsLease checks that a start that is rejected for lack of room
+// raises the token and renews the lease of the active run.
+func TestStartWithoutRoomRenewsLease(t *testing.T) {
+	u := NewUpstream(api.VM{Name: "u0", Slots: 1}, "", 1, time.Hour)
+	start := scheduler.Start{
+		Upstream: scheduler.Upstream{Name: "u0"}, Token: 1, Run: scheduler.Run{Task: scheduler.Task{Job: "a"}, Attempt: 1}, Spec: "{}", Until: 200,
+	}
+	result, _, err := u.Start(t.Context(), start)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.OrderDone, result)
+	second := start
+	second.Run.Job, second.Token, second.Until = "b", 2, 900
+	result, _, err = u.Start(t.Context(), second)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.OrderNoRoom, result)
+	time.Sleep(300 * time.Millisecond)
+	_, report, err := u.Poll(t.Context(), scheduler.Poll{Upstream: scheduler.Upstream{Name: "u0"}, Token: 2})
+	require.NoError(t, err)
+	require.Len(t, report.Running, 1)
+	result, _, err = u.Start(t.Context(), start)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.OrderFenced, result)
+}
