soak: run a given executable as daemons

Cause: the soak starts the daemon of its own program. Whether it finds a known fault can only be measured with a soak and a daemon of different versions.

Its subcommand `node` must know the flags -peer-listen, -metrics-port and -log-level.

--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -34,14 +34,17 @@
 // startProcess starts a subcommand of the running executable, which contains the
 // daemon and the stand-ins. Output is appended to a log file in logDir.
 func startProcess(name, logDir string, args ...string) (*process, error) {
-	return startProcessEnv(name, logDir, nil, args...)
+	return startExecutable("", name, logDir, nil, args...)
 }
 
-// startProcessEnv is startProcess with additional environment variables.
-func startProcessEnv(name, logDir string, env []string, args ...string) (*process, error) {
-	executable, err := os.Executable()
-	if err != nil {
-		return nil, err
+// startExecutable is startProcess for another executable, unless it is empty, and with
+// additional environment variables.
+func startExecutable(executable, name, logDir string, env []string, args ...string) (*process, error) {
+	if executable == "" {
+		var err error
+		if executable, err = os.Executable(); err != nil {
+			return nil, err
+		}
 	}
 	log, err := os.OpenFile(filepath.Join(logDir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -52,6 +52,7 @@
 	Seconds        float64
 	VMs, Upstreams int
 	LogDir         string // directory for process logs; empty discards them
+	Daemon         string // executable of the daemons; empty for the running one
 	// RetryTimeout is how long a job without an answer is retried; 0 means twice the
 	// caller's deadline.
 	RetryTimeout time.Duration
@@ -295,7 +296,7 @@
 		}
 	}
 	var err error
-	v.process, err = startProcessEnv(v.name, s.dir, []string{platform.SettingsEnv + "=" + v.settingsPath},
+	v.process, err = startExecutable(s.options.Daemon, v.name, s.dir, []string{platform.SettingsEnv + "=" + v.settingsPath},
 		"node", "-peer-listen", v.listenAddr, "-metrics-port", v.metricsPort, "-log-level", "info")
 	return err
 }
