soak: aim at the dispatcher and at the paths to upstreams

Tasks ran for about 60 ms while callers waited for 3 s, so no job was sent again while its tasks ran. No relay stood between VMs and upstreams: a living upstream could not be cut off, reset or refused. Faults were single draws that seldom met the dispatcher.

Change: one relay per VM and upstream; each VM sees the store with its own relays' addresses. Paths are cut in both directions or one, refuse connections, and are reset. A second load has tasks of 2 to 4.5 s, which most callers do not wait for.

--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -50,6 +50,9 @@
 		},
 		func() func() { return s.disturbed(s.removeEntry(u)) },
 		func() func() { return s.drainUpstream(u) },
+		func() func() { return s.cutUpstream(u, s.vms, pathCut(s.rng.IntN(int(pathCuts)))) },
+		func() func() { return s.cutUpstream(u, []*soakVM{v}, pathCut(s.rng.IntN(int(pathCuts)))) },
+		func() func() { return s.resetUpstream(u, s.vms) },
 	}
 	for range 1 + s.rng.IntN(2) {
 		endFault := faults[s.rng.IntN(len(faults))]()
@@ -261,6 +264,7 @@
 	for _, u := range s.upstreams {
 		_ = u.SetFault(api.UpstreamFault{}) // cannot fail without a platform address
 		u.update(func() { u.unregistered, u.entry.Draining = false, false })
+		s.eachPath(u, s.vms, (*upstreamPath).heal)
 	}
 	for _, v := range s.vms {
 		v.signal(syscall.SIGCONT)
--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -14,51 +14,104 @@
 	"github.com/mustardstep/mustardstep/scheduler"
 )
 
+// soakLoadJob is a job of the load and what its caller does.
+type soakLoadJob struct {
+	id, pathPrefix string
+	tasks          int
+	runTime        time.Duration // of a task
+	milliCPU       int           // of a task
+	deadline       time.Duration // stated in the request
+	patience       time.Duration // after which the caller closes the connection
+	firstVM        int
+	maxAttempts    int // 0 for no limit
+	abandons       bool
+}
+
+const (
+	// soakLongInterval is the mean time between long jobs if there is one upstream.
+	soakLongInterval = 5 * time.Second
+	soakLongMilliCPU = 3_400
+	soakLongDeadline = 1500 * time.Millisecond
+	// soakPatientDeadline lets the tasks of a long job end if nothing disturbs them.
+	soakPatientDeadline = 9 * time.Second
+	// soakLongAttempts is how often a long job is sent.
+	soakLongAttempts = 3
+)
+
 // load submits jobs until ctx is done and waits for their answers.
 func (s *soakTest) load(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(uint64(s.options.Seed), 2))
 	var jobs sync.WaitGroup
+	jobs.Go(func() { s.loadLong(ctx) })
 	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("%08x%08x", uint32(s.options.Seed), n)
-		tasks := 1 + rng.IntN(6)
-		runTime := time.Duration((0.2 + rng.ExpFloat64()) * float64(soakMeanTaskTime))
-		firstVM := rng.IntN(len(s.vms))
-		abandons := rng.IntN(20) == 0
+		j := soakLoadJob{
+			id: fmt.Sprintf("%08x%08x", uint32(s.options.Seed), n), pathPrefix: soakPathPrefix, milliCPU: soakTaskMilliCPU,
+			deadline: soakCallerDeadline, patience: soakCallerDeadline,
+		}
+		j.tasks = 1 + rng.IntN(6)
+		j.runTime = time.Duration((0.2 + rng.ExpFloat64()) * float64(soakMeanTaskTime))
+		j.firstVM = rng.IntN(len(s.vms))
+		if j.abandons = rng.IntN(20) == 0; j.abandons {
+			j.patience = j.runTime / 2
+		}
 		if rng.IntN(soakDeadlyShare) == 0 {
-			s.deadly.add(id)
+			s.deadly.add(j.id)
 		}
-		jobs.Go(func() { s.submit(id, tasks, runTime, firstVM, abandons) })
+		jobs.Go(func() { s.submit(j) })
 		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakMeanArrival)))
 	}
 	jobs.Wait()
 }
 
+// loadLong submits jobs whose tasks run for longer than their callers wait, so that they
+// are sent again while their tasks run. Some callers close the connection before.
+func (s *soakTest) loadLong(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(uint64(s.options.Seed), 3))
+	var jobs sync.WaitGroup
+	for n := 0; ctx.Err() == nil; n++ {
+		j := soakLoadJob{
+			// The offset keeps the IDs apart from those of load.
+			id: fmt.Sprintf("%08x%08x", uint32(s.options.Seed), 1<<29+n), pathPrefix: soakLongPrefix, milliCPU: soakLongMilliCPU,
+			deadline: soakLongDeadline, patience: soakLongDeadline, maxAttempts: soakLongAttempts,
+		}
+		j.tasks = 1 + rng.IntN(4)
+		j.runTime = time.Duration(2000+rng.IntN(2500)) * time.Millisecond
+		j.firstVM = rng.IntN(len(s.vms))
+		if rng.IntN(4) == 0 {
+			j.deadline = soakPatientDeadline
+			j.patience = j.deadline
+		}
+		if rng.IntN(6) == 0 {
+			j.patience = time.Duration(200+rng.IntN(1000)) * time.Millisecond
+		}
+		jobs.Go(func() { s.submit(j) })
+		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakLongInterval)/float64(len(s.upstreams))))
+	}
+	jobs.Wait()
+}
+
 // submit sends a job and reports whether it succeeded. Like the platform's callers, it
-// retries at the next VM after an attempt without an answer. If abandons is set, the
-// caller times out after half of the run time and does not retry.
-func (s *soakTest) submit(id string, tasks int, runTime time.Duration, firstVM int, abandons bool) bool {
-	parameters, err := json.Marshal(api.StandinTask{RunUS: runTime.Microseconds()})
+// retries at the next VM after an attempt without an answer, unless the job is abandoned.
+func (s *soakTest) submit(j soakLoadJob) bool {
+	parameters, err := json.Marshal(api.StandinTask{RunUS: j.runTime.Microseconds()})
 	if err != nil {
 		panic(err) // unreachable: the struct always marshals
 	}
-	spec := api.TaskSpec{Submission: id, Tasks: tasks, Service: soakService, Parameters: parameters, MilliCPU: soakTaskMilliCPU, MemoryMB: 64}
+	spec := api.TaskSpec{Submission: j.id, Tasks: j.tasks, Service: soakService, Parameters: parameters, MilliCPU: int64(j.milliCPU), MemoryMB: 64}
 	job := platform.JobRequest{
-		Host: soakHost, Path: soakPathPrefix + id, Spec: string(spec.AppendJSON(nil)), Tasks: tasks,
-		Size: scheduler.Size{MilliCPU: soakTaskMilliCPU, MemoryMB: 64}, Estimate: soakMeanTaskTime, Deadline: soakCallerDeadline,
+		Host: soakHost, Path: j.pathPrefix + j.id, Spec: string(spec.AppendJSON(nil)), Tasks: j.tasks,
+		Size: scheduler.Size{MilliCPU: j.milliCPU, MemoryMB: 64}, Estimate: soakMeanTaskTime, Deadline: j.deadline,
 	}
 	deadline := time.Now().Add(s.options.RetryTimeout)
-	for attempt := 0; time.Now().Before(deadline); attempt++ {
-		ctx, cancel := context.WithTimeout(context.Background(), soakCallerDeadline)
-		if abandons {
-			ctx, cancel = context.WithTimeout(context.Background(), runTime/2)
-		}
-		s.checker.recordAttempt(id, tasks)
-		answer := platform.SubmitJob(ctx, s.vms[(firstVM+attempt)%len(s.vms)].callerAddr, job)
+	for attempt := 0; time.Now().Before(deadline) && (j.maxAttempts == 0 || attempt < j.maxAttempts); attempt++ {
+		ctx, cancel := context.WithTimeout(context.Background(), j.patience)
+		s.checker.recordAttempt(j.id, j.tasks)
+		answer := platform.SubmitJob(ctx, s.vms[(j.firstVM+attempt)%len(s.vms)].callerAddr, job)
 		cancel()
-		if abandons && answer.OutcomeUnknown {
+		if j.abandons && answer.OutcomeUnknown {
 			return false
 		}
-		if !s.checker.recordAnswer(id, answer) {
+		if !s.checker.recordAnswer(j.id, answer) {
 			return answer.Succeeded
 		}
 		time.Sleep(soakRetryDelay)
@@ -73,7 +126,10 @@
 		go func() {
 			// The offset keeps the IDs apart from those of load.
 			id := fmt.Sprintf("%08x%08x", uint32(s.options.Seed), 1<<30+n)
-			results <- s.submit(id, 3, soakMeanTaskTime, n, false)
+			results <- s.submit(soakLoadJob{
+				id: id, pathPrefix: soakPathPrefix, milliCPU: soakTaskMilliCPU, tasks: 3, runTime: soakMeanTaskTime,
+				deadline: soakCallerDeadline, patience: soakCallerDeadline, firstVM: n,
+			})
 		}()
 	}
 	failed := 0
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -1,11 +1,19 @@
 package replay
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/api"
 	"github.com/mustardstep/mustardstep/internal/standin"
+	"github.com/mustardstep/mustardstep/internal/wait"
+	"github.com/mustardstep/mustardstep/platform"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -52,6 +60,53 @@
 	return run.Index == 0 && d.ids[run.Job]
 }
 
+func (s *soakTest) addUpstream(ctx context.Context, g *errgroup.Group, i int) error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	u := &soakUpstream{entry: scheduler.Upstream{
+		Name: fmt.Sprintf("u%02d", i), Address: listener.Addr().String(), Service: soakService,
+		DataCentre: fmt.Sprintf("dc%d", i%soakDataCentres), Size: scheduler.Size{MilliCPU: soakUpstreamMilliCPU, MemoryMB: 32_768},
+	}}
+	u.largest = u.entry.Size
+	u.Upstream = standin.NewUpstream(api.VM{Name: u.entry.Name}, "", []float64{0.6, 1, 1}[i%3], soakMeanTaskTime)
+	u.SetClockRate([]float64{1, 0.98}[i%2])
+	u.OnStart = func(run scheduler.Run, token int64, used scheduler.Size) {
+		s.recordStart(u, run, token, used)
+	}
+	u.OnCompletion = func(run scheduler.Run, kind scheduler.CompletionKind) {
+		s.checker.recordCompletion(u.entry.Name, run, kind)
+	}
+	s.upstreams = append(s.upstreams, u)
+	name := u.entry.Name
+	u.process = standin.NewProcess(listener, func(c *fasthttp.RequestCtx) { platform.ServeUpstream(ctx, name, u.Upstream, c) })
+	g.Go(func() error { return u.process.Run(ctx) })
+	g.Go(func() error { return u.CompleteRuns(ctx) })
+	g.Go(func() error { return s.publishEntry(ctx, u) })
+	return nil
+}
+
+// publishEntry rewrites the entry of an upstream periodically, as real upstreams do.
+func (s *soakTest) publishEntry(ctx context.Context, u *soakUpstream) error {
+	for version := 1; ctx.Err() == nil; version++ {
+		var entry scheduler.Upstream
+		var unregistered bool
+		u.update(func() { entry, unregistered = u.entry, u.unregistered })
+		key, value, err := platform.UpstreamEntry(entry, version)
+		if err != nil {
+			return err
+		}
+		if unregistered {
+			s.store.Memory.Delete(key)
+		} else {
+			s.store.Memory.Set(key, value)
+		}
+		wait.For(ctx, soakEntryInterval)
+	}
+	return nil
+}
+
 // recordStart checks a start, and crashes the upstream if the task is deadly.
 func (s *soakTest) recordStart(u *soakUpstream, run scheduler.Run, token int64, used scheduler.Size) {
 	u.mu.Lock()
@@ -70,7 +125,9 @@
 	if !u.CrashFor(down) { // first, so that its runs have ended when the dispatcher notices
 		return
 	}
+	s.setDown(u, true)
 	u.process.Crash(down)
+	time.AfterFunc(down, func() { s.setDown(u, false) })
 }
 
 func (s *soakTest) crashUpstream(u *soakUpstream) func() {
