soak: cut off the upstreams that run most

Cause: series of faults chose their upstreams at random, and long jobs keep few of them busy. A cut that accompanies the freeze of one dispatcher was healed at once.

Change: series take the upstreams with the most active runs, four draws of five are series, and the cut lasts as long as the freeze.

--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -35,8 +35,8 @@
 	soakMeanArrival      = 30 * time.Millisecond // mean time between jobs
 	soakLongPrefix       = "/repairs/"
 	soakLongTimeout      = 30 * time.Second // of the queue of long jobs; their callers wait for less
-	soakSeriesShare      = 3                // one draw of so many is a mix of single faults, the others are series
-	soakMaxMixed         = 6                // draws of single faults in a row
+	soakSeriesShare      = 5                // one draw of so many is a mix of single faults, the others are series
+	soakMaxMixed         = 4                // draws of single faults in a row
 	soakRecoveryTime     = 5 * time.Second  // between the last fault and the final check
 	soakFinalJobs        = 40               // jobs of the final check
 	soakReadyTimeout     = 15 * time.Second
@@ -135,7 +135,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if s.rng.IntN(soakSeriesShare) > 0 {
 			s.injectSeries(ctx, &pending)
-			wait.For(ctx, s.randomMillis(300, 3000))
+			wait.For(ctx, s.randomMillis(500, 3500))
 			continue
 		}
 		for range 1 + s.rng.IntN(soakMaxMixed) {
--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -129,6 +129,19 @@
 	}
 }
 
+// activeRuns returns the number of active runs by upstream.
+func (c *soakChecker) activeRuns() map[string]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := map[string]int{}
+	for _, runs := range c.running {
+		for _, r := range runs {
+			counts[r.upstream]++
+		}
+	}
+	return counts
+}
+
 // removeRuns removes the runs of a task on an upstream up to an attempt: an upstream has
 // at most one run of a task. The caller must hold mu.
 func (c *soakChecker) removeRuns(upstream string, last scheduler.Run) {
--- a/internal/replay/soak_series.go
+++ b/internal/replay/soak_series.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -41,19 +42,19 @@
 		first = s.randomMillis(1200, 5000)
 	}
 	both := s.rng.IntN(2) == 0
-	var cut []*soakUpstream
+	cutCount := 0
 	if s.rng.IntN(3) == 0 {
-		cut = s.randomUpstreams(2)
+		cutCount = 2
 	}
 	return func() {
-		var faults sync.WaitGroup
-		defer faults.Wait()
 		v := s.dispatcher(nil)
 		if v == nil {
 			return
 		}
-		heal := s.cutAll(cut, s.vms, cutBoth)
+		heal := s.cutAll(s.busiestUpstreams(cutCount), s.vms, cutBoth)
 		defer heal()
+		var faults sync.WaitGroup
+		defer faults.Wait() // before the cut is healed
 		resume := s.freeze(v)
 		faults.Go(func() {
 			wait.For(ctx, first)
@@ -73,7 +74,7 @@
 // cutUpstreams cuts two upstreams off from all VMs or from the dispatcher, for longer than
 // the lease of their runs, and may freeze the dispatcher meanwhile.
 func (s *soakTest) cutUpstreams(ctx context.Context) func() {
-	cut, how, duration := s.randomUpstreams(2), pathCut(s.rng.IntN(int(pathCuts))), s.randomMillis(1500, 5500)
+	how, duration := pathCut(s.rng.IntN(int(pathCuts))), s.randomMillis(1500, 5500)
 	onlyDispatcher := s.rng.IntN(4) == 0
 	frozen := time.Duration(0)
 	if s.rng.IntN(3) == 0 {
@@ -84,7 +85,7 @@
 		if onlyDispatcher && v != nil {
 			vms = []*soakVM{v}
 		}
-		heal := s.cutAll(cut, vms, how)
+		heal := s.cutAll(s.busiestUpstreams(2), vms, how)
 		if frozen > 0 && v != nil {
 			resume := s.freeze(v)
 			wait.For(ctx, frozen)
@@ -98,8 +99,9 @@
 // refuseAndReset cuts upstreams off so that they refuse connections, and resets open ones,
 // while the upstreams work on.
 func (s *soakTest) refuseAndReset(ctx context.Context) func() {
-	cut, duration := s.randomUpstreams(1+s.rng.IntN(3)), s.randomMillis(300, 2500)
+	count, duration := 1+s.rng.IntN(3), s.randomMillis(300, 2500)
 	return func() {
+		cut := s.busiestUpstreams(count)
 		heal := s.cutAll(cut, s.vms, cutRefuse)
 		wait.For(ctx, soakPathDelay)
 		for _, u := range cut {
@@ -113,14 +115,14 @@
 // isolateDispatcher cuts the dispatcher off from the store and the other VMs, or only from
 // the store, and from some upstreams.
 func (s *soakTest) isolateDispatcher(ctx context.Context) func() {
-	cut, how, duration := s.randomUpstreams(s.rng.IntN(3)), pathCut(s.rng.IntN(int(pathCuts))), s.randomMillis(500, 5000)
+	count, how, duration := s.rng.IntN(3), pathCut(s.rng.IntN(int(pathCuts))), s.randomMillis(500, 5000)
 	isolated := s.rng.IntN(2) == 0
 	return func() {
 		v := s.dispatcher(nil)
 		if v == nil {
 			return
 		}
-		heal := s.cutAll(cut, []*soakVM{v}, how)
+		heal := s.cutAll(s.busiestUpstreams(count), []*soakVM{v}, how)
 		end := s.cutStore
 		if isolated {
 			end = s.isolate
@@ -134,8 +136,9 @@
 
 // restartBehindCut replaces the process of an upstream that is cut off.
 func (s *soakTest) restartBehindCut(ctx context.Context) func() {
-	cut, before, down, after := s.randomUpstreams(1), s.randomMillis(0, 1500), s.randomMillis(0, 300), s.randomMillis(0, 2500)
+	before, down, after := s.randomMillis(0, 1500), s.randomMillis(0, 300), s.randomMillis(0, 2500)
 	return func() {
+		cut := s.busiestUpstreams(1)
 		heal := s.cutAll(cut, s.vms, cutBoth)
 		wait.For(ctx, before)
 		s.recordEvent("crash %s behind the cut", cut[0].entry.Name)
@@ -158,12 +161,12 @@
 	}
 }
 
-func (s *soakTest) randomUpstreams(n int) []*soakUpstream {
-	chosen := make([]*soakUpstream, 0, n)
-	for _, i := range s.rng.Perm(len(s.upstreams))[:min(n, len(s.upstreams))] {
-		chosen = append(chosen, s.upstreams[i])
-	}
-	return chosen
+// busiestUpstreams returns the upstreams with the most active runs.
+func (s *soakTest) busiestUpstreams(n int) []*soakUpstream {
+	runs := s.checker.activeRuns()
+	busiest := slices.Clone(s.upstreams)
+	slices.SortStableFunc(busiest, func(a, b *soakUpstream) int { return runs[b.entry.Name] - runs[a.entry.Name] })
+	return busiest[:min(n, len(busiest))]
 }
 
 // dispatcher returns the VM with the highest fencing token among those that answer, except
