soak: count completions that a crash erased as lost runs

Cause: a job whose two upstreams crash under one task is given up. The checker did not count a run that ended `done` just before its upstream crashed, although its completion had not reached a dispatcher.

Change: the stand-in returns the completions that a crash erased before they were acknowledged, and the checker counts those that were `done` as lost runs of their tasks. A completion that was acknowledged counts as before; both cases have a test. The limit of starts of deadly tasks doesn't count them.

--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -19,6 +19,7 @@
 	running        map[scheduler.Task][]soakRun
 	completed      map[scheduler.Task]bool
 	crashes        map[scheduler.Task]int // upstreams that crashed while they ran the task
+	lostEnds       map[scheduler.Task]int // successful runs whose completion was lost in a crash
 	failures       map[scheduler.Task]int // runs that failed or whose lease expired
 	startsBeyond   map[scheduler.Task]int // starts of a deadly task after maxDeadlyCrashes
 	starts         int
@@ -52,7 +53,7 @@
 
 func newSoakChecker(runLog io.Writer) *soakChecker {
 	return &soakChecker{
-		jobs: map[string]*soakJob{}, running: map[scheduler.Task][]soakRun{}, completed: map[scheduler.Task]bool{}, crashes: map[scheduler.Task]int{},
+		jobs: map[string]*soakJob{}, running: map[scheduler.Task][]soakRun{}, completed: map[scheduler.Task]bool{}, crashes: map[scheduler.Task]int{}, lostEnds: map[scheduler.Task]int{},
 		failures: map[scheduler.Task]int{}, startsBeyond: map[scheduler.Task]int{}, answers: map[string]int{},
 		startedAt: time.Now(), runLog: runLog,
 	}
@@ -159,12 +160,25 @@
 	_, _ = fmt.Fprintf(c.runLog, "%7.3f "+format+"\n", append([]any{time.Since(c.startedAt).Seconds()}, args...)...)
 }
 
+// recordLostCompletions records the completions that a crash of their upstream has erased
+// before a dispatcher acknowledged them: to the dispatcher, the crash ended the runs.
+func (c *soakChecker) recordLostCompletions(lost []scheduler.Completion) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, completion := range lost {
+		if completion.Kind == scheduler.CompletionDone {
+			c.lostEnds[completion.Task]++
+		}
+	}
+}
+
 // mayHaveFailed reports whether a task of a job has failed as often, or lost as many runs
 // with their upstreams, as a task that is given up. The caller must hold mu.
 func (c *soakChecker) mayHaveFailed(id string, tasks int) bool {
 	for index := range tasks {
 		task := scheduler.Task{Job: id, Index: index}
-		if c.crashes[task] >= 2 || c.failures[task]+c.crashes[task] >= 3 {
+		lost := c.crashes[task] + c.lostEnds[task]
+		if lost >= 2 || c.failures[task]+lost >= 3 {
 			return true
 		}
 	}
--- a/internal/replay/soak_test.go
+++ b/internal/replay/soak_test.go
@@ -75,6 +75,27 @@
 			checker.recordCompletion("u0", run, scheduler.CompletionLost)
 			checker.recordAnswer("a", platform.JobResponse{Status: 200})
 		}, "answered as failed but no task"},
+		"failed after a lost completion": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			checker.recordStart("u0", large, run, 1, small, false)
+			checker.recordCrash("u0")
+			checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			checker.recordStart("u1", large, run, 1, small, false)
+			checker.recordCompletion("u1", run, scheduler.CompletionDone)
+			checker.recordCrash("u1")
+			checker.recordLostCompletions([]scheduler.Completion{{Run: run, Kind: scheduler.CompletionDone}})
+			checker.recordAnswer("a", platform.JobResponse{Status: 200})
+		}, ""},
+		"failed after an acknowledged completion": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			checker.recordStart("u0", large, run, 1, small, false)
+			checker.recordCrash("u0")
+			checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			checker.recordStart("u1", large, run, 1, small, false)
+			checker.recordCompletion("u1", run, scheduler.CompletionDone)
+			checker.recordCrash("u1")
+			checker.recordAnswer("a", platform.JobResponse{Status: 200})
+		}, "answered as failed but no task"},
 		"run left after the answer": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
 			for range 3 {
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -122,9 +122,11 @@
 // crash ends the process of an upstream for the given time.
 func (s *soakTest) crash(u *soakUpstream, down time.Duration) {
 	s.checker.recordCrash(u.entry.Name)
-	if !u.CrashFor(down) { // first, so that its runs have ended when the dispatcher notices
+	lost, crashed := u.CrashFor(down) // first, so that its runs have ended when the dispatcher notices
+	if !crashed {
 		return
 	}
+	s.checker.recordLostCompletions(lost)
 	s.setDown(u, true)
 	u.process.Crash(down)
 	time.AfterFunc(down, func() { s.setDown(u, false) })
--- a/internal/standin/fault.go
+++ b/internal/standin/fault.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/valyala/fasthttp"
 )
 
@@ -83,3 +85,32 @@
 	}
 	return time.Duration(fault.DelayMS) * time.Millisecond
 }
+
+// Crash simulates a crash and immediate restart of the upstream process. All runs are
+// lost.
+func (u *Upstream) Crash() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.model.Restart(time.Now())
+	u.wakeWaiters()
+}
+
+// CrashFor simulates a crash after which no process runs for the given time. It returns
+// the completions that no dispatcher has acknowledged, and whether a process ran; otherwise
+// it has no effect. Callers close the upstream's connections afterwards.
+func (u *Upstream) CrashFor(down time.Duration) (lost []scheduler.Completion, crashed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	if now.Before(u.downUntil) {
+		return nil, false
+	}
+	u.downUntil = now.Add(down)
+	_, report := u.model.Poll(now, scheduler.Poll{Token: math.MaxInt64}) // Restart resets the token
+	u.model.Restart(now)
+	u.wakeWaiters()
+	return report.Completions, true
+}
+
+// errDown is the error of a request to an upstream without a process.
+var errDown = errors.New("injected fault: the process has ended")
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -290,34 +290,6 @@
 	return nil
 }
 
-// Crash simulates a crash and immediate restart of the upstream process. All runs are
-// lost.
-func (u *Upstream) Crash() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.model.Restart(time.Now())
-	u.wakeWaiters()
-}
-
-// CrashFor simulates a crash after which no process runs for the given time. It reports
-// whether a process ran; otherwise it has no effect. Callers close the upstream's
-// connections afterwards.
-func (u *Upstream) CrashFor(down time.Duration) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	now := time.Now()
-	if now.Before(u.downUntil) {
-		return false
-	}
-	u.downUntil = now.Add(down)
-	u.model.Restart(now)
-	u.wakeWaiters()
-	return true
-}
-
-// errDown is the error of a request to an upstream without a process.
-var errDown = errors.New("injected fault: the process has ended")
-
 // Starts returns all starts so far, in order of time.
 func (u *Upstream) Starts() []api.StartEntry {
 	u.mu.Lock()
