node: the first polls after a pause renew leases in an outdated term

Callers could see: a task with two runs at once after a pause of the VM that dispatches, if the next dispatcher could not reach the upstream of the first run and counted it as over.

Cause: pollers run before the tick notices the pause. A poll in the term from before it renews the leases on every upstream that nobody else has claimed.

Change: a poll is decided after the check for a pause. The first poll of the new term claims the upstream and renews nothing.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -404,6 +404,24 @@
 	require.Greater(t, n.termFor("vm9"), before)
 }
 
+// After a pause a poll may be due before the next tick. In the term from before the pause it
+// would renew the leases of runs that the next dispatcher counts as over.
+func TestPollAfterPauseRenewsLeases(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	n := c.dispatcher()
+	before := n.term.current()
+	n.pauses.mu.Lock()
+	n.pauses.last -= 2 * maxPause
+	n.pauses.mu.Unlock()
+	poll, due, _, _, err := n.nextPoll("u0")
+	require.NoError(t, err)
+	require.Greater(t, n.term.current(), before)
+	if due { // unless the poller of the upstream has just claimed it
+		require.Greater(t, poll.Token, before)
+		require.Zero(t, poll.Until)
+	}
+}
+
 // The term loop and the notice of a pause may start terms at the same time. The scheduler must
 // end up with the token that offers name.
 func TestTermsThatStartTogetherLeaveDifferentTokens(t *testing.T) {
--- a/node/pause.go
+++ b/node/pause.go
@@ -29,8 +29,8 @@
 }
 
 // checkPause starts a new term if this process was paused since the last check: what it
-// knows is outdated. Whatever decides on the start of tasks must call it first, since after
-// a pause it may run before the tick loop.
+// knows is outdated. Whatever decides on the start of tasks or renews leases must call it first, since
+// after a pause it may run before the tick loop.
 func (n *Node) checkPause() error {
 	n.pauses.mu.Lock()
 	defer n.pauses.mu.Unlock()
--- a/node/pollers.go
+++ b/node/pollers.go
@@ -93,8 +93,10 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		poll, due, wait, removed := n.scheduler.NextPoll(time.Now(), upstream)
+		poll, due, wait, removed, err := n.nextPoll(upstream)
 		switch {
+		case err != nil:
+			return // the tick loop ends the node
 		case removed:
 			n.pollers.remove(upstream)
 			return
@@ -119,6 +121,16 @@
 	}
 }
 
+// nextPoll returns the poll that is due at an upstream. A poll renews leases, so it must not
+// be decided in a term from before a pause.
+func (n *Node) nextPoll(upstream string) (poll scheduler.Poll, due bool, wait time.Duration, removed bool, err error) {
+	if err := n.checkPause(); err != nil {
+		return poll, false, 0, false, err
+	}
+	poll, due, wait, removed = n.scheduler.NextPoll(time.Now(), upstream)
+	return poll, due, wait, removed, nil
+}
+
 // poll polls an upstream and passes the answer to the scheduler.
 func (n *Node) poll(ctx context.Context, poll scheduler.Poll) {
 	pollCtx, cancel := context.WithTimeout(ctx, poll.Wait+n.rtt.timeout())
