scheduler: the state of a term decides nothing in the next one

An offer reads whether the term is settled before it takes the lock of the job's shard, and a tick stores and uses that state while a new term may begin. The state now belongs to a token, and a job shard ignores it once that term has ended.

Found by reading; no run has shown it. TestStateOfEndedTermLetsJobStart checks both paths at the shard; it uses the new field and was not run before.

--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -6,7 +6,8 @@
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// termState is the state of a term when a job is offered.
+// termState is the state of a term as an offer or a tick has read it. The term may have
+// ended since.
 type termState struct {
 	token int64
 	// settled means that all runs of earlier dispatchers are known or over.
@@ -41,7 +42,7 @@
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
 		current: map[int]runRef{}, results: map[int][]byte{}, index: -1,
 	}
-	if offered.Resumed || !t.settled {
+	if offered.Resumed || !t.settled || t.token <= s.lastToken {
 		j.heldSince = now
 	}
 	for _, index := range offered.Tasks {
--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -132,6 +132,20 @@
 	}
 }
 
+// An offer or a tick that has begun in one term may reach a job shard in the next one, of
+// whose upstreams it knows nothing.
+func TestStateOfEndedTermLetsJobStart(t *testing.T) {
+	r := &recordTest{t: t, now: time.Unix(1_700_000_000, 0), shard: newJobShard(), token: 7}
+	former := termState{r.token, true}
+	termEnded(r)
+	_, _, failure := r.shard.offer(r.now, r.job(), newQueueModel(time.Second), former)
+	require.Nil(t, failure)
+	r.shard.releaseHeld(releaseCriteria{term: former, oldestPoll: r.now.Add(time.Second)}, &Actions{})
+	require.False(t, r.shard.job("a").heldSince.IsZero())
+	r.shard.releaseHeld(releaseCriteria{term: termState{r.token, true}}, &Actions{})
+	require.True(t, r.shard.job("a").heldSince.IsZero())
+}
+
 func TestJobRecordIsForgotten(t *testing.T) {
 	r := &recordTest{t: t, now: time.Unix(1_700_000_000, 0), shard: newJobShard(), token: 7}
 	for _, step := range []recordStep{
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -97,8 +97,8 @@
 	oldestPoll, resumedBefore time.Time
 	// latestProcessStart is the latest start time of an upstream's process.
 	latestProcessStart time.Time
-	// settled means that all runs of earlier dispatchers are known or over.
-	settled bool
+	// term is the term in which the tick has begun.
+	term termState
 	// Before listCompleteSince, upstreams that are not listed may have run tasks.
 	listCompleteSince time.Time
 }
@@ -110,6 +110,9 @@
 func (s *jobShard) releaseHeld(c releaseCriteria, a *Actions) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if c.term.token <= s.lastToken {
+		return 0
+	}
 	n := 0
 	for _, r := range s.records {
 		j := r.job
@@ -120,7 +123,7 @@
 		runsKnown := polled && j.Sent.After(c.listCompleteSince) && c.latestProcessStart.Before(j.Sent.Add(-processStartMargin))
 		timedOut := j.heldSince.Before(c.resumedBefore)
 		switch {
-		case !j.Resumed && !c.settled:
+		case !j.Resumed && !c.term.settled:
 		case !j.Resumed, j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && c.listCompleteSince.IsZero()):
 			j.heldSince = time.Time{}
 			s.updateHeap(j)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -20,7 +20,7 @@
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(verdict.MinRetryAfter)
 	}
 	model := s.models.get(offered.Queue, offered.Estimate)
-	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model, termState{s.token.Load(), s.settled.Load()})
+	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model, s.termState(s.token.Load()))
 	if failure != nil {
 		return nil, failure
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -122,7 +122,7 @@
 
 	token            atomic.Int64 // fencing token of the term; 0 while not dispatching
 	unreachablePeers atomic.Bool  // whether unreachable peers may have claimed unresponsive upstreams
-	settled          atomic.Bool  // whether all runs of earlier dispatchers are known or over
+	settledToken     atomic.Int64 // token of the last term in which all runs of earlier dispatchers were known or over
 	partialList      atomic.Bool  // whether upstreams exist that this dispatcher does not claim
 	// listCompleteSince is the time, in ns since start, from which the list of
 	// upstreams included all that may run tasks; 0 if it always did.
@@ -192,7 +192,6 @@
 func (s *Scheduler) BeginTerm(now time.Time, token int64, resumeTimeout time.Duration) {
 	former := s.token.Swap(0)
 	s.resumeTimeout.Store(int64(resumeTimeout))
-	s.settled.Store(false)
 	s.termStart.Store(int64(now.Sub(s.start)))
 	// The jobs are reset last, so that no report of the earlier term is recorded afterwards.
 	for _, shard := range s.upstreamShards {
@@ -239,7 +238,8 @@
 // no job has adopted in time, and expires leases and jobs. It must be called every TickInterval.
 func (s *Scheduler) Tick(now time.Time) Actions {
 	var a Actions
-	if !s.Dispatching() {
+	token := s.token.Load()
+	if token == 0 {
 		return a
 	}
 	oldestPoll := now         // every upstream has answered a poll sent at this time or later
@@ -259,9 +259,9 @@
 	allAnswered := !oldestPoll.IsZero() && sizes != nil && len(*sizes) > 0
 	lastRenewal := time.Duration(max(s.termStart.Load(), s.peerDispatchedAt.Load()))
 	if allAnswered || now.Sub(s.start)-lastRenewal > maxForeignLease {
-		s.settled.Store(true)
+		s.settledToken.Store(token)
 	}
-	criteria := releaseCriteria{oldestPoll: oldestPoll, latestProcessStart: latestStart, settled: s.settled.Load()}
+	criteria := releaseCriteria{oldestPoll: oldestPoll, latestProcessStart: latestStart, term: s.termState(token)}
 	if complete := s.listCompleteSince.Load(); complete != 0 {
 		criteria.listCompleteSince = s.start.Add(time.Duration(complete))
 	}
@@ -287,6 +287,11 @@
 	return a
 }
 
+// termState returns the state of the term with the given token, 0 if there is none.
+func (s *Scheduler) termState(token int64) termState {
+	return termState{token, token != 0 && s.settledToken.Load() == token}
+}
+
 // TickInterval is the interval between calls of Tick.
 const TickInterval = 20 * time.Millisecond
 
