--- a/internal/replay/soak_series.go
+++ b/internal/replay/soak_series.go
@@ -18,8 +18,8 @@
 	soakProbeTimeout = 100 * time.Millisecond
 	// soakTakeoverTimeout bounds the wait for the next dispatcher.
 	soakTakeoverTimeout = 3 * time.Second
-	// soakPathDelay is the time between a cut and the reset of connections around it.
-	soakPathDelay = 50 * time.Millisecond
+	// soakResetDelay is the time from a cut to the reset of the connections that it affects.
+	soakResetDelay = 50 * time.Millisecond
 )
 
 // injectSeries injects a series of faults that aim at the dispatcher or at the upstreams
@@ -35,7 +35,7 @@
 }
 
 // freezeDispatchers freezes the dispatcher, and often the next one while the first is
-// still frozen. It also cuts off or resets upstreams now and then.
+// still frozen. Now and then, two upstreams are cut off meanwhile.
 func (s *soakTest) freezeDispatchers(ctx context.Context) func() {
 	first, second := s.randomMillis(200, 1200), s.randomMillis(200, 1200)
 	if s.rng.IntN(4) == 0 {
@@ -103,7 +103,7 @@
 	return func() {
 		cut := s.busiestUpstreams(count)
 		heal := s.cutAll(cut, s.vms, cutRefuse)
-		wait.For(ctx, soakPathDelay)
+		wait.For(ctx, soakResetDelay)
 		for _, u := range cut {
 			s.resetUpstream(u, s.vms)
 		}
