node: after a pause, a term that has ended is announced

Callers could see: their jobs move twice between dispatchers after a pause of one, since the dispatcher that had taken over ended its term for the outdated one.

Cause: heartbeats are answered before the tick notices the pause.

Change: the term is announced after the check for a pause.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -90,7 +90,7 @@
 func (n *Node) newHeartbeat(peer string) *wire.FleetHeartbeat {
 	digest, differs := n.fleet.Digest(peer)
 	h := &wire.FleetHeartbeat{
-		From: toWire(n.fleet.Self()), Term: n.termFor(peer), Token: n.fleet.Token(),
+		From: toWire(n.fleet.Self()), Term: n.announcedTerm(peer), Token: n.fleet.Token(),
 		UpstreamsRevision: n.registry.revision(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
 	if table := n.table.Load(); table != nil {
@@ -104,6 +104,16 @@
 	return h
 }
 
+// announcedTerm returns the term to announce to a peer. A term from before a pause is not
+// announced: the dispatcher that has taken over would end its own.
+func (n *Node) announcedTerm(peer string) uint64 {
+	if err := n.checkPause(); err != nil {
+		n.log.Error("term not announced", slog.Any("error", err))
+		return 0
+	}
+	return n.termFor(peer)
+}
+
 // receiveHeartbeat processes a heartbeat from a peer. bidirectional is true if
 // heartbeats pass in both directions.
 func (n *Node) receiveHeartbeat(h *wire.FleetHeartbeat, bidirectional bool) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -422,6 +422,18 @@
 	}
 }
 
+// After a pause a heartbeat may be answered before the next tick. If it named the term from
+// before the pause, the next dispatcher would end its term for an outdated one.
+func TestHeartbeatAfterPauseAnnouncesOutdatedTerm(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	n := c.dispatcher()
+	before := n.termFor("vm9")
+	n.pauses.mu.Lock()
+	n.pauses.last -= 2 * maxPause
+	n.pauses.mu.Unlock()
+	require.Greater(t, n.newHeartbeat("vm9").Term, before)
+}
+
 // The term loop and the notice of a pause may start terms at the same time. The scheduler must
 // end up with the token that offers name.
 func TestTermsThatStartTogetherLeaveDifferentTokens(t *testing.T) {
