scheduler: a poll that confirms an unneeded run stops it

stopRuns only marks a run whose start order is pending, or was rejected as an old attempt; the answer to the order was to stop it. No such answer comes if the order was rejected, or was not answered after a poll had listed the run: the run went on, with its lease renewed, until it ended by itself. Now the poll that confirms it requests the stop order.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -60,6 +60,10 @@
 		known := u.runs[r.Task]
 		if known != nil && known.Attempt == r.Attempt {
 			u.noteProgress(now, known, r.Percent)
+			if known.unneeded && known.state == runStarted {
+				known.state, known.stopAnswered = runStopping, false
+				a.Stops = append(a.Stops, u.stop(s.token.Load(), known.Run, "the run is no longer needed"))
+			}
 			continue
 		}
 		if known == nil || firstClaim || known.state == runRejected {
