scheduler: expired jobs leave the queue

Their tasks cannot start, but they stayed at the top of their shards until the job was removed, and placeNext tries only a few shards. They leave the heap when they reach its top, and return if a later offer of the job moves the deadline.

TestExpiredJobsBlockOtherJobs failed before.

--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -91,8 +91,8 @@
 	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
 		// Another dispatcher has had the job since and may have started tasks.
 		j.Resumed, j.heldSince = true, now
-		s.updateHeap(j)
 	}
+	s.updateHeap(j) // the deadline may be a later one
 	for _, index := range offered.Tasks {
 		if !j.isOpen(index) {
 			notices = append(notices, j.doneNotice(index, j.results[index], CompletionRef{}))
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -24,11 +24,15 @@
 // another VM; the next tick removes the job.
 func (c *candidate) expired(now time.Time) bool { return !now.Before(c.deadline) }
 
-// demote lowers the jobs at the top of the heap that can no longer reach their tier.
-// The caller holds mu.
+// demote lowers the jobs at the top of the heap that can no longer reach their tier, and
+// removes those whose callers no longer wait. The caller holds mu.
 func (s *jobShard) demote(now time.Time) {
 	for len(s.heap) > 0 {
 		j := s.heap[0]
+		if !now.Before(j.Deadline) {
+			heap.Remove(&s.heap, 0)
+			continue
+		}
 		t := j.tierAt(now)
 		if t <= j.tier {
 			break
