scheduler: a lost at-most-once order keeps its capacity

Callers could see: an upstream that stays full until the term ends.

Cause: an order that is pending while the upstream's process is replaced may reach the new one, whose clock does not tell when it expires. If it was not answered, and its task is at most once, nothing ended the run: polls go on without listing it.

Evidence: TestLostOrderForReplacedProcessKeepsCapacity, which failed before.

Change: after the time in which orders may be executed late, a poll that does not list such a run ends it; its job is abandoned.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -180,7 +180,8 @@
 		case runStopping:
 			over = r.stopAnswered && r.answeredAt.Before(poll.Sent)
 		case runOrdered, runUnknown:
-			over = report.Clock > r.validUntil && r.orderedAt.Before(poll.Sent)
+			expired := report.Clock > r.validUntil || r.processReplaced && now.Sub(r.orderedAt) > attemptRetention
+			over = expired && r.orderedAt.Before(poll.Sent)
 		}
 		if over {
 			absent = append(absent, r)
