node: the time of a placement is read before the check for a pause

A pause between the check and the reading of the clock would give orders that were decided by old facts a fresh time. Read first, they arrive late and are refused. Found by reading; no test can pause the process between two lines.

--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -81,8 +81,8 @@
 
 // recordStart records the start of a run and checks that the used resources fit the
 // upstream's capacity, and that no other run of the task is at work on any upstream,
-// whichever submission of the job it belongs to. A deadly task must not be started maxDeadlyStarts times after it
-// has crashed maxDeadlyCrashes upstreams.
+// whichever submission of the job it belongs to. A deadly task must not be started
+// maxDeadlyStarts times after it has crashed maxDeadlyCrashes upstreams.
 func (c *soakChecker) recordStart(upstream string, capacity scheduler.Size, run scheduler.Run, token int64, used scheduler.Size, deadly bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -69,10 +69,10 @@
 			return nil
 		case <-n.placeSignal:
 		}
+		now := time.Now() // read first: a pause after the check makes the orders late
 		if err := n.checkPause(); err != nil {
 			return err
 		}
-		now := time.Now()
 		if !n.canPlace(now) {
 			continue // the next tick tries again
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -89,7 +89,8 @@
 	fencedRunTimeout = orphanTimeout + 1200*time.Millisecond
 	// maxForeignLease is the time after which no run is active that an earlier dispatcher
 	// has started or found, on an upstream that has not answered in this term, once that
-	// dispatcher has ended its term. It covers clockError and the error of the clock value from which the lease was computed.
+	// dispatcher has ended its term. It covers clockError and the error of the clock value
+	// from which the lease was computed.
 	maxForeignLease = lease*105/100 + leaseMargin
 	// idleAckDelay is the time after which an idle upstream is polled to
 	// acknowledge its completions.
