--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -28,7 +28,7 @@
 	now := time.Now()
 	n.origins.record(r.Origin, r.OriginIncarnation)
 	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-	notices, failure := n.scheduler.Offer(now, scheduler.Job{
+	actions, failure := n.scheduler.Offer(now, scheduler.Job{
 		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
@@ -40,9 +40,7 @@
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
 		return &wire.OfferResponse{Reason: failure.Reason, Code: uint8(failure.Code), RetryAfterUS: failure.RetryAfter.Microseconds()}
 	}
-	if len(notices) > 0 {
-		n.apply(scheduler.Actions{Notices: notices})
-	}
+	n.apply(actions)
 	if r.Resumed {
 		n.pollers.wakeAll() // the tasks start only after every upstream has answered a poll
 	}
@@ -223,6 +221,11 @@
 		n.log.Info("run of another term found", slog.String("job", found.Job), slog.Int("task", found.Index), slog.Int("attempt", found.Attempt),
 			slog.String("upstream", found.Upstream))
 	}
+	for _, end := range a.FoundEnds {
+		n.metrics.observeFoundEnd(end.How)
+		n.log.Info("run of another term ended", slog.String("job", end.Job), slog.Int("task", end.Index), slog.Int("attempt", end.Attempt),
+			slog.String("upstream", end.Upstream), slog.String("how", end.How), slog.Int64("held_ms", end.Held.Milliseconds()))
+	}
 	for _, r := range a.Resurfaced {
 		n.metrics.observeResurfaced(r.State)
 		n.log.Warn("run that counted as over was listed", slog.String("job", r.Job), slog.Int("task", r.Index), slog.Int("attempt", r.Attempt),
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -55,6 +55,11 @@
 	m.taskWaits.Update(waited.Seconds())
 }
 
+// observeFoundEnd counts a run of another term that was adopted or is over.
+func (m *Metrics) observeFoundEnd(how string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_found_runs_ended_total{how=%q}", how)).Inc()
+}
+
 // observeResurfaced counts a run that counted as over and was listed in the given state.
 func (m *Metrics) observeResurfaced(state string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -16,6 +16,8 @@
 	Lost []LostRun
 	// Found lists active runs that this dispatcher has not started, for the log.
 	Found []FoundRun
+	// FoundEnds tells what has become of found runs, for the log.
+	FoundEnds []FoundEnd
 	// Resurfaced lists runs that counted as over and are listed, for the log.
 	Resurfaced []ResurfacedRun
 	// unapplied lists lost runs that were not yet applied to their jobs; finishLost
@@ -46,13 +48,6 @@
 	Suspicion float64
 }
 
-// FoundRun is an active run that an upstream reports and that this dispatcher has not
-// started in its term.
-type FoundRun struct {
-	Run
-	Upstream string
-}
-
 // Notice informs an origin about a task or a job.
 type Notice struct {
 	Origin string
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -60,15 +60,6 @@
 	u.loseOrphans(now, "the lease has expired", a)
 }
 
-// loseOrphans removes all orphans because they are over.
-func (u *upstream) loseOrphans(now time.Time, reason string, a *Actions) {
-	for _, o := range u.orphans {
-		u.noteOver(now, o.Run, reason)
-		a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
-	}
-	clear(u.orphans)
-}
-
 // lossOutcome returns the outcome of a lost run. A crash that the run is not likely to have
 // caused counts like any other loss.
 func lossOutcome(l loss) runOutcome {
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -252,12 +252,12 @@
 		if j.finished || d.token != token || m.current != d {
 			return
 		}
-		notices, failure := d.scheduler.Offer(m.now, offered)
+		actions, failure := d.scheduler.Offer(m.now, offered)
 		if failure != nil {
 			j.finished = !offered.Resumed
 			return
 		}
-		m.execute(d, scheduler.Actions{Notices: notices})
+		m.execute(d, actions)
 		if offered.Resumed {
 			for _, name := range m.names {
 				m.pollLoop(d, name)
--- /dev/null
+++ b/scheduler/orphan.go
@@ -0,0 +1,112 @@
+package scheduler
+
+import "time"
+
+// orphan is a run that an upstream reports and that no job has adopted.
+type orphan struct {
+	Run
+	foundAt  time.Time
+	stopping bool
+}
+
+// FoundRun is an active run that an upstream reports and that this dispatcher has not
+// started in its term.
+type FoundRun struct {
+	Run
+	Upstream string
+}
+
+// FoundEnd tells what has become of a FoundRun.
+type FoundEnd struct {
+	FoundRun
+	// How is adoptedState, the kind of the completion, or the reason why the run counts as
+	// over.
+	How string
+	// Held is the time since this dispatcher first found the run, also in an earlier term.
+	Held time.Duration
+}
+
+// adoptedState is the end of a found run that a job has taken over.
+const adoptedState = "adopted"
+
+// removeOrphan forgets an orphan because it is over or adopted.
+func (u *upstream) removeOrphan(now time.Time, o orphan, how string, a *Actions) {
+	delete(u.orphans, o.Task)
+	a.FoundEnds = append(a.FoundEnds, FoundEnd{FoundRun{o.Run, u.Name}, how, now.Sub(o.foundAt)})
+}
+
+// loseOrphan removes an orphan that is over without a completion.
+func (u *upstream) loseOrphan(now time.Time, o orphan, reason string, a *Actions) {
+	u.removeOrphan(now, o, reason, a)
+	u.noteOver(now, o.Run, reason)
+	a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
+}
+
+// loseOrphans removes all orphans because they are over.
+func (u *upstream) loseOrphans(now time.Time, reason string, a *Actions) {
+	for _, o := range u.orphans {
+		u.loseOrphan(now, o, reason, a)
+	}
+}
+
+// hasAdoptableOrphan reports whether a job may still adopt an orphan.
+func (u *upstream) hasAdoptableOrphan() bool {
+	for _, o := range u.orphans {
+		if !o.stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// adopt assigns an orphan to its job if the task waits.
+func (s *Scheduler) adopt(now time.Time, found foundRun, a *Actions) {
+	shard, jobs := s.upstreamShardFor(found.upstream), s.jobShardFor(found.Job)
+	j, expected, model, dequeued, ok := jobs.adopt(found)
+	if !ok {
+		if active, _ := shard.find(found); !active { // its end may have been processed before
+			s.waiting.Add(int64(jobs.forgetOrphan(found)))
+		}
+		return
+	}
+	s.waiting.Add(int64(-dequeued))
+	r := &run{
+		Run: found.Run, size: j.Size, state: runStarted, orderedAt: now, answeredAt: now, progressAt: now,
+		expected: expected, estimate: j.Estimate, model: model, queue: j.Queue, adopted: true, atMostOnce: j.AtMostOnce, confirmed: true,
+	}
+	if !shard.adopt(now, found.upstream, r, a) {
+		s.waiting.Add(int64(jobs.undoAdopt(found)))
+	}
+}
+
+// find reports whether a run is active on its upstream, and whether it is an orphan.
+func (s *upstreamShard) find(f foundRun) (active, orphan bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.byName[f.upstream]
+	if u == nil {
+		return false, false
+	}
+	orphan = u.orphans[f.Task].Run == f.Run
+	return orphan || u.runs[f.Task] != nil && u.runs[f.Task].Run == f.Run, orphan
+}
+
+// adopt turns an orphan into a run if it is still present.
+func (s *upstreamShard) adopt(now time.Time, name string, r *run, a *Actions) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.byName[name]
+	if u == nil {
+		return false
+	}
+	o, present := u.orphans[r.Task]
+	if !present || o.Run != r.Run {
+		return false
+	}
+	u.removeOrphan(now, o, adoptedState, a)
+	r.processStart = u.processStart
+	u.runs[r.Task] = r
+	u.used = u.used.plus(r.size)
+	s.recomputeBounds()
+	return true
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -7,33 +7,35 @@
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// Offer accepts a job with all its tasks, or rejects it. The notices report tasks
-// that are known to have finished. A rejection has the verdict NotRun unless the
+// Offer accepts a job with all its tasks, or rejects it. The notices of the actions report
+// tasks that are known to have finished. A rejection has the verdict NotRun unless the
 // job is resumed.
-func (s *Scheduler) Offer(now time.Time, offered Job) ([]Notice, *verdict.Error) {
+func (s *Scheduler) Offer(now time.Time, offered Job) (Actions, *verdict.Error) {
+	var a Actions
 	if waiting := s.waiting.Load(); waiting+int64(len(offered.Tasks)) > int64(s.config.MaxWaiting) && !offered.Resumed {
-		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "the queue is full: %d tasks are waiting", waiting).WithRetryAfter(verdict.MinRetryAfter)
+		return a, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "the queue is full: %d tasks are waiting", waiting).WithRetryAfter(verdict.MinRetryAfter)
 	}
 	if !offered.Resumed && !s.fits(offered.Service, offered.Size) {
-		return nil, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
+		return a, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
 			"no upstream of service %s has %d milli-CPU, %d MB of memory and %d accelerators",
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(verdict.MinRetryAfter)
 	}
 	model := s.models.get(offered.Queue, offered.Estimate)
 	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model, s.termState(s.token.Load()))
 	if failure != nil {
-		return nil, failure
+		return a, failure
 	}
+	a.Notices = notices
 	s.waiting.Add(int64(waiting))
 	if offered.Resumed {
 		s.lastResume.Store(int64(now.Sub(s.start)))
 	}
 	for _, found := range s.jobShardFor(offered.ID).otherRuns(offered.ID) {
 		if _, orphan := s.upstreamShardFor(found.upstream).find(found); orphan {
-			s.adopt(now, found)
+			s.adopt(now, found, &a)
 		}
 	}
-	return notices, nil
+	return a, nil
 }
 
 // fits reports whether an upstream of the service is large enough for a task when
@@ -327,54 +329,3 @@
 }
 
 func (f foundRun) ref() runRef { return runRef{f.upstream, f.Attempt} }
-
-// adopt assigns an orphan to its job if the task waits.
-func (s *Scheduler) adopt(now time.Time, found foundRun) {
-	shard, jobs := s.upstreamShardFor(found.upstream), s.jobShardFor(found.Job)
-	j, expected, model, dequeued, ok := jobs.adopt(found)
-	if !ok {
-		if active, _ := shard.find(found); !active { // its end may have been processed before
-			s.waiting.Add(int64(jobs.forgetOrphan(found)))
-		}
-		return
-	}
-	s.waiting.Add(int64(-dequeued))
-	r := &run{
-		Run: found.Run, size: j.Size, state: runStarted, orderedAt: now, answeredAt: now, progressAt: now,
-		expected: expected, estimate: j.Estimate, model: model, queue: j.Queue, adopted: true, atMostOnce: j.AtMostOnce, confirmed: true,
-	}
-	if !shard.adopt(found.upstream, r) {
-		s.waiting.Add(int64(jobs.undoAdopt(found)))
-	}
-}
-
-// find reports whether a run is active on its upstream, and whether it is an orphan.
-func (s *upstreamShard) find(f foundRun) (active, orphan bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	u := s.byName[f.upstream]
-	if u == nil {
-		return false, false
-	}
-	orphan = u.orphans[f.Task].Run == f.Run
-	return orphan || u.runs[f.Task] != nil && u.runs[f.Task].Run == f.Run, orphan
-}
-
-// adopt turns an orphan into a run if it is still present.
-func (s *upstreamShard) adopt(name string, r *run) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	u := s.byName[name]
-	if u == nil {
-		return false
-	}
-	if o, present := u.orphans[r.Task]; !present || o.Run != r.Run {
-		return false
-	}
-	delete(u.orphans, r.Task)
-	r.processStart = u.processStart
-	u.runs[r.Task] = r
-	u.used = u.used.plus(r.size)
-	s.recomputeBounds()
-	return true
-}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -192,16 +192,6 @@
 	}
 }
 
-// hasAdoptableOrphan reports whether a job may still adopt an orphan.
-func (u *upstream) hasAdoptableOrphan() bool {
-	for _, o := range u.orphans {
-		if !o.stopping {
-			return true
-		}
-	}
-	return false
-}
-
 // HandlePollResult processes the result of a poll.
 func (s *Scheduler) HandlePollResult(now time.Time, poll Poll, result PollResult, report PollReport) Actions {
 	var a Actions
@@ -255,7 +245,7 @@
 // applyNews applies what a poll has revealed to the jobs.
 func (s *Scheduler) applyNews(now time.Time, news upstreamNews, a *Actions) {
 	for _, f := range news.found {
-		s.adopt(now, f)
+		s.adopt(now, f, a)
 	}
 	for _, c := range news.completions {
 		s.handleCompletion(now, news.name, c, a)
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -47,7 +47,7 @@
 		}
 		u.lastSeen = c.Number
 		u.noteListed(now, c.Run, c.Kind.String(), a)
-		completions = append(completions, u.complete(now, c, s.config.RetainCompletions))
+		completions = append(completions, u.complete(now, c, s.config.RetainCompletions, a))
 	}
 	if poll.Sent.Before(u.lastPoll) {
 		return completions, nil // a newer poll has already reported the active runs
@@ -122,9 +122,9 @@
 
 // complete processes a completion. If retain is set, the completion of an unknown run
 // stays listed.
-func (u *upstream) complete(now time.Time, c Completion, retain bool) listedCompletion {
-	if u.orphans[c.Task].Run == c.Run {
-		delete(u.orphans, c.Task)
+func (u *upstream) complete(now time.Time, c Completion, retain bool, a *Actions) listedCompletion {
+	if o, present := u.orphans[c.Task]; present && o.Run == c.Run {
+		u.removeOrphan(now, o, c.Kind.String(), a)
 	}
 	f := listedCompletion{run: c.Run, kind: c.Kind, result: c.Result, number: c.Number, upstreamFault: u.health.Ejected()}
 	r := u.runs[c.Task]
@@ -190,11 +190,9 @@
 	for _, r := range absent {
 		u.lose(now, r, r.absentOutcome(), u.newLoss(now, r, absentReason, len(absent)), a)
 	}
-	for task, o := range u.orphans {
+	for _, o := range u.orphans {
 		if _, present := listed[o.Run]; !present && o.foundAt.Before(poll.Sent) {
-			delete(u.orphans, task)
-			u.noteOver(now, o.Run, absentReason)
-			a.orphansOver = append(a.orphansOver, foundRun{o.Run, u.Name})
+			u.loseOrphan(now, o, absentReason, a)
 		}
 	}
 }
--- a/scheduler/resurfaced_test.go
+++ b/scheduler/resurfaced_test.go
@@ -49,6 +49,13 @@
 	run := b.place()[0].Run
 	b.beginTerm(200)
 	b.advanceWithPolls(300 * time.Millisecond)
-	require.Equal(t, []scheduler.FoundRun{{Run: run, Upstream: "u1"}}, b.found)
+	found := scheduler.FoundRun{Run: run, Upstream: "u1"}
+	require.Equal(t, []scheduler.FoundRun{found}, b.found)
 	require.Empty(t, b.resurfaced)
+	b.beginTerm(300)
+	b.pollAll()
+	again := b.job("a", 0)
+	again.Resumed = true
+	b.offer(again)
+	require.Equal(t, []scheduler.FoundEnd{{FoundRun: found, How: "adopted", Held: 200 * time.Millisecond}}, b.foundEnds)
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -23,6 +23,7 @@
 	stops      []scheduler.Stop
 	starts     []scheduler.Start
 	found      []scheduler.FoundRun
+	foundEnds  []scheduler.FoundEnd
 	resurfaced []scheduler.ResurfacedRun
 }
 
@@ -67,6 +68,7 @@
 	b.notices = append(b.notices, a.Notices...)
 	b.stops = append(b.stops, a.Stops...)
 	b.found = append(b.found, a.Found...)
+	b.foundEnds = append(b.foundEnds, a.FoundEnds...)
 	b.resurfaced = append(b.resurfaced, a.Resurfaced...)
 }
 
@@ -101,9 +103,9 @@
 }
 
 func (b *testHarness) offer(j scheduler.Job) {
-	notices, failure := b.scheduler.Offer(b.now, j)
+	a, failure := b.scheduler.Offer(b.now, j)
 	require.Nil(b.t, failure)
-	b.notices = append(b.notices, notices...)
+	b.record(a)
 }
 
 func TestTasksArePackedBySize(t *testing.T) {
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -121,13 +121,6 @@
 	model  speedModel
 }
 
-// orphan is a run that an upstream reports and that no job has adopted.
-type orphan struct {
-	Run
-	foundAt  time.Time
-	stopping bool
-}
-
 // clockNow estimates the current value of the upstream's clock, in ms.
 func (u *upstream) clockNow(now time.Time) int64 {
 	return u.clock + now.Sub(u.clockAt).Milliseconds()
