--- /dev/null
+++ b/scheduler/split_test.go
@@ -0,0 +1,113 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+// turn is the time for which a dispatcher works in a succession of dispatchers that are
+// frozen, one after the other.
+type turn struct {
+	dispatcher *scheduler.Scheduler
+	token      int64
+	length     time.Duration
+}
+
+// work lets a dispatcher poll an upstream, tick and execute its stops for 10 ms.
+func (b *testHarness) work(s *scheduler.Scheduler, upstream string) {
+	u := b.upstreams[upstream]
+	if poll, due, _, _ := s.NextPoll(b.now, upstream); due {
+		result, report := u.Poll(b.now, poll)
+		s.HandlePollResult(b.now, poll, result, report)
+	}
+	for _, stop := range s.Tick(b.now).Stops {
+		result, clock := u.Stop(b.now, stop)
+		s.HandleStopResult(b.now, stop, result, clock)
+	}
+	b.advance(10 * time.Millisecond)
+}
+
+// newDispatcher returns another dispatcher of an upstream.
+func (b *testHarness) newDispatcher(upstream string) *scheduler.Scheduler {
+	s := scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100})
+	s.SetUpstreams(b.now, []scheduler.Upstream{b.upstreams[upstream].Info}, true)
+	return s
+}
+
+// Two dispatchers are frozen in turn. Each finds a run, of which no job is offered to either,
+// and renews its lease.
+func TestDispatchersInSuccessionRenewRunWithoutJob(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.upstreams["u1"].Speed = 0.1
+	b.pollAll()
+	renewed := b.now
+	first, second := b.scheduler, b.newDispatcher("u1")
+	for i := range int64(6) {
+		s := []*scheduler.Scheduler{second, first}[i%2]
+		s.BeginTerm(b.now, 200+i, resumeTimeout)
+		for range 50 {
+			b.work(s, "u1")
+			if b.now.Sub(renewed) > 600*time.Millisecond {
+				require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}), "%v after the last poll of a dispatcher with the job", b.now.Sub(renewed))
+			}
+		}
+	}
+}
+
+// Two data centres cannot reach each other. In one of them, dispatchers that are frozen in
+// turn find a run. Its caller's deadline has passed, and the caller sends the job to the
+// other data centre, whose dispatcher has long known all that it can reach.
+func TestJobSentToOtherDataCentreStartsBesideRun(t *testing.T) {
+	const (
+		deadline   = 1500 * time.Millisecond
+		retransmit = 1300 * time.Millisecond
+	)
+	b := newTestHarness(t, "u1", "u2")
+	task := scheduler.Task{Job: "a", Index: 0}
+	first := b.newDispatcher("u1")
+	first.BeginTerm(b.now, 150, resumeTimeout)
+	b.work(first, "u1")
+	sent := b.now
+	j := b.job("a", 0)
+	j.Deadline = sent.Add(deadline)
+	_, failure := first.Offer(b.now, j)
+	require.Nil(t, failure)
+	b.work(first, "u1")
+	for b.now.Sub(sent) < 700*time.Millisecond {
+		for _, start := range first.Place(b.now) {
+			result, clock := b.upstreams["u1"].Start(b.now, start, j.Size, 5*time.Second)
+			first.HandleStartResult(b.now, start, result, clock)
+		}
+		b.work(first, "u1")
+	}
+	require.Equal(t, []string{"u1"}, b.runsOf(task))
+
+	second := b.newDispatcher("u1")
+	sentAgain := false
+	for _, turn := range []turn{{first, 150, 550 * time.Millisecond}, {nil, 0, 400 * time.Millisecond}, {second, 160, 600 * time.Millisecond}, {first, 170, time.Second}} {
+		if turn.dispatcher != nil && turn.token != 150 {
+			turn.dispatcher.BeginTerm(b.now, turn.token, resumeTimeout)
+		}
+		for range turn.length / (10 * time.Millisecond) {
+			if turn.dispatcher == nil {
+				b.advance(10 * time.Millisecond)
+			} else {
+				b.work(turn.dispatcher, "u1")
+			}
+			if !sentAgain && b.now.Sub(sent) > deadline+retransmit {
+				sentAgain = true
+				b.offer(b.job("a", 0))
+			}
+			b.pollWithout("u1")
+			b.place()
+			require.LessOrEqual(t, len(b.runsOf(task)), 1, "%v after the first request", b.now.Sub(sent))
+		}
+	}
+	require.True(t, sentAgain)
+	require.Equal(t, []string{"u2"}, b.runsOf(task))
+}
