--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -2,7 +2,9 @@
 
 import "time"
 
-// orphan is a run that an upstream reports and that no job has adopted.
+// orphan is a run that an upstream reports and that no job has adopted. Its lease is not
+// renewed: however many dispatchers find it one after the other, it ends with the lease that
+// the last dispatcher with its job has requested.
 type orphan struct {
 	Run
 	foundAt  time.Time
@@ -49,16 +51,6 @@
 	}
 }
 
-// hasAdoptableOrphan reports whether a job may still adopt an orphan.
-func (u *upstream) hasAdoptableOrphan() bool {
-	for _, o := range u.orphans {
-		if !o.stopping {
-			return true
-		}
-	}
-	return false
-}
-
 // adopt assigns an orphan to its job if the task waits.
 func (s *Scheduler) adopt(now time.Time, found foundRun, a *Actions) {
 	shard, jobs := s.upstreamShardFor(found.upstream), s.jobShardFor(found.Job)
@@ -104,6 +96,9 @@
 		return false
 	}
 	u.removeOrphan(now, o, adoptedState, a)
+	if len(u.orphans) == 0 && u.polling {
+		a.Polls = append(a.Polls, u.Name) // the pending poll renews no lease
+	}
 	r.processStart = u.processStart
 	u.runs[r.Task] = r
 	u.used = u.used.plus(r.size)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,7 +15,9 @@
 //
 // When the dispatcher changes, origins offer their unfinished jobs again; these
 // jobs are resumed. A run that an upstream reports and that this dispatcher has not
-// started is an orphan until a resumed job adopts it or it is stopped.
+// started is an orphan until a job adopts it or it is over. Only a dispatcher that has the
+// job of every run of an upstream renews their lease, so that a run ends soon after
+// its origin or its caller has gone.
 //
 // A run occupies capacity of its upstream until it is known to be over: the
 // upstream lists its completion, a poll that was sent after the run's last order was
@@ -68,11 +70,13 @@
 	// leaseMargin allows for network and timer delays in addition to clockError.
 	leaseMargin = 50 * time.Millisecond
 	// orphanTimeout is the time within which origins must offer the jobs of
-	// orphaned runs again. It covers two heartbeats and a round trip.
-	orphanTimeout = 700 * time.Millisecond
+	// orphaned runs again. It covers the heartbeat that announces the term and a round trip.
+	// Until then, the lease of the other runs of the upstream is not renewed either.
+	orphanTimeout = 250 * time.Millisecond
 	// peerRenewalTime is the time for which runs may outlive the lease that this
-	// dispatcher renewed, because another dispatcher has found and renewed them: its
-	// orphanTimeout, the last lease that it renewed, and a margin.
+	// dispatcher renewed, because their origin has offered the job to another dispatcher,
+	// and this one has not heard of it yet: the time until the other one adopts the runs,
+	// the lease that it renews, and a margin.
 	peerRenewalTime = orphanTimeout + lease + 200*time.Millisecond
 	// minPollBackoff is the delay after the second consecutive failed poll. It
 	// doubles with each further failure up to maxPollBackoff, so that an
@@ -85,7 +89,7 @@
 	suspectFailures = 2
 	// fencedRunTimeout is the time after which the runs of an upstream that
 	// another dispatcher has claimed are over, unless that dispatcher adopts
-	// them: its orphanTimeout, the lease that it renewed meanwhile, and a margin.
+	// them: its orphanTimeout, the longest lease, and a margin.
 	fencedRunTimeout = orphanTimeout + 1200*time.Millisecond
 	// maxForeignLease is the time after which no run is active that an earlier dispatcher
 	// has started or found, on an upstream that has not answered in this term, once that
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -111,3 +111,52 @@
 	require.True(t, sentAgain)
 	require.Equal(t, []string{"u2"}, b.runsOf(task))
 }
+
+// A job adopts its run while the run of another job, which is not offered again, keeps the
+// lease of the upstream from being renewed.
+func TestAdoptedRunLapsesBesideOrphan(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	b.offer(b.job("b", 0))
+	require.Len(t, b.place(), 2)
+	b.pollAll()
+	b.advance(200 * time.Millisecond) // the longest time between two polls
+	b.beginTerm(200)
+	b.pollAll()
+	b.advance(50 * time.Millisecond)
+	again := b.job("a", 0)
+	again.Resumed = true
+	b.offer(again)
+	for range 100 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.executeStops()
+	}
+	ends := map[string]string{}
+	for _, end := range b.foundEnds {
+		ends[end.Job] = end.How
+	}
+	require.Equal(t, map[string]string{"a": "adopted", "b": "stopped"}, ends)
+	require.Len(t, b.notices, 1)
+	require.Equal(t, scheduler.TaskDone, b.notices[0].Kind)
+}
+
+// A run is adopted while a poll that renews no lease is pending.
+func TestAdoptedRunLapsesDuringPoll(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.beginTerm(200)
+	b.pollAll()
+	pending, due, _, _ := b.scheduler.NextPoll(b.now, "u1")
+	require.True(t, due)
+	require.Zero(t, pending.Until)
+	again := b.job("a", 0)
+	again.Resumed = true
+	actions, failure := b.scheduler.Offer(b.now, again)
+	require.Nil(t, failure)
+	require.Equal(t, []string{"u1"}, actions.Polls)
+	poll, ok := b.scheduler.ImmediatePoll(b.now, "u1")
+	require.True(t, ok)
+	require.Positive(t, poll.Until)
+}
