--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -365,16 +365,9 @@
 		})
 		return
 	}
-	poll, due, wait, _ := d.scheduler.NextPoll(m.now, name)
+	poll, due, _, _ := d.scheduler.NextPoll(m.now, name)
 	if !due {
-		if wait > 0 {
-			d.polling[name] = true
-			m.after(wait, func() {
-				d.polling[name] = false
-				m.pollLoop(d, name)
-			})
-		}
-		return
+		return // until the next tick, or an event
 	}
 	d.polling[name] = true
 	m.poll(d, poll, func() {
@@ -425,7 +418,7 @@
 	}
 	for _, name := range a.Polls {
 		if poll, ok := d.scheduler.ImmediatePoll(m.now, name); ok {
-			m.poll(d, poll, func() {})
+			m.poll(d, poll, func() { m.pollLoop(d, name) })
 		}
 	}
 	for _, n := range a.Notices {
