--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -56,6 +56,7 @@
 	// RetryTimeout is how long a job without an answer is retried; 0 means twice the
 	// caller's deadline.
 	RetryTimeout time.Duration
+	OnlySplits   bool // inject only splits of the data centres, one after another
 }
 
 // soakTest is a cluster under random faults.
@@ -133,6 +134,11 @@
 	end := time.Now().Add(time.Duration(s.options.Seconds * float64(time.Second)))
 	var pending sync.WaitGroup
 	for time.Now().Before(end) && ctx.Err() == nil {
+		if s.options.OnlySplits {
+			s.disturbed(s.splitDataCentres(ctx))()
+			wait.For(ctx, s.randomMillis(500, 2500))
+			continue
+		}
 		if s.rng.IntN(soakSeriesShare) > 0 {
 			s.injectSeries(ctx, &pending)
 			wait.For(ctx, s.randomMillis(500, 3500))
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -175,19 +175,10 @@
 
 func (s *soakTest) cutDataCentres() func() {
 	s.recordEvent("partition the data centres")
-	forEachLink := func(f func(*link)) {
-		for _, a := range s.vms {
-			for _, b := range s.vms {
-				if a.dataCentre != b.dataCentre {
-					f(s.links.get(a.name, b.name))
-				}
-			}
-		}
-	}
-	forEachLink((*link).cut)
+	s.eachLinkBetween((*link).cut)
 	return func() {
 		s.recordEvent("heal the partition of the data centres")
-		forEachLink((*link).heal)
+		s.eachLinkBetween((*link).heal)
 	}
 }
 
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -501,6 +501,8 @@
 	VMs int
 	// Upstreams: number of simulated upstreams, in upstreams.
 	Upstreams int
+	// OnlySplits: inject only splits of the data centres, one after another.
+	OnlySplits bool
 	// Daemon: executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program.
 	Daemon string
 	// LogDir: directory for process logs, with one subdirectory per seed; empty discards the logs.
@@ -527,6 +529,9 @@
 	bind(b, &s.Upstreams, definition[int]{
 		flag: "upstreams", env: "MUSTARDSTEP_UPSTREAMS", help: "number of simulated upstreams", unit: "upstreams", defaultText: "12", min: bound[int](1), max: bound[int](1000),
 	})
+	bind(b, &s.OnlySplits, definition[bool]{
+		flag: "only-splits", env: "MUSTARDSTEP_ONLY_SPLITS", help: "inject only splits of the data centres, one after another", unit: "",
+	})
 	bind(b, &s.Daemon, definition[string]{
 		flag: "daemon", env: "MUSTARDSTEP_DAEMON", help: "executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program", unit: "",
 	})
