--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -160,9 +160,8 @@
 func (u *upstream) poll(now time.Time, token int64, wait time.Duration, s *Scheduler) Poll {
 	u.polling = true
 	p := Poll{Upstream: u.Upstream, Token: token, Acked: u.ackable(), Seen: u.lastSeen, Wait: wait, Sent: now}
-	// The lease of an unresponsive upstream is not renewed, so that its runs end. Nor is that
-	// of one with orphans: their callers may have gone, and only an origin knows.
-	if u.clock != 0 && u.pollFailures == 0 && len(u.runs) > 0 && len(u.orphans) == 0 {
+	// The lease of an unresponsive upstream is not renewed, so that its runs end.
+	if u.clock != 0 && u.pollFailures == 0 && len(u.runs) > 0 && !u.hasUnwantedRun() {
 		p.Until = u.clockNow(now) + lease.Milliseconds()
 		u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, lease))
 	}
--- /dev/null
+++ b/scheduler/unneeded_test.go
@@ -0,0 +1,44 @@
+package scheduler_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+// The upstream answers polls, but no stop order: the job's caller has gone, and other jobs
+// go on there and arrive.
+func TestRunOfWithdrawnJobIsRenewedWhileStopsAreLost(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.upstreams["u1"].Speed = 0.1
+	b.pollAll()
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
+	require.Len(t, b.stops, 1)
+	b.offer(b.job("b", 0))
+	for range 70 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.place()
+	}
+	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}))
+}
+
+// A stop order that is answered takes effect; the other runs of the upstream go on.
+func TestRunsLapseBesideStoppedRun(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	b.offer(b.job("b", 0))
+	require.Len(t, b.place(), 2)
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
+	for range 110 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.executeStops()
+	}
+	require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
+	require.Len(t, b.starts, 2)
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -126,11 +126,26 @@
 	return u.clock + now.Sub(u.clockAt).Milliseconds()
 }
 
-// usable reports whether new tasks may be placed on the upstream. Orphans prevent it,
+// usable reports whether new tasks may be placed on the upstream. Orphans prevent it also
 // because their size is unknown.
 func (u *upstream) usable(now time.Time) bool {
-	return u.listed && u.claimed && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
-		!u.fenced && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs)
+	return u.listed && u.claimed && !u.Draining && !u.Missing && u.pollFailures < suspectFailures &&
+		!u.fenced && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun()
+}
+
+// hasUnwantedRun reports whether a run is active that no caller may wait for any longer: an
+// orphan, whose origin alone knows, or one that is not needed and has not answered a stop.
+// Renewed leases and start orders would prolong it.
+func (u *upstream) hasUnwantedRun() bool {
+	if len(u.orphans) > 0 {
+		return true
+	}
+	for _, r := range u.runs {
+		if r.unneeded && !r.stopAnswered {
+			return true
+		}
+	}
+	return false
 }
 
 // freeSize returns the free capacity.
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -45,9 +45,11 @@
 			if !c.withdrawn {
 				b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
 			}
-			b.advanceWithPolls(500 * time.Millisecond)
-			require.True(t, b.upstreams["u1"].HasRun(task))
+			b.advanceWithPolls(300 * time.Millisecond)
+			require.True(t, b.upstreams["u1"].HasRun(task), "the stop is not executed")
 			require.Len(t, b.stops, 1, "nobody needs the run")
+			b.advanceWithPolls(800 * time.Millisecond)
+			require.False(t, b.upstreams["u1"].HasRun(task), "its lease is not renewed")
 		})
 	}
 }
