--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -106,15 +106,15 @@
 // releaseHeld lets jobs start once the criteria are met. A resumed at-most-once job
 // requires answers of all upstreams on which its tasks can have started, from
 // processes older than the job; otherwise it is abandoned. releaseHeld returns
-// the number of tasks that no longer wait.
-func (s *jobShard) releaseHeld(c releaseCriteria, a *Actions) int {
+// the number of tasks that no longer wait, and the ids of the jobs whose adopted runs must be
+// stopped.
+func (s *jobShard) releaseHeld(c releaseCriteria, a *Actions) (n int, stop []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c.term.token <= s.lastToken {
-		return 0
+		return 0, nil
 	}
-	n := 0
-	for _, r := range s.records {
+	for id, r := range s.records {
 		j := r.job
 		if j == nil || j.heldSince.IsZero() {
 			continue
@@ -130,10 +130,13 @@
 		case j.AtMostOnce && (polled || timedOut) && len(j.waiting) > 0:
 			n += len(j.waiting)
 			a.Notices = append(a.Notices, j.abandonNotice(verdict.CodeOwnerLost, "the dispatcher was lost and the tasks may have started", 0))
+			if j.running > 0 {
+				stop = append(stop, id)
+			}
 			s.remove(j)
 		}
 	}
-	return n
+	return n, stop
 }
 
 // processStartMargin is the time by which a process must have started before Job.Sent
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -275,8 +275,14 @@
 		timeout += peerRenewalTime
 	}
 	criteria.resumedBefore = now.Add(-timeout)
+	var abandoned []string
 	for _, shard := range s.jobShards {
-		s.waiting.Add(int64(-shard.releaseHeld(criteria, &a)))
+		waiting, stop := shard.releaseHeld(criteria, &a)
+		s.waiting.Add(int64(-waiting))
+		abandoned = append(abandoned, stop...)
+	}
+	if len(abandoned) > 0 {
+		s.stopRuns(now, "the job was abandoned", &a, abandoned...)
 	}
 	var overdue []string
 	for _, shard := range s.jobShards {
--- a/scheduler/unneeded_test.go
+++ b/scheduler/unneeded_test.go
@@ -42,3 +42,31 @@
 	require.Equal(t, scheduler.TaskDone, b.notices[len(b.notices)-1].Kind)
 	require.Len(t, b.starts, 2)
 }
+
+// One task of an at-most-once job is found running after a takeover and is adopted; the
+// other one may have started, so that the job is abandoned.
+func TestAdoptedRunOfAbandonedJobGoesOn(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	j := b.atMostOnceJob("a", 0, 1)
+	j.Size.MilliCPU = 10_000 // one task on each upstream
+	b.offer(j)
+	starts := b.place()
+	require.Len(t, starts, 2)
+	for _, u := range b.upstreams {
+		u.Speed = 0.1
+	}
+	b.beginTerm(200)
+	lost := b.upstreams[starts[0].Upstream.Name]
+	lost.Restart(b.now)
+	b.pollAll()
+	j.Resumed = true
+	b.offer(j)
+	for range 100 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.place()
+		b.executeStops()
+	}
+	require.Equal(t, scheduler.JobAbandoned, b.notices[len(b.notices)-1].Kind)
+	require.Empty(t, b.runsOf(starts[1].Run.Task))
+}
