--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -32,6 +32,11 @@
 	if !r.rejectedUntil.IsZero() {
 		return nil, 0, verdict.Errorf(verdict.MayHaveRun, verdict.CodeOwnerLost, "the tasks were stopped while the origin was unreachable")
 	}
+	if !now.Before(offered.Deadline) {
+		// A run that the job adopted would be renewed although nobody waits for it.
+		late := &job{Job: offered, ranBefore: len(r.attempts) > 0}
+		return []Notice{late.abandonNotice(verdict.CodeDeadline, "the caller's deadline passed before the job was offered", verdict.MinRetryAfter)}, 0, nil
+	}
 	if s.epoch.IsZero() {
 		s.epoch = now
 	}
--- a/scheduler/unneeded_test.go
+++ b/scheduler/unneeded_test.go
@@ -70,3 +70,20 @@
 	require.Equal(t, scheduler.JobAbandoned, b.notices[len(b.notices)-1].Kind)
 	require.Empty(t, b.runsOf(starts[1].Run.Task))
 }
+
+// An origin that was paused offers a job whose caller no longer waits.
+func TestJobIsOfferedAfterItsDeadline(t *testing.T) {
+	for _, resumed := range []bool{false, true} {
+		b := newTestHarness(t, "u1")
+		b.offer(b.job("a", 0))
+		require.Len(t, b.place(), 1)
+		b.beginTerm(200)
+		b.pollAll()
+		late := b.job("a", 0)
+		late.Resumed, late.Deadline = resumed, b.now
+		b.offer(late)
+		require.Len(t, b.notices, 1)
+		require.Equal(t, scheduler.JobAbandoned, b.notices[0].Kind, "a task has run")
+		require.Empty(t, b.foundEnds, "the run is not adopted")
+	}
+}
