--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -23,6 +23,9 @@
 	s.mergeHistories(now, offered.ID, offered.Histories)
 	r := s.record(offered.ID)
 	if r.job != nil {
+		if offered.Origin == r.job.Origin && offered.Submission < r.job.Submission {
+			return nil, 0, nil // late; its origin has ended this submission
+		}
 		return s.move(now, r.job, offered, t), 0, nil
 	}
 	if r.completed != nil {
--- a/scheduler/unneeded_test.go
+++ b/scheduler/unneeded_test.go
@@ -87,3 +87,18 @@
 		require.Empty(t, b.foundEnds, "the run is not adopted")
 	}
 }
+
+// The offer of an earlier submission arrives after that of the next one, which is then
+// withdrawn.
+func TestLateOfferOfEarlierSubmissionKeepsJob(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	first := b.job("a", 0)
+	first.Submission = 1
+	second := b.job("a", 0)
+	second.Submission = 2
+	b.offer(second)
+	require.Len(t, b.place(), 1)
+	b.offer(first)
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 2))
+	require.Len(t, b.stops, 1)
+}
