--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -9,14 +9,16 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/fleet"
-	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 )
 
 // heartbeatLoop sends heartbeats to the members chosen by the fleet, and to the
-// seeds while no other member is known.
+// seeds while no other member is known. It announces a new term to all reachable
+// members at once: found runs end unless their origins offer the jobs again within the lease.
 func (n *Node) heartbeatLoop(ctx context.Context) error {
 	pending := pendingAddresses{pending: map[string]bool{}}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
 		size := n.fleet.Size()
 		for _, m := range n.fleet.HeartbeatTargets(time.Now()) {
@@ -27,9 +29,16 @@
 				n.sendHeartbeat(ctx, &pending, fleet.Member{Address: seed})
 			}
 		}
-		if !wait.For(ctx, n.fleet.Interval()) {
+		timer.Reset(n.fleet.Interval())
+		select {
+		case <-ctx.Done():
 			n.heartbeatCalls.Wait()
 			return nil
+		case <-n.announceSignal:
+			for _, r := range n.view.Load().Reachable {
+				n.sendHeartbeat(ctx, &pending, r.Member)
+			}
+		case <-timer.C:
 		}
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,7 @@
 	placeSignal    chan struct{} // requests a placement round
 	relistSignal   chan struct{} // requests a new listing of the upstreams
 	termSignal     chan struct{} // requests an update of the view and the term
+	announceSignal chan struct{} // requests heartbeats to all reachable members
 	pullFrom       chan string   // addresses of peers with newer state
 	heartbeatCalls sync.WaitGroup
 }
@@ -171,15 +172,16 @@
 	}
 	n := &Node{
 		config: config, deps: deps, metrics: deps.Metrics,
-		log:          deps.Log.With(slog.String("vm", config.VM)),
-		decisions:    deps.Decisions,
-		fleet:        fleet.New(self),
-		scheduler:    scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions}),
-		jobs:         intake.New[Job](),
-		placeSignal:  make(chan struct{}, 1),
-		relistSignal: make(chan struct{}, 1),
-		termSignal:   make(chan struct{}, 1),
-		pullFrom:     make(chan string, 1),
+		log:            deps.Log.With(slog.String("vm", config.VM)),
+		decisions:      deps.Decisions,
+		fleet:          fleet.New(self),
+		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions}),
+		jobs:           intake.New[Job](),
+		placeSignal:    make(chan struct{}, 1),
+		relistSignal:   make(chan struct{}, 1),
+		termSignal:     make(chan struct{}, 1),
+		announceSignal: make(chan struct{}, 1),
+		pullFrom:       make(chan string, 1),
 	}
 	n.runCtx, n.cancelRun = context.WithCancel(context.Background())
 	n.origins.byVM = map[string]*origin{}
--- a/node/term.go
+++ b/node/term.go
@@ -240,6 +240,7 @@
 	t.mu.Lock()
 	t.token = token
 	t.mu.Unlock()
+	wake(n.announceSignal)
 	wake(n.relistSignal)
 	n.applyUpstreams(now)
 	n.pollers.wakeAll()
--- a/node/term_test.go
+++ b/node/term_test.go
@@ -95,3 +95,14 @@
 	n.scheduler.Tick(at)
 	require.Len(t, n.scheduler.Place(at), 1)
 }
+
+// Origins that learn of a term only from the next heartbeat offer their jobs after the runs
+// have lapsed.
+func TestTermIsAnnouncedAtNextHeartbeat(t *testing.T) {
+	n := New(Config{VM: "vm0", Incarnation: 1, DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease},
+		Dependencies{Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics()})
+	require.Empty(t, n.announceSignal)
+	n.updateTerm(time.Now())
+	require.NotZero(t, n.term.current(), "the only VM dispatches")
+	require.Len(t, n.announceSignal, 1)
+}
