--- a/node/node.go
+++ b/node/node.go
@@ -138,12 +138,13 @@
 	jobs      *intake.Table[Job]
 	peers     *peer.Transport
 
-	term     term
-	origins  origins
-	outboxes outboxes
-	pollers  pollers
-	pauses   pauseDetector
-	rtt      rttEstimator // of calls to upstreams
+	term        term
+	origins     origins
+	outboxes    outboxes
+	withdrawals withdrawals
+	pollers     pollers
+	pauses      pauseDetector
+	rtt         rttEstimator // of calls to upstreams
 
 	table    atomic.Pointer[routing.Table] // nil before the first configuration
 	registry registry
@@ -184,6 +185,7 @@
 	n.runCtx, n.cancelRun = context.WithCancel(context.Background())
 	n.origins.byVM = map[string]*origin{}
 	n.outboxes.byVM = map[string]*outbox{}
+	n.withdrawals.byVM = map[string]*withdrawalQueue{}
 	n.pollers.init()
 	n.registry.init()
 	n.view.Store(&fleet.View{TopRanked: self, TopInDataCentre: true, Candidate: true})
--- a/node/submit.go
+++ b/node/submit.go
@@ -184,29 +184,6 @@
 	}
 }
 
-// withdraw asks the dispatcher of a job to stop its tasks.
-func (n *Node) withdraw(vm string, term uint64, j *intake.Job[Job]) {
-	if term == 0 {
-		return
-	}
-	if vm == n.config.VM {
-		n.withdrawJob(n.config.VM, j.ID, j.Submission)
-		return
-	}
-	v := n.view.Load()
-	if v.Dispatcher.VM != vm || v.Term != term {
-		return // a dispatcher abandons the jobs of VMs that it cannot reach
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(n.runCtx, n.peerTimeout())
-		defer cancel()
-		request := wire.WithdrawRequest{Origin: n.config.VM, Job: j.ID, Submission: j.Submission}
-		if err := n.peers.Call(ctx, v.Dispatcher.Address, &request, &wire.WithdrawResponse{}); err != nil {
-			n.log.Info("job withdrawal failed", slog.String("job", j.ID), slog.String("dispatcher", vm), slog.Any("error", err))
-		}
-	}()
-}
-
 func (n *Node) handleCompletions(ctx context.Context, from *wire.Hello, r *wire.CompletionsRequest) wire.Message {
 	moved := n.applyCompletions(from.VM, r)
 	return &wire.CompletionsResponse{Incomplete: !n.forwardCompletions(ctx, moved)}
--- /dev/null
+++ b/node/withdraw_test.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/peer"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/stretchr/testify/require"
+)
+
+// fakeDispatcher is a VM that accepts offers and records the withdrawals that it receives.
+type fakeDispatcher struct {
+	member    fleet.Member
+	withdrawn chan wire.WithdrawRequest
+}
+
+// listenDispatcher starts a fakeDispatcher. fault is called before the answer to each
+// withdrawal, with the number of the earlier ones.
+func listenDispatcher(t *testing.T, vm string, weight int, fault func(ctx context.Context, earlier int)) *fakeDispatcher {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	d := &fakeDispatcher{
+		member:    fleet.Member{VM: vm, Incarnation: 1, DataCentre: "a", Address: listener.Addr().String(), Weight: weight},
+		withdrawn: make(chan wire.WithdrawRequest, 16),
+	}
+	transport := peer.New(peer.Config{
+		Hello:       wire.Hello{VM: vm, Incarnation: 1, DataCentre: "a", Address: d.member.Address},
+		DialTimeout: dialTimeout, MaxFrame: maxFrame, OnHello: func(wire.Hello) {},
+	})
+	peer.Handle(transport, func(context.Context, *wire.Hello, *wire.OfferRequest) wire.Message {
+		return &wire.OfferResponse{Accepted: true}
+	})
+	received := make(chan int, 1)
+	received <- 0
+	peer.Handle(transport, func(ctx context.Context, _ *wire.Hello, r *wire.WithdrawRequest) wire.Message {
+		earlier := <-received
+		received <- earlier + 1
+		d.withdrawn <- *r
+		fault(ctx, earlier)
+		return &wire.WithdrawResponse{}
+	})
+	ctx, stop := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- transport.Serve(ctx, listener) }()
+	t.Cleanup(func() {
+		stop()
+		require.NoError(t, <-served)
+	})
+	return d
+}
+
+// receive waits for a withdrawal.
+func (d *fakeDispatcher) receive(t *testing.T, what string) wire.WithdrawRequest {
+	select {
+	case r := <-d.withdrawn:
+		return r
+	case <-time.After(waitTimeout):
+		require.FailNow(t, "no withdrawal", what)
+		return wire.WithdrawRequest{}
+	}
+}
+
+// hear records that a dispatcher reports its term to a node.
+func (d *fakeDispatcher) hear(n *Node, term uint64) {
+	now := time.Now()
+	n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: d.member, Term: term}, true)
+	v := n.fleet.View(now, 0)
+	n.view.Store(&v)
+}
+
+// newOrigin returns a node that takes jobs and never dispatches.
+func newOrigin(t *testing.T) *Node {
+	n := New(Config{VM: "vm0", Incarnation: 1, DataCentre: "a", PeerAddress: "127.0.0.1:1", Weight: 100, LeaseMax: testLease},
+		Dependencies{Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics()})
+	t.Cleanup(n.Stop)
+	return n
+}
+
+// addJob adds a job of a caller that waits for long.
+func addJob(n *Node, id string) *intake.Job[Job] {
+	now := time.Now()
+	j, _ := n.jobs.AddOrJoin(now, id, Job{Queue: &testQueue, Deadline: now.Add(time.Hour)}, 1)
+	return j
+}
+
+// A dispatcher that has not heard of a withdrawal renews the leases of the job's runs until the
+// caller's deadline, while the caller may have sent the job again long since.
+func TestWithdrawalThatFailedIsNotRepeated(t *testing.T) {
+	for name, fault := range map[string]func(context.Context){
+		"connection reset": func(context.Context) { panic("handler failed") },
+		"answer lost":      func(ctx context.Context) { <-ctx.Done() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			const failing = 2
+			d := listenDispatcher(t, "vm1", 400, func(ctx context.Context, earlier int) {
+				if earlier < failing {
+					fault(ctx)
+				}
+			})
+			n := newOrigin(t)
+			d.hear(n, 7)
+			j := addJob(n, "a")
+			n.jobs.Assign(j, "vm1", 7)
+			n.expire(j)
+			for range failing + 1 {
+				r := d.receive(t, "until the dispatcher has acknowledged it")
+				require.Equal(t, "a", r.Job)
+				require.Equal(t, j.Submission, r.Submission)
+			}
+		})
+	}
+}
+
+// Withdrawals that no dispatcher acknowledges end with the jobs that they are for.
+func TestWithdrawalIsRepeatedForever(t *testing.T) {
+	now := time.Now()
+	q := withdrawalQueue{repeating: true}
+	q.putBack([]withdrawal{
+		{wire.WithdrawRequest{Job: "over"}, now},
+		{wire.WithdrawRequest{Job: "a"}, now.Add(time.Second)},
+		{wire.WithdrawRequest{Job: "b"}, now.Add(2 * time.Second)},
+	})
+	first, others, ok := q.take(now)
+	require.True(t, ok)
+	require.Equal(t, "a", first.request.Job)
+	require.Len(t, others, 1)
+	q.putBack(append(others, first))
+	first, others, ok = q.take(now.Add(time.Second))
+	require.True(t, ok)
+	require.Equal(t, "b", first.request.Job)
+	require.Empty(t, others)
+	_, _, ok = q.take(now.Add(time.Second))
+	require.False(t, ok)
+	require.False(t, q.repeating)
+}
