--- a/intake/intake.go
+++ b/intake/intake.go
@@ -229,9 +229,10 @@
 	return j.vm, j.term
 }
 
-// Finish answers a submission of a job and returns the dispatcher that had it. finished is
-// false if it is not unanswered. NotRun becomes Abandoned if the job is unassigned and an
-// earlier dispatcher may have started tasks.
+// Finish answers a submission of a job and returns the dispatcher that may have it, also if
+// the job is unassigned because the offer got no answer; term is 0 if there is none.
+// finished is false if it is not unanswered. NotRun becomes Abandoned if the job is
+// unassigned and an earlier dispatcher may have started tasks.
 func (t *Table[S]) Finish(id string, submission uint64, a Answer) (vm string, term uint64, finished bool) {
 	s := t.shard(id)
 	s.mu.Lock()
@@ -244,7 +245,7 @@
 		a.Outcome = Abandoned
 	}
 	s.finish(j, a)
-	return j.vm, j.term, true
+	return j.lastVM, j.lastTerm, true
 }
 
 // Find returns the unanswered job with an id, or nil.
@@ -290,7 +291,7 @@
 // RemoveWaiter records that a caller no longer waits for a job. If no other
 // caller waits and the job is unanswered, it is answered as cancelled; last is
 // then true, and vm and term identify the dispatcher on which to stop its
-// tasks.
+// tasks, as for Finish.
 func (t *Table[S]) RemoveWaiter(j *Job[S]) (vm string, term uint64, last bool) {
 	s := t.shard(j.ID)
 	s.mu.Lock()
@@ -304,7 +305,7 @@
 		a.Outcome = NotRun
 	}
 	s.finish(j, a)
-	return j.vm, j.term, true
+	return j.lastVM, j.lastTerm, true
 }
 
 // Answer returns the answer of a finished job and reports whether a dispatcher
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -81,6 +81,29 @@
 	<-j.Done()
 }
 
+// A dispatcher that has not answered an offer may have the job.
+func TestDispatcherThatMayHaveJobIsForgotten(t *testing.T) {
+	for name, end := range map[string]func(*Table[string], *Job[string]) (string, uint64, bool){
+		"answered": func(table *Table[string], j *Job[string]) (string, uint64, bool) {
+			return table.Finish("a", j.Submission, Answer{Outcome: Abandoned})
+		},
+		"cancelled": func(table *Table[string], j *Job[string]) (string, uint64, bool) { return table.RemoveWaiter(j) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := New[string]()
+			j, _ := table.AddOrJoin(now, "a", "spec", 1)
+			offer, _ := table.Assign(j, "vm1", 7)
+			table.Unassign(offer, "vm1", 7, false)
+			offer, _ = table.Assign(j, "vm2", 8)
+			table.Unassign(offer, "vm2", 8, true)
+			vm, term, ended := end(table, j)
+			require.True(t, ended)
+			require.Equal(t, "vm1", vm, "vm2 has refused the job")
+			require.EqualValues(t, 7, term)
+		})
+	}
+}
+
 func TestJobsOfAnotherDispatcherAreUnassigned(t *testing.T) {
 	table := New[string]()
 	a, _ := table.AddOrJoin(now, "a", "spec", 1)
--- a/node/withdraw.go
+++ b/node/withdraw.go
@@ -23,20 +23,23 @@
 	until time.Time
 }
 
-// withdrawals holds the withdrawals that have failed, by the VM of the dispatcher.
+// withdrawals holds the withdrawals that are still to be acknowledged, by the VM of the
+// dispatcher.
 type withdrawals struct {
 	mu   sync.Mutex // guards the field below
 	byVM map[string]*withdrawalQueue
 }
 
-// withdrawalQueue holds the withdrawals that one dispatcher has not acknowledged.
+// withdrawalQueue holds the withdrawals to one dispatcher that have failed, or were not sent
+// because it was unreachable.
 type withdrawalQueue struct {
 	mu        sync.Mutex // guards the fields below
 	pending   []withdrawal
 	repeating bool
 }
 
-// withdraw asks the dispatcher of a job to stop its tasks.
+// withdraw asks the dispatcher of a job to stop its tasks, whether or not the view names it.
+// A dispatcher that hears the origin keeps the job otherwise.
 func (n *Node) withdraw(vm string, term uint64, j *intake.Job[Job]) {
 	if term == 0 {
 		return
@@ -45,10 +48,6 @@
 		n.withdrawJob(n.config.VM, j.ID, j.Submission)
 		return
 	}
-	v := n.view.Load()
-	if v.Dispatcher.VM != vm || v.Term != term {
-		return // a dispatcher abandons the jobs of VMs that it cannot reach
-	}
 	go n.sendWithdrawal(vm, withdrawal{
 		request: wire.WithdrawRequest{Origin: n.config.VM, Job: j.ID, Submission: j.Submission},
 		until:   j.Spec.Deadline.Add(n.peerTimeout() + abandonMargin),
@@ -58,6 +57,10 @@
 // sendWithdrawal sends a withdrawal, and repeats it if it fails: the dispatcher would renew
 // the leases of the runs until the caller's deadline.
 func (n *Node) sendWithdrawal(vm string, w withdrawal) {
+	if !n.fleet.Reachable(time.Now(), vm) {
+		n.withdrawals.add(n, vm, w)
+		return
+	}
 	if err := n.callWithdraw(vm, &w.request); err != nil {
 		n.log.Info("job withdrawal failed", slog.String("job", w.request.Job), slog.String("dispatcher", vm), slog.Any("error", err))
 		n.withdrawals.add(n, vm, w)
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -117,6 +117,37 @@
 	}
 }
 
+// A dispatcher that the origin hears, while another one dispatches or none does, goes on with
+// the origin's jobs: it abandons only those of origins that it cannot reach.
+func TestJobStaysAtDispatcherThatViewDoesNotName(t *testing.T) {
+	for name, prepare := range map[string]func(*Node, *intake.Job[Job]){
+		"another dispatches": func(n *Node, j *intake.Job[Job]) {
+			n.jobs.Assign(j, "vm1", 7)
+			other := fakeDispatcher{member: fleet.Member{VM: "vm2", Incarnation: 1, DataCentre: "a", Weight: 800}}
+			other.hear(n, 9)
+		},
+		"in another term": func(n *Node, j *intake.Job[Job]) { n.jobs.Assign(j, "vm1", 6) },
+		"none dispatches": func(n *Node, j *intake.Job[Job]) {
+			n.jobs.Assign(j, "vm1", 7)
+			n.view.Store(&fleet.View{})
+		},
+		"the offer failed": func(n *Node, j *intake.Job[Job]) {
+			o, _ := n.jobs.Assign(j, "vm1", 7)
+			n.jobs.Unassign(o, "vm1", 7, false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := listenDispatcher(t, "vm1", 400, func(context.Context, int) {})
+			n := newOrigin(t)
+			d.hear(n, 7)
+			j := addJob(n, "a")
+			prepare(n, j)
+			n.expire(j)
+			require.Equal(t, j.Submission, d.receive(t, name).Submission)
+		})
+	}
+}
+
 // Withdrawals that no dispatcher acknowledges end with the jobs that they are for.
 func TestWithdrawalIsRepeatedForever(t *testing.T) {
 	now := time.Now()
