--- a/node/submit.go
+++ b/node/submit.go
@@ -130,6 +130,13 @@
 
 // handleOfferResponse processes the answer to an offer.
 func (n *Node) handleOfferResponse(o intake.Offer[Job], v *fleet.View, response *wire.OfferResponse, err error) {
+	if err != nil || response.Accepted {
+		select {
+		case <-o.Job.Done():
+			n.withdraw(v.Dispatcher.VM, v.Term, o.Job) // the withdrawal may have arrived before the offer
+		default:
+		}
+	}
 	switch {
 	case err != nil:
 		n.log.Info("job offer failed", slog.String("job", o.Job.ID), slog.String("dispatcher", v.Dispatcher.VM), slog.Any("error", err))
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -148,6 +148,23 @@
 	}
 }
 
+// A job ends while its offer is on its way, and the withdrawal arrives first.
+func TestWithdrawalOvertakesOffer(t *testing.T) {
+	for name, err := range map[string]error{"accepted": nil, "answer lost": context.DeadlineExceeded} {
+		t.Run(name, func(t *testing.T) {
+			d := listenDispatcher(t, "vm1", 400, func(context.Context, int) {})
+			n := newOrigin(t)
+			d.hear(n, 7)
+			j := addJob(n, "a")
+			o, _ := n.jobs.Assign(j, "vm1", 7)
+			n.expire(j)
+			d.receive(t, "before the offer")
+			n.handleOfferResponse(o, n.view.Load(), &wire.OfferResponse{Accepted: true}, err)
+			require.Equal(t, j.Submission, d.receive(t, "after the offer").Submission)
+		})
+	}
+}
+
 // Withdrawals that no dispatcher acknowledges end with the jobs that they are for.
 func TestWithdrawalIsRepeatedForever(t *testing.T) {
 	now := time.Now()
