--- a/node/submit.go
+++ b/node/submit.go
@@ -130,6 +130,13 @@
 
 // handleOfferResponse processes the answer to an offer.
 func (n *Node) handleOfferResponse(o intake.Offer[Job], v *fleet.View, response *wire.OfferResponse, err error) {
+	if err != nil || response.Accepted {
+		select {
+		case <-o.Job.Done():
+			n.withdraw(v.Dispatcher.VM, v.Term, o.Job) // the withdrawal may have arrived before the offer
+		default:
+		}
+	}
 	switch {
 	case err != nil:
 		n.log.Info("job offer failed", slog.String("job", o.Job.ID), slog.String("dispatcher", v.Dispatcher.VM), slog.Any("error", err))
@@ -184,29 +191,6 @@
 	}
 }
 
-// withdraw asks the dispatcher of a job to stop its tasks.
-func (n *Node) withdraw(vm string, term uint64, j *intake.Job[Job]) {
-	if term == 0 {
-		return
-	}
-	if vm == n.config.VM {
-		n.withdrawJob(n.config.VM, j.ID, j.Submission)
-		return
-	}
-	v := n.view.Load()
-	if v.Dispatcher.VM != vm || v.Term != term {
-		return // a dispatcher abandons the jobs of VMs that it cannot reach
-	}
-	go func() {
-		ctx, cancel := context.WithTimeout(n.runCtx, n.peerTimeout())
-		defer cancel()
-		request := wire.WithdrawRequest{Origin: n.config.VM, Job: j.ID, Submission: j.Submission}
-		if err := n.peers.Call(ctx, v.Dispatcher.Address, &request, &wire.WithdrawResponse{}); err != nil {
-			n.log.Info("job withdrawal failed", slog.String("job", j.ID), slog.String("dispatcher", vm), slog.Any("error", err))
-		}
-	}()
-}
-
 func (n *Node) handleCompletions(ctx context.Context, from *wire.Hello, r *wire.CompletionsRequest) wire.Message {
 	moved := n.applyCompletions(from.VM, r)
 	return &wire.CompletionsResponse{Incomplete: !n.forwardCompletions(ctx, moved)}
