--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -340,6 +340,16 @@
 	return ""
 }
 
+// Term returns the term that another member has last reported, or 0.
+func (f *Fleet) Term(vm string) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[vm]; p != nil {
+		return p.heartbeat.Term
+	}
+	return 0
+}
+
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -256,6 +256,15 @@
 	return s.jobs[id]
 }
 
+// LastOffer returns the dispatcher whose offer of a job may have had an effect last; term is
+// 0 if there is none.
+func (t *Table[S]) LastOffer(j *Job[S]) (vm string, term uint64) {
+	s := t.shard(j.ID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return j.lastVM, j.lastTerm
+}
+
 // Progress returns the VM of the dispatcher that has a job, empty if none, and
 // the number of unfinished tasks.
 func (t *Table[S]) Progress(j *Job[S]) (vm string, open int) {
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -1981,11 +1981,11 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z WithdrawRequest) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *WithdrawRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 4
 	// string "o"
-	o = append(o, 0x83, 0xa1, 0x6f)
+	o = append(o, 0x84, 0xa1, 0x6f)
 	o = msgp.AppendString(o, z.Origin)
 	// string "j"
 	o = append(o, 0xa1, 0x6a)
@@ -1993,6 +1993,9 @@
 	// string "su"
 	o = append(o, 0xa2, 0x73, 0x75)
 	o = msgp.AppendUint64(o, z.Submission)
+	// string "t"
+	o = append(o, 0xa1, 0x74)
+	o = msgp.AppendUint64(o, z.Term)
 	return
 }
 
@@ -2032,6 +2035,12 @@
 				err = msgp.WrapError(err, "Submission")
 				return
 			}
+		case "t":
+			z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2045,8 +2054,8 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z WithdrawRequest) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size
+func (z *WithdrawRequest) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Origin) + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size + 2 + msgp.Uint64Size
 	return
 }
 
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -291,7 +291,7 @@
 func (*HistoriesResponse) Kind() Kind { return KindHistoriesResponse }
 
 // WithdrawRequest asks a dispatcher to stop all tasks of a submission,
-// because no caller waits for it.
+// because no caller waits for it or because another dispatcher has it.
 type WithdrawRequest struct {
 	// Origin is the VM that took the job.
 	Origin string `msg:"o"`
@@ -300,6 +300,9 @@
 	// Submission is the number of the submission. A later one of the same job
 	// goes on.
 	Submission uint64 `msg:"su"`
+	// Term is the only term in which the dispatcher stops the tasks, because a
+	// later offer of the submission goes on. 0 stands for all terms.
+	Term uint64 `msg:"t"`
 }
 
 // Kind returns the frame kind of the message.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -51,10 +51,26 @@
 }
 
 func (n *Node) handleWithdraw(_ context.Context, _ *wire.Hello, r *wire.WithdrawRequest) wire.Message {
-	n.withdrawJob(r.Origin, r.Job, r.Submission)
+	if r.Term == 0 {
+		n.withdrawJob(r.Origin, r.Job, r.Submission)
+	} else {
+		n.apply(n.withdrawInTerm(r))
+		n.wakePlaceLoop()
+	}
 	return &wire.WithdrawResponse{}
 }
 
+// withdrawInTerm withdraws a job unless the term of its offer is over. The term changes with
+// the jobs removed, so that a later offer of the submission goes on.
+func (n *Node) withdrawInTerm(r *wire.WithdrawRequest) scheduler.Actions {
+	n.term.transition.Lock() // no term begins between the check and the withdrawal
+	defer n.term.transition.Unlock()
+	if r.Term != n.termFor(r.Origin) {
+		return scheduler.Actions{}
+	}
+	return n.scheduler.Withdraw(time.Now(), r.Origin, r.Job, r.Submission)
+}
+
 func (n *Node) withdrawJob(origin, job string, submission uint64) {
 	n.apply(n.scheduler.Withdraw(time.Now(), origin, job, submission))
 	n.wakePlaceLoop()
--- a/node/submit.go
+++ b/node/submit.go
@@ -92,6 +92,7 @@
 	if !ok {
 		return
 	}
+	n.withdrawMoved(o, v.Dispatcher.VM)
 	if job := &j.Spec; job.AtMostOnce && o.Resumed && !n.canResume(o.PreviousVM) {
 		n.abandon(j, "its dispatcher "+o.PreviousVM+" was unreachable for too long to know which tasks have started")
 		return
@@ -130,12 +131,8 @@
 
 // handleOfferResponse processes the answer to an offer.
 func (n *Node) handleOfferResponse(o intake.Offer[Job], v *fleet.View, response *wire.OfferResponse, err error) {
-	if err != nil || response.Accepted {
-		select {
-		case <-o.Job.Done():
-			n.withdraw(v.Dispatcher.VM, v.Term, o.Job) // the withdrawal may have arrived before the offer
-		default:
-		}
+	if (err != nil || response.Accepted) && isDone(o.Job) {
+		n.withdraw(v.Dispatcher.VM, v.Term, o.Job) // the withdrawal may have arrived before the offer
 	}
 	switch {
 	case err != nil:
--- a/node/withdraw.go
+++ b/node/withdraw.go
@@ -21,8 +21,21 @@
 	request wire.WithdrawRequest
 	// until is when the dispatcher has abandoned the job by itself.
 	until time.Time
+	// moved is the job if it goes on at another dispatcher, and from the time at which the
+	// former one must have ended its term. moved is nil if the job has ended.
+	moved *intake.Job[Job]
+	from  time.Time
 }
 
+// withdrawalState tells what to do with a pending withdrawal.
+type withdrawalState int
+
+const (
+	withdrawalDue withdrawalState = iota
+	withdrawalEarly
+	withdrawalUnneeded
+)
+
 // withdrawals holds the withdrawals that are still to be acknowledged, by the VM of the
 // dispatcher.
 type withdrawals struct {
@@ -48,10 +61,56 @@
 		n.withdrawJob(n.config.VM, j.ID, j.Submission)
 		return
 	}
-	go n.sendWithdrawal(vm, withdrawal{
+	go n.sendWithdrawal(vm, n.newWithdrawal(j))
+}
+
+func (n *Node) newWithdrawal(j *intake.Job[Job]) withdrawal {
+	return withdrawal{
 		request: wire.WithdrawRequest{Origin: n.config.VM, Job: j.ID, Submission: j.Submission},
 		until:   j.Spec.Deadline.Add(n.peerTimeout() + abandonMargin),
-	})
+	}
+}
+
+// withdrawMoved stops a job at its former dispatcher if that one goes on in its term. It
+// does if it hears this VM but not the dispatcher to which the job is now offered. Until
+// peerTimeout has passed, it may still hear of the new term, and the new dispatcher adopts
+// its runs; resumeDelay allows for runs that it stops after that.
+func (n *Node) withdrawMoved(o intake.Offer[Job], dispatcher string) {
+	if o.PreviousTerm == 0 || o.PreviousVM == n.config.VM || o.PreviousVM == dispatcher {
+		return
+	}
+	w := n.newWithdrawal(o.Job)
+	w.request.Term, w.moved, w.from = o.PreviousTerm, o.Job, time.Now().Add(n.peerTimeout())
+	n.withdrawals.add(n, o.PreviousVM, w)
+}
+
+// withdrawalState returns the state of a withdrawal to a dispatcher.
+func (n *Node) withdrawalState(now time.Time, vm string, w *withdrawal) withdrawalState {
+	switch {
+	case !now.Before(w.until):
+		return withdrawalUnneeded
+	case w.moved == nil:
+		return withdrawalDue
+	case now.Before(w.from) && !isDone(w.moved):
+		return withdrawalEarly
+	}
+	if last, _ := n.jobs.LastOffer(w.moved); last == vm {
+		return withdrawalUnneeded // the job is back, or never left
+	}
+	if n.fleet.Term(vm) != w.request.Term {
+		return withdrawalUnneeded
+	}
+	return withdrawalDue
+}
+
+// isDone reports whether a job is answered.
+func isDone(j *intake.Job[Job]) bool {
+	select {
+	case <-j.Done():
+		return true
+	default:
+		return false
+	}
 }
 
 // sendWithdrawal sends a withdrawal, and repeats it if it fails: the dispatcher would renew
@@ -61,7 +120,7 @@
 		n.withdrawals.add(n, vm, w)
 		return
 	}
-	if err := n.callWithdraw(vm, &w.request); err != nil {
+	if err := n.callWithdraw(vm, &w); err != nil {
 		n.log.Info("job withdrawal failed", slog.String("job", w.request.Job), slog.String("dispatcher", vm), slog.Any("error", err))
 		n.withdrawals.add(n, vm, w)
 	}
@@ -69,10 +128,18 @@
 
 // callWithdraw makes one attempt. Its timeout is below that of other calls, so that a lost
 // message costs little.
-func (n *Node) callWithdraw(vm string, request *wire.WithdrawRequest) error {
+func (n *Node) callWithdraw(vm string, w *withdrawal) error {
 	ctx, cancel := context.WithTimeout(n.runCtx, n.peerTimeout()/2)
 	defer cancel()
-	return n.peers.Call(ctx, n.fleet.Address(vm), request, &wire.WithdrawResponse{})
+	err := n.peers.Call(ctx, n.fleet.Address(vm), &w.request, &wire.WithdrawResponse{})
+	if j := w.moved; j != nil {
+		if last, term := n.jobs.LastOffer(j); last == vm && term == w.request.Term {
+			// The job has been offered to this term again during the call.
+			n.jobs.Unassign(intake.Offer[Job]{Job: j}, vm, term, false)
+			n.wakeTermLoop()
+		}
+	}
+	return err
 }
 
 func (q *withdrawals) add(n *Node, vm string, w withdrawal) {
@@ -96,37 +163,42 @@
 // of them tells whether the dispatcher answers; only then are the others sent.
 func (q *withdrawalQueue) repeat(n *Node, vm string) {
 	for wait.For(n.runCtx, withdrawInterval) {
-		first, others, ok := q.take(time.Now())
-		if !ok {
+		now := time.Now()
+		due, done := q.take(func(w *withdrawal) withdrawalState { return n.withdrawalState(now, vm, w) })
+		switch {
+		case done:
 			return
+		case len(due) == 0:
+			continue
 		}
-		if err := n.callWithdraw(vm, &first.request); err != nil {
-			q.putBack(append(others, first))
+		if err := n.callWithdraw(vm, &due[0]); err != nil {
+			q.putBack(append(due[1:], due[0]))
 			continue
 		}
-		for _, w := range others {
+		for _, w := range due[1:] {
 			go n.sendWithdrawal(vm, w)
 		}
 	}
 }
 
-// take removes the pending withdrawals and returns those that are still needed. If there
-// are none, ok is false, and the next withdrawal that is added starts repeat.
-func (q *withdrawalQueue) take(now time.Time) (first withdrawal, others []withdrawal, ok bool) {
+// take removes the withdrawals that are due, which it returns, and those that are not needed.
+// done means that none is left; the next one that is added starts repeat.
+func (q *withdrawalQueue) take(state func(*withdrawal) withdrawalState) (due []withdrawal, done bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	var needed []withdrawal
-	for _, w := range q.pending {
-		if now.Before(w.until) {
-			needed = append(needed, w)
+	var early []withdrawal
+	for i := range q.pending {
+		switch w := &q.pending[i]; state(w) {
+		case withdrawalDue:
+			due = append(due, *w)
+		case withdrawalEarly:
+			early = append(early, *w)
 		}
 	}
-	q.pending = nil
-	if len(needed) == 0 {
-		q.repeating = false
-		return withdrawal{}, nil, false
-	}
-	return needed[0], needed[1:], true
+	q.pending = early
+	done = len(due)+len(early) == 0
+	q.repeating = !done
+	return due, done
 }
 
 func (q *withdrawalQueue) putBack(w []withdrawal) {
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -165,25 +165,102 @@
 	}
 }
 
+// Two dispatchers do not hear each other, and the origin hears both. The former one must not go
+// on with a job that the origin has offered to the other.
+func TestFormerDispatcherKeepsJobOfferedElsewhere(t *testing.T) {
+	former := listenDispatcher(t, "vm1", 400, func(context.Context, int) {})
+	next := listenDispatcher(t, "vm2", 800, func(context.Context, int) {})
+	n := newOrigin(t)
+	former.hear(n, 7)
+	j := addJob(n, "a")
+	n.offer(j, n.view.Load())
+	next.hear(n, 9)
+	n.offer(j, n.view.Load())
+	r := former.receive(t, "after a hand-over")
+	require.Equal(t, j.Submission, r.Submission)
+	require.EqualValues(t, 7, r.Term, "a later offer of the submission to the same VM must go on")
+	require.Empty(t, next.withdrawn)
+	vm, _ := n.jobs.Progress(j)
+	require.Equal(t, "vm2", vm)
+}
+
+// A withdrawal because of a hand-over arrives late. The job has been offered again since, in a
+// later term.
+func TestWithdrawalOfEarlierTermEndsJob(t *testing.T) {
+	n := newOrigin(t)
+	n.startTerm(time.Now(), n.view.Load(), "test")
+	first := n.termFor("vm9")
+	n.startTerm(time.Now(), n.view.Load(), "test")
+	offer := &wire.OfferRequest{Job: "a", Origin: "vm9", Submission: 3, Term: n.termFor("vm9"), Queue: "alert", Service: "rota", Tasks: []int{0}, Resumed: true, DeadlineUS: time.Minute.Microseconds()}
+	require.True(t, n.acceptOffer(offer).Accepted)
+	r := &wire.WithdrawRequest{Origin: "vm9", Job: "a", Submission: 3, Term: first}
+	n.handleWithdraw(t.Context(), nil, r)
+	require.Equal(t, 1, n.scheduler.Waiting())
+	r.Term = offer.Term
+	n.handleWithdraw(t.Context(), nil, r)
+	require.Zero(t, n.scheduler.Waiting())
+}
+
 // Withdrawals that no dispatcher acknowledges end with the jobs that they are for.
 func TestWithdrawalIsRepeatedForever(t *testing.T) {
+	n := newOrigin(t)
 	now := time.Now()
 	q := withdrawalQueue{repeating: true}
 	q.putBack([]withdrawal{
-		{wire.WithdrawRequest{Job: "over"}, now},
-		{wire.WithdrawRequest{Job: "a"}, now.Add(time.Second)},
-		{wire.WithdrawRequest{Job: "b"}, now.Add(2 * time.Second)},
+		{request: wire.WithdrawRequest{Job: "over"}, until: now},
+		{request: wire.WithdrawRequest{Job: "a"}, until: now.Add(time.Second)},
+		{request: wire.WithdrawRequest{Job: "b"}, until: now.Add(2 * time.Second)},
 	})
-	first, others, ok := q.take(now)
-	require.True(t, ok)
-	require.Equal(t, "a", first.request.Job)
-	require.Len(t, others, 1)
-	q.putBack(append(others, first))
-	first, others, ok = q.take(now.Add(time.Second))
-	require.True(t, ok)
-	require.Equal(t, "b", first.request.Job)
-	require.Empty(t, others)
-	_, _, ok = q.take(now.Add(time.Second))
-	require.False(t, ok)
+	take := func(at time.Time) (due []withdrawal, done bool) {
+		return q.take(func(w *withdrawal) withdrawalState { return n.withdrawalState(at, "vm1", w) })
+	}
+	due, done := take(now)
+	require.False(t, done)
+	require.Len(t, due, 2)
+	require.Equal(t, "a", due[0].request.Job)
+	q.putBack(due)
+	due, done = take(now.Add(time.Second))
+	require.False(t, done)
+	require.Len(t, due, 1)
+	require.Equal(t, "b", due[0].request.Job)
+	_, done = take(now.Add(time.Second))
+	require.True(t, done)
 	require.False(t, q.repeating)
 }
+
+// The runs of a job that is offered to another dispatcher go on if the former one hands over.
+func TestHandOverStopsRuns(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(*Node, intake.Offer[Job], *fakeDispatcher)
+		early   bool // before the former dispatcher must have heard of the new term
+		want    withdrawalState
+	}{
+		"it goes on":                  {func(*Node, intake.Offer[Job], *fakeDispatcher) {}, false, withdrawalDue},
+		"it may hear of the new term": {func(*Node, intake.Offer[Job], *fakeDispatcher) {}, true, withdrawalEarly},
+		"its term is over":            {func(n *Node, _ intake.Offer[Job], d *fakeDispatcher) { d.hear(n, 0) }, false, withdrawalUnneeded},
+		"it is in its next term":      {func(n *Node, _ intake.Offer[Job], d *fakeDispatcher) { d.hear(n, 8) }, false, withdrawalUnneeded},
+		"the new dispatcher refused":  {func(n *Node, o intake.Offer[Job], _ *fakeDispatcher) { n.jobs.Unassign(o, "vm2", 9, true) }, false, withdrawalUnneeded},
+		"the new one may have it":     {func(n *Node, o intake.Offer[Job], _ *fakeDispatcher) { n.jobs.Unassign(o, "vm2", 9, false) }, false, withdrawalDue},
+		"it has the job again":        {func(n *Node, o intake.Offer[Job], _ *fakeDispatcher) { n.jobs.Assign(o.Job, "vm1", 7) }, false, withdrawalUnneeded},
+		"the job ends before that":    {func(n *Node, o intake.Offer[Job], _ *fakeDispatcher) { n.expire(o.Job) }, true, withdrawalDue},
+		"the job ends, its term over": {func(n *Node, o intake.Offer[Job], d *fakeDispatcher) { d.hear(n, 0); n.expire(o.Job) }, true, withdrawalUnneeded},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newOrigin(t)
+			n.Stop() // the withdrawal stays pending
+			d := &fakeDispatcher{member: fleet.Member{VM: "vm1", Incarnation: 1, DataCentre: "a", Weight: 400}}
+			d.hear(n, 7)
+			j := addJob(n, "a")
+			n.jobs.Assign(j, "vm1", 7)
+			o, _ := n.jobs.Assign(j, "vm2", 9)
+			n.withdrawMoved(o, "vm2")
+			w := n.withdrawals.byVM["vm1"].pending[0]
+			c.prepare(n, o, d)
+			at := w.from
+			if c.early {
+				at = at.Add(-1)
+			}
+			require.Equal(t, c.want, n.withdrawalState(at, "vm1", &w))
+		})
+	}
+}
