--- a/node/withdraw.go
+++ b/node/withdraw.go
@@ -64,10 +64,14 @@
 	go n.sendWithdrawal(vm, n.newWithdrawal(j))
 }
 
+// newWithdrawal returns the withdrawal of a job. An offer names the time that is left when it
+// is sent. If a pause or the network delays it, the dispatcher's deadline is later than the
+// caller's, but no later than that of a job which arrives now.
 func (n *Node) newWithdrawal(j *intake.Job[Job]) withdrawal {
+	patience := j.Spec.Deadline.Sub(j.Arrived)
 	return withdrawal{
 		request: wire.WithdrawRequest{Origin: n.config.VM, Job: j.ID, Submission: j.Submission},
-		until:   j.Spec.Deadline.Add(n.peerTimeout() + abandonMargin),
+		until:   time.Now().Add(patience + abandonMargin),
 	}
 }
 
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -117,6 +117,26 @@
 	}
 }
 
+// An offer names the time that is left. A pause of the origin after it has computed that time
+// delays the dispatcher's deadline, and the job is withdrawn long after the caller's.
+func TestWithdrawalAfterPauseIsNotRepeated(t *testing.T) {
+	const failing, patience, pause = 2, 1500 * time.Millisecond, 5 * time.Second
+	d := listenDispatcher(t, "vm1", 400, func(_ context.Context, earlier int) {
+		if earlier < failing {
+			panic("handler failed")
+		}
+	})
+	n := newOrigin(t)
+	d.hear(n, 7)
+	arrived := time.Now().Add(-pause)
+	j, _ := n.jobs.AddOrJoin(arrived, "a", Job{Queue: &testQueue, Deadline: arrived.Add(patience)}, 1)
+	n.jobs.Assign(j, "vm1", 7)
+	n.expire(j)
+	for range failing + 1 {
+		require.Equal(t, j.Submission, d.receive(t, "until the dispatcher has acknowledged it").Submission)
+	}
+}
+
 // A dispatcher that the origin hears, while another one dispatches or none does, goes on with
 // the origin's jobs: it abandons only those of origins that it cannot reach.
 func TestJobStaysAtDispatcherThatViewDoesNotName(t *testing.T) {
