--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 func (n *Node) handleOffer(_ context.Context, _ *wire.Hello, r *wire.OfferRequest) wire.Message {
@@ -25,6 +26,11 @@
 	if r.Term == 0 || r.Term != n.termFor(r.Origin) {
 		return &wire.OfferResponse{WrongTerm: true, Reason: "this VM does not dispatch in the offer's term"}
 	}
+	submission := submissionRef{r.Origin, r.Job, r.Submission}
+	withdrawn := wire.OfferResponse{Reason: "the origin has withdrawn the submission", Code: uint8(verdict.CodeCancelled)}
+	if n.withdrawn.contains(submission) {
+		return &withdrawn
+	}
 	now := time.Now()
 	n.origins.record(r.Origin, r.OriginIncarnation)
 	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
@@ -40,6 +46,10 @@
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
 		return &wire.OfferResponse{Reason: failure.Reason, Code: uint8(failure.Code), RetryAfterUS: failure.RetryAfter.Microseconds()}
 	}
+	if n.withdrawn.contains(submission) { // since the check above
+		n.withdrawJob(r.Origin, r.Job, r.Submission)
+		return &withdrawn
+	}
 	if len(notices) > 0 {
 		n.apply(scheduler.Actions{Notices: notices})
 	}
@@ -71,8 +81,11 @@
 	return n.scheduler.Withdraw(time.Now(), r.Origin, r.Job, r.Submission)
 }
 
+// withdrawJob ends a submission for good: an offer of it that arrives later is refused.
 func (n *Node) withdrawJob(origin, job string, submission uint64) {
-	n.apply(n.scheduler.Withdraw(time.Now(), origin, job, submission))
+	now := time.Now()
+	n.withdrawn.add(now, submissionRef{origin, job, submission})
+	n.apply(n.scheduler.Withdraw(now, origin, job, submission))
 	n.wakePlaceLoop()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -142,6 +142,7 @@
 	origins     origins
 	outboxes    outboxes
 	withdrawals withdrawals
+	withdrawn   withdrawnSubmissions
 	pollers     pollers
 	pauses      pauseDetector
 	rtt         rttEstimator // of calls to upstreams
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -137,6 +137,37 @@
 	}
 }
 
+// The network may deliver an offer seconds after the withdrawal of its job was acknowledged over
+// another connection. The dispatcher's deadline is then as late as the offer.
+func TestOfferIsAcceptedAfterItsWithdrawal(t *testing.T) {
+	n := newOrigin(t)
+	n.startTerm(time.Now(), n.view.Load(), "test")
+	offer := &wire.OfferRequest{Job: "a", Origin: "vm9", Submission: 3, Term: n.termFor("vm9"), Queue: "alert", Service: "rota", Tasks: []int{0}, Resumed: true, DeadlineUS: time.Minute.Microseconds()}
+	n.handleWithdraw(t.Context(), nil, &wire.WithdrawRequest{Origin: "vm9", Job: "a", Submission: 3})
+	response := n.acceptOffer(offer)
+	require.False(t, response.Accepted)
+	require.False(t, response.WrongTerm, "the origin must not offer it again")
+	require.Zero(t, n.scheduler.Waiting())
+	offer.Submission = 4
+	require.True(t, n.acceptOffer(offer).Accepted, "the next submission goes on")
+}
+
+func TestWithdrawnSubmissionsAreKeptForRetention(t *testing.T) {
+	var w withdrawnSubmissions
+	start := time.Now()
+	ref := func(number uint64) submissionRef { return submissionRef{"vm9", "a", number} }
+	const steps = 5
+	step := withdrawnRetention/steps + 1
+	for n := range uint64(4 * steps) {
+		w.add(start.Add(time.Duration(n)*step), ref(n))
+		for kept := n - min(n, steps-1); kept <= n; kept++ {
+			require.True(t, w.contains(ref(kept)), "submission %d at step %d", kept, n)
+		}
+		require.False(t, w.contains(ref(n+1)))
+	}
+	require.False(t, w.contains(ref(0)), "memory is bounded")
+}
+
 // A dispatcher that the origin hears, while another one dispatches or none does, goes on with
 // the origin's jobs: it abandons only those of origins that it cannot reach.
 func TestJobStaysAtDispatcherThatViewDoesNotName(t *testing.T) {
