--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -11,6 +11,7 @@
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/verdict"
 )
 
 func (n *Node) handleOffer(_ context.Context, _ *wire.Hello, r *wire.OfferRequest) wire.Message {
@@ -25,6 +26,11 @@
 	if r.Term == 0 || r.Term != n.termFor(r.Origin) {
 		return &wire.OfferResponse{WrongTerm: true, Reason: "this VM does not dispatch in the offer's term"}
 	}
+	submission := submissionRef{r.Origin, r.Job, r.Submission}
+	withdrawn := wire.OfferResponse{Reason: "the origin has withdrawn the submission", Code: uint8(verdict.CodeCancelled)}
+	if n.withdrawn.contains(submission) {
+		return &withdrawn
+	}
 	now := time.Now()
 	n.origins.record(r.Origin, r.OriginIncarnation)
 	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
@@ -41,6 +47,10 @@
 		return &wire.OfferResponse{Reason: failure.Reason, Code: uint8(failure.Code), RetryAfterUS: failure.RetryAfter.Microseconds()}
 	}
 	n.apply(actions)
+	if n.withdrawn.contains(submission) { // since the check above
+		n.withdrawJob(r.Origin, r.Job, r.Submission)
+		return &withdrawn
+	}
 	if r.Resumed {
 		n.pollers.wakeAll() // the tasks start only after every upstream has answered a poll
 	}
@@ -49,12 +59,31 @@
 }
 
 func (n *Node) handleWithdraw(_ context.Context, _ *wire.Hello, r *wire.WithdrawRequest) wire.Message {
-	n.withdrawJob(r.Origin, r.Job, r.Submission)
+	if r.Term == 0 {
+		n.withdrawJob(r.Origin, r.Job, r.Submission)
+	} else {
+		n.apply(n.withdrawInTerm(r))
+		n.wakePlaceLoop()
+	}
 	return &wire.WithdrawResponse{}
 }
 
+// withdrawInTerm withdraws a job unless the term of its offer is over. The term changes with
+// the jobs removed, so that a later offer of the submission goes on.
+func (n *Node) withdrawInTerm(r *wire.WithdrawRequest) scheduler.Actions {
+	n.term.transition.Lock() // no term begins between the check and the withdrawal
+	defer n.term.transition.Unlock()
+	if r.Term != n.termFor(r.Origin) {
+		return scheduler.Actions{}
+	}
+	return n.scheduler.Withdraw(time.Now(), r.Origin, r.Job, r.Submission)
+}
+
+// withdrawJob ends a submission for good: an offer of it that arrives later is refused.
 func (n *Node) withdrawJob(origin, job string, submission uint64) {
-	n.apply(n.scheduler.Withdraw(time.Now(), origin, job, submission))
+	now := time.Now()
+	n.withdrawn.add(now, submissionRef{origin, job, submission})
+	n.apply(n.scheduler.Withdraw(now, origin, job, submission))
 	n.wakePlaceLoop()
 }
 
