--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -94,6 +94,10 @@
 // move updates a job that is present and is offered again. It returns notices for the tasks
 // that have finished. The caller holds mu.
 func (s *jobShard) move(now time.Time, j *job, offered Job, t termState) (notices []Notice) {
+	if offered.Origin == j.Origin && offered.Submission == j.Submission {
+		// An offer contains the time that was left when it was sent.
+		offered.Deadline = earlier(offered.Deadline, j.Deadline)
+	}
 	j.Origin, j.OriginIncarnation, j.Term = offered.Origin, offered.OriginIncarnation, offered.Term
 	j.Submission, j.Deadline = offered.Submission, offered.Deadline
 	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
--- a/scheduler/unneeded_test.go
+++ b/scheduler/unneeded_test.go
@@ -102,3 +102,21 @@
 	b.record(b.scheduler.Withdraw(b.now, "front", "a", 2))
 	require.Len(t, b.stops, 1)
 }
+
+// The offer of a submission that is present is repeated, and was delayed on its way.
+func TestDelayedOfferProlongsDeadline(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	j := b.job("a", 0)
+	j.Deadline = b.now.Add(300 * time.Millisecond)
+	b.offer(j)
+	require.Len(t, b.place(), 1)
+	b.upstreams["u1"].Speed = 0.1
+	j.Deadline = b.now.Add(5 * time.Second)
+	b.offer(j)
+	for range 60 {
+		b.advance(10 * time.Millisecond)
+		b.pollAll()
+		b.executeStops()
+	}
+	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}))
+}
