--- a/internal/replay/soak_split.go
+++ b/internal/replay/soak_split.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// soakMaxHalts bounds the dispatchers that are halted in turn during a split.
-	soakMaxHalts = 2
+	// soakMaxHalts bounds the halts of dispatchers, one after another, during a split.
+	soakMaxHalts = 3
 	// soakSplitRefuseShare is the number of splits of which one refuses connections.
 	soakSplitRefuseShare = 5
 	// soakSplitResetShare is the number of splits of which one ends with resets.
@@ -48,7 +48,7 @@
 		c.storeless[i] = s.rng.IntN(2) == 0
 	}
 	duration, before := s.randomMillis(1000, 6000), s.randomMillis(0, 1200)
-	halts := make([]halt, s.rng.IntN(soakMaxHalts+1))
+	halts := make([]halt, 1+s.rng.IntN(soakMaxHalts))
 	for i := range halts {
 		halts[i] = halt{duration: s.randomMillis(100, 1200), kill: s.rng.IntN(soakHaltKillShare) == 0}
 	}
@@ -66,7 +66,7 @@
 }
 
 // haltDispatchers halts the dispatcher with the highest token, and the next one as the
-// first resumes, so that each finds the runs of the other.
+// previous one resumes, so that each finds the runs of the other.
 func (s *soakTest) haltDispatchers(ctx context.Context, halts []halt) {
 	var halted *soakVM
 	resume := func() {}
