--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -152,6 +152,14 @@
 	return j.Job, j.expected, j.model, dequeued, true
 }
 
+// hasRun reports whether a run is the active run of a task of its job.
+func (s *jobShard) hasRun(f foundRun) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.job(f.Job)
+	return j != nil && j.current[f.Index] == f.ref()
+}
+
 // undoAdopt reverts adopt if the run has disappeared. It changes nothing if the
 // completion of the run was processed meanwhile.
 func (s *jobShard) undoAdopt(found foundRun) (waiting int) {
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -68,6 +68,25 @@
 	}
 	if !shard.adopt(now, found.upstream, r, a) {
 		s.waiting.Add(int64(jobs.undoAdopt(found)))
+		return
+	}
+	if !jobs.hasRun(found) {
+		// The job was removed meanwhile, and stopRuns may have passed the upstream before.
+		shard.stopUnneeded(found, s.token.Load(), "the job ended while it adopted the run", a)
+	}
+}
+
+// stopUnneeded stops a run that no job has.
+func (s *upstreamShard) stopUnneeded(f foundRun, token int64, reason string, a *Actions) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.byName[f.upstream]
+	if u == nil {
+		return
+	}
+	if r := u.runs[f.Task]; r != nil && r.Run == f.Run && !r.unneeded && r.state == runStarted {
+		r.unneeded, r.state, r.stopAnswered = true, runStopping, false
+		a.Stops = append(a.Stops, u.stop(token, r.Run, reason))
 	}
 }
 
