--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -315,3 +315,24 @@
 		})
 	}
 }
+
+// Several jobs end while their dispatcher is unreachable. One withdrawal finds out that it
+// answers again; the others must follow.
+func TestOnlyFirstPendingWithdrawalIsSent(t *testing.T) {
+	d := listenDispatcher(t, "vm1", 400, func(context.Context, int) {})
+	n := newOrigin(t)
+	d.hear(n, 7)
+	want := map[string]bool{}
+	for _, id := range []string{"a", "b", "c"} {
+		j := addJob(n, id)
+		n.jobs.Assign(j, "vm1", 7)
+		w := n.newWithdrawal(j)
+		n.withdrawals.add(n, "vm1", w)
+		want[id] = true
+	}
+	got := map[string]bool{}
+	for range want {
+		got[d.receive(t, "of each job").Job] = true
+	}
+	require.Equal(t, want, got)
+}
--- a/scheduler/unneeded_test.go
+++ b/scheduler/unneeded_test.go
@@ -102,3 +102,27 @@
 	b.record(b.scheduler.Withdraw(b.now, "front", "a", 2))
 	require.Len(t, b.stops, 1)
 }
+
+// The upstream answers polls, but no stop order. Small jobs arrive one after another, and each
+// start order would prolong the lease of the run beside it.
+func TestRunOfWithdrawnJobIsProlongedByStartOrders(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.upstreams["u1"].Speed = 0.1
+	b.pollAll()
+	b.record(b.scheduler.Withdraw(b.now, "front", "a", 0))
+	require.Len(t, b.stops, 1)
+	for i := range 6 {
+		small := b.job("b", i)
+		small.ID = string(rune('b' + i))
+		small.Size.MilliCPU = 1000
+		b.offer(small)
+		b.place()
+		for range 10 {
+			b.advance(10 * time.Millisecond)
+			b.pollAll()
+		}
+	}
+	require.Empty(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}), "%d other runs were started there", len(b.starts)-1)
+}
