--- a/node/pause_test.go
+++ b/node/pause_test.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// The same for a poll that an order or an adoption requests.
+func TestImmediatePollAfterPauseRenewsLeases(t *testing.T) {
+	c := newCluster(t, 1, 1, 50*time.Millisecond)
+	n := c.dispatcher()
+	before := n.term.current()
+	n.pauses.pretend(2 * maxPause)
+	n.pollNow(context.Background(), "u0")
+	require.Greater(t, n.term.current(), before)
+}
+
 // After a pause a heartbeat may be answered before the next tick. If it named the term from
 // before the pause, the next dispatcher would end its term for an outdated one.
 func TestHeartbeatAfterPauseAnnouncesOutdatedTerm(t *testing.T) {
--- a/node/pollers.go
+++ b/node/pollers.go
@@ -172,6 +172,9 @@
 // pollNow polls an upstream at once, without waiting for a completion, if the
 // scheduler needs the state of its runs.
 func (n *Node) pollNow(ctx context.Context, upstream string) {
+	if err := n.checkPause(); err != nil {
+		return // the tick loop ends the node
+	}
 	if poll, ok := n.scheduler.ImmediatePoll(time.Now(), upstream); ok {
 		n.poll(ctx, poll)
 	}
