--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -165,12 +165,11 @@
 	}
 	r := u.runs[stop.Run.Task]
 	if r == nil || r.Run != stop.Run {
-		_, orphaned := u.orphans[stop.Run.Task]
-		return a, orphaned && (result.unanswered() || result == OrderUnhealthy), stopRetryDelay
+		return a, u.noteOrphanStop(stop.Run, result), stopRetryDelay
 	}
 	switch result {
 	case OrderUnanswered, OrderDisconnected, OrderNoProcess, OrderUnhealthy:
-		return a, true, stopRetryDelay // not executed, or not known to be
+		return a, true, stopRetryDelay // not known to be executed
 	case OrderFenced:
 		u.fence(now)
 		return a, false, 0
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -7,8 +7,11 @@
 // the last dispatcher with its job has requested.
 type orphan struct {
 	Run
-	foundAt  time.Time
-	stopping bool
+	foundAt time.Time
+	// since is the time at which an orphan was first found, also in an earlier term.
+	since time.Time
+	// stopping means that it is to be stopped, stopAnswered that the stop was answered.
+	stopping, stopAnswered bool
 }
 
 // FoundRun is an active run that an upstream reports and that this dispatcher has not
@@ -34,7 +37,7 @@
 // removeOrphan forgets an orphan because it is over or adopted.
 func (u *upstream) removeOrphan(now time.Time, o orphan, how string, a *Actions) {
 	delete(u.orphans, o.Task)
-	a.FoundEnds = append(a.FoundEnds, FoundEnd{FoundRun{o.Run, u.Name}, how, now.Sub(o.foundAt)})
+	a.FoundEnds = append(a.FoundEnds, FoundEnd{FoundRun{o.Run, u.Name}, how, now.Sub(o.since)})
 }
 
 // loseOrphan removes an orphan that is over without a completion.
@@ -124,3 +127,18 @@
 	s.recomputeBounds()
 	return true
 }
+
+// noteOrphanStop records the result of an order to stop an orphan. It reports whether the
+// order must be sent again.
+func (u *upstream) noteOrphanStop(r Run, result OrderResult) (retry bool) {
+	o, present := u.orphans[r.Task]
+	if !present || o.Run != r {
+		return false
+	}
+	if result.unanswered() || result == OrderUnhealthy {
+		return true
+	}
+	o.stopAnswered = result != OrderFenced
+	u.orphans[r.Task] = o
+	return false
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -68,11 +68,11 @@
 		}
 		if known == nil || firstClaim || known.state == runRejected {
 			if _, present := u.orphans[r.Task]; !present {
-				foundAt, again := u.orphanSince[r.Run]
+				since, again := u.orphanSince[r.Run]
 				if !again {
-					foundAt = now
+					since = now
 				}
-				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: foundAt}
+				u.orphans[r.Task] = orphan{Run: r.Run, foundAt: now, since: since}
 				u.leaseEnd = now.Add(fencedRunTimeout)
 				a.Found = append(a.Found, FoundRun{r.Run, u.Name})
 			}
--- a/scheduler/resubmission_test.go
+++ b/scheduler/resubmission_test.go
@@ -134,7 +134,7 @@
 // first submission is kept alive until an origin offers the job again.
 func TestResubmissionStartsBesideOrphan(t *testing.T) {
 	task := scheduler.Task{Job: "a", Index: 0}
-	for _, age := range []time.Duration{0, 240 * time.Millisecond, 260 * time.Millisecond, 280 * time.Millisecond, 300 * time.Millisecond, 690 * time.Millisecond, 710 * time.Millisecond, 730 * time.Millisecond} {
+	for _, age := range []time.Duration{0, 190 * time.Millisecond, 210 * time.Millisecond, 240 * time.Millisecond, 260 * time.Millisecond, 280 * time.Millisecond, 300 * time.Millisecond, 690 * time.Millisecond, 710 * time.Millisecond, 730 * time.Millisecond} {
 		b := newTestHarness(t, "u1", "u2", "u3")
 		b.offer(b.job("a", 0))
 		require.Len(t, b.place(), 1)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -72,7 +72,7 @@
 	// orphanTimeout is the time within which origins must offer the jobs of
 	// orphaned runs again. It covers the heartbeat that announces the term and a round trip.
 	// Until then, the lease of the other runs of the upstream is not renewed either.
-	orphanTimeout = 250 * time.Millisecond
+	orphanTimeout = 200 * time.Millisecond
 	// peerRenewalTime is the time for which runs may outlive the lease that this
 	// dispatcher renewed, because their origin has offered the job to another dispatcher,
 	// and this one has not heard of it yet: the time until the other one adopts the runs,
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -120,7 +120,7 @@
 	b.offer(b.job("b", 0))
 	require.Len(t, b.place(), 2)
 	b.pollAll()
-	b.advance(200 * time.Millisecond) // the longest time between two polls
+	b.advance(250 * time.Millisecond) // the longest time between two polls, and a takeover
 	b.beginTerm(200)
 	b.pollAll()
 	b.advance(50 * time.Millisecond)
@@ -160,3 +160,25 @@
 	require.True(t, ok)
 	require.Positive(t, poll.Until)
 }
+
+// A dispatcher begins a term shortly after the one before. Origins have as much time to offer
+// their jobs as in the first one.
+func TestOrphanIsStoppedBeforeItsJobIsOffered(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	b.beginTerm(200)
+	b.pollAll()
+	b.advance(150 * time.Millisecond)
+	b.beginTerm(300)
+	b.pollAll()
+	b.advance(100 * time.Millisecond)
+	require.Empty(t, b.stops)
+	again := b.job("a", 0)
+	again.Resumed = true
+	b.offer(again)
+	b.advanceWithPolls(time.Second)
+	require.Len(t, b.notices, 1)
+	require.Equal(t, scheduler.TaskDone, b.notices[0].Kind)
+	require.Equal(t, 250*time.Millisecond, b.foundEnds[0].Held)
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -92,8 +92,8 @@
 
 	runs    map[Task]*run
 	orphans map[Task]orphan
-	// orphanSince tells when the orphans of earlier terms were found, until the first report
-	// of this term.
+	// orphanSince tells when the orphans of earlier terms were first found, until the first
+	// report of this term.
 	orphanSince map[Run]time.Time
 	used        Size
 	// isolation is that of the runs. Until heldUntil the upstream gets no other tasks than
@@ -126,19 +126,21 @@
 	return u.clock + now.Sub(u.clockAt).Milliseconds()
 }
 
-// usable reports whether new tasks may be placed on the upstream. Orphans prevent it also
+// usable reports whether new tasks may be placed on the upstream. Orphans prevent it,
 // because their size is unknown.
 func (u *upstream) usable(now time.Time) bool {
-	return u.listed && u.claimed && !u.Draining && !u.Missing && u.pollFailures < suspectFailures &&
+	return u.listed && u.claimed && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
 		!u.fenced && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun()
 }
 
-// hasUnwantedRun reports whether a run is active that no caller may wait for any longer: an
-// orphan, whose origin alone knows, or one that is not needed and has not answered a stop.
-// Renewed leases and start orders would prolong it.
+// hasUnwantedRun reports whether a run is active whose caller may have gone: an orphan, since
+// only its origin knows, or one that is not needed. Renewed leases and start orders would
+// prolong it, unless it has answered a stop.
 func (u *upstream) hasUnwantedRun() bool {
-	if len(u.orphans) > 0 {
-		return true
+	for _, o := range u.orphans {
+		if !o.stopAnswered {
+			return true
+		}
 	}
 	for _, r := range u.runs {
 		if r.unneeded && !r.stopAnswered {
--- a/scheduler/upstream_shard.go
+++ b/scheduler/upstream_shard.go
@@ -100,7 +100,7 @@
 			if u.orphanSince == nil {
 				u.orphanSince = map[Run]time.Time{}
 			}
-			u.orphanSince[o.Run] = o.foundAt
+			u.orphanSince[o.Run] = o.since
 		}
 		u.runs, u.orphans, u.used = map[Task]*run{}, map[Task]orphan{}, Size{}
 		u.lastSeen, u.lastAcked, u.undelivered = 0, 0, map[int64]struct{}{}
--- a/scheduler/withdrawn_test.go
+++ b/scheduler/withdrawn_test.go
@@ -50,6 +50,7 @@
 			require.Len(t, b.stops, 1, "nobody needs the run")
 			b.advanceWithPolls(800 * time.Millisecond)
 			require.False(t, b.upstreams["u1"].HasRun(task), "its lease is not renewed")
+			require.Len(t, b.stops, 1)
 		})
 	}
 }
