--- a/node/withdraw.go
+++ b/node/withdraw.go
@@ -168,11 +168,12 @@
 func (q *withdrawalQueue) repeat(n *Node, vm string) {
 	for wait.For(n.runCtx, withdrawInterval) {
 		now := time.Now()
-		due, done := q.take(func(w *withdrawal) withdrawalState { return n.withdrawalState(now, vm, w) })
-		switch {
-		case done:
-			return
-		case len(due) == 0:
+		due, early := sortWithdrawals(q.takeAll(), func(w *withdrawal) withdrawalState { return n.withdrawalState(now, vm, w) })
+		q.putBack(early)
+		if len(due) == 0 {
+			if q.stopIfEmpty() {
+				return
+			}
 			continue
 		}
 		if err := n.callWithdraw(vm, &due[0]); err != nil {
@@ -185,24 +186,35 @@
 	}
 }
 
-// take removes the withdrawals that are due, which it returns, and those that are not needed.
-// done means that none is left; the next one that is added starts repeat.
-func (q *withdrawalQueue) take(state func(*withdrawal) withdrawalState) (due []withdrawal, done bool) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	var early []withdrawal
-	for i := range q.pending {
-		switch w := &q.pending[i]; state(w) {
+// sortWithdrawals returns the withdrawals that are due, and those that may become due.
+func sortWithdrawals(all []withdrawal, state func(*withdrawal) withdrawalState) (due, early []withdrawal) {
+	for i := range all {
+		switch w := &all[i]; state(w) {
 		case withdrawalDue:
 			due = append(due, *w)
 		case withdrawalEarly:
 			early = append(early, *w)
 		}
 	}
-	q.pending = early
-	done = len(due)+len(early) == 0
-	q.repeating = !done
-	return due, done
+	return due, early
+}
+
+// takeAll removes and returns all pending withdrawals.
+func (q *withdrawalQueue) takeAll() []withdrawal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := q.pending
+	q.pending = nil
+	return all
+}
+
+// stopIfEmpty reports whether no withdrawal is left. The next one that is added then starts
+// repeat.
+func (q *withdrawalQueue) stopIfEmpty() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.repeating = len(q.pending) > 0
+	return !q.repeating
 }
 
 func (q *withdrawalQueue) putBack(w []withdrawal) {
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -262,20 +262,21 @@
 		{request: wire.WithdrawRequest{Job: "a"}, until: now.Add(time.Second)},
 		{request: wire.WithdrawRequest{Job: "b"}, until: now.Add(2 * time.Second)},
 	})
-	take := func(at time.Time) (due []withdrawal, done bool) {
-		return q.take(func(w *withdrawal) withdrawalState { return n.withdrawalState(at, "vm1", w) })
+	take := func(at time.Time) (due []withdrawal) {
+		due, early := sortWithdrawals(q.takeAll(), func(w *withdrawal) withdrawalState { return n.withdrawalState(at, "vm1", w) })
+		require.Empty(t, early)
+		return due
 	}
-	due, done := take(now)
-	require.False(t, done)
+	due := take(now)
 	require.Len(t, due, 2)
 	require.Equal(t, "a", due[0].request.Job)
 	q.putBack(due)
-	due, done = take(now.Add(time.Second))
-	require.False(t, done)
+	require.False(t, q.stopIfEmpty())
+	due = take(now.Add(time.Second))
 	require.Len(t, due, 1)
 	require.Equal(t, "b", due[0].request.Job)
-	_, done = take(now.Add(time.Second))
-	require.True(t, done)
+	require.Empty(t, take(now.Add(time.Second)))
+	require.True(t, q.stopIfEmpty())
 	require.False(t, q.repeating)
 }
 
