--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -93,6 +93,8 @@
 	ConfigurationRevision, UpstreamsRevision int64
 	// Digest is a hash of the members that the member knows.
 	Digest uint64
+	// Clock is the member's clock, which counts from the start of its VM; 0 if unknown.
+	Clock time.Duration
 }
 
 // peer is the state of another member.
@@ -102,6 +104,9 @@
 	firstAttempt time.Time // first heartbeat sent since lastContact; zero if none
 	refused      bool      // refused a connection since lastContact
 	listed       bool      // present in the platform's store
+	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
+	clock   time.Duration
+	clockAt time.Time
 }
 
 // Fleet is one member's knowledge of the others. It is safe for concurrent use.
@@ -209,6 +214,9 @@
 		return
 	}
 	p.heartbeat = hb
+	if hb.Clock > p.clockBound(now) {
+		p.clock, p.clockAt = hb.Clock, now
+	}
 	if bidirectional {
 		p.lastContact, p.firstAttempt, p.refused = now, time.Time{}, false
 	}
@@ -350,6 +358,30 @@
 	return 0
 }
 
+// clockDrift is the greatest relative difference between the clocks of two VMs. Oscillators
+// of servers differ by less than a tenth of it.
+const clockDrift = 0.001
+
+// clockBound returns a lower bound of the member's clock at a time, or 0 if it is unknown. A
+// heartbeat that was delayed gives a lower one than those that were not.
+func (p *peer) clockBound(at time.Time) time.Duration {
+	if p.clock == 0 {
+		return 0
+	}
+	return p.clock + time.Duration(float64(at.Sub(p.clockAt))*(1-clockDrift))
+}
+
+// ClockBound returns a lower bound of another member's clock at a time, which may lie ahead;
+// 0 if the clock is unknown. The bound lags by the shortest delay of a recent heartbeat.
+func (f *Fleet) ClockBound(vm string, at time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p := f.peers[vm]; p != nil {
+		return p.clockBound(at)
+	}
+	return 0
+}
+
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -212,3 +212,21 @@
 	require.Equal(t, "vm5", v.TopRanked.VM)
 	require.False(t, v.HigherRankPending)
 }
+
+// A heartbeat that a split has delayed shows an old clock.
+func TestDelayedHeartbeatSetsClockBack(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	f := New(Member{VM: "vm0", Incarnation: 1})
+	require.Zero(t, f.ClockBound("vm1", now))
+	m := Member{VM: "vm1", Incarnation: 1}
+	f.RecordHeartbeat(now, Heartbeat{Member: m, Clock: time.Hour}, true)
+	require.Equal(t, time.Hour, f.ClockBound("vm1", now))
+	now = now.Add(10 * time.Second)
+	f.RecordHeartbeat(now, Heartbeat{Member: m, Clock: time.Hour + time.Second}, true)
+	require.InDelta(t, time.Hour+10*time.Second, f.ClockBound("vm1", now), float64(20*time.Millisecond))
+	require.LessOrEqual(t, f.ClockBound("vm1", now), time.Hour+10*time.Second, "a lower bound")
+	f.RecordHeartbeat(now, Heartbeat{Member: m, Clock: time.Hour + 10*time.Second}, true)
+	require.Equal(t, time.Hour+10*time.Second, f.ClockBound("vm1", now))
+	f.RecordHeartbeat(now, Heartbeat{Member: Member{VM: "vm1", Incarnation: 2}}, true)
+	require.Zero(t, f.ClockBound("vm1", now), "another process, maybe of another VM")
+}
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -308,9 +308,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 9
+	// map header, size 10
 	// string "f"
-	o = append(o, 0x89, 0xa1, 0x66)
+	o = append(o, 0x8a, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -337,6 +337,9 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendUint64(o, z.Digest)
+	// string "c"
+	o = append(o, 0xa1, 0x63)
+	o = msgp.AppendInt64(o, z.ClockUS)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
@@ -416,6 +419,12 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "c":
+			z.ClockUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ClockUS")
+				return
+			}
 		case "m":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
@@ -449,7 +458,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
@@ -676,9 +685,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 24
+	// map header, size 25
 	// string "j"
-	o = append(o, 0xde, 0x0, 0x18, 0xa1, 0x6a)
+	o = append(o, 0xde, 0x0, 0x19, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -734,6 +743,9 @@
 	// string "d"
 	o = append(o, 0xa1, 0x64)
 	o = msgp.AppendInt64(o, z.DeadlineUS)
+	// string "dc"
+	o = append(o, 0xa2, 0x64, 0x63)
+	o = msgp.AppendInt64(o, z.DeadlineClockUS)
 	// string "x"
 	o = append(o, 0xa1, 0x78)
 	o = msgp.AppendFloat64(o, z.Stretch)
@@ -911,6 +923,12 @@
 				err = msgp.WrapError(err, "DeadlineUS")
 				return
 			}
+		case "dc":
+			z.DeadlineClockUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DeadlineClockUS")
+				return
+			}
 		case "x":
 			z.Stretch, bts, err = msgp.ReadFloat64Bytes(bts)
 			if err != nil {
@@ -984,7 +1002,7 @@
 	for za0002 := range z.Items {
 		s += msgp.BytesPrefixSize + len(z.Items[za0002])
 	}
-	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
+	s += 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.IntSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Int64Size + 2 + msgp.Float64Size + 2 + msgp.Int64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.ArrayHeaderSize
 	for za0003 := range z.Histories {
 		s += z.Histories[za0003].Msgsize()
 	}
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -78,6 +78,9 @@
 	Answered bool `msg:"a"`
 	// Digest is a hash of the members known to the sender.
 	Digest uint64 `msg:"g"`
+	// ClockUS is the sender's clock, in microseconds since its VM was started; 0
+	// if unknown.
+	ClockUS int64 `msg:"c"`
 	// Members lists the members known to the sender. It is sent only if the
 	// digests of sender and receiver differ.
 	Members []FleetMember `msg:"m"`
@@ -146,6 +149,9 @@
 	AgeUS int64 `msg:"w"`
 	// DeadlineUS is the time left until the deadline, in microseconds.
 	DeadlineUS int64 `msg:"d"`
+	// DeadlineClockUS is the deadline by the receiver's clock, in microseconds,
+	// or a little earlier; 0 if the sender does not know that clock.
+	DeadlineClockUS int64 `msg:"dc"`
 	// Stretch and SlackUS define the target response time of the job: Stretch
 	// times its longest run time, plus SlackUS.
 	Stretch float64 `msg:"x"`
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -32,13 +32,21 @@
 		return &withdrawn
 	}
 	now := time.Now()
-	n.origins.record(r.Origin, r.OriginIncarnation)
 	microseconds := func(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+	late, err := offerDelay(r)
+	switch {
+	case err != nil:
+		return &wire.OfferResponse{WrongTerm: true, Reason: err.Error()}
+	case late > n.peerTimeout():
+		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", "late"), slog.Int64("late_ms", late.Milliseconds()))
+		return &wire.OfferResponse{WrongTerm: true, Reason: "the offer arrived after its origin had given it up"}
+	}
+	n.origins.record(r.Origin, r.OriginIncarnation)
 	actions, failure := n.scheduler.Offer(now, scheduler.Job{
 		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
-		Sent: now.Add(-microseconds(r.AgeUS)), Deadline: now.Add(microseconds(r.DeadlineUS)),
+		Sent: now.Add(-microseconds(r.AgeUS) - late), Deadline: now.Add(microseconds(r.DeadlineUS) - late),
 		Stretch: r.Stretch, Slack: microseconds(r.SlackUS), MaxAttempts: r.MaxAttempts,
 		AtMostOnce: r.AtMostOnce, Resumed: r.Resumed, PreviousToken: int64(r.PreviousTerm >> abandonBits), Histories: historiesFromWire(r.Histories), Tasks: r.Tasks, Items: r.Items,
 	})
@@ -58,6 +66,20 @@
 	return &wire.OfferResponse{Accepted: true}
 }
 
+// offerDelay returns the time for which an offer was on its way, or a little more; 0 if its
+// origin does not know the clock of this VM.
+func offerDelay(r *wire.OfferRequest) (time.Duration, error) {
+	if r.DeadlineClockUS == 0 {
+		return 0, nil
+	}
+	clock, err := bootTime()
+	if err != nil {
+		return 0, err
+	}
+	left := time.Duration(r.DeadlineClockUS)*time.Microsecond - clock
+	return max(time.Duration(r.DeadlineUS)*time.Microsecond-left, 0), nil
+}
+
 func (n *Node) handleWithdraw(_ context.Context, _ *wire.Hello, r *wire.WithdrawRequest) wire.Message {
 	if r.Term == 0 {
 		n.withdrawJob(r.Origin, r.Job, r.Submission)
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -105,6 +105,11 @@
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
+	if clock, err := bootTime(); err != nil {
+		n.log.Error("clock not announced", slog.Any("error", err))
+	} else {
+		h.ClockUS = clock.Microseconds()
+	}
 	if differs {
 		for _, m := range n.fleet.Peers() {
 			h.Members = append(h.Members, toWire(m))
@@ -128,6 +133,7 @@
 func (n *Node) receiveHeartbeat(h *wire.FleetHeartbeat, bidirectional bool) {
 	n.fleet.RecordHeartbeat(time.Now(), fleet.Heartbeat{
 		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, Digest: h.Digest,
+		Clock: time.Duration(h.ClockUS) * time.Microsecond,
 	}, bidirectional)
 	if h.Divided {
 		n.fleet.RecordDivision()
--- a/node/submit.go
+++ b/node/submit.go
@@ -97,7 +97,7 @@
 		n.abandon(j, "its dispatcher "+o.PreviousVM+" was unreachable for too long to know which tasks have started")
 		return
 	}
-	request := n.newOfferRequest(o, v.Term)
+	request := n.newOfferRequest(o, v.Dispatcher.VM, v.Term)
 	n.decisions.Offer(j.ID, v.Dispatcher.VM, v.Term, len(o.Tasks), o.Resumed)
 	if v.Dispatcher.VM == n.config.VM {
 		n.handleOfferResponse(o, v, n.acceptOffer(request), nil)
@@ -153,7 +153,7 @@
 	}
 }
 
-func (n *Node) newOfferRequest(o intake.Offer[Job], term uint64) *wire.OfferRequest {
+func (n *Node) newOfferRequest(o intake.Offer[Job], dispatcher string, term uint64) *wire.OfferRequest {
 	now := time.Now()
 	job := &o.Job.Spec
 	var items [][]byte
@@ -168,6 +168,7 @@
 		MilliCPU: job.Size.MilliCPU, MemoryMB: job.Size.MemoryMB, Accelerators: job.Size.Accelerators,
 		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
 		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Add(-abandonLead).Sub(now).Microseconds(),
+		DeadlineClockUS: n.fleet.ClockBound(dispatcher, job.Deadline.Add(-abandonLead)).Microseconds(),
 		Stretch: job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
 		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed, PreviousTerm: o.PreviousTerm,
 		Histories: historiesToWire(o.Job.ID, o.Histories),
--- a/node/withdraw_test.go
+++ b/node/withdraw_test.go
@@ -337,3 +337,38 @@
 	}
 	require.Equal(t, want, got)
 }
+
+// A split delays an offer until its origin has given it up and has offered the job elsewhere.
+// The receiver would give the job all the time that was left when the offer was sent.
+func TestOfferIsAcceptedAfterItsCallTimedOut(t *testing.T) {
+	for _, c := range []struct {
+		delay    time.Duration
+		unknown  bool // the origin does not know the dispatcher's clock
+		accepted bool
+	}{{0, false, true}, {100 * time.Millisecond, false, true}, {6 * time.Second, false, false}, {6 * time.Second, true, true}} {
+		n := newOrigin(t)
+		n.startTerm(time.Now(), n.view.Load(), "test")
+		clock, err := bootTime()
+		require.NoError(t, err)
+		const left = time.Minute
+		offer := &wire.OfferRequest{Job: "a", Origin: "vm9", Submission: 3, Term: n.termFor("vm9"), Queue: "alert", Service: "rota", Tasks: []int{0}, Resumed: true, DeadlineUS: left.Microseconds()}
+		if !c.unknown {
+			offer.DeadlineClockUS = (clock + left - c.delay).Microseconds()
+		}
+		response := n.acceptOffer(offer)
+		require.Equal(t, c.accepted, response.Accepted, "%v late", c.delay)
+		require.Equal(t, !c.accepted, response.WrongTerm)
+	}
+}
+
+// A delay that the call outlasts does not prolong the deadline.
+func TestOfferDelay(t *testing.T) {
+	clock, err := bootTime()
+	require.NoError(t, err)
+	delay, err := offerDelay(&wire.OfferRequest{DeadlineUS: time.Second.Microseconds(), DeadlineClockUS: (clock + 900*time.Millisecond).Microseconds()})
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, delay, 100*time.Millisecond)
+	delay, err = offerDelay(&wire.OfferRequest{DeadlineUS: time.Second.Microseconds(), DeadlineClockUS: (clock + time.Hour).Microseconds()})
+	require.NoError(t, err)
+	require.Zero(t, delay)
+}
