--- a/node/submit.go
+++ b/node/submit.go
@@ -169,7 +169,7 @@
 		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
 		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Add(-abandonLead).Sub(now).Microseconds(),
 		DeadlineClockUS: n.fleet.ClockBound(dispatcher, job.Deadline.Add(-abandonLead)).Microseconds(),
-		Stretch: job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
+		Stretch:         job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
 		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed, PreviousTerm: o.PreviousTerm,
 		Histories: historiesToWire(o.Job.ID, o.Histories),
 	}
