--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -362,22 +362,22 @@
 // of servers differ by less than a tenth of it.
 const clockDrift = 0.001
 
-// clockBound returns a lower bound of the member's clock at a time, or 0 if it is unknown. A
+// clockBound returns a lower bound of the member's clock, or 0 if it is unknown. A
 // heartbeat that was delayed gives a lower one than those that were not.
-func (p *peer) clockBound(at time.Time) time.Duration {
+func (p *peer) clockBound(now time.Time) time.Duration {
 	if p.clock == 0 {
 		return 0
 	}
-	return p.clock + time.Duration(float64(at.Sub(p.clockAt))*(1-clockDrift))
+	return p.clock + time.Duration(float64(now.Sub(p.clockAt))*(1-clockDrift))
 }
 
-// ClockBound returns a lower bound of another member's clock at a time, which may lie ahead;
-// 0 if the clock is unknown. The bound lags by the shortest delay of a recent heartbeat.
-func (f *Fleet) ClockBound(vm string, at time.Time) time.Duration {
+// ClockBound returns a lower bound of another member's clock at the present time; 0 if the
+// clock is unknown. The bound lags by the shortest delay of a recent heartbeat.
+func (f *Fleet) ClockBound(vm string, now time.Time) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p := f.peers[vm]; p != nil {
-		return p.clockBound(at)
+		return p.clockBound(now)
 	}
 	return 0
 }
--- a/node/submit.go
+++ b/node/submit.go
@@ -156,6 +156,11 @@
 func (n *Node) newOfferRequest(o intake.Offer[Job], dispatcher string, term uint64) *wire.OfferRequest {
 	now := time.Now()
 	job := &o.Job.Spec
+	left := job.Deadline.Add(-abandonLead).Sub(now)
+	deadlineClock := time.Duration(0)
+	if clock := n.fleet.ClockBound(dispatcher, now); clock != 0 {
+		deadlineClock = clock + left
+	}
 	var items [][]byte
 	if len(job.Items) > 0 {
 		for _, index := range o.Tasks {
@@ -167,8 +172,8 @@
 		Queue: job.Queue.Name, Service: job.Queue.Service, Spec: job.Spec, Tasks: o.Tasks, Items: items, AtMostOnce: job.AtMostOnce,
 		MilliCPU: job.Size.MilliCPU, MemoryMB: job.Size.MemoryMB, Accelerators: job.Size.Accelerators,
 		Priority: job.Queue.Priority, EstimateUS: job.Estimate.Microseconds(),
-		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: job.Deadline.Add(-abandonLead).Sub(now).Microseconds(),
-		DeadlineClockUS: n.fleet.ClockBound(dispatcher, job.Deadline.Add(-abandonLead)).Microseconds(),
+		AgeUS: now.Sub(o.Job.Arrived).Microseconds(), DeadlineUS: left.Microseconds(),
+		DeadlineClockUS: deadlineClock.Microseconds(),
 		Stretch:         job.Queue.Stretch, SlackUS: job.Queue.Slack.Microseconds(),
 		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed, PreviousTerm: o.PreviousTerm,
 		Histories: historiesToWire(o.Job.ID, o.Histories),
