scheduler: tests that the job of a returning caller runs in two groups

In the first test the job runs there beside its first run; in the second one the earlier submission waits for capacity and starts beside the later one.

--- /dev/null
+++ b/scheduler/returning_caller_test.go
@@ -0,0 +1,132 @@
+package scheduler_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+// callerReturn is the time after which a caller without an answer sends its job again, to any
+// VM.
+const callerReturn = 1300 * time.Millisecond
+
+// group is a dispatcher that does not hear the one of another group, and the upstreams that
+// it reaches.
+type group struct {
+	b         *testHarness
+	scheduler *scheduler.Scheduler
+	reached   []string
+	starts    []scheduler.Start
+	notices   []scheduler.Notice
+}
+
+// newGroup returns a group with a settled dispatcher that lists some upstreams.
+func (b *testHarness) newGroup(token int64, listed, reached []string) *group {
+	g := &group{b: b, scheduler: scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100}), reached: reached}
+	var list []scheduler.Upstream
+	for _, name := range listed {
+		list = append(list, b.upstreams[name].Info)
+	}
+	g.scheduler.SetUpstreams(b.now, list, len(listed) < len(b.upstreams))
+	g.scheduler.SetUnreachablePeers(true)
+	g.scheduler.BeginTerm(b.now, token, resumeTimeout)
+	return g
+}
+
+// work lets the dispatcher tick, poll, place tasks that take a second, and stop runs.
+func (g *group) work() {
+	now := g.b.now
+	stops := g.record(g.scheduler.Tick(now))
+	for name, u := range g.b.upstreams {
+		poll, due, _, _ := g.scheduler.NextPoll(now, name)
+		if !due {
+			continue
+		}
+		result, report := scheduler.PollUnanswered, scheduler.PollReport{}
+		if slices.Contains(g.reached, name) {
+			result, report = u.Poll(now, poll)
+		}
+		stops = append(stops, g.record(g.scheduler.HandlePollResult(now, poll, result, report))...)
+	}
+	for _, start := range g.scheduler.Place(now) {
+		g.starts = append(g.starts, start)
+		result, clock := g.b.upstreams[start.Upstream.Name].Start(now, start, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		stops = append(stops, g.record(g.scheduler.HandleStartResult(now, start, result, clock))...)
+	}
+	for _, stop := range stops {
+		result, clock := g.b.upstreams[stop.Upstream.Name].Stop(now, stop)
+		g.scheduler.HandleStopResult(now, stop, result, clock)
+	}
+}
+
+func (g *group) record(a scheduler.Actions) []scheduler.Stop {
+	g.notices = append(g.notices, a.Notices...)
+	return a.Stops
+}
+
+func (g *group) offer(j scheduler.Job) {
+	_, failure := g.scheduler.Offer(g.b.now, j)
+	require.Nil(g.b.t, failure)
+}
+
+// workAll lets groups work for some time, and checks that the task has one run at most.
+func (b *testHarness) workAll(d time.Duration, task scheduler.Task, groups ...*group) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		for _, g := range groups {
+			g.work()
+		}
+		require.LessOrEqual(b.t, len(b.runsOf(task)), 1, "at %v", b.now)
+		b.now = b.now.Add(10 * time.Millisecond)
+		for _, u := range b.upstreams {
+			u.Advance(b.now)
+		}
+	}
+}
+
+// newSplit returns two groups that share three upstreams. The second one reaches and claims u3
+// only.
+func newSplit(t *testing.T) (b *testHarness, first, second *group) {
+	b = newTestHarness(t, "u1", "u2", "u3")
+	first = b.newGroup(150, []string{"u1", "u2", "u3"}, []string{"u1", "u2", "u3"})
+	second = b.newGroup(200, []string{"u3"}, []string{"u3"})
+	b.workAll(2*time.Second, scheduler.Task{}, first, second)
+	return b, first, second
+}
+
+// The connection of a caller breaks without its origin noticing. The caller sends the job to
+// the VM of another group, whose dispatcher does not reach the upstream of the first run.
+func TestReturningCallersJobStartsBesideItsRun(t *testing.T) {
+	b, first, second := newSplit(t)
+	task := scheduler.Task{Job: "a", Index: 0}
+	b.upstreams["u1"].Speed, b.upstreams["u2"].Speed = 0.1, 0.1
+	first.offer(b.job("a", 0))
+	b.workAll(callerReturn, task, first, second)
+	require.Len(t, first.starts, 1)
+	second.offer(b.job("a", 0))
+	b.workAll(3*time.Second, task, first, second)
+	require.Len(t, second.starts, 1)
+	require.Len(t, second.notices, 1)
+	require.Equal(t, scheduler.TaskDone, second.notices[0].Kind)
+}
+
+// The first submission of a job waits for capacity until its caller has sent the job to the VM
+// of another group.
+func TestEarlierSubmissionStartsBesideRunOfReturningCaller(t *testing.T) {
+	b, first, second := newSplit(t)
+	task := scheduler.Task{Job: "a", Index: 0}
+	b.upstreams["u3"].Speed = 0.2
+	first.offer(b.job("busy", 0, 1, 2, 3))
+	b.workAll(100*time.Millisecond, task, first, second)
+	for _, u := range []string{"u1", "u2"} {
+		b.upstreams[u].Speed = 0.6
+	}
+	first.offer(b.job("a", 0))
+	b.workAll(callerReturn, task, first, second)
+	second.offer(b.job("a", 0))
+	b.workAll(5*time.Second, task, first, second)
+	require.Len(t, second.starts, 1)
+	require.Equal(t, scheduler.TaskDone, second.notices[len(second.notices)-1].Kind)
+}
