scheduler: starts carry why their task could start

Nothing recorded why the tasks of a job could start at a dispatcher: whether it was held, what ended the hold, and which upstreams had not answered. Start.Basis has it as data, set where the hold ends or the offer is accepted. Coverage counts the upstreams from which runs may be missing, as of the last tick. The end of a found run that a job adopts names the submission and its age.

--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -27,6 +27,8 @@
 	orphansOver []foundRun
 	// expired lists completions that matched no job within CompletionRetention.
 	expired []CompletionRef
+	// coverage counts the upstreams that a tick has visited.
+	coverage Coverage
 }
 
 // LostRun is a run that is over although its upstream listed no completion.
--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -24,6 +24,7 @@
 	suspects   map[int]float64  // suspicion of tasks that must run isolated; nil if there is none
 	results    map[int][]byte   // of finished tasks, for at-most-once jobs
 	heldSince  time.Time        // when the job was offered; zero once it may start
+	basis      StartBasis       // why it may start
 	tier       tier             // as of the last update of the score
 	score      float64
 	index      int // position in the heap; -1 if not in it
--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -12,6 +12,8 @@
 	token int64
 	// settled means that all runs of earlier dispatchers are known or over.
 	settled bool
+	// coverage is that of the last tick.
+	coverage Coverage
 }
 
 // offer adds a job. It returns notices for tasks that are known to have finished and
@@ -43,12 +45,14 @@
 	if s.epoch.IsZero() {
 		s.epoch = now
 	}
+	basis := StartBasis{Resumed: offered.Resumed, EarlierKnown: !r.firstSent.IsZero() || len(r.attempts)+len(r.others)+len(r.unmatched) > 0, Coverage: t.coverage}
 	if s.lastToken != 0 && offered.PreviousToken == s.lastToken && r.unstarted == (offerRef{s.lastToken, offered.Origin, offered.Submission}) {
+		basis.Resumed, basis.WasUnstarted = false, offered.Resumed
 		offered.Resumed = false
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		current: map[int]runRef{}, results: map[int][]byte{}, index: -1,
+		current: map[int]runRef{}, results: map[int][]byte{}, index: -1, basis: basis,
 	}
 	if offered.Resumed || !t.settled || t.token <= s.lastToken {
 		j.heldSince = now
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -18,6 +18,7 @@
 	model     *queueModel
 	isolation isolation
 	suspicion float64
+	basis     StartBasis
 }
 
 // expired reports whether the caller no longer waits. It may have sent the job again to
@@ -79,7 +80,7 @@
 	c := candidate{
 		job: &j.Job, index: index, attempt: attempt, expected: j.expected,
 		targetAt: j.Sent.Add(j.targetTime()), deadline: j.Deadline,
-		avoid: j.avoid[index], model: j.model,
+		avoid: j.avoid[index], model: j.model, basis: j.basis,
 	}
 	s.updateHeap(j)
 	return c
--- a/scheduler/job_record_test.go
+++ b/scheduler/job_record_test.go
@@ -27,7 +27,7 @@
 }
 
 func (r *recordTest) offer(j Job) ([]Notice, int, *verdict.Error) {
-	return r.shard.offer(r.now, j, newQueueModel(time.Second), termState{r.token, true})
+	return r.shard.offer(r.now, j, newQueueModel(time.Second), termState{token: r.token, settled: true})
 }
 
 func offered(change func(*Job)) recordStep {
@@ -136,13 +136,13 @@
 // whose upstreams it knows nothing.
 func TestStateOfEndedTermLetsJobStart(t *testing.T) {
 	r := &recordTest{t: t, now: time.Unix(1_700_000_000, 0), shard: newJobShard(), token: 7}
-	former := termState{r.token, true}
+	former := termState{token: r.token, settled: true}
 	termEnded(r)
 	_, _, failure := r.shard.offer(r.now, r.job(), newQueueModel(time.Second), former)
 	require.Nil(t, failure)
 	r.shard.releaseHeld(releaseCriteria{term: former, oldestPoll: r.now.Add(time.Second)}, &Actions{})
 	require.False(t, r.shard.job("a").heldSince.IsZero())
-	r.shard.releaseHeld(releaseCriteria{term: termState{r.token, true}}, &Actions{})
+	r.shard.releaseHeld(releaseCriteria{term: termState{token: r.token, settled: true}}, &Actions{})
 	require.True(t, r.shard.job("a").heldSince.IsZero())
 }
 
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -92,6 +92,7 @@
 
 // releaseCriteria decide whether jobs that are held may start.
 type releaseCriteria struct {
+	now time.Time
 	// Every upstream has answered a poll sent at oldestPoll or later. The runs that
 	// earlier dispatchers started for a job resumed before resumedBefore are over.
 	oldestPoll, resumedBefore time.Time
@@ -99,6 +100,8 @@
 	latestProcessStart time.Time
 	// term is the term in which the tick has begun.
 	term termState
+	// allAnswered means that every listed upstream has answered in the term.
+	allAnswered bool
 	// Before listCompleteSince, upstreams that are not listed may have run tasks.
 	listCompleteSince time.Time
 }
@@ -125,6 +128,11 @@
 		switch {
 		case !j.Resumed && !c.term.settled:
 		case !j.Resumed, j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && c.listCompleteSince.IsZero()):
+			end := HoldTimedOut
+			if j.Resumed && polled || !j.Resumed && c.allAnswered {
+				end = HoldAnswered
+			}
+			j.noteHoldEnd(&c, end)
 			j.heldSince = time.Time{}
 			s.updateHeap(j)
 		case j.AtMostOnce && (polled || timedOut) && len(j.waiting) > 0:
--- a/scheduler/orphan.go
+++ b/scheduler/orphan.go
@@ -29,6 +29,11 @@
 	How string
 	// Held is the time since this dispatcher first found the run, also in an earlier term.
 	Held time.Duration
+	// Origin and Submission identify the submission that has adopted the run, and Age is the
+	// time since its caller sent it.
+	Origin     string
+	Submission uint64
+	Age        time.Duration
 }
 
 // adoptedState is the end of a found run that a job has taken over.
@@ -37,7 +42,7 @@
 // removeOrphan forgets an orphan because it is over or adopted.
 func (u *upstream) removeOrphan(now time.Time, o orphan, how string, a *Actions) {
 	delete(u.orphans, o.Task)
-	a.FoundEnds = append(a.FoundEnds, FoundEnd{FoundRun{o.Run, u.Name}, how, now.Sub(o.since)})
+	a.FoundEnds = append(a.FoundEnds, FoundEnd{FoundRun: FoundRun{o.Run, u.Name}, How: how, Held: now.Sub(o.since)})
 }
 
 // loseOrphan removes an orphan that is over without a completion.
@@ -73,6 +78,8 @@
 		s.waiting.Add(int64(jobs.undoAdopt(found)))
 		return
 	}
+	end := &a.FoundEnds[len(a.FoundEnds)-1]
+	end.Origin, end.Submission, end.Age = j.Origin, j.Submission, now.Sub(j.Sent)
 	if !jobs.hasRun(found) {
 		// The job was removed meanwhile, and stopRuns may have passed the upstream before.
 		shard.stopUnneeded(found, s.token.Load(), "the job ended while it adopted the run", a)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -76,6 +76,11 @@
 	// Suspicion is the probability that the task has crashed an upstream. If it is not 0,
 	// the task runs isolated.
 	Suspicion float64
+	// Origin and Submission identify the submission of the job. Basis tells why its tasks
+	// could start.
+	Origin     string
+	Submission uint64
+	Basis      StartBasis
 }
 
 // maxTried bounds two searches: placeNext tries the first jobs of at most this many
@@ -267,6 +272,7 @@
 		Waited:   now.Sub(c.job.Sent),
 		Expected: time.Duration(c.expected * u.model.slowdown() * float64(time.Second)),
 		Left:     c.targetAt.Sub(now), Free: u.freeSize(), Suspicion: c.suspicion,
+		Origin: c.job.Origin, Submission: c.job.Submission, Basis: c.basis,
 	}, true
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -144,6 +144,7 @@
 	// resumeTimeout is the time after which resumed jobs may start, in ns.
 	resumeTimeout atomic.Int64
 	waiting       atomic.Int64
+	coverage      atomic.Pointer[termCoverage] // as of the last tick
 }
 
 // New returns a Scheduler that does not dispatch until BeginTerm is called.
@@ -257,6 +258,7 @@
 		}
 	}
 	s.finishLost(now, &a)
+	s.noteCoverage(token, a.coverage)
 	if s.partialList.Load() {
 		oldestPoll = time.Time{}
 	}
@@ -266,7 +268,7 @@
 	if allAnswered || now.Sub(s.start)-lastRenewal > maxForeignLease {
 		s.settledToken.Store(token)
 	}
-	criteria := releaseCriteria{oldestPoll: oldestPoll, latestProcessStart: latestStart, term: s.termState(token)}
+	criteria := releaseCriteria{now: now, allAnswered: allAnswered, oldestPoll: oldestPoll, latestProcessStart: latestStart, term: s.termState(token)}
 	if complete := s.listCompleteSince.Load(); complete != 0 {
 		criteria.listCompleteSince = s.start.Add(time.Duration(complete))
 	}
@@ -300,7 +302,8 @@
 
 // termState returns the state of the term with the given token, 0 if there is none.
 func (s *Scheduler) termState(token int64) termState {
-	return termState{token, token != 0 && s.settledToken.Load() == token}
+	c, _ := s.Coverage()
+	return termState{token, token != 0 && s.settledToken.Load() == token, c}
 }
 
 // TickInterval is the interval between calls of Tick.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -192,6 +192,7 @@
 		margin = peerRenewalTime
 	}
 	for _, u := range slices.Clone(s.all) {
+		a.coverage.count(u)
 		if u.listed {
 			oldestPoll = earlier(oldestPoll, u.polledAt())
 			if started := u.startTime(); started.After(latestStart) {
