Logs: lines name tasks as upstreams do, and why a task could start

Lines of runs now carry the task's name (Dependencies.TaskName), 'place' why the task could start, unless it is the usual case, and what identifies the run comes first, since readers may cut long lines. 'offer accepted' names the origin, submission and age; 'run of another term ended' the submission that adopts.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -56,7 +56,7 @@
 	config.Listen = nodeSettings.PeerListen
 	n := node.New(config, node.Dependencies{
 		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreamClient(), WatchProcess: processwatch.Watch, Decoder: platform.Decoder{},
-		Log: log, Decisions: decisions, Metrics: metrics,
+		Log: log, Decisions: decisions, Metrics: metrics, TaskName: platform.TaskName,
 	})
 	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
 	callers, err := net.Listen("tcp", s.Listen.Callers)
--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -51,22 +51,53 @@
 		slog.Int("tasks", tasks), slog.Bool("resumed", resumed))
 }
 
-// Placement logs the upstream on which a task was placed and the values that
-// determined the choice.
-func (d DecisionLog) Placement(start *scheduler.Start) {
+// Accepted logs a job that this dispatcher has accepted. age is the time since its caller
+// sent it.
+func (d DecisionLog) Accepted(job, origin string, submission uint64, age time.Duration, tasks int, o *scheduler.OfferedJob) {
+	if d.disabled() {
+		return
+	}
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "offer accepted",
+		slog.String("job", job), slog.String("origin", origin), slog.Uint64("submission", submission),
+		slog.Int64("age_us", age.Microseconds()), slog.Int("tasks", tasks), slog.Bool("held", o.Held),
+		slog.Bool("resumed", o.Basis.Resumed), slog.Bool("was_unstarted", o.Basis.WasUnstarted), slog.Bool("earlier_known", o.Basis.EarlierKnown))
+}
+
+// maxPlacementAttrs is the number of attributes of the longest line of Placement.
+const maxPlacementAttrs = 24
+
+// Placement logs the upstream on which a task was placed, why the task could start, and the
+// values that determined the choice. task is the name by which the upstream knows the task.
+// The attributes that identify the run come first, for readers that cut long lines.
+func (d DecisionLog) Placement(start *scheduler.Start, task string) {
 	if d.disabled() {
 		return
 	}
 	if start.Suspicion > 0 {
 		d.logger.LogAttrs(context.Background(), slog.LevelInfo, "suspect runs isolated",
-			slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
+			slog.String("job", start.Run.Job), slog.String("task", task), slog.Int("attempt", start.Run.Attempt),
 			slog.String("upstream", start.Upstream.Name), slog.Float64("suspicion", start.Suspicion))
 	}
-	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place",
-		slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
-		slog.String("upstream", start.Upstream.Name), slog.Int64("token", start.Token), slog.Int64("waited_us", start.Waited.Microseconds()),
+	attrs := make([]slog.Attr, 0, maxPlacementAttrs)
+	attrs = append(attrs, slog.String("job", start.Run.Job), slog.String("task", task), slog.Int("attempt", start.Run.Attempt),
+		slog.String("upstream", start.Upstream.Name))
+	if basis := &start.Basis; !basis.Ordinary() {
+		attrs = append(attrs, slog.Bool("resumed", basis.Resumed), slog.String("hold", basis.Hold.String()), slog.Int64("held_us", basis.Held.Microseconds()),
+			slog.Bool("was_unstarted", basis.WasUnstarted), slog.Bool("earlier_known", basis.EarlierKnown))
+		attrs = appendCoverage(attrs, &basis.Coverage)
+	}
+	attrs = append(attrs, slog.String("origin", start.Origin), slog.Uint64("submission", start.Submission),
+		slog.Int64("token", start.Token), slog.Int64("waited_us", start.Waited.Microseconds()),
 		slog.Int64("expected_us", start.Expected.Microseconds()), slog.Int64("left_us", start.Left.Microseconds()),
 		slog.Int("free_cpu", start.Free.MilliCPU))
+	d.logger.LogAttrs(context.Background(), slog.LevelInfo, "place", attrs...)
+}
+
+// appendCoverage appends the attributes of a coverage.
+func appendCoverage(attrs []slog.Attr, c *scheduler.Coverage) []slog.Attr {
+	return append(attrs, slog.Int("listed", c.Listed), slog.Int("unanswered", c.Unanswered), slog.Int("fenced", c.Fenced), slog.Int("failing", c.Failing),
+		slog.Int("unlisted", c.Unlisted), slog.Bool("partial", c.Partial), slog.Bool("incomplete_list", c.IncompleteList),
+		slog.Bool("unreachable_peers", c.UnreachablePeers))
 }
 
 // Answer logs the outcome of a job at its origin.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/history"
+	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -54,6 +55,9 @@
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
 		return &wire.OfferResponse{Reason: failure.Reason, Code: uint8(failure.Code), RetryAfterUS: failure.RetryAfter.Microseconds()}
 	}
+	if accepted, ok := n.scheduler.Offered(r.Job); ok {
+		n.decisions.Accepted(r.Job, r.Origin, r.Submission, time.Duration(r.AgeUS)*time.Microsecond+late, len(r.Tasks), &accepted)
+	}
 	n.apply(actions)
 	if n.withdrawn.contains(submission) { // since the check above
 		n.withdrawJob(r.Origin, r.Job, r.Submission)
@@ -127,7 +131,7 @@
 		}
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
-			n.decisions.Placement(&start)
+			n.decisions.Placement(&start, n.taskName(start.Run.Task))
 			go n.startRun(ctx, start)
 		}
 	}
@@ -135,6 +139,7 @@
 
 // tickLoop calls the scheduler's Tick.
 func (n *Node) tickLoop(ctx context.Context) error {
+	coverage := logging.NewCoverageLog(n.log)
 	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -146,7 +151,10 @@
 		if err := n.checkPause(); err != nil {
 			return err
 		}
-		n.apply(n.scheduler.Tick(time.Now()))
+		now := time.Now()
+		n.apply(n.scheduler.Tick(now))
+		c, ok := n.scheduler.Coverage()
+		coverage.Observe(now, c, ok)
 		n.wakePlaceLoop()
 	}
 }
@@ -161,7 +169,7 @@
 	n.observeOrder(result, now.Sub(sent))
 	n.metrics.observeStart(result, now.Sub(sent), start.Waited)
 	if result != scheduler.OrderDone {
-		n.log.Info("start order failed", slog.String("job", start.Run.Job), slog.Int("task", start.Run.Index), slog.Int("attempt", start.Run.Attempt),
+		n.log.Info("start order failed", slog.String("job", start.Run.Job), slog.String("task", n.taskName(start.Run.Task)), slog.Int("attempt", start.Run.Attempt),
 			slog.String("upstream", start.Upstream.Name), slog.String("result", result.String()), slog.Int64("took_us", now.Sub(sent).Microseconds()), slog.Any("error", err))
 	}
 	n.apply(n.scheduler.HandleStartResult(now, start, result, clock))
@@ -189,14 +197,14 @@
 // stopRun sends a stop order until the scheduler requests no further attempt.
 func (n *Node) stopRun(ctx context.Context, stop scheduler.Stop) {
 	for backoff := time.Duration(0); ; {
-		n.log.Info("sending stop order", slog.String("job", stop.Run.Job), slog.Int("task", stop.Run.Index), slog.Int("attempt", stop.Run.Attempt),
+		n.log.Info("sending stop order", slog.String("job", stop.Run.Job), slog.String("task", n.taskName(stop.Run.Task)), slog.Int("attempt", stop.Run.Attempt),
 			slog.String("upstream", stop.Upstream.Name), slog.String("why", stop.Reason))
 		sent := time.Now()
 		orderCtx, cancel := context.WithTimeout(ctx, n.rtt.timeout())
 		result, clock, err := n.deps.Upstreams.Stop(orderCtx, stop)
 		cancel()
 		if err != nil {
-			n.log.Info("stop order failed", slog.String("job", stop.Run.Job), slog.Int("task", stop.Run.Index), slog.Int("attempt", stop.Run.Attempt),
+			n.log.Info("stop order failed", slog.String("job", stop.Run.Job), slog.String("task", n.taskName(stop.Run.Task)), slog.Int("attempt", stop.Run.Attempt),
 				slog.String("upstream", stop.Upstream.Name), slog.Any("error", err))
 		}
 		n.observeOrder(result, time.Since(sent))
@@ -264,22 +272,23 @@
 // logRuns logs the runs that were lost, found or listed after they had counted as over.
 func (n *Node) logRuns(a *scheduler.Actions) {
 	for _, lost := range a.Lost {
-		n.log.Info("run lost", slog.String("job", lost.Job), slog.Int("task", lost.Index), slog.Int("attempt", lost.Attempt),
+		n.log.Info("run lost", slog.String("job", lost.Job), slog.String("task", n.taskName(lost.Task)), slog.Int("attempt", lost.Attempt),
 			slog.String("upstream", lost.Upstream), slog.Bool("started", lost.MayHaveRun), slog.String("why", lost.Reason),
 			slog.Int64("process", lost.ProcessStart), slog.Int("sharing", lost.Sharing), slog.Int64("contact_ms", lost.Contact.Milliseconds()), slog.Float64("suspicion", lost.Suspicion))
 	}
 	for _, found := range a.Found {
-		n.log.Info("run of another term found", slog.String("job", found.Job), slog.Int("task", found.Index), slog.Int("attempt", found.Attempt),
+		n.log.Info("run of another term found", slog.String("job", found.Job), slog.String("task", n.taskName(found.Task)), slog.Int("attempt", found.Attempt),
 			slog.String("upstream", found.Upstream))
 	}
 	for _, end := range a.FoundEnds {
 		n.metrics.observeFoundEnd(end.How)
-		n.log.Info("run of another term ended", slog.String("job", end.Job), slog.Int("task", end.Index), slog.Int("attempt", end.Attempt),
-			slog.String("upstream", end.Upstream), slog.String("how", end.How), slog.Int64("held_ms", end.Held.Milliseconds()))
+		n.log.Info("run of another term ended", slog.String("job", end.Job), slog.String("task", n.taskName(end.Task)), slog.Int("attempt", end.Attempt),
+			slog.String("upstream", end.Upstream), slog.String("how", end.How), slog.Int64("held_ms", end.Held.Milliseconds()),
+			slog.String("origin", end.Origin), slog.Uint64("submission", end.Submission), slog.Int64("age_ms", end.Age.Milliseconds()))
 	}
 	for _, r := range a.Resurfaced {
 		n.metrics.observeResurfaced(r.State)
-		n.log.Warn("run that counted as over was listed", slog.String("job", r.Job), slog.Int("task", r.Index), slog.Int("attempt", r.Attempt),
+		n.log.Warn("run that counted as over was listed", slog.String("job", r.Job), slog.String("task", n.taskName(r.Task)), slog.Int("attempt", r.Attempt),
 			slog.String("upstream", r.Upstream), slog.String("how", r.State), slog.String("why_over", r.Reason), slog.Int64("since_ms", r.Since.Milliseconds()))
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,11 +109,22 @@
 	// processwatch.Watch does. If nil, only failed polls tell that an upstream may have
 	// crashed.
 	WatchProcess func(ctx context.Context, address string) error
+	// TaskName returns the name by which upstreams know a task, for the log. If nil, it is
+	// the ID of the job and the index.
+	TaskName func(scheduler.Task) string
 	// Drained reports whether operators have drained an upstream. If nil, none is
 	// drained.
 	Drained func(upstream string) bool
 }
 
+// taskName returns the name of a task in the log.
+func (n *Node) taskName(t scheduler.Task) string {
+	if n.deps.TaskName != nil {
+		return n.deps.TaskName(t)
+	}
+	return t.Job + "." + strconv.Itoa(t.Index)
+}
+
 // maxWaiting is the default of Config.MaxWaiting: about 10 s of work for 350
 // upstreams. Further tasks could not complete in time.
 const maxWaiting = 50_000
--- a/node/pollers.go
+++ b/node/pollers.go
@@ -161,7 +161,7 @@
 		if c.Kind == scheduler.CompletionDone {
 			level, message = slog.LevelDebug, "run finished"
 		}
-		n.log.LogAttrs(ctx, level, message, slog.String("job", c.Job), slog.Int("task", c.Index), slog.Int("attempt", c.Attempt),
+		n.log.LogAttrs(ctx, level, message, slog.String("job", c.Job), slog.String("task", n.taskName(c.Task)), slog.Int("attempt", c.Attempt),
 			slog.String("upstream", poll.Upstream.Name), slog.String("how", c.Kind.String()), slog.Int64("number", c.Number))
 	}
 	if poll.Acked > 0 {
--- a/scheduler/resurfaced_test.go
+++ b/scheduler/resurfaced_test.go
@@ -57,5 +57,5 @@
 	again := b.job("a", 0)
 	again.Resumed = true
 	b.offer(again)
-	require.Equal(t, []scheduler.FoundEnd{{FoundRun: found, How: "adopted", Held: 200 * time.Millisecond}}, b.foundEnds)
+	require.Equal(t, []scheduler.FoundEnd{{FoundRun: found, How: "adopted", Held: 200 * time.Millisecond, Origin: "front"}}, b.foundEnds)
 }
