--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -106,7 +106,7 @@
 	j.Submission, j.Deadline = offered.Submission, offered.Deadline
 	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
 		// Another dispatcher has had the job since and may have started tasks.
-		j.Resumed, j.heldSince = true, now
+		j.Resumed, j.heldSince, j.basis.Resumed = true, now, true
 	}
 	s.updateHeap(j) // the deadline may be a later one
 	for _, index := range offered.Tasks {
--- a/scheduler/start_basis_test.go
+++ b/scheduler/start_basis_test.go
@@ -168,3 +168,19 @@
 	require.EqualValues(t, 9, end.Submission)
 	require.Equal(t, b.now.Sub(j.Sent), end.Age)
 }
+
+// A job that comes back from another dispatcher is held again.
+func TestBasisOfJobThatMoves(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	j := b.job("a", 0)
+	b.offer(j)
+	j.Resumed, j.PreviousToken = true, 300
+	b.offer(j)
+	offered, ok := b.scheduler.Offered("a")
+	require.True(t, ok)
+	require.True(t, offered.Held)
+	require.True(t, offered.Basis.Resumed)
+	start := b.placedAfter(time.Second)
+	require.True(t, start.Basis.Resumed)
+	require.Equal(t, scheduler.HoldAnswered, start.Basis.Hold)
+}
