--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -203,6 +203,7 @@
 		margin = peerRenewalTime
 	}
 	for _, u := range slices.Clone(s.all) {
+		a.coverage.count(u)
 		if u.listed {
 			state.oldestPoll = earlier(state.oldestPoll, u.polledAt())
 			state.latestStart = later(state.latestStart, u.startTime())
