node: tests that the next dispatcher starts tasks that run on an unlisted upstream

Both end with the picture of the users' record: two tasks of one job that run on one upstream are started again together on another one, by another dispatcher, within the lease of the first runs. Neither needs a caller that sends its job again, nor a dispatcher that goes on: the dispatcher is killed, and the next one lacks the upstream, because it has read the list before the upstream joined and has lost the store since, or because the upstream drains and its entry has gone.

--- a/node/node_test.go
+++ b/node/node_test.go
@@ -44,19 +44,32 @@
 	for _, name := range names {
 		info := scheduler.Upstream{Name: name, Service: "rota", Size: scheduler.Size{MilliCPU: 16000, MemoryMB: 1000}}
 		model := schedulertest.New(time.Now(), info, testLease)
-		model.OnStart = func(_ time.Time, run scheduler.Run) {
-			u.starts[run.Task]++
-			u.active[run.Task]++
-			if u.active[run.Task] > 1 {
-				u.overlapping = append(u.overlapping, run.Task)
-			}
-		}
-		model.OnCompletion = func(_ time.Time, run scheduler.Run, _ scheduler.CompletionKind) { u.active[run.Task]-- }
+		u.watch(model)
 		u.byName[name] = model
 	}
 	return u
 }
 
+// watch counts the runs of an upstream by task.
+func (u *modelUpstreams) watch(model *schedulertest.Upstream) {
+	model.OnStart = func(_ time.Time, run scheduler.Run) {
+		u.starts[run.Task]++
+		u.active[run.Task]++
+		if u.active[run.Task] > 1 {
+			u.overlapping = append(u.overlapping, run.Task)
+		}
+	}
+	model.OnCompletion = func(_ time.Time, run scheduler.Run, _ scheduler.CompletionKind) { u.active[run.Task]-- }
+}
+
+// add adds an upstream.
+func (u *modelUpstreams) add(model *schedulertest.Upstream) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.watch(model)
+	u.byName[model.Info.Name] = model
+}
+
 func (u *modelUpstreams) Start(_ context.Context, s scheduler.Start) (scheduler.OrderResult, int64, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -85,6 +98,19 @@
 	}
 }
 
+// busiest returns an upstream with the most runs.
+func (u *modelUpstreams) busiest() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	busiest := ""
+	for name, model := range u.byName {
+		if busiest == "" || model.Running() > u.byName[busiest].Running() {
+			busiest = name
+		}
+	}
+	return busiest
+}
+
 // running returns the number of runs on all upstreams.
 func (u *modelUpstreams) running() int {
 	u.mu.Lock()
@@ -182,6 +208,11 @@
 }
 
 func (c *cluster) start(vm string, seeds ...string) *testNode {
+	return c.startWith(vm, c.store, seeds...)
+}
+
+// startWith starts a node with a store of its own.
+func (c *cluster) startWith(vm string, s store.Store, seeds ...string) *testNode {
 	config := Config{
 		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: 10 * time.Second,
 		DrainDelay: 50 * time.Millisecond, DrainTimeout: waitTimeout, Seeds: seeds,
@@ -189,7 +220,7 @@
 	}
 	n := &testNode{stopped: make(chan struct{})}
 	n.Node = New(config, Dependencies{
-		Store: c.store, Upstreams: c.upstreams, Decoder: testDecoder{},
+		Store: s, Upstreams: c.upstreams, Decoder: testDecoder{},
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Metrics: NewMetrics(),
 	})
 	ctx, stop := context.WithCancel(context.Background())
--- /dev/null
+++ b/node/upstream_list_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/store"
+	"github.com/stretchr/testify/require"
+)
+
+// gatedStore is a store that one VM can be cut off from.
+type gatedStore struct {
+	store.Store
+	cut atomic.Bool
+}
+
+// Range implements store.Store.
+func (s *gatedStore) Range(ctx context.Context, prefix, after string, stale bool) (store.Page, error) {
+	if s.cut.Load() {
+		return store.Page{}, store.ErrRefused
+	}
+	return s.Store.Range(ctx, prefix, after, stale)
+}
+
+// Watch implements store.Store.
+func (s *gatedStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	if s.cut.Load() {
+		return nil, 0, store.ErrRefused
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
+// upstreamCount returns the number of upstreams that a node tracks.
+func (n *testNode) upstreamCount() int { return len(n.scheduler.Summaries()) }
+
+// putUpstream writes the entry of an upstream.
+func (c *cluster) putUpstream(name string, change func(*scheduler.Upstream)) {
+	info := c.upstreams.byName[name].Info
+	change(&info)
+	value, err := json.Marshal(info)
+	require.NoError(c.t, err)
+	c.store.Set("upstreams/"+name, value)
+}
+
+// An upstream joins after the next dispatcher has lost the store. The tasks that the dispatcher
+// starts there run while the next one takes over with the list from before.
+func TestNextDispatcherStartsTasksThatRunOnUpstreamItHasNotListed(t *testing.T) {
+	c := newCluster(t, 0, 2, 900*time.Millisecond)
+	joined := newModelUpstreams([]string{"joined"}, 0).byName["joined"]
+	stores := map[string]*gatedStore{}
+	for _, vm := range []string{"vm0", "vm1"} {
+		stores[vm] = &gatedStore{Store: c.store}
+		c.startWith(vm, stores[vm])
+	}
+	first := c.dispatcher()
+	next := c.otherThan(first)
+	c.wait("both have listed the upstreams", func() bool { return first.upstreamCount() == 2 && next.upstreamCount() == 2 })
+	stores[next.config.VM].cut.Store(true)
+	c.upstreams.add(joined)
+	c.putUpstream("joined", func(*scheduler.Upstream) {})
+	c.wait("the dispatcher has listed the upstream that joins", func() bool { return first.upstreamCount() == 3 })
+	done := make(chan intake.Answer, 1)
+	go func() { done <- next.submit(context.Background(), "a", 6, waitTimeout) }()
+	c.wait("tasks run on all upstreams", func() bool { return c.upstreams.running() == 6 })
+	first.kill()
+	answer := <-done
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
+
+// The entry of a draining upstream goes while it runs tasks, because it cannot reach the store.
+func TestNextDispatcherStartsTasksThatRunOnDrainingUpstream(t *testing.T) {
+	c := newCluster(t, 2, 4, 3*time.Second)
+	first := c.dispatcher()
+	next := c.otherThan(first)
+	done := make(chan intake.Answer, 1)
+	go func() { done <- next.submit(context.Background(), "a", 6, waitTimeout) }()
+	c.wait("tasks run", func() bool { return c.upstreams.running() == 6 })
+	leaving := c.upstreams.busiest()
+	c.putUpstream(leaving, func(u *scheduler.Upstream) { u.Draining = true })
+	c.relist("the upstream drains", leaving, func(e entry) bool { return e.upstream.Draining })
+	_, err := c.store.Commit(context.Background(), store.Txn{Deletes: []string{"upstreams/" + leaving}})
+	require.NoError(t, err)
+	c.relist("the entry has gone", leaving, func(e entry) bool { return !e.valid || !e.lapsedAt.IsZero() })
+	first.kill()
+	answer := <-done
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
+
+// relist lets all nodes read the list of upstreams until a condition holds for the entry of one.
+func (c *cluster) relist(what, name string, holds func(entry) bool) {
+	for _, n := range c.nodes {
+		c.wait(what, func() bool {
+			wake(n.relistSignal)
+			n.registry.mu.Lock()
+			defer n.registry.mu.Unlock()
+			return holds(n.registry.entries["upstreams/"+name])
+		})
+	}
+}
