--- a/node/node.go
+++ b/node/node.go
@@ -78,8 +78,8 @@
 	// to another VM. 0 means that callers never do.
 	CallerReturn time.Duration
 	// LapsedRetention is how long an upstream may still run tasks after its store
-	// entry has lapsed, that is, has disappeared although the upstream was not
-	// draining.
+	// entry has lapsed, that is, has disappeared. A draining upstream is no exception: it may
+	// have lost the store while its tasks run.
 	LapsedRetention time.Duration
 	// RetainCompletions must be set if at-most-once jobs are submitted. Completions
 	// that match no known job then stay listed at their upstreams for a while, so
--- a/node/registry.go
+++ b/node/registry.go
@@ -210,7 +210,7 @@
 	e, present := n.registry.entries[key]
 	switch {
 	case !present || !e.lapsedAt.IsZero():
-	case !e.valid || e.upstream.Draining:
+	case !e.valid:
 		delete(n.registry.entries, key)
 	default:
 		e.lapsedAt = now
