node: the next dispatcher takes an old list of upstreams for complete

What callers saw: two tasks of one job had two runs each, on the same two upstreams, ordered by two VMs, after the dispatcher had failed. No caller had sent its job again.

Cause: only the dispatcher watches the upstreams. The VMs that may succeed it read the list every 2 s, and these reads may be seconds old. A resumed job starts once every listed upstream has answered, however old the list is (canPlace waits for the store for 0.15 s). An upstream that has joined since is neither polled nor counted, and its runs go on for a lease.

The line `place` of the second run says hold="all upstreams have answered", listed=2, 15 ms after the offer.

Change: a term begins with a list in doubt, in which jobs wait as if an upstream had not answered, until the list has been read from the store in the term, or is that of the dispatchers before: heartbeats carry a hash of the listed names. An upstream that joins gets no tasks for 1 s, so that a VM that may succeed knows by then that its list lacks it, and has read it if it reaches the store.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,8 @@
 	// ConfigurationRevision is the revision of the member's configuration,
 	// UpstreamsRevision the store revision of its list of upstreams.
 	ConfigurationRevision, UpstreamsRevision int64
+	// UpstreamsDigest is a hash of the upstreams that the member lists; 0 if it lists none.
+	UpstreamsDigest uint64
 	// Digest is a hash of the members that the member knows.
 	Digest uint64
 	// Clock is the member's clock, which counts from the start of its VM; 0 if unknown.
@@ -104,7 +106,11 @@
 	firstAttempt time.Time // first heartbeat sent since lastContact; zero if none
 	refused      bool      // refused a connection since lastContact
 	deaf         bool      // has reported, since lastContact, that it does not hear this member
-	listed       bool      // present in the platform's store
+	// dispatchedAt is when the member last reported a term, dispatchDigest the digest of its
+	// upstreams in that report.
+	dispatchedAt   time.Time
+	dispatchDigest uint64
+	listed         bool // present in the platform's store
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -215,6 +221,9 @@
 		return
 	}
 	p.heartbeat = hb
+	if hb.Term != 0 {
+		p.dispatchedAt, p.dispatchDigest = now, hb.UpstreamsDigest
+	}
 	if hb.Clock > p.clockBound(now) {
 		p.clock, p.clockAt = hb.Clock, now
 	}
@@ -384,6 +393,19 @@
 	return 0
 }
 
+// DispatchersListed reports whether all members that have dispatched since a time have last
+// listed the upstreams with the given digest.
+func (f *Fleet) DispatchersListed(since time.Time, digest uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.peers {
+		if p.dispatchedAt.After(since) && (digest == 0 || p.dispatchDigest != digest) {
+			return false
+		}
+	}
+	return true
+}
+
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -68,3 +68,16 @@
 		}
 	}
 }
+
+func TestDispatchersListed(t *testing.T) {
+	f, members := newFleet(2, "a")
+	f.RecordHeartbeat(start, Heartbeat{Member: members[1], Term: 5, UpstreamsDigest: 7}, true)
+	f.RecordHeartbeat(start, Heartbeat{Member: members[2], UpstreamsDigest: 8}, true)
+	before := start.Add(-time.Second)
+	require.True(t, f.DispatchersListed(before, 7))
+	require.False(t, f.DispatchersListed(before, 8), "a dispatcher has listed other upstreams")
+	require.False(t, f.DispatchersListed(before, 0), "no upstream is listed here")
+	f.RecordHeartbeat(start.Add(1), Heartbeat{Member: members[1], UpstreamsDigest: 8}, true)
+	require.False(t, f.DispatchersListed(before, 8), "what counts is the list of its term")
+	require.True(t, f.DispatchersListed(start.Add(time.Second), 8), "its term is long over")
+}
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -308,9 +308,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 10
+	// map header, size 11
 	// string "f"
-	o = append(o, 0x8a, 0xa1, 0x66)
+	o = append(o, 0x8b, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -328,6 +328,9 @@
 	// string "u"
 	o = append(o, 0xa1, 0x75)
 	o = msgp.AppendInt64(o, z.UpstreamsRevision)
+	// string "ud"
+	o = append(o, 0xa2, 0x75, 0x64)
+	o = msgp.AppendUint64(o, z.UpstreamsDigest)
 	// string "dv"
 	o = append(o, 0xa2, 0x64, 0x76)
 	o = msgp.AppendBool(o, z.Divided)
@@ -401,6 +404,12 @@
 				err = msgp.WrapError(err, "UpstreamsRevision")
 				return
 			}
+		case "ud":
+			z.UpstreamsDigest, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UpstreamsDigest")
+				return
+			}
 		case "dv":
 			z.Divided, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -458,7 +467,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -70,6 +70,9 @@
 	ConfigurationRevision int64 `msg:"r"`
 	// UpstreamsRevision is the store revision of the sender's list of upstreams.
 	UpstreamsRevision int64 `msg:"u"`
+	// UpstreamsDigest is a hash of the names of the upstreams that the sender
+	// lists; 0 if it lists none.
+	UpstreamsDigest uint64 `msg:"ud"`
 	// Divided is true if the sender knows that each data centre has a dispatcher
 	// of its own.
 	Divided bool `msg:"dv"`
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -100,7 +100,7 @@
 	digest, differs := n.fleet.Digest(peer)
 	h := &wire.FleetHeartbeat{
 		From: toWire(n.fleet.Self()), Term: n.announcedTerm(peer), Token: n.fleet.Token(),
-		UpstreamsRevision: n.registry.revision(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
+		UpstreamsRevision: n.registry.revision(), UpstreamsDigest: n.registry.listDigest(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
@@ -132,7 +132,7 @@
 // heartbeats pass in both directions.
 func (n *Node) receiveHeartbeat(h *wire.FleetHeartbeat, bidirectional bool) {
 	n.fleet.RecordHeartbeat(time.Now(), fleet.Heartbeat{
-		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, Digest: h.Digest,
+		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, Digest: h.Digest,
 		Clock: time.Duration(h.ClockUS) * time.Microsecond,
 	}, bidirectional)
 	if h.Divided {
--- a/node/node.go
+++ b/node/node.go
@@ -132,6 +132,11 @@
 // upstreams. Further tasks could not complete in time.
 const maxWaiting = 50_000
 
+// joinDelay is the time for which an upstream that joins gets no tasks. By then the VMs that may
+// dispatch next have learnt from a heartbeat that their list lacks it, and this VM has abandoned
+// the jobs that they have taken over if it has not heard of their term.
+const joinDelay = time.Second
+
 // maxFrame is the largest message between VMs, in bytes. A list of 20,000
 // upstreams takes about 6 MB.
 const maxFrame = 32 << 20
@@ -192,7 +197,7 @@
 		log:            deps.Log.With(slog.String("vm", config.VM)),
 		decisions:      deps.Decisions,
 		fleet:          fleet.New(self),
-		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions, CallerReturn: config.CallerReturn}),
+		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions, CallerReturn: config.CallerReturn, JoinDelay: joinDelay}),
 		jobs:           intake.New[Job](),
 		placeSignal:    make(chan struct{}, 1),
 		relistSignal:   make(chan struct{}, 1),
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -70,9 +70,20 @@
 	u.byName[model.Info.Name] = model
 }
 
+// renew renews the lease of an upstream's runs, as a poll does.
+func (u *modelUpstreams) renew(model *schedulertest.Upstream, token int64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	model.Poll(now, scheduler.Poll{Token: token, Until: model.Clock(now) + testLease.Milliseconds()/2})
+}
+
 func (u *modelUpstreams) Start(_ context.Context, s scheduler.Start) (scheduler.OrderResult, int64, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	for _, model := range u.byName {
+		model.Advance(time.Now()) // also if nobody polls it
+	}
 	result, clock := u.byName[s.Upstream.Name].Start(time.Now(), s, scheduler.Size{MilliCPU: 7000}, u.runTime)
 	return result, clock, nil
 }
@@ -156,6 +167,9 @@
 	store     *store.Memory
 	upstreams *modelUpstreams
 	nodes     []*testNode
+	// lapsedRetention is that of the nodes. For so long after a start, a node knows that its
+	// list may be incomplete.
+	lapsedRetention time.Duration
 }
 
 type testNode struct {
@@ -175,7 +189,11 @@
 }
 
 func newCluster(t *testing.T, nodes, upstreams int, runTime time.Duration) *cluster {
-	c := &cluster{t: t, store: store.NewMemory()}
+	return newClusterWith(t, nodes, upstreams, runTime, 10*time.Second)
+}
+
+func newClusterWith(t *testing.T, nodes, upstreams int, runTime, lapsedRetention time.Duration) *cluster {
+	c := &cluster{t: t, store: store.NewMemory(), lapsedRetention: lapsedRetention}
 	var names []string
 	for i := range upstreams {
 		names = append(names, fmt.Sprintf("u%d", i))
@@ -214,7 +232,7 @@
 // startWith starts a node with a store of its own.
 func (c *cluster) startWith(vm string, s store.Store, seeds ...string) *testNode {
 	config := Config{
-		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: 10 * time.Second,
+		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: c.lapsedRetention,
 		DrainDelay: 50 * time.Millisecond, DrainTimeout: waitTimeout, Seeds: seeds,
 		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/",
 	}
--- a/node/registry.go
+++ b/node/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -35,6 +36,8 @@
 	newest        int64      // revision of the latest change; 0 before the first listing
 	listedAt      time.Time  // time of the first listing
 	updatedAt     time.Time  // when the store last answered
+	currentAt     time.Time  // the list has been that of the store at this time
+	digest        uint64     // hash of the names of the listed upstreams; 0 if there is none
 	pulledAt      time.Time  // when a peer last sent the list
 	entries       map[string]entry
 	configuration store.Item
@@ -92,6 +95,29 @@
 	r.updatedAt = now
 }
 
+// recordCurrent notes that the list has been that of the store at a time.
+func (r *registry) recordCurrent(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if at.After(r.currentAt) {
+		r.currentAt = at
+	}
+}
+
+// currentSince reports whether the list has been that of the store at a time or later.
+func (r *registry) currentSince(t time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.currentAt.Before(t)
+}
+
+// listDigest returns the hash of the names of the listed upstreams.
+func (r *registry) listDigest() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digest
+}
+
 // updatedSince reports whether the store has answered after a time.
 func (r *registry) updatedSince(t time.Time) bool {
 	r.mu.Lock()
@@ -119,13 +145,15 @@
 		shouldWatch: n.scheduler.Dispatching,
 		shouldList:  n.mayDispatchSoon,
 		relist:      n.relistSignal,
-		onList: func(items []store.Item) {
+		onList: func(items []store.Item, currentAt time.Time) {
 			n.registry.recordUpdate(time.Now())
 			newest := int64(1) // above 0, so that an empty list counts as listed
 			for _, item := range items {
 				newest = max(newest, item.Revision)
 			}
 			n.replaceUpstreams(items, newest, "store")
+			n.registry.recordCurrent(currentAt)
+			n.confirmList(time.Now())
 		},
 		onEvents: func(events []store.Event) {
 			now := time.Now()
@@ -238,6 +266,7 @@
 	if now.Sub(n.registry.listedAt) < n.config.LapsedRetention {
 		completeSince = n.registry.listedAt.Add(staleListTime)
 	}
+	digest := uint64(0)
 	partial := false // whether upstreams that this node does not claim may have runs of its jobs
 	for key, e := range n.registry.entries {
 		lapsedFor := now.Sub(e.lapsedAt)
@@ -245,6 +274,9 @@
 			delete(n.registry.entries, key)
 			continue
 		}
+		if e.valid && e.lapsedAt.IsZero() && v.InScope(self, e.upstream.DataCentre) {
+			digest ^= rendezvous.Hash(key)
+		}
 		switch {
 		case !e.valid:
 		case v.ShouldClaim(self, e.upstream.Name, e.upstream.DataCentre):
@@ -256,6 +288,7 @@
 			partial = partial || v.InScope(self, e.upstream.DataCentre) || now.Sub(n.registry.scopeSince) < scopeSettleTime
 		}
 	}
+	n.registry.digest = digest
 	n.registry.mu.Unlock()
 	if n.scheduler.Dispatching() && n.fleet.RecordUpstreamCount(n.registry.size()) {
 		n.wakeTermLoop()
@@ -268,6 +301,17 @@
 	n.wakePlaceLoop()
 }
 
+// confirmList tells the scheduler whether the list has all upstreams on which the dispatchers
+// before may have started tasks: because it was read in this term, or because they have listed
+// the same ones.
+func (n *Node) confirmList(now time.Time) {
+	confirmed := n.deps.Store == nil || n.registry.currentSince(n.term.startTime()) ||
+		n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
+	if confirmed {
+		n.scheduler.ConfirmList()
+	}
+}
+
 // mayDispatchSoon reports whether this node ranks so high that it needs the list of
 // upstreams before it becomes the dispatcher.
 func (n *Node) mayDispatchSoon() bool {
--- a/node/term.go
+++ b/node/term.go
@@ -252,6 +252,7 @@
 	n.log.Info("term started", slog.Int64("token", token), slog.String("why", reason), slog.String("scope", v.Scope.String()), slog.Int("heard", len(v.Reachable)),
 		slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
 	n.metrics.Terms.Inc()
+	n.scheduler.DoubtList()
 	n.scheduler.BeginTerm(now, token, resumeDelay(n.peerTimeout(), n.config.LeaseMax))
 	// Offers name the new term only now: BeginTerm removes the jobs that it finds.
 	t.mu.Lock()
@@ -260,6 +261,7 @@
 	wake(n.announceSignal)
 	wake(n.relistSignal)
 	n.applyUpstreams(now)
+	n.confirmList(now)
 	n.pollers.wakeAll()
 }
 
--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -35,6 +35,17 @@
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
+// shortRetention is a time after which nodes no longer take their lists for incomplete.
+const shortRetention = time.Second
+
+// awaitCompleteLists waits until no node takes its list for incomplete because it has just started.
+func (c *cluster) awaitCompleteLists() {
+	for _, n := range c.nodes {
+		c.wait("the node has listed long enough", func() bool { return !n.registry.mayMissLapsed(time.Now(), shortRetention) })
+		n.applyUpstreams(time.Now())
+	}
+}
+
 // upstreamCount returns the number of upstreams that a node tracks.
 func (n *testNode) upstreamCount() int { return len(n.scheduler.Summaries()) }
 
@@ -50,8 +61,9 @@
 // An upstream joins after the next dispatcher has lost the store. The tasks that the dispatcher
 // starts there run while the next one takes over with the list from before.
 func TestNextDispatcherStartsTasksThatRunOnUpstreamItHasNotListed(t *testing.T) {
-	c := newCluster(t, 0, 2, 900*time.Millisecond)
+	c := newClusterWith(t, 0, 2, 2*time.Second, shortRetention)
 	joined := newModelUpstreams([]string{"joined"}, 0).byName["joined"]
+	joined.Speed = 0.5 // its runs last longer than those of the others
 	stores := map[string]*gatedStore{}
 	for _, vm := range []string{"vm0", "vm1"} {
 		stores[vm] = &gatedStore{Store: c.store}
@@ -60,13 +72,18 @@
 	first := c.dispatcher()
 	next := c.otherThan(first)
 	c.wait("both have listed the upstreams", func() bool { return first.upstreamCount() == 2 && next.upstreamCount() == 2 })
+	c.awaitCompleteLists()
+	full, done := make(chan intake.Answer, 1), make(chan intake.Answer, 1)
+	go func() { full <- next.submit(context.Background(), "filler", 4, waitTimeout) }()
+	c.wait("the other upstreams are full", func() bool { return c.upstreams.running() == 4 })
 	stores[next.config.VM].cut.Store(true)
 	c.upstreams.add(joined)
 	c.putUpstream("joined", func(*scheduler.Upstream) {})
 	c.wait("the dispatcher has listed the upstream that joins", func() bool { return first.upstreamCount() == 3 })
-	done := make(chan intake.Answer, 1)
-	go func() { done <- next.submit(context.Background(), "a", 6, waitTimeout) }()
-	c.wait("tasks run on all upstreams", func() bool { return c.upstreams.running() == 6 })
+	go func() { done <- next.submit(context.Background(), "a", 2, waitTimeout) }()
+	c.wait("tasks run on the upstream that has joined", func() bool { return c.upstreams.running() == 6 })
+	require.Equal(t, intake.Succeeded, (<-full).Outcome)
+	c.upstreams.renew(joined, first.term.current())
 	first.kill()
 	answer := <-done
 	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
@@ -74,8 +91,9 @@
 
 // The entry of a draining upstream goes while it runs tasks, because it cannot reach the store.
 func TestNextDispatcherStartsTasksThatRunOnDrainingUpstream(t *testing.T) {
-	c := newCluster(t, 2, 4, 3*time.Second)
+	c := newClusterWith(t, 2, 4, 3*time.Second, shortRetention)
 	first := c.dispatcher()
+	c.awaitCompleteLists()
 	next := c.otherThan(first)
 	done := make(chan intake.Answer, 1)
 	go func() { done <- next.submit(context.Background(), "a", 6, waitTimeout) }()
--- a/node/watch.go
+++ b/node/watch.go
@@ -39,8 +39,9 @@
 // watcher keeps a copy of the entries under a prefix of the store.
 type watcher struct {
 	prefix string
-	// onList receives a full listing, onEvents the changes since.
-	onList   func(items []store.Item)
+	// onList receives a full listing and the time at which it was that of the store, or zero
+	// if that is unknown. onEvents receives the changes since.
+	onList   func(items []store.Item, currentAt time.Time)
 	onEvents func(events []store.Event)
 	// maxWait is the longest time that the store holds a watch open.
 	maxWait time.Duration
@@ -115,13 +116,17 @@
 		return storeRetryDelay, nil
 	}
 	if w.revision == 0 || !watching {
+		currentAt := time.Time{}
+		if watching {
+			currentAt = time.Now()
+		}
 		callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 		defer cancel()
 		items, revision, err := store.List(callCtx, n.deps.Store, w.prefix, !watching)
 		if err != nil {
 			return 0, err
 		}
-		w.onList(items)
+		w.onList(items, currentAt)
 		w.revision = revision
 		if !watching {
 			w.revision = 0
@@ -152,7 +157,7 @@
 		maxWait:     watchWait,
 		shouldWatch: func() bool { return n.watchesForPeers() || n.table.Load() == nil },
 		shouldList:  always,
-		onList: func(items []store.Item) {
+		onList: func(items []store.Item, _ time.Time) {
 			for _, item := range items {
 				n.applyConfiguration(item, "store")
 			}
@@ -227,7 +232,7 @@
 		maxWait:     memberWatchWait,
 		shouldWatch: n.watchesForPeers,
 		shouldList:  always,
-		onList: func(items []store.Item) {
+		onList: func(items []store.Item, _ time.Time) {
 			clear(members)
 			for _, item := range items {
 				put(item)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -49,6 +49,9 @@
 	// caller may send it to another VM although the origin has not answered. 0 means that
 	// callers never do.
 	CallerReturn time.Duration
+	// JoinDelay is the time for which an upstream that joins during a term gets no tasks, so that
+	// the VMs that may dispatch next list it before.
+	JoinDelay time.Duration
 }
 
 // Timing of the upstream protocol.
@@ -138,6 +141,9 @@
 	lackingSince time.Time
 	settledToken atomic.Int64 // token of the last term in which all runs of earlier dispatchers were known or over
 	partialList  atomic.Bool  // whether upstreams exist that this dispatcher does not claim
+	// listDoubtful means that dispatchers before may have started tasks on upstreams that are not
+	// listed.
+	listDoubtful atomic.Bool
 	// listCompleteSince is the time, in ns since start, from which the list of
 	// upstreams included all that may run tasks; 0 if it always did.
 	listCompleteSince atomic.Int64
@@ -240,6 +246,14 @@
 	s.peerDispatchedAt.Store(int64(now.Sub(s.start)))
 }
 
+// DoubtList notes that dispatchers before may have started tasks on upstreams that are not listed,
+// until ConfirmList is called. Jobs then wait as if an upstream had not answered.
+func (s *Scheduler) DoubtList() { s.listDoubtful.Store(true) }
+
+// ConfirmList notes that the list last passed to SetUpstreams has all upstreams on which dispatchers
+// before may have started tasks.
+func (s *Scheduler) ConfirmList() { s.listDoubtful.Store(false) }
+
 // HasUnreachablePeers returns the value passed to SetUnreachablePeers.
 func (s *Scheduler) HasUnreachablePeers() bool { return s.unreachablePeers.Load() }
 
@@ -260,6 +274,7 @@
 	oldestPoll := now         // every upstream has answered a poll sent at this time or later
 	var latestStart time.Time // of an upstream's process
 	allHeld := true
+	listDoubtful := s.listDoubtful.Load() // read first: SetUpstreams comes before ConfirmList
 	for _, shard := range s.upstreamShards {
 		state := shard.tick(now, s, &a)
 		oldestPoll = earlier(oldestPoll, state.oldestPoll)
@@ -269,7 +284,7 @@
 	s.updateSplit(now, allHeld)
 	s.finishLost(now, &a)
 	s.noteCoverage(token, a.coverage)
-	if s.partialList.Load() {
+	if s.partialList.Load() || listDoubtful {
 		oldestPoll = time.Time{}
 	}
 	sizes := s.serviceSizes.Load()
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/stretchr/testify/require"
 )
 
@@ -182,3 +183,44 @@
 	require.Equal(t, scheduler.TaskDone, b.notices[0].Kind)
 	require.Equal(t, 250*time.Millisecond, b.foundEnds[0].Held)
 }
+
+// An upstream that joins gets tasks only once the VMs that may dispatch next list it too.
+func TestUpstreamThatJoinsGetsTasksAtOnce(t *testing.T) {
+	const joinDelay = time.Second
+	b := newTestHarness(t, "u1")
+	b.scheduler = scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100, JoinDelay: joinDelay})
+	b.scheduler.DoubtList()
+	b.beginTerm(200)
+	u1 := b.upstreams["u1"].Info
+	b.scheduler.SetUpstreams(b.now, []scheduler.Upstream{u1}, false)
+	b.scheduler.ConfirmList()
+	b.pollAll()
+	b.advance(20 * time.Millisecond)
+	b.offer(b.job("a", 0, 1))
+	require.Len(t, b.place(), 2, "it was listed when the term began")
+
+	u2 := schedulertest.New(b.now, scheduler.Upstream{Name: "u2", Service: "rota", Size: u1.Size}, time.Second)
+	b.upstreams["u2"] = u2
+	b.scheduler.SetUpstreams(b.now, []scheduler.Upstream{u1, u2.Info}, false)
+	b.upstreams["u1"].Speed = 0.1
+	b.offer(b.job("b", 0))
+	b.advanceWithPolls(joinDelay - 100*time.Millisecond)
+	require.Empty(t, b.place())
+	b.advanceWithPolls(200 * time.Millisecond)
+	require.Len(t, b.place(), 1)
+}
+
+// A resumed job does not start on the strength of a list that may lack an upstream with its runs.
+func TestResumedJobStartsWhileListIsDoubtful(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.scheduler.DoubtList()
+	b.beginTerm(200)
+	resumed := b.job("a", 0)
+	resumed.Resumed = true
+	b.offer(resumed)
+	b.advanceWithPolls(resumeTimeout - 100*time.Millisecond)
+	require.Empty(t, b.place())
+	b.scheduler.ConfirmList()
+	b.advanceWithPolls(100 * time.Millisecond)
+	require.Len(t, b.place(), 1)
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -104,7 +104,8 @@
 	// leaseEnd is the time after which no run ordered so far is active, unless a
 	// lease is renewed.
 	leaseEnd     time.Time
-	pollFailures int // consecutive failed polls
+	usableFrom   time.Time // no new tasks before
+	pollFailures int       // consecutive failed polls
 	retryAt      time.Time
 	lastPoll     time.Time // sending time of the newest answered poll
 	applying     int       // reports whose runs and completions are being applied to their jobs
@@ -130,7 +131,7 @@
 // usable reports whether new tasks may be placed on the upstream. Orphans prevent it,
 // because their size is unknown.
 func (u *upstream) usable(now time.Time, rule leaseRule) bool {
-	return u.listed && u.claimed && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
+	return u.listed && u.claimed && !now.Before(u.usableFrom) && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
 		!u.fenced && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun() &&
 		u.leaseLength(now, startWindow, rule) >= minLease
 }
@@ -207,7 +208,7 @@
 		if u.listed {
 			state.oldestPoll = earlier(state.oldestPoll, u.polledAt())
 			state.latestStart = later(state.latestStart, u.startTime())
-			state.allHeld = state.allHeld && u.isHeld(now, watched)
+			state.allHeld = state.allHeld && (u.Draining || u.isHeld(now, watched))
 		}
 		if !u.leaseEnd.IsZero() && now.After(u.leaseEnd.Add(margin)) && len(u.runs)+len(u.orphans) > 0 {
 			u.loseAll(now, a)
@@ -299,6 +300,9 @@
 		u := shard.byName[entry.Name]
 		if u == nil {
 			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, undelivered: map[int64]struct{}{}, lastPoll: now, idleSince: now}
+			if s.Dispatching() && !s.listDoubtful.Load() {
+				u.usableFrom = now.Add(s.config.JoinDelay)
+			}
 			shard.add(u)
 			added = append(added, entry.Name)
 		}
