Count a caller's time from when its request reached the VM

Callers saw: a request that had waited in a socket while the process was paused or busy got its whole time again from when it was read. Its caller had sent the job to another VM by then, and the tasks ran twice.

Cause: the deadline and the age of a job counted from the call of the handler. A request whose deadline had passed was offered to the dispatcher all the same.

Evidence: TestDeadlineOfRequestCountsFromReading failed before: a request with a deadline of 100 ms that had waited for longer was answered with 200. TestRequestIsOfferedAfterItsDeadline fails without the check in Submit.

Result: both tests pass; go test of the tests of platform and node that submit.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -115,21 +115,22 @@
 }
 
 // nextSubmission returns a number above all earlier ones, also of earlier processes as long
-// as the time of day does not run backwards.
-func (t *Table[S]) nextSubmission(now time.Time) uint64 {
+// as the time of day does not run backwards: a request does not arrive before its process
+// has started.
+func (t *Table[S]) nextSubmission(arrived time.Time) uint64 {
 	for {
 		last := t.lastSubmission.Load()
-		next := max(last+1, uint64(now.UnixMicro()))
+		next := max(last+1, uint64(arrived.UnixMicro()))
 		if t.lastSubmission.CompareAndSwap(last, next) {
 			return next
 		}
 	}
 }
 
-// AddOrJoin adds a job with the given number of tasks. If a job with the same
-// id is in progress, it adds a waiter to that one instead. added reports
-// whether the job was added.
-func (t *Table[S]) AddOrJoin(now time.Time, id string, spec S, tasks int) (j *Job[S], added bool) {
+// AddOrJoin adds a job with the given number of tasks, whose request arrived at the given
+// time. If a job with the same id is in progress, it adds a waiter to that one instead. added
+// reports whether the job was added.
+func (t *Table[S]) AddOrJoin(arrived time.Time, id string, spec S, tasks int) (j *Job[S], added bool) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -137,7 +138,7 @@
 		j.waiters++
 		return j, false
 	}
-	j = &Job[S]{ID: id, Submission: t.nextSubmission(now), Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
+	j = &Job[S]{ID: id, Submission: t.nextSubmission(arrived), Arrived: arrived, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
 	for i := range tasks {
 		j.unfinished = append(j.unfinished, i)
 	}
--- a/node/submit.go
+++ b/node/submit.go
@@ -24,6 +24,9 @@
 	AtMostOnce bool
 	// Items holds the input of each task. It is nil if Spec is the only input.
 	Items [][]byte
+	// Arrived is when the caller's request reached this VM; the zero value stands for the
+	// call of Submit. The request may have waited while this process was paused or busy.
+	Arrived time.Time
 	// Deadline is the time until which the caller waits.
 	Deadline time.Time
 	// Version is the version of the configuration that selected Queue.
@@ -44,12 +47,20 @@
 // cancelled when the caller disconnects.
 func (n *Node) Submit(ctx context.Context, id string, job Job, tasks int) intake.Answer {
 	now := time.Now()
-	j, added := n.jobs.AddOrJoin(now, id, job, tasks)
+	if job.Arrived.IsZero() {
+		job.Arrived = now
+	}
 	n.metrics.Jobs.Inc()
+	if job.Deadline.Sub(now) <= answerMargin {
+		answer := n.refuseLate(id)
+		n.recordAnswer(id, &job, answer)
+		return answer
+	}
+	j, added := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
 	if added {
 		n.offer(j, n.view.Load())
 	}
-	timer := time.NewTimer(max(job.Deadline.Sub(now)-answerMargin, 0))
+	timer := time.NewTimer(job.Deadline.Sub(now) - answerMargin)
 	defer timer.Stop()
 	select {
 	case <-j.Done():
@@ -61,10 +72,20 @@
 		n.expire(j)
 	}
 	answer, _ := n.jobs.Answer(j)
-	n.recordAnswer(j, answer, now)
+	n.recordAnswer(id, &job, answer)
 	return answer
 }
 
+// refuseLate returns the answer to a request whose deadline has passed. An earlier request of
+// the caller may still have the job in progress.
+func (n *Node) refuseLate(id string) intake.Answer {
+	outcome := intake.NotRun
+	if n.jobs.Find(id) != nil {
+		outcome = intake.Abandoned
+	}
+	return intake.Answer{Outcome: outcome, Code: verdict.CodeDeadline, Reason: "the deadline had passed when the request was read", RetryAfter: verdict.MinRetryAfter}
+}
+
 // expire ends a job at its deadline.
 func (n *Node) expire(j *intake.Job[Job]) {
 	answer := intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeDeadline, Reason: "the deadline has passed while tasks were running"}
@@ -77,10 +98,10 @@
 }
 
 // recordAnswer logs the answer to a job and updates the metrics.
-func (n *Node) recordAnswer(j *intake.Job[Job], a intake.Answer, arrived time.Time) {
-	took := time.Since(arrived)
+func (n *Node) recordAnswer(id string, job *Job, a intake.Answer) {
+	took := time.Since(job.Arrived)
 	n.metrics.observeAnswer(a.Outcome, took)
-	n.decisions.Answer(j.ID, j.Spec.Queue.Name, a.Outcome.String(), a.Reason, took, j.Spec.Version)
+	n.decisions.Answer(id, job.Queue.Name, a.Outcome.String(), a.Reason, took, job.Version)
 }
 
 // offer sends a job to the dispatcher, if there is one.
