End a job with the last of its requests, not with all of them

Callers saw: (1) a caller whose connection broke unnoticed sent its job again to the same VM, lost that connection too and went to another VM. The first VM noticed the second break, kept the job for the first connection, and the tasks ran twice. (2) A request that ended while a later one had the job was answered with 200 and "succeeded"; a caller that had only shut down its sending side could read that.

Cause: waiters were counted, and a job ended with the last that left. Submit took the answer of a job that had none yet.

Change: requests for a job are numbered; the job ends when the last of them does, since a caller sends a job again only when its earlier request is lost to it. A request that ends before is answered as abandoned. TestLastWaiterAbandonsJob is now TestLastRequestAbandonsJob: the same steps and checks, and TestEarlierRequestKeepsJob has the other order. Two tests that asked whether a job was added now compare the number of the request.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -38,6 +38,9 @@
 	return [...]string{"succeeded", "failed", "not run", "given up"}[o]
 }
 
+// CallerLeft is the reason of an answer that no caller waits for.
+const CallerLeft = "the caller stopped waiting"
+
 // Answer is the final result of a job.
 type Answer struct {
 	Outcome Outcome
@@ -54,7 +57,7 @@
 	CompletedTasks int
 }
 
-// Job is a job that at least one caller waits for. ID, Submission, Spec and Arrived are
+// Job is a job that its caller waits for. ID, Submission, Spec and Arrived are
 // immutable; the lock of its shard guards the other fields.
 type Job[S any] struct {
 	ID string
@@ -69,7 +72,7 @@
 	finished   bool
 	unfinished []int // indexes of the tasks that have not succeeded
 	results    [][]byte
-	waiters    int
+	requests   int // number of requests for the job; the last one is the caller's
 	// VM and term of the dispatcher that the job is assigned to; term 0 means
 	// none.
 	vm             string
@@ -128,17 +131,17 @@
 }
 
 // AddOrJoin adds a job with the given number of tasks, whose request arrived at the given
-// time. If a job with the same id is in progress, it adds a waiter to that one instead. added
-// reports whether the job was added.
-func (t *Table[S]) AddOrJoin(arrived time.Time, id string, spec S, tasks int) (j *Job[S], added bool) {
+// time. If a job with the same id is in progress, the request joins that one instead. request
+// is the number of the request among those for the job: 1 if the job was added.
+func (t *Table[S]) AddOrJoin(arrived time.Time, id string, spec S, tasks int) (j *Job[S], request int) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if j = s.jobs[id]; j != nil {
-		j.waiters++
-		return j, false
+		j.requests++
+		return j, j.requests
 	}
-	j = &Job[S]{ID: id, Submission: t.nextSubmission(arrived), Arrived: arrived, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
+	j = &Job[S]{ID: id, Submission: t.nextSubmission(arrived), Arrived: arrived, Spec: spec, done: make(chan struct{}), requests: 1, results: make([][]byte, tasks)}
 	for i := range tasks {
 		j.unfinished = append(j.unfinished, i)
 	}
@@ -147,7 +150,7 @@
 		delete(s.ended, id)
 	}
 	s.jobs[id] = j
-	return j, true
+	return j, 1
 }
 
 // Offer describes the tasks to offer to a dispatcher.
@@ -298,19 +301,18 @@
 	close(j.done)
 }
 
-// RemoveWaiter records that a caller no longer waits for a job. If no other
-// caller waits and the job is unanswered, it is answered as cancelled; last is
-// then true, and vm and term identify the dispatcher on which to stop its
-// tasks, as for Finish.
-func (t *Table[S]) RemoveWaiter(j *Job[S]) (vm string, term uint64, last bool) {
+// EndRequest records that the caller no longer waits for a request. If it is the last request
+// for the job and the job is unanswered, the job is answered as cancelled; ended is then true,
+// and vm and term identify the dispatcher on which to stop its tasks, as for Finish. The caller
+// has sent the last request because the earlier ones were lost to it, so these end nothing.
+func (t *Table[S]) EndRequest(j *Job[S], request int) (vm string, term uint64, ended bool) {
 	s := t.shard(j.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j.waiters--
-	if j.waiters > 0 || j.finished {
+	if request < j.requests || j.finished {
 		return "", 0, false
 	}
-	a := Answer{Outcome: Abandoned, Code: verdict.CodeCancelled, Reason: "the caller stopped waiting"}
+	a := Answer{Outcome: Abandoned, Code: verdict.CodeCancelled, Reason: CallerLeft}
 	if !j.mayHaveStarted {
 		a.Outcome = NotRun
 	}
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -11,10 +11,10 @@
 
 func TestJobSucceedsWithItsLastTask(t *testing.T) {
 	table := New[string]()
-	j, added := table.AddOrJoin(now, "a", "spec", 2)
-	require.True(t, added)
-	_, added = table.AddOrJoin(now, "a", "spec", 2)
-	require.False(t, added, "the same job in progress is joined")
+	j, request := table.AddOrJoin(now, "a", "spec", 2)
+	require.Equal(t, 1, request)
+	_, request = table.AddOrJoin(now, "a", "spec", 2)
+	require.Equal(t, 2, request, "the same job in progress is joined")
 	offer, ok := table.Assign(j, "vm1", 7)
 	require.True(t, ok)
 	require.Equal(t, []int{0, 1}, offer.Tasks)
@@ -67,27 +67,42 @@
 	}
 }
 
-func TestLastWaiterAbandonsJob(t *testing.T) {
+func TestLastRequestAbandonsJob(t *testing.T) {
 	table := New[string]()
-	j, _ := table.AddOrJoin(now, "a", "spec", 1)
-	table.AddOrJoin(now, "a", "spec", 1)
+	j, first := table.AddOrJoin(now, "a", "spec", 1)
+	_, second := table.AddOrJoin(now, "a", "spec", 1)
 	table.Assign(j, "vm1", 7)
-	_, _, last := table.RemoveWaiter(j)
-	require.False(t, last)
-	vm, term, last := table.RemoveWaiter(j)
-	require.True(t, last)
+	_, _, ended := table.EndRequest(j, first)
+	require.False(t, ended)
+	vm, term, ended := table.EndRequest(j, second)
+	require.True(t, ended)
 	require.Equal(t, "vm1", vm)
 	require.EqualValues(t, 7, term)
 	<-j.Done()
 }
 
+// A caller that has lost its connection sends the job again. That the earlier request is not
+// known to have ended must not keep the job when the later one ends.
+func TestEarlierRequestKeepsJob(t *testing.T) {
+	table := New[string]()
+	j, first := table.AddOrJoin(now, "a", "spec", 1)
+	_, second := table.AddOrJoin(now, "a", "spec", 1)
+	table.Assign(j, "vm1", 7)
+	vm, term, ended := table.EndRequest(j, second)
+	require.True(t, ended)
+	require.Equal(t, "vm1", vm)
+	require.EqualValues(t, 7, term)
+	_, _, ended = table.EndRequest(j, first)
+	require.False(t, ended, "it has ended")
+}
+
 // A dispatcher that has not answered an offer may have the job.
 func TestDispatcherThatMayHaveJobIsForgotten(t *testing.T) {
 	for name, end := range map[string]func(*Table[string], *Job[string]) (string, uint64, bool){
 		"answered": func(table *Table[string], j *Job[string]) (string, uint64, bool) {
 			return table.Finish("a", j.Submission, Answer{Outcome: Abandoned})
 		},
-		"cancelled": func(table *Table[string], j *Job[string]) (string, uint64, bool) { return table.RemoveWaiter(j) },
+		"cancelled": func(table *Table[string], j *Job[string]) (string, uint64, bool) { return table.EndRequest(j, 1) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := New[string]()
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -49,8 +49,8 @@
 	first, _ := n.jobs.AddOrJoin(now, "j", spec, 1)
 	n.jobs.Assign(first, "vm0", term)
 	n.expire(first)
-	second, added := n.jobs.AddOrJoin(now, "j", spec, 1)
-	require.True(t, added)
+	second, request := n.jobs.AddOrJoin(now, "j", spec, 1)
+	require.Equal(t, 1, request, "the first submission has ended")
 	n.jobs.Assign(second, "vm0", term)
 
 	task := scheduler.Task{Job: "j"}
--- a/node/submit.go
+++ b/node/submit.go
@@ -50,14 +50,14 @@
 	if job.Arrived.IsZero() {
 		job.Arrived = now
 	}
-	n.metrics.Jobs.Inc()
 	if job.Deadline.Sub(now) <= answerMargin {
 		answer := n.refuseLate(id)
 		n.recordAnswer(id, &job, answer)
 		return answer
 	}
-	j, added := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
-	if added {
+	j, request := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
+	n.metrics.Jobs.Inc()
+	if request == 1 {
 		n.offer(j, n.view.Load())
 	}
 	timer := time.NewTimer(job.Deadline.Sub(now) - answerMargin)
@@ -65,13 +65,14 @@
 	select {
 	case <-j.Done():
 	case <-ctx.Done():
-		if vm, term, last := n.jobs.RemoveWaiter(j); last {
-			n.withdraw(vm, term, j)
-		}
+		n.endRequest(j, request)
 	case <-timer.C:
 		n.expire(j)
 	}
-	answer, _ := n.jobs.Answer(j)
+	answer := intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeCancelled, Reason: intake.CallerLeft}
+	if isDone(j) { // otherwise a later request has the job
+		answer, _ = n.jobs.Answer(j)
+	}
 	n.recordAnswer(id, &job, answer)
 	return answer
 }
@@ -86,6 +87,13 @@
 	return intake.Answer{Outcome: outcome, Code: verdict.CodeDeadline, Reason: "the deadline had passed when the request was read", RetryAfter: verdict.MinRetryAfter}
 }
 
+// endRequest stops a job if it was the last request for it that ended.
+func (n *Node) endRequest(j *intake.Job[Job], request int) {
+	if vm, term, ended := n.jobs.EndRequest(j, request); ended {
+		n.withdraw(vm, term, j)
+	}
+}
+
 // expire ends a job at its deadline.
 func (n *Node) expire(j *intake.Job[Job]) {
 	answer := intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeDeadline, Reason: "the deadline has passed while tasks were running"}
