Answer 504 for a job that is offered as its deadline passes

Callers saw: 503 "not run" for a job that a dispatcher had just been offered, whose tasks may start until the withdrawal arrives (rule REFUSED).

Cause: expire asks whether the job was offered and then answers it; an offer between the two was overlooked, since Finish turned NotRun into Abandoned for unassigned jobs only.

Evidence: the case "offered" of TestNotRunOnlyIfNothingMayHaveStarted failed before. Seen in the test only.

Change: Finish turns NotRun into Abandoned whenever a dispatcher may have started tasks. Its only caller with NotRun is expire.

Result: go test ./intake passes.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -235,8 +235,8 @@
 
 // Finish answers a submission of a job and returns the dispatcher that may have it, also if
 // the job is unassigned because the offer got no answer; term is 0 if there is none.
-// finished is false if it is not unanswered. NotRun becomes Abandoned if the job is
-// unassigned and an earlier dispatcher may have started tasks.
+// finished is false if it is not unanswered. NotRun becomes Abandoned if a dispatcher may have
+// started tasks.
 func (t *Table[S]) Finish(id string, submission uint64, a Answer) (vm string, term uint64, finished bool) {
 	s := t.shard(id)
 	s.mu.Lock()
@@ -245,7 +245,7 @@
 	if j == nil || j.finished || j.Submission != submission {
 		return "", 0, false
 	}
-	if a.Outcome == NotRun && j.mayHaveStarted && j.term == 0 {
+	if a.Outcome == NotRun && j.mayHaveStarted {
 		a.Outcome = Abandoned
 	}
 	s.finish(j, a)
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -45,6 +45,8 @@
 			offer, _ := table.Assign(j, "vm1", 7)
 			table.Unassign(offer, "vm1", 7, true)
 		}, NotRun},
+		// An expired job may be offered between the check whether it was and its answer.
+		{"offered", func(table *Table[string], j *Job[string]) { table.Assign(j, "vm1", 7) }, Abandoned},
 		{"an offer without an answer", func(table *Table[string], j *Job[string]) {
 			offer, _ := table.Assign(j, "vm1", 7)
 			table.Unassign(offer, "vm1", 7, false)
