Withdraw the job of a request that panics

Callers saw: 504 after an unexpected error in the handling of a request, while the job stayed in progress. Its dispatcher ran it until the deadline, beside the caller's next submission; later requests for it at the same VM joined it, and their time passed too.

Cause: only the code behind the panic ended the job.

Evidence: TestJobOutlivesPanicOfItsRequest failed before (the job was found).

Change: Submit ends its request in a deferred call. A request that was read after its deadline likewise ends the job of an earlier one, which is stale.

Result: the test and those of requests and withdrawals of node pass with the race detector.

--- a/node/submit.go
+++ b/node/submit.go
@@ -51,12 +51,13 @@
 		job.Arrived = now
 	}
 	if job.Deadline.Sub(now) <= answerMargin {
-		answer := n.refuseLate(id)
+		answer := n.refuseLate(id, job.Arrived)
 		n.recordAnswer(id, &job, answer)
 		return answer
 	}
 	j, request := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
 	n.metrics.Jobs.Inc()
+	defer n.endRequest(j, request) // after a panic, nothing else would
 	if request == 1 {
 		n.offer(j, n.view.Load())
 	}
@@ -77,12 +78,15 @@
 	return answer
 }
 
-// refuseLate returns the answer to a request whose deadline has passed. An earlier request of
-// the caller may still have the job in progress.
-func (n *Node) refuseLate(id string) intake.Answer {
+// refuseLate returns the answer to a request whose deadline has passed. A request of the
+// caller that arrived before this one may still have the job in progress; it is stale.
+func (n *Node) refuseLate(id string, arrived time.Time) intake.Answer {
 	outcome := intake.NotRun
-	if n.jobs.Find(id) != nil {
+	if j := n.jobs.Find(id); j != nil {
 		outcome = intake.Abandoned
+		if !arrived.Before(j.Arrived) {
+			n.expire(j)
+		}
 	}
 	return intake.Answer{Outcome: outcome, Code: verdict.CodeDeadline, Reason: "the deadline had passed when the request was read", RetryAfter: verdict.MinRetryAfter}
 }
