Answer and withdraw pending requests before a stopped VM exits

Cause: drain only waited. After the timeout the process exited under the handlers, and withdrawals were sent in the background, if at all.

Evidence: without the call of endJobs TestDrainTimeoutLosesPendingRequests gets no answer (20 s) and TestStopOrdersAreLostAtDrainTimeout finds 2 runs; without the wait for withdrawals both fail (0 attempts of 2, and 2 runs).

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -198,12 +198,23 @@
 // Unassigned returns the jobs that are not assigned to the dispatcher of a
 // term.
 func (t *Table[S]) Unassigned(vm string, term uint64) []*Job[S] {
+	return t.unanswered(func(j *Job[S]) bool { return j.vm != vm || j.term != term })
+}
+
+// All returns the unanswered jobs.
+func (t *Table[S]) All() []*Job[S] {
+	return t.unanswered(func(*Job[S]) bool { return true })
+}
+
+// unanswered returns the unanswered jobs for which a condition holds. It calls the condition
+// with the lock of the job held.
+func (t *Table[S]) unanswered(holds func(*Job[S]) bool) []*Job[S] {
 	var jobs []*Job[S]
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, j := range s.jobs {
-			if !j.finished && (j.vm != vm || j.term != term) {
+			if !j.finished && holds(j) {
 				jobs = append(jobs, j)
 			}
 		}
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -213,7 +213,11 @@
 // apply carries out the actions that the scheduler requests.
 func (n *Node) apply(a scheduler.Actions) {
 	for _, stop := range a.Stops {
-		go n.stopRun(n.runCtx, stop)
+		n.pendingStops.Add(1)
+		go func() {
+			defer n.pendingStops.Add(-1)
+			n.stopRun(n.runCtx, stop)
+		}()
 	}
 	for _, upstream := range a.Polls {
 		go n.pollNow(n.runCtx, upstream)
--- a/node/node.go
+++ b/node/node.go
@@ -24,7 +24,6 @@
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
-	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/routing"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -85,7 +84,8 @@
 	// 0, maxWaiting applies.
 	MaxWaiting int
 	// DrainDelay is how long the load balancer may keep sending requests after
-	// the node has become unready. DrainTimeout limits the whole graceful stop.
+	// the node has become unready. DrainTimeout limits the wait for pending requests;
+	// the graceful stop ends lastAnswersTimeout after it at the latest.
 	DrainDelay, DrainTimeout time.Duration
 	// Store keys and prefixes. If ConfigurationKey is empty, the node reads no
 	// configuration and each job carries its queue.
@@ -153,8 +153,12 @@
 
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
 
-	started   time.Time
-	draining  atomic.Bool
+	started  time.Time
+	draining atomic.Bool
+	stopping atomic.Bool // every job is answered at once
+
+	pendingStops atomic.Int64 // number of stop orders that may be repeated
+
 	runCtx    context.Context // cancelled by Stop; in a graceful stop, after the last answer is sent
 	cancelRun context.CancelFunc
 
@@ -222,7 +226,8 @@
 }
 
 // Run serves until the context is done, then stops gracefully: it keeps accepting
-// requests until the load balancer sends no more, and waits for the pending ones.
+// requests until the load balancer sends no more, and waits for the pending ones. Those that
+// DrainTimeout leaves are answered, and their jobs withdrawn.
 func (n *Node) Run(ctx context.Context, front Frontend) error {
 	var g errgroup.Group
 	g.Go(n.Serve)
@@ -238,7 +243,7 @@
 	return g.Wait()
 }
 
-// Stop makes Serve return. Jobs without an answer are abandoned.
+// Stop makes Serve return. Jobs without an answer are abandoned; a graceful stop leaves none.
 func (n *Node) Stop() { n.cancelRun() }
 
 // Serve runs the node until Stop is called.
@@ -274,44 +279,6 @@
 	return err
 }
 
-// handOverInterval is the interval at which HandOver checks for another
-// dispatcher.
-const handOverInterval = 20 * time.Millisecond
-
-// drain makes the node unready, waits for the pending requests and hands
-// dispatching over to another VM.
-func (n *Node) drain(front Frontend) {
-	n.log.Info("node is draining", slog.Int("jobs", n.jobs.Len()))
-	ctx, cancel := context.WithTimeout(n.runCtx, n.config.DrainTimeout)
-	defer cancel()
-	n.BeginDrain()
-	if !wait.For(ctx, n.config.DrainDelay) {
-		return
-	}
-	if err := front.Shutdown(ctx); err != nil {
-		n.log.Warn("pending requests aborted", slog.Int("jobs", n.jobs.Len()), slog.Any("error", err))
-	}
-	n.HandOver(ctx)
-}
-
-// BeginDrain starts a graceful stop: the node becomes unready, and another VM
-// takes over dispatching.
-func (n *Node) BeginDrain() {
-	n.draining.Store(true)
-	n.fleet.MarkDraining()
-	n.wakeTermLoop()
-}
-
-// HandOver waits until another VM dispatches. It returns at once if no other VM
-// is reachable.
-func (n *Node) HandOver(ctx context.Context) {
-	for n.scheduler.Dispatching() && len(n.view.Load().Reachable) > 0 {
-		if !wait.For(ctx, handOverInterval) {
-			return
-		}
-	}
-}
-
 // Ready returns nil if the load balancer should send requests to this node, and
 // otherwise the reason why not.
 func (n *Node) Ready() error {
--- a/node/submit.go
+++ b/node/submit.go
@@ -58,7 +58,9 @@
 	j, request := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
 	n.metrics.Jobs.Inc()
 	defer n.endRequest(j, request) // after a panic, nothing else would
-	if request == 1 {
+	if n.stopping.Load() { // read after the job was added, so that endJobs has not missed it
+		n.endStopping(j)
+	} else if request == 1 {
 		n.offer(j, n.view.Load())
 	}
 	timer := time.NewTimer(job.Deadline.Sub(now) - answerMargin)
@@ -104,7 +106,12 @@
 	if !n.jobs.MayHaveStarted(j) {
 		answer = intake.Answer{Outcome: intake.NotRun, Code: verdict.CodeUnreachable, Reason: "no dispatcher was reached before the deadline", RetryAfter: verdict.MinRetryAfter}
 	}
-	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, answer); ended {
+	n.end(j, answer)
+}
+
+// end answers a job and stops its tasks. NotRun becomes Abandoned if tasks may have started.
+func (n *Node) end(j *intake.Job[Job], a intake.Answer) {
+	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, a); ended {
 		n.withdraw(vm, term, j)
 	}
 }
@@ -157,9 +164,7 @@
 
 // abandon ends a job whose tasks may have started, and stops the tasks.
 func (n *Node) abandon(j *intake.Job[Job], reason string) {
-	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeOwnerLost, Reason: reason}); ended {
-		n.withdraw(vm, term, j)
-	}
+	n.end(j, intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeOwnerLost, Reason: reason})
 }
 
 // handleOfferResponse processes the answer to an offer.
--- a/node/submit_test.go
+++ b/node/submit_test.go
@@ -98,3 +98,38 @@
 	require.Nil(t, n.jobs.Find("a"))
 	require.Equal(t, "a", d.receive(t, "of a job that may have been offered").Job)
 }
+
+// A stop must not leave callers without an answer, nor their jobs with a dispatcher.
+func TestDrainTimeoutLosesPendingRequests(t *testing.T) {
+	const failing = 1
+	d := listenDispatcher(t, "vm1", 400, func(_ context.Context, earlier int) {
+		if earlier < failing {
+			panic("handler failed")
+		}
+	})
+	n := newOrigin(t) // its drain timeout is 0
+	_, waiting := submitAsync(t, n, "never offered")
+	d.hear(n, 7)
+	_, offered := submitAsync(t, n, "offered")
+	n.drain(testFrontend{n})
+	require.Equal(t, intake.NotRun, (<-waiting).Outcome)
+	require.Equal(t, intake.Abandoned, (<-offered).Outcome)
+	require.Len(t, d.withdrawn, failing+1, "attempts before the process exits")
+	require.Zero(t, n.withdrawals.open.Load())
+	answer := n.Submit(t.Context(), "read after the stop", Job{Queue: &testQueue, Deadline: time.Now().Add(time.Hour)}, 1)
+	require.Equal(t, intake.NotRun, answer.Outcome)
+}
+
+// A VM that dispatches until it stops has its own withdrawals to carry out.
+func TestStopOrdersAreLostAtDrainTimeout(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Hour)
+	n := c.dispatcher()
+	n.config.DrainTimeout = 0
+	done := make(chan intake.Answer, 1)
+	go func() { done <- n.submit(t.Context(), "a", 2, waitTimeout) }()
+	c.wait("tasks run", func() bool { return c.upstreams.running() == 2 })
+	n.stop()
+	<-n.stopped
+	require.Zero(t, c.upstreams.running())
+	require.Equal(t, intake.Abandoned, (<-done).Outcome)
+}
--- a/node/withdraw.go
+++ b/node/withdraw.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mustardstep/mustardstep/intake"
@@ -39,6 +40,8 @@
 // withdrawals holds the withdrawals that are still to be acknowledged, by the VM of the
 // dispatcher.
 type withdrawals struct {
+	open atomic.Int64 // withdrawals that are to be acknowledged, or early
+
 	mu   sync.Mutex // guards the field below
 	byVM map[string]*withdrawalQueue
 }
@@ -61,6 +64,7 @@
 		n.withdrawJob(n.config.VM, j.ID, j.Submission)
 		return
 	}
+	n.withdrawals.open.Add(1)
 	go n.sendWithdrawal(vm, n.newWithdrawal(j))
 }
 
@@ -85,6 +89,7 @@
 	}
 	w := n.newWithdrawal(o.Job)
 	w.request.Term, w.moved, w.from = o.PreviousTerm, o.Job, time.Now().Add(n.peerTimeout())
+	n.withdrawals.open.Add(1)
 	n.withdrawals.add(n, o.PreviousVM, w)
 }
 
@@ -127,7 +132,9 @@
 	if err := n.callWithdraw(vm, &w); err != nil {
 		n.log.Info("job withdrawal failed", slog.String("job", w.request.Job), slog.String("dispatcher", vm), slog.Any("error", err))
 		n.withdrawals.add(n, vm, w)
+		return
 	}
+	n.withdrawals.open.Add(-1)
 }
 
 // callWithdraw makes one attempt. Its timeout is below that of other calls, so that a lost
@@ -168,8 +175,10 @@
 func (q *withdrawalQueue) repeat(n *Node, vm string) {
 	for wait.For(n.runCtx, withdrawInterval) {
 		now := time.Now()
-		due, early := sortWithdrawals(q.takeAll(), func(w *withdrawal) withdrawalState { return n.withdrawalState(now, vm, w) })
+		all := q.takeAll()
+		due, early := sortWithdrawals(all, func(w *withdrawal) withdrawalState { return n.withdrawalState(now, vm, w) })
 		q.putBack(early)
+		n.withdrawals.open.Add(int64(len(due) + len(early) - len(all)))
 		if len(due) == 0 {
 			if q.stopIfEmpty() {
 				return
@@ -180,6 +189,7 @@
 			q.putBack(append(due[1:], due[0]))
 			continue
 		}
+		n.withdrawals.open.Add(-1)
 		for _, w := range due[1:] {
 			go n.sendWithdrawal(vm, w)
 		}
