Probe callers' connections after a second of silence

Callers saw: a job whose caller's host or path had gone without a reset ran on until its deadline, up to a minute.

Cause: callers' connections had the library's keep-alive times, 15 s and nine probes 15 s apart.

Evidence: TestVanishedCallerIsNoticedAfterMinutes failed before: 150 s.

Change: probes begin after 1 s and end the connection after three more seconds. Accepting a connection takes as many calls as before. A caller that cannot be reached for 4 s loses its connection, and its job.

Result: the test and those of closed connections pass.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -59,7 +59,7 @@
 		Log: log, Decisions: decisions, Metrics: metrics,
 	})
 	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
-	callers, err := net.Listen("tcp", s.Listen.Callers)
+	callers, err := platform.ListenCallers(ctx, s.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
 	}
