--- a/node/submit.go
+++ b/node/submit.go
@@ -58,9 +58,10 @@
 	j, request := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
 	n.metrics.Jobs.Inc()
 	defer n.endRequest(j, request) // after a panic, nothing else would
-	if n.stopping.Load() { // read after the job was added, so that endJobs has not missed it
+	switch {
+	case n.stopping.Load(): // read after the job was added, so that endJobs does not miss it
 		n.endStopping(j)
-	} else if request == 1 {
+	case request == 1:
 		n.offer(j, n.view.Load())
 	}
 	timer := time.NewTimer(job.Deadline.Sub(now) - answerMargin)
