--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -128,7 +128,11 @@
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
 			n.decisions.Placement(&start)
-			go n.startRun(ctx, start)
+			n.pendingOrders.Add(1)
+			go func() {
+				defer n.pendingOrders.Add(-1)
+				n.startRun(ctx, start)
+			}()
 		}
 	}
 }
@@ -213,9 +217,9 @@
 // apply carries out the actions that the scheduler requests.
 func (n *Node) apply(a scheduler.Actions) {
 	for _, stop := range a.Stops {
-		n.pendingStops.Add(1)
+		n.pendingOrders.Add(1)
 		go func() {
-			defer n.pendingStops.Add(-1)
+			defer n.pendingOrders.Add(-1)
 			n.stopRun(n.runCtx, stop)
 		}()
 	}
--- a/node/drain.go
+++ b/node/drain.go
@@ -69,12 +69,12 @@
 	n.end(j, intake.Answer{Outcome: intake.NotRun, Code: verdict.CodeNotReady, Reason: "this VM is stopping", RetryAfter: verdict.MinRetryAfter})
 }
 
-// waitWithdrawn waits until no withdrawal is to be acknowledged, and no stop order of this VM
-// to be answered.
+// waitWithdrawn waits until no withdrawal is to be acknowledged, and no order of this VM to be
+// answered: the answer to a start order of a job that has ended causes a stop order.
 func (n *Node) waitWithdrawn(ctx context.Context) {
-	for n.withdrawals.open.Load() > 0 || n.pendingStops.Load() > 0 {
+	for n.withdrawals.open.Load() > 0 || n.pendingOrders.Load() > 0 {
 		if !wait.For(ctx, drainPollInterval) {
-			n.log.Warn("node stops with jobs that may not be withdrawn", slog.Int64("withdrawals", n.withdrawals.open.Load()), slog.Int64("stop_orders", n.pendingStops.Load()))
+			n.log.Warn("node stops with jobs that may not be withdrawn", slog.Int64("withdrawals", n.withdrawals.open.Load()), slog.Int64("orders", n.pendingOrders.Load()))
 			return
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -157,7 +157,7 @@
 	draining atomic.Bool
 	stopping atomic.Bool // every job is answered at once
 
-	pendingStops atomic.Int64 // number of stop orders that may be repeated
+	pendingOrders atomic.Int64 // number of start orders without a result, and of stop orders that may be repeated
 
 	runCtx    context.Context // cancelled by Stop; in a graceful stop, after the last answer is sent
 	cancelRun context.CancelFunc
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -34,6 +34,7 @@
 	starts      map[scheduler.Task]int
 	active      map[scheduler.Task]int
 	overlapping []scheduler.Task
+	lostStops   int // number of stop orders that get no answer and have no effect
 }
 
 func newModelUpstreams(names []string, runTime time.Duration) *modelUpstreams {
@@ -67,6 +68,10 @@
 func (u *modelUpstreams) Stop(_ context.Context, s scheduler.Stop) (scheduler.OrderResult, int64, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.lostStops > 0 {
+		u.lostStops--
+		return scheduler.OrderUnanswered, 0, errors.New("stop order lost")
+	}
 	result, clock := u.byName[s.Upstream.Name].Stop(time.Now(), s)
 	return result, clock, nil
 }
