Model test: notices, run times and seeds can be replaced

For a second model over the same network and upstreams. Stops, polls and notices are executed in a fixed order, so that a seed always gives the same schedule, and the answer to a stop order waits for a frozen dispatcher like other answers. The trace tells who ordered a run.

--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -50,7 +50,8 @@
 	offered       bool
 	previousToken int64 // token of the last offer
 	histories     map[int]history.Task
-	deadly        bool // task 0 crashes its upstreams
+	deadly        bool                          // task 0 crashes its upstreams
+	runTime       func(index int) time.Duration // of a task at speed 1
 }
 
 // modelDispatcher is a scheduler and the state of its polls.
@@ -59,6 +60,7 @@
 	scheduler    *scheduler.Scheduler
 	token        int64
 	frozenUntil  time.Time // inactive until then
+	placeFrom    time.Time // places no task before
 	polling      map[string]bool
 	listed       []string        // upstreams that it may use
 	partial      bool            // whether there are others
@@ -66,7 +68,7 @@
 }
 
 type model struct {
-	t           *rapid.T
+	t           rapid.TB
 	rand        *rand.Rand
 	trace       []string
 	now         time.Time
@@ -84,6 +86,7 @@
 	formerSizes map[string][]formerSize
 	downUntil   map[string]time.Time // by upstream: no process runs until then
 	crashes     map[scheduler.Task]int
+	notify      func(*modelDispatcher, scheduler.Notice) // delivers a notice to the origin
 }
 
 // delayedOrderPercent is the percentage of orders that get no response and are
@@ -133,18 +136,20 @@
 
 var modelStart = time.Unix(1_700_000_000, 0)
 
-func newModel(t *rapid.T) *model {
+// newModel returns a model whose faults and delays depend on the seed.
+func newModel(t rapid.TB, seed uint64, upstreams int) *model {
 	m := &model{
-		t: t, now: modelStart, rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), upstreams: map[string]*schedulertest.Upstream{},
+		t: t, now: modelStart, rand: rand.New(rand.NewPCG(seed, 1)), upstreams: map[string]*schedulertest.Upstream{},
 		jobs: map[string]*modelJob{}, running: map[scheduler.Task][]string{}, startedOn: map[scheduler.Task]string{}, restarts: map[string]int{},
 		formerSizes: map[string][]formerSize{}, downUntil: map[string]time.Time{}, crashes: map[scheduler.Task]int{},
 	}
-	for i := range 4 {
+	m.notify = m.handleNotice
+	for i := range upstreams {
 		name := fmt.Sprintf("u%d", i)
 		info := scheduler.Upstream{Name: name, Service: "s", Size: scheduler.Size{MilliCPU: 16000, MemoryMB: 32000}}
 		u := schedulertest.New(m.now, info, modelLeaseMax)
-		u.ClockRate = []float64{1, 0.98, 1, 0.99}[i]
-		u.Speed = []float64{0.6, 1, 1.6, 1}[i]
+		u.ClockRate = []float64{1, 0.98, 1, 0.99}[i%4]
+		u.Speed = []float64{0.6, 1, 1.6, 1}[i%4]
 		u.OnStart = func(_ time.Time, run scheduler.Run) {
 			m.logf("%s attempt %d of task %d runs on %s", run.Job, run.Attempt, run.Index, name)
 			if at := m.running[run.Task]; len(at) > 0 {
@@ -182,15 +187,19 @@
 		m.names = append(m.names, name)
 	}
 	for i := range 2 {
-		m.dispatchers = append(m.dispatchers, &modelDispatcher{
-			name:      fmt.Sprintf("d%d", i),
-			scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000, RetainCompletions: true}),
-			polling:   map[string]bool{}, disconnected: map[string]bool{},
-		})
+		m.dispatchers = append(m.dispatchers, m.newDispatcher(fmt.Sprintf("d%d", i)))
 	}
 	return m
 }
 
+func (m *model) newDispatcher(name string) *modelDispatcher {
+	return &modelDispatcher{
+		name:      name,
+		scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000, RetainCompletions: true}),
+		polling:   map[string]bool{}, disconnected: map[string]bool{},
+	}
+}
+
 // tellList tells a dispatcher which upstreams it may use, and their present sizes.
 func (m *model) tellList(d *modelDispatcher, names []string, partial bool) {
 	d.listed, d.partial = names, partial
@@ -268,10 +277,11 @@
 }
 
 func (m *model) place(d *modelDispatcher) {
-	if m.now.Before(d.frozenUntil) {
+	if m.now.Before(d.frozenUntil) || m.now.Before(d.placeFrom) {
 		return
 	}
 	for _, start := range d.scheduler.Place(m.now) {
+		m.logf("%s orders attempt %d of task %d on %s by %s", start.Run.Job, start.Run.Attempt, start.Run.Index, start.Upstream.Name, d.name)
 		m.start(d, start)
 	}
 }
@@ -317,8 +327,7 @@
 	j := m.jobs[start.Run.Job]
 	result, clock := scheduler.OrderUnanswered, int64(0)
 	m.send(d, start.Upstream.Name, true, func(answered bool) {
-		work := time.Duration(300+600*start.Run.Index) * time.Millisecond
-		r, c := m.upstreams[start.Upstream.Name].Start(m.now, start, j.job.Size, work)
+		r, c := m.upstreams[start.Upstream.Name].Start(m.now, start, j.job.Size, j.runTime(start.Run.Index))
 		if answered {
 			result, clock = r, c
 			m.after(m.responseDelay(), func() { m.handleStartResult(d, start, result, clock) })
@@ -337,7 +346,12 @@
 }
 
 func (m *model) stop(d *modelDispatcher, stop scheduler.Stop) {
-	handleResult := func(result scheduler.OrderResult, clock int64) {
+	var handleResult func(result scheduler.OrderResult, clock int64)
+	handleResult = func(result scheduler.OrderResult, clock int64) {
+		if m.now.Before(d.frozenUntil) {
+			m.after(d.frozenUntil.Sub(m.now), func() { handleResult(result, clock) })
+			return
+		}
 		actions, retry, delay := d.scheduler.HandleStopResult(m.now, stop, result, clock)
 		m.execute(d, actions)
 		if retry {
@@ -416,13 +430,17 @@
 	for _, stop := range a.Stops {
 		m.stop(d, stop)
 	}
+	slices.Sort(a.Polls)
 	for _, name := range a.Polls {
 		if poll, ok := d.scheduler.ImmediatePoll(m.now, name); ok {
 			m.poll(d, poll, func() { m.pollLoop(d, name) })
 		}
 	}
+	slices.SortStableFunc(a.Notices, func(a, b scheduler.Notice) int {
+		return cmp.Or(strings.Compare(a.Task.Job, b.Task.Job), cmp.Compare(a.Task.Index, b.Task.Index), cmp.Compare(a.Kind, b.Kind))
+	})
 	for _, n := range a.Notices {
-		m.after(m.delay(), func() { m.handleNotice(d, n) })
+		m.after(m.delay(), func() { m.notify(d, n) })
 	}
 }
 
@@ -455,11 +473,16 @@
 
 // run executes the simulation.
 func (m *model) run() {
-	end := m.now.Add(modelLength)
 	m.beginTerm(m.dispatchers[0])
 	m.tick()
 	m.arrive(0)
 	m.injectFaults()
+	m.process(modelLength)
+}
+
+// process executes the events of the given time.
+func (m *model) process(length time.Duration) {
+	end := m.now.Add(length)
 	for {
 		at, do, ok := m.events.Pop()
 		if !ok || at.After(end) {
@@ -494,7 +517,7 @@
 		Size: scheduler.Size{MilliCPU: 6800, MemoryMB: 64}, Estimate: 200 * time.Millisecond,
 		Sent: m.now, Deadline: m.now.Add(5 * time.Second), Stretch: 1.6, Slack: 60 * time.Millisecond, MaxAttempts: 3,
 		AtMostOnce: m.rand.IntN(2) == 0,
-	}, tasks: tasks, histories: map[int]history.Task{}, deadly: m.rand.IntN(10) == 0}
+	}, tasks: tasks, histories: map[int]history.Task{}, deadly: m.rand.IntN(10) == 0, runTime: func(index int) time.Duration { return time.Duration(300+600*index) * time.Millisecond }}
 	m.jobs[id] = j
 	if !j.job.AtMostOnce && m.rand.IntN(3) == 0 {
 		m.submit(j, resubmittedDeadline, 3)
@@ -539,7 +562,7 @@
 
 func TestNoTaskRunsTwiceAndNoUpstreamIsOvercommitted(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newModel(t)
+		m := newModel(t, rapid.Uint64().Draw(t, "seed"), 4)
 		m.run()
 	})
 }
