Model of a fleet that splits

Callers saw two runs of a task at once, on two upstreams of one data centre. The model test has one origin and no split.

The split model runs 3 or 4 VMs, each an origin and a dispatcher, over the network and the upstreams of the model test. VMs form groups that do not hear each other, also one way, lose upstreams, miss new ones, pause and restart, and callers without an answer send their jobs again 1.3 s later.

--- /dev/null
+++ b/scheduler/split_model_test.go
@@ -0,0 +1,194 @@
+package scheduler_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/scheduler"
+)
+
+// The split model runs several VMs, each of which takes jobs from callers and may dispatch.
+// They form groups that do not hear each other, lose upstreams, pause and restart, and
+// callers without an answer send their jobs again to another VM. The model checks that no
+// task has two runs at the same time, and that no task of a job that was sent once starts after
+// its end was reported to the origin.
+
+const (
+	splitUpstreams = 7
+	splitLength    = 10 * time.Second
+	// callerReturn is the time after which a caller without an answer sends its job again.
+	callerReturn = 1300 * time.Millisecond
+	// reportedSlack is the time for which a dispatcher may not know yet that the origin has
+	// the end of a task.
+	reportedSlack = time.Second
+)
+
+type splitModel struct {
+	*model
+	nodes   []*splitNode // the present process of each VM
+	callers map[string]*splitCaller
+	cut     map[link]bool
+	// missBreaks means that origins miss most of the connections of callers that break.
+	missBreaks bool
+	// incarnation is that of the newest process.
+	incarnation uint64
+	reported    map[scheduler.Task]time.Time // when the origin of a job that was sent once had the end of a task
+}
+
+// link is the path of messages from one VM to another, by their positions.
+type link struct{ from, to int }
+
+func newSplitModel(t *testing.T, seed uint64, missBreaks bool) *splitModel {
+	m := &splitModel{model: newModel(t, seed, splitUpstreams), missBreaks: missBreaks, callers: map[string]*splitCaller{}, cut: map[link]bool{}, reported: map[scheduler.Task]time.Time{}}
+	vms := 3 + m.rand.IntN(2) // one group may be a minority
+	for i, name := range m.names {
+		u := m.upstreams[name]
+		u.Info.DataCentre = splitDataCentre(i)
+		check := u.OnStart
+		u.OnStart = func(now time.Time, run scheduler.Run) {
+			check(now, run)
+			m.checkReported(run, name)
+		}
+	}
+	m.dispatchers = make([]*modelDispatcher, vms)
+	m.nodes = make([]*splitNode, vms)
+	for i := range vms {
+		m.incarnation++
+		m.createNode(i, m.incarnation, modelStart.Add(-time.Minute))
+	}
+	m.hideNewUpstream()
+	for _, n := range m.nodes {
+		n.startLoops()
+	}
+	m.notify = func(d *modelDispatcher, notice scheduler.Notice) {
+		if at := slices.Index(m.dispatchers, d); at >= 0 {
+			n := m.nodes[at]
+			n.do(func() { n.deliver(notice, deliverAttempts) })
+		}
+	}
+	return m
+}
+
+// splitDataCentre returns the data centre of a VM or an upstream. Pairs share one.
+func splitDataCentre(i int) string { return []string{"a", "b"}[i/2%2] }
+
+// createNode creates a process at a VM. It has the list of upstreams since listedAt.
+func (m *splitModel) createNode(vm int, incarnation uint64, listedAt time.Time) {
+	n := newSplitNode(m, vm, incarnation, listedAt)
+	m.nodes[vm], m.dispatchers[vm] = n, n.modelDispatcher
+	var members []fleet.Member
+	for _, other := range m.nodes {
+		if other != nil {
+			members = append(members, other.member)
+		}
+	}
+	for _, other := range m.nodes {
+		if other != nil {
+			other.fleet.SetListed(members)
+		}
+	}
+}
+
+func (m *splitModel) checkReported(run scheduler.Run, name string) {
+	if at, ok := m.reported[run.Task]; ok && m.callers[run.Job].attempts == 1 && m.now.Sub(at) > reportedSlack {
+		m.fail(run.Job, "%v starts on %s %v after its end was reported", run, name, m.now.Sub(at))
+	}
+}
+
+// transmit carries a message from one VM to another. It is lost if they do not hear each
+// other.
+func (m *splitModel) transmit(from, to int, deliver func()) {
+	if m.cut[link{from, to}] {
+		return
+	}
+	delay := m.delay()
+	if m.rand.IntN(100) < lateResponsePercent {
+		delay = m.randomMillis(50, 600)
+	}
+	m.after(delay, deliver)
+}
+
+var (
+	errNoAnswer = errors.New("no answer")
+	errRefused  = errors.New("connection refused")
+)
+
+// call sends a request to the process at another VM. handle runs there, and done where the
+// call was made.
+func call[R any](n *splitNode, to int, timeout time.Duration, handle func(peer *splitNode, respond func(R)), done func(R, error)) {
+	m, finished := n.m, false
+	finish := func(response R, err error) {
+		n.do(func() {
+			if !finished {
+				finished = true
+				done(response, err)
+			}
+		})
+	}
+	var none R
+	m.after(timeout, func() { finish(none, errNoAnswer) })
+	m.transmit(n.vm, to, func() {
+		peer := m.nodes[to]
+		if peer.dead {
+			m.transmit(to, n.vm, func() { finish(none, errRefused) })
+			return
+		}
+		peer.do(func() {
+			handle(peer, func(response R) { m.transmit(to, n.vm, func() { finish(response, nil) }) })
+		})
+	})
+}
+
+// position returns the position of a VM.
+func (m *splitModel) position(vm string) int {
+	return slices.IndexFunc(m.nodes, func(n *splitNode) bool { return n.name == vm })
+}
+
+func (m *splitModel) run() {
+	m.tick()
+	m.after(splitStartTime, func() {
+		m.sendJobs(0)
+		m.injectFaults()
+	})
+	m.process(splitLength)
+}
+
+// splitStartTime is the time until the first dispatcher has claimed all upstreams.
+const splitStartTime = 300 * time.Millisecond
+
+// describe names the VMs of two groups.
+func (m *splitModel) describe(groups [2][]int) string {
+	var names [2][]string
+	for i, group := range groups {
+		for _, vm := range group {
+			names[i] = append(names[i], m.nodes[vm].name)
+		}
+	}
+	return fmt.Sprintf("%s | %s", strings.Join(names[0], " "), strings.Join(names[1], " "))
+}
+
+var (
+	splitSchedules = flag.Int("split.schedules", 10, "number of random schedules of the split model")
+	splitSeed      = flag.Uint64("split.seed", 1, "seed of the first schedule of the split model")
+)
+
+// runSplitModels runs the split model with successive seeds until one fails.
+func runSplitModels(t *testing.T, missBreaks bool) {
+	for i := range *splitSchedules {
+		seed := *splitSeed + uint64(i)
+		passed := t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { newSplitModel(t, seed, missBreaks).run() })
+		if !passed {
+			return
+		}
+	}
+}
+
+func TestSplitFleetRunsNoTaskTwice(t *testing.T) { runSplitModels(t, false) }
+
+func TestSplitFleetRunsNoTaskTwiceIfOriginsMissBreaks(t *testing.T) { runSplitModels(t, true) }
