--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"context"
 	"log/slog"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,9 @@
 	Seeds []string
 	// LeaseMax is the longest lease that upstreams grant.
 	LeaseMax time.Duration
+	// CallerReturn is the shortest time after which a caller without an answer sends its job
+	// to another VM. 0 means that callers never do.
+	CallerReturn time.Duration
 	// LapsedRetention is how long an upstream may still run tasks after its store
 	// entry has lapsed, that is, has disappeared although the upstream was not
 	// draining.
@@ -108,11 +112,22 @@
 	// processwatch.Watch does. If nil, only failed polls tell that an upstream may have
 	// crashed.
 	WatchProcess func(ctx context.Context, address string) error
+	// TaskName returns the name by which upstreams know a task, for the log. If nil, it is
+	// the ID of the job and the index.
+	TaskName func(scheduler.Task) string
 	// Drained reports whether operators have drained an upstream. If nil, none is
 	// drained.
 	Drained func(upstream string) bool
 }
 
+// taskName returns the name of a task in the log.
+func (n *Node) taskName(t scheduler.Task) string {
+	if n.deps.TaskName != nil {
+		return n.deps.TaskName(t)
+	}
+	return t.Job + "." + strconv.Itoa(t.Index)
+}
+
 // maxWaiting is the default of Config.MaxWaiting: about 10 s of work for 350
 // upstreams. Further tasks could not complete in time.
 const maxWaiting = 50_000
@@ -177,7 +192,7 @@
 		log:            deps.Log.With(slog.String("vm", config.VM)),
 		decisions:      deps.Decisions,
 		fleet:          fleet.New(self),
-		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions}),
+		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions, CallerReturn: config.CallerReturn}),
 		jobs:           intake.New[Job](),
 		placeSignal:    make(chan struct{}, 1),
 		relistSignal:   make(chan struct{}, 1),
--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -187,15 +187,15 @@
 		m.names = append(m.names, name)
 	}
 	for i := range 2 {
-		m.dispatchers = append(m.dispatchers, m.newDispatcher(fmt.Sprintf("d%d", i)))
+		m.dispatchers = append(m.dispatchers, m.newDispatcher(fmt.Sprintf("d%d", i), 0))
 	}
 	return m
 }
 
-func (m *model) newDispatcher(name string) *modelDispatcher {
+func (m *model) newDispatcher(name string, callerReturn time.Duration) *modelDispatcher {
 	return &modelDispatcher{
 		name:      name,
-		scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000, RetainCompletions: true}),
+		scheduler: scheduler.New(m.now, scheduler.Config{LeaseMax: modelLeaseMax, MaxWaiting: 1000, RetainCompletions: true, CallerReturn: callerReturn}),
 		polling:   map[string]bool{}, disconnected: map[string]bool{},
 	}
 }
--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -25,6 +25,7 @@
 	maxReclaims         = 6
 	abandonMargin       = 200 * time.Millisecond
 	maxPause            = 300 * time.Millisecond
+	shortPause          = 2 * scheduler.TickInterval
 	withdrawInterval    = 100 * time.Millisecond
 	abandonLead         = 50 * time.Millisecond
 	answerMargin        = 10 * time.Millisecond
@@ -101,7 +102,7 @@
 	name := fmt.Sprintf("vm%d", vm)
 	member := fleet.Member{VM: name, Incarnation: incarnation, DataCentre: splitDataCentre(vm), Address: name, Weight: 1000}
 	n := &splitNode{
-		modelDispatcher: m.newDispatcher(name), m: m, vm: vm, member: member, started: m.now, listedAt: listedAt, unlisted: map[string]bool{},
+		modelDispatcher: m.newDispatcher(name, callerReturn), m: m, vm: vm, member: member, started: m.now, listedAt: listedAt, unlisted: map[string]bool{},
 		fleet: fleet.New(member), contacts: map[string]bool{}, origins: map[string]*splitOrigin{}, withdrawn: map[withdrawnRef]bool{},
 		jobs: intake.New[splitSpec](),
 	}
@@ -140,9 +141,14 @@
 func (n *splitNode) freeze(pause time.Duration) {
 	n.frozenUntil = n.m.now.Add(pause)
 	n.m.after(pause, func() {
-		if pause > maxPause && !n.dead && n.token != 0 {
+		switch {
+		case n.dead:
+		case pause > maxPause && n.token != 0:
 			n.view = n.fleet.View(n.m.now, n.termFor(n.name))
 			n.startTerm("paused")
+			n.updateTerm()
+		case pause > shortPause:
+			n.notePeerLoss(n.fleet.View(n.m.now, 0).Silence)
 		}
 	})
 }
@@ -225,6 +231,7 @@
 		n.scheduler.NotePeerDispatching(now)
 	}
 	n.scheduler.SetUnreachablePeers(now.Sub(n.rivalSeenAt) < rivalTimeout)
+	n.notePeerLoss(v.Silence)
 	token := n.token
 	switch {
 	case token != 0 && v.Dispatcher.VM != n.name:
@@ -241,6 +248,27 @@
 	n.offerUnassigned()
 }
 
+// notePeerLoss tells the scheduler whether members exist that may dispatch and are not heard.
+func (n *splitNode) notePeerLoss(silence fleet.Silence) {
+	loss := map[fleet.Silence]scheduler.PeerLoss{
+		fleet.SilenceNone: scheduler.PeersHeard, fleet.SilenceShort: scheduler.PeerSilent, fleet.SilenceLong: scheduler.PeerLost,
+	}[silence]
+	if loss == n.scheduler.PeerLoss() {
+		return
+	}
+	n.scheduler.SetPeerLoss(loss)
+	if loss == scheduler.PeerLost {
+		n.scheduler.SetUnreachablePeers(true)
+	}
+	n.pollAll()
+}
+
+func (n *splitNode) pollAll() {
+	for _, name := range n.m.names {
+		n.m.pollLoop(n.modelDispatcher, name)
+	}
+}
+
 func (n *splitNode) canStartTerm() bool {
 	v := &n.view
 	if v.Dispatcher.VM != "" && n.m.now.Sub(n.listedAt) < lapsedRetention {
@@ -333,9 +361,7 @@
 	}
 	n.scheduler.SetListCompleteSince(completeSince)
 	m.tellList(n.modelDispatcher, list, partial)
-	for _, name := range m.names {
-		m.pollLoop(n.modelDispatcher, name)
-	}
+	n.pollAll()
 }
 
 func (n *splitNode) checkClaims() {
@@ -466,9 +492,7 @@
 		return offerResponse{reason: failure.Reason}
 	}
 	m.execute(n.modelDispatcher, actions)
-	for _, name := range m.names {
-		m.pollLoop(n.modelDispatcher, name)
-	}
+	n.pollAll()
 	m.place(n.modelDispatcher)
 	return offerResponse{accepted: true}
 }
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -22,8 +22,6 @@
 const (
 	splitUpstreams = 7
 	splitLength    = 10 * time.Second
-	// callerReturn is the time after which a caller without an answer sends its job again.
-	callerReturn = 1300 * time.Millisecond
 	// reportedSlack is the time for which a dispatcher may not know yet that the origin has
 	// the end of a task.
 	reportedSlack = time.Second
