--- a/scheduler/split_model_faults_test.go
+++ b/scheduler/split_model_faults_test.go
@@ -24,6 +24,10 @@
 	job      *modelJob
 	patience time.Duration // time for which it waits for an answer
 	attempts int           // number of times that the job was sent
+	// vms are the positions of the VMs to which the job is sent, in order; nil means random
+	// ones. breakAfter is the time after which its first connection breaks; 0 means random.
+	vms        []int
+	breakAfter time.Duration
 }
 
 // splitAttempt is one request of a caller.
@@ -31,7 +35,8 @@
 	m       *splitModel
 	caller  *splitCaller
 	node    *splitNode
-	closed  bool // the caller waits no longer
+	arrived time.Time // at its VM
+	closed  bool      // the caller waits no longer
 	request *splitRequest
 }
 
@@ -55,9 +60,12 @@
 	m.after(m.randomMillis(50, 400), func() { m.sendJobs(number + 1) })
 }
 
-// sendJob sends a job to a VM. The connection may break.
+// sendJob sends a job to a VM.
 func (m *splitModel) sendJob(c *splitCaller) {
 	n := m.nodes[m.rand.IntN(len(m.nodes))]
+	if c.vms != nil {
+		n = m.nodes[c.vms[c.attempts]]
+	}
 	if n.dead {
 		m.after(m.randomMillis(10, 50), func() { m.sendJob(c) })
 		return
@@ -65,21 +73,33 @@
 	c.attempts++
 	a := &splitAttempt{m: m, caller: c, node: n}
 	m.logf("%s is sent to %s, attempt %d of its caller", c.id, n.name, c.attempts)
-	m.after(m.delay(), func() { n.do(func() { n.receive(a) }) })
+	m.after(m.delay(), func() {
+		a.arrived = m.now
+		n.do(func() { n.receive(a) })
+	})
 	m.after(c.patience, func() { a.lose(); a.cancel() })
-	if m.rand.IntN(2) == 0 {
-		noticed := !m.missBreaks || m.rand.IntN(3) == 0
-		m.after(m.randomMillis(50, 1050), func() {
-			if a.closed {
-				return
-			}
-			m.logf("%s loses its connection to %s, which notices: %v", c.id, n.name, noticed)
-			a.lose()
-			if noticed {
-				a.cancel()
-			}
-		})
+	m.breakConnection(a)
+}
+
+// breakConnection lets some of the connections break.
+func (m *splitModel) breakConnection(a *splitAttempt) {
+	after, noticed := m.randomMillis(50, 1050), !m.missBreaks || m.rand.IntN(3) == 0
+	switch c := a.caller; {
+	case c.breakAfter != 0 && c.attempts == 1:
+		after, noticed = c.breakAfter, false
+	case c.vms != nil || m.rand.IntN(2) == 0:
+		return
 	}
+	m.after(after, func() {
+		if a.closed {
+			return
+		}
+		m.logf("%s loses its connection to %s, which notices: %v", a.caller.id, a.node.name, noticed)
+		a.lose()
+		if noticed {
+			a.cancel()
+		}
+	})
 }
 
 // lose ends the attempt without an answer. The caller returns.
@@ -88,7 +108,7 @@
 		return
 	}
 	a.closed = true
-	if a.caller.attempts < maxAttempts {
+	if a.caller.attempts < maxAttempts && (a.caller.vms == nil || a.caller.attempts < len(a.caller.vms)) {
 		a.m.after(callerReturn, func() { a.m.sendJob(a.caller) })
 	}
 }
--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -172,7 +172,7 @@
 }
 
 func (n *splitNode) newHeartbeat(peer string) fleet.Heartbeat {
-	return fleet.Heartbeat{Member: n.member, Term: n.termFor(peer), Token: n.fleet.Token()}
+	return fleet.Heartbeat{Member: n.member, Term: n.termFor(peer), Token: n.fleet.Token(), Clock: time.Hour + n.m.now.Sub(modelStart)}
 }
 
 func (n *splitNode) sendHeartbeat(to fleet.Member) {
@@ -257,6 +257,7 @@
 		return
 	}
 	n.scheduler.SetPeerLoss(loss)
+	n.m.logf("fault: a member is %v at %s", loss, n.name)
 	if loss == scheduler.PeerLost {
 		n.scheduler.SetUnreachablePeers(true)
 	}
@@ -699,7 +700,11 @@
 func (n *splitNode) receive(a *splitAttempt) {
 	now := n.m.now
 	spec := splitSpec{a.caller.job, now.Add(a.caller.patience)}
-	j, added := n.jobs.AddOrJoin(now, a.caller.id, spec, a.caller.job.tasks)
+	arrived := now
+	if *splitArrival {
+		arrived = a.arrived
+	}
+	j, added := n.jobs.AddOrJoin(arrived, a.caller.id, spec, a.caller.job.tasks)
 	a.request = &splitRequest{attempt: a, job: j}
 	n.requests = append(n.requests, a.request)
 	n.m.logf("%s is received by %s, deadline after %v, added %v", j.ID, n.name, a.caller.patience, added)
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -34,16 +34,19 @@
 	cut     map[link]bool
 	// missBreaks means that origins miss most of the connections of callers that break.
 	missBreaks bool
+	// latePercent is the percentage of messages between VMs that arrive late.
+	latePercent int
 	// incarnation is that of the newest process.
 	incarnation uint64
-	reported    map[scheduler.Task]time.Time // when the origin of a job that was sent once had the end of a task
+	// reported tells when an origin had the end of a task.
+	reported map[scheduler.Task]time.Time
 }
 
 // link is the path of messages from one VM to another, by their positions.
 type link struct{ from, to int }
 
 func newSplitModel(t *testing.T, seed uint64, missBreaks bool) *splitModel {
-	m := &splitModel{model: newModel(t, seed, splitUpstreams), missBreaks: missBreaks, callers: map[string]*splitCaller{}, cut: map[link]bool{}, reported: map[scheduler.Task]time.Time{}}
+	m := &splitModel{model: newModel(t, seed, splitUpstreams), missBreaks: missBreaks, latePercent: lateResponsePercent, callers: map[string]*splitCaller{}, cut: map[link]bool{}, reported: map[scheduler.Task]time.Time{}}
 	vms := 3 + m.rand.IntN(2) // one group may be a minority
 	for i, name := range m.names {
 		u := m.upstreams[name]
@@ -60,10 +63,6 @@
 		m.incarnation++
 		m.createNode(i, m.incarnation, modelStart.Add(-time.Minute))
 	}
-	m.hideNewUpstream()
-	for _, n := range m.nodes {
-		n.startLoops()
-	}
 	m.notify = func(d *modelDispatcher, notice scheduler.Notice) {
 		if at := slices.Index(m.dispatchers, d); at >= 0 {
 			n := m.nodes[at]
@@ -106,7 +105,7 @@
 		return
 	}
 	delay := m.delay()
-	if m.rand.IntN(100) < lateResponsePercent {
+	if m.rand.IntN(100) < m.latePercent {
 		delay = m.randomMillis(50, 600)
 	}
 	m.after(delay, deliver)
@@ -148,8 +147,18 @@
 	return slices.IndexFunc(m.nodes, func(n *splitNode) bool { return n.name == vm })
 }
 
-func (m *splitModel) run() {
+// start starts the processes.
+func (m *splitModel) start() {
+	for _, n := range m.nodes {
+		n.startLoops()
+	}
 	m.tick()
+}
+
+// run executes the simulation with random faults.
+func (m *splitModel) run() {
+	m.hideNewUpstream()
+	m.start()
 	m.after(splitStartTime, func() {
 		m.sendJobs(0)
 		m.injectFaults()
@@ -173,6 +182,7 @@
 
 var (
 	splitSchedules = flag.Int("split.schedules", 10, "number of random schedules of the split model")
+	splitArrival   = flag.Bool("split.arrival", false, "origins know when a request that they read late has arrived")
 	splitSeed      = flag.Uint64("split.seed", 1, "seed of the first schedule of the split model")
 )
 
