Split model: a broken connection that its origin misses stays missed

At the end of the caller's time, the origin noticed it after all, which hid requests with short deadlines that a paused origin reads late.

--- a/scheduler/split_model_faults_test.go
+++ b/scheduler/split_model_faults_test.go
@@ -37,6 +37,7 @@
 	node    *splitNode
 	arrived time.Time // at its VM
 	closed  bool      // the caller waits no longer
+	missed  bool      // the connection has broken, and the VM does not notice
 	request *splitRequest
 }
 
@@ -77,7 +78,10 @@
 		a.arrived = m.now
 		n.do(func() { n.receive(a) })
 	})
-	m.after(c.patience, func() { a.lose(); a.cancel() })
+	m.after(c.patience, func() {
+		a.lose()
+		a.cancel()
+	})
 	m.breakConnection(a)
 }
 
@@ -95,6 +99,7 @@
 			return
 		}
 		m.logf("%s loses its connection to %s, which notices: %v", a.caller.id, a.node.name, noticed)
+		a.missed = !noticed
 		a.lose()
 		if noticed {
 			a.cancel()
@@ -113,9 +118,13 @@
 	}
 }
 
-// cancel lets the origin notice that its caller has gone.
+// cancel lets the origin notice that its caller has gone, unless it misses that.
 func (a *splitAttempt) cancel() {
-	a.m.after(a.m.delay(), func() { a.node.do(func() { a.node.cancel(a.request) }) })
+	a.m.after(a.m.delay(), func() {
+		if !a.missed {
+			a.node.do(func() { a.node.cancel(a.request) })
+		}
+	})
 }
 
 func (a *splitAttempt) receiveAnswer(answer intake.Answer) {
