--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -14,10 +14,12 @@
 	expected  float64   // run time at speed 1, in seconds
 	targetAt  time.Time // when the answer becomes late
 	deadline  time.Time // until which the caller waits
+	returnAt  time.Time // as in Job
 	avoid     []string
 	model     *queueModel
 	isolation isolation
 	suspicion float64
+	basis     StartBasis
 }
 
 // expired reports whether the caller no longer waits. It may have sent the job again to
@@ -25,11 +27,12 @@
 func (c *candidate) expired(now time.Time) bool { return !now.Before(c.deadline) }
 
 // demote lowers the jobs at the top of the heap that can no longer reach their tier, and
-// removes those whose callers no longer wait. The caller holds mu.
+// removes those whose callers no longer wait or, in a split, may return soon. The caller holds
+// mu.
 func (s *jobShard) demote(now time.Time) {
 	for len(s.heap) > 0 {
 		j := s.heap[0]
-		if !now.Before(j.Deadline) {
+		if !now.Before(j.Deadline) || s.split != splitNone && returnsBefore(j.returnAt, now.Add(minLease)) {
 			heap.Remove(&s.heap, 0)
 			continue
 		}
@@ -78,8 +81,8 @@
 	j.current[index] = runRef{attempt: attempt}
 	c := candidate{
 		job: &j.Job, index: index, attempt: attempt, expected: j.expected,
-		targetAt: j.Sent.Add(j.targetTime()), deadline: j.Deadline,
-		avoid: j.avoid[index], model: j.model,
+		targetAt: j.Sent.Add(j.targetTime()), deadline: j.Deadline, returnAt: j.returnAt,
+		avoid: j.avoid[index], model: j.model, basis: j.basis,
 	}
 	s.updateHeap(j)
 	return c
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -29,9 +29,10 @@
 	// suspects holds the jobs with waiting suspects, by id. Suspects do not count for the
 	// heap.
 	suspects    map[string]*job
-	historyJobs int       // number of records with histories
-	lastToken   int64     // token of the last term that has ended
-	epoch       time.Time // zero point of the scores: the first offer
+	historyJobs int        // number of records with histories
+	lastToken   int64      // token of the last term that has ended
+	split       splitState // as of the last tick
+	epoch       time.Time  // zero point of the scores: the first offer
 }
 
 func newJobShard() *jobShard {
@@ -92,6 +93,7 @@
 
 // releaseCriteria decide whether jobs that are held may start.
 type releaseCriteria struct {
+	now time.Time
 	// Every upstream has answered a poll sent at oldestPoll or later. The runs that
 	// earlier dispatchers started for a job resumed before resumedBefore are over.
 	oldestPoll, resumedBefore time.Time
@@ -99,6 +101,8 @@
 	latestProcessStart time.Time
 	// term is the term in which the tick has begun.
 	term termState
+	// allAnswered means that every listed upstream has answered in the term.
+	allAnswered bool
 	// Before listCompleteSince, upstreams that are not listed may have run tasks.
 	listCompleteSince time.Time
 }
@@ -125,6 +129,11 @@
 		switch {
 		case !j.Resumed && !c.term.settled:
 		case !j.Resumed, j.AtMostOnce && runsKnown, !j.AtMostOnce && (timedOut || polled && c.listCompleteSince.IsZero()):
+			end := HoldTimedOut
+			if j.Resumed && polled || !j.Resumed && c.allAnswered {
+				end = HoldAnswered
+			}
+			j.noteHoldEnd(&c, end)
 			j.heldSince = time.Time{}
 			s.updateHeap(j)
 		case j.AtMostOnce && (polled || timedOut) && len(j.waiting) > 0:
@@ -144,14 +153,16 @@
 // maximum duration of an offer.
 const processStartMargin = 500 * time.Millisecond
 
-// expire abandons jobs whose callers no longer wait, and unstarted jobs whose answers can
-// no longer have value. It returns the number of their waiting tasks and the ids of those
-// whose runs must be stopped. expire also drops records whose retention time has passed.
-func (s *jobShard) expire(now time.Time, a *Actions) (waiting int, stop []string) {
+// expire abandons jobs whose callers no longer wait or, in a split, may return soon, and
+// unstarted jobs whose answers can no longer have value. It returns the number of their waiting
+// tasks and the ids of those whose runs must be stopped. expire also drops records whose
+// retention time has passed.
+func (s *jobShard) expire(now time.Time, split splitState, a *Actions) (waiting int, stop []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setSplit(split)
 	for id, r := range s.records {
-		if notice := r.expiredJob(now); notice != nil {
+		if notice := r.expiredJob(now, split); notice != nil {
 			waiting += len(r.job.waiting)
 			a.Notices = append(a.Notices, *notice)
 			if r.job.running > 0 {
@@ -170,15 +181,18 @@
 	return waiting, stop
 }
 
-// expiredJob returns the notice that abandons the job if its caller no longer waits, or if
-// it has not started and its answer can no longer have value; otherwise nil.
-func (r *jobRecord) expiredJob(now time.Time) *Notice {
+// expiredJob returns the notice that abandons the job if its caller no longer waits or, in a
+// split, may return soon, or if it has not started and its answer can no longer have value;
+// otherwise nil.
+func (r *jobRecord) expiredJob(now time.Time, split splitState) *Notice {
 	j := r.job
 	if j == nil {
 		return nil
 	}
 	reason, code := "", verdict.CodeDeadline
 	switch {
+	case split == splitConfirmed && returnsBefore(j.returnAt, now.Add(abandonLead)):
+		reason, code = "upstreams are out of reach, and the caller may send the job to a VM that is not reachable from here", verdict.CodeUnreachable
 	case j.running > 0:
 		if now.Before(j.Deadline.Add(withdrawTimeout)) {
 			return nil
