fleet: a heartbeat that arrives late counts as a present contact

What callers would see: two runs of a task in a split, because a dispatcher takes the other one for heard up to the delay longer.

Cause: a contact counted from the arrival of the heartbeat. Change: the sender's clock, which heartbeats carry, tells for how long one was on its way at least; the contact is that much older.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -224,12 +224,16 @@
 	if hb.Term != 0 {
 		p.dispatchedAt, p.dispatchDigest = now, hb.UpstreamsDigest
 	}
+	delay := time.Duration(0)
+	if hb.Clock != 0 {
+		delay = max(p.clockBound(now)-hb.Clock, 0) // it was on its way for so long, or longer
+	}
 	if hb.Clock > p.clockBound(now) {
 		p.clock, p.clockAt = hb.Clock, now
 	}
 	p.deaf = !bidirectional
-	if bidirectional {
-		p.lastContact, p.firstAttempt, p.refused = now, time.Time{}, false
+	if contact := now.Add(-delay); bidirectional && contact.After(p.lastContact) {
+		p.lastContact, p.firstAttempt, p.refused = contact, time.Time{}, false
 	}
 }
 
