fleet: a member that still dispatches counts as heard

What callers would see: two runs of a task after two splits with a short contact between them.

Cause: one answered call ended the silence of a VM that goes on dispatching, since it has not heard this one in turn. Change: a member that reports a term counts as silent until it ends it.

--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -21,13 +21,14 @@
 const lostMemberRetention = time.Minute
 
 // silence returns the silence of a member. A member that has stopped gracefully, or whose VM has
-// a newer process, does not dispatch. The caller holds mu.
+// a newer process, does not dispatch. One that is heard and reports a term goes on with it until it
+// hears this member in turn. The caller holds mu.
 func (f *Fleet) silence(now time.Time, p *peer) Silence {
 	age := now.Sub(p.lastContact)
 	switch {
 	case !p.listed && f.listRead && (p.heartbeat.Member.Draining || age > lostMemberRetention):
 		return SilenceNone
-	case p.deaf || age >= f.timeout():
+	case p.deaf || p.heartbeat.Term != 0 || age >= f.timeout():
 		return SilenceLong
 	case age >= f.timeout()*3/4:
 		return SilenceShort
