scheduler: a run outlives its caller's return by the lease of another run

What callers would see: two runs of a task in a split, if the stop of the first one is lost or its dispatcher pauses.

Cause: in a split, a task starts on an upstream whose lease, renewed for another job, ends after the caller of the task may return. Change: such an upstream does not suit the task.

--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -241,6 +241,9 @@
 
 // suits reports whether a task may be placed on an upstream.
 func suits(now time.Time, u *upstream, c candidate, rule leaseRule) bool {
+	if rule == leaseEnds && returnsBefore(c.returnAt, u.leaseEnd) {
+		return false // the lease of other runs would outlive the return of the task's caller
+	}
 	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.accepts(now, c.isolation) &&
 		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
