scheduler: a task starts on an upstream claimed late beside its run

What callers would see: two runs of a task for up to half a second.

Cause: a dispatcher whose term has settled by time uses an upstream as soon as it has claimed it. One that had all upstreams so far, and has kept the runs of jobs whose callers have returned, notices the claim a poll later. Change: while VMs are unreachable, an upstream that is claimed so late gets no tasks for the time of that notice and a lease.

--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -51,6 +51,10 @@
 	// maxPollWait late at most; these leases then end as early as others would without that.
 	shortLease    = 250 * time.Millisecond
 	shortPollWait = 100 * time.Millisecond
+	// lateClaimDelay is the time for which an upstream gets no tasks that is claimed when the runs
+	// of earlier dispatchers count as over: the time until another one notices the claim by a poll,
+	// and the leases that it has renewed before.
+	lateClaimDelay = maxPollWait + TickInterval + maxForeignLease
 	// heldTimeout is the time without a response after which an upstream may have been
 	// claimed by a lost VM. It exceeds the time between the ends of two polls.
 	heldTimeout = 2*maxPollWait + 100*time.Millisecond
