--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -693,25 +693,27 @@
 type splitRequest struct {
 	attempt  *splitAttempt
 	job      *splitJob
+	number   int // among the requests for the job
 	answered bool
 }
 
 // receive takes a job from a caller.
 func (n *splitNode) receive(a *splitAttempt) {
-	now := n.m.now
-	spec := splitSpec{a.caller.job, now.Add(a.caller.patience)}
-	arrived := now
-	if *splitArrival {
-		arrived = a.arrived
+	spec := splitSpec{a.caller.job, a.arrived.Add(a.caller.patience)}
+	left := spec.deadline.Sub(n.m.now) - answerMargin
+	if left <= 0 {
+		n.m.logf("%s is refused by %s, its deadline has passed", a.caller.id, n.name)
+		n.m.after(n.m.delay(), func() { a.receiveAnswer(intake.Answer{Outcome: intake.NotRun}) })
+		return
 	}
-	j, added := n.jobs.AddOrJoin(arrived, a.caller.id, spec, a.caller.job.tasks)
-	a.request = &splitRequest{attempt: a, job: j}
+	j, number := n.jobs.AddOrJoin(a.arrived, a.caller.id, spec, a.caller.job.tasks)
+	a.request = &splitRequest{attempt: a, job: j, number: number}
 	n.requests = append(n.requests, a.request)
-	n.m.logf("%s is received by %s, deadline after %v, added %v", j.ID, n.name, a.caller.patience, added)
-	if added {
+	n.m.logf("%s is received by %s, request %d, deadline in %v", j.ID, n.name, number, left)
+	if number == 1 {
 		n.offer(j)
 	}
-	n.m.after(a.caller.patience-answerMargin, func() { n.do(func() { n.expire(a.request) }) })
+	n.m.after(left, func() { n.do(func() { n.expire(a.request) }) })
 	n.answerRequests()
 }
 
@@ -736,7 +738,7 @@
 		return
 	}
 	n.m.logf("%s: %s sees that its caller has gone", r.job.ID, n.name)
-	if vm, term, last := n.jobs.RemoveWaiter(r.job); last {
+	if vm, term, last := n.jobs.EndRequest(r.job, r.number); last {
 		n.withdraw(vm, term, r.job)
 	}
 	n.answerRequests()
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -182,7 +182,6 @@
 
 var (
 	splitSchedules = flag.Int("split.schedules", 10, "number of random schedules of the split model")
-	splitArrival   = flag.Bool("split.arrival", false, "origins know when a request that they read late has arrived")
 	splitSeed      = flag.Uint64("split.seed", 1, "seed of the first schedule of the split model")
 )
 
