--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -155,18 +155,19 @@
 
 // expire abandons jobs whose callers no longer wait or, in a split, may return soon, and
 // unstarted jobs whose answers can no longer have value. It returns the number of their waiting
-// tasks and the ids of those whose runs must be stopped. expire also drops records whose
-// retention time has passed.
-func (s *jobShard) expire(now time.Time, split splitState, a *Actions) (waiting int, stop []string) {
+// tasks, and the reasons by the ids of those whose runs must be stopped. expire also drops records
+// whose retention time has passed.
+func (s *jobShard) expire(now time.Time, split splitState, a *Actions) (waiting int, stop map[string]string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.setSplit(split)
+	stop = map[string]string{}
 	for id, r := range s.records {
 		if notice := r.expiredJob(now, split); notice != nil {
 			waiting += len(r.job.waiting)
 			a.Notices = append(a.Notices, *notice)
 			if r.job.running > 0 {
-				stop = append(stop, id)
+				stop[id] = notice.Reason
 			}
 			s.remove(r.job)
 		}
@@ -181,6 +182,9 @@
 	return waiting, stop
 }
 
+// splitReason is the reason for which a job is given up in a split.
+const splitReason = "other VMs may dispatch, and the caller may send the job to one of them"
+
 // expiredJob returns the notice that abandons the job if its caller no longer waits or, in a
 // split, may return soon, or if it has not started and its answer can no longer have value;
 // otherwise nil.
@@ -192,7 +196,7 @@
 	reason, code := "", verdict.CodeDeadline
 	switch {
 	case split == splitConfirmed && returnsBefore(j.returnAt, now.Add(abandonLead)):
-		reason, code = "upstreams are out of reach, and the caller may send the job to a VM that is not reachable from here", verdict.CodeUnreachable
+		reason, code = splitReason, verdict.CodeUnreachable
 	case j.running > 0:
 		if now.Before(j.Deadline.Add(withdrawTimeout)) {
 			return nil
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -312,14 +312,16 @@
 	if len(abandoned) > 0 {
 		s.stopRuns(now, "the job was abandoned", &a, abandoned...)
 	}
-	var overdue []string
+	overdue := map[string][]string{}
 	for _, shard := range s.jobShards {
 		waiting, stop := shard.expire(now, s.splitState(), &a)
 		s.waiting.Add(int64(-waiting))
-		overdue = append(overdue, stop...)
+		for id, reason := range stop {
+			overdue[reason] = append(overdue[reason], id)
+		}
 	}
-	if len(overdue) > 0 {
-		s.stopRuns(now, "the caller's deadline has passed, or the caller may send the job elsewhere", &a, overdue...)
+	for reason, ids := range overdue {
+		s.stopRuns(now, reason, &a, ids...)
 	}
 	s.ConfirmDelivery(a.expired)
 	a.expired = nil
