replay: a relay that hides the close of its client

What callers saw: none of the soak's callers can lose a connection without the origin noticing; users' callers behind a balancer that forwards connections can. Change: relay.hidesClose keeps the connection to the target open and discards what the target sends. TestHiddenCloseLeavesTargetConnectionOpen.

--- a/internal/replay/relay.go
+++ b/internal/replay/relay.go
@@ -18,6 +18,9 @@
 	// identify returns the name of the process that opened a connection. It may only
 	// peek at the data.
 	identify func(*bufio.Reader) (string, error)
+	// hidesClose keeps the connection to the target open after the other side has closed
+	// its own, and discards what the target sends.
+	hidesClose bool
 
 	mu       sync.Mutex // guards listener; held during net.Listen
 	listener net.Listener
@@ -91,15 +94,28 @@
 	defer remove()
 	delivers := func() bool { return requests.delivers(id) }
 	var copies sync.WaitGroup
-	copies.Go(func() { copyTraffic(serverConn, reader, requests, delivers, closeBoth) })
-	copies.Go(func() { copyTraffic(clientConn, serverConn, responses, delivers, closeBoth) })
+	var client io.Writer = clientConn
+	clientClosed := closeBoth
+	if r.hidesClose {
+		client, clientClosed = discardOnError{clientConn}, func() {}
+	}
+	copies.Go(func() { copyTraffic(serverConn, reader, requests, delivers, clientClosed) })
+	copies.Go(func() { copyTraffic(client, serverConn, responses, delivers, closeBoth) })
 	copies.Wait()
 }
 
-// copyTraffic copies until either connection fails. It holds data while the link is cut
-// and drops the data of a blackholed connection.
-func copyTraffic(to net.Conn, from io.Reader, via *link, delivers func() bool, closeBoth func()) {
-	defer closeBoth()
+// discardOnError drops what cannot be written.
+type discardOnError struct{ io.Writer }
+
+func (d discardOnError) Write(data []byte) (int, error) {
+	_, _ = d.Writer.Write(data)
+	return len(data), nil
+}
+
+// copyTraffic copies until either connection fails, then calls done. It holds data while
+// the link is cut and drops the data of a blackholed connection.
+func copyTraffic(to io.Writer, from io.Reader, via *link, delivers func() bool, done func()) {
+	defer done()
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := from.Read(buf)
--- a/internal/replay/relay_test.go
+++ b/internal/replay/relay_test.go
@@ -3,8 +3,10 @@
 import (
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -100,3 +102,34 @@
 	require.NoError(t, r.open())
 	requireEcho(t, dialRelay(t, r), "back")
 }
+
+// TestHiddenCloseLeavesTargetConnectionOpen checks that the target of a relay that hides
+// closes neither reads the end of a connection nor fails to write to it.
+func TestHiddenCloseLeavesTargetConnectionOpen(t *testing.T) {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { server.Close() })
+	addresses, err := freeAddresses(1)
+	require.NoError(t, err)
+	r := &relay{
+		name: "b", address: addresses[0], target: server.Addr().String(), links: newLinks(), identify: identifyAs("a"), hidesClose: true,
+	}
+	require.NoError(t, r.open())
+	t.Cleanup(r.close)
+	caller := dialRelay(t, r)
+	conn, err := server.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(caller, "request")
+	require.NoError(t, err)
+	got := make([]byte, len("request"))
+	_, err = io.ReadFull(conn, got)
+	require.NoError(t, err)
+	require.NoError(t, caller.Close())
+	// More than the buffers of both connections hold: the relay reads all of it.
+	_, err = conn.Write(make([]byte, 64<<20))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = conn.Read(got)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
