replay: soak with three data centres and groups of VMs that share upstreams

What callers saw: tasks of one job run at once on two upstreams of one data centre, ordered by two VMs (docs/incidents/two-dispatchers-share-a-data-centre.md). Cause in the soak: it has two data centres, and a split cut each off with its upstreams, so no two dispatchers shared any. Change: splits take groups of VMs with the upstreams that each loses. Three kinds are drawn: one data centre apart or all of them; two groups of VMs that share all upstreams but some that one loses; two groups of VMs where an upstream is reached by both or by one. -only-splits draws among them.

--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -21,7 +21,6 @@
 
 // Configuration of the cluster and the load.
 const (
-	soakDataCentres      = 2
 	soakService          = "rota-desk"
 	soakHost             = "soak.example"
 	soakPathPrefix       = "/alerts/"
@@ -46,6 +45,9 @@
 	soakSignalDelay = time.Second
 )
 
+// soakDataCentres are the data centres, over which VMs and upstreams are spread in turn.
+var soakDataCentres = []string{"dc0", "dc1", "dc2"}
+
 // SoakOptions are the settings of a soak test.
 type SoakOptions struct {
 	Seed           int64
@@ -56,7 +58,7 @@
 	// RetryTimeout is how long a job without an answer is retried; 0 means twice the
 	// caller's deadline.
 	RetryTimeout time.Duration
-	OnlySplits   bool // inject only splits of the data centres, one after another
+	OnlySplits   bool // inject only splits of the VMs, one after another
 }
 
 // soakTest is a cluster under random faults.
@@ -135,7 +137,7 @@
 	var pending sync.WaitGroup
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if s.options.OnlySplits {
-			s.disturbed(s.splitDataCentres(ctx))()
+			s.disturbed(s.drawSplit(ctx))()
 			wait.For(ctx, s.randomMillis(500, 2500))
 			continue
 		}
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -175,10 +175,11 @@
 
 func (s *soakTest) cutDataCentres() func() {
 	s.recordEvent("partition the data centres")
-	s.eachLinkBetween((*link).cut)
+	groups := s.separateDataCentres()
+	s.eachLinkBetween(groups, (*link).cut)
 	return func() {
 		s.recordEvent("heal the partition of the data centres")
-		s.eachLinkBetween((*link).heal)
+		s.eachLinkBetween(groups, (*link).heal)
 	}
 }
 
--- a/internal/replay/soak_split.go
+++ b/internal/replay/soak_split.go
@@ -12,6 +12,9 @@
 const (
 	// soakMaxHalts bounds the halts of dispatchers, one after another, during a split.
 	soakMaxHalts = 3
+	// soakGroupsHaltShare is the number of splits, other than of data centres, of which one
+	// halts dispatchers.
+	soakGroupsHaltShare = 3
 	// soakSplitRefuseShare is the number of splits of which one refuses connections.
 	soakSplitRefuseShare = 5
 	// soakSplitResetShare is the number of splits of which one ends with resets.
@@ -20,15 +23,30 @@
 	soakHaltKillShare = 5
 )
 
-// split is how the data centres are cut off from each other.
+// vmGroup is a group of VMs that hear each other during a split.
+type vmGroup struct {
+	vms       []*soakVM
+	lost      []*soakUpstream // upstreams that the group does not reach
+	storeless bool
+}
+
+func (g vmGroup) String() string {
+	lost := make([]string, len(g.lost))
+	for i, u := range g.lost {
+		lost[i] = u.entry.Name
+	}
+	return fmt.Sprintf("%v without %v, storeless %t", vmNames(g.vms), lost, g.storeless)
+}
+
+// split is how groups of VMs are cut off from each other and from upstreams.
 type split struct {
-	how       pathCut // of VMs from upstreams; VMs always lose each other's traffic silently
-	storeless []bool  // by data centre; its VMs are cut off from the store
-	reset     bool    // the connections between the data centres are reset at the end
+	groups []vmGroup
+	how    pathCut // of VMs from upstreams; VMs always lose each other's traffic silently
+	reset  bool    // the connections that were cut are reset at the end
 }
 
 func (c split) String() string {
-	return fmt.Sprintf("%v, storeless %v, reset at the end %t", c.how, c.storeless, c.reset)
+	return fmt.Sprintf("%v, %v, reset at the end %t", c.groups, c.how, c.reset)
 }
 
 // halt suspends or replaces the process of a dispatcher.
@@ -37,23 +55,23 @@
 	kill     bool
 }
 
-// splitDataCentres cuts the data centres off from each other, including the upstreams, and
-// halts dispatchers meanwhile.
-func (s *soakTest) splitDataCentres(ctx context.Context) func() {
-	c := split{how: cutBoth, storeless: make([]bool, soakDataCentres), reset: s.rng.IntN(soakSplitResetShare) == 0}
+// split cuts groups of VMs off from each other and from the upstreams that they lose, and
+// halts some dispatchers meanwhile.
+func (s *soakTest) split(ctx context.Context, groups []vmGroup, haltCount int) func() {
+	c := split{groups: groups, how: cutBoth, reset: s.rng.IntN(soakSplitResetShare) == 0}
 	if s.rng.IntN(soakSplitRefuseShare) == 0 {
 		c.how = cutRefuse
 	}
-	for i := range c.storeless {
-		c.storeless[i] = s.rng.IntN(2) == 0
+	for i := range groups {
+		groups[i].storeless = s.rng.IntN(2) == 0
 	}
 	duration, before := s.randomMillis(1000, 6000), s.randomMillis(0, 1200)
-	halts := make([]halt, 1+s.rng.IntN(soakMaxHalts))
+	halts := make([]halt, haltCount)
 	for i := range halts {
 		halts[i] = halt{duration: s.randomMillis(100, 1200), kill: s.rng.IntN(soakHaltKillShare) == 0}
 	}
 	return func() {
-		heal := s.cutBetweenDataCentres(c)
+		heal := s.cutGroups(c)
 		var halted sync.WaitGroup
 		halted.Go(func() {
 			wait.For(ctx, before)
@@ -85,52 +103,54 @@
 	resume()
 }
 
-// cutBetweenDataCentres cuts the VMs of each data centre off from the VMs and the upstreams
-// of the others, and returns the function that heals the network.
-func (s *soakTest) cutBetweenDataCentres(c split) func() {
-	s.recordEvent("split the data centres %v", c)
-	s.eachLinkBetween((*link).cut)
-	s.eachPathBetween(func(p *upstreamPath) error { return p.setCut(c.how) })
+// cutGroups begins a split and returns the function that heals the network.
+func (s *soakTest) cutGroups(c split) func() {
+	s.recordEvent("split the VMs: %v", c)
+	s.eachLinkBetween(c.groups, (*link).cut)
+	s.eachLostPath(c.groups, func(p *upstreamPath) error { return p.setCut(c.how) })
 	var heals []func()
-	for i, v := range s.vms {
-		if c.storeless[i%soakDataCentres] {
-			heals = append(heals, s.cutStore(v))
+	for _, g := range c.groups {
+		if g.storeless {
+			for _, v := range g.vms {
+				heals = append(heals, s.cutStore(v))
+			}
 		}
 	}
 	return func() {
-		s.recordEvent("heal the split of the data centres")
+		s.recordEvent("heal the split of the VMs")
 		if c.reset {
-			s.eachLinkBetween((*link).reset)
-			s.eachPathBetween(func(p *upstreamPath) error { p.requests.reset(); return nil })
+			s.eachLinkBetween(c.groups, (*link).reset)
+			s.eachLostPath(c.groups, func(p *upstreamPath) error { p.requests.reset(); return nil })
 		}
-		s.eachLinkBetween((*link).heal)
-		s.eachPathBetween((*upstreamPath).heal)
+		s.eachLinkBetween(c.groups, (*link).heal)
+		s.eachLostPath(c.groups, (*upstreamPath).heal)
 		for _, heal := range heals {
 			heal()
 		}
 	}
 }
 
-// eachLinkBetween calls f with the links between VMs of different data centres.
-func (s *soakTest) eachLinkBetween(f func(*link)) {
-	for _, a := range s.vms {
-		for _, b := range s.vms {
-			if a.dataCentre != b.dataCentre {
-				f(s.links.get(a.name, b.name))
+// eachLinkBetween calls f with the links between VMs of different groups.
+func (s *soakTest) eachLinkBetween(groups []vmGroup, f func(*link)) {
+	for i, from := range groups {
+		for j, to := range groups {
+			if i == j {
+				continue
+			}
+			for _, a := range from.vms {
+				for _, b := range to.vms {
+					f(s.links.get(a.name, b.name))
+				}
 			}
 		}
 	}
 }
 
-// eachPathBetween calls f with the paths between VMs and the upstreams of other data centres.
-func (s *soakTest) eachPathBetween(f func(*upstreamPath) error) {
-	for _, u := range s.upstreams {
-		var others []*soakVM
-		for _, v := range s.vms {
-			if v.dataCentre != u.entry.DataCentre {
-				others = append(others, v)
-			}
+// eachLostPath calls f with the paths between each group and the upstreams that it loses.
+func (s *soakTest) eachLostPath(groups []vmGroup, f func(*upstreamPath) error) {
+	for _, g := range groups {
+		for _, u := range g.lost {
+			s.eachPath(u, g.vms, f)
 		}
-		s.eachPath(u, others, f)
 	}
 }
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -67,7 +67,7 @@
 	}
 	u := &soakUpstream{entry: scheduler.Upstream{
 		Name: fmt.Sprintf("u%02d", i), Address: listener.Addr().String(), Service: soakService,
-		DataCentre: fmt.Sprintf("dc%d", i%soakDataCentres), Size: scheduler.Size{MilliCPU: soakUpstreamMilliCPU, MemoryMB: 32_768},
+		DataCentre: soakDataCentres[i%len(soakDataCentres)], Size: scheduler.Size{MilliCPU: soakUpstreamMilliCPU, MemoryMB: 32_768},
 	}}
 	u.largest = u.entry.Size
 	u.Upstream = standin.NewUpstream(api.VM{Name: u.entry.Name}, "", []float64{0.6, 1, 1}[i%3], soakMeanTaskTime)
--- a/internal/replay/soak_vms.go
+++ b/internal/replay/soak_vms.go
@@ -37,7 +37,7 @@
 	}
 	port := func(index int) string { _, p, _ := net.SplitHostPort(addresses[index]); return p }
 	v := &soakVM{
-		name: fmt.Sprintf("vm%d", i), dataCentre: fmt.Sprintf("dc%d", i%soakDataCentres),
+		name: fmt.Sprintf("vm%d", i), dataCentre: soakDataCentres[i%len(soakDataCentres)],
 		callerAddr: net.JoinHostPort(host, port(0)), readinessAddr: net.JoinHostPort(host, port(1)),
 		listenAddr: addresses[3], metricsPort: port(5), settingsPath: filepath.Join(s.dir, fmt.Sprintf("vm%d.toml", i)),
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -497,11 +497,11 @@
 	Seeds int
 	// Seconds: duration of fault injection, in seconds.
 	Seconds float64
-	// VMs: number of entry VMs, split between two data centres, in VMs.
+	// VMs: number of entry VMs, spread over three data centres, in VMs.
 	VMs int
 	// Upstreams: number of simulated upstreams, in upstreams.
 	Upstreams int
-	// OnlySplits: inject only splits of the data centres, one after another.
+	// OnlySplits: inject only splits of the VMs, one after another.
 	OnlySplits bool
 	// Daemon: executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program.
 	Daemon string
@@ -524,13 +524,13 @@
 		flag: "seconds", env: "MUSTARDSTEP_SECONDS", help: "duration of fault injection", unit: "seconds", defaultText: "20", min: bound[float64](0.1), max: bound[float64](86400),
 	})
 	bind(b, &s.VMs, definition[int]{
-		flag: "vms", env: "MUSTARDSTEP_VMS", help: "number of entry VMs, split between two data centres", unit: "VMs", defaultText: "6", min: bound[int](1), max: bound[int](200),
+		flag: "vms", env: "MUSTARDSTEP_VMS", help: "number of entry VMs, spread over three data centres", unit: "VMs", defaultText: "6", min: bound[int](1), max: bound[int](200),
 	})
 	bind(b, &s.Upstreams, definition[int]{
 		flag: "upstreams", env: "MUSTARDSTEP_UPSTREAMS", help: "number of simulated upstreams", unit: "upstreams", defaultText: "12", min: bound[int](1), max: bound[int](1000),
 	})
 	bind(b, &s.OnlySplits, definition[bool]{
-		flag: "only-splits", env: "MUSTARDSTEP_ONLY_SPLITS", help: "inject only splits of the data centres, one after another", unit: "",
+		flag: "only-splits", env: "MUSTARDSTEP_ONLY_SPLITS", help: "inject only splits of the VMs, one after another", unit: "",
 	})
 	bind(b, &s.Daemon, definition[string]{
 		flag: "daemon", env: "MUSTARDSTEP_DAEMON", help: "executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program", unit: "",
