replay: callers of the soak that lose a connection unnoticed

What callers saw: as above; the open row of docs/design/failures.md on such callers was shown by tests of the scheduler only.

--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -21,6 +21,7 @@
 
 // Configuration of the cluster and the load.
 const (
+	soakCallers          = "callers" // name of the callers in links
 	soakService          = "rota-desk"
 	soakHost             = "soak.example"
 	soakPathPrefix       = "/alerts/"
--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -25,6 +25,9 @@
 	firstVM        int
 	maxAttempts    int // 0 for no limit
 	abandons       bool
+	// breaks holds, by attempt, when the caller loses its connection without the origin
+	// noticing, or 0. Attempts beyond its length lose none.
+	breaks []time.Duration
 }
 
 const (
@@ -36,6 +39,9 @@
 	soakPatientDeadline = 9 * time.Second
 	// soakLongAttempts is how often a long job is sent.
 	soakLongAttempts = 3
+	// soakBreakShare is the number of attempts of long jobs of which one loses its
+	// connection without the origin noticing.
+	soakBreakShare = 3
 )
 
 // load submits jobs until ctx is done and waits for their answers.
@@ -84,6 +90,12 @@
 		if rng.IntN(6) == 0 {
 			j.patience = time.Duration(200+rng.IntN(1000)) * time.Millisecond
 		}
+		j.breaks = make([]time.Duration, soakLongAttempts)
+		for i := range j.breaks {
+			if rng.IntN(soakBreakShare) == 0 {
+				j.breaks[i] = time.Duration(50+rng.IntN(1001)) * time.Millisecond
+			}
+		}
 		jobs.Go(func() { s.submit(j) })
 		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakLongInterval)/float64(len(s.upstreams))))
 	}
@@ -92,6 +104,7 @@
 
 // submit sends a job and reports whether it succeeded. Like the platform's callers, it
 // retries at the next VM after an attempt without an answer, unless the job is abandoned.
+// It returns once no origin serves the job for a caller that has left.
 func (s *soakTest) submit(j soakLoadJob) bool {
 	parameters, err := json.Marshal(api.StandinTask{RunUS: j.runTime.Microseconds()})
 	if err != nil {
@@ -103,10 +116,18 @@
 		Size: scheduler.Size{MilliCPU: j.milliCPU, MemoryMB: 64}, Estimate: soakMeanTaskTime, Deadline: j.deadline,
 	}
 	deadline := time.Now().Add(s.options.RetryTimeout)
+	var served time.Time // last deadline of an attempt whose connection broke
+	defer func() { time.Sleep(time.Until(served)) }()
 	for attempt := 0; time.Now().Before(deadline) && (j.maxAttempts == 0 || attempt < j.maxAttempts); attempt++ {
-		ctx, cancel := context.WithTimeout(context.Background(), j.patience)
+		v := s.vms[(j.firstVM+attempt)%len(s.vms)]
+		address, patience := v.callerAddr, j.patience
+		if attempt < len(j.breaks) && j.breaks[attempt] > 0 {
+			address, patience = v.balancerAddr, j.breaks[attempt]
+			served = time.Now().Add(j.deadline)
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
 		s.checker.recordAttempt(j.id, j.tasks)
-		answer := platform.SubmitJob(ctx, s.vms[(j.firstVM+attempt)%len(s.vms)].callerAddr, job)
+		answer := platform.SubmitJob(ctx, address, job)
 		cancel()
 		if j.abandons && answer.OutcomeUnknown {
 			return false
--- a/internal/replay/soak_vms.go
+++ b/internal/replay/soak_vms.go
@@ -17,6 +17,7 @@
 type soakVM struct {
 	name, dataCentre          string
 	callerAddr, readinessAddr string
+	balancerAddr              string // accepts callers; the process is not told when they close
 	peerAddr                  string // advertised to other VMs; a relay listens on it
 	listenAddr                string // on which the process accepts peers
 	relays                    []*relay
@@ -31,7 +32,7 @@
 
 func (s *soakTest) addVM(ctx context.Context, g *errgroup.Group, i int) error {
 	host := fmt.Sprintf("127.0.1.%d", i+1)
-	addresses, err := freeAddresses(6)
+	addresses, err := freeAddresses(7)
 	if err != nil {
 		return err
 	}
@@ -39,7 +40,7 @@
 	v := &soakVM{
 		name: fmt.Sprintf("vm%d", i), dataCentre: soakDataCentres[i%len(soakDataCentres)],
 		callerAddr: net.JoinHostPort(host, port(0)), readinessAddr: net.JoinHostPort(host, port(1)),
-		listenAddr: addresses[3], metricsPort: port(5), settingsPath: filepath.Join(s.dir, fmt.Sprintf("vm%d.toml", i)),
+		balancerAddr: addresses[6], listenAddr: addresses[3], metricsPort: port(5), settingsPath: filepath.Join(s.dir, fmt.Sprintf("vm%d.toml", i)),
 	}
 	peerPort := 0
 	if _, err := fmt.Sscan(port(2), &peerPort); err != nil {
@@ -58,6 +59,7 @@
 	v.relays = []*relay{
 		{name: v.name, address: v.peerAddr, target: v.listenAddr, links: s.links, identify: s.hellos.identify},
 		{name: platformName, address: addresses[4], target: storeListener.Addr().String(), links: s.links, identify: identifyAs(v.name)},
+		{name: v.name, address: v.balancerAddr, target: v.callerAddr, links: s.links, identify: identifyAs(soakCallers), hidesClose: true},
 	}
 	var file platform.Settings
 	file.VM, file.Zone, file.IP, file.PeerPorts = v.name, v.dataCentre, host, []int{peerPort, peerPort + 1}
