--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -90,18 +90,33 @@
 		if rng.IntN(6) == 0 {
 			j.patience = time.Duration(200+rng.IntN(1000)) * time.Millisecond
 		}
-		j.breaks = make([]time.Duration, soakLongAttempts)
-		for i := range j.breaks {
-			if rng.IntN(soakBreakShare) == 0 {
-				j.breaks[i] = time.Duration(50+rng.IntN(1001)) * time.Millisecond
-			}
-		}
+		j.breaks = drawBreaks(rng)
 		jobs.Go(func() { s.submit(j) })
 		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakLongInterval)/float64(len(s.upstreams))))
 	}
 	jobs.Wait()
 }
 
+// drawBreaks draws the breaks of the attempts of a long job.
+func drawBreaks(rng *rand.Rand) []time.Duration {
+	breaks := make([]time.Duration, soakLongAttempts)
+	for i := range breaks {
+		if rng.IntN(soakBreakShare) == 0 {
+			breaks[i] = time.Duration(50+rng.IntN(1001)) * time.Millisecond
+		}
+	}
+	return breaks
+}
+
+// connection returns the address of a VM to which an attempt is sent, and how long the
+// caller holds the connection.
+func (j soakLoadJob) connection(attempt int, v *soakVM) (address string, patience time.Duration) {
+	if attempt < len(j.breaks) && j.breaks[attempt] > 0 {
+		return v.balancerAddr, j.breaks[attempt]
+	}
+	return v.callerAddr, j.patience
+}
+
 // submit sends a job and reports whether it succeeded. Like the platform's callers, it
 // retries at the next VM after an attempt without an answer, unless the job is abandoned.
 // It returns once no origin serves the job for a caller that has left.
@@ -116,13 +131,12 @@
 		Size: scheduler.Size{MilliCPU: j.milliCPU, MemoryMB: 64}, Estimate: soakMeanTaskTime, Deadline: j.deadline,
 	}
 	deadline := time.Now().Add(s.options.RetryTimeout)
-	var served time.Time // last deadline of an attempt whose connection broke
+	var served time.Time // last deadline of an attempt whose connection breaks unnoticed
 	defer func() { time.Sleep(time.Until(served)) }()
 	for attempt := 0; time.Now().Before(deadline) && (j.maxAttempts == 0 || attempt < j.maxAttempts); attempt++ {
 		v := s.vms[(j.firstVM+attempt)%len(s.vms)]
-		address, patience := v.callerAddr, j.patience
-		if attempt < len(j.breaks) && j.breaks[attempt] > 0 {
-			address, patience = v.balancerAddr, j.breaks[attempt]
+		address, patience := j.connection(attempt, v)
+		if address == v.balancerAddr {
 			served = time.Now().Add(j.deadline)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), patience)
