--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -12,6 +12,8 @@
 	token int64
 	// settled means that all runs of earlier dispatchers are known or over.
 	settled bool
+	// coverage is that of the last tick.
+	coverage Coverage
 }
 
 // offer adds a job. It returns notices for tasks that are known to have finished and
@@ -43,12 +45,14 @@
 	if s.epoch.IsZero() {
 		s.epoch = now
 	}
+	basis := StartBasis{Resumed: offered.Resumed, EarlierKnown: !r.firstSent.IsZero() || len(r.attempts)+len(r.others)+len(r.unmatched) > 0, Coverage: t.coverage}
 	if s.lastToken != 0 && offered.PreviousToken == s.lastToken && r.unstarted == (offerRef{s.lastToken, offered.Origin, offered.Submission}) {
+		basis.Resumed, basis.WasUnstarted = false, offered.Resumed
 		offered.Resumed = false
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		current: map[int]runRef{}, results: map[int][]byte{}, index: -1,
+		current: map[int]runRef{}, results: map[int][]byte{}, index: -1, basis: basis,
 	}
 	if offered.Resumed || !t.settled || t.token <= s.lastToken {
 		j.heldSince = now
@@ -97,12 +101,15 @@
 	if offered.Origin == j.Origin && offered.Submission == j.Submission {
 		// An offer contains the time that was left when it was sent.
 		offered.Deadline = earlier(offered.Deadline, j.Deadline)
+		offered.returnAt = earlier(offered.returnAt, j.returnAt)
+	} else {
+		offered.returnAt = later(offered.returnAt, j.returnAt) // the caller was there for both
 	}
 	j.Origin, j.OriginIncarnation, j.Term = offered.Origin, offered.OriginIncarnation, offered.Term
-	j.Submission, j.Deadline = offered.Submission, offered.Deadline
+	j.Submission, j.Deadline, j.returnAt = offered.Submission, offered.Deadline, offered.returnAt
 	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
 		// Another dispatcher has had the job since and may have started tasks.
-		j.Resumed, j.heldSince = true, now
+		j.Resumed, j.heldSince, j.basis.Resumed = true, now, true
 	}
 	s.updateHeap(j) // the deadline may be a later one
 	for _, index := range offered.Tasks {
--- /dev/null
+++ b/scheduler/returning_caller_test.go
@@ -0,0 +1,184 @@
+package scheduler_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+// callerReturn is the time after which a caller without an answer sends its job again, to any
+// VM.
+const callerReturn = 1300 * time.Millisecond
+
+// group is a dispatcher that does not hear the one of another group, and the upstreams that
+// it reaches.
+type group struct {
+	b         *testHarness
+	scheduler *scheduler.Scheduler
+	reached   []string
+	// waits means that polls take the time for which they may wait for a completion, stopsLost
+	// that upstreams do not receive stops.
+	waits, stopsLost bool
+	polledAt         map[string]time.Time
+	pollWait         map[string]time.Duration
+	starts           []scheduler.Start
+	notices          []scheduler.Notice
+}
+
+// newGroup returns a group with a settled dispatcher that lists some upstreams.
+func (b *testHarness) newGroup(token int64, listed, reached []string) *group {
+	g := &group{b: b, scheduler: scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100, CallerReturn: callerReturn}), reached: reached, polledAt: map[string]time.Time{}, pollWait: map[string]time.Duration{}}
+	var list []scheduler.Upstream
+	for _, name := range listed {
+		list = append(list, b.upstreams[name].Info)
+	}
+	g.scheduler.SetUpstreams(b.now, list, len(listed) < len(b.upstreams))
+	g.scheduler.SetUnreachablePeers(true)
+	g.scheduler.SetPeerLoss(scheduler.PeerLost)
+	g.scheduler.BeginTerm(b.now, token, resumeTimeout)
+	return g
+}
+
+// work lets the dispatcher poll, place tasks that take a second, tick, and stop runs.
+func (g *group) work() {
+	now := g.b.now
+	var stops []scheduler.Stop
+	for name, u := range g.b.upstreams {
+		if now.Sub(g.polledAt[name]) < g.pollWait[name] {
+			continue
+		}
+		poll, due, _, _ := g.scheduler.NextPoll(now, name)
+		if !due {
+			continue
+		}
+		g.polledAt[name] = now
+		if g.waits {
+			g.pollWait[name] = poll.Wait
+		}
+		result, report := scheduler.PollUnanswered, scheduler.PollReport{}
+		if slices.Contains(g.reached, name) {
+			result, report = u.Poll(now, poll)
+		}
+		stops = append(stops, g.record(g.scheduler.HandlePollResult(now, poll, result, report))...)
+	}
+	for _, start := range g.scheduler.Place(now) {
+		g.starts = append(g.starts, start)
+		result, clock := g.b.upstreams[start.Upstream.Name].Start(now, start, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, time.Second)
+		stops = append(stops, g.record(g.scheduler.HandleStartResult(now, start, result, clock))...)
+	}
+	stops = append(stops, g.record(g.scheduler.Tick(now))...)
+	for _, stop := range stops {
+		if g.stopsLost {
+			continue
+		}
+		result, clock := g.b.upstreams[stop.Upstream.Name].Stop(now, stop)
+		g.scheduler.HandleStopResult(now, stop, result, clock)
+	}
+}
+
+func (g *group) record(a scheduler.Actions) []scheduler.Stop {
+	g.notices = append(g.notices, a.Notices...)
+	return a.Stops
+}
+
+func (g *group) offer(j scheduler.Job) {
+	_, failure := g.scheduler.Offer(g.b.now, j)
+	require.Nil(g.b.t, failure)
+}
+
+// workAll lets groups work for some time, and checks that the task has one run at most.
+func (b *testHarness) workAll(d time.Duration, task scheduler.Task, groups ...*group) {
+	for end := b.now.Add(d); b.now.Before(end); {
+		for _, g := range groups {
+			g.work()
+		}
+		require.LessOrEqual(b.t, len(b.runsOf(task)), 1, "at %v", b.now)
+		b.now = b.now.Add(10 * time.Millisecond)
+		for _, u := range b.upstreams {
+			u.Advance(b.now)
+		}
+	}
+}
+
+// newSplit returns two groups that share three upstreams. The second one reaches and claims u3
+// only.
+func newSplit(t *testing.T) (b *testHarness, first, second *group) {
+	b = newTestHarness(t, "u1", "u2", "u3")
+	first = b.newGroup(150, []string{"u1", "u2", "u3"}, []string{"u1", "u2", "u3"})
+	second = b.newGroup(200, []string{"u3"}, []string{"u3"})
+	b.workAll(2*time.Second, scheduler.Task{}, first, second)
+	return b, first, second
+}
+
+// The connection of a caller breaks without its origin noticing. The caller sends the job to
+// the VM of another group, whose dispatcher does not reach the upstream of the first run.
+func TestReturningCallersJobStartsBesideItsRun(t *testing.T) {
+	b, first, second := newSplit(t)
+	task := scheduler.Task{Job: "a", Index: 0}
+	b.upstreams["u1"].Speed, b.upstreams["u2"].Speed = 0.1, 0.1
+	first.offer(b.job("a", 0))
+	b.workAll(callerReturn, task, first, second)
+	require.Len(t, first.starts, 1)
+	require.Len(t, first.notices, 1, "the caller is answered as soon as the job is given up")
+	require.Equal(t, scheduler.JobAbandoned, first.notices[0].Kind)
+	second.offer(b.job("a", 0))
+	b.workAll(3*time.Second, task, first, second)
+	require.Len(t, second.starts, 1)
+	require.Len(t, second.notices, 1)
+	require.Equal(t, scheduler.TaskDone, second.notices[0].Kind)
+}
+
+// The first submission of a job waits for capacity until its caller has sent the job to the VM
+// of another group.
+func TestEarlierSubmissionStartsBesideRunOfReturningCaller(t *testing.T) {
+	b, first, second := newSplit(t)
+	task := scheduler.Task{Job: "a", Index: 0}
+	first.offer(b.job("busy", 0, 1, 2, 3))
+	b.workAll(100*time.Millisecond, task, first, second)
+	for _, u := range []string{"u1", "u2"} {
+		b.upstreams[u].Speed = 0.6
+	}
+	first.offer(b.job("a", 0))
+	b.workAll(callerReturn, task, first, second)
+	second.offer(b.job("a", 0))
+	b.workAll(5*time.Second, task, first, second)
+	require.Len(t, second.starts, 1)
+	require.Equal(t, scheduler.TaskDone, second.notices[len(second.notices)-1].Kind)
+}
+
+// A run whose caller waits for longer than the return time goes on while no other dispatcher can
+// have an upstream.
+func TestLongRunOfWaitingCallerIsGivenUp(t *testing.T) {
+	for name, change := range map[string]func(*testHarness, *group){
+		"all peers are heard": func(b *testHarness, g *group) {
+			g.scheduler.SetPeerLoss(scheduler.PeersHeard)
+			g.reached = []string{"u1"}
+		},
+		"a peer is lost and all upstreams are held": func(*testHarness, *group) {},
+		"a heartbeat is missing while an upstream is replaced": func(b *testHarness, g *group) {
+			g.scheduler.SetPeerLoss(scheduler.PeerSilent)
+			b.upstreams["u2"].Restart(b.now)
+			b.workAll(100*time.Millisecond, scheduler.Task{}, g)
+			g.scheduler.SetPeerLoss(scheduler.PeersHeard)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newTestHarness(t, "u1", "u2")
+			g := b.newGroup(150, []string{"u1", "u2"}, []string{"u1", "u2"})
+			b.workAll(time.Second, scheduler.Task{}, g)
+			b.upstreams["u2"].Speed = 0
+			g.offer(b.job("a", 0))
+			b.upstreams["u1"].Speed = 0.3
+			b.workAll(callerReturn, scheduler.Task{}, g)
+			require.Equal(t, "u1", g.starts[0].Upstream.Name)
+			change(b, g)
+			b.workAll(3*time.Second, scheduler.Task{}, g)
+			require.Len(t, g.starts, 1)
+			require.Len(t, g.notices, 1)
+			require.Equal(t, scheduler.TaskDone, g.notices[0].Kind)
+		})
+	}
+}
