--- a/intake/intake.go
+++ b/intake/intake.go
@@ -38,6 +38,9 @@
 	return [...]string{"succeeded", "failed", "not run", "given up"}[o]
 }
 
+// CallerLeft is the reason of an answer that no caller waits for.
+const CallerLeft = "the caller stopped waiting"
+
 // Answer is the final result of a job.
 type Answer struct {
 	Outcome Outcome
@@ -54,7 +57,7 @@
 	CompletedTasks int
 }
 
-// Job is a job that at least one caller waits for. ID, Submission, Spec and Arrived are
+// Job is a job that its caller waits for. ID, Submission, Spec and Arrived are
 // immutable; the lock of its shard guards the other fields.
 type Job[S any] struct {
 	ID string
@@ -69,7 +72,7 @@
 	finished   bool
 	unfinished []int // indexes of the tasks that have not succeeded
 	results    [][]byte
-	waiters    int
+	requests   int // number of requests for the job; the last one is the caller's
 	// VM and term of the dispatcher that the job is assigned to; term 0 means
 	// none.
 	vm             string
@@ -115,29 +118,30 @@
 }
 
 // nextSubmission returns a number above all earlier ones, also of earlier processes as long
-// as the time of day does not run backwards.
-func (t *Table[S]) nextSubmission(now time.Time) uint64 {
+// as the time of day does not run backwards: a request does not arrive before its process
+// has started.
+func (t *Table[S]) nextSubmission(arrived time.Time) uint64 {
 	for {
 		last := t.lastSubmission.Load()
-		next := max(last+1, uint64(now.UnixMicro()))
+		next := max(last+1, uint64(arrived.UnixMicro()))
 		if t.lastSubmission.CompareAndSwap(last, next) {
 			return next
 		}
 	}
 }
 
-// AddOrJoin adds a job with the given number of tasks. If a job with the same
-// id is in progress, it adds a waiter to that one instead. added reports
-// whether the job was added.
-func (t *Table[S]) AddOrJoin(now time.Time, id string, spec S, tasks int) (j *Job[S], added bool) {
+// AddOrJoin adds a job with the given number of tasks, whose request arrived at the given
+// time. If a job with the same id is in progress, the request joins that one instead. request
+// is the number of the request among those for the job: 1 if the job was added.
+func (t *Table[S]) AddOrJoin(arrived time.Time, id string, spec S, tasks int) (j *Job[S], request int) {
 	s := t.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if j = s.jobs[id]; j != nil {
-		j.waiters++
-		return j, false
+		j.requests++
+		return j, j.requests
 	}
-	j = &Job[S]{ID: id, Submission: t.nextSubmission(now), Arrived: now, Spec: spec, done: make(chan struct{}), waiters: 1, results: make([][]byte, tasks)}
+	j = &Job[S]{ID: id, Submission: t.nextSubmission(arrived), Arrived: arrived, Spec: spec, done: make(chan struct{}), requests: 1, results: make([][]byte, tasks)}
 	for i := range tasks {
 		j.unfinished = append(j.unfinished, i)
 	}
@@ -146,7 +150,7 @@
 		delete(s.ended, id)
 	}
 	s.jobs[id] = j
-	return j, true
+	return j, 1
 }
 
 // Offer describes the tasks to offer to a dispatcher.
@@ -194,12 +198,23 @@
 // Unassigned returns the jobs that are not assigned to the dispatcher of a
 // term.
 func (t *Table[S]) Unassigned(vm string, term uint64) []*Job[S] {
+	return t.unanswered(func(j *Job[S]) bool { return j.vm != vm || j.term != term })
+}
+
+// All returns the unanswered jobs.
+func (t *Table[S]) All() []*Job[S] {
+	return t.unanswered(func(*Job[S]) bool { return true })
+}
+
+// unanswered returns the unanswered jobs for which a condition holds. It calls the condition
+// with the lock of the job held.
+func (t *Table[S]) unanswered(holds func(*Job[S]) bool) []*Job[S] {
 	var jobs []*Job[S]
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.Lock()
 		for _, j := range s.jobs {
-			if !j.finished && (j.vm != vm || j.term != term) {
+			if !j.finished && holds(j) {
 				jobs = append(jobs, j)
 			}
 		}
@@ -231,8 +246,8 @@
 
 // Finish answers a submission of a job and returns the dispatcher that may have it, also if
 // the job is unassigned because the offer got no answer; term is 0 if there is none.
-// finished is false if it is not unanswered. NotRun becomes Abandoned if the job is
-// unassigned and an earlier dispatcher may have started tasks.
+// finished is false if it is not unanswered. NotRun becomes Abandoned if a dispatcher may have
+// started tasks.
 func (t *Table[S]) Finish(id string, submission uint64, a Answer) (vm string, term uint64, finished bool) {
 	s := t.shard(id)
 	s.mu.Lock()
@@ -241,7 +256,7 @@
 	if j == nil || j.finished || j.Submission != submission {
 		return "", 0, false
 	}
-	if a.Outcome == NotRun && j.mayHaveStarted && j.term == 0 {
+	if a.Outcome == NotRun && j.mayHaveStarted {
 		a.Outcome = Abandoned
 	}
 	s.finish(j, a)
@@ -297,19 +312,18 @@
 	close(j.done)
 }
 
-// RemoveWaiter records that a caller no longer waits for a job. If no other
-// caller waits and the job is unanswered, it is answered as cancelled; last is
-// then true, and vm and term identify the dispatcher on which to stop its
-// tasks, as for Finish.
-func (t *Table[S]) RemoveWaiter(j *Job[S]) (vm string, term uint64, last bool) {
+// EndRequest records that the caller no longer waits for a request. If it is the last request
+// for the job and the job is unanswered, the job is answered as cancelled; ended is then true,
+// and vm and term identify the dispatcher on which to stop its tasks, as for Finish. The caller
+// has sent the last request because the earlier ones were lost to it, so these end nothing.
+func (t *Table[S]) EndRequest(j *Job[S], request int) (vm string, term uint64, ended bool) {
 	s := t.shard(j.ID)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	j.waiters--
-	if j.waiters > 0 || j.finished {
+	if request < j.requests || j.finished {
 		return "", 0, false
 	}
-	a := Answer{Outcome: Abandoned, Code: verdict.CodeCancelled, Reason: "the caller stopped waiting"}
+	a := Answer{Outcome: Abandoned, Code: verdict.CodeCancelled, Reason: CallerLeft}
 	if !j.mayHaveStarted {
 		a.Outcome = NotRun
 	}
--- a/node/submit.go
+++ b/node/submit.go
@@ -24,6 +24,9 @@
 	AtMostOnce bool
 	// Items holds the input of each task. It is nil if Spec is the only input.
 	Items [][]byte
+	// Arrived is when the caller's request reached this VM; the zero value stands for the
+	// call of Submit. The request may have waited while this process was paused or busy.
+	Arrived time.Time
 	// Deadline is the time until which the caller waits.
 	Deadline time.Time
 	// Version is the version of the configuration that selected Queue.
@@ -44,43 +47,81 @@
 // cancelled when the caller disconnects.
 func (n *Node) Submit(ctx context.Context, id string, job Job, tasks int) intake.Answer {
 	now := time.Now()
-	j, added := n.jobs.AddOrJoin(now, id, job, tasks)
+	if job.Arrived.IsZero() {
+		job.Arrived = now
+	}
+	if job.Deadline.Sub(now) <= answerMargin {
+		answer := n.refuseLate(id, job.Arrived)
+		n.recordAnswer(id, &job, answer)
+		return answer
+	}
+	j, request := n.jobs.AddOrJoin(job.Arrived, id, job, tasks)
 	n.metrics.Jobs.Inc()
-	if added {
+	defer n.endRequest(j, request) // after a panic, nothing else would
+	switch {
+	case n.stopping.Load(): // read after the job was added, so that endJobs does not miss it
+		n.endStopping(j)
+	case request == 1:
 		n.offer(j, n.view.Load())
 	}
-	timer := time.NewTimer(max(job.Deadline.Sub(now)-answerMargin, 0))
+	timer := time.NewTimer(job.Deadline.Sub(now) - answerMargin)
 	defer timer.Stop()
 	select {
 	case <-j.Done():
 	case <-ctx.Done():
-		if vm, term, last := n.jobs.RemoveWaiter(j); last {
-			n.withdraw(vm, term, j)
-		}
+		n.endRequest(j, request)
 	case <-timer.C:
 		n.expire(j)
 	}
-	answer, _ := n.jobs.Answer(j)
-	n.recordAnswer(j, answer, now)
+	answer := intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeCancelled, Reason: intake.CallerLeft}
+	if isDone(j) { // otherwise a later request has the job
+		answer, _ = n.jobs.Answer(j)
+	}
+	n.recordAnswer(id, &job, answer)
 	return answer
 }
 
+// refuseLate returns the answer to a request whose deadline has passed. A request of the
+// caller that arrived before this one may still have the job in progress; it is stale.
+func (n *Node) refuseLate(id string, arrived time.Time) intake.Answer {
+	outcome := intake.NotRun
+	if j := n.jobs.Find(id); j != nil {
+		outcome = intake.Abandoned
+		if !arrived.Before(j.Arrived) {
+			n.expire(j)
+		}
+	}
+	return intake.Answer{Outcome: outcome, Code: verdict.CodeDeadline, Reason: "the deadline had passed when the request was read", RetryAfter: verdict.MinRetryAfter}
+}
+
+// endRequest stops a job if it was the last request for it that ended.
+func (n *Node) endRequest(j *intake.Job[Job], request int) {
+	if vm, term, ended := n.jobs.EndRequest(j, request); ended {
+		n.withdraw(vm, term, j)
+	}
+}
+
 // expire ends a job at its deadline.
 func (n *Node) expire(j *intake.Job[Job]) {
 	answer := intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeDeadline, Reason: "the deadline has passed while tasks were running"}
 	if !n.jobs.MayHaveStarted(j) {
 		answer = intake.Answer{Outcome: intake.NotRun, Code: verdict.CodeUnreachable, Reason: "no dispatcher was reached before the deadline", RetryAfter: verdict.MinRetryAfter}
 	}
-	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, answer); ended {
+	n.end(j, answer)
+}
+
+// end answers a job and stops its tasks. NotRun becomes Abandoned if tasks may have started.
+func (n *Node) end(j *intake.Job[Job], a intake.Answer) {
+	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, a); ended {
 		n.withdraw(vm, term, j)
 	}
 }
 
 // recordAnswer logs the answer to a job and updates the metrics.
-func (n *Node) recordAnswer(j *intake.Job[Job], a intake.Answer, arrived time.Time) {
-	took := time.Since(arrived)
+func (n *Node) recordAnswer(id string, job *Job, a intake.Answer) {
+	took := time.Since(job.Arrived)
 	n.metrics.observeAnswer(a.Outcome, took)
-	n.decisions.Answer(j.ID, j.Spec.Queue.Name, a.Outcome.String(), a.Reason, took, j.Spec.Version)
+	n.decisions.Answer(id, job.Queue.Name, a.Outcome.String(), a.Reason, took, job.Version)
 }
 
 // offer sends a job to the dispatcher, if there is one.
@@ -124,9 +165,7 @@
 
 // abandon ends a job whose tasks may have started, and stops the tasks.
 func (n *Node) abandon(j *intake.Job[Job], reason string) {
-	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeOwnerLost, Reason: reason}); ended {
-		n.withdraw(vm, term, j)
-	}
+	n.end(j, intake.Answer{Outcome: intake.Abandoned, Code: verdict.CodeOwnerLost, Reason: reason})
 }
 
 // handleOfferResponse processes the answer to an offer.
