--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -132,7 +132,11 @@
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
 			n.decisions.Placement(&start, n.taskName(start.Run.Task))
-			go n.startRun(ctx, start)
+			n.pendingOrders.Add(1)
+			go func() {
+				defer n.pendingOrders.Add(-1)
+				n.startRun(ctx, start)
+			}()
 		}
 	}
 }
@@ -221,7 +225,11 @@
 // apply carries out the actions that the scheduler requests.
 func (n *Node) apply(a scheduler.Actions) {
 	for _, stop := range a.Stops {
-		go n.stopRun(n.runCtx, stop)
+		n.pendingOrders.Add(1)
+		go func() {
+			defer n.pendingOrders.Add(-1)
+			n.stopRun(n.runCtx, stop)
+		}()
 	}
 	for _, upstream := range a.Polls {
 		go n.pollNow(n.runCtx, upstream)
--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
 
@@ -31,6 +32,7 @@
 	answerMargin        = 10 * time.Millisecond
 	upstreamListTimeout = 150 * time.Millisecond
 	lapsedRetention     = 10 * time.Second
+	joinDelay           = time.Second
 	staleListTime       = 500 * time.Millisecond
 	deliverAttempts     = 2
 	abandonBits         = 16
@@ -102,7 +104,7 @@
 	name := fmt.Sprintf("vm%d", vm)
 	member := fleet.Member{VM: name, Incarnation: incarnation, DataCentre: splitDataCentre(vm), Address: name, Weight: 1000}
 	n := &splitNode{
-		modelDispatcher: m.newDispatcher(name, callerReturn), m: m, vm: vm, member: member, started: m.now, listedAt: listedAt, unlisted: map[string]bool{},
+		modelDispatcher: m.newDispatcher(name, scheduler.Config{CallerReturn: callerReturn, JoinDelay: joinDelay}), m: m, vm: vm, member: member, started: m.now, listedAt: listedAt, unlisted: map[string]bool{},
 		fleet: fleet.New(member), contacts: map[string]bool{}, origins: map[string]*splitOrigin{}, withdrawn: map[withdrawnRef]bool{},
 		jobs: intake.New[splitSpec](),
 	}
@@ -172,7 +174,7 @@
 }
 
 func (n *splitNode) newHeartbeat(peer string) fleet.Heartbeat {
-	return fleet.Heartbeat{Member: n.member, Term: n.termFor(peer), Token: n.fleet.Token(), Clock: time.Hour + n.m.now.Sub(modelStart)}
+	return fleet.Heartbeat{Member: n.member, Term: n.termFor(peer), Token: n.fleet.Token(), Clock: time.Hour + n.m.now.Sub(modelStart), UpstreamsDigest: n.listDigest()}
 }
 
 func (n *splitNode) sendHeartbeat(to fleet.Member) {
@@ -295,8 +297,18 @@
 	n.termStart, n.fencedSince, n.claimKey = m.now, time.Time{}, n.viewKey()
 	n.placeFrom = m.now.Add(upstreamListTimeout)
 	m.logf("begin term on %s, token %d, %s, hears %d of %d", n.name, n.token, reason, len(n.view.Reachable), len(n.view.Reachable)+len(n.view.Unreachable))
+	n.scheduler.DoubtList()
 	n.scheduler.BeginTerm(m.now, n.token, modelResumeTimeout)
 	n.applyUpstreams()
+	n.confirmList()
+	token := n.token
+	m.after(m.randomMillis(5, 40), func() {
+		n.do(func() {
+			if n.token == token && len(n.unlisted) == 0 { // the store has answered
+				n.scheduler.ConfirmList()
+			}
+		})
+	})
 	for _, r := range n.view.Reachable {
 		n.sendHeartbeat(r.Member)
 	}
@@ -314,6 +326,7 @@
 		n.m.logf("fault: %s lists %s", n.name, name)
 		delete(n.unlisted, name)
 		n.applyUpstreams()
+		n.confirmList()
 	}
 }
 
@@ -342,6 +355,22 @@
 	pullDelayMax = 200
 )
 
+// confirmList tells the scheduler whether the dispatchers before have listed the same upstreams.
+func (n *splitNode) confirmList() {
+	if n.fleet.DispatchersListed(n.m.now.Add(-lapsedRetention), n.listDigest()) {
+		n.scheduler.ConfirmList()
+	}
+}
+
+func (n *splitNode) listDigest() (digest uint64) {
+	for _, name := range n.m.names {
+		if !n.unlisted[name] {
+			digest ^= rendezvous.Hash(name)
+		}
+	}
+	return digest
+}
+
 // applyUpstreams tells the scheduler which upstreams to claim.
 func (n *splitNode) applyUpstreams() {
 	m := n.m
@@ -693,39 +722,55 @@
 type splitRequest struct {
 	attempt  *splitAttempt
 	job      *splitJob
+	number   int // of the request among those for the job
 	answered bool
 }
 
-// receive takes a job from a caller.
+// receive takes a job from a caller. The request may have waited for the process.
 func (n *splitNode) receive(a *splitAttempt) {
-	now := n.m.now
-	spec := splitSpec{a.caller.job, now.Add(a.caller.patience)}
-	arrived := now
-	if *splitArrival {
-		arrived = a.arrived
+	deadline := a.arrived.Add(a.caller.patience)
+	left := deadline.Sub(n.m.now) - answerMargin
+	if left <= 0 {
+		n.refuseLate(a)
+		return
 	}
-	j, added := n.jobs.AddOrJoin(arrived, a.caller.id, spec, a.caller.job.tasks)
-	a.request = &splitRequest{attempt: a, job: j}
+	j, number := n.jobs.AddOrJoin(a.arrived, a.caller.id, splitSpec{a.caller.job, deadline}, a.caller.job.tasks)
+	a.request = &splitRequest{attempt: a, job: j, number: number}
 	n.requests = append(n.requests, a.request)
-	n.m.logf("%s is received by %s, deadline after %v, added %v", j.ID, n.name, a.caller.patience, added)
-	if added {
+	n.m.logf("%s is received by %s %v after its arrival, deadline in %v, request %d", j.ID, n.name, n.m.now.Sub(a.arrived), left, number)
+	if number == 1 {
 		n.offer(j)
 	}
-	n.m.after(a.caller.patience-answerMargin, func() { n.do(func() { n.expire(a.request) }) })
+	n.m.after(left, func() { n.do(func() { n.expire(a.request) }) })
 	n.answerRequests()
 }
 
+// refuseLate answers a request whose deadline has passed.
+func (n *splitNode) refuseLate(a *splitAttempt) {
+	answer := intake.Answer{Outcome: intake.NotRun, Reason: "the deadline had passed when the request was read"}
+	if j := n.jobs.Find(a.caller.id); j != nil {
+		answer.Outcome = intake.Abandoned
+		if !a.arrived.Before(j.Arrived) {
+			n.expireJob(j)
+		}
+	}
+	n.m.after(n.m.delay(), func() { a.receiveAnswer(answer) })
+}
+
 // expire ends a job at its deadline.
 func (n *splitNode) expire(r *splitRequest) {
-	if r.answered {
-		return
+	if !r.answered {
+		n.expireJob(r.job)
 	}
+}
+
+func (n *splitNode) expireJob(j *splitJob) {
 	answer := intake.Answer{Outcome: intake.Abandoned, Reason: "the deadline has passed"}
-	if !n.jobs.MayHaveStarted(r.job) {
+	if !n.jobs.MayHaveStarted(j) {
 		answer.Outcome = intake.NotRun
 	}
-	if vm, term, ended := n.jobs.Finish(r.job.ID, r.job.Submission, answer); ended {
-		n.withdraw(vm, term, r.job)
+	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, answer); ended {
+		n.withdraw(vm, term, j)
 	}
 	n.answerRequests()
 }
@@ -736,7 +781,7 @@
 		return
 	}
 	n.m.logf("%s: %s sees that its caller has gone", r.job.ID, n.name)
-	if vm, term, last := n.jobs.RemoveWaiter(r.job); last {
+	if vm, term, ended := n.jobs.EndRequest(r.job, r.number); ended {
 		n.withdraw(vm, term, r.job)
 	}
 	n.answerRequests()
