fleet: a heartbeat's answer flag hides that the other one falls silent

What callers would see: two runs of a task, if messages pass in one direction only.

Cause: a heartbeat says for up to the timeout after a cut that its sender hears this VM. A dispatcher noticed the split that much later than the other group, and leases outlived the return of callers. Change: heartbeats carry the time since their sender last knew both directions to work, and the silence counts from then. The test passes it on; its check is unchanged.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -95,6 +95,9 @@
 	UpstreamsDigest uint64
 	// Digest is a hash of the members that the member knows.
 	Digest uint64
+	// ContactAge is the time for which the member had not known that messages pass in both
+	// directions when it sent the heartbeat. It is 0 in the answer to a heartbeat.
+	ContactAge time.Duration
 	// Clock is the member's clock, which counts from the start of its VM; 0 if unknown.
 	Clock time.Duration
 }
@@ -103,6 +106,7 @@
 type peer struct {
 	heartbeat    Heartbeat
 	lastContact  time.Time // when both directions were last known to work
+	provenAt     time.Time // when both directions have certainly worked; not after lastContact
 	firstAttempt time.Time // first heartbeat sent since lastContact; zero if none
 	refused      bool      // refused a connection since lastContact
 	deaf         bool      // has reported, since lastContact, that it does not hear this member
@@ -234,6 +238,9 @@
 	p.deaf = !bidirectional
 	if contact := now.Add(-delay); bidirectional && contact.After(p.lastContact) {
 		p.lastContact, p.firstAttempt, p.refused = contact, time.Time{}, false
+		if proven := contact.Add(-hb.ContactAge); proven.After(p.provenAt) {
+			p.provenAt = proven
+		}
 	}
 }
 
@@ -265,6 +272,18 @@
 	return time.Time{}
 }
 
+// ContactAge returns the time since messages were last known to pass in both directions with a
+// member; 0 if they never were.
+func (f *Fleet) ContactAge(now time.Time, vm string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peers[vm]
+	if p == nil || p.provenAt.IsZero() {
+		return 0
+	}
+	return now.Sub(p.provenAt)
+}
+
 // Size returns the number of known members, including this one.
 func (f *Fleet) Size() int {
 	f.mu.Lock()
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -24,7 +24,7 @@
 // a newer process, does not dispatch. One that is heard and reports a term goes on with it until it
 // hears this member in turn. The caller holds mu.
 func (f *Fleet) silence(now time.Time, p *peer) Silence {
-	age := now.Sub(p.lastContact)
+	age := now.Sub(p.provenAt)
 	switch {
 	case !p.listed && f.listRead && (p.heartbeat.Member.Draining || age > lostMemberRetention):
 		return SilenceNone
--- a/fleet/stale_answer_test.go
+++ b/fleet/stale_answer_test.go
@@ -17,7 +17,7 @@
 	recordHeartbeats(second, start, members[0])
 	now := start.Add(second.Timeout())
 	last := now.Add(-10 * time.Millisecond)
-	first.RecordHeartbeat(last, Heartbeat{Member: members[1]}, second.Reachable(last, "vm0"))
+	first.RecordHeartbeat(last, Heartbeat{Member: members[1], ContactAge: second.ContactAge(last, "vm0")}, second.Reachable(last, "vm0"))
 	require.False(t, second.Reachable(now, "vm0"))
 	require.NotEqual(t, SilenceNone, first.View(now, 0).Silence)
 }
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -308,9 +308,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 11
+	// map header, size 12
 	// string "f"
-	o = append(o, 0x8b, 0xa1, 0x66)
+	o = append(o, 0x8c, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -337,6 +337,9 @@
 	// string "a"
 	o = append(o, 0xa1, 0x61)
 	o = msgp.AppendBool(o, z.Answered)
+	// string "ca"
+	o = append(o, 0xa2, 0x63, 0x61)
+	o = msgp.AppendInt64(o, z.ContactAgeUS)
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendUint64(o, z.Digest)
@@ -422,6 +425,12 @@
 				err = msgp.WrapError(err, "Answered")
 				return
 			}
+		case "ca":
+			z.ContactAgeUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "ContactAgeUS")
+				return
+			}
 		case "g":
 			z.Digest, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -467,7 +476,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Members {
 		s += z.Members[za0001].Msgsize()
 	}
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -79,6 +79,9 @@
 	// Answered is true if the receiver has recently answered a heartbeat of the
 	// sender.
 	Answered bool `msg:"a"`
+	// ContactAgeUS is the time since the sender last knew that messages pass in
+	// both directions, in microseconds.
+	ContactAgeUS int64 `msg:"ca"`
 	// Digest is a hash of the members known to the sender.
 	Digest uint64 `msg:"g"`
 	// ClockUS is the sender's clock, in microseconds since its VM was started; 0
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -83,7 +83,7 @@
 		err := n.peers.Call(ctx, to.Address, n.newHeartbeat(to.VM), &answer)
 		switch {
 		case err == nil:
-			n.receiveHeartbeat(&answer, true)
+			n.receiveAnswer(&answer)
 		case errors.Is(err, syscall.ECONNREFUSED) && to.VM != "":
 			n.fleet.RecordConnectionRefused(to.VM, to.Incarnation)
 			n.wakeTermLoop()
@@ -100,6 +100,7 @@
 	digest, differs := n.fleet.Digest(peer)
 	h := &wire.FleetHeartbeat{
 		From: toWire(n.fleet.Self()), Term: n.announcedTerm(peer), Token: n.fleet.Token(),
+		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
 		UpstreamsRevision: n.registry.revision(), UpstreamsDigest: n.registry.listDigest(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
 	if table := n.table.Load(); table != nil {
@@ -128,12 +129,20 @@
 	return n.termFor(peer)
 }
 
+// receiveAnswer processes the answer to a heartbeat, which shows that messages pass in both
+// directions.
+func (n *Node) receiveAnswer(h *wire.FleetHeartbeat) {
+	h.ContactAgeUS = 0
+	n.receiveHeartbeat(h, true)
+}
+
 // receiveHeartbeat processes a heartbeat from a peer. bidirectional is true if
 // heartbeats pass in both directions.
 func (n *Node) receiveHeartbeat(h *wire.FleetHeartbeat, bidirectional bool) {
 	n.fleet.RecordHeartbeat(time.Now(), fleet.Heartbeat{
 		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, Digest: h.Digest,
-		Clock: time.Duration(h.ClockUS) * time.Microsecond,
+		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
+		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
 	}, bidirectional)
 	if h.Divided {
 		n.fleet.RecordDivision()
@@ -176,7 +185,7 @@
 	err := n.peers.Call(ctx, hello.Address, n.newHeartbeat(hello.VM), &answer)
 	switch {
 	case err == nil:
-		n.receiveHeartbeat(&answer, true)
+		n.receiveAnswer(&answer)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		n.fleet.RecordConnectionRefused(hello.VM, hello.Incarnation)
 		n.wakeTermLoop()
--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -174,7 +174,7 @@
 }
 
 func (n *splitNode) newHeartbeat(peer string) fleet.Heartbeat {
-	return fleet.Heartbeat{Member: n.member, Term: n.termFor(peer), Token: n.fleet.Token(), Clock: time.Hour + n.m.now.Sub(modelStart), UpstreamsDigest: n.listDigest()}
+	return fleet.Heartbeat{Member: n.member, Term: n.termFor(peer), Token: n.fleet.Token(), Clock: time.Hour + n.m.now.Sub(modelStart), UpstreamsDigest: n.listDigest(), ContactAge: n.fleet.ContactAge(n.m.now, peer)}
 }
 
 func (n *splitNode) sendHeartbeat(to fleet.Member) {
@@ -191,6 +191,7 @@
 		n.contacts[to.VM] = false
 		switch err {
 		case nil:
+			answer.ContactAge = 0
 			n.receiveHeartbeat(answer, true)
 		case errRefused:
 			n.fleet.RecordConnectionRefused(to.VM, to.Incarnation)
