node: a listing of the former term confirms the list of the next one

A listing that ends while a term begins compared itself with the start of the former term and then confirmed the list of the new one. ConfirmList names the term. It is also called with each view, so that a list fetched from a peer, or the end of the retention, confirms too.

TestListOfFormerTermConfirmsNextOne fails if ConfirmList does not compare the term.

--- a/node/registry.go
+++ b/node/registry.go
@@ -305,10 +305,14 @@
 // before may have started tasks: because it was read in this term, or because they have listed
 // the same ones.
 func (n *Node) confirmList(now time.Time) {
+	token := n.term.current() // read first: the list may be older than the next term
+	if token == 0 {
+		return
+	}
 	confirmed := n.deps.Store == nil || n.registry.currentSince(n.term.startTime()) ||
 		n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
 	if confirmed {
-		n.scheduler.ConfirmList()
+		n.scheduler.ConfirmList(token)
 	}
 }
 
--- a/node/term.go
+++ b/node/term.go
@@ -157,6 +157,7 @@
 		n.pollers.wakeAll() // with rivals, idle upstreams are polled too
 	}
 	n.notePeerLoss(v.Silence)
+	n.confirmList(now)
 	token := n.term.current()
 	self := n.fleet.Self()
 	switch {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -141,9 +141,9 @@
 	lackingSince time.Time
 	settledToken atomic.Int64 // token of the last term in which all runs of earlier dispatchers were known or over
 	partialList  atomic.Bool  // whether upstreams exist that this dispatcher does not claim
-	// listDoubtful means that dispatchers before may have started tasks on upstreams that are not
-	// listed.
-	listDoubtful atomic.Bool
+	// confirmedToken is the token of the term in which the list was found to have all upstreams on
+	// which dispatchers before may have started tasks, neverDoubted or doubtful.
+	confirmedToken atomic.Int64
 	// listCompleteSince is the time, in ns since start, from which the list of
 	// upstreams included all that may run tasks; 0 if it always did.
 	listCompleteSince atomic.Int64
@@ -247,12 +247,29 @@
 }
 
 // DoubtList notes that dispatchers before may have started tasks on upstreams that are not listed,
-// until ConfirmList is called. Jobs then wait as if an upstream had not answered.
-func (s *Scheduler) DoubtList() { s.listDoubtful.Store(true) }
+// until ConfirmList is called in the next term. Jobs then wait as if an upstream had not answered.
+func (s *Scheduler) DoubtList() { s.confirmedToken.Store(doubtful) }
 
 // ConfirmList notes that the list last passed to SetUpstreams has all upstreams on which dispatchers
-// before may have started tasks.
-func (s *Scheduler) ConfirmList() { s.listDoubtful.Store(false) }
+// before the term with a token may have started tasks.
+func (s *Scheduler) ConfirmList(token int64) {
+	if token == s.token.Load() {
+		s.confirmedToken.Store(token)
+	}
+}
+
+// listIsDoubtful reports whether the list has been doubted and not been confirmed in the term with
+// a token.
+func (s *Scheduler) listIsDoubtful(token int64) bool {
+	confirmed := s.confirmedToken.Load()
+	return confirmed != neverDoubted && confirmed != token
+}
+
+// Values of confirmedToken that are no tokens.
+const (
+	neverDoubted int64 = 0
+	doubtful     int64 = -1
+)
 
 // HasUnreachablePeers returns the value passed to SetUnreachablePeers.
 func (s *Scheduler) HasUnreachablePeers() bool { return s.unreachablePeers.Load() }
@@ -274,7 +291,7 @@
 	oldestPoll := now         // every upstream has answered a poll sent at this time or later
 	var latestStart time.Time // of an upstream's process
 	allHeld := true
-	listDoubtful := s.listDoubtful.Load() // read first: SetUpstreams comes before ConfirmList
+	listDoubtful := s.listIsDoubtful(token) // read first: SetUpstreams comes before ConfirmList
 	for _, shard := range s.upstreamShards {
 		state := shard.tick(now, s, &a)
 		oldestPoll = earlier(oldestPoll, state.oldestPoll)
--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -306,7 +306,7 @@
 	m.after(m.randomMillis(5, 40), func() {
 		n.do(func() {
 			if n.token == token && len(n.unlisted) == 0 { // the store has answered
-				n.scheduler.ConfirmList()
+				n.scheduler.ConfirmList(n.token)
 			}
 		})
 	})
@@ -359,7 +359,7 @@
 // confirmList tells the scheduler whether the dispatchers before have listed the same upstreams.
 func (n *splitNode) confirmList() {
 	if n.fleet.DispatchersListed(n.m.now.Add(-lapsedRetention), n.listDigest()) {
-		n.scheduler.ConfirmList()
+		n.scheduler.ConfirmList(n.token)
 	}
 }
 
--- a/scheduler/split_test.go
+++ b/scheduler/split_test.go
@@ -193,7 +193,7 @@
 	b.beginTerm(200)
 	u1 := b.upstreams["u1"].Info
 	b.scheduler.SetUpstreams(b.now, []scheduler.Upstream{u1}, false)
-	b.scheduler.ConfirmList()
+	b.scheduler.ConfirmList(200)
 	b.pollAll()
 	b.advance(20 * time.Millisecond)
 	b.offer(b.job("a", 0, 1))
@@ -220,7 +220,20 @@
 	b.offer(resumed)
 	b.advanceWithPolls(resumeTimeout - 100*time.Millisecond)
 	require.Empty(t, b.place())
-	b.scheduler.ConfirmList()
+	b.scheduler.ConfirmList(200)
 	b.advanceWithPolls(100 * time.Millisecond)
 	require.Len(t, b.place(), 1)
 }
+
+// A listing of the term before ends while the next term begins.
+func TestListOfFormerTermConfirmsNextOne(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	b.scheduler.DoubtList()
+	b.beginTerm(200)
+	b.scheduler.ConfirmList(100)
+	resumed := b.job("a", 0)
+	resumed.Resumed = true
+	b.offer(resumed)
+	b.advanceWithPolls(resumeTimeout - 100*time.Millisecond)
+	require.Empty(t, b.place())
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -300,7 +300,7 @@
 		u := shard.byName[entry.Name]
 		if u == nil {
 			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, undelivered: map[int64]struct{}{}, lastPoll: now, idleSince: now}
-			if s.Dispatching() && !s.listDoubtful.Load() {
+			if s.Dispatching() && !s.listIsDoubtful(s.token.Load()) {
 				u.usableFrom = now.Add(s.config.JoinDelay)
 			}
 			shard.add(u)
