fleet: slewed clocks, draining dispatchers, other scopes and restarts

A member that is not listed counts for 10 s instead of a minute as one that may dispatch: one that has crashed looks the same.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,6 +118,9 @@
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
+	// recentClock is the member's clock in a heartbeat of the last clockWindow, received at recentAt.
+	recentClock time.Duration
+	recentAt    time.Time
 }
 
 // Fleet is one member's knowledge of the others. It is safe for concurrent use.
@@ -184,15 +187,17 @@
 	if p != nil && p.heartbeat.Member.Incarnation >= m.Incarnation {
 		return false
 	}
-	listed := false
+	former := peer{}
 	if p != nil {
-		listed = p.listed
+		former = *p
 		f.digest ^= memberHash(p.heartbeat.Member)
 	} else if f.inScope(m) {
 		f.scopeSize++
 	}
 	f.digest ^= memberHash(m)
-	f.peers[m.VM] = &peer{heartbeat: Heartbeat{Member: m}, listed: listed}
+	f.peers[m.VM] = &peer{
+		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest,
+	}
 	return true
 }
 
@@ -230,7 +235,7 @@
 	}
 	delay := time.Duration(0)
 	if hb.Clock != 0 {
-		delay = max(p.clockBound(now)-hb.Clock, 0) // it was on its way for so long, or longer
+		delay = p.delayOf(now, hb.Clock)
 	}
 	if hb.Clock > p.clockBound(now) {
 		p.clock, p.clockAt = hb.Clock, now
@@ -392,6 +397,20 @@
 	return 0
 }
 
+// clockWindow is the time for which a heartbeat bounds the delay of later ones. Within it, a clock
+// that is slewed falls behind by less than the time between two heartbeats.
+const clockWindow = time.Second
+
+// delayOf returns for how long a heartbeat that carries the member's clock was on its way at least.
+func (p *peer) delayOf(now time.Time, clock time.Duration) time.Duration {
+	expected := p.recentClock + now.Sub(p.recentAt)
+	if clock < expected && now.Sub(p.recentAt) <= clockWindow {
+		return expected - clock
+	}
+	p.recentClock, p.recentAt = clock, now
+	return 0
+}
+
 // clockDrift is the greatest relative difference between the clocks of two VMs. Oscillators
 // of servers differ by less than a tenth of it.
 const clockDrift = 0.001
@@ -422,7 +441,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, p := range f.peers {
-		if p.dispatchedAt.After(since) && (digest == 0 || p.dispatchDigest != digest) {
+		if f.inScope(p.heartbeat.Member) && p.dispatchedAt.After(since) && (digest == 0 || p.dispatchDigest != digest) {
 			return false
 		}
 	}
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -18,7 +18,7 @@
 
 // lostMemberRetention is the time for which a member that is not heard may dispatch although the
 // store no longer lists it: it may be cut off from the store as well.
-const lostMemberRetention = time.Minute
+const lostMemberRetention = 10 * time.Second
 
 // silence returns the silence of a member. A member that has stopped gracefully, or whose VM has
 // a newer process, does not dispatch. One that is heard and reports a term goes on with it until it
@@ -26,7 +26,7 @@
 func (f *Fleet) silence(now time.Time, p *peer) Silence {
 	age := now.Sub(p.provenAt)
 	switch {
-	case !p.listed && f.listRead && (p.heartbeat.Member.Draining || age > lostMemberRetention):
+	case !p.listed && f.listRead && (p.heartbeat.Member.Draining && p.heartbeat.Term == 0 || age > lostMemberRetention):
 		return SilenceNone
 	case p.deaf || p.heartbeat.Term != 0 || age >= f.timeout():
 		return SilenceLong
