scheduler: claims of lost VMs go unnoticed, and a split outlives its term

Found by the review, each with a test that failed. - Idle upstreams were watched only while listed VMs were unreachable. The dispatcher of a VM that is lost and not listed, or that reports a term, could claim one unnoticed, and start the task of a returning caller. - A split of a former term was confirmed at the first tick of the next one, which gave up the jobs that it took over. - While leases are short, one lost poll ended the runs of an upstream: the polls wait for 50 ms at most now.

--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -39,7 +39,7 @@
 	u.dropSuspicion(poll.Sent)
 	u.setClock(now, report.Clock)
 	firstClaim := !u.claimed
-	if firstClaim && s.HasUnreachablePeers() && now.Sub(s.start)-time.Duration(s.termStart.Load()) > maxForeignLease {
+	if firstClaim && s.watchesIdle() && now.Sub(s.start)-time.Duration(s.termStart.Load()) > maxForeignLease {
 		// The jobs of this term no longer wait. Another dispatcher that had this upstream, and thus
 		// all of them, notices only now that it does not.
 		u.usableFrom = later(u.usableFrom, now.Add(lateClaimDelay))
--- a/scheduler/returning_caller_test.go
+++ b/scheduler/returning_caller_test.go
@@ -1,6 +1,7 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -182,3 +183,114 @@
 		})
 	}
 }
+
+// A VM is lost, but not listed, so that it is not among the unreachable ones. Its dispatcher claims
+// an upstream that is idle here.
+func TestLostMemberClaimsIdleUpstreamUnnoticed(t *testing.T) {
+	for _, unreachable := range []bool{true, false} {
+		t.Run(map[bool]string{true: "unreachable peers set", false: "as updateTerm leaves it"}[unreachable], func(t *testing.T) {
+			b := newTestHarness(t, "u1", "u2", "u3")
+			task := scheduler.Task{Job: "a", Index: 0}
+			first := b.newGroup(150, []string{"u1", "u2", "u3"}, []string{"u1", "u2", "u3"})
+			first.scheduler.SetUnreachablePeers(unreachable)
+			b.workAll(2*time.Second, task, first)
+			second := b.newGroup(200, []string{"u3"}, []string{"u3"})
+			b.workAll(time.Second, task, first, second)
+			b.upstreams["u1"].Speed, b.upstreams["u2"].Speed = 0.1, 0.1
+			first.offer(b.job("a", 0))
+			b.workAll(callerReturn, task, first, second)
+			require.Len(t, first.starts, 1)
+			require.NotEqual(t, "u3", first.starts[0].Upstream.Name)
+			second.offer(b.job("a", 0))
+			b.workAll(3*time.Second, task, first, second)
+		})
+	}
+}
+
+// A dispatcher takes over jobs in a term that begins long after one with a split.
+func TestSplitOfFormerTermIsConfirmedAtOnce(t *testing.T) {
+	for _, before := range []bool{false, true} {
+		t.Run(fmt.Sprintf("term in a split before: %v", before), func(t *testing.T) {
+			b := newTestHarness(t, "u1", "u2")
+			g := b.newGroup(150, []string{"u1", "u2"}, []string{"u1", "u2"})
+			if before {
+				g.reached = []string{"u1"}
+			}
+			b.workAll(2*time.Second, scheduler.Task{}, g)
+			require.Equal(t, before, g.scheduler.Split())
+			g.scheduler.EndTerm()
+			g.reached = []string{"u1", "u2"}
+			g.scheduler.SetPeerLoss(scheduler.PeersHeard)
+			b.advance(10 * time.Minute)
+			g.scheduler.SetPeerLoss(scheduler.PeerLost) // the dispatcher has just been lost
+			g.scheduler.BeginTerm(b.now, 300, resumeTimeout)
+			j := b.job("a", 0)
+			j.Sent, j.Resumed = b.now.Add(-callerReturn), true
+			g.offer(j)
+			g.record(g.scheduler.Tick(b.now))
+			require.False(t, g.scheduler.Split(), "confirmed at the first tick of the term")
+			require.Empty(t, g.notices)
+		})
+	}
+}
+
+// One poll is lost while leases are short.
+func TestShortLeaseLapsesWithLostPoll(t *testing.T) {
+	for _, c := range []struct {
+		loss  scheduler.PeerLoss
+		loses bool
+	}{{scheduler.PeersHeard, false}, {scheduler.PeersHeard, true}, {scheduler.PeerLost, false}, {scheduler.PeerLost, true}} {
+		t.Run(fmt.Sprintf("%v, poll lost %v", c.loss, c.loses), func(t *testing.T) {
+			b := newTestHarness(t, "u1")
+			g := b.newGroup(150, []string{"u1"}, []string{"u1"})
+			g.scheduler.SetPeerLoss(c.loss)
+			g.scheduler.SetUnreachablePeers(c.loss != scheduler.PeersHeard)
+			b.workAll(2*time.Second, scheduler.Task{}, g)
+			b.upstreams["u1"].Speed = 0.05
+			j := b.job("a", 0)
+			j.Deadline = b.now.Add(time.Minute)
+			g.offer(j)
+			b.workAll(200*time.Millisecond, scheduler.Task{}, g)
+			require.Len(t, g.starts, 1)
+			u, s := b.upstreams["u1"], g.scheduler
+			const timeout = 60 * time.Millisecond // node.maxTimeout; 30 ms at best
+			var poll scheduler.Poll
+			var answerAt time.Time
+			lost, pending, wasLost := false, false, false
+			began := b.now
+			for b.now.Sub(began) < 3*time.Second {
+				if pending && !b.now.Before(answerAt) {
+					pending = false
+					if lost {
+						lost = false
+						s.HandlePollResult(b.now, poll, scheduler.PollUnanswered, scheduler.PollReport{})
+					} else {
+						p := poll
+						p.Until = 0 // the lease was renewed when the poll arrived
+						result, report := u.Poll(b.now, p)
+						s.HandlePollResult(b.now, poll, result, report)
+					}
+				}
+				if !pending {
+					var due bool
+					if poll, due, _, _ = s.NextPoll(b.now, "u1"); due {
+						pending = true
+						lost = c.loses && !wasLost && poll.Wait > 0 && b.now.Sub(began) > 2*time.Second
+						answerAt = b.now.Add(poll.Wait + 10*time.Millisecond)
+						if lost { // the request is lost
+							wasLost = true
+							answerAt = b.now.Add(poll.Wait + timeout)
+						} else {
+							u.Poll(b.now, poll)
+						}
+					}
+				}
+				s.Tick(b.now)
+				b.now = b.now.Add(10 * time.Millisecond)
+				u.Advance(b.now)
+			}
+			require.Equal(t, c.loses, wasLost)
+			require.Len(t, b.runsOf(scheduler.Task{Job: "a", Index: 0}), 1, "the run has lapsed")
+		})
+	}
+}
--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -50,7 +50,7 @@
 	// callers may return, while a VM is not heard. A dispatcher notices claims of others
 	// maxPollWait late at most; these leases then end as early as others would without that.
 	shortLease    = 250 * time.Millisecond
-	shortPollWait = 100 * time.Millisecond
+	shortPollWait = 50 * time.Millisecond
 	// lateClaimDelay is the time for which an upstream gets no tasks that is claimed when the runs
 	// of earlier dispatchers count as over: the time until another one notices the claim by a poll,
 	// and the leases that it has renewed before.
@@ -75,11 +75,16 @@
 func (s *Scheduler) PeerLoss() PeerLoss { return PeerLoss(s.peerLoss.Load()) }
 
 // watchesIdle reports whether idle upstreams are polled, so that claims by others are noticed.
-func (s *Scheduler) watchesIdle() bool { return s.HasUnreachablePeers() || s.PeerLoss() == PeerSilent }
+func (s *Scheduler) watchesIdle() bool {
+	return s.HasUnreachablePeers() || s.PeerLoss() != PeersHeard
+}
 
 // updateSplit determines the state from the upstreams as a tick has found them.
-func (s *Scheduler) updateSplit(now time.Time, allHeld bool) {
+func (s *Scheduler) updateSplit(now time.Time, token int64, allHeld bool) {
 	state := splitNone
+	if s.splitToken != token {
+		s.splitToken, s.lackingSince = token, time.Time{}
+	}
 	lost := s.PeerLoss() == PeerLost
 	lacking := !allHeld || s.partialList.Load()
 	switch {
@@ -137,7 +142,7 @@
 	switch {
 	case s.splitState() != splitNone:
 		return leaseEnds
-	case s.PeerLoss() != PeersHeard && s.watchesIdle():
+	case s.PeerLoss() != PeersHeard:
 		return leaseShort
 	}
 	return leaseAny
