node: odd entries, missed entries and pauses hide upstreams with runs

It counts as lapsed now, with what it said before. - An upstream that joined and whose entry went between two readings of the list was never seen.

--- a/node/pause.go
+++ b/node/pause.go
@@ -59,6 +59,9 @@
 func (n *Node) restartTerm(now time.Time, pause time.Duration) {
 	n.term.transition.Lock()
 	defer n.term.transition.Unlock()
+	n.term.mu.Lock()
+	n.term.pausedAt = now
+	n.term.mu.Unlock()
 	dispatching := n.term.current() != 0
 	n.log.Warn("process was paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", dispatching))
 	if !dispatching {
--- a/node/registry.go
+++ b/node/registry.go
@@ -21,6 +21,10 @@
 // 2 s of its return.
 const lapseGrace = 2500 * time.Millisecond
 
+// maxReadGap is the time without an answer of the store after which upstreams may have joined and
+// lapsed unnoticed. It covers the interval between two listings and a slow answer.
+const maxReadGap = listInterval + storeTimeout/2
+
 // staleListTime is how long another VM may still use an upstream that is no
 // longer listed. It covers the interval between two watches and a slow answer.
 const staleListTime = 500 * time.Millisecond
@@ -34,8 +38,9 @@
 type registry struct {
 	mu            sync.Mutex // guards the fields below
 	newest        int64      // revision of the latest change; 0 before the first listing
-	listedAt      time.Time  // time of the first listing
-	updatedAt     time.Time  // when the store last answered
+	listedAt      time.Time  // time of the first listing, or of the first one after a maxReadGap
+	readAt        time.Time  // time of the last listing, or of the last answer to a watch
+	updatedAt     time.Time  // when the store last answered; zero before that
 	currentAt     time.Time  // the list has been that of the store at this time
 	digest        uint64     // hash of the names of the listed upstreams; 0 if there is none
 	pulledAt      time.Time  // when a peer last sent the list
@@ -95,6 +100,13 @@
 	r.updatedAt = now
 }
 
+// recordRead notes that a watch was answered: no change was missed.
+func (r *registry) recordRead(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.readAt = now
+}
+
 // recordCurrent notes that the list has been that of the store at a time.
 func (r *registry) recordCurrent(at time.Time) {
 	r.mu.Lock()
@@ -145,6 +157,7 @@
 		shouldWatch: n.scheduler.Dispatching,
 		shouldList:  n.mayDispatchSoon,
 		relist:      n.relistSignal,
+		onWatched:   func() { n.registry.recordRead(time.Now()) },
 		onList: func(items []store.Item, currentAt time.Time) {
 			n.registry.recordUpdate(time.Now())
 			newest := int64(1) // above 0, so that an empty list counts as listed
@@ -188,9 +201,10 @@
 		}
 	}
 	n.registry.newest = max(n.registry.newest, revision)
-	if n.registry.listedAt.IsZero() {
+	if n.registry.listedAt.IsZero() || now.Sub(n.registry.readAt) > maxReadGap {
 		n.registry.listedAt = now
 	}
+	n.registry.readAt = now
 	n.registry.mu.Unlock()
 	n.log.Info("upstreams listed", slog.Int("entries", len(items)), slog.Int64("revision", revision), slog.String("source", source))
 	n.applyUpstreams(now)
@@ -211,6 +225,10 @@
 	upstream, err := n.decodeUpstream(item)
 	if err != nil {
 		n.log.Warn("upstream entry ignored", slog.String("key", item.Key), slog.Any("error", err))
+		if present && known.valid {
+			n.markLapsed(time.Now(), item.Key) // the upstream may still run tasks
+			return
+		}
 	} else {
 		e.upstream, e.valid = upstream, true
 		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
@@ -274,7 +292,7 @@
 			delete(n.registry.entries, key)
 			continue
 		}
-		if e.valid && e.lapsedAt.IsZero() && v.InScope(self, e.upstream.DataCentre) {
+		if e.valid && v.InScope(self, e.upstream.DataCentre) {
 			digest ^= rendezvous.Hash(key)
 		}
 		switch {
@@ -310,7 +328,7 @@
 		return
 	}
 	confirmed := n.deps.Store == nil || n.registry.currentSince(n.term.startTime()) ||
-		n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
+		!n.term.pausedWithin(now, n.config.LapsedRetention) && n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
 	if confirmed {
 		n.scheduler.ConfirmList(token)
 	}
--- a/node/term.go
+++ b/node/term.go
@@ -76,6 +76,8 @@
 	reclaims    int       // consecutive reclaims
 	claimKey    string    // of the view for which upstreams were claimed
 
+	pausedAt time.Time // when a pause of this process last ended; zero if there was none
+
 	rivalSeenAt time.Time // when a present member was last unreachable; used by updateTerm only
 }
 
@@ -395,6 +397,14 @@
 	return now.Sub(start) > upstreamListTimeout || n.registry.updatedSince(start)
 }
 
+// pausedWithin reports whether this process was paused within a time before now. It then may not
+// have heard who has dispatched meanwhile.
+func (t *term) pausedWithin(now time.Time, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.pausedAt.IsZero() && now.Sub(t.pausedAt) < d
+}
+
 func (t *term) startTime() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
@@ -120,3 +121,94 @@
 		})
 	}
 }
+
+// Another writer overwrites the entry of an upstream that runs tasks.
+func TestNextDispatcherStartsTasksThatRunOnUpstreamWithOddEntry(t *testing.T) {
+	c := newClusterWith(t, 2, 4, 3*time.Second, shortRetention)
+	first := c.dispatcher()
+	c.awaitCompleteLists()
+	next := c.otherThan(first)
+	done := make(chan intake.Answer, 1)
+	go func() { done <- next.submit(context.Background(), "a", 6, waitTimeout) }()
+	c.wait("tasks run", func() bool { return c.upstreams.running() == 6 })
+	odd := c.upstreams.busiest()
+	c.store.Set("upstreams/"+odd, []byte("{"))
+	c.relist("the entry is odd", odd, func(e entry) bool { return !e.valid || !e.lapsedAt.IsZero() })
+	first.kill()
+	answer := <-done
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
+
+// An upstream joins, and its entry goes, while the next dispatcher cannot read the store.
+func TestNextDispatcherStartsTasksThatRunOnUpstreamThatJoinedAndLapsed(t *testing.T) {
+	c := newClusterWith(t, 0, 2, 5*time.Second, 4*time.Second)
+	joined := newModelUpstreams([]string{"joined"}, 0).byName["joined"]
+	joined.Speed = 0.5
+	stores := map[string]*gatedStore{}
+	for _, vm := range []string{"vm0", "vm1"} {
+		stores[vm] = &gatedStore{Store: c.store}
+		c.startWith(vm, stores[vm])
+	}
+	first := c.dispatcher()
+	next := c.otherThan(first)
+	c.wait("both have listed the upstreams", func() bool { return first.upstreamCount() == 2 && next.upstreamCount() == 2 })
+	c.awaitCompleteLists()
+	full, done := make(chan intake.Answer, 1), make(chan intake.Answer, 1)
+	go func() { full <- next.submit(context.Background(), "filler", 4, waitTimeout) }()
+	c.wait("the other upstreams are full", func() bool { return c.upstreams.running() == 4 })
+	stores[next.config.VM].cut.Store(true)
+	c.upstreams.add(joined)
+	c.putUpstream("joined", func(*scheduler.Upstream) {})
+	c.wait("the dispatcher has listed the upstream that joins", func() bool { return first.upstreamCount() == 3 })
+	go func() { done <- next.submit(context.Background(), "a", 2, waitTimeout) }()
+	c.wait("tasks run on the upstream that has joined", func() bool { return c.upstreams.running() == 6 })
+	require.Equal(t, intake.Succeeded, (<-full).Outcome)
+	_, err := c.store.Commit(context.Background(), store.Txn{Deletes: []string{"upstreams/joined"}})
+	require.NoError(t, err)
+	c.wait("the dispatcher has seen the entry go", func() bool {
+		first.registry.mu.Lock()
+		defer first.registry.mu.Unlock()
+		return !first.registry.entries["upstreams/joined"].lapsedAt.IsZero()
+	})
+	stores[next.config.VM].cut.Store(false)
+	c.upstreams.renew(joined, first.term.current())
+	first.kill()
+	answer := <-done
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
+
+// A dispatcher that was paused has not heard who has dispatched meanwhile.
+func TestPausedDispatcherConfirmsItsOldList(t *testing.T) {
+	c := newClusterWith(t, 0, 2, time.Second, 4*time.Second)
+	s := &gatedStore{Store: c.store}
+	c.startWith("vm0", s)
+	n := c.dispatcher()
+	c.awaitCompleteLists()
+	s.cut.Store(true)
+	n.restartTerm(time.Now(), 5*time.Second)
+	_, failure := n.scheduler.Offer(time.Now(), scheduler.Job{
+		ID: "a", Origin: "vm1", Submission: 1, Service: "rota", Queue: "alert", Tasks: []int{0}, Resumed: true, PreviousToken: 7, Sent: time.Now(),
+		Estimate: 100 * time.Millisecond, Size: scheduler.Size{MilliCPU: 7000}, Deadline: time.Now().Add(10 * time.Second), Term: n.termFor("vm1"),
+	})
+	require.Nil(t, failure)
+	n.pollers.wakeAll()
+	c.wait("the job has been released", func() bool { o, ok := n.scheduler.Offered("a"); return ok && !o.Held })
+	o, _ := n.scheduler.Offered("a")
+	require.Equal(t, scheduler.HoldTimedOut, o.Basis.Hold)
+}
+
+// A VM counts as lost that is not listed, or that reports a term of its own.
+func TestIdleUpstreamsAreNotWatchedWhileMemberMayDispatch(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Second)
+	n := c.dispatcher()
+	rival := fleet.Member{VM: "vm9", DataCentre: "dc", Address: freeAddress(t), Incarnation: uint64(time.Now().UnixNano()) * 2, Weight: 1}
+	for range 5 {
+		now := time.Now()
+		n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: rival, Term: 5}, true)
+		n.updateTerm(now)
+	}
+	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+	now := time.Now()
+	_, due, _, _ := n.scheduler.NextPoll(now, "u0")
+	require.True(t, due)
+}
--- a/node/watch.go
+++ b/node/watch.go
@@ -43,6 +43,8 @@
 	// if that is unknown. onEvents receives the changes since.
 	onList   func(items []store.Item, currentAt time.Time)
 	onEvents func(events []store.Event)
+	// onWatched is called after each answer to a watch, also without a change. It may be nil.
+	onWatched func()
 	// maxWait is the longest time that the store holds a watch open.
 	maxWait time.Duration
 	// interval is the delay between two watches. Events that arrive meanwhile are
@@ -144,6 +146,9 @@
 	if len(events) > 0 {
 		w.onEvents(events)
 	}
+	if w.onWatched != nil {
+		w.onWatched()
+	}
 	return w.interval, nil
 }
 
