--- a/node/registry.go
+++ b/node/registry.go
@@ -56,7 +56,8 @@
 	item     store.Item
 	upstream scheduler.Upstream
 	valid    bool
-	lapsedAt time.Time // when the entry was removed; zero while it exists
+	lapsedAt time.Time // when the entry was removed or became odd; zero before that
+	odd      bool      // the entry cannot be read; upstream is what it said before
 }
 
 // scopeSettleTime is how long the dispatchers of an earlier scope may still have runs on
@@ -215,7 +216,7 @@
 func (n *Node) putUpstream(item store.Item) {
 	known, present := n.registry.entries[item.Key]
 	if present && known.item.Revision >= item.Revision {
-		if known.item.Revision == item.Revision && !known.lapsedAt.IsZero() {
+		if known.item.Revision == item.Revision && !known.lapsedAt.IsZero() && !known.odd {
 			known.lapsedAt = time.Time{}
 			n.registry.entries[item.Key] = known
 		}
@@ -226,8 +227,13 @@
 	if err != nil {
 		n.log.Warn("upstream entry ignored", slog.String("key", item.Key), slog.Any("error", err))
 		if present && known.valid {
-			n.markLapsed(time.Now(), item.Key) // the upstream may still run tasks
-			return
+			// The upstream gets no tasks, but may still run some.
+			e.upstream, e.valid, e.odd = known.upstream, true, true
+			e.upstream.Draining = true
+			e.lapsedAt = known.lapsedAt
+			if e.lapsedAt.IsZero() {
+				e.lapsedAt = time.Now()
+			}
 		}
 	} else {
 		e.upstream, e.valid = upstream, true
