fleet: a late heartbeat counts as a present contact at the end of a window

What callers would see: two runs of a task in a split. Cause: the delay of a heartbeat was taken against one of the last second, which was then replaced by whatever came next, also by a late one. Change: the fastest heartbeat of the present second and of the one before are compared with.

--- a/fleet/delayed_heartbeat_test.go
+++ b/fleet/delayed_heartbeat_test.go
@@ -19,3 +19,18 @@
 	receive(last, now)
 	require.Equal(t, SilenceLong, f.View(now, 0).Silence)
 }
+
+// A heartbeat is delayed just as the fastest one before is no longer compared with.
+func TestDelayedHeartbeatBeginsClockWindow(t *testing.T) {
+	f, members := newFleet(1, "a")
+	receive := func(sent, received time.Time) {
+		f.RecordHeartbeat(received, Heartbeat{Member: members[1], Clock: time.Hour + sent.Sub(start)}, true)
+	}
+	last := start
+	for ; last.Sub(start) < clockWindow; last = last.Add(MinHeartbeatInterval) {
+		receive(last, last.Add(time.Duration(last.Sub(start)/MinHeartbeatInterval)*time.Millisecond))
+	}
+	now := last.Add(f.Timeout())
+	receive(last, now)
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,9 +118,10 @@
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
-	// recentClock is the member's clock in a heartbeat of the last clockWindow, received at recentAt.
-	recentClock time.Duration
-	recentAt    time.Time
+	// offset and formerOffset are the greatest differences between the member's clock and the time
+	// since offsetAt in the present clockWindow, which began at windowAt, and in the one before.
+	offset, formerOffset time.Duration
+	offsetAt, windowAt   time.Time
 }
 
 // Fleet is one member's knowledge of the others. It is safe for concurrent use.
@@ -397,18 +398,25 @@
 	return 0
 }
 
-// clockWindow is the time for which a heartbeat bounds the delay of later ones. Within it, a clock
-// that is slewed falls behind by less than the time between two heartbeats.
+// clockWindow is the time for which a heartbeat bounds the delay of later ones, or twice that. A
+// clock that is slewed falls behind by little within it.
 const clockWindow = time.Second
 
-// delayOf returns for how long a heartbeat that carries the member's clock was on its way at least.
+// delayOf returns for how long a heartbeat that carries the member's clock was on its way at least,
+// compared with the fastest one of the last clockWindow, and of the one before.
 func (p *peer) delayOf(now time.Time, clock time.Duration) time.Duration {
-	expected := p.recentClock + now.Sub(p.recentAt)
-	if clock < expected && now.Sub(p.recentAt) <= clockWindow {
-		return expected - clock
+	if p.windowAt.IsZero() {
+		p.windowAt, p.offsetAt, p.offset, p.formerOffset = now, now, clock, clock
+		return 0
 	}
-	p.recentClock, p.recentAt = clock, now
-	return 0
+	offset := clock - now.Sub(p.offsetAt)
+	fastest := max(p.offset, p.formerOffset)
+	if now.Sub(p.windowAt) > clockWindow {
+		p.windowAt, p.formerOffset, p.offset = now, p.offset, offset
+	} else {
+		p.offset = max(p.offset, offset)
+	}
+	return max(fastest-offset, 0)
 }
 
 // clockDrift is the greatest relative difference between the clocks of two VMs. Oscillators
