--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -115,6 +115,7 @@
 	dispatchedAt   time.Time
 	dispatchDigest uint64
 	listed         bool // present in the platform's store
+	replaced       bool // another process has its address
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -196,12 +197,24 @@
 		f.scopeSize++
 	}
 	f.digest ^= memberHash(m)
+	f.replaceAt(m)
 	f.peers[m.VM] = &peer{
 		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest,
 	}
 	return true
 }
 
+// replaceAt notes that a member has an address: two processes cannot listen at one, so that an
+// older one at the same address is gone. The caller holds mu.
+func (f *Fleet) replaceAt(m Member) {
+	for vm, p := range f.peers {
+		former := p.heartbeat.Member
+		if vm != m.VM && former.Address == m.Address && former.Incarnation < m.Incarnation {
+			p.replaced = true
+		}
+	}
+}
+
 // SetListed sets the members that the platform's store lists. An unreachable
 // member that is no longer listed is no longer present.
 func (f *Fleet) SetListed(members []Member) {
@@ -230,7 +243,7 @@
 	if p == nil || p.heartbeat.Member.Incarnation > hb.Member.Incarnation {
 		return
 	}
-	p.heartbeat = hb
+	p.heartbeat, p.replaced = hb, false
 	if hb.Term != 0 {
 		p.dispatchedAt, p.dispatchDigest = now, hb.UpstreamsDigest
 	}
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -16,17 +16,12 @@
 	SilenceLong
 )
 
-// lostMemberRetention is the time for which a member that is not heard may dispatch although the
-// store no longer lists it: it may be cut off from the store as well.
-const lostMemberRetention = 10 * time.Second
-
-// silence returns the silence of a member. A member that has stopped gracefully, or whose VM has
-// a newer process, does not dispatch. One that is heard and reports a term goes on with it until it
-// hears this member in turn. The caller holds mu.
+// silence returns the silence of a member. A member that has gone does not dispatch. One that is
+// heard and reports a term goes on with it until it hears this member in turn. The caller holds mu.
 func (f *Fleet) silence(now time.Time, p *peer) Silence {
 	age := now.Sub(p.provenAt)
 	switch {
-	case !p.listed && f.listRead && (p.heartbeat.Member.Draining && p.heartbeat.Term == 0 || age > lostMemberRetention):
+	case f.gone(p):
 		return SilenceNone
 	case p.deaf || p.heartbeat.Term != 0 || age >= f.timeout():
 		return SilenceLong
@@ -35,3 +30,12 @@
 	}
 	return SilenceNone
 }
+
+// gone reports whether it is proven that a member dispatches no longer. Neither the time for which
+// it has not been heard nor the end of its entry in the store proves that: a split that cuts it off
+// from the store as well looks the same, and may last for any time. A later process of its VM
+// replaces it. The caller holds mu.
+func (f *Fleet) gone(p *peer) bool {
+	stopped := !p.listed && f.listRead && p.heartbeat.Member.Draining && p.heartbeat.Term == 0
+	return stopped || p.replaced
+}
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -19,7 +19,7 @@
 		"heartbeat misses":               {nil, timeout * 3 / 4, SilenceShort},
 		"timeout":                        {nil, timeout, SilenceLong},
 		"no longer listed":               {lapsed, timeout, SilenceLong},
-		"not listed and silent for long": {lapsed, lostMemberRetention + 1, SilenceNone},
+		"not listed and silent for long": {lapsed, time.Hour, SilenceLong},
 		"stopped gracefully": {func(f *Fleet, members []Member) {
 			members[2].Draining = true
 			recordHeartbeats(f, start, members[2])
@@ -29,12 +29,29 @@
 			members[2].Incarnation++
 			recordHeartbeats(f, start.Add(timeout), members[2])
 		}, timeout, SilenceNone},
+		"another process at its address": {func(f *Fleet, members []Member) {
+			other := member(3, "a")
+			other.Address = members[2].Address
+			f.AddMembers([]Member{other})
+			recordHeartbeats(f, start.Add(timeout), other)
+		}, timeout, SilenceNone},
+		"an older process at its address": {func(f *Fleet, members []Member) {
+			other := member(3, "a")
+			other.Address, other.Incarnation = members[2].Address, 1
+			f.AddMembers([]Member{other})
+			recordHeartbeats(f, start.Add(timeout), other)
+		}, timeout, SilenceLong},
 		"does not hear this member": {func(f *Fleet, members []Member) {
 			f.RecordHeartbeat(start, Heartbeat{Member: members[2]}, false)
 		}, 0, SilenceLong},
 		"never heard": {func(f *Fleet, members []Member) {
 			f.SetListed(append(members, member(3, "a")))
 		}, 0, SilenceLong},
+		"never heard and no longer listed": {func(f *Fleet, members []Member) {
+			f.SetListed(append(members, member(3, "a")))
+			f.SetListed(members)
+			recordHeartbeats(f, start, members[2])
+		}, 0, SilenceLong},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f, members := newFleet(2, "a")
