node: upstreams of the other side are forgotten during a split

Callers of a split fleet may see two runs of a task: the entry of an upstream lapses, and 10 s later it is dropped from the list. Once the upstreams of the other side are dropped, all that are left are held, and the dispatcher takes itself to be in no split, however many VMs are lost.

Evidence: TestUpstreamOfOtherSideIsForgottenDuringSplit failed before, also for an entry that lapsed before the split.

An entry is dropped only after the retention has passed since it lapsed and since a VM was last lost: a VM that is heard learns that the entry has gone. Upstreams that neither answer nor are listed are polled every 10 s at most, and do not count for the division of the fleet.

--- a/node/registry.go
+++ b/node/registry.go
@@ -45,7 +45,10 @@
 	digest        uint64     // hash of the names of the listed upstreams; 0 if there is none
 	pulledAt      time.Time  // when a peer last sent the list
 	entries       map[string]entry
+	current       int // number of entries, without those that have lapsed longer than the retention ago
 	configuration store.Item
+	// lostAt is when a member that may dispatch was last not heard; zero if it was always heard.
+	lostAt time.Time
 	// scopeSince is the time since which dispatchers have claimed upstreams by the
 	// present scope, as far as this process knows.
 	scopeSince time.Time
@@ -74,17 +77,31 @@
 	r.scopeSince = now
 }
 
+// recordLoss notes that a member that may dispatch is not heard.
+func (r *registry) recordLoss(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lostAt = now
+}
+
+// forgets reports whether an entry has lapsed for so long that its upstream runs no tasks. A member
+// that is not heard may not have learnt that the entry has gone, and use the upstream. The
+// caller holds mu.
+func (r *registry) forgets(now time.Time, e entry, retention time.Duration) bool {
+	return !e.lapsedAt.IsZero() && now.Sub(e.lapsedAt) >= retention && (r.lostAt.IsZero() || now.Sub(r.lostAt) >= retention)
+}
+
 func (r *registry) revision() int64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.newest
 }
 
-// size returns the number of entries, including lapsed ones.
+// size returns the number of upstreams, including those whose entries have lapsed recently.
 func (r *registry) size() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.entries)
+	return r.current
 }
 
 // recordPull notes that a peer has sent the list.
@@ -290,14 +307,17 @@
 	if now.Sub(n.registry.listedAt) < n.config.LapsedRetention {
 		completeSince = n.registry.listedAt.Add(staleListTime)
 	}
-	digest := uint64(0)
+	digest, current := uint64(0), 0
 	partial := false // whether upstreams that this node does not claim may have runs of its jobs
 	for key, e := range n.registry.entries {
 		lapsedFor := now.Sub(e.lapsedAt)
-		if !e.lapsedAt.IsZero() && lapsedFor >= n.config.LapsedRetention {
+		if n.registry.forgets(now, e, n.config.LapsedRetention) {
 			delete(n.registry.entries, key)
 			continue
 		}
+		if e.lapsedAt.IsZero() || lapsedFor < n.config.LapsedRetention {
+			current++
+		}
 		if e.valid && v.InScope(self, e.upstream.DataCentre) {
 			digest ^= rendezvous.Hash(key)
 		}
@@ -312,7 +332,7 @@
 			partial = partial || v.InScope(self, e.upstream.DataCentre) || now.Sub(n.registry.scopeSince) < scopeSettleTime
 		}
 	}
-	n.registry.digest = digest
+	n.registry.digest, n.registry.current = digest, current
 	n.registry.mu.Unlock()
 	if n.scheduler.Dispatching() && n.fleet.RecordUpstreamCount(n.registry.size()) {
 		n.wakeTermLoop()
--- a/node/registry_test.go
+++ b/node/registry_test.go
@@ -106,3 +106,36 @@
 	n.replaceUpstreams(items, 5, "test")
 	require.Equal(t, []string{"u1", "u2"}, used(), "its next good entry counts")
 }
+
+// An upstream whose entry has lapsed may be used by a VM at the other side of a split, which has not
+// learnt that the entry has gone.
+func TestUpstreamOfOtherSideIsForgottenDuringSplit(t *testing.T) {
+	const retention = 10 * time.Second
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, LapsedRetention: retention, ConfigurationKey: "config"},
+		Dependencies{Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+	n.replaceUpstreams([]store.Item{
+		{Key: "u1", Value: []byte(`{"Name":"u1","Service":"rota"}`), Revision: 1},
+		{Key: "u2", Value: []byte(`{"Name":"u2","Service":"rota"}`), Revision: 2},
+	}, 2, "test")
+	other := fleet.Member{VM: "vm1", Incarnation: 1, DataCentre: "a", Address: "127.0.0.1:2"}
+	now := time.Now()
+	hear := func() { n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: other}, true) }
+	// pass lets time pass in steps and returns the number of upstreams that are known.
+	pass := func(d time.Duration, step func()) int {
+		for end := now.Add(d); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			step()
+			n.updateTerm(now)
+			n.applyUpstreams(now)
+		}
+		return len(n.registry.entries)
+	}
+	require.Equal(t, 2, pass(time.Second, hear))
+	n.registry.mu.Lock()
+	n.markLapsed(now, "u2") // before the split
+	n.registry.mu.Unlock()
+	require.Equal(t, 2, pass(retention/2, hear))
+	require.Equal(t, 2, pass(3*retention, func() {}), "vm1 is not heard")
+	require.Equal(t, 1, n.registry.size(), "it does not divide the fleet")
+	require.Equal(t, 2, pass(retention-time.Second, hear))
+	require.Equal(t, 1, pass(2*time.Second, hear), "vm1 has been heard for long enough")
+}
--- a/node/term.go
+++ b/node/term.go
@@ -159,6 +159,7 @@
 		n.pollers.wakeAll() // with rivals, idle upstreams are polled too
 	}
 	n.notePeerLoss(v.Silence)
+	n.noteLoss(now, old.Silence, v.Silence)
 	n.confirmList(now)
 	token := n.term.current()
 	self := n.fleet.Self()
@@ -197,6 +198,17 @@
 	n.pollers.wakeAll() // while a VM is not heard, idle upstreams are polled too
 }
 
+// noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not
+// heard, and for LapsedRetention after that.
+func (n *Node) noteLoss(now time.Time, before, silence fleet.Silence) {
+	switch {
+	case silence == fleet.SilenceLong:
+		n.registry.recordLoss(now)
+	case before == fleet.SilenceLong:
+		time.AfterFunc(n.config.LapsedRetention, func() { n.applyUpstreams(time.Now()) })
+	}
+}
+
 // logView logs a view that differs from the previous one in its dispatcher or its
 // members.
 func (n *Node) logView(old, v *fleet.View) {
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -269,7 +269,11 @@
 // notePollFailure counts a failed poll and sets the time of the next one.
 func (u *upstream) notePollFailure(now time.Time) {
 	if u.pollFailures > 0 {
-		u.retryAt = now.Add(min(minPollBackoff<<min(u.pollFailures-1, maxBackoffDoublings), maxPollBackoff))
+		longest := maxPollBackoff
+		if u.Missing {
+			longest = maxMissingPollBackoff
+		}
+		u.retryAt = now.Add(min(minPollBackoff<<min(u.pollFailures-1, maxBackoffDoublings), longest))
 	}
 	u.pollFailures++
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -87,10 +87,12 @@
 	peerRenewalTime = orphanTimeout + lease + 200*time.Millisecond
 	// minPollBackoff is the delay after the second consecutive failed poll. It
 	// doubles with each further failure up to maxPollBackoff, so that an
-	// upstream that is gone costs little.
-	minPollBackoff      = 100 * time.Millisecond
-	maxPollBackoff      = 800 * time.Millisecond
-	maxBackoffDoublings = 3
+	// upstream that is gone costs little, or up to maxMissingPollBackoff if the platform does not
+	// list it either.
+	minPollBackoff        = 100 * time.Millisecond
+	maxPollBackoff        = 800 * time.Millisecond
+	maxMissingPollBackoff = 10 * time.Second
+	maxBackoffDoublings   = 7
 	// suspectFailures is the number of consecutive failed polls after which an
 	// upstream gets no new tasks. A single poll can get lost.
 	suspectFailures = 2
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -309,6 +309,9 @@
 		if u.Address != entry.Address {
 			u.claimed, u.retryAt = false, time.Time{}
 		}
+		if u.Missing && !entry.Missing {
+			u.retryAt = time.Time{}
+		}
 		u.Upstream, u.listed = entry, true
 		shard.mu.Unlock()
 	}
