scheduler: a split is lost with each new term

Callers of a split fleet may see two runs of a task: a dispatcher in a split that begins a term, because another one has claimed upstreams, takes itself to be in no split until the first tick and confirms it 0.3 s later. With terms in quick succession the split is never confirmed, and jobs are not given up in time.

Evidence: TestSplitIsLostWithEachTerm failed before; on real processes, the log of a dispatcher had "split" and "the split is over" 20 to 60 ms apart.

A split goes on in a term that follows another one directly.

--- a/scheduler/returning_caller_test.go
+++ b/scheduler/returning_caller_test.go
@@ -234,6 +234,23 @@
 	}
 }
 
+// A dispatcher in a split begins terms again and again, because the other one claims upstreams.
+func TestSplitIsLostWithEachTerm(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	g := b.newGroup(150, []string{"u1", "u2"}, []string{"u1"})
+	b.workAll(time.Second, scheduler.Task{}, g)
+	require.True(t, g.scheduler.Split())
+	for token := range int64(10) {
+		g.scheduler.BeginTerm(b.now, 200+token, resumeTimeout)
+		require.True(t, g.scheduler.Split(), "before the first tick")
+		for range 20 {
+			g.work()
+			require.True(t, g.scheduler.Split())
+			b.advance(10 * time.Millisecond)
+		}
+	}
+}
+
 // One poll is lost while leases are short.
 func TestShortLeaseLapsesWithLostPoll(t *testing.T) {
 	for _, c := range []struct {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -138,10 +138,10 @@
 	unreachablePeers atomic.Bool   // whether unreachable peers may have claimed unresponsive upstreams
 	peerLoss         atomic.Uint32 // a PeerLoss
 	split            atomic.Uint32 // a splitState, as of the last tick
-	// lackingSince is the time from which a VM has been lost and an upstream not held in the term
-	// with splitToken, or zero. Both are used by Tick only.
+	// lackingSince is the time from which a VM has been lost and an upstream not held, in the present
+	// term and those before that ended as the next one began, or zero. It is used by Tick only.
 	lackingSince time.Time
-	splitToken   int64
+	resetSplit   atomic.Bool  // whether the term does not follow another one, so that lackingSince is void
 	settledToken atomic.Int64 // token of the last term in which all runs of earlier dispatchers were known or over
 	partialList  atomic.Bool  // whether upstreams exist that this dispatcher does not claim
 	// confirmedToken is the token of the term in which the list was found to have all upstreams on
@@ -217,7 +217,10 @@
 	former := s.token.Swap(0)
 	s.resumeTimeout.Store(int64(resumeTimeout))
 	s.termStart.Store(int64(now.Sub(s.start)))
-	s.split.Store(uint32(splitNone))
+	if former == 0 {
+		s.resetSplit.Store(true)
+		s.split.Store(uint32(splitNone))
+	}
 	// The jobs are reset last, so that no report of the earlier term is recorded afterwards.
 	for _, shard := range s.upstreamShards {
 		shard.beginTerm(now)
@@ -302,7 +305,7 @@
 		latestStart = later(latestStart, state.latestStart)
 		allHeld = allHeld && state.allHeld
 	}
-	s.updateSplit(now, token, allHeld)
+	s.updateSplit(now, allHeld)
 	s.finishLost(now, &a)
 	s.noteCoverage(token, a.coverage)
 	if s.partialList.Load() || listDoubtful {
--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -79,11 +79,12 @@
 	return s.HasUnreachablePeers() || s.PeerLoss() != PeersHeard
 }
 
-// updateSplit determines the state from the upstreams as a tick has found them.
-func (s *Scheduler) updateSplit(now time.Time, token int64, allHeld bool) {
+// updateSplit determines the state from the upstreams as a tick has found them. A split goes on in a
+// term that follows another one: its upstreams are claimed one by one.
+func (s *Scheduler) updateSplit(now time.Time, allHeld bool) {
 	state := splitNone
-	if s.splitToken != token {
-		s.splitToken, s.lackingSince = token, time.Time{}
+	if s.resetSplit.Swap(false) {
+		s.lackingSince = time.Time{}
 	}
 	lost := s.PeerLoss() == PeerLost
 	lacking := !allHeld || s.partialList.Load()
