Log which VMs are lost, what a split lacks, and why it ends

Operators could not tell from the logs why a dispatcher no longer took itself to be in a split: "fleet view changed" gives counts of reachable members, "split: ..." the number of fenced upstreams, and "the split is over" nothing. A split that ended with a new term had no line at all, because the state was compared just before and after a tick and a term begins between two ticks.

fleet.View names the members that may dispatch and are not heard, with the time of the last contact, whether the store lists them, and why they count. The scheduler counts the upstreams that are not held by reason; the lines of a split contain these counts and the names, the line of its end the reason. Metrics: mustardstep_members_lost, mustardstep_split_level, mustardstep_splits_ended_total{reason}. No decision changes.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -38,6 +38,8 @@
 	Unreachable []Member
 	// Silence tells whether a member that may dispatch has not been heard.
 	Silence Silence
+	// Lost are the members that may dispatch and are not heard, by VM.
+	Lost []LostMember
 	// Minority reports that fewer than half of the present members form this
 	// group. Only candidates know it, since only they receive heartbeats from
 	// all members.
@@ -71,7 +73,9 @@
 		if !f.inScope(m) {
 			continue
 		}
-		v.Silence = max(v.Silence, f.silence(now, p))
+		silence := f.silence(now, p)
+		v.Silence = max(v.Silence, silence)
+		v.addLost(f, now, p, silence, term)
 		if !f.reachable(now, p) {
 			if p.listed || !f.listRead {
 				v.Unreachable = append(v.Unreachable, m)
@@ -89,6 +93,7 @@
 			v.Dispatcher, v.Term = m, p.heartbeat.Term
 		}
 	}
+	v.sortLost()
 	ahead := 0
 	for _, r := range v.Reachable {
 		if compareRank(r.Member, f.self) < 0 {
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -143,7 +143,7 @@
 
 // tickLoop calls the scheduler's Tick.
 func (n *Node) tickLoop(ctx context.Context) error {
-	coverage := logging.NewCoverageLog(n.log)
+	coverage, splits := logging.NewCoverageLog(n.log), logging.NewSplitLog(n.log)
 	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -156,26 +156,14 @@
 			return err
 		}
 		now := time.Now()
-		before := n.scheduler.Split()
 		n.apply(n.scheduler.Tick(now))
-		n.logSplit(before)
+		n.logSplit(now, splits)
 		c, ok := n.scheduler.Coverage()
 		coverage.Observe(now, c, ok)
 		n.wakePlaceLoop()
 	}
 }
 
-// logSplit logs that other VMs may dispatch, or no longer.
-func (n *Node) logSplit(before bool) {
-	switch now := n.scheduler.Split(); {
-	case now == before:
-	case now:
-		n.log.Warn("split: other VMs may dispatch, jobs end before their callers can return", slog.Int("fenced", n.scheduler.FencedUpstreams()))
-	default:
-		n.log.Info("the split is over")
-	}
-}
-
 // startRun sends a start order and passes the answer to the scheduler.
 func (n *Node) startRun(ctx context.Context, start scheduler.Start) {
 	sent := time.Now()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -39,6 +39,9 @@
 	for o := range m.answerTimes {
 		m.answerTimes[o] = set.NewHistogram(fmt.Sprintf("mustardstep_answer_seconds{outcome=%q}", intake.Outcome(o)))
 	}
+	for _, end := range scheduler.SplitEnds() {
+		set.NewCounter(fmt.Sprintf("mustardstep_splits_ended_total{reason=%q}", end))
+	}
 	for _, r := range scheduler.OrderResults() {
 		m.starts = append(m.starts, set.NewCounter(fmt.Sprintf("mustardstep_starts_total{result=%q}", r)))
 	}
@@ -65,6 +68,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
 }
 
+// observeSplitEnd counts a split that is over.
+func (m *Metrics) observeSplitEnd(end scheduler.SplitEnd) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_splits_ended_total{reason=%q}", end)).Inc()
+}
+
 // Starts returns the number of start orders by result.
 func (m *Metrics) Starts() map[string]uint64 {
 	starts := map[string]uint64{}
@@ -86,6 +94,11 @@
 	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
+	set.NewGauge("mustardstep_members_lost", func() float64 { return float64(len(n.view.Load().Lost)) })
+	set.NewGauge("mustardstep_split_level", func() float64 {
+		report := n.scheduler.SplitReport()
+		return float64(report.Level())
+	})
 	set.NewGauge("mustardstep_configuration_version", func() float64 {
 		if t := n.table.Load(); t != nil {
 			return float64(t.Version)
--- a/node/node.go
+++ b/node/node.go
@@ -152,6 +152,7 @@
 	log       *slog.Logger
 	decisions logging.DecisionLog
 	metrics   *Metrics
+	losses    *logging.LossLog
 
 	fleet     *fleet.Fleet
 	scheduler *scheduler.Scheduler
@@ -209,6 +210,7 @@
 		announceSignal: make(chan struct{}, 1),
 		pullFrom:       make(chan string, 1),
 	}
+	n.losses = logging.NewLossLog(n.log)
 	n.runCtx, n.cancelRun = context.WithCancel(context.Background())
 	n.origins.byVM = map[string]*origin{}
 	n.outboxes.byVM = map[string]*outbox{}
--- a/node/term.go
+++ b/node/term.go
@@ -143,6 +143,7 @@
 	v := n.fleet.View(now, n.termFor(n.config.VM))
 	n.view.Store(&v)
 	n.logView(old, &v)
+	n.logLosses(now, &v)
 	if old.Scope != v.Scope {
 		n.registry.setScopeSince(now)
 		time.AfterFunc(scopeSettleTime, func() { n.applyUpstreams(time.Now()) })
@@ -204,7 +205,7 @@
 		return
 	}
 	n.log.Info("fleet view changed", slog.String("scope", v.Scope.String()), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.TopRanked.VM),
-		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
+		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Int("lost", len(v.Lost)), slog.Bool("minority", v.Minority))
 }
 
 // canStartTerm reports whether this node may start a term.
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -29,6 +29,8 @@
 	expired []CompletionRef
 	// coverage counts the upstreams that a tick has visited.
 	coverage Coverage
+	// lacking counts those of them that another dispatcher may use.
+	lacking Lacking
 }
 
 // LostRun is a run that is over although its upstream listed no completion.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -161,6 +161,7 @@
 	resumeTimeout atomic.Int64
 	waiting       atomic.Int64
 	coverage      atomic.Pointer[termCoverage] // as of the last tick
+	splitReport   atomic.Pointer[SplitReport]  // as of the last tick
 }
 
 // New returns a Scheduler that does not dispatch until BeginTerm is called.
@@ -303,6 +304,7 @@
 	s.updateSplit(now, token, allHeld)
 	s.finishLost(now, &a)
 	s.noteCoverage(token, a.coverage)
+	s.noteSplit(token, a.lacking)
 	if s.partialList.Load() || listDoubtful {
 		oldestPoll = time.Time{}
 	}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -205,6 +205,7 @@
 	}
 	for _, u := range slices.Clone(s.all) {
 		a.coverage.count(u)
+		a.lacking.count(u, now, watched)
 		if u.listed {
 			state.oldestPoll = earlier(state.oldestPoll, u.polledAt())
 			state.latestStart = later(state.latestStart, u.startTime())
