node: a VM that starts in a split takes itself for alone

Callers of a split fleet may see two runs of a task: a VM that starts during the split, when the entries of the lost VMs have lapsed, knows neither them nor the upstreams that they use. Its runs are not bound by the return of callers.

Each VM writes an entry without a lease, the roster, when it registers, in the same call. It removes it at the end of a graceful stop; its next process overwrites it; operators remove that of a VM that is gone for good. A VM reads the roster before its first term, and while it dispatches and a VM is lost, every 2 s: an entry that has gone proves that the VM has gone. While a lost VM was never heard, upstreams may be missing from the list.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -114,8 +114,11 @@
 	// upstreams in that report.
 	dispatchedAt   time.Time
 	dispatchDigest uint64
+	heard          bool // has sent a heartbeat or answered one
 	listed         bool // present in the platform's store
 	replaced       bool // another process has its address
+	rostered       bool // has been on the roster
+	removed        bool // has been on the roster, and no longer is
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -176,6 +179,9 @@
 			added = append(added, m)
 		}
 	}
+	if len(added) > 0 {
+		f.recount()
+	}
 	return added
 }
 
@@ -193,8 +199,6 @@
 	if p != nil {
 		former = *p
 		f.digest ^= memberHash(p.heartbeat.Member)
-	} else if f.inScope(m) {
-		f.scopeSize++
 	}
 	f.digest ^= memberHash(m)
 	f.replaceAt(m)
@@ -230,6 +234,7 @@
 			p.listed = true
 		}
 	}
+	f.recount()
 }
 
 // RecordHeartbeat records a heartbeat of a member. bidirectional reports
@@ -237,13 +242,17 @@
 func (f *Fleet) RecordHeartbeat(now time.Time, hb Heartbeat, bidirectional bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addMember(hb.Member)
+	added := f.addMember(hb.Member)
 	f.token = max(f.token, hb.Token)
 	p := f.peers[hb.Member.VM]
 	if p == nil || p.heartbeat.Member.Incarnation > hb.Member.Incarnation {
 		return
 	}
-	p.heartbeat, p.replaced = hb, false
+	if added || !p.heard {
+		p.heard = true
+		f.recount()
+	}
+	p.heartbeat, p.replaced, p.removed = hb, false, false
 	if hb.Term != 0 {
 		p.dispatchedAt, p.dispatchDigest = now, hb.UpstreamsDigest
 	}
--- a/fleet/lost.go
+++ b/fleet/lost.go
@@ -37,8 +37,11 @@
 	// LossEndTermOver means that the member was heard all the time, and that its term or that of
 	// this member is over.
 	LossEndTermOver
-	// LossEndReplaced means that a later process of the VM was heard or listed.
+	// LossEndReplaced means that a later process of the VM was heard or listed, or that another VM
+	// has its address.
 	LossEndReplaced
+	// LossEndRemoved means that the member is no longer on the roster.
+	LossEndRemoved
 	// LossEndStopped means that the member had announced its stop and has left the store.
 	LossEndStopped
 	// LossEndScope means that the member is no longer known, or belongs to another scope.
@@ -50,7 +53,7 @@
 
 // String returns the text used in logs.
 func (e LossEnd) String() string {
-	return [...]string{"heard again", "term over", "later process", "stopped gracefully", "not in scope", "forgotten"}[e]
+	return [...]string{"heard again", "term over", "later process", "removed from the roster", "stopped gracefully", "not in scope", "forgotten"}[e]
 }
 
 // LostMember is a member that may dispatch and is not heard.
@@ -85,6 +88,12 @@
 	v.Lost = append(v.Lost, lost)
 }
 
+// LostUnheard reports whether a lost member has never been heard. It may use upstreams whose
+// entries lapsed before this process first listed them.
+func (v *View) LostUnheard() bool {
+	return slices.ContainsFunc(v.Lost, func(m LostMember) bool { return m.HeardAt.IsZero() })
+}
+
 // sortLost orders the lost members by VM.
 func (v *View) sortLost() {
 	slices.SortFunc(v.Lost, func(a, b LostMember) int { return cmp.Compare(a.VM, b.VM) })
@@ -98,12 +107,14 @@
 	switch {
 	case p == nil || !f.inScope(p.heartbeat.Member):
 		return LossEndScope
-	case p.heartbeat.Member.Incarnation > lost.Incarnation:
+	case p.heartbeat.Member.Incarnation > lost.Incarnation || p.replaced:
 		return LossEndReplaced
 	case f.proven(now, p) && lost.Reason == LossOwnTerm:
 		return LossEndTermOver
 	case f.proven(now, p):
 		return LossEndHeard
+	case p.removed:
+		return LossEndRemoved
 	case p.heartbeat.Member.Draining && p.heartbeat.Term == 0:
 		return LossEndStopped
 	}
--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -55,9 +55,17 @@
 	if f.scope == ScopeDataCentre {
 		return
 	}
-	f.scope, f.scopeSize = ScopeDataCentre, 1
+	f.scope = ScopeDataCentre
+	f.recount()
+}
+
+// recount determines the size of the scope. Members of which only others or the roster tell do not
+// count: they may have terminated long ago, and heartbeats must not become rarer with their
+// number. The caller holds mu.
+func (f *Fleet) recount() {
+	f.scopeSize = 1
 	for _, p := range f.peers {
-		if f.inScope(p.heartbeat.Member) {
+		if f.inScope(p.heartbeat.Member) && (p.heard || p.listed || !f.listRead) {
 			f.scopeSize++
 		}
 	}
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -37,5 +37,5 @@
 // replaces it. The caller holds mu.
 func (f *Fleet) gone(p *peer) bool {
 	stopped := !p.listed && f.listRead && p.heartbeat.Member.Draining && p.heartbeat.Term == 0
-	return stopped || p.replaced
+	return stopped || p.replaced || p.removed
 }
--- a/node/node.go
+++ b/node/node.go
@@ -94,6 +94,9 @@
 	// Store keys and prefixes. If ConfigurationKey is empty, the node reads no
 	// configuration and each job carries its queue.
 	ConfigurationKey, UpstreamPrefix, MemberPrefix string
+	// RosterPrefix is the prefix of the roster. If empty, a process that starts during a split
+	// does not learn of members whose entries have lapsed.
+	RosterPrefix string
 }
 
 // Dependencies holds the services that a node uses.
@@ -170,6 +173,7 @@
 
 	table    atomic.Pointer[routing.Table] // nil before the first configuration
 	registry registry
+	roster   roster
 	view     atomic.Pointer[fleet.View]
 
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
@@ -217,6 +221,7 @@
 	n.withdrawals.byVM = map[string]*withdrawalQueue{}
 	n.pollers.init()
 	n.registry.init()
+	n.roster.init(config.RosterPrefix == "" || deps.Store == nil)
 	n.view.Store(&fleet.View{TopRanked: self, TopInDataCentre: true, Candidate: true})
 	n.peers = deps.Peers
 	if n.peers == nil {
@@ -257,6 +262,7 @@
 		select {
 		case <-ctx.Done():
 			n.drain(front)
+			n.leaveRoster()
 		case <-n.runCtx.Done():
 		}
 		n.Stop()
@@ -292,6 +298,7 @@
 		g.Go(func() error { return n.watchUpstreams(ctx) })
 		g.Go(func() error { return n.watchMembers(ctx) })
 		g.Go(func() error { return n.registerLoop(ctx) })
+		g.Go(func() error { return n.rosterLoop(ctx) })
 	}
 	err := g.Wait()
 	n.log.Info("node stopped", slog.Int("jobs_without_answer", n.jobs.Len()))
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -239,7 +239,7 @@
 	config := Config{
 		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: c.lapsedRetention,
 		DrainDelay: 50 * time.Millisecond, DrainTimeout: waitTimeout, Seeds: seeds,
-		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/",
+		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/", RosterPrefix: "roster/",
 	}
 	n := &testNode{stopped: make(chan struct{})}
 	n.Node = New(config, Dependencies{
--- a/node/registry.go
+++ b/node/registry.go
@@ -308,7 +308,8 @@
 		completeSince = n.registry.listedAt.Add(staleListTime)
 	}
 	digest, current := uint64(0), 0
-	partial := false // whether upstreams that this node does not claim may have runs of its jobs
+	// Whether upstreams that this node does not claim may have runs of its jobs.
+	partial := v.LostUnheard()
 	for key, e := range n.registry.entries {
 		lapsedFor := now.Sub(e.lapsedAt)
 		if n.registry.forgets(now, e, n.config.LapsedRetention) {
--- /dev/null
+++ b/node/roster.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/internal/wait"
+	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/store"
+)
+
+// leaveTimeout limits the time to remove the entry in the roster at the end of a graceful stop.
+const leaveTimeout = 200 * time.Millisecond
+
+// roster is what this process knows of the roster in the store: an entry without a lease for
+// each VM that has registered, until it has stopped gracefully or operators have removed it.
+type roster struct {
+	mu       sync.Mutex // guards the fields below
+	unused   bool       // there is no roster
+	read     bool       // it has been read
+	revision int64      // of the own entry; 0 if it was not written
+}
+
+func (r *roster) init(unused bool) { r.unused = unused }
+
+// known reports whether the members that may be lost are known.
+func (r *roster) known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unused || r.read
+}
+
+// shouldEnter reports whether the own entry is to be written.
+func (r *roster) shouldEnter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.unused && r.revision == 0
+}
+
+func (r *roster) noteEntered(revision int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision = revision
+}
+
+func (r *roster) noteRead() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.read = true
+}
+
+// ownRevision returns the revision of the own entry, or 0.
+func (r *roster) ownRevision() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// rosterLoop reads the roster after the start, and while this node dispatches and a member is
+// lost: its removal proves that it has gone.
+func (n *Node) rosterLoop(ctx context.Context) error {
+	if n.roster.unused {
+		return nil
+	}
+	for ctx.Err() == nil {
+		pause := listInterval
+		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence == fleet.SilenceLong {
+			if err := n.readRoster(ctx); err != nil {
+				n.log.Debug("failed to read the roster", slog.Any("error", err))
+				pause = storeRetryDelay
+			}
+		}
+		wait.For(ctx, pause)
+	}
+	return nil
+}
+
+// readRoster reads the roster. A stale copy would not do: it may lack a member that has
+// registered since.
+func (n *Node) readRoster(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, _, err := store.List(callCtx, n.deps.Store, n.config.RosterPrefix, false)
+	if err != nil {
+		return err
+	}
+	members := make([]fleet.Member, 0, len(items))
+	for _, item := range items {
+		var m wire.FleetMember
+		if err := json.Unmarshal(item.Value, &m); err != nil {
+			n.log.Warn("roster entry cannot be read", slog.String("key", item.Key), slog.Any("error", err))
+			m = wire.FleetMember{VM: strings.TrimPrefix(item.Key, n.config.RosterPrefix)}
+		}
+		members = append(members, fromWire(m))
+	}
+	n.fleet.SetRoster(members)
+	n.roster.noteRead()
+	n.wakeTermLoop()
+	return nil
+}
+
+// leaveRoster removes the own entry after a graceful stop, unless this process still
+// dispatches. An entry that is left counts as that of a VM which may dispatch, until its next
+// process replaces it.
+func (n *Node) leaveRoster() {
+	revision := n.roster.ownRevision()
+	if revision == 0 || n.scheduler.Dispatching() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.runCtx, leaveTimeout)
+	defer cancel()
+	key := n.config.RosterPrefix + n.config.VM
+	_, err := n.deps.Store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: key, Revision: revision}}, Deletes: []string{key}})
+	if err != nil {
+		n.log.Info("failed to leave the roster", slog.Any("error", err))
+	}
+}
--- /dev/null
+++ b/node/roster_test.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/fleet"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/store"
+	"github.com/stretchr/testify/require"
+)
+
+// putRoster writes the entry of a VM that has registered earlier.
+func (c *cluster) putRoster(vm string) {
+	value, err := json.Marshal(toWire(fleet.Member{VM: vm, Incarnation: 1, DataCentre: "dc", Address: freeAddress(c.t), Weight: 400}))
+	require.NoError(c.t, err)
+	c.store.Set("roster/"+vm, value)
+}
+
+// A VM starts during a split in which the others have lost the store as well, so that their
+// entries have lapsed. It does not know of them, and of no upstream that they use.
+func TestVMThatStartsInSplitTakesItselfForAlone(t *testing.T) {
+	c := newCluster(t, 0, 1, time.Millisecond)
+	c.putRoster("vm9")
+	n := c.start("vm0")
+	c.dispatcher()
+	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+	c.wait("upstreams may be missing from the list", func() bool { return n.scheduler.SplitReport().Lacking.Partial })
+
+	_, err := c.store.Commit(context.Background(), store.Txn{Deletes: []string{"roster/vm9"}})
+	require.NoError(t, err)
+	c.wait("vm9 was removed", func() bool { return n.scheduler.PeerLoss() == scheduler.PeersHeard })
+	c.wait("no upstream is missing", func() bool { return !n.scheduler.SplitReport().Lacking.Partial })
+}
+
+// A VM whose list is that of a peer has not read the roster yet.
+func TestDispatcherStartsWithoutRoster(t *testing.T) {
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, RosterPrefix: "roster/"},
+		Dependencies{Store: store.NewMemory(), Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+	now := time.Now()
+	n.started = now.Add(-time.Minute)
+	n.replaceUpstreams(nil, 1, "test")
+	canStart := func() bool { v := n.fleet.View(now, 0); return n.canStartTerm(now, &v) }
+	require.False(t, canStart())
+	require.NoError(t, n.readRoster(t.Context()))
+	require.True(t, canStart())
+}
+
+// A VM that has stopped gracefully is known to be gone, also if nobody has heard its last heartbeat.
+func TestGracefulStopLeavesRoster(t *testing.T) {
+	c := newCluster(t, 2, 1, time.Millisecond)
+	first := c.dispatcher()
+	entries := func() int {
+		items, _, err := store.List(context.Background(), c.store, "roster/", false)
+		require.NoError(t, err)
+		return len(items)
+	}
+	c.wait("both are on the roster", func() bool { return entries() == 2 })
+	first.stop()
+	<-first.stopped
+	require.Equal(t, 1, entries())
+	c.otherThan(first).kill()
+	require.Equal(t, 1, entries(), "a killed process stays on it")
+}
--- a/node/term.go
+++ b/node/term.go
@@ -160,7 +160,7 @@
 		n.pollers.wakeAll() // with rivals, idle upstreams are polled too
 	}
 	n.notePeerLoss(v.Silence)
-	n.noteLoss(now, old.Silence, v.Silence)
+	n.noteLoss(now, old, &v)
 	n.confirmList(now)
 	token := n.term.current()
 	self := n.fleet.Self()
@@ -201,13 +201,16 @@
 
 // noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not
 // heard, and for LapsedRetention after that.
-func (n *Node) noteLoss(now time.Time, before, silence fleet.Silence) {
+func (n *Node) noteLoss(now time.Time, old, v *fleet.View) {
 	switch {
-	case silence == fleet.SilenceLong:
+	case v.Silence == fleet.SilenceLong:
 		n.registry.recordLoss(now)
-	case before == fleet.SilenceLong:
+	case old.Silence == fleet.SilenceLong:
 		time.AfterFunc(n.config.LapsedRetention, func() { n.applyUpstreams(time.Now()) })
 	}
+	if old.LostUnheard() != v.LostUnheard() {
+		n.applyUpstreams(now)
+	}
 }
 
 // logView logs a view that differs from the previous one in its dispatcher or its
@@ -225,6 +228,9 @@
 	if !n.hasConfiguration() || n.deps.Store != nil && !n.registry.listed() {
 		return false
 	}
+	if !n.roster.known() && len(v.Reachable) == 0 {
+		return false // neither the store nor another member has named the lost members
+	}
 	if v.Dispatcher.VM != "" && !v.Dispatcher.Draining && n.registry.mayMissLapsed(now, n.config.LapsedRetention) {
 		return false // the current dispatcher knows upstreams that lapsed before the first listing here
 	}
--- a/node/watch.go
+++ b/node/watch.go
@@ -305,9 +305,17 @@
 	if err != nil {
 		return err
 	}
-	if err := store.Put(callCtx, n.deps.Store, n.config.MemberPrefix+n.config.VM, value, granted); err != nil {
+	txn := store.Txn{Writes: []store.Write{{Key: n.config.MemberPrefix + n.config.VM, Value: value, Lease: granted}}}
+	if n.roster.shouldEnter() {
+		txn.Writes = append(txn.Writes, store.Write{Key: n.config.RosterPrefix + n.config.VM, Value: value})
+	}
+	revision, err := n.deps.Store.Commit(callCtx, txn)
+	if err != nil {
 		return err
 	}
+	if len(txn.Writes) > 1 {
+		n.roster.noteEntered(revision)
+	}
 	*lease = granted
 	return nil
 }
