scheduler: a pending order reaches the next process, which is cut off

Callers may have seen two runs of a task: a start order without a response was executed by the next process of its upstream, which was cut off before it reported. Its clock is behind, so it grants the longest lease, 1 s; the dispatcher counted the run as over 0.56 s after the order.

A run whose start order got no response and that no poll has listed now counts for the longest lease from the end of the call. Confirmed runs of the upstream are over with its lease, as before.

Naming the intended process would leave no wait: starts of our own upstreams do so (born). The platform's X-Expect-Instance carries the id, under which a runner may start again.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -49,9 +49,16 @@
 	a.unapplied = append(a.unapplied, finishedRun{run: r.Run, upstream: u.Name, outcome: outcome, loss: l})
 }
 
-// loseAll removes all runs because their lease has expired, and drops all orphans.
-func (u *upstream) loseAll(now time.Time, a *Actions) {
-	runs := slices.Collect(maps.Values(u.runs))
+// mayBePending reports whether the start order of a run got no response and a later process,
+// whose clock is behind, may have executed it.
+func (r *run) mayBePending(now time.Time, margin time.Duration) bool {
+	return !r.confirmed && now.Before(r.pendingUntil.Add(margin))
+}
+
+// loseAll removes all runs because their lease has expired, and drops all orphans. margin is the
+// time for which others may have prolonged the lease.
+func (u *upstream) loseAll(now time.Time, margin time.Duration, a *Actions) {
+	runs := slices.DeleteFunc(slices.Collect(maps.Values(u.runs)), func(r *run) bool { return r.mayBePending(now, margin) })
 	for _, r := range runs {
 		l := u.newLoss(now, r, "the lease has expired", len(runs))
 		l.crash = r.crash
--- a/scheduler/order.go
+++ b/scheduler/order.go
@@ -100,6 +100,7 @@
 		outcome = outcomeUnhealthy
 	case OrderUnanswered, OrderDisconnected:
 		s.noteLostResponse(now, u)
+		r.pendingUntil = s.leaseEnd(now, u, s.config.LeaseMax)
 		switch {
 		case r.state != runOrdered: // a poll has already reported the run
 		case r.atMostOnce: // may still run; a poll reports it
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -40,6 +40,7 @@
 	state           runState
 	orderedAt       time.Time
 	answeredAt      time.Time // when the start order, later the stop order, was answered
+	pendingUntil    time.Time // when the run is over if a later process has executed the unanswered start order
 	stopAnswered    bool      // the stop order was answered
 	validUntil      int64     // by the upstream's clock, in ms: the start order has no effect later
 	expected        float64   // run time at speed 1, in seconds
@@ -211,7 +212,7 @@
 			state.allHeld = state.allHeld && (u.Draining || u.isHeld(now, watched))
 		}
 		if !u.leaseEnd.IsZero() && now.After(u.leaseEnd.Add(margin)) && len(u.runs)+len(u.orphans) > 0 {
-			u.loseAll(now, a)
+			u.loseAll(now, margin, a)
 		}
 		for task, o := range u.orphans {
 			if !o.stopping && !u.fenced && now.Sub(o.foundAt) > orphanTimeout {
