node: the job of an origin that has just become unreachable is kept

Callers may see two runs of a task: a dispatcher went on renewing runs until the caller's deadline for an origin that it no longer heard.

acceptOffer noted the origin as reachable before the scheduler had its job. If abandonUnreachable came in between, it abandoned nothing, and no later check did. Likewise, an offer of a process of the origin that had been replaced was accepted after one of the new process, and nothing ended its job.

The origin is noted after its job now, so that the next check of the view (40 ms) finds both; the job of a replaced process ends at once.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -42,7 +42,6 @@
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", "late"), slog.Int64("late_ms", late.Milliseconds()))
 		return &wire.OfferResponse{WrongTerm: true, Reason: "the offer arrived after its origin had given it up"}
 	}
-	n.origins.record(r.Origin, r.OriginIncarnation)
 	actions, failure := n.scheduler.Offer(now, scheduler.Job{
 		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
@@ -51,6 +50,10 @@
 		Stretch: r.Stretch, Slack: microseconds(r.SlackUS), MaxAttempts: r.MaxAttempts,
 		AtMostOnce: r.AtMostOnce, Resumed: r.Resumed, PreviousToken: int64(r.PreviousTerm >> abandonBits), Histories: historiesFromWire(r.Histories), Tasks: r.Tasks, Items: r.Items,
 	})
+	// Recorded last, so that the next check of the origin finds the job.
+	if newest := n.origins.record(r.Origin, r.OriginIncarnation); newest != r.OriginIncarnation {
+		n.apply(n.scheduler.AbandonJobsOf(now, r.Origin, newest))
+	}
 	if failure != nil {
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", failure.Reason))
 		return &wire.OfferResponse{Reason: failure.Reason, Code: uint8(failure.Code), RetryAfterUS: failure.RetryAfter.Microseconds()}
--- a/node/term.go
+++ b/node/term.go
@@ -411,8 +411,9 @@
 	return t.startedAt
 }
 
-// record notes that an incarnation of a VM has offered a job.
-func (o *origins) record(vm string, incarnation uint64) {
+// record notes that an incarnation of a VM has offered a job. It returns the newest incarnation
+// that has.
+func (o *origins) record(vm string, incarnation uint64) (newest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.byVM[vm]
@@ -422,6 +423,7 @@
 	}
 	known.incarnation = max(known.incarnation, incarnation)
 	known.reachable = true
+	return known.incarnation
 }
 
 // countAbandon counts that the jobs of a VM are abandoned because it did not accept
