scheduler: a late offer of another origin takes the job over

Callers may see two runs of a task, or get no answer before their deadline. A caller whose connection had broken sent its job to a second origin. When the first one, which had not noticed the break, offered the job once more, after a hand-over for example, the dispatcher moved the job back to it: the second origin got no answer for its caller, and its withdrawal had no effect, so that the run went on while the caller sent the job to another dispatcher.

An offer of another origin that has received the job more than 0.5 s before the present one changes nothing now, except that its runs under another dispatcher are waited for as before. The platform's callers return after 1.3 s at the earliest; 0.5 s covers an offer whose origin does not know the clock of the dispatcher.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -23,6 +23,7 @@
 	avoid      map[int][]string // upstreams on which a task failed
 	suspects   map[int]float64  // suspicion of tasks that must run isolated; nil if there is none
 	results    map[int][]byte   // of finished tasks, for at-most-once jobs
+	receivedAt time.Time        // when the origin received the submission
 	heldSince  time.Time        // when the job was offered; zero once it may start
 	basis      StartBasis       // why it may start
 	tier       tier             // as of the last update of the score
--- a/scheduler/job_offer.go
+++ b/scheduler/job_offer.go
@@ -52,7 +52,7 @@
 	}
 	j := &job{
 		Job: offered, model: model, expected: model.expected(offered.Estimate),
-		current: map[int]runRef{}, results: map[int][]byte{}, index: -1, basis: basis,
+		current: map[int]runRef{}, results: map[int][]byte{}, index: -1, basis: basis, receivedAt: offered.Sent,
 	}
 	if offered.Resumed || !t.settled || t.token <= s.lastToken {
 		j.heldSince = now
@@ -95,9 +95,21 @@
 	return notices, len(j.waiting), nil
 }
 
+// receivedError bounds the error of the difference between the times at which two origins have
+// received a job: the delay of an offer whose origin does not know the clock of this VM.
+const receivedError = 500 * time.Millisecond
+
 // move updates a job that is present and is offered again. It returns notices for the tasks
 // that have finished. The caller holds mu.
 func (s *jobShard) move(now time.Time, j *job, offered Job, t termState) (notices []Notice) {
+	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
+		// Another dispatcher has had the job since and may have started tasks.
+		j.Resumed, j.heldSince, j.basis.Resumed = true, now, true
+	}
+	if offered.Origin != j.Origin && offered.Sent.Before(j.receivedAt.Add(-receivedError)) {
+		s.updateHeap(j)
+		return nil // its caller has gone to the present origin since
+	}
 	if offered.Origin == j.Origin && offered.Submission == j.Submission {
 		// An offer contains the time that was left when it was sent.
 		offered.Deadline = earlier(offered.Deadline, j.Deadline)
@@ -106,11 +118,7 @@
 		offered.returnAt = later(offered.returnAt, j.returnAt) // the caller was there for both
 	}
 	j.Origin, j.OriginIncarnation, j.Term = offered.Origin, offered.OriginIncarnation, offered.Term
-	j.Submission, j.Deadline, j.returnAt = offered.Submission, offered.Deadline, offered.returnAt
-	if offered.Resumed && offered.PreviousToken != t.token && !j.Resumed {
-		// Another dispatcher has had the job since and may have started tasks.
-		j.Resumed, j.heldSince, j.basis.Resumed = true, now, true
-	}
+	j.Submission, j.Deadline, j.returnAt, j.receivedAt = offered.Submission, offered.Deadline, offered.returnAt, offered.Sent
 	s.updateHeap(j) // the deadline may be a later one
 	for _, index := range offered.Tasks {
 		if !j.isOpen(index) {
