--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -209,7 +209,7 @@
 		if u.listed {
 			state.oldestPoll = earlier(state.oldestPoll, u.polledAt())
 			state.latestStart = later(state.latestStart, u.startTime())
-			state.allHeld = state.allHeld && (u.Draining || u.isHeld(now, watched))
+			state.allHeld = state.allHeld && u.isHeld(now, watched)
 		}
 		if !u.leaseEnd.IsZero() && now.After(u.leaseEnd.Add(margin)) && len(u.runs)+len(u.orphans) > 0 {
 			u.loseAll(now, margin, a)
