scheduler: the first run on an idle upstream outlives the foreign lease

Callers may see two runs of a task: after 40 s without a poll, a clock that is 2 % slow is 0.8 s behind the dispatcher's estimate, and the start order that names a time on it is granted 1 s. The next dispatcher, which did not reach the upstream, waited for 0.58 s (maxForeignLease).

An idle upstream is polled every 5 s for its clock, so that the estimate is 0.1 s off at most and the lease of a start 0.51 s long. TestStartOnIdleUpstreamWithSlowClockOutlivesForeignLease failed before. The price: one poll in 5 s for each idle upstream, 80 a second for the 400 upstreams of a core (TestIdleUpstreamIsPolledForItsClock); processor time not measured.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -131,11 +131,15 @@
 		// A new process knows no token, so another dispatcher may start runs there.
 		// The waiting poll fails when the old process ends, and the new one is then
 		// claimed without delay.
+	case u.listed && u.clock != 0 && now.Sub(u.lastPoll) >= clockRefresh:
+		wait = 0
 	case u.ackable() > u.lastAcked:
 		if pause := u.idleSince.Add(idleAckDelay).Sub(now); pause > 0 {
 			return Poll{}, false, pause, false
 		}
 		wait = 0
+	case u.listed && u.clock != 0:
+		return Poll{}, false, u.lastPoll.Add(clockRefresh).Sub(now), false
 	default:
 		return Poll{}, false, 0, false
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -103,6 +103,9 @@
 	// dispatcher has ended its term. It covers clockError and the error of the clock value
 	// from which the lease was computed.
 	maxForeignLease = lease*105/100 + leaseMargin
+	// clockRefresh is the time after which an idle upstream is polled for its clock. The lease of
+	// the next start order there then stays below maxForeignLease.
+	clockRefresh = 5 * time.Second
 	// idleAckDelay is the time after which an idle upstream is polled to
 	// acknowledge its completions.
 	idleAckDelay = 300 * time.Millisecond
