node: the claims of an unknown dispatcher go unnoticed

Callers may see two runs of a task: a VM that has joined, and of which no heard VM knows, claims upstreams. All known VMs were heard, so no split was suspected and runs were renewed after their callers had returned.

A claim under a token that no heard VM knows counts as a silent VM for 3 s (rivalTimeout): leases end before the callers of their runs can return while the upstream is not held. A claim by a dispatcher whose token a heard VM reports changes nothing. Not covered: the unknown dispatcher claims only upstreams that are idle here; this is noticed at their next poll, up to 5 s later.

--- a/node/term.go
+++ b/node/term.go
@@ -79,6 +79,9 @@
 	pausedAt time.Time // when a pause of this process last ended; zero if there was none
 
 	rivalSeenAt time.Time // when a present member was last unreachable; used by updateTerm only
+	// strangerSeenAt is when an upstream was last claimed under a token that no heard member
+	// knows; used by updateTerm only.
+	strangerSeenAt time.Time
 }
 
 // origin is a VM whose jobs this node dispatches.
@@ -141,6 +144,7 @@
 func (n *Node) updateTerm(now time.Time) {
 	old := n.view.Load()
 	v := n.fleet.View(now, n.termFor(n.config.VM))
+	v.Silence = max(v.Silence, n.claimSilence(now))
 	n.view.Store(&v)
 	n.logView(old, &v)
 	if old.Scope != v.Scope {
