--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -52,17 +53,24 @@
 // A member that hears another one in one direction only counts it as silent before that one
 // counts it as unreachable and dispatches.
 func TestMemberIsSilentBeforeItDispatches(t *testing.T) {
-	first, members := newFleet(1, "a")
+	for _, others := range []int{1, 19, 40, 79, 199} {
+		t.Run(fmt.Sprint(others), func(t *testing.T) { testMemberIsSilent(t, others) })
+	}
+}
+
+func testMemberIsSilent(t *testing.T, others int) {
+	first, members := newFleet(others, "a")
+	interval := HeartbeatInterval(others + 1)
 	second := New(members[1])
 	second.SetListed(members)
 	recordHeartbeats(first, start, members[1])
 	recordHeartbeats(second, start, members[0])
 	for now := start; ; now = now.Add(10 * time.Millisecond) {
 		// The first member receives heartbeats and no responses; it is not received.
-		if answered := second.Reachable(now, "vm0"); now.Sub(start)%MinHeartbeatInterval == 0 {
+		if answered := second.Reachable(now, "vm0"); now.Sub(start)%interval == 0 {
 			first.RecordHeartbeat(now, Heartbeat{Member: members[1]}, answered)
 		}
-		if !second.Reachable(now.Add(-MinHeartbeatInterval), "vm0") {
+		if !second.Reachable(now.Add(-interval), "vm0") {
 			require.Equal(t, SilenceLong, first.View(now, 0).Silence)
 			return
 		}
--- a/scheduler/foreign_lease_test.go
+++ b/scheduler/foreign_lease_test.go
@@ -23,6 +23,8 @@
 	former, next *group
 	silent       string // upstream with the run
 	cutAt        time.Time
+	// silenceNoticed and nextTermBegins are counted from cutAt.
+	silenceNoticed, nextTermBegins time.Duration
 	// paused is the time for which the former dispatcher is paused before it notices the
 	// silence. It is too short to begin a new term.
 	paused time.Duration
@@ -32,8 +34,13 @@
 // newHandover lets the former dispatcher start a task. Its caller returns some time after the
 // next dispatcher's term has begun, or before.
 func newHandover(t *testing.T, returns time.Duration) *handover {
+	return newHandoverAfter(t, returns, silenceNoticed, nextTermBegins)
+}
+
+// newHandoverAfter is newHandover for a scope with other heartbeat times.
+func newHandoverAfter(t *testing.T, returns, silenceNoticed, nextTermBegins time.Duration) *handover {
 	b := newTestHarness(t, "u1", "u2")
-	h := &handover{b: b, former: b.newGroup(150, []string{"u1", "u2"}, []string{"u1", "u2"})}
+	h := &handover{b: b, silenceNoticed: silenceNoticed, nextTermBegins: nextTermBegins, former: b.newGroup(150, []string{"u1", "u2"}, []string{"u1", "u2"})}
 	h.former.waits, h.former.stopsLost = true, true
 	h.former.scheduler.SetUnreachablePeers(false)
 	h.former.scheduler.SetPeerLoss(scheduler.PeersHeard)
@@ -61,19 +68,19 @@
 func (h *handover) check(returns time.Duration) {
 	task := scheduler.Task{Job: "a", Index: 0}
 	returned := false
-	for since := time.Duration(0); since < 2500*time.Millisecond; since = h.b.now.Sub(h.cutAt) {
-		if h.next == nil && since >= nextTermBegins {
+	for since := time.Duration(0); since < h.nextTermBegins+2060*time.Millisecond; since = h.b.now.Sub(h.cutAt) {
+		if h.next == nil && since >= h.nextTermBegins {
 			h.resume()
 		}
-		if h.next != nil && !returned && since >= nextTermBegins+returns {
+		if h.next != nil && !returned && since >= h.nextTermBegins+returns {
 			returned = true
 			h.next.offer(h.b.job("a", 0))
 		}
 		var groups []*group
-		if since < silenceNoticed || since >= silenceNoticed+h.paused {
+		if since < h.silenceNoticed || since >= h.silenceNoticed+h.paused {
 			groups = append(groups, h.former)
 		}
-		if since >= silenceNoticed+h.paused {
+		if since >= h.silenceNoticed+h.paused {
 			h.former.scheduler.SetPeerLoss(scheduler.PeerLost)
 			h.former.scheduler.SetUnreachablePeers(true)
 		}
--- a/scheduler/held_test.go
+++ b/scheduler/held_test.go
@@ -55,3 +55,51 @@
 	require.Len(t, g.notices, 1)
 	require.Equal(t, scheduler.TaskDone, g.notices[0].Kind)
 }
+
+// A VM joins that is cut off from all others, so that nobody knows of it. It reaches some of the
+// upstreams. The dispatcher counts it as silent once it has seen a claim, see node.claimSilence.
+func testUnknownDispatcher(t *testing.T, reachesBusy bool) {
+	b := newTestHarness(t, "u1", "u2", "u3")
+	all := []string{"u1", "u2", "u3"}
+	task := scheduler.Task{Job: "a", Index: 0}
+	first := b.newGroup(150, all, all)
+	first.scheduler.SetPeerLoss(scheduler.PeersHeard)
+	first.scheduler.SetUnreachablePeers(false)
+	b.workAll(time.Second, task, first)
+	for _, u := range b.upstreams {
+		u.Speed = 0.1
+	}
+	offered := b.now
+	first.offer(b.job("a", 0))
+	b.workAll(10*time.Millisecond, task, first)
+	first.offer(b.job("b", 0, 1)) // two tasks fit on an upstream
+	b.workAll(10*time.Millisecond, task, first)
+	require.Len(t, first.starts, 3)
+	busy := map[string]bool{}
+	for _, start := range first.starts {
+		busy[start.Upstream.Name] = true
+	}
+	require.Len(t, busy, 2)
+	var reached []string
+	for _, name := range all {
+		if name != first.starts[0].Upstream.Name && (reachesBusy || !busy[name]) {
+			reached = append(reached, name)
+		}
+	}
+	second := b.newGroup(200, reached, reached)
+	returned := false
+	for b.now.Sub(offered) < 4*time.Second {
+		if first.scheduler.FencedUpstreams() > 0 {
+			first.scheduler.SetPeerLoss(scheduler.PeerSilent)
+		}
+		if !returned && b.now.Sub(offered) >= callerReturn {
+			returned = true
+			second.offer(b.job("a", 0))
+		}
+		b.workAll(10*time.Millisecond, task, first, second)
+	}
+}
+
+func TestUnknownDispatcherClaimsUpstreamWithRun(t *testing.T) { testUnknownDispatcher(t, true) }
+
+func TestUnknownDispatcherClaimsIdleUpstream(t *testing.T) { testUnknownDispatcher(t, false) }
--- a/scheduler/returning_caller_test.go
+++ b/scheduler/returning_caller_test.go
@@ -31,7 +31,12 @@
 
 // newGroup returns a group with a settled dispatcher that lists some upstreams.
 func (b *testHarness) newGroup(token int64, listed, reached []string) *group {
-	g := &group{b: b, scheduler: scheduler.New(b.now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100, CallerReturn: callerReturn}), reached: reached, polledAt: map[string]time.Time{}, pollWait: map[string]time.Duration{}}
+	return b.newGroupWith(scheduler.Config{LeaseMax: time.Second, MaxWaiting: 100, CallerReturn: callerReturn}, token, listed, reached)
+}
+
+// newGroupWith is newGroup for a dispatcher with other settings.
+func (b *testHarness) newGroupWith(config scheduler.Config, token int64, listed, reached []string) *group {
+	g := &group{b: b, scheduler: scheduler.New(b.now, config), reached: reached, polledAt: map[string]time.Time{}, pollWait: map[string]time.Duration{}}
 	var list []scheduler.Upstream
 	for _, name := range listed {
 		list = append(list, b.upstreams[name].Info)
