--- a/node/term.go
+++ b/node/term.go
@@ -79,6 +79,9 @@
 	pausedAt time.Time // when a pause of this process last ended; zero if there was none
 
 	rivalSeenAt time.Time // when a present member was last unreachable; used by updateTerm only
+	// strangerSeenAt is when an upstream was last claimed under a token that no heard member
+	// knows; used by updateTerm only.
+	strangerSeenAt time.Time
 }
 
 // origin is a VM whose jobs this node dispatches.
@@ -141,6 +144,7 @@
 func (n *Node) updateTerm(now time.Time) {
 	old := n.view.Load()
 	v := n.fleet.View(now, n.termFor(n.config.VM))
+	v.Silence = max(v.Silence, n.claimSilence(now))
 	n.view.Store(&v)
 	n.logView(old, &v)
 	n.logLosses(now, &v)
@@ -430,8 +434,9 @@
 	return t.startedAt
 }
 
-// record notes that an incarnation of a VM has offered a job.
-func (o *origins) record(vm string, incarnation uint64) {
+// record notes that an incarnation of a VM has offered a job. It returns the newest incarnation
+// that has.
+func (o *origins) record(vm string, incarnation uint64) (newest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.byVM[vm]
@@ -441,6 +446,7 @@
 	}
 	known.incarnation = max(known.incarnation, incarnation)
 	known.reachable = true
+	return known.incarnation
 }
 
 // countAbandon counts that the jobs of a VM are abandoned because it did not accept
