store: a listing returned the revision of its first page

What callers saw: nothing yet, since VMs did not resume from the revision of a stale listing. The page behind the first one may come from an older copy, so that a watch from the first page's revision skips what the later page lacks.

Evidence: TestListSkipsChangesOfOlderPage returned 20 instead of 12.

Change: List returns the lowest revision of its pages. The Store interface says what a watch that has been answered covers.

--- a/store/store.go
+++ b/store/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -112,7 +113,8 @@
 	// limit.
 	Range(ctx context.Context, prefix, after string, stale bool) (Page, error)
 	// Watch waits until an entry under a prefix changes after a revision, or
-	// until wait has passed. It returns the revision after which to continue.
+	// until wait has passed. It returns all changes up to the revision after which
+	// to continue, which is that of the store when it answered.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 	// Commit makes the changes of a transaction and returns its revision. If a
 	// condition does not hold, the error is a *ConflictError.
@@ -132,18 +134,17 @@
 }
 
 // List reads all entries under a prefix, page by page. It returns the revision
-// from which to watch for changes.
+// from which to watch for changes: the lowest of the pages, since they are not one
+// snapshot, and stale ones may come from copies of different age.
 func List(ctx context.Context, s Store, prefix string, stale bool) ([]Item, int64, error) {
 	var items []Item
-	revision, after := int64(0), ""
+	revision, after := int64(math.MaxInt64), ""
 	for {
 		page, err := s.Range(ctx, prefix, after, stale)
 		if err != nil {
 			return nil, 0, err
 		}
-		if revision == 0 {
-			revision = page.Revision // pages are not one snapshot: a watch must start at the first page's revision
-		}
+		revision = min(revision, page.Revision)
 		items = append(items, page.Items...)
 		if !page.More || len(page.Items) == 0 {
 			return items, revision, nil
