node: tasks ran twice after an upstream had joined and lapsed

What callers saw: a task started on a second upstream while its run went on. An upstream joined, a dispatcher started tasks there, its entry went within less than 2.5 s, and the dispatcher was lost. The next one had seen the upstream in no listing.

Cause: a reading of the list in the term confirmed it, although an entry that joins and goes between two listings is in neither.

Change: a new term reads the changes since an earlier listing instead of listing the upstreams again, and keeps what has joined and gone like any other lapsed entry; it gets no tasks. The earlier listing is the newest one that all dispatchers of the last 10 s had read as well while they listed the same names, by their heartbeats, or the one of 10 s ago. If the changes cannot be read, the list is read anew and counts as incomplete, unless it is that of the dispatchers before. The revision in a heartbeat is now that of the digest.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,9 +112,10 @@
 	deaf         bool      // has reported, since lastContact, that it does not hear this member
 	// dispatchedAt is when the member last reported a term, dispatchDigest the digest of its
 	// upstreams in that report.
-	dispatchedAt   time.Time
-	dispatchDigest uint64
-	listed         bool // present in the platform's store
+	dispatchedAt     time.Time
+	dispatchDigest   uint64
+	dispatchRevision int64 // of its upstreams in that report
+	listed           bool  // present in the platform's store
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -197,7 +198,7 @@
 	}
 	f.digest ^= memberHash(m)
 	f.peers[m.VM] = &peer{
-		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest,
+		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest, dispatchRevision: former.dispatchRevision,
 	}
 	return true
 }
@@ -232,7 +233,7 @@
 	}
 	p.heartbeat = hb
 	if hb.Term != 0 {
-		p.dispatchedAt, p.dispatchDigest = now, hb.UpstreamsDigest
+		p.dispatchedAt, p.dispatchDigest, p.dispatchRevision = now, hb.UpstreamsDigest, hb.UpstreamsRevision
 	}
 	delay := time.Duration(0)
 	if hb.Clock != 0 {
@@ -456,6 +457,20 @@
 	return true
 }
 
+// DispatchersRevision returns the revision up to which all members that have dispatched since a
+// time had read the upstreams when they last reported a term; 0 if none has dispatched.
+func (f *Fleet) DispatchersRevision(since time.Time) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lowest := int64(0)
+	for _, p := range f.peers {
+		if f.inScope(p.heartbeat.Member) && p.dispatchedAt.After(since) && (lowest == 0 || p.dispatchRevision < lowest) {
+			lowest = p.dispatchRevision
+		}
+	}
+	return lowest
+}
+
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -81,3 +81,16 @@
 	require.False(t, f.DispatchersListed(before, 8), "what counts is the list of its term")
 	require.True(t, f.DispatchersListed(start.Add(time.Second), 8), "its term is long over")
 }
+
+func TestDispatchersRevision(t *testing.T) {
+	f, members := newFleet(2, "a")
+	before := start.Add(-time.Second)
+	require.Zero(t, f.DispatchersRevision(before), "none has dispatched")
+	f.RecordHeartbeat(start, Heartbeat{Member: members[1], Term: 5, UpstreamsRevision: 7}, true)
+	f.RecordHeartbeat(start, Heartbeat{Member: members[2], UpstreamsRevision: 3}, true)
+	require.EqualValues(t, 7, f.DispatchersRevision(before))
+	f.RecordHeartbeat(start, Heartbeat{Member: members[2], Term: 6, UpstreamsRevision: 4}, true)
+	f.RecordHeartbeat(start.Add(1), Heartbeat{Member: members[1], UpstreamsRevision: 9}, true)
+	require.EqualValues(t, 4, f.DispatchersRevision(before), "the lowest in a term")
+	require.Zero(t, f.DispatchersRevision(start.Add(time.Second)), "the terms are long over")
+}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -98,10 +98,11 @@
 // newHeartbeat returns the heartbeat to send to a peer.
 func (n *Node) newHeartbeat(peer string) *wire.FleetHeartbeat {
 	digest, differs := n.fleet.Digest(peer)
+	revision, upstreams := n.registry.announced()
 	h := &wire.FleetHeartbeat{
 		From: toWire(n.fleet.Self()), Term: n.announcedTerm(peer), Token: n.fleet.Token(),
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
-		UpstreamsRevision: n.registry.revision(), UpstreamsDigest: n.registry.listDigest(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
+		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
--- a/node/registry.go
+++ b/node/registry.go
@@ -40,9 +40,11 @@
 	newest        int64      // revision of the latest change; 0 before the first listing
 	listedAt      time.Time  // time of the first listing, or of the first one after a maxReadGap
 	readAt        time.Time  // time of the last listing, or of the last answer to a watch
+	readings      readings   // the last ones from the store
 	updatedAt     time.Time  // when the store last answered; zero before that
 	currentAt     time.Time  // the list has been that of the store at this time
 	digest        uint64     // hash of the names of the listed upstreams; 0 if there is none
+	digestAt      int64      // revision up to which the digest has the changes
 	pulledAt      time.Time  // when a peer last sent the list
 	entries       map[string]entry
 	configuration store.Item
@@ -56,6 +58,7 @@
 	item     store.Item
 	upstream scheduler.Upstream
 	valid    bool
+	listedAt time.Time // when this node first listed it
 	lapsedAt time.Time // when the entry was removed or became odd; zero before that
 	odd      bool      // the entry cannot be read; upstream is what it said before
 }
@@ -101,20 +104,11 @@
 	r.updatedAt = now
 }
 
-// recordRead notes that a watch was answered: no change was missed.
-func (r *registry) recordRead(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.readAt = now
-}
-
 // recordCurrent notes that the list has been that of the store at a time.
 func (r *registry) recordCurrent(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if at.After(r.currentAt) {
-		r.currentAt = at
-	}
+	r.currentAt = later(r.currentAt, at)
 }
 
 // currentSince reports whether the list has been that of the store at a time or later.
@@ -124,6 +118,13 @@
 	return !r.currentAt.Before(t)
 }
 
+// announced returns the digest of the list and the revision up to which it has the changes.
+func (r *registry) announced() (revision int64, digest uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.digestAt, r.digest
+}
+
 // listDigest returns the hash of the names of the listed upstreams.
 func (r *registry) listDigest() uint64 {
 	r.mu.Lock()
@@ -158,14 +159,22 @@
 		shouldWatch: n.scheduler.Dispatching,
 		shouldList:  n.mayDispatchSoon,
 		relist:      n.relistSignal,
-		onWatched:   func() { n.registry.recordRead(time.Now()) },
-		onList: func(items []store.Item, currentAt time.Time) {
+		resumeFrom:  func() int64 { return n.registry.resumeFrom(time.Now(), n.config.LapsedRetention) },
+		onCompacted: n.registry.dropReadings,
+		onWatched: func(requestedAt time.Time, revision int64) {
+			now := time.Now()
+			n.registry.recordWatched(now, requestedAt, revision)
+			n.confirmList(now)
+		},
+		onList: func(items []store.Item, revision int64, currentAt time.Time) {
 			n.registry.recordUpdate(time.Now())
-			newest := int64(1) // above 0, so that an empty list counts as listed
+			newest := int64(0)
 			for _, item := range items {
 				newest = max(newest, item.Revision)
 			}
+			newest = max(1, min(newest, revision)) // an empty list counts as listed; the pages are not one snapshot
 			n.replaceUpstreams(items, newest, "store")
+			n.recordListing(time.Now(), revision)
 			n.registry.recordCurrent(currentAt)
 			n.confirmList(time.Now())
 		},
@@ -176,7 +185,9 @@
 			for _, e := range events {
 				n.registry.newest = max(n.registry.newest, e.Revision)
 				if e.Deleted {
-					n.markLapsed(now, e.Key)
+					if n.registry.entries[e.Key].item.Revision <= e.Revision { // it may have been read before, and come back
+						n.markLapsed(now, e.Key)
+					}
 				} else {
 					n.putUpstream(e.Item)
 				}
@@ -222,7 +233,10 @@
 		}
 		return
 	}
-	e := entry{item: item}
+	e := entry{item: item, listedAt: known.listedAt}
+	if !present {
+		e.listedAt = time.Now()
+	}
 	upstream, err := n.decodeUpstream(item)
 	if err != nil {
 		n.log.Warn("upstream entry ignored", slog.String("key", item.Key), slog.Any("error", err))
@@ -306,13 +320,13 @@
 		case v.ShouldClaim(self, e.upstream.Name, e.upstream.DataCentre):
 			upstream := e.upstream
 			upstream.Draining = upstream.Draining || n.deps.Drained != nil && n.deps.Drained(upstream.Name)
-			upstream.Missing = !e.lapsedAt.IsZero() && lapsedFor >= lapseGrace
+			upstream.Missing = !e.lapsedAt.IsZero() && (lapsedFor >= lapseGrace || !e.lapsedAt.After(e.listedAt))
 			list = append(list, upstream)
 		default:
 			partial = partial || v.InScope(self, e.upstream.DataCentre) || now.Sub(n.registry.scopeSince) < scopeSettleTime
 		}
 	}
-	n.registry.digest = digest
+	n.registry.digest, n.registry.digestAt = digest, n.registry.newest
 	n.registry.mu.Unlock()
 	if n.scheduler.Dispatching() && n.fleet.RecordUpstreamCount(n.registry.size()) {
 		n.wakeTermLoop()
@@ -333,13 +347,16 @@
 	if token == 0 {
 		return
 	}
-	confirmed := n.deps.Store == nil || n.registry.currentSince(n.term.startTime()) ||
-		!n.term.pausedWithin(now, n.config.LapsedRetention) && n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
-	if confirmed {
+	if n.deps.Store == nil || n.registry.currentSince(n.term.startTime()) || n.dispatchersListedSame(now) {
 		n.scheduler.ConfirmList(token)
 	}
 }
 
+// dispatchersListedSame reports whether the dispatchers before have listed the same upstreams.
+func (n *Node) dispatchersListedSame(now time.Time) bool {
+	return !n.term.pausedWithin(now, n.config.LapsedRetention) && n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
+}
+
 // mayDispatchSoon reports whether this node ranks so high that it needs the list of
 // upstreams before it becomes the dispatcher.
 func (n *Node) mayDispatchSoon() bool {
--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -17,7 +17,9 @@
 // gatedStore is a store that one VM can be cut off from.
 type gatedStore struct {
 	store.Store
-	cut atomic.Bool
+	cut      atomic.Bool
+	listings atomic.Int64 // current listings of the upstreams
+	watches  atomic.Int64 // watches of the upstreams
 }
 
 // Range implements store.Store.
@@ -25,6 +27,9 @@
 	if s.cut.Load() {
 		return store.Page{}, store.ErrRefused
 	}
+	if prefix == "upstreams/" && !stale {
+		s.listings.Add(1)
+	}
 	return s.Store.Range(ctx, prefix, after, stale)
 }
 
@@ -33,6 +38,9 @@
 	if s.cut.Load() {
 		return nil, 0, store.ErrRefused
 	}
+	if prefix == "upstreams/" {
+		s.watches.Add(1)
+	}
 	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
@@ -122,6 +130,31 @@
 	}
 }
 
+// A takeover reads the changes since the last listings, which costs one call however many
+// upstreams there are.
+func TestTakeoverListsUpstreamsAgain(t *testing.T) {
+	c := newClusterWith(t, 0, 2, 50*time.Millisecond, 4*time.Second)
+	stores := map[string]*gatedStore{}
+	for _, vm := range []string{"vm0", "vm1"} {
+		stores[vm] = &gatedStore{Store: c.store}
+		c.startWith(vm, stores[vm])
+	}
+	first := c.dispatcher()
+	next := c.otherThan(first)
+	for _, n := range c.nodes {
+		c.wait("the node has listed long enough", func() bool { return !n.registry.mayMissLapsed(time.Now(), n.config.LapsedRetention) })
+		n.applyUpstreams(time.Now())
+	}
+	s := stores[next.config.VM]
+	require.Zero(t, s.listings.Load()+s.watches.Load())
+	first.kill()
+	c.wait("the next one dispatches", func() bool { return next.scheduler.Dispatching() && next.registry.currentSince(next.term.startTime()) })
+	require.Zero(t, s.listings.Load())
+	require.LessOrEqual(t, s.watches.Load(), int64(2))
+	answer := next.submit(context.Background(), "a", 2, waitTimeout)
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
+
 // Another writer overwrites the entry of an upstream that runs tasks.
 func TestNextDispatcherStartsTasksThatRunOnUpstreamWithOddEntry(t *testing.T) {
 	c := newClusterWith(t, 2, 4, 3*time.Second, shortRetention)
@@ -141,6 +174,17 @@
 
 // An upstream joins, and its entry goes, while the next dispatcher cannot read the store.
 func TestNextDispatcherStartsTasksThatRunOnUpstreamThatJoinedAndLapsed(t *testing.T) {
+	joinAndLapse(t, func(*cluster) {})
+}
+
+// The same, and the store has dropped its history: what has joined and lapsed cannot be read.
+func TestNextDispatcherStartsTasksThatRunOnUpstreamThatDroppedHistoryHides(t *testing.T) {
+	joinAndLapse(t, func(c *cluster) { c.store.Compact() })
+}
+
+// joinAndLapse plays an upstream that joins, and whose entry goes while it runs tasks, between two
+// readings of the next dispatcher. before is called before the first dispatcher is killed.
+func joinAndLapse(t *testing.T, before func(*cluster)) {
 	c := newClusterWith(t, 0, 2, 5*time.Second, 10*time.Second)
 	joined := newModelUpstreams([]string{"joined"}, 0).byName["joined"]
 	joined.Speed = 0.5
@@ -173,6 +217,7 @@
 		return !first.registry.entries["upstreams/joined"].lapsedAt.IsZero()
 	})
 	stores[next.config.VM].cut.Store(false)
+	before(c)
 	require.Equal(t, intake.Succeeded, (<-full).Outcome)
 	c.upstreams.renew(joined, first.term.current())
 	first.kill()
--- a/node/watch.go
+++ b/node/watch.go
@@ -39,12 +39,16 @@
 // watcher keeps a copy of the entries under a prefix of the store.
 type watcher struct {
 	prefix string
-	// onList receives a full listing and the time at which it was that of the store, or zero
-	// if that is unknown. onEvents receives the changes since.
-	onList   func(items []store.Item, currentAt time.Time)
+	// onList receives a full listing, the revision after which it may lack changes, and the time
+	// at which it was that of the store, or zero if that is unknown. onEvents receives the changes
+	// since.
+	onList   func(items []store.Item, revision int64, currentAt time.Time)
 	onEvents func(events []store.Event)
-	// onWatched is called after each answer to a watch, also without a change. It may be nil.
-	onWatched func()
+	// onWatched is called after each answer to a watch, also without a change, with the time of
+	// the request and the revision up to which no change is missing. onCompacted is called if
+	// changes cannot be read any longer. Both may be nil.
+	onWatched   func(requestedAt time.Time, revision int64)
+	onCompacted func()
 	// maxWait is the longest time that the store holds a watch open.
 	maxWait time.Duration
 	// interval is the delay between two watches. Events that arrive meanwhile are
@@ -54,10 +58,13 @@
 	// prefix is listed every listInterval while shouldList returns true. Such a
 	// listing may be stale by seconds.
 	shouldWatch, shouldList func() bool
-	// relist requests a new listing. It may be nil.
+	// relist requests a current reading. It may be nil.
 	relist <-chan struct{}
+	// resumeFrom returns the revision from which a current reading can continue instead of
+	// listing the prefix again, or 0. It may be nil.
+	resumeFrom func() int64
 
-	revision  int64 // the watch continues after it; 0 requests a listing
+	revision  int64 // the watch continues after it; 0 requests a current reading
 	connected bool
 }
 
@@ -80,6 +87,9 @@
 		case errors.Is(err, store.ErrCompacted):
 			n.log.Info("store history compacted, listing again", slog.String("prefix", w.prefix), slog.Int64("after", w.revision))
 			w.revision, pause = 0, relistDelay
+			if w.onCompacted != nil {
+				w.onCompacted()
+			}
 		default:
 			if w.connected {
 				w.connected = false
@@ -94,7 +104,7 @@
 	return nil
 }
 
-// sleep waits before the next step, or until a new listing is requested. It
+// sleep waits before the next step, or until a current reading is requested. It
 // returns false if the context is done.
 func (w *watcher) sleep(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
@@ -102,7 +112,7 @@
 	select {
 	case <-ctx.Done():
 		return false
-	case <-w.relist: // nil if nothing requests listings of the prefix
+	case <-w.relist: // nil if nothing requests readings of the prefix
 		w.revision = 0
 	case <-timer.C:
 	}
@@ -117,7 +127,11 @@
 		w.revision = 0
 		return storeRetryDelay, nil
 	}
-	if w.revision == 0 || !watching {
+	after, wait, timeout := w.revision, w.maxWait, w.maxWait+watchMargin
+	if after == 0 && watching && w.resumeFrom != nil {
+		after, wait, timeout = w.resumeFrom(), 0, storeTimeout
+	}
+	if after == 0 || !watching {
 		currentAt := time.Time{}
 		if watching {
 			currentAt = time.Now()
@@ -128,7 +142,7 @@
 		if err != nil {
 			return 0, err
 		}
-		w.onList(items, currentAt)
+		w.onList(items, revision, currentAt)
 		w.revision = revision
 		if !watching {
 			w.revision = 0
@@ -136,18 +150,23 @@
 		}
 		return 0, nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, w.maxWait+watchMargin)
+	requestedAt := time.Now()
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	events, revision, err := n.deps.Store.Watch(callCtx, w.prefix, w.revision, w.maxWait)
+	events, revision, err := n.deps.Store.Watch(callCtx, w.prefix, after, wait)
 	if err != nil {
 		return 0, err
 	}
-	w.revision = max(revision, w.revision)
+	if w.revision == 0 {
+		n.log.Info("changes since the last reading", slog.String("prefix", w.prefix), slog.Int("events", len(events)),
+			slog.Int64("after", after), slog.Int64("revision", revision))
+	}
+	w.revision = max(revision, after)
 	if len(events) > 0 {
 		w.onEvents(events)
 	}
 	if w.onWatched != nil {
-		w.onWatched()
+		w.onWatched(requestedAt, w.revision)
 	}
 	return w.interval, nil
 }
@@ -162,7 +181,7 @@
 		maxWait:     watchWait,
 		shouldWatch: func() bool { return n.watchesForPeers() || n.table.Load() == nil },
 		shouldList:  always,
-		onList: func(items []store.Item, _ time.Time) {
+		onList: func(items []store.Item, _ int64, _ time.Time) {
 			for _, item := range items {
 				n.applyConfiguration(item, "store")
 			}
@@ -237,7 +256,7 @@
 		maxWait:     memberWatchWait,
 		shouldWatch: n.watchesForPeers,
 		shouldList:  always,
-		onList: func(items []store.Item, _ time.Time) {
+		onList: func(items []store.Item, _ int64, _ time.Time) {
 			clear(members)
 			for _, item := range items {
 				put(item)
