Report bounds of the platform that are missing, and assume a return of callers

Tasks may run twice in a split, and no line tells why: without bounds.retransmit_ms in the settings file, the time after which callers send a job again was 0, which means never, and the rule that ends runs before that time was off (scheduler/split.go, CallerReturn == 0).

A missing retransmit_ms is now 1300 ms, the documented value, and stop_timeout_ms, on which the margins of the rule rely and which was not read, is 50 ms. Both are reported at the start. An explicit retransmit_ms of 0 still means that callers never return, with a warning. hold_max_ms and grace_s are refused if they are missing, as before, and reported if they are shorter than the node is made for. The return time that the rule needs grows with the heartbeat timeout; minCallerReturn adds it up. It is compared with the setting whenever the fleet changes, logged when the fleet outgrows it (from 33 VMs of a scope with 1300 ms), and exported as mustardstep_caller_return_needed_seconds beside mustardstep_caller_return_seconds.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -44,6 +44,7 @@
 	}
 	log, flush := logging.New(c.settings.Logging, os.Stdout)
 	defer flush()
+	logFindings(s, log)
 	watchReload(hup, log)
 	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, c.settings.Logging, log) })
 }
@@ -87,6 +88,13 @@
 	return g.Wait()
 }
 
+// logFindings logs the settings that are missing or out of range.
+func logFindings(s *platform.Settings, log *slog.Logger) {
+	for _, f := range s.Findings() {
+		log.Warn("setting is missing or out of range", slog.String("vm", s.VM), slog.String("setting", f.Setting), slog.Any("used", f.Value), slog.String("problem", f.Problem))
+	}
+}
+
 // serveUntilClosed runs a server until its listener is closed, which is not an
 // error.
 func serveUntilClosed(serve func() error) error {
@@ -112,10 +120,12 @@
 func watchReload(hup <-chan os.Signal, log *slog.Logger) {
 	go func() {
 		for range hup {
-			if _, err := platform.Load(); err != nil {
+			s, err := platform.Load()
+			if err != nil {
 				log.Error("settings file reload failed", slog.Any("error", err))
 				continue
 			}
+			logFindings(s, log)
 			log.Info("settings file reloaded", slog.String("source", "settings file"), slog.String("effect", "none while the process runs"))
 		}
 	}()
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -99,6 +99,8 @@
 		report := n.scheduler.SplitReport()
 		return float64(report.Level())
 	})
+	set.NewGauge("mustardstep_caller_return_seconds", func() float64 { return n.config.CallerReturn.Seconds() })
+	set.NewGauge("mustardstep_caller_return_needed_seconds", func() float64 { return minCallerReturn(n.fleet.Timeout()).Seconds() })
 	set.NewGauge("mustardstep_configuration_version", func() float64 {
 		if t := n.table.Load(); t != nil {
 			return float64(t.Version)
--- a/node/node.go
+++ b/node/node.go
@@ -172,6 +172,7 @@
 	registry registry
 	view     atomic.Pointer[fleet.View]
 
+	callerReturnShort bool   // as last logged; used by updateTerm only
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
 
 	started  time.Time
@@ -273,7 +274,8 @@
 	defer n.cancelRun()
 	n.started = time.Now()
 	n.log.Info("node started", slog.String("data_centre", n.config.DataCentre), slog.String("peers", n.config.PeerAddress),
-		slog.Uint64("incarnation", n.fleet.Self().Incarnation))
+		slog.Uint64("incarnation", n.fleet.Self().Incarnation), slog.Int64("caller_return_ms", n.config.CallerReturn.Milliseconds()))
+	n.reportCallerReturn()
 	g, ctx := errgroup.WithContext(n.runCtx)
 	if n.deps.Peers == nil {
 		listener, err := net.Listen("tcp", cmp.Or(n.config.Listen, n.config.PeerAddress))
--- a/node/term.go
+++ b/node/term.go
@@ -144,6 +144,7 @@
 	n.view.Store(&v)
 	n.logView(old, &v)
 	n.logLosses(now, &v)
+	n.checkCallerReturn()
 	if old.Scope != v.Scope {
 		n.registry.setScopeSince(now)
 		time.AfterFunc(scopeSettleTime, func() { n.applyUpstreams(time.Now()) })
