logging: count and report lines of failed writes

A reader of a log could not know that lines were missing: a write to standard output that failed lost its lines, or cut one in two, without a trace. Lines that found a full buffer were reported, but not counted in a metric.

The next write that succeeds is preceded by "log lines lost, a write has failed" with the number of lines. mustardstep_log_lines_total counts the written, dropped and failed lines.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -52,6 +52,12 @@
 // runNode runs a node and its listeners for callers, readiness checks and metrics.
 func runNode(ctx context.Context, s *platform.Settings, nodeSettings settings.Node, logSettings settings.Logging, log *slog.Logger) error {
 	metrics := node.NewMetrics()
+	if counts := logging.CountsOf(log); counts != nil {
+		metrics.AddLogCounts(counts)
+	}
+	if !logSettings.Decisions || !log.Enabled(ctx, slog.LevelInfo) {
+		log.Warn("decisions are not logged", slog.String("vm", s.VM), slog.String("level", logSettings.Level), slog.Bool("decisions", logSettings.Decisions))
+	}
 	decisions := logging.NewDecisionLog(log.With(slog.String("vm", s.VM)), logSettings.Decisions)
 	config := s.NodeConfig()
 	config.Listen = nodeSettings.PeerListen
--- a/internal/logging/buffer.go
+++ b/internal/logging/buffer.go
@@ -1,7 +1,6 @@
 package logging
 
 import (
-	"io"
 	"sync"
 	"time"
 )
@@ -14,22 +13,9 @@
 	flushInterval = 100 * time.Millisecond
 )
 
-// syncWriter serializes the writes of all buffers.
-type syncWriter struct {
-	mu sync.Mutex // held during each write, by design
-	w  io.Writer
-}
-
-func (s *syncWriter) write(lines []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	// A failed write must not stop the program.
-	_, _ = s.w.Write(lines)
-}
-
 // buffer collects complete lines and flushes them periodically.
 type buffer struct {
-	out *syncWriter
+	out *output
 	// dropNotice returns a line that reports the number of dropped lines.
 	dropNotice func(lines int) []byte
 
@@ -42,6 +28,7 @@
 	spare        []byte // memory of the lines last written, for reuse
 	timerSet     bool
 	flushPending bool // a flush was started because the threshold was exceeded
+	count        int  // of lines
 	dropped      int  // lines since the last flush
 }
 
@@ -51,7 +38,9 @@
 	b.mu.Lock()
 	if len(b.lines)+len(line) > maxBuffered {
 		b.dropped++
+		b.out.counts.Dropped.Add(1)
 	} else {
+		b.count++
 		b.lines = append(b.lines, line...)
 	}
 	full := len(b.lines) > flushThreshold && !b.flushPending
@@ -82,8 +71,8 @@
 	b.flushMu.Lock()
 	defer b.flushMu.Unlock()
 	b.mu.Lock()
-	lines, dropped := b.lines, b.dropped
-	b.lines, b.spare, b.dropped, b.flushPending = b.spare[:0], nil, 0, false
+	lines, count, dropped := b.lines, b.count, b.dropped
+	b.lines, b.spare, b.count, b.dropped, b.flushPending = b.spare[:0], nil, 0, 0, false
 	b.mu.Unlock()
 	if dropped > 0 {
 		lines = append(lines, b.dropNotice(dropped)...)
@@ -91,7 +80,7 @@
 	if len(lines) == 0 {
 		return
 	}
-	b.out.write(lines)
+	b.out.write(lines, count, dropped)
 	b.mu.Lock()
 	b.spare = lines
 	b.mu.Unlock()
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -20,11 +20,11 @@
 		level = slog.LevelInfo // not reached: settings are validated earlier
 	}
 	options := &slog.HandlerOptions{Level: level}
-	out := &syncWriter{w: w}
+	out := &output{w: w, counts: &Counts{}, failNotice: func(lines int) []byte { return formatNotice(s.Format, "log lines lost, a write has failed", lines) }}
 	var buffers [shardCount]*buffer
-	handler := &shardedHandler{}
+	handler := &shardedHandler{counts: out.counts}
 	for i := range buffers {
-		buffers[i] = &buffer{out: out, dropNotice: func(lines int) []byte { return formatDropNotice(s.Format, lines) }}
+		buffers[i] = &buffer{out: out, dropNotice: func(lines int) []byte { return formatNotice(s.Format, "log lines dropped", lines) }}
 		if s.Format == "text" {
 			handler.shards[i] = slog.NewTextHandler(buffers[i], options)
 		} else {
@@ -38,11 +38,11 @@
 	}
 }
 
-// formatDropNotice returns a log line that reports the number of dropped lines.
-func formatDropNotice(format string, lines int) []byte {
+// formatNotice returns a log line that reports a number of lines.
+func formatNotice(format, message string, lines int) []byte {
 	now := time.Now().Format(time.RFC3339Nano)
 	if format == "text" {
-		return fmt.Appendf(nil, "time=%s level=WARN msg=\"log lines dropped\" lines=%d\n", now, lines)
+		return fmt.Appendf(nil, "time=%s level=WARN msg=%q lines=%d\n", now, message, lines)
 	}
-	return fmt.Appendf(nil, `{"time":%q,"level":"WARN","msg":"log lines dropped","lines":%d}`+"\n", now, lines)
+	return fmt.Appendf(nil, `{"time":%q,"level":"WARN","msg":%q,"lines":%d}`+"\n", now, message, lines)
 }
--- a/internal/logging/logging_test.go
+++ b/internal/logging/logging_test.go
@@ -187,6 +187,8 @@
 	}
 	require.Equal(t, 2*shardCount*maxBuffered>>10, dropped+kept, "every line is written or counted")
 	require.Positive(t, dropped)
+	require.EqualValues(t, dropped, CountsOf(logger).Dropped.Load())
+	require.EqualValues(t, kept, CountsOf(logger).Written.Load())
 }
 
 func BenchmarkPlacement(b *testing.B) {
--- a/internal/logging/sharded.go
+++ b/internal/logging/sharded.go
@@ -10,7 +10,10 @@
 const shardCount = 8
 
 // shardedHandler distributes records randomly over handlers of the same format.
-type shardedHandler struct{ shards [shardCount]slog.Handler }
+type shardedHandler struct {
+	shards [shardCount]slog.Handler
+	counts *Counts
+}
 
 // Enabled implements slog.Handler.
 func (h *shardedHandler) Enabled(ctx context.Context, level slog.Level) bool {
@@ -33,7 +36,7 @@
 }
 
 func (h *shardedHandler) mapShards(derive func(slog.Handler) slog.Handler) slog.Handler {
-	derived := &shardedHandler{}
+	derived := &shardedHandler{counts: h.counts}
 	for i, shard := range h.shards {
 		derived.shards[i] = derive(shard)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
 
@@ -68,6 +70,13 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
 }
 
+// AddLogCounts adds the counts of the lines of a logger.
+func (m *Metrics) AddLogCounts(counts *logging.Counts) {
+	for result, count := range map[string]*atomic.Uint64{"written": &counts.Written, "dropped": &counts.Dropped, "failed": &counts.Failed} {
+		m.set.NewGauge(fmt.Sprintf("mustardstep_log_lines_total{result=%q}", result), func() float64 { return float64(count.Load()) })
+	}
+}
+
 // observeSplitEnd counts a split that is over.
 func (m *Metrics) observeSplitEnd(end scheduler.SplitEnd) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_splits_ended_total{reason=%q}", end)).Inc()
