command: keep the daemon running when the reader of its log ends

A daemon ended at once, without a graceful stop, when the process that reads its standard output (or standard error with mustardstepd serve) had ended: the runtime ends a process that writes to a broken pipe there. The users ask that the program never depends on its log.

SIGPIPE is ignored by the two commands that run a daemon, so that the write fails, is counted, and the process goes on.

TestProcessEndsWithReaderOfItsLog failed before ("signal: broken pipe") and passes now.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -79,6 +79,7 @@
 	if !c.resolve(f) {
 		return subcommands.ExitUsageError
 	}
+	ignoreBrokenPipe()
 	log, flush := logging.New(c.settings.Logging, os.Stderr)
 	defer flush()
 	d, err := daemon.New(c.settings, log)
@@ -146,6 +147,10 @@
 	return untilSignal(ctx, func(ctx context.Context) error { return c.run(ctx, c.settings.Standin) })
 }
 
+// ignoreBrokenPipe keeps the process running when the reader of its log ends. Otherwise the runtime
+// would end it at the next write to standard output or standard error.
+func ignoreBrokenPipe() { signal.Ignore(syscall.SIGPIPE) }
+
 // untilSignal runs a function with a context that SIGTERM and SIGINT cancel, and
 // prints its error.
 func untilSignal(ctx context.Context, run func(context.Context) error) subcommands.ExitStatus {
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -42,6 +42,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	ignoreBrokenPipe()
 	log, flush := logging.New(c.settings.Logging, os.Stdout)
 	defer flush()
 	logFindings(s, log)
