command: exit when the port for other VMs is taken

A daemon whose port for other VMs was taken neither served nor exited: it accepted callers' connections and was never ready. Node.Run returned the error of the listener, but runNode went on waiting for the server of the callers, which only a graceful stop ends.

The listener for callers is closed when the node has ended, so that the process exits with the error and status 1.

TestDaemonWithTakenPeerPortNeitherServesNorExits failed before (no end within 10 s) and passes now, 20 of 20 with -race.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -90,6 +90,7 @@
 	g.Go(func() error {
 		defer readiness.Close()
 		defer metricsListener.Close()
+		defer callers.Close() // the node may have failed without a graceful stop of the ingress
 		return n.Run(groupCtx, ingress)
 	})
 	return g.Wait()
