--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -42,8 +42,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	ignoreBrokenPipe()
 	log, flush := logging.New(c.settings.Logging, os.Stdout)
 	defer flush()
+	logFindings(s, log)
 	watchReload(hup, log)
 	return untilSignal(ctx, func(ctx context.Context) error { return runNode(ctx, s, c.settings.Node, c.settings.Logging, log) })
 }
@@ -51,6 +53,12 @@
 // runNode runs a node and its listeners for callers, readiness checks and metrics.
 func runNode(ctx context.Context, s *platform.Settings, nodeSettings settings.Node, logSettings settings.Logging, log *slog.Logger) error {
 	metrics := node.NewMetrics()
+	if counts := logging.CountsOf(log); counts != nil {
+		metrics.AddLogCounts(counts)
+	}
+	if !logSettings.Decisions || !log.Enabled(ctx, slog.LevelInfo) {
+		log.Warn("decisions are not logged", slog.String("vm", s.VM), slog.String("level", logSettings.Level), slog.Bool("decisions", logSettings.Decisions))
+	}
 	decisions := logging.NewDecisionLog(log.With(slog.String("vm", s.VM)), logSettings.Decisions)
 	config := s.NodeConfig()
 	config.Listen = nodeSettings.PeerListen
@@ -82,11 +90,19 @@
 	g.Go(func() error {
 		defer readiness.Close()
 		defer metricsListener.Close()
+		defer callers.Close() // the node may have failed without a graceful stop of the ingress
 		return n.Run(groupCtx, ingress)
 	})
 	return g.Wait()
 }
 
+// logFindings logs the settings that are missing or out of range.
+func logFindings(s *platform.Settings, log *slog.Logger) {
+	for _, f := range s.Findings() {
+		log.Warn("setting is missing or out of range", slog.String("vm", s.VM), slog.String("setting", f.Setting), slog.Any("used", f.Value), slog.String("problem", f.Problem))
+	}
+}
+
 // serveUntilClosed runs a server until its listener is closed, which is not an
 // error.
 func serveUntilClosed(serve func() error) error {
@@ -112,10 +128,12 @@
 func watchReload(hup <-chan os.Signal, log *slog.Logger) {
 	go func() {
 		for range hup {
-			if _, err := platform.Load(); err != nil {
+			s, err := platform.Load()
+			if err != nil {
 				log.Error("settings file reload failed", slog.Any("error", err))
 				continue
 			}
+			logFindings(s, log)
 			log.Info("settings file reloaded", slog.String("source", "settings file"), slog.String("effect", "none while the process runs"))
 		}
 	}()
