--- a/scheduler/model_test.go
+++ b/scheduler/model_test.go
@@ -87,6 +87,7 @@
 	downUntil   map[string]time.Time // by upstream: no process runs until then
 	crashes     map[scheduler.Task]int
 	notify      func(*modelDispatcher, scheduler.Notice) // delivers a notice to the origin
+	fixedDelay  time.Duration                            // of all messages; 0 means random ones
 }
 
 // delayedOrderPercent is the percentage of orders that get no response and are
@@ -109,8 +110,13 @@
 	return time.Duration(low+m.rand.IntN(high-low+1)) * time.Millisecond
 }
 
-// delay returns a random message delay.
-func (m *model) delay() time.Duration { return m.randomMillis(1, 12) }
+// delay returns the delay of a message.
+func (m *model) delay() time.Duration {
+	if m.fixedDelay != 0 {
+		return m.fixedDelay
+	}
+	return m.randomMillis(1, 12)
+}
 
 // responseDelay returns the delay of an order's response, which may be processed late.
 func (m *model) responseDelay() time.Duration {
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -72,7 +72,7 @@
 	m.nodes = make([]*splitNode, vms)
 	for i := range vms {
 		n := m.createNode(i)
-		n.started, n.listedAt, n.readAt = m.now.Add(-time.Minute), m.now.Add(-time.Minute), m.now
+		n.listedAt, n.readAt = m.now.Add(-time.Minute), m.now
 		n.revision, n.updatedAt = m.store.revision, m.now
 		for _, name := range m.names {
 			n.lapsed[name] = time.Time{}
