--- a/node/term.go
+++ b/node/term.go
@@ -143,6 +143,7 @@
 	v := n.fleet.View(now, n.termFor(n.config.VM))
 	n.view.Store(&v)
 	n.logView(old, &v)
+	n.logLosses(now, &v)
 	if old.Scope != v.Scope {
 		n.registry.setScopeSince(now)
 		time.AfterFunc(scopeSettleTime, func() { n.applyUpstreams(time.Now()) })
@@ -159,6 +160,7 @@
 		n.pollers.wakeAll() // with rivals, idle upstreams are polled too
 	}
 	n.notePeerLoss(v.Silence)
+	n.noteLoss(now, old.Silence, v.Silence)
 	n.confirmList(now)
 	token := n.term.current()
 	self := n.fleet.Self()
@@ -197,6 +199,17 @@
 	n.pollers.wakeAll() // while a VM is not heard, idle upstreams are polled too
 }
 
+// noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not
+// heard, and for LapsedRetention after that.
+func (n *Node) noteLoss(now time.Time, before, silence fleet.Silence) {
+	switch {
+	case silence == fleet.SilenceLong:
+		n.registry.recordLoss(now)
+	case before == fleet.SilenceLong:
+		time.AfterFunc(n.config.LapsedRetention, func() { n.applyUpstreams(time.Now()) })
+	}
+}
+
 // logView logs a view that differs from the previous one in its dispatcher or its
 // members.
 func (n *Node) logView(old, v *fleet.View) {
@@ -204,7 +217,7 @@
 		return
 	}
 	n.log.Info("fleet view changed", slog.String("scope", v.Scope.String()), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.TopRanked.VM),
-		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
+		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Int("lost", len(v.Lost)), slog.Bool("minority", v.Minority))
 }
 
 // canStartTerm reports whether this node may start a term.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -205,6 +205,7 @@
 	}
 	for _, u := range slices.Clone(s.all) {
 		a.coverage.count(u)
+		a.lacking.count(u, now, watched)
 		if u.listed {
 			state.oldestPoll = earlier(state.oldestPoll, u.polledAt())
 			state.latestStart = later(state.latestStart, u.startTime())
@@ -309,6 +310,9 @@
 		if u.Address != entry.Address {
 			u.claimed, u.retryAt = false, time.Time{}
 		}
+		if u.Missing && !entry.Missing {
+			u.retryAt = time.Time{}
+		}
 		u.Upstream, u.listed = entry, true
 		shard.mu.Unlock()
 	}
