--- a/scheduler/split_model_registry_test.go
+++ b/scheduler/split_model_registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
@@ -26,6 +27,7 @@
 	readAt    time.Time // time of the last listing
 	updatedAt time.Time // when the store last answered
 	revision  int64     // 0 before the first listing
+	lostAt    time.Time // when a member that may dispatch was last not heard
 	pulling   bool
 	// lapsed tells by upstream when its entry has lapsed; zero if it has not.
 	lapsed map[string]time.Time
@@ -58,6 +60,23 @@
 	n.applyUpstreams()
 }
 
+// noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not heard,
+// and for lapsedRetention after that.
+func (n *splitNode) noteLoss(before, silence fleet.Silence) {
+	switch {
+	case silence == fleet.SilenceLong:
+		n.lostAt = n.m.now
+	case before == fleet.SilenceLong:
+		n.m.after(lapsedRetention, func() { n.do(n.applyUpstreams) })
+	}
+}
+
+// forgets reports whether an entry that has lapsed at a time is dropped.
+func (n *splitNode) forgets(at time.Time) bool {
+	now := n.m.now
+	return !at.IsZero() && now.Sub(at) >= lapsedRetention && (n.lostAt.IsZero() || now.Sub(n.lostAt) >= lapsedRetention)
+}
+
 // listUpstream adds an upstream that the list has lacked because it is old.
 func (n *splitNode) listUpstream(name string) {
 	if n.hidden[name] {
@@ -154,7 +173,7 @@
 		lapsedFor := m.now.Sub(at)
 		switch {
 		case !known:
-		case !at.IsZero() && lapsedFor >= lapsedRetention:
+		case n.forgets(at):
 			m.logf("fault: %s forgets %s, whose entry has lapsed", n.name, name)
 			delete(n.lapsed, name)
 		case n.view.ShouldClaim(n.member, name, m.upstreams[name].Info.DataCentre):
--- a/scheduler/split_model_term_test.go
+++ b/scheduler/split_model_term_test.go
@@ -25,6 +25,7 @@
 
 func (n *splitNode) updateTerm() {
 	now := n.m.now
+	before := n.view.Silence
 	n.view = n.fleet.View(now, n.termFor(n.name))
 	v := &n.view
 	if len(v.Unreachable) > 0 {
@@ -35,6 +36,7 @@
 	}
 	n.scheduler.SetUnreachablePeers(now.Sub(n.rivalSeenAt) < rivalTimeout)
 	n.notePeerLoss(v.Silence)
+	n.noteLoss(before, v.Silence)
 	n.confirmList()
 	token := n.token
 	switch {
--- a/scheduler/split_retention_test.go
+++ b/scheduler/split_retention_test.go
@@ -146,3 +146,19 @@
 		})
 	}
 }
+
+// The dispatcher is killed in a split. The next one begins its first term, and adopts the run, shortly
+// before the caller returns.
+func TestSplitIsUnknownToNextDispatcher(t *testing.T) {
+	for killed := 1020; killed < 1260; killed += 20 {
+		t.Run(fmt.Sprintf("killed after %d ms", killed), func(t *testing.T) {
+			m := splitCaseOf(t)
+			m.fixedDelay = 2 * time.Millisecond
+			m.start()
+			m.at(300, func() { m.startPartition(m.newPartition("0001111", 2, 3)) })
+			m.at(3000, func() { m.sendLongJob(time.Millisecond, 1, 2) })
+			m.at(3000+killed, m.nodes[0].kill)
+			m.process(4500 * time.Millisecond)
+		})
+	}
+}
