soak: splits that outlast the timers of the daemons

Callers on real machines saw tasks with two runs in a split that lasted longer than 10 s. The soak drew splits of at most 6 s, while the daemons forget VMs and upstreams after 10 s, so it could not see that.

Cuts of a link are counted, so that the heal of one split does not end another one. The first line of a report tells the clock of the daemons' logs.

--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -30,6 +30,9 @@
 	status := subcommands.ExitSuccess
 	for i := range s.Seeds {
 		options := replay.SoakOptions{Seed: int64(s.Seed + i), Seconds: s.Seconds, VMs: s.VMs, Upstreams: s.Upstreams, Daemon: s.Daemon, OnlySplits: s.OnlySplits}
+		if s.OnlyLongSplits != "none" {
+			options.OnlyLongSplits = s.OnlyLongSplits
+		}
 		if s.LogDir != "" {
 			options.LogDir = filepath.Join(s.LogDir, fmt.Sprintf("seed-%d", options.Seed))
 			if err := os.MkdirAll(options.LogDir, 0o755); err != nil {
--- a/internal/replay/links.go
+++ b/internal/replay/links.go
@@ -32,7 +32,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, link := range l.byDirection {
-		link.heal()
+		link.healFully()
 		link.setDelay(0)
 	}
 }
@@ -40,7 +40,8 @@
 // link is the simulated network for one direction.
 type link struct {
 	mu        sync.Mutex     // guards the fields below
-	healed    chan struct{}  // closed by heal; nil unless the link is cut
+	cuts      int            // active cuts
+	healed    chan struct{}  // closed by the last heal; nil unless the link is cut
 	delay     time.Duration  // added to everything that is sent
 	closers   map[int]func() // by connection ID; each closes an open connection that was opened in this direction
 	nextID    int
@@ -62,20 +63,34 @@
 	l.firstLive = l.nextID
 }
 
-// cut holds all traffic until heal.
+// cut holds all traffic until heal was called as often as cut.
 func (l *link) cut() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.cuts++
 	if l.healed == nil {
 		l.healed = make(chan struct{})
 	}
 }
 
-// heal delivers the held traffic and resumes the link.
+// heal ends a cut. The end of the last one delivers the held traffic and resumes the link.
 func (l *link) heal() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.healed != nil {
+	l.endCuts(l.cuts - 1)
+}
+
+// healFully ends every cut.
+func (l *link) healFully() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.endCuts(0)
+}
+
+// endCuts ends all cuts but the given number. The caller holds mu.
+func (l *link) endCuts(left int) {
+	l.cuts = max(left, 0)
+	if l.cuts == 0 && l.healed != nil {
 		close(l.healed)
 		l.healed = nil
 	}
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -59,7 +59,13 @@
 	// RetryTimeout is how long a job without an answer is retried; 0 means twice the
 	// caller's deadline.
 	RetryTimeout time.Duration
+	// LongInterval is the mean time between long jobs; 0 for one that suits the number of
+	// upstreams.
+	LongInterval time.Duration
 	OnlySplits   bool // inject only splits of the VMs, one after another
+	// OnlyLongSplits is the kind of long splits that are injected, one after another, instead
+	// of all faults; empty for all faults.
+	OnlyLongSplits string
 }
 
 // soakTest is a cluster under random faults.
@@ -73,6 +79,7 @@
 	store     *standin.FaultyStore
 	vms       []*soakVM
 	upstreams []*soakUpstream
+	absent    absentParts // used by the goroutine that draws the faults
 	startedAt time.Time
 
 	deadly deadlyJobs
@@ -88,6 +95,7 @@
 // ErrInvariantViolated with the report if one was violated.
 func RunSoak(ctx context.Context, o SoakOptions) (*SoakReport, error) {
 	o.RetryTimeout = cmp.Or(o.RetryTimeout, 2*soakCallerDeadline)
+	o.LongInterval = cmp.Or(o.LongInterval, soakLongInterval/time.Duration(o.Upstreams))
 	s := &soakTest{
 		options: o, rng: rand.New(rand.NewPCG(uint64(o.Seed), 1)), dir: o.LogDir, links: newLinks(),
 		store: standin.NewFaultyStore(store.NewMemory()), startedAt: time.Now(), deadly: deadlyJobs{ids: map[string]bool{}},
@@ -106,6 +114,7 @@
 	}
 	defer runLog.Close()
 	s.checker = newSoakChecker(runLog)
+	s.recordEvent("the clock of the daemons' logs is %s", s.startedAt.Format(time.RFC3339Nano))
 	servingCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	g, servingCtx := errgroup.WithContext(servingCtx)
@@ -142,6 +151,11 @@
 			wait.For(ctx, s.randomMillis(500, 2500))
 			continue
 		}
+		if s.options.OnlyLongSplits != "" {
+			s.disturbed(s.longSplitOf(ctx, s.options.OnlyLongSplits))()
+			wait.For(ctx, s.randomMillis(500, 2500))
+			continue
+		}
 		if s.rng.IntN(soakSeriesShare) > 0 {
 			s.injectSeries(ctx, &pending)
 			wait.For(ctx, s.randomMillis(500, 3500))
@@ -182,12 +196,14 @@
 			return err
 		}
 	}
-	for _, v := range s.vms {
+	present := s.vms[:len(s.vms)-s.absentOf(len(s.vms))]
+	s.absent.vms = s.vms[len(present):]
+	for _, v := range present {
 		if err := s.spawn(v); err != nil {
 			return err
 		}
 	}
-	for _, v := range s.vms {
+	for _, v := range present {
 		if err := awaitHTTP(ctx, v.readinessAddr, "/v1/readiness"); err != nil {
 			return err
 		}
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -256,7 +256,7 @@
 	for _, u := range s.upstreams {
 		_ = u.SetFault(api.UpstreamFault{}) // cannot fail without a platform address
 		u.update(func() { u.unregistered, u.entry.Draining = false, false })
-		s.eachPath(u, s.vms, (*upstreamPath).heal)
+		s.eachPath(u, s.vms, (*upstreamPath).healFully)
 	}
 	for _, v := range s.vms {
 		v.signal(syscall.SIGCONT)
--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -92,7 +92,7 @@
 		}
 		j.breaks = drawBreaks(rng)
 		jobs.Go(func() { s.submit(j) })
-		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(soakLongInterval)/float64(len(s.upstreams))))
+		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(s.options.LongInterval)))
 	}
 	jobs.Wait()
 }
--- a/internal/replay/soak_network.go
+++ b/internal/replay/soak_network.go
@@ -19,6 +19,7 @@
 	responses *link
 
 	mu       sync.Mutex // guards the fields below
+	cuts     int        // active cuts
 	cut      bool       // packets are dropped, so that nothing can refuse a connection
 	refusing bool       // the network refuses connections
 	down     bool       // no process listens at the upstream's address
@@ -58,13 +59,29 @@
 	if how != cutRequests {
 		p.responses.cut()
 	}
-	return p.update(func() { p.cut, p.refusing = how != cutRefuse, how == cutRefuse })
+	return p.update(func() {
+		p.cuts++
+		p.cut, p.refusing = how != cutRefuse, how == cutRefuse
+	})
 }
 
+// heal ends a cut. The path works again once as many cuts have ended as began.
 func (p *upstreamPath) heal() error {
-	err := p.update(func() { p.cut, p.refusing = false, false })
-	p.requests.heal()
-	p.responses.heal()
+	p.mu.Lock()
+	p.cuts = max(p.cuts-1, 0)
+	left := p.cuts
+	p.mu.Unlock()
+	if left > 0 {
+		return nil
+	}
+	return p.healFully()
+}
+
+// healFully ends every cut.
+func (p *upstreamPath) healFully() error {
+	err := p.update(func() { p.cuts, p.cut, p.refusing = 0, false, false })
+	p.requests.healFully()
+	p.responses.healFully()
 	return err
 }
 
--- a/internal/replay/soak_series.go
+++ b/internal/replay/soak_series.go
@@ -28,7 +28,7 @@
 	// Each function draws the random values and returns the function that runs the series.
 	series := []func(context.Context) func(){
 		s.freezeDispatchers, s.freezeDispatchers, s.cutUpstreams, s.cutUpstreams,
-		s.refuseAndReset, s.isolateDispatcher, s.restartBehindCut, s.drawSplit, s.drawSplit, s.drawSplit,
+		s.refuseAndReset, s.isolateDispatcher, s.restartBehindCut, s.drawSplit, s.drawSplit, s.drawSplit, s.drawLongSplit,
 	}
 	run := s.disturbed(series[s.rng.IntN(len(series))](ctx))
 	pending.Go(run)
--- a/internal/replay/soak_split.go
+++ b/internal/replay/soak_split.go
@@ -43,10 +43,15 @@
 	groups []vmGroup
 	how    pathCut // of VMs from upstreams; VMs always lose each other's traffic silently
 	reset  bool    // the connections that were cut are reset at the end
+	oneWay bool    // only what the first group sends to the other VMs is lost
 }
 
 func (c split) String() string {
-	return fmt.Sprintf("%v, %v, reset at the end %t", c.groups, c.how, c.reset)
+	oneWay := ""
+	if c.oneWay {
+		oneWay = ", only traffic of the first group is lost"
+	}
+	return fmt.Sprintf("%v, %v, reset at the end %t%s", c.groups, c.how, c.reset, oneWay)
 }
 
 // halt suspends or replaces the process of a dispatcher.
@@ -105,11 +110,36 @@
 
 // cutGroups begins a split and returns the function that heals the network.
 func (s *soakTest) cutGroups(c split) func() {
+	healNetwork := s.cutNetwork(c)
+	healStore := s.cutStores(c.groups)
+	return func() {
+		healNetwork()
+		healStore()
+	}
+}
+
+// cutNetwork cuts groups off from each other and from the upstreams that they lose, and returns
+// the function that heals the network.
+func (s *soakTest) cutNetwork(c split) func() {
 	s.recordEvent("split the VMs: %v", c)
-	s.eachLinkBetween(c.groups, (*link).cut)
+	s.eachCutLink(c, (*link).cut)
 	s.eachLostPath(c.groups, func(p *upstreamPath) error { return p.setCut(c.how) })
+	return func() {
+		s.recordEvent("heal the split of the VMs")
+		if c.reset {
+			s.eachCutLink(c, (*link).reset)
+			s.eachLostPath(c.groups, func(p *upstreamPath) error { p.requests.reset(); return nil })
+		}
+		s.eachCutLink(c, (*link).heal)
+		s.eachLostPath(c.groups, (*upstreamPath).heal)
+	}
+}
+
+// cutStores cuts the groups that lose the store off from it and returns the function that heals
+// the network.
+func (s *soakTest) cutStores(groups []vmGroup) func() {
 	var heals []func()
-	for _, g := range c.groups {
+	for _, g := range groups {
 		if g.storeless {
 			for _, v := range g.vms {
 				heals = append(heals, s.cutStore(v))
@@ -117,35 +147,43 @@
 		}
 	}
 	return func() {
-		s.recordEvent("heal the split of the VMs")
-		if c.reset {
-			s.eachLinkBetween(c.groups, (*link).reset)
-			s.eachLostPath(c.groups, func(p *upstreamPath) error { p.requests.reset(); return nil })
-		}
-		s.eachLinkBetween(c.groups, (*link).heal)
-		s.eachLostPath(c.groups, (*upstreamPath).heal)
 		for _, heal := range heals {
 			heal()
 		}
 	}
 }
 
+// eachCutLink calls f with the links between VMs that a split cuts.
+func (s *soakTest) eachCutLink(c split, f func(*link)) {
+	if !c.oneWay {
+		s.eachLinkBetween(c.groups, f)
+		return
+	}
+	for _, to := range c.groups[1:] {
+		s.eachLinkFrom(c.groups[0], to, f)
+	}
+}
+
 // eachLinkBetween calls f with the links between VMs of different groups.
 func (s *soakTest) eachLinkBetween(groups []vmGroup, f func(*link)) {
 	for i, from := range groups {
 		for j, to := range groups {
-			if i == j {
-				continue
-			}
-			for _, a := range from.vms {
-				for _, b := range to.vms {
-					f(s.links.get(a.name, b.name))
-				}
+			if i != j {
+				s.eachLinkFrom(from, to, f)
 			}
 		}
 	}
 }
 
+// eachLinkFrom calls f with the links from the VMs of a group to those of another one.
+func (s *soakTest) eachLinkFrom(from, to vmGroup, f func(*link)) {
+	for _, a := range from.vms {
+		for _, b := range to.vms {
+			f(s.links.get(a.name, b.name))
+		}
+	}
+}
+
 // eachLostPath calls f with the paths between each group and the upstreams that it loses.
 func (s *soakTest) eachLostPath(groups []vmGroup, f func(*upstreamPath) error) {
 	for _, g := range groups {
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -79,6 +79,10 @@
 		s.checker.recordCompletion(u.entry.Name, run, kind)
 	}
 	s.upstreams = append(s.upstreams, u)
+	if i >= s.options.Upstreams-s.absentOf(s.options.Upstreams) {
+		u.unregistered = true
+		s.absent.upstreams = append(s.absent.upstreams, u)
+	}
 	name := u.entry.Name
 	u.process = standin.NewProcess(listener, func(c *fasthttp.RequestCtx) { platform.ServeUpstream(ctx, name, u.Upstream, c) })
 	g.Go(func() error { return u.process.Run(ctx) })
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -503,6 +503,8 @@
 	Upstreams int
 	// OnlySplits: inject only splits of the VMs, one after another.
 	OnlySplits bool
+	// OnlyLongSplits: inject only splits of this kind, one after another; they may outlast every timer of a split.
+	OnlyLongSplits string
 	// Daemon: executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program.
 	Daemon string
 	// LogDir: directory for process logs, with one subdirectory per seed; empty discards the logs.
@@ -532,6 +534,9 @@
 	bind(b, &s.OnlySplits, definition[bool]{
 		flag: "only-splits", env: "MUSTARDSTEP_ONLY_SPLITS", help: "inject only splits of the VMs, one after another", unit: "",
 	})
+	bind(b, &s.OnlyLongSplits, definition[string]{
+		flag: "only-long-splits", env: "MUSTARDSTEP_ONLY_LONG_SPLITS", help: "inject only splits of this kind, one after another; they may outlast every timer of a split", unit: "", defaultText: "none", oneOf: []string{"none", "any", "lasting", "storeless", "store-first", "lapsing", "restarts", "changes", "overlapping", "one-way", "brief"},
+	})
 	bind(b, &s.Daemon, definition[string]{
 		flag: "daemon", env: "MUSTARDSTEP_DAEMON", help: "executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program", unit: "",
 	})
