--- a/cmd/mustardstep-replay/main_test.go
+++ b/cmd/mustardstep-replay/main_test.go
@@ -30,7 +30,21 @@
 // TestSoak runs real processes under random faults for a few seconds. It asserts
 // no timing.
 func TestSoak(t *testing.T) {
-	report, err := replay.RunSoak(t.Context(), replay.SoakOptions{Seed: 7, Seconds: 5, VMs: 4, Upstreams: 6, RetryTimeout: 10 * time.Minute})
+	runSoak(t, replay.SoakOptions{Seed: 7, Seconds: 5, VMs: 4, Upstreams: 6, RetryTimeout: 10 * time.Minute})
+}
+
+// TestRunsOnBothSidesOfForgottenSplit runs three data centres that lose each other and the store
+// for 17.8 s, longer than the daemons remember VMs and upstreams that they do not hear.
+func TestRunsOnBothSidesOfForgottenSplit(t *testing.T) {
+	runSoak(t, replay.SoakOptions{
+		Seed: 10, Seconds: 1, VMs: 6, Upstreams: 24, OnlyLongSplits: "storeless",
+		LongInterval: 100 * time.Millisecond, RetryTimeout: 10 * time.Minute,
+	})
+}
+
+// runSoak runs a soak test and logs its faults.
+func runSoak(t *testing.T, options replay.SoakOptions) {
+	report, err := replay.RunSoak(t.Context(), options)
 	if report != nil {
 		for _, line := range append(report.FaultEvents, report.Violations...) {
 			t.Log(line)
--- a/internal/replay/soak_long_split_draw.go
+++ b/internal/replay/soak_long_split_draw.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	// soakMaxSteps bounds the changes of each sort in a long split.
+	// soakMaxSteps bounds the changes of upstreams of each sort in a long split.
 	soakMaxSteps = 3
 	// soakMaxStoreLead bounds the time from the loss of the store to the split.
 	soakMaxStoreLead = 12 * time.Second
@@ -215,13 +215,15 @@
 	return steps
 }
 
-// drawRestarts draws VMs that are killed and start again during the split, and lets the absent
-// ones join.
+// drawRestarts draws VMs of one group that are killed and start again during the split, so that
+// their new processes hear no other group, and lets the absent ones join.
 func (s *soakTest) drawRestarts(l longSplit) []splitStep {
 	begin := l.parts[0].beginAt
+	vms := l.parts[0].groups[s.rng.IntN(len(l.parts[0].groups))].vms
+	killed := s.rng.Perm(len(vms))[:1+s.rng.IntN(len(vms))]
 	var steps []splitStep
-	for range 1 + s.rng.IntN(soakMaxSteps) {
-		v := s.vms[s.rng.IntN(len(s.vms))]
+	for _, index := range killed {
+		v := vms[index]
 		steps = append(steps, splitStep{
 			at: s.drawTime(begin, l.end()), duration: s.drawTime(soakMinKillTime, soakMaxKillTime), begin: func() func() { return s.kill(v) },
 		})
