--- a/internal/replay/soak_long_split_draw.go
+++ b/internal/replay/soak_long_split_draw.go
@@ -27,7 +27,7 @@
 	// soakMaxReplaceTime bounds the time for which a replaced upstream is down.
 	soakMaxReplaceTime = time.Second
 	// soakLapseSpread is the time within which entries lapse after the loss of the store.
-	soakLapseSpread = 4 * time.Second
+	soakLapseSpread = 2 * time.Second
 	// soakBriefShare is the number of splits without a given duration of which one is brief.
 	soakBriefShare = 4
 )
