soak: other processes take the ports of a closed listener

A soak reported tasks with two runs, or answers without completions, that had not occurred: its relays and upstreams close their listeners and open them again, and another soak or test on the machine had taken the port meanwhile.

--- a/internal/replay/process.go
+++ b/internal/replay/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -154,6 +155,16 @@
 	next int        // 0 before the first call
 }
 
+// sharedHost is the last byte of the loopback address for all that has no own one.
+const sharedHost = 250
+
+// loopbackHost returns the loopback address of this process with the given last byte. Listeners are
+// closed and opened again, and no other process must take their ports meanwhile.
+func loopbackHost(last int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 1+(pid>>8)%254, pid&0xff, last)
+}
+
 // freeAddresses returns n loopback addresses with free ports. An address is returned
 // again only after all other ports of the range were tried.
 func freeAddresses(n int) ([]string, error) {
@@ -168,13 +179,13 @@
 			return addresses, nil
 		}
 		port := strconv.Itoa(ports.next)
-		address := net.JoinHostPort("127.0.0.1", port)
+		address := net.JoinHostPort(loopbackHost(sharedHost), port)
 		ports.next++
 		if ports.next > lastPort {
 			ports.next = firstPort
 		}
 		// Test the port on all addresses: each VM of a soak test has its own loopback
-		// address, and other soak tests may run in other processes.
+		// address.
 		listener, err := net.Listen("tcp4", net.JoinHostPort("0.0.0.0", port))
 		if err != nil {
 			continue
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -61,7 +61,7 @@
 }
 
 func (s *soakTest) addUpstream(ctx context.Context, g *errgroup.Group, i int) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", net.JoinHostPort(loopbackHost(sharedHost), "0"))
 	if err != nil {
 		return err
 	}
--- a/internal/replay/soak_vms.go
+++ b/internal/replay/soak_vms.go
@@ -31,7 +31,7 @@
 }
 
 func (s *soakTest) addVM(ctx context.Context, g *errgroup.Group, i int) error {
-	host := fmt.Sprintf("127.0.1.%d", i+1)
+	host := loopbackHost(i + 1)
 	addresses, err := freeAddresses(7)
 	if err != nil {
 		return err
@@ -50,7 +50,7 @@
 	if err := s.addPaths(v); err != nil {
 		return err
 	}
-	storeListener, err := net.Listen("tcp", "127.0.0.1:0")
+	storeListener, err := net.Listen("tcp", net.JoinHostPort(loopbackHost(sharedHost), "0"))
 	if err != nil {
 		return err
 	}
