scheduler: a split is unknown in the first term of a dispatcher

Callers of a split fleet may see two runs of a task: a dispatcher that takes over in a split renews the leases of runs that it adopts, until its first tick, beyond the return of their callers.

A first term begins with a suspected split if a VM is not heard, as every later tick would find: no upstream is held yet.

--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -223,7 +223,7 @@
 	s.termStart.Store(int64(now.Sub(s.start)))
 	if former == 0 {
 		s.resetSplit.Store(true)
-		s.split.Store(uint32(splitNone))
+		s.split.Store(uint32(s.firstSplitState()))
 	}
 	// The jobs are reset last, so that no report of the earlier term is recorded afterwards.
 	for _, shard := range s.upstreamShards {
--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -104,6 +104,14 @@
 	s.split.Store(uint32(state))
 }
 
+// firstSplitState returns the state at the begin of a term, in which no upstream is held yet.
+func (s *Scheduler) firstSplitState() splitState {
+	if s.config.CallerReturn == 0 || s.PeerLoss() == PeersHeard {
+		return splitNone
+	}
+	return splitSuspected
+}
+
 func (s *Scheduler) splitState() splitState { return splitState(s.split.Load()) }
 
 // Split reports whether other dispatchers may have upstreams, so that jobs are abandoned before
