--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -41,14 +41,15 @@
 type splitNode struct {
 	*modelDispatcher
 	splitRegistry
-	m        *splitModel
-	vm       int // position
-	member   fleet.Member
-	dead     bool
-	started  time.Time
-	fleet    *fleet.Fleet
-	view     fleet.View
-	contacts map[string]bool // members to which a heartbeat is pending
+	m          *splitModel
+	vm         int // position
+	member     fleet.Member
+	dead       bool
+	started    time.Time
+	rosterRead bool
+	fleet      *fleet.Fleet
+	view       fleet.View
+	contacts   map[string]bool // members to which a heartbeat is pending
 
 	termStart, fencedSince, rivalSeenAt, pausedAt time.Time
 	reclaims                                      int
@@ -78,6 +79,7 @@
 	n.every(withdrawInterval, n.repeatWithdrawals)
 	n.every(memberRenewInterval, n.renewMember)
 	n.watchStore()
+	n.watchRoster()
 }
 
 // do executes what the process has to do, after its pause if it is frozen.
--- a/scheduler/split_model_partition_test.go
+++ b/scheduler/split_model_partition_test.go
@@ -135,6 +135,17 @@
 	m.after(m.randomMillis(2000, 16000), m.injectPartitions)
 }
 
+// injectRestarts kills and pauses processes at random times, without other faults.
+func (m *splitModel) injectRestarts() {
+	n := m.nodes[m.rand.IntN(len(m.nodes))]
+	if m.rand.IntN(3) == 0 {
+		m.freeze(n, m.randomMillis(50, 2500))
+	} else {
+		m.kill(n)
+	}
+	m.after(m.randomMillis(1000, 8000), m.injectRestarts)
+}
+
 // join starts a process at another VM.
 func (m *splitModel) join() {
 	vm := len(m.nodes)
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -189,7 +189,11 @@
 	m.start()
 	m.after(splitStartTime, func() {
 		m.sendJobs(0)
-		m.injectFaults()
+		if m.rand.IntN(2) == 0 {
+			m.injectFaults()
+		} else {
+			m.injectRestarts()
+		}
 		m.injectPartitions()
 		if m.rand.IntN(3) == 0 {
 			m.after(m.randomMillis(2000, 20000), m.join)
