--- a/internal/logging/losses.go
+++ b/internal/logging/losses.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// Forget forgets the losses that were logged.
+func (l *LossLog) Forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.lost)
+}
+
 // line logs a line, or counts it if the window has no room. The caller holds mu.
 func (l *LossLog) line(level slog.Level, message string, attrs ...slog.Attr) {
 	if l.lines >= maxLossLines {
--- a/internal/logging/losses_test.go
+++ b/internal/logging/losses_test.go
@@ -120,8 +120,14 @@
 			logger, flush := New(settings.Logging{Level: "info", Format: "json"}, &log)
 			l := NewSplitLog(logger)
 			now := time.Unix(1_700_000_000, 0)
-			for range 10 { // ticks
-				_, ended := l.Observe(now, confirmed, lost, fleet.LossEndHeard)
+			former := confirmed
+			former.Token--
+			for i := range 10 { // ticks, the first ones in the term before
+				report := confirmed
+				if i < 5 {
+					report = former
+				}
+				_, ended := l.Observe(now, report, lost, fleet.LossEndHeard)
 				require.False(t, ended)
 			}
 			time.Sleep(time.Millisecond) // for sorting
--- a/internal/logging/splits.go
+++ b/internal/logging/splits.go
@@ -27,7 +27,10 @@
 // weakest evidence by which others no longer are. It returns why a split has ended; ended is false
 // if none has.
 func (l *SplitLog) Observe(now time.Time, r scheduler.SplitReport, lost []fleet.LostMember, lossEnd fleet.LossEnd) (end scheduler.SplitEnd, ended bool) {
-	if l.confirmed.Confirmed && (!r.Confirmed || r.Token != l.confirmed.Token) {
+	if l.confirmed.Confirmed && r.Confirmed {
+		l.confirmed.Token = r.Token // a split goes on in the next term
+	}
+	if l.confirmed.Confirmed && !r.Confirmed {
 		end, ended = scheduler.EndOfSplit(l.confirmed, r), true
 		attrs := []any{slog.String("why", end.String())}
 		if end == scheduler.SplitEndNoneLost {
--- a/node/losses.go
+++ b/node/losses.go
@@ -8,8 +8,13 @@
 )
 
 // logLosses logs which members are lost, and why others no longer are. It precedes notePeerLoss,
-// so that the reason is known when the scheduler ends a split.
+// so that the reason is known when the scheduler ends a split. Members that are neither
+// candidates nor dispatch hear only some of the others regularly.
 func (n *Node) logLosses(now time.Time, v *fleet.View) {
+	if now.Sub(n.started) < startupGrace || !v.Candidate && n.term.current() == 0 {
+		n.losses.Forget()
+		return
+	}
 	n.losses.Observe(now, v.Lost, func(m fleet.LostMember) fleet.LossEnd { return n.fleet.WhyNotLost(now, m) })
 }
 
--- a/scheduler/split_report.go
+++ b/scheduler/split_report.go
@@ -80,7 +80,8 @@
 const (
 	// SplitEndTermOver means that this VM no longer dispatches.
 	SplitEndTermOver SplitEnd = iota
-	// SplitEndNewTerm means that a new term has begun, in which the split is to be confirmed again.
+	// SplitEndNewTerm means that a new term has begun, some time after the last one, in which the
+	// split is to be confirmed again.
 	SplitEndNewTerm
 	// SplitEndNoneLost means that no VM counts as lost any more.
 	SplitEndNoneLost
