scheduler: long schedules of the split model with up to seven VMs, and a store that goes 18 s before the split

VMs of a low rank neither read the list of upstreams nor fetch it from others, so that theirs may be old.

--- a/scheduler/split_model_partition_test.go
+++ b/scheduler/split_model_partition_test.go
@@ -123,7 +123,7 @@
 	split := time.Duration(0)
 	if m.rand.IntN(3) == 0 { // the store goes first
 		p.storeOnly = true
-		split = m.randomMillis(500, 13000)
+		split = m.randomMillis(500, maxPartition)
 		m.after(split, func() {
 			p.storeOnly = false
 			m.logf("fault: the sides of %v do not hear each other", p)
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -71,12 +71,7 @@
 	m.dispatchers = make([]*modelDispatcher, vms)
 	m.nodes = make([]*splitNode, vms)
 	for i := range vms {
-		n := m.createNode(i)
-		n.listedAt, n.readAt = m.now.Add(-time.Minute), m.now
-		n.revision, n.updatedAt = m.store.revision, m.now
-		for _, name := range m.names {
-			n.lapsed[name] = time.Time{}
-		}
+		m.createFirstNode(i)
 	}
 	m.notify = func(d *modelDispatcher, notice scheduler.Notice) {
 		if at := slices.Index(m.dispatchers, d); at >= 0 {
@@ -98,6 +93,16 @@
 	return n
 }
 
+// createFirstNode creates a process that has listed all upstreams before.
+func (m *splitModel) createFirstNode(vm int) {
+	n := m.createNode(vm)
+	n.listedAt, n.readAt = m.now.Add(-time.Minute), m.now
+	n.revision, n.updatedAt = m.store.revision, m.now
+	for _, name := range m.names {
+		n.lapsed[name] = time.Time{}
+	}
+}
+
 // startNode starts another process at a VM.
 func (m *splitModel) startNode(vm int) *splitNode {
 	n := m.createNode(vm)
@@ -185,6 +190,10 @@
 
 // runLong executes a long simulation with partitions.
 func (m *splitModel) runLong() {
+	for range m.rand.IntN(4) { // some VMs are no candidates, and do not fetch lists from others
+		m.nodes, m.dispatchers = append(m.nodes, nil), append(m.dispatchers, nil)
+		m.createFirstNode(len(m.nodes) - 1)
+	}
 	m.hideNewUpstream()
 	m.start()
 	m.after(splitStartTime, func() {
