fleet: only candidates take members to be lost that send them no heartbeats

A VM that is none of the three highest-ranked exchanges heartbeats with these and, rarely, with the others. Its view named the others as lost most of the time, so that its log and mustardstep_members_lost showed losses that there were not.

Such a VM names only members that rank as high as the candidates that it reaches. When it ceases to be a candidate, the reason is "not watched". A member that was never heard is logged at info level, since each start has such lines.

--- a/fleet/lost.go
+++ b/fleet/lost.go
@@ -43,6 +43,9 @@
 	LossEndStopped
 	// LossEndScope means that the member is no longer known, or belongs to another scope.
 	LossEndScope
+	// LossEndNotWatched means that this member is no candidate any more, and that the other one
+	// sends it no regular heartbeats.
+	LossEndNotWatched
 	// LossEndForgotten means that the member is neither heard nor listed, without proof that it
 	// has ended.
 	LossEndForgotten
@@ -50,7 +53,7 @@
 
 // String returns the text used in logs.
 func (e LossEnd) String() string {
-	return [...]string{"heard again", "term over", "later process", "stopped gracefully", "not in scope", "forgotten"}[e]
+	return [...]string{"heard again", "term over", "later process", "stopped gracefully", "not in scope", "not watched", "forgotten"}[e]
 }
 
 // LostMember is a member that may dispatch and is not heard.
@@ -85,8 +88,16 @@
 	v.Lost = append(v.Lost, lost)
 }
 
-// sortLost orders the lost members by VM.
-func (v *View) sortLost() {
+// finishLost removes the members with which this one exchanges no regular heartbeats, and orders the
+// others by VM. Only a candidate hears all members; any other one hears those that rank as high as the
+// candidates that it reaches. Reachable must be in order of rank. The caller holds mu.
+func (v *View) finishLost(f *Fleet) {
+	if !v.Candidate {
+		lowest := v.Reachable[candidateCount-1].Member
+		v.Lost = slices.DeleteFunc(v.Lost, func(m LostMember) bool {
+			return compareRank(f.peers[m.VM].heartbeat.Member, lowest) > 0
+		})
+	}
 	slices.SortFunc(v.Lost, func(a, b LostMember) int { return cmp.Compare(a.VM, b.VM) })
 }
 
@@ -106,6 +117,8 @@
 		return LossEndHeard
 	case p.heartbeat.Member.Draining && p.heartbeat.Term == 0:
 		return LossEndStopped
+	case f.silence(now, p) == SilenceLong:
+		return LossEndNotWatched
 	}
 	return LossEndForgotten
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -38,7 +38,8 @@
 	Unreachable []Member
 	// Silence tells whether a member that may dispatch has not been heard.
 	Silence Silence
-	// Lost are the members that may dispatch and are not heard, by VM.
+	// Lost are the members that may dispatch and are not heard, by VM. A member that is no candidate
+	// knows this only of those that rank as high as the candidates.
 	Lost []LostMember
 	// Minority reports that fewer than half of the present members form this
 	// group. Only candidates know it, since only they receive heartbeats from
@@ -93,7 +94,6 @@
 			v.Dispatcher, v.Term = m, p.heartbeat.Term
 		}
 	}
-	v.sortLost()
 	ahead := 0
 	for _, r := range v.Reachable {
 		if compareRank(r.Member, f.self) < 0 {
@@ -110,6 +110,7 @@
 		}
 	}
 	slices.SortFunc(v.Reachable, func(a, b Heartbeat) int { return compareRank(a.Member, b.Member) })
+	v.finishLost(f)
 	return v
 }
 
--- a/internal/logging/losses.go
+++ b/internal/logging/losses.go
@@ -83,11 +83,15 @@
 			continue
 		}
 		l.lost[p] = loss{m, now}
+		level := slog.LevelWarn
+		if m.Reason == fleet.LossNeverHeard {
+			level = slog.LevelInfo // usual when processes start
+		}
 		attrs := []slog.Attr{slog.String("member", m.VM), slog.String("why", m.Reason.String())}
 		if !m.HeardAt.IsZero() {
 			attrs = append(attrs, slog.Int64("unheard_ms", now.Sub(m.HeardAt).Milliseconds()))
 		}
-		l.line(slog.LevelWarn, "member lost", append(attrs, slog.Bool("listed", m.Listed), slog.Uint64("incarnation", m.Incarnation))...)
+		l.line(level, "member lost", append(attrs, slog.Bool("listed", m.Listed), slog.Uint64("incarnation", m.Incarnation))...)
 	}
 }
 
