--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -112,9 +112,14 @@
 	deaf         bool      // has reported, since lastContact, that it does not hear this member
 	// dispatchedAt is when the member last reported a term, dispatchDigest the digest of its
 	// upstreams in that report.
-	dispatchedAt   time.Time
-	dispatchDigest uint64
-	listed         bool // present in the platform's store
+	dispatchedAt     time.Time
+	dispatchDigest   uint64
+	dispatchRevision int64 // of its upstreams in that report
+	heard            bool  // has sent a heartbeat or answered one
+	listed           bool  // present in the platform's store
+	replaced         bool  // another process has its address
+	rostered         bool  // has been on the roster
+	removed          bool  // has been on the roster, and no longer is
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -175,6 +180,9 @@
 			added = append(added, m)
 		}
 	}
+	if len(added) > 0 {
+		f.recount()
+	}
 	return added
 }
 
@@ -192,16 +200,26 @@
 	if p != nil {
 		former = *p
 		f.digest ^= memberHash(p.heartbeat.Member)
-	} else if f.inScope(m) {
-		f.scopeSize++
 	}
 	f.digest ^= memberHash(m)
+	f.replaceAt(m)
 	f.peers[m.VM] = &peer{
-		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest,
+		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest, dispatchRevision: former.dispatchRevision,
 	}
 	return true
 }
 
+// replaceAt notes that a member has an address: two processes cannot listen at one, so that an
+// older one at the same address is gone. The caller holds mu.
+func (f *Fleet) replaceAt(m Member) {
+	for vm, p := range f.peers {
+		former := p.heartbeat.Member
+		if vm != m.VM && former.Address == m.Address && former.Incarnation < m.Incarnation {
+			p.replaced = true
+		}
+	}
+}
+
 // SetListed sets the members that the platform's store lists. An unreachable
 // member that is no longer listed is no longer present.
 func (f *Fleet) SetListed(members []Member) {
@@ -217,6 +235,7 @@
 			p.listed = true
 		}
 	}
+	f.recount()
 }
 
 // RecordHeartbeat records a heartbeat of a member. bidirectional reports
@@ -224,15 +243,19 @@
 func (f *Fleet) RecordHeartbeat(now time.Time, hb Heartbeat, bidirectional bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addMember(hb.Member)
+	added := f.addMember(hb.Member)
 	f.token = max(f.token, hb.Token)
 	p := f.peers[hb.Member.VM]
 	if p == nil || p.heartbeat.Member.Incarnation > hb.Member.Incarnation {
 		return
 	}
-	p.heartbeat = hb
+	if added || !p.heard {
+		p.heard = true
+		f.recount()
+	}
+	p.heartbeat, p.replaced, p.removed = hb, false, false
 	if hb.Term != 0 {
-		p.dispatchedAt, p.dispatchDigest = now, hb.UpstreamsDigest
+		p.dispatchedAt, p.dispatchDigest, p.dispatchRevision = now, hb.UpstreamsDigest, hb.UpstreamsRevision
 	}
 	delay := time.Duration(0)
 	if hb.Clock != 0 {
@@ -456,6 +479,20 @@
 	return true
 }
 
+// DispatchersRevision returns the revision up to which all members that have dispatched since a
+// time had read the upstreams when they last reported a term; 0 if none has dispatched.
+func (f *Fleet) DispatchersRevision(since time.Time) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lowest := int64(0)
+	for _, p := range f.peers {
+		if f.inScope(p.heartbeat.Member) && p.dispatchedAt.After(since) && (lowest == 0 || p.dispatchRevision < lowest) {
+			lowest = p.dispatchRevision
+		}
+	}
+	return lowest
+}
+
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/fleet/lost.go
+++ b/fleet/lost.go
@@ -37,14 +37,17 @@
 	// LossEndTermOver means that the member was heard all the time, and that its term or that of
 	// this member is over.
 	LossEndTermOver
-	// LossEndReplaced means that a later process of the VM was heard or listed.
+	// LossEndReplaced means that a later process of the VM was heard or listed, or that another VM
+	// has its address.
 	LossEndReplaced
+	// LossEndRemoved means that the member is no longer on the roster.
+	LossEndRemoved
 	// LossEndStopped means that the member had announced its stop and has left the store.
 	LossEndStopped
 	// LossEndScope means that the member is no longer known, or belongs to another scope.
 	LossEndScope
-	// LossEndNotWatched means that this member is no candidate any more, and that the other one
-	// sends it no regular heartbeats.
+	// LossEndNotWatched means that this member is no candidate any more, and that the other one, which
+	// is still not heard, sends it no regular heartbeats.
 	LossEndNotWatched
 	// LossEndForgotten means that the member is neither heard nor listed, without proof that it
 	// has ended.
@@ -53,7 +56,7 @@
 
 // String returns the text used in logs.
 func (e LossEnd) String() string {
-	return [...]string{"heard again", "term over", "later process", "stopped gracefully", "not in scope", "not watched", "forgotten"}[e]
+	return [...]string{"heard again", "term over", "later process", "removed from the roster", "stopped gracefully", "not in scope", "not watched", "forgotten"}[e]
 }
 
 // LostMember is a member that may dispatch and is not heard.
@@ -65,6 +68,9 @@
 	// Listed reports whether the platform's store lists the member.
 	Listed bool
 	Reason LossReason
+	// Watched means that this member usually exchanges heartbeats with it. A candidate does so with
+	// all members; any other one with those that rank as high as the candidates that it reaches.
+	Watched bool
 }
 
 // addLost adds a member if it is silent for long. term is the term of this member, or 0: while it
@@ -88,15 +94,23 @@
 	v.Lost = append(v.Lost, lost)
 }
 
-// finishLost removes the members with which this one exchanges no regular heartbeats, and orders the
-// others by VM. Only a candidate hears all members; any other one hears those that rank as high as the
-// candidates that it reaches. Reachable must be in order of rank. The caller holds mu.
+// LostUnheard reports whether a lost member has never been heard. It may use upstreams whose
+// entries lapsed before this process first listed them.
+func (v *View) LostUnheard() bool {
+	return slices.ContainsFunc(v.Lost, func(m LostMember) bool { return m.HeardAt.IsZero() })
+}
+
+// WatchedLost returns the lost members with which this one usually exchanges heartbeats, for logs.
+func (v *View) WatchedLost() []LostMember {
+	return slices.DeleteFunc(slices.Clone(v.Lost), func(m LostMember) bool { return !m.Watched })
+}
+
+// finishLost orders the lost members by VM and marks those that are watched. Reachable must be in
+// order of rank. The caller holds mu.
 func (v *View) finishLost(f *Fleet) {
-	if !v.Candidate {
-		lowest := v.Reachable[candidateCount-1].Member
-		v.Lost = slices.DeleteFunc(v.Lost, func(m LostMember) bool {
-			return compareRank(f.peers[m.VM].heartbeat.Member, lowest) > 0
-		})
+	for i := range v.Lost {
+		m := &v.Lost[i]
+		m.Watched = v.Candidate || compareRank(f.peers[m.VM].heartbeat.Member, v.Reachable[candidateCount-1].Member) < 0
 	}
 	slices.SortFunc(v.Lost, func(a, b LostMember) int { return cmp.Compare(a.VM, b.VM) })
 }
@@ -109,13 +123,15 @@
 	switch {
 	case p == nil || !f.inScope(p.heartbeat.Member):
 		return LossEndScope
-	case p.heartbeat.Member.Incarnation > lost.Incarnation:
+	case p.heartbeat.Member.Incarnation > lost.Incarnation || p.replaced:
 		return LossEndReplaced
 	case f.proven(now, p) && lost.Reason == LossOwnTerm:
 		return LossEndTermOver
 	case f.proven(now, p):
 		return LossEndHeard
-	case p.heartbeat.Member.Draining && p.heartbeat.Term == 0:
+	case p.removed:
+		return LossEndRemoved
+	case f.gone(p):
 		return LossEndStopped
 	case f.silence(now, p) == SilenceLong:
 		return LossEndNotWatched
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -38,8 +38,7 @@
 	Unreachable []Member
 	// Silence tells whether a member that may dispatch has not been heard.
 	Silence Silence
-	// Lost are the members that may dispatch and are not heard, by VM. A member that is no candidate
-	// knows this only of those that rank as high as the candidates.
+	// Lost are the members that may dispatch and are not heard, by VM.
 	Lost []LostMember
 	// Minority reports that fewer than half of the present members form this
 	// group. Only candidates know it, since only they receive heartbeats from
--- a/node/losses.go
+++ b/node/losses.go
@@ -10,7 +10,7 @@
 // logLosses logs which members are lost, and why others no longer are. It precedes notePeerLoss,
 // so that the reason is known when the scheduler ends a split.
 func (n *Node) logLosses(now time.Time, v *fleet.View) {
-	n.losses.Observe(now, v.Lost, func(m fleet.LostMember) fleet.LossEnd { return n.fleet.WhyNotLost(now, m) })
+	n.losses.Observe(now, v.WatchedLost(), func(m fleet.LostMember) fleet.LossEnd { return n.fleet.WhyNotLost(now, m) })
 }
 
 // logSplit logs and counts the begin and the end of a split as of the last tick.
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -103,7 +103,7 @@
 	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
-	set.NewGauge("mustardstep_members_lost", func() float64 { return float64(len(n.view.Load().Lost)) })
+	set.NewGauge("mustardstep_members_lost", func() float64 { return float64(len(n.view.Load().WatchedLost())) })
 	set.NewGauge("mustardstep_split_level", func() float64 {
 		report := n.scheduler.SplitReport()
 		return float64(report.Level())
--- a/node/term.go
+++ b/node/term.go
@@ -79,6 +79,9 @@
 	pausedAt time.Time // when a pause of this process last ended; zero if there was none
 
 	rivalSeenAt time.Time // when a present member was last unreachable; used by updateTerm only
+	// strangerSeenAt is when an upstream was last claimed under a token that no heard member
+	// knows; used by updateTerm only.
+	strangerSeenAt time.Time
 }
 
 // origin is a VM whose jobs this node dispatches.
@@ -141,6 +144,7 @@
 func (n *Node) updateTerm(now time.Time) {
 	old := n.view.Load()
 	v := n.fleet.View(now, n.termFor(n.config.VM))
+	v.Silence = max(v.Silence, n.claimSilence(now))
 	n.view.Store(&v)
 	n.logView(old, &v)
 	n.logLosses(now, &v)
@@ -161,6 +165,7 @@
 		n.pollers.wakeAll() // with rivals, idle upstreams are polled too
 	}
 	n.notePeerLoss(v.Silence)
+	n.noteLoss(now, old, &v)
 	n.confirmList(now)
 	token := n.term.current()
 	self := n.fleet.Self()
@@ -199,6 +204,20 @@
 	n.pollers.wakeAll() // while a VM is not heard, idle upstreams are polled too
 }
 
+// noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not
+// heard, and for LapsedRetention after that.
+func (n *Node) noteLoss(now time.Time, old, v *fleet.View) {
+	switch {
+	case v.Silence == fleet.SilenceLong:
+		n.registry.recordLoss(now)
+	case old.Silence == fleet.SilenceLong:
+		time.AfterFunc(n.config.LapsedRetention, func() { n.applyUpstreams(time.Now()) })
+	}
+	if old.LostUnheard() != v.LostUnheard() {
+		n.applyUpstreams(now)
+	}
+}
+
 // logView logs a view that differs from the previous one in its dispatcher or its
 // members.
 func (n *Node) logView(old, v *fleet.View) {
@@ -206,7 +225,7 @@
 		return
 	}
 	n.log.Info("fleet view changed", slog.String("scope", v.Scope.String()), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.TopRanked.VM),
-		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Int("lost", len(v.Lost)), slog.Bool("minority", v.Minority))
+		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Int("lost", len(v.WatchedLost())), slog.Bool("minority", v.Minority))
 }
 
 // canStartTerm reports whether this node may start a term.
@@ -214,6 +233,9 @@
 	if !n.hasConfiguration() || n.deps.Store != nil && !n.registry.listed() {
 		return false
 	}
+	if !n.roster.known() && len(v.Reachable) == 0 {
+		return false // neither the store nor another member has named the lost members
+	}
 	if v.Dispatcher.VM != "" && !v.Dispatcher.Draining && n.registry.mayMissLapsed(now, n.config.LapsedRetention) {
 		return false // the current dispatcher knows upstreams that lapsed before the first listing here
 	}
@@ -413,8 +435,9 @@
 	return t.startedAt
 }
 
-// record notes that an incarnation of a VM has offered a job.
-func (o *origins) record(vm string, incarnation uint64) {
+// record notes that an incarnation of a VM has offered a job. It returns the newest incarnation
+// that has.
+func (o *origins) record(vm string, incarnation uint64) (newest uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	known := o.byVM[vm]
@@ -424,6 +447,7 @@
 	}
 	known.incarnation = max(known.incarnation, incarnation)
 	known.reachable = true
+	return known.incarnation
 }
 
 // countAbandon counts that the jobs of a VM are abandoned because it did not accept
--- a/scheduler/split.go
+++ b/scheduler/split.go
@@ -79,11 +79,12 @@
 	return s.HasUnreachablePeers() || s.PeerLoss() != PeersHeard
 }
 
-// updateSplit determines the state from the upstreams as a tick has found them.
-func (s *Scheduler) updateSplit(now time.Time, token int64, allHeld bool) {
+// updateSplit determines the state from the upstreams as a tick has found them. A split goes on in a
+// term that follows another one: its upstreams are claimed one by one.
+func (s *Scheduler) updateSplit(now time.Time, allHeld bool) {
 	state := splitNone
-	if s.splitToken != token {
-		s.splitToken, s.lackingSince = token, time.Time{}
+	if s.resetSplit.Swap(false) {
+		s.lackingSince = time.Time{}
 	}
 	lost := s.PeerLoss() == PeerLost
 	lacking := !allHeld || s.partialList.Load()
@@ -103,6 +104,14 @@
 	s.split.Store(uint32(state))
 }
 
+// firstSplitState returns the state at the begin of a term, in which no upstream is held yet.
+func (s *Scheduler) firstSplitState() splitState {
+	if s.config.CallerReturn == 0 || s.PeerLoss() == PeersHeard {
+		return splitNone
+	}
+	return splitSuspected
+}
+
 func (s *Scheduler) splitState() splitState { return splitState(s.split.Load()) }
 
 // Split reports whether other dispatchers may have upstreams, so that jobs are abandoned before
