--- a/fleet/lost.go
+++ b/fleet/lost.go
@@ -46,6 +46,9 @@
 	LossEndStopped
 	// LossEndScope means that the member is no longer known, or belongs to another scope.
 	LossEndScope
+	// LossEndNotWatched means that this member is no candidate any more, and that the other one, which
+	// is still not heard, sends it no regular heartbeats.
+	LossEndNotWatched
 	// LossEndForgotten means that the member is neither heard nor listed, without proof that it
 	// has ended.
 	LossEndForgotten
@@ -53,7 +56,7 @@
 
 // String returns the text used in logs.
 func (e LossEnd) String() string {
-	return [...]string{"heard again", "term over", "later process", "removed from the roster", "stopped gracefully", "not in scope", "forgotten"}[e]
+	return [...]string{"heard again", "term over", "later process", "removed from the roster", "stopped gracefully", "not in scope", "not watched", "forgotten"}[e]
 }
 
 // LostMember is a member that may dispatch and is not heard.
@@ -65,6 +68,9 @@
 	// Listed reports whether the platform's store lists the member.
 	Listed bool
 	Reason LossReason
+	// Watched means that this member usually exchanges heartbeats with it. A candidate does so with
+	// all members; any other one with those that rank as high as the candidates that it reaches.
+	Watched bool
 }
 
 // addLost adds a member if it is silent for long. term is the term of this member, or 0: while it
@@ -94,8 +100,18 @@
 	return slices.ContainsFunc(v.Lost, func(m LostMember) bool { return m.HeardAt.IsZero() })
 }
 
-// sortLost orders the lost members by VM.
-func (v *View) sortLost() {
+// WatchedLost returns the lost members with which this one usually exchanges heartbeats, for logs.
+func (v *View) WatchedLost() []LostMember {
+	return slices.DeleteFunc(slices.Clone(v.Lost), func(m LostMember) bool { return !m.Watched })
+}
+
+// finishLost orders the lost members by VM and marks those that are watched. Reachable must be in
+// order of rank. The caller holds mu.
+func (v *View) finishLost(f *Fleet) {
+	for i := range v.Lost {
+		m := &v.Lost[i]
+		m.Watched = v.Candidate || compareRank(f.peers[m.VM].heartbeat.Member, v.Reachable[candidateCount-1].Member) < 0
+	}
 	slices.SortFunc(v.Lost, func(a, b LostMember) int { return cmp.Compare(a.VM, b.VM) })
 }
 
@@ -115,8 +131,10 @@
 		return LossEndHeard
 	case p.removed:
 		return LossEndRemoved
-	case p.heartbeat.Member.Draining && p.heartbeat.Term == 0:
+	case f.gone(p):
 		return LossEndStopped
+	case f.silence(now, p) == SilenceLong:
+		return LossEndNotWatched
 	}
 	return LossEndForgotten
 }
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -93,7 +93,6 @@
 			v.Dispatcher, v.Term = m, p.heartbeat.Term
 		}
 	}
-	v.sortLost()
 	ahead := 0
 	for _, r := range v.Reachable {
 		if compareRank(r.Member, f.self) < 0 {
@@ -110,6 +109,7 @@
 		}
 	}
 	slices.SortFunc(v.Reachable, func(a, b Heartbeat) int { return compareRank(a.Member, b.Member) })
+	v.finishLost(f)
 	return v
 }
 
--- a/internal/logging/losses.go
+++ b/internal/logging/losses.go
@@ -83,21 +83,18 @@
 			continue
 		}
 		l.lost[p] = loss{m, now}
+		level := slog.LevelWarn
+		if m.Reason == fleet.LossNeverHeard {
+			level = slog.LevelInfo // usual when processes start
+		}
 		attrs := []slog.Attr{slog.String("member", m.VM), slog.String("why", m.Reason.String())}
 		if !m.HeardAt.IsZero() {
 			attrs = append(attrs, slog.Int64("unheard_ms", now.Sub(m.HeardAt).Milliseconds()))
 		}
-		l.line(slog.LevelWarn, "member lost", append(attrs, slog.Bool("listed", m.Listed), slog.Uint64("incarnation", m.Incarnation))...)
+		l.line(level, "member lost", append(attrs, slog.Bool("listed", m.Listed), slog.Uint64("incarnation", m.Incarnation))...)
 	}
 }
 
-// Forget forgets the losses that were logged.
-func (l *LossLog) Forget() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	clear(l.lost)
-}
-
 // line logs a line, or counts it if the window has no room. The caller holds mu.
 func (l *LossLog) line(level slog.Level, message string, attrs ...slog.Attr) {
 	if l.lines >= maxLossLines {
--- a/node/term.go
+++ b/node/term.go
@@ -225,7 +225,7 @@
 		return
 	}
 	n.log.Info("fleet view changed", slog.String("scope", v.Scope.String()), slog.String("dispatcher", v.Dispatcher.VM), slog.Uint64("term", v.Term), slog.String("first", v.TopRanked.VM),
-		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Int("lost", len(v.Lost)), slog.Bool("minority", v.Minority))
+		slog.Int("heard", len(v.Reachable)), slog.Int("unheard", len(v.Unreachable)), slog.Int("lost", len(v.WatchedLost())), slog.Bool("minority", v.Minority))
 }
 
 // canStartTerm reports whether this node may start a term.
