node: a test updated the term beside the loop that does so

What the run showed: a data race in TestIdleUpstreamsAreNotWatchedWhileMemberMayDispatch, 5 of 6 runs, since a new term reads changes and no longer wakes the loop once more; before that, the loop ran again before the test read its state.

Cause: the test called updateTerm of a running node, which only the term loop may call.

Change: the test checks the view after each heartbeat, and that the loop tells the scheduler within 1 s. What is required of both is the same.

--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -253,9 +253,10 @@
 	for range 5 {
 		now := time.Now()
 		n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: rival, Term: 5}, true)
-		n.updateTerm(now)
+		require.Equal(t, fleet.SilenceLong, n.fleet.View(now, 0).Silence)
 	}
-	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+	n.wakeTermLoop()
+	require.Eventually(t, func() bool { return n.scheduler.PeerLoss() == scheduler.PeerLost }, time.Second, time.Millisecond)
 	now := time.Now()
 	_, due, _, _ := n.scheduler.NextPoll(now, "u0")
 	require.True(t, due)
