scheduler: an upstream first listed in doubt got tasks at once

What callers could see: a task that runs twice. A dispatcher that was paused lists an upstream that joined meanwhile, starts tasks there and is lost before its next heartbeat. The others know its list from before, which is theirs, and take it for complete.

Cause: an upstream that joins gets no tasks for 1 s, so that the VMs that may dispatch next hear of it, but not while the list is in doubt, since at the start of a term all upstreams would be new.

The loss of the dispatcher itself was not played.

Change: the node passes on when it first listed an upstream; the delay holds for those listed after the term began.

The price: after a takeover in doubt, upstreams that joined in the last seconds get their first tasks 1 s later.

--- a/node/registry.go
+++ b/node/registry.go
@@ -319,6 +319,7 @@
 		case !e.valid:
 		case v.ShouldClaim(self, e.upstream.Name, e.upstream.DataCentre):
 			upstream := e.upstream
+			upstream.ListedAt = e.listedAt
 			upstream.Draining = upstream.Draining || n.deps.Drained != nil && n.deps.Drained(upstream.Name)
 			upstream.Missing = !e.lapsedAt.IsZero() && (lapsedFor >= lapseGrace || !e.lapsedAt.After(e.listedAt))
 			list = append(list, upstream)
--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -41,7 +41,11 @@
 	if prefix == "upstreams/" {
 		s.watches.Add(1)
 	}
-	return s.Store.Watch(ctx, prefix, after, wait)
+	events, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if s.cut.Load() {
+		return nil, 0, store.ErrRefused
+	}
+	return events, revision, err
 }
 
 // shortRetention is a time after which nodes no longer take their lists for incomplete.
@@ -245,6 +249,35 @@
 	require.Equal(t, scheduler.HoldTimedOut, o.Basis.Hold)
 }
 
+// An upstream joins while a dispatcher is paused, which lists it after the pause. If the dispatcher is
+// lost before its next heartbeat, nobody knows that it has listed the upstream.
+func TestUpstreamListedInDoubtGetsTasksAtOnce(t *testing.T) {
+	c := newClusterWith(t, 0, 1, 3*time.Second, shortRetention)
+	s := &gatedStore{Store: c.store}
+	c.startWith("vm0", s)
+	n := c.dispatcher()
+	c.awaitCompleteLists()
+	done := make(chan intake.Answer, 2)
+	submit := func(id string) { done <- n.submit(context.Background(), id, 2, waitTimeout) }
+	go submit("filler")
+	c.wait("the upstream is full", func() bool { return c.upstreams.running() == 2 })
+	s.cut.Store(true)
+	c.upstreams.add(newModelUpstreams([]string{"joined"}, 0).byName["joined"])
+	c.putUpstream("joined", func(*scheduler.Upstream) {})
+	n.restartTerm(time.Now(), time.Second)
+	go submit("a")
+	c.wait("the job is offered", func() bool { _, offered := n.scheduler.Offered("a"); return offered })
+	require.Equal(t, 1, n.upstreamCount())
+	s.cut.Store(false)
+	c.wait("the upstream is listed", func() bool { return n.upstreamCount() == 2 })
+	listed := time.Now()
+	c.wait("tasks run on the upstream that has joined", func() bool { return c.upstreams.running() == 4 })
+	require.Greater(t, time.Since(listed), joinDelay-100*time.Millisecond)
+	for range 2 {
+		require.Equal(t, intake.Succeeded, (<-done).Outcome)
+	}
+}
+
 // A VM counts as lost that is not listed, or that reports a term of its own.
 func TestIdleUpstreamsAreNotWatchedWhileMemberMayDispatch(t *testing.T) {
 	c := newCluster(t, 1, 1, time.Second)
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -20,6 +20,8 @@
 	// Missing means that the platform no longer lists the upstream. It gets no new
 	// tasks but may still have active runs.
 	Missing bool
+	// ListedAt is when this VM first listed the upstream; zero if that was before every term.
+	ListedAt time.Time
 }
 
 // runState is what the scheduler knows about a run.
@@ -300,7 +302,9 @@
 		u := shard.byName[entry.Name]
 		if u == nil {
 			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, undelivered: map[int64]struct{}{}, lastPoll: now, idleSince: now}
-			if s.Dispatching() && !s.listIsDoubtful(s.token.Load()) {
+			// While the list is in doubt, the entries from before the term are not new to the others.
+			termStart := s.start.Add(time.Duration(s.termStart.Load()))
+			if s.Dispatching() && (!s.listIsDoubtful(s.token.Load()) || entry.ListedAt.After(termStart)) {
 				u.usableFrom = now.Add(s.config.JoinDelay)
 			}
 			shard.add(u)
