node: the test of an upstream listed in doubt measured from its own sight

Cause: on a busy machine, the test sees the listing late, and the rest of the delay looks too short.

Change: the time counts from before the upstream can be listed.

--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -268,11 +268,10 @@
 	go submit("a")
 	c.wait("the job is offered", func() bool { _, offered := n.scheduler.Offered("a"); return offered })
 	require.Equal(t, 1, n.upstreamCount())
+	before := time.Now()
 	s.cut.Store(false)
-	c.wait("the upstream is listed", func() bool { return n.upstreamCount() == 2 })
-	listed := time.Now()
 	c.wait("tasks run on the upstream that has joined", func() bool { return c.upstreams.running() == 4 })
-	require.Greater(t, time.Since(listed), joinDelay-100*time.Millisecond)
+	require.Greater(t, time.Since(before), joinDelay, "it is listed later")
 	for range 2 {
 		require.Equal(t, intake.Succeeded, (<-done).Outcome)
 	}
