--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -41,7 +41,11 @@
 	if prefix == "upstreams/" {
 		s.watches.Add(1)
 	}
-	return s.Store.Watch(ctx, prefix, after, wait)
+	events, revision, err := s.Store.Watch(ctx, prefix, after, wait)
+	if s.cut.Load() {
+		return nil, 0, store.ErrRefused
+	}
+	return events, revision, err
 }
 
 // shortRetention is a time after which nodes no longer take their lists for incomplete.
@@ -245,6 +249,34 @@
 	require.Equal(t, scheduler.HoldTimedOut, o.Basis.Hold)
 }
 
+// An upstream joins while a dispatcher is paused, which lists it after the pause. If the dispatcher is
+// lost before its next heartbeat, nobody knows that it has listed the upstream.
+func TestUpstreamListedInDoubtGetsTasksAtOnce(t *testing.T) {
+	c := newClusterWith(t, 0, 1, 3*time.Second, shortRetention)
+	s := &gatedStore{Store: c.store}
+	c.startWith("vm0", s)
+	n := c.dispatcher()
+	c.awaitCompleteLists()
+	done := make(chan intake.Answer, 2)
+	submit := func(id string) { done <- n.submit(context.Background(), id, 2, waitTimeout) }
+	go submit("filler")
+	c.wait("the upstream is full", func() bool { return c.upstreams.running() == 2 })
+	s.cut.Store(true)
+	c.upstreams.add(newModelUpstreams([]string{"joined"}, 0).byName["joined"])
+	c.putUpstream("joined", func(*scheduler.Upstream) {})
+	n.restartTerm(time.Now(), time.Second)
+	go submit("a")
+	c.wait("the job is offered", func() bool { _, offered := n.scheduler.Offered("a"); return offered })
+	require.Equal(t, 1, n.upstreamCount())
+	before := time.Now()
+	s.cut.Store(false)
+	c.wait("tasks run on the upstream that has joined", func() bool { return c.upstreams.running() == 4 })
+	require.Greater(t, time.Since(before), joinDelay, "it is listed later")
+	for range 2 {
+		require.Equal(t, intake.Succeeded, (<-done).Outcome)
+	}
+}
+
 // A VM counts as lost that is not listed, or that reports a term of its own.
 func TestIdleUpstreamsAreNotWatchedWhileMemberMayDispatch(t *testing.T) {
 	c := newCluster(t, 1, 1, time.Second)
@@ -253,9 +285,10 @@
 	for range 5 {
 		now := time.Now()
 		n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: rival, Term: 5}, true)
-		n.updateTerm(now)
+		require.Equal(t, fleet.SilenceLong, n.fleet.View(now, 0).Silence)
 	}
-	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+	n.wakeTermLoop()
+	require.Eventually(t, func() bool { return n.scheduler.PeerLoss() == scheduler.PeerLost }, time.Second, time.Millisecond)
 	now := time.Now()
 	_, due, _, _ := n.scheduler.NextPoll(now, "u0")
 	require.True(t, due)
