upstream: a poll for the former process renews the lease of the next one

Callers of `mustardstepd serve` may see two runs of a task: starts name the process that they are meant for, polls did not. A poll that reached the next process of the upstream named a time on the clock of the former one, so that the runs there got the longest lease, which no dispatcher expects.

A poll that renews a lease names the process (born), and an upstream refuses it in another one; the poll after it claims the new process. The field is optional: upstreams that ignore it behave as before, and the platform's protocol cannot name the process. TestPollOfFormerProcessRenewsLeaseOfNewOne fails without the check in the upstream, TestPollNamesProcess without the name in the poll. The price: one more poll when a process is replaced.

--- a/internal/api/upstream_gen.go
+++ b/internal/api/upstream_gen.go
@@ -198,6 +198,9 @@
 type PollRequest struct {
 	// Upstream is the name of the addressed upstream.
 	Upstream string `json:"upstream"`
+	// ProcessStart is the start time of the process whose lease is renewed, in
+	// ms since 1970; 0 means any process.
+	ProcessStart int64 `json:"born,omitempty"`
 	// Token is the sender's fencing token.
 	Token int64 `json:"token"`
 	// Acked acknowledges every completion up to this number. The upstream may
@@ -221,6 +224,11 @@
 	b = append(b, `"upstream":`...)
 	b = appendString(b, m.Upstream)
 	b = append(b, ',')
+	if m.ProcessStart != 0 {
+		b = append(b, `"born":`...)
+		b = appendInt(b, m.ProcessStart)
+		b = append(b, ',')
+	}
 	b = append(b, `"token":`...)
 	b = appendInt(b, m.Token)
 	b = append(b, ',')
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -191,6 +191,9 @@
 		if processStart := u.model.ProcessStart(); lastProcessStart != 0 && lastProcessStart != processStart {
 			u.mu.Unlock()
 			return scheduler.PollUnanswered, scheduler.PollReport{}, errors.New("upstream restarted during the poll")
+		} else if poll.ProcessStart != 0 && poll.ProcessStart != processStart {
+			u.mu.Unlock()
+			return scheduler.PollOtherProcess, scheduler.PollReport{}, nil
 		} else {
 			lastProcessStart = processStart
 		}
--- a/internal/standin/upstream_test.go
+++ b/internal/standin/upstream_test.go
@@ -65,6 +65,26 @@
 	require.Equal(t, scheduler.CompletionLapsed, <-lapsed)
 }
 
+// A poll for the former process renews no lease of the one that has replaced it.
+func TestPollOfFormerProcessRenewsLeaseOfNewOne(t *testing.T) {
+	address := serveUpstream(t, func(ctx context.Context, u *Upstream, c *fasthttp.RequestCtx) { u.handle(ctx, c) })
+	client := upstream.NewClient(upstream.Config{DialTimeout: time.Second, MaxConns: 8, MaxBody: 1 << 20})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	poll := scheduler.Poll{Upstream: scheduler.Upstream{Name: nodetest.UpstreamName, Address: address}, Token: 1}
+	result, report, err := client.Poll(ctx, poll)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.PollAnswered, result)
+	poll.ProcessStart, poll.Until = report.ProcessStart-1, report.Clock+900
+	result, _, err = client.Poll(ctx, poll)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.PollOtherProcess, result)
+	poll.ProcessStart = report.ProcessStart
+	result, _, err = client.Poll(ctx, poll)
+	require.NoError(t, err)
+	require.Equal(t, scheduler.PollAnswered, result)
+}
+
 // TestStartWithoutRoomRenewsLease checks that a start that is rejected for lack of room
 // raises the token and renews the lease of the active run.
 func TestStartWithoutRoomRenewsLease(t *testing.T) {
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -90,7 +90,7 @@
 // Poll implements node.UpstreamClient.
 func (c *Client) Poll(ctx context.Context, poll scheduler.Poll) (scheduler.PollResult, scheduler.PollReport, error) {
 	request := api.PollRequest{
-		Upstream: poll.Upstream.Name, Token: poll.Token, Acked: poll.Acked, Seen: poll.Seen,
+		Upstream: poll.Upstream.Name, ProcessStart: poll.ProcessStart, Token: poll.Token, Acked: poll.Acked, Seen: poll.Seen,
 		UntilMS: poll.Until, WaitMS: poll.Wait.Milliseconds(),
 	}
 	var response api.PollResponse
--- a/internal/upstream/serve.go
+++ b/internal/upstream/serve.go
@@ -62,7 +62,7 @@
 		return
 	}
 	result, report, _ := u.Poll(ctx, scheduler.Poll{
-		Upstream: scheduler.Upstream{Name: request.Upstream}, Token: request.Token, Acked: request.Acked, Seen: request.Seen,
+		Upstream: scheduler.Upstream{Name: request.Upstream}, ProcessStart: request.ProcessStart, Token: request.Token, Acked: request.Acked, Seen: request.Seen,
 		Until: request.UntilMS, Wait: time.Duration(request.WaitMS) * time.Millisecond,
 	})
 	if result == scheduler.PollUnanswered {
--- a/scheduler/pending_order_test.go
+++ b/scheduler/pending_order_test.go
@@ -78,3 +78,30 @@
 	next.offer(b.job("a", 0))
 	b.workAll(1500*time.Millisecond, start.Run.Task, next)
 }
+
+// A poll that renews a lease names the process whose lease it is. If that one has been replaced, the
+// next poll claims the new one.
+func TestPollNamesProcess(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	u := b.upstreams["u1"]
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	poll, due, _, _ := b.scheduler.NextPoll(b.now, "u1")
+	require.True(t, due)
+	require.Positive(t, poll.Until)
+	require.Equal(t, u.ProcessStart(), poll.ProcessStart)
+	b.advance(10 * time.Millisecond)
+	u.Restart(b.now)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, scheduler.PollOtherProcess, scheduler.PollReport{}))
+	poll, due, _, _ = b.scheduler.NextPoll(b.now, "u1")
+	require.True(t, due)
+	require.Zero(t, poll.Until)
+	require.Zero(t, poll.ProcessStart)
+	result, report := u.Poll(b.now, poll)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, result, report))
+	require.Equal(t, 1, b.scheduler.Waiting(), "the run is over with its process")
+	for began := b.now; len(b.place()) == 0; b.advance(10 * time.Millisecond) {
+		require.Less(t, b.now.Sub(began), 300*time.Millisecond, "the task starts again")
+		b.pollAll()
+	}
+}
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -8,7 +8,11 @@
 // of all its runs if this dispatcher has the job of each.
 type Poll struct {
 	Upstream Upstream
-	Token    int64
+	// ProcessStart is the start time of the process whose lease is renewed, in ms since 1970; 0 if
+	// the poll renews none or the process is unknown. Upstreams that can tell refuse the poll in
+	// another process, whose clock differs.
+	ProcessStart int64
+	Token        int64
 	// Acked acknowledges the completions up to this number; they are no longer
 	// listed. Seen is the highest number that the dispatcher has processed: the
 	// upstream waits for a completion above it.
@@ -167,7 +171,7 @@
 	p := Poll{Upstream: u.Upstream, Token: token, Acked: u.ackable(), Seen: u.lastSeen, Wait: u.pollWait(now, wait, rule), Sent: now}
 	// The lease of an unresponsive upstream is not renewed, so that its runs end.
 	if length := u.leaseLength(now, lease, rule); length > 0 && u.clock != 0 && u.pollFailures == 0 && len(u.runs) > 0 && !u.hasUnwantedRun() {
-		p.Until = u.clockNow(now) + length.Milliseconds()
+		p.Until, p.ProcessStart = u.clockNow(now)+length.Milliseconds(), u.processStart
 		u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, length))
 	}
 	return p
