--- a/scheduler/pending_order_test.go
+++ b/scheduler/pending_order_test.go
@@ -105,3 +105,33 @@
 		b.pollAll()
 	}
 }
+
+// A start order without a response stays in the network for a second. The process that executes it
+// has replaced the intended one and is cut off.
+func TestOrderExecutedAfterItsCallReachesNewProcess(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	b.advance(20 * time.Second) // the clock of the next process is behind
+	for name := range b.upstreams {
+		b.pollImmediately(name)
+	}
+	b.offer(b.job("a", 0))
+	starts := b.scheduler.Place(b.now)
+	require.Len(t, starts, 1)
+	start := starts[0]
+	u := b.upstreams[start.Upstream.Name]
+	b.advance(20 * time.Millisecond)
+	u.Restart(b.now)
+	b.record(b.scheduler.HandleStartResult(b.now, start, scheduler.OrderUnanswered, 0))
+	executed := false
+	for began := b.now; b.now.Sub(began) < 2*time.Second; {
+		if !executed && b.now.Sub(began) >= time.Second {
+			executed = true
+			result, _ := u.Start(b.now, start, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, 5*time.Second)
+			require.Equal(t, scheduler.OrderDone, result)
+		}
+		b.advance(10 * time.Millisecond)
+		b.pollWithout(start.Upstream.Name)
+		b.place()
+		require.LessOrEqual(t, len(b.runsOf(start.Run.Task)), 1, "after %v", b.now.Sub(began))
+	}
+}
