--- a/scheduler/pending_order_test.go
+++ b/scheduler/pending_order_test.go
@@ -78,3 +78,60 @@
 	next.offer(b.job("a", 0))
 	b.workAll(1500*time.Millisecond, start.Run.Task, next)
 }
+
+// A poll that renews a lease names the process whose lease it is. If that one has been replaced, the
+// next poll claims the new one.
+func TestPollNamesProcess(t *testing.T) {
+	b := newTestHarness(t, "u1")
+	u := b.upstreams["u1"]
+	b.offer(b.job("a", 0))
+	require.Len(t, b.place(), 1)
+	poll, due, _, _ := b.scheduler.NextPoll(b.now, "u1")
+	require.True(t, due)
+	require.Positive(t, poll.Until)
+	require.Equal(t, u.ProcessStart(), poll.ProcessStart)
+	b.advance(10 * time.Millisecond)
+	u.Restart(b.now)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, scheduler.PollOtherProcess, scheduler.PollReport{}))
+	poll, due, _, _ = b.scheduler.NextPoll(b.now, "u1")
+	require.True(t, due)
+	require.Zero(t, poll.Until)
+	require.Zero(t, poll.ProcessStart)
+	result, report := u.Poll(b.now, poll)
+	b.record(b.scheduler.HandlePollResult(b.now, poll, result, report))
+	require.Equal(t, 1, b.scheduler.Waiting(), "the run is over with its process")
+	for began := b.now; len(b.place()) == 0; b.advance(10 * time.Millisecond) {
+		require.Less(t, b.now.Sub(began), 300*time.Millisecond, "the task starts again")
+		b.pollAll()
+	}
+}
+
+// A start order without a response stays in the network for a second. The process that executes it
+// has replaced the intended one and is cut off.
+func TestOrderExecutedAfterItsCallReachesNewProcess(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	b.advance(20 * time.Second) // the clock of the next process is behind
+	for name := range b.upstreams {
+		b.pollImmediately(name)
+	}
+	b.offer(b.job("a", 0))
+	starts := b.scheduler.Place(b.now)
+	require.Len(t, starts, 1)
+	start := starts[0]
+	u := b.upstreams[start.Upstream.Name]
+	b.advance(20 * time.Millisecond)
+	u.Restart(b.now)
+	b.record(b.scheduler.HandleStartResult(b.now, start, scheduler.OrderUnanswered, 0))
+	executed := false
+	for began := b.now; b.now.Sub(began) < 2*time.Second; {
+		if !executed && b.now.Sub(began) >= time.Second {
+			executed = true
+			result, _ := u.Start(b.now, start, scheduler.Size{MilliCPU: 7000, MemoryMB: 64}, 5*time.Second)
+			require.Equal(t, scheduler.OrderDone, result)
+		}
+		b.advance(10 * time.Millisecond)
+		b.pollWithout(start.Upstream.Name)
+		b.place()
+		require.LessOrEqual(t, len(b.runsOf(start.Run.Task)), 1, "after %v", b.now.Sub(began))
+	}
+}
