soak: requests that the network holds back

The open list of docs/design/failures.md names a request whose time counts from its late arrival; no run of real processes played it.

-only-long-splits late-requests plays it. As the case is open, other kinds and the general soak do not mix it in.

--- a/internal/replay/soak_long_split.go
+++ b/internal/replay/soak_long_split.go
@@ -107,3 +107,11 @@
 	s.crash(u, down)
 	return func() {}
 }
+
+// holdRequests holds what callers send to a VM through its balancer.
+func (s *soakTest) holdRequests(v *soakVM) func() {
+	s.recordEvent("hold requests to %s", v.name)
+	l := s.links.get(soakCallers, v.name)
+	l.cut()
+	return l.heal
+}
--- a/internal/replay/soak_long_split_draw.go
+++ b/internal/replay/soak_long_split_draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -28,6 +29,9 @@
 	soakMaxReplaceTime = time.Second
 	// soakLapseSpread is the time within which entries lapse after the loss of the store.
 	soakLapseSpread = 2 * time.Second
+	// soakHoldInterval is the mean time between two holds of requests, soakMaxHold the longest hold.
+	soakHoldInterval = 300 * time.Millisecond
+	soakMaxHold      = 2500 * time.Millisecond
 	// soakBriefShare is the number of splits without a given duration of which one is brief.
 	soakBriefShare = 4
 )
@@ -54,13 +58,17 @@
 	oneWay         bool // one group is heard by no other one but hears them
 	restarts       bool // VMs are killed and start again, or join, during the split
 	changes        bool // upstreams are replaced, removed, or join
+	lateRequests   bool // requests reach their origins after their callers have left
 }
 
-// longSplitKinds are the kinds of long splits.
-var longSplitKinds = []struct {
+// longSplitKind is a kind of long splits and its name in the settings.
+type longSplitKind struct {
 	name  string
 	shape splitShape
-}{
+}
+
+// longSplitKinds are the kinds of long splits.
+var longSplitKinds = []longSplitKind{
 	{"lasting", splitShape{lasting: true}},
 	{"storeless", splitShape{lasting: true, stores: storeLossAll}},
 	{"store-first", splitShape{storeFirst: true}},
@@ -72,6 +80,12 @@
 	{"brief", splitShape{brief: true}},
 }
 
+// openSplitKinds are the kinds that play a case which docs/design/failures.md lists as open. They
+// are injected only if they are asked for.
+var openSplitKinds = []longSplitKind{
+	{"late-requests", splitShape{lateRequests: true}},
+}
+
 // anyLongSplit is the kind that draws a shape.
 const anyLongSplit = "any"
 
@@ -87,7 +101,7 @@
 // drawShape returns the shape of a kind. For any kind, half of the shapes are those of another
 // kind and half are mixed.
 func (s *soakTest) drawShape(kind string) splitShape {
-	for _, k := range longSplitKinds {
+	for _, k := range slices.Concat(longSplitKinds, openSplitKinds) {
 		if k.name == kind {
 			return k.shape
 		}
@@ -120,6 +134,9 @@
 	if shape.changes {
 		l.steps = append(l.steps, s.drawChanges(l)...)
 	}
+	if shape.lateRequests {
+		l.steps = append(l.steps, s.drawHolds(l)...)
+	}
 	return l
 }
 
@@ -255,3 +272,14 @@
 	s.absent.upstreams = nil
 	return steps
 }
+
+// drawHolds draws when requests of callers to VMs are held. Only attempts that lose their connection
+// unnoticed pass through the link that holds them.
+func (s *soakTest) drawHolds(l longSplit) []splitStep {
+	var steps []splitStep
+	for range int(l.end() / soakHoldInterval) {
+		v := s.vms[s.rng.IntN(len(s.vms))]
+		steps = append(steps, splitStep{at: s.drawTime(0, l.end()), duration: s.drawTime(0, soakMaxHold), begin: func() func() { return s.holdRequests(v) }})
+	}
+	return steps
+}
--- a/internal/replay/soak_long_split_test.go
+++ b/internal/replay/soak_long_split_test.go
@@ -67,6 +67,9 @@
 		"one-way": func(t *testing.T, _ *soakTest, l longSplit) {
 			require.True(t, l.parts[0].oneWay)
 		},
+		"late-requests": func(t *testing.T, _ *soakTest, l longSplit) {
+			require.Len(t, l.steps, int(l.end()/soakHoldInterval))
+		},
 		"brief": func(t *testing.T, _ *soakTest, l longSplit) {
 			require.Less(t, l.parts[0].endAt, 1500*time.Millisecond)
 		},
@@ -149,6 +152,16 @@
 	}
 }
 
+// TestHeldRequestArrivesAtTheEndOfTheHold checks that a hold cuts only what callers send.
+func TestHeldRequestArrivesAtTheEndOfTheHold(t *testing.T) {
+	s := newSplitTest(t, 1, []string{"vm0"}, nil)
+	release := s.holdRequests(s.vms[0])
+	require.NotNil(t, s.links.get(soakCallers, "vm0").healed)
+	require.Nil(t, s.links.get("vm0", soakCallers).healed)
+	release()
+	require.Nil(t, s.links.get(soakCallers, "vm0").healed)
+}
+
 // TestLongSplitHealsAndUndoesEverything runs a split with two parts and a change.
 func TestLongSplitHealsAndUndoesEverything(t *testing.T) {
 	s := newSplitTest(t, 1, []string{"vm0", "vm1", "vm2"}, []string{"u0"})
