scheduler: a VM that drains counts as gone while it may dispatch

Callers of a split fleet may see two runs of a task if a VM drains: it announces that, has no term, and its entry in the store is removed, which counts as proof that it has gone. The load balancer sends it requests for 2.3 s more, however, and if it is cut off it dispatches for them, beside the runs of the others, which nothing bounds. TestSplitFromDrainingVM shows it and is known as red.

In its long schedules the split model now also stops VMs gracefully. Processes take claims of unknown dispatchers for silence, and abandon offers of former processes, as package node does.

--- a/scheduler/split_model_faults_test.go
+++ b/scheduler/split_model_faults_test.go
@@ -67,7 +67,7 @@
 	if c.vms != nil {
 		n = m.nodes[c.vms[c.attempts]]
 	}
-	if n.dead {
+	if n.dead || n.closed {
 		m.after(m.randomMillis(10, 50), func() { m.sendJob(c) })
 		return
 	}
--- a/scheduler/split_model_node_test.go
+++ b/scheduler/split_model_node_test.go
@@ -45,17 +45,18 @@
 	vm         int // position
 	member     fleet.Member
 	dead       bool
+	closed     bool // accepts no requests of callers
 	started    time.Time
 	rosterRead bool
 	fleet      *fleet.Fleet
 	view       fleet.View
 	contacts   map[string]bool // members to which a heartbeat is pending
 
-	termStart, fencedSince, rivalSeenAt, pausedAt time.Time
-	reclaims                                      int
-	claimKey                                      string
-	origins                                       map[string]*splitOrigin
-	withdrawn                                     map[withdrawnRef]bool
+	termStart, fencedSince, rivalSeenAt, strangerSeenAt, pausedAt time.Time
+	reclaims                                                      int
+	claimKey                                                      string
+	origins                                                       map[string]*splitOrigin
+	withdrawn                                                     map[withdrawnRef]bool
 
 	jobs        *intake.Table[splitSpec]
 	requests    []*splitRequest
@@ -121,6 +122,24 @@
 	})
 }
 
+// drain begins a graceful stop: the process is no longer listed, and others dispatch if they can.
+func (n *splitNode) drain() {
+	n.member.Draining = true
+	n.fleet.MarkDraining()
+	if n.m.hasStore(n.vm) {
+		delete(n.m.store.members, n.name)
+	}
+	n.do(n.updateTerm)
+}
+
+// stop ends the process at the end of a graceful stop.
+func (n *splitNode) stop() {
+	if store := n.m.store; n.m.hasStore(n.vm) && n.token == 0 && store.roster[n.name].Incarnation == n.member.Incarnation {
+		delete(store.roster, n.name)
+	}
+	n.kill()
+}
+
 // kill ends the process. Nothing that waits for it is executed.
 func (n *splitNode) kill() {
 	n.dead, n.frozenUntil = true, n.m.now.Add(2*longSplitLength)
--- a/scheduler/split_model_offer_test.go
+++ b/scheduler/split_model_offer_test.go
@@ -97,17 +97,20 @@
 	if n.withdrawn[withdrawnRef{j.Origin, j.ID, j.Submission}] {
 		return offerResponse{reason: "withdrawn"}
 	}
+	actions, failure := n.scheduler.Offer(m.now, j)
+	if failure != nil {
+		return offerResponse{reason: failure.Reason}
+	}
+	m.execute(n.modelDispatcher, actions)
 	o := n.origins[j.Origin]
 	if o == nil {
 		o = &splitOrigin{}
 		n.origins[j.Origin] = o
 	}
 	o.incarnation, o.reachable = max(o.incarnation, j.OriginIncarnation), true
-	actions, failure := n.scheduler.Offer(m.now, j)
-	if failure != nil {
-		return offerResponse{reason: failure.Reason}
+	if o.incarnation != j.OriginIncarnation {
+		m.execute(n.modelDispatcher, n.scheduler.AbandonJobsOf(m.now, j.Origin, o.incarnation))
 	}
-	m.execute(n.modelDispatcher, actions)
 	n.pollAll()
 	m.place(n.modelDispatcher)
 	return offerResponse{accepted: true}
--- a/scheduler/split_model_partition_test.go
+++ b/scheduler/split_model_partition_test.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// drainDelay is the time for which callers still reach a VM that drains.
+const drainDelay = 2300 * time.Millisecond
+
 // maxPartition is the length of the longest partition, in ms.
 const maxPartition = 18000
 
@@ -135,17 +138,41 @@
 	m.after(m.randomMillis(2000, 16000), m.injectPartitions)
 }
 
-// injectRestarts kills and pauses processes at random times, without other faults.
+// injectRestarts kills, stops and pauses processes at random times, without other faults.
 func (m *splitModel) injectRestarts() {
 	n := m.nodes[m.rand.IntN(len(m.nodes))]
-	if m.rand.IntN(3) == 0 {
+	switch m.rand.IntN(4) {
+	case 0:
 		m.freeze(n, m.randomMillis(50, 2500))
-	} else {
+	case 1:
+		m.stop(n)
+	default:
 		m.kill(n)
 	}
 	m.after(m.randomMillis(1000, 8000), m.injectRestarts)
 }
 
+// stop stops a process gracefully. Callers still reach it for drainDelay. Another one starts later.
+func (m *splitModel) stop(n *splitNode) {
+	if n.dead || n.member.Draining {
+		return
+	}
+	m.logf("fault: %s drains", n.name)
+	n.drain()
+	m.after(drainDelay, func() { n.closed = true })
+	m.after(drainDelay+m.randomMillis(0, 4000), func() {
+		if n.dead {
+			return
+		}
+		m.logf("fault: %s stops", n.name)
+		n.stop()
+		m.after(m.randomMillis(300, 4000), func() {
+			m.logf("fault: %s starts", n.name)
+			m.startNode(n.vm)
+		})
+	})
+}
+
 // join starts a process at another VM.
 func (m *splitModel) join() {
 	vm := len(m.nodes)
--- a/scheduler/split_model_store_test.go
+++ b/scheduler/split_model_store_test.go
@@ -97,7 +97,7 @@
 
 // renewMember keeps the entry of the process.
 func (n *splitNode) renewMember() {
-	if n.m.hasStore(n.vm) {
+	if n.m.hasStore(n.vm) && !n.member.Draining {
 		n.m.store.putMember(n.m.now, n.member)
 	}
 }
--- a/scheduler/split_model_term_test.go
+++ b/scheduler/split_model_term_test.go
@@ -28,6 +28,7 @@
 	old := n.view
 	n.view = n.fleet.View(now, n.termFor(n.name))
 	v := &n.view
+	v.Silence = max(v.Silence, n.claimSilence())
 	if len(v.Unreachable) > 0 {
 		n.rivalSeenAt = now
 	}
@@ -54,6 +55,19 @@
 	n.offerUnassigned()
 }
 
+// claimSilence returns the silence of dispatchers that are not known here: only their claims show that
+// they exist.
+func (n *splitNode) claimSilence() fleet.Silence {
+	now := n.m.now
+	if n.token != 0 && n.fleet.Token() <= n.token && n.scheduler.FencedUpstreams() > 0 {
+		n.strangerSeenAt = now
+	}
+	if !n.strangerSeenAt.IsZero() && now.Sub(n.strangerSeenAt) < rivalTimeout {
+		return fleet.SilenceShort
+	}
+	return fleet.SilenceNone
+}
+
 // notePeerLoss tells the scheduler whether members exist that may dispatch and are not heard.
 func (n *splitNode) notePeerLoss(silence fleet.Silence) {
 	loss := map[fleet.Silence]scheduler.PeerLoss{
--- a/scheduler/split_retention_test.go
+++ b/scheduler/split_retention_test.go
@@ -162,3 +162,17 @@
 		})
 	}
 }
+
+// A VM that drains is cut off, while callers still reach it, and dispatches for them.
+func TestSplitFromDrainingVM(t *testing.T) {
+	m := splitCaseOf(t)
+	m.start()
+	m.at(3000, m.nodes[3].drain)
+	m.at(3400, func() {
+		m.startPartition(m.newPartition("2222222", 3))
+		m.block([]int{0, 1, 2}, "u3", "u4", "u5", "u6")
+		m.block([]int{3}, "u0", "u1", "u2")
+	})
+	m.at(3800, func() { m.sendLongJob(100*time.Millisecond, 0, 3) })
+	m.process(7 * time.Second)
+}
