--- a/scheduler/split_model_faults_test.go
+++ b/scheduler/split_model_faults_test.go
@@ -46,7 +46,7 @@
 	id := fmt.Sprintf("%016x", number)
 	runTime := m.randomMillis(100, 1000)
 	c := &splitCaller{id: id, patience: splitPatience}
-	if m.rand.IntN(2) == 0 {
+	if m.returning || m.rand.IntN(2) == 0 {
 		runTime = m.randomMillis(500, 4000)
 		c.patience = splitLongPatience
 	}
@@ -91,6 +91,8 @@
 	switch c := a.caller; {
 	case c.breakAfter != 0 && c.attempts == 1:
 		after, noticed = c.breakAfter, false
+	case m.returning && c.attempts == 1:
+		after = m.randomMillis(20, 400)
 	case c.vms != nil || m.rand.IntN(2) == 0:
 		return
 	}
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -39,6 +39,8 @@
 	store      *splitStore
 	// missBreaks means that origins miss most of the connections of callers that break.
 	missBreaks bool
+	// returning means that all callers return, and that most jobs are long.
+	returning bool
 	// latePercent is the percentage of messages between VMs that arrive late.
 	latePercent int
 	// incarnation is that of the newest process.
@@ -190,6 +192,7 @@
 
 // runLong executes a long simulation with partitions.
 func (m *splitModel) runLong() {
+	m.returning = m.rand.IntN(2) == 0
 	for range m.rand.IntN(4) { // some VMs are no candidates, and do not fetch lists from others
 		m.nodes, m.dispatchers = append(m.nodes, nil), append(m.dispatchers, nil)
 		m.createFirstNode(len(m.nodes) - 1)
