fleet: a former process is lost if its successor was named first

A process that starts reads the members from the roster and from others in any order. A process at the address of another VM counted as gone only if the later one was named after it, and never if that later one was the reading process itself. Such a member was lost for good: its address belongs to another process, so that it is never heard, and a split was confirmed for as long as any upstream was not held.

Cause: only known members were compared with one that is added. The added one is now compared with the known ones and with the own process as well. Members without an address no longer replace each other: an entry that lacks it proves nothing.

TestFormerProcessAtAddressThatIsNamedLaterIsLost and TestMembersWithoutAddressReplaceEachOther fail without the change.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -205,21 +205,40 @@
 	f.replaceAt(m)
 	f.peers[m.VM] = &peer{
 		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest, dispatchRevision: former.dispatchRevision,
+		replaced: f.hasSuccessor(m),
 	}
 	return true
 }
 
-// replaceAt notes that a member has an address: two processes cannot listen at one, so that an
-// older one at the same address is gone. The caller holds mu.
+// replaceAt notes that a member has an address, so that an older one at the same address is gone.
+// The caller holds mu.
 func (f *Fleet) replaceAt(m Member) {
-	for vm, p := range f.peers {
-		former := p.heartbeat.Member
-		if vm != m.VM && former.Address == m.Address && former.Incarnation < m.Incarnation {
+	for _, p := range f.peers {
+		if succeeds(m, p.heartbeat.Member) {
 			p.replaced = true
 		}
 	}
 }
 
+// hasSuccessor reports whether a later process is known at a member's address. The caller holds mu.
+func (f *Fleet) hasSuccessor(m Member) bool {
+	if succeeds(f.self, m) {
+		return true
+	}
+	for _, p := range f.peers {
+		if succeeds(p.heartbeat.Member, m) {
+			return true
+		}
+	}
+	return false
+}
+
+// succeeds reports whether a process of another VM was started later at the address of a former one:
+// two processes cannot listen at one address.
+func succeeds(m, former Member) bool {
+	return m.VM != former.VM && m.Address != "" && m.Address == former.Address && m.Incarnation > former.Incarnation
+}
+
 // SetListed sets the members that the platform's store lists. An unreachable
 // member that is no longer listed is no longer present.
 func (f *Fleet) SetListed(members []Member) {
