node: a test updates the term beside the node's own loop

go test -race reported a data race in TestIdleUpstreamsAreNotWatchedWhileMemberMayDispatch in each of 3 runs: it called updateTerm while the loop of its running node did, which alone may use the fields noted so. The node itself has no such race.

The node is now stopped before. The test checks the same as before: it still fails if idle upstreams are watched for members that the store lists only.

--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -249,6 +249,7 @@
 func TestIdleUpstreamsAreNotWatchedWhileMemberMayDispatch(t *testing.T) {
 	c := newCluster(t, 1, 1, time.Second)
 	n := c.dispatcher()
+	n.kill() // updateTerm is called below, and may be called by one goroutine only
 	rival := fleet.Member{VM: "vm9", DataCentre: "dc", Address: freeAddress(t), Incarnation: uint64(time.Now().UnixNano()) * 2, Weight: 1}
 	for range 5 {
 		now := time.Now()
