node: an odd entry of the roster removes a live VM

An entry of the roster that is JSON but does not describe its VM ({}, null, the name of another VM) counted as that of no VM, or of the other one. The VM that its key names was then no longer on the roster: while it was lost, it counted as removed and the split ended, although it may dispatch. With a name and a later incarnation in it, the entry replaced what was known of the other VM.

Cause: the name was taken from the value; only a value that is no JSON was seen as odd. The key names the VM now, and a value that names another one cannot be read.

TestOddRosterEntryRemovesVM failed for {}, null and {"vm":"vm7"} before, and passes now.

--- a/node/roster.go
+++ b/node/roster.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
@@ -92,9 +93,14 @@
 	members := make([]fleet.Member, 0, len(items))
 	for _, item := range items {
 		var m wire.FleetMember
-		if err := json.Unmarshal(item.Value, &m); err != nil {
+		vm := strings.TrimPrefix(item.Key, n.config.RosterPrefix)
+		err := json.Unmarshal(item.Value, &m)
+		if err == nil && m.VM != vm {
+			err = errors.Newf("it describes VM %q", m.VM)
+		}
+		if err != nil {
 			n.log.Warn("roster entry cannot be read", slog.String("key", item.Key), slog.Any("error", err))
-			m = wire.FleetMember{VM: strings.TrimPrefix(item.Key, n.config.RosterPrefix)}
+			m = wire.FleetMember{VM: vm}
 		}
 		members = append(members, fromWire(m))
 	}
--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -65,3 +65,22 @@
 	c.otherThan(first).kill()
 	require.Equal(t, 1, entries(), "a killed process stays on it")
 }
+
+// An entry that can be read but does not describe its VM is odd: it names the VM, and neither removes
+// it nor describes another one.
+func TestOddRosterEntryRemovesVM(t *testing.T) {
+	for _, odd := range []string{`{}`, `null`, `{"vm":"vm7"}`, `{`} {
+		t.Run(odd, func(t *testing.T) {
+			c := newCluster(t, 0, 1, time.Millisecond)
+			c.putRoster("vm9")
+			n := New(Config{VM: "vm0", DataCentre: "dc", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, RosterPrefix: "roster/"},
+				Dependencies{Store: c.store, Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+			require.NoError(t, n.readRoster(t.Context()))
+			c.store.Set("roster/vm9", []byte(odd))
+			require.NoError(t, n.readRoster(t.Context()))
+			lost := n.fleet.View(time.Now(), 0).Lost
+			require.Len(t, lost, 1)
+			require.Equal(t, "vm9", lost[0].VM)
+		})
+	}
+}
