node: a VM that was removed from the roster is never on it again

A VM that is cut off may be removed by operators, or the store may be restored from a copy without its entry. The VM registered again under a new lease, but its entry of the roster was missing for the rest of its process. In the next split, a process that started took itself for alone, and one that had read the entry before took the VM for gone, while it dispatched.

Cause: the entry was written once in a process. It is now written with each registration, in the same transaction as the entry under the lease, so at no further call. It is still missing while a VM keeps its lease (TestMemberThatWasRemovedOnceIsTakenForGone).

TestVMThatWasRemovedIsNeverOnRosterAgain failed before, and passes now.

--- a/node/roster.go
+++ b/node/roster.go
@@ -24,7 +24,7 @@
 	mu       sync.Mutex // guards the fields below
 	unused   bool       // there is no roster
 	read     bool       // it has been read
-	revision int64      // of the own entry; 0 if it was not written
+	revision int64      // of the own entry as last written; 0 if it was not
 }
 
 func (r *roster) init(unused bool) { r.unused = unused }
@@ -36,13 +36,6 @@
 	return r.unused || r.read
 }
 
-// shouldEnter reports whether the own entry is to be written.
-func (r *roster) shouldEnter() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.unused && r.revision == 0
-}
-
 func (r *roster) noteEntered(revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -84,3 +84,21 @@
 		})
 	}
 }
+
+// Operators have removed a VM that was cut off, or the store was restored from a copy without its
+// entry. The VM registers again.
+func TestVMThatWasRemovedIsNeverOnRosterAgain(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Millisecond)
+	n := c.dispatcher()
+	entries := func(prefix string) int {
+		items, _, err := store.List(context.Background(), c.store, prefix, false)
+		require.NoError(t, err)
+		return len(items)
+	}
+	c.wait("it is on the roster", func() bool { return entries("roster/") == 1 })
+	_, err := c.store.Commit(context.Background(), store.Txn{Deletes: []string{"roster/vm0", "vm/vm0"}})
+	require.NoError(t, err)
+	require.NoError(t, n.renew(context.Background(), new(int64))) // its lease has ended
+	require.Equal(t, 1, entries("vm/"))
+	require.Equal(t, 1, entries("roster/"))
+}
--- a/node/watch.go
+++ b/node/watch.go
@@ -325,7 +325,7 @@
 		return err
 	}
 	txn := store.Txn{Writes: []store.Write{{Key: n.config.MemberPrefix + n.config.VM, Value: value, Lease: granted}}}
-	if n.roster.shouldEnter() {
+	if !n.roster.unused { // again with each lease: the entry may have been removed
 		txn.Writes = append(txn.Writes, store.Write{Key: n.config.RosterPrefix + n.config.VM, Value: value})
 	}
 	revision, err := n.deps.Store.Commit(callCtx, txn)
