node: a refused call at a graceful stop leaves the VM on the roster

A VM that stops gracefully removes its entry of the roster by one call. If the store refuses it (429, 503), as it may at any time, the entry stays. Processes that heard the VM drain take it for gone, but each one that starts later counts it as lost, as never heard, and takes its list for incomplete: its split is confirmed, and jobs are abandoned 1.24 s after their arrival, until operators remove the entry or the VM starts again.

Cause: one attempt. The call is now repeated within the same 0.2 s, until it succeeds or the entry is found to be another one; a failure is logged as a warning that says what follows.

--- a/node/roster.go
+++ b/node/roster.go
@@ -15,8 +15,12 @@
 	"github.com/mustardstep/mustardstep/store"
 )
 
-// leaveTimeout limits the time to remove the entry in the roster at the end of a graceful stop.
-const leaveTimeout = 200 * time.Millisecond
+const (
+	// leaveTimeout limits the time to remove the entry in the roster at the end of a graceful stop.
+	leaveTimeout = 200 * time.Millisecond
+	// leaveRetryDelay is the delay before another attempt within it.
+	leaveRetryDelay = 50 * time.Millisecond
+)
 
 // roster is what this process knows of the roster in the store: an entry without a lease for
 // each VM that has registered, until it has stopped gracefully or operators have removed it.
@@ -114,8 +118,18 @@
 	ctx, cancel := context.WithTimeout(n.runCtx, leaveTimeout)
 	defer cancel()
 	key := n.config.RosterPrefix + n.config.VM
-	_, err := n.deps.Store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: key, Revision: revision}}, Deletes: []string{key}})
-	if err != nil {
-		n.log.Info("failed to leave the roster", slog.Any("error", err))
+	txn := store.Txn{Conditions: []store.Condition{{Key: key, Revision: revision}}, Deletes: []string{key}}
+	for {
+		_, err := n.deps.Store.Commit(ctx, txn)
+		switch conflict := (*store.ConflictError)(nil); {
+		case err == nil:
+			return
+		case errors.As(err, &conflict):
+			n.log.Info("the roster entry is gone or that of another process", slog.Any("error", err))
+			return
+		case !wait.For(ctx, leaveRetryDelay):
+			n.log.Warn("failed to leave the roster, this VM counts as lost until its next process starts or it is removed", slog.Any("error", err))
+			return
+		}
 	}
 }
--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -102,3 +102,37 @@
 	require.Equal(t, 1, entries("vm/"))
 	require.Equal(t, 1, entries("roster/"))
 }
+
+// busyStore is a store that refuses the first deletion.
+type busyStore struct {
+	store.Store
+	refused chan struct{}
+}
+
+// Commit implements store.Store.
+func (s *busyStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if len(txn.Deletes) > 0 {
+		select {
+		case <-s.refused:
+		default:
+			close(s.refused)
+			return 0, store.ErrRefused
+		}
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// The store refuses a call at a graceful stop, as it does beyond its limits. Each process that starts
+// later would count the VM as lost.
+func TestRefusedCallAtGracefulStopLeavesVMOnRoster(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Millisecond)
+	c.dispatcher()
+	n := c.startWith("vm1", &busyStore{c.store, make(chan struct{})})
+	c.dispatcher()
+	c.wait("it is on the roster", func() bool { return n.roster.ownRevision() != 0 })
+	n.stop()
+	<-n.stopped
+	items, _, err := store.List(context.Background(), c.store, "roster/", false)
+	require.NoError(t, err)
+	require.Len(t, items, 1)
+}
