node: members of low rank take the others for lost in a calm fleet

In a calm fleet of nine VMs, a VM of low rank logged "member lost" and "member no longer counts as lost" again and again, for each member that it hears in rotation only (every few seconds, while the timeout is 0.4 s). If it ranked first in its data centre, it kept the entries of all upstreams that had ever lapsed, since a member counted as lost all the time: the list grew, and its digest no longer was that of the dispatcher, so that a takeover could not be confirmed by it.

Cause: only candidates receive heartbeats from all members. Since a lost member no longer ends by a clock, and since losses are logged, the others draw conclusions from what they cannot know. Lost members now count at a candidate or a dispatcher; a VM is a candidate as soon as it may begin a term.

--- a/node/term.go
+++ b/node/term.go
@@ -144,6 +144,9 @@
 func (n *Node) updateTerm(now time.Time) {
 	old := n.view.Load()
 	v := n.fleet.View(now, n.termFor(n.config.VM))
+	if !v.Candidate && n.term.current() == 0 {
+		v.Silence, v.Lost = fleet.SilenceNone, nil // most members send heartbeats here in rotation only
+	}
 	v.Silence = max(v.Silence, n.claimSilence(now))
 	n.view.Store(&v)
 	n.logView(old, &v)
