--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -65,3 +65,74 @@
 	c.otherThan(first).kill()
 	require.Equal(t, 1, entries(), "a killed process stays on it")
 }
+
+// An entry that can be read but does not describe its VM is odd: it names the VM, and neither removes
+// it nor describes another one.
+func TestOddRosterEntryRemovesVM(t *testing.T) {
+	for _, odd := range []string{`{}`, `null`, `{"vm":"vm7"}`, `{`} {
+		t.Run(odd, func(t *testing.T) {
+			c := newCluster(t, 0, 1, time.Millisecond)
+			c.putRoster("vm9")
+			n := New(Config{VM: "vm0", DataCentre: "dc", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, RosterPrefix: "roster/"},
+				Dependencies{Store: c.store, Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+			require.NoError(t, n.readRoster(t.Context()))
+			c.store.Set("roster/vm9", []byte(odd))
+			require.NoError(t, n.readRoster(t.Context()))
+			lost := n.fleet.View(time.Now(), 0).Lost
+			require.Len(t, lost, 1)
+			require.Equal(t, "vm9", lost[0].VM)
+		})
+	}
+}
+
+// Operators have removed a VM that was cut off, or the store was restored from a copy without its
+// entry. The VM registers again.
+func TestVMThatWasRemovedIsNeverOnRosterAgain(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Millisecond)
+	n := c.dispatcher()
+	entries := func(prefix string) int {
+		items, _, err := store.List(context.Background(), c.store, prefix, false)
+		require.NoError(t, err)
+		return len(items)
+	}
+	c.wait("it is on the roster", func() bool { return entries("roster/") == 1 })
+	_, err := c.store.Commit(context.Background(), store.Txn{Deletes: []string{"roster/vm0", "vm/vm0"}})
+	require.NoError(t, err)
+	require.NoError(t, n.renew(context.Background(), new(int64))) // its lease has ended
+	require.Equal(t, 1, entries("vm/"))
+	require.Equal(t, 1, entries("roster/"))
+}
+
+// busyStore is a store that refuses the first deletion.
+type busyStore struct {
+	store.Store
+	refused chan struct{}
+}
+
+// Commit implements store.Store.
+func (s *busyStore) Commit(ctx context.Context, txn store.Txn) (int64, error) {
+	if len(txn.Deletes) > 0 {
+		select {
+		case <-s.refused:
+		default:
+			close(s.refused)
+			return 0, store.ErrRefused
+		}
+	}
+	return s.Store.Commit(ctx, txn)
+}
+
+// The store refuses a call at a graceful stop, as it does beyond its limits. Each process that starts
+// later would count the VM as lost.
+func TestRefusedCallAtGracefulStopLeavesVMOnRoster(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Millisecond)
+	c.dispatcher()
+	n := c.startWith("vm1", &busyStore{c.store, make(chan struct{})})
+	c.dispatcher()
+	c.wait("it is on the roster", func() bool { return n.roster.ownRevision() != 0 })
+	n.stop()
+	<-n.stopped
+	items, _, err := store.List(context.Background(), c.store, "roster/", false)
+	require.NoError(t, err)
+	require.Len(t, items, 1)
+}
