fleet: a VM that drains counts as gone while it may dispatch

Callers of a split fleet may see two runs of a task if a VM drains: its announcement counted as proof that it has gone, as soon as its entry was removed. The load balancer sends it requests for 2.3 s more; if it is cut off meanwhile, it dispatches for them.

A VM that is on the roster has gone when it has left it. The dispatcher reads the roster as soon as a VM is lost, so that one which has stopped counts as gone at once.

--- a/fleet/roster_test.go
+++ b/fleet/roster_test.go
@@ -24,6 +24,17 @@
 			f.SetRoster(members[2:])
 			recordHeartbeats(f, start, later(members[2]))
 		}, SilenceNone},
+		"drains": {func(f *Fleet, members []Member) {
+			f.SetRoster(members[2:])
+			members[2].Draining = true
+			recordHeartbeats(f, start.Add(-HeartbeatTimeout(3)), members[2])
+		}, SilenceLong},
+		"drains, then removed": {func(f *Fleet, members []Member) {
+			f.SetRoster(members[2:])
+			members[2].Draining = true
+			recordHeartbeats(f, start.Add(-HeartbeatTimeout(3)), members[2])
+			f.SetRoster(nil)
+		}, SilenceNone},
 		"removed and heard again": {func(f *Fleet, members []Member) {
 			f.SetRoster(members[2:])
 			f.SetRoster(nil)
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -33,9 +33,10 @@
 
 // gone reports whether it is proven that a member dispatches no longer. Neither the time for which
 // it has not been heard nor the end of its entry in the store proves that: a split that cuts it off
-// from the store as well looks the same, and may last for any time. A later process of its VM
-// replaces it. The caller holds mu.
+// from the store as well looks the same, and may last for any time. Nor does the announcement of a
+// graceful stop, since requests arrive until its end, if the roster can prove that. A later
+// process of its VM replaces it. The caller holds mu.
 func (f *Fleet) gone(p *peer) bool {
-	stopped := !p.listed && f.listRead && p.heartbeat.Member.Draining && p.heartbeat.Term == 0
+	stopped := !p.rostered && !p.listed && f.listRead && p.heartbeat.Member.Draining && p.heartbeat.Term == 0
 	return stopped || p.replaced || p.removed
 }
--- a/node/node.go
+++ b/node/node.go
@@ -190,6 +190,7 @@
 
 	placeSignal    chan struct{} // requests a placement round
 	relistSignal   chan struct{} // requests a new listing of the upstreams
+	rosterSignal   chan struct{} // requests a reading of the roster
 	termSignal     chan struct{} // requests an update of the view and the term
 	announceSignal chan struct{} // requests heartbeats to all reachable members
 	pullFrom       chan string   // addresses of peers with newer state
@@ -211,6 +212,7 @@
 		jobs:           intake.New[Job](),
 		placeSignal:    make(chan struct{}, 1),
 		relistSignal:   make(chan struct{}, 1),
+		rosterSignal:   make(chan struct{}, 1),
 		termSignal:     make(chan struct{}, 1),
 		announceSignal: make(chan struct{}, 1),
 		pullFrom:       make(chan string, 1),
--- a/node/roster.go
+++ b/node/roster.go
@@ -59,13 +59,21 @@
 	return r.revision
 }
 
-// rosterLoop reads the roster after the start, and while this node dispatches and a member is
-// lost: its removal proves that it has gone.
+// rosterLoop reads the roster after the start, when a member is lost, and while this node
+// dispatches and a member is lost: its removal proves that it has gone.
 func (n *Node) rosterLoop(ctx context.Context) error {
 	if n.roster.unused {
 		return nil
 	}
-	for ctx.Err() == nil {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.rosterSignal:
+		case <-timer.C:
+		}
 		pause := listInterval
 		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence == fleet.SilenceLong {
 			if err := n.readRoster(ctx); err != nil {
@@ -73,9 +81,8 @@
 				pause = storeRetryDelay
 			}
 		}
-		wait.For(ctx, pause)
+		timer.Reset(pause)
 	}
-	return nil
 }
 
 // readRoster reads the roster. A stale copy would not do: it may lack a member that has
