node: the list of a VM without the store counts as complete in a split

Callers of a split fleet may see two runs of a task: a VM that the store no longer answers does not learn of upstreams that join, or register again, at the other side. It holds all that it lists, and takes itself to be in no split. The same holds for one whose list begins during the split, since entries that lapsed before are unknown to it.

--- a/fleet/lost.go
+++ b/fleet/lost.go
@@ -94,10 +94,9 @@
 	v.Lost = append(v.Lost, lost)
 }
 
-// LostUnheard reports whether a lost member has never been heard. It may use upstreams whose
-// entries lapsed before this process first listed them.
-func (v *View) LostUnheard() bool {
-	return slices.ContainsFunc(v.Lost, func(m LostMember) bool { return m.HeardAt.IsZero() })
+// LostBefore reports whether a lost member was not heard at a time or later.
+func (v *View) LostBefore(t time.Time) bool {
+	return slices.ContainsFunc(v.Lost, func(m LostMember) bool { return m.HeardAt.IsZero() || m.HeardAt.Before(t) })
 }
 
 // WatchedLost returns the lost members with which this one usually exchanges heartbeats, for logs.
--- a/node/registry.go
+++ b/node/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
@@ -49,6 +50,7 @@
 	entries       map[string]entry
 	current       int // number of entries, without those that have lapsed longer than the retention ago
 	configuration store.Item
+	lacking       bool // mayLack, as of the last call of applyUpstreams
 	// lostAt is when a member that may dispatch was last not heard; zero if it was always heard.
 	lostAt time.Time
 	// scopeSince is the time since which dispatchers have claimed upstreams by the
@@ -87,6 +89,20 @@
 	r.lostAt = now
 }
 
+// mayLack reports whether upstreams that a lost member uses may be missing from the list: their
+// entries lapsed before the list was kept without gaps, or appeared since the store last answered.
+// The caller holds mu.
+func (r *registry) mayLack(now time.Time, usesStore bool, v *fleet.View) bool {
+	return v.LostBefore(r.listedAt) || usesStore && len(v.Lost) > 0 && now.Sub(r.updatedAt) > maxReadGap
+}
+
+// lackChanges reports whether mayLack has changed since the last call of applyUpstreams.
+func (r *registry) lackChanges(now time.Time, usesStore bool, v *fleet.View) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lacking != r.mayLack(now, usesStore, v)
+}
+
 // forgets reports whether an entry has lapsed for so long that its upstream runs no tasks. A member
 // that is not heard may not have learnt that the entry has gone, and use the upstream. The
 // caller holds mu.
@@ -323,7 +339,8 @@
 	}
 	digest, current := uint64(0), 0
 	// Whether upstreams that this node does not claim may have runs of its jobs.
-	partial := v.LostUnheard()
+	partial := n.registry.mayLack(now, n.deps.Store != nil, v)
+	n.registry.lacking = partial
 	for key, e := range n.registry.entries {
 		lapsedFor := now.Sub(e.lapsedAt)
 		if n.registry.forgets(now, e, n.config.LapsedRetention) {
--- a/node/registry_test.go
+++ b/node/registry_test.go
@@ -139,3 +139,44 @@
 	require.Equal(t, 2, pass(retention-time.Second, hear))
 	require.Equal(t, 1, pass(2*time.Second, hear), "vm1 has been heard for long enough")
 }
+
+// Upstreams may appear at the other side of a split. A VM that the store no longer answers, or whose
+// list was begun in the split, does not learn of them.
+func TestListThatIsNotKeptCountsAsCompleteInSplit(t *testing.T) {
+	for name, c := range map[string]struct {
+		answered bool // the store goes on answering
+		relisted bool // the list begins anew in the split
+		want     bool
+	}{
+		"store answers":                    {true, false, false},
+		"store does not answer":            {false, false, true},
+		"store answers after a long break": {true, true, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, LapsedRetention: 10 * time.Second, ConfigurationKey: "config"},
+				Dependencies{Store: store.NewMemory(), Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+			n.replaceUpstreams([]store.Item{{Key: "u1", Value: []byte(`{"Name":"u1","Service":"rota"}`), Revision: 1}}, 1, "test")
+			other := fleet.Member{VM: "vm1", Incarnation: 1, DataCentre: "a", Address: "127.0.0.1:2"}
+			now := time.Now()
+			n.registry.recordUpdate(now)
+			for range 30 {
+				n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: other}, true)
+				n.registry.recordUpdate(now)
+				n.updateTerm(now)
+				require.False(t, n.registry.lacking, "vm1 is heard")
+				now = now.Add(100 * time.Millisecond)
+			}
+			for range 50 {
+				if c.answered {
+					n.registry.recordUpdate(now)
+				}
+				if c.relisted {
+					n.registry.listedAt = now
+				}
+				n.updateTerm(now)
+				now = now.Add(100 * time.Millisecond)
+			}
+			require.Equal(t, c.want, n.registry.lacking)
+		})
+	}
+}
--- a/node/term.go
+++ b/node/term.go
@@ -213,10 +213,13 @@
 	switch {
 	case v.Silence == fleet.SilenceLong:
 		n.registry.recordLoss(now)
+		if old.Silence != fleet.SilenceLong {
+			wake(n.rosterSignal)
+		}
 	case old.Silence == fleet.SilenceLong:
 		time.AfterFunc(n.config.LapsedRetention, func() { n.applyUpstreams(time.Now()) })
 	}
-	if old.LostUnheard() != v.LostUnheard() {
+	if n.registry.lackChanges(now, n.deps.Store != nil, v) {
 		n.applyUpstreams(now)
 	}
 }
--- a/scheduler/split_model_registry_test.go
+++ b/scheduler/split_model_registry_test.go
@@ -29,6 +29,7 @@
 	revision  int64     // 0 before the first listing
 	lostAt    time.Time // when a member that may dispatch was last not heard
 	pulling   bool
+	lacking   bool // mayLack, as of the last call of applyUpstreams
 	// lapsed tells by upstream when its entry has lapsed; zero if it has not.
 	lapsed map[string]time.Time
 	// hidden holds the upstreams that the list lacks because it is old.
@@ -69,11 +70,16 @@
 	case old.Silence == fleet.SilenceLong:
 		n.m.after(lapsedRetention, func() { n.do(n.applyUpstreams) })
 	}
-	if old.LostUnheard() != v.LostUnheard() {
+	if n.lacking != n.mayLack() {
 		n.applyUpstreams()
 	}
 }
 
+// mayLack reports whether upstreams that a lost member uses may be missing from the list.
+func (n *splitNode) mayLack() bool {
+	return n.view.LostBefore(n.listedAt) || len(n.view.Lost) > 0 && n.m.now.Sub(n.updatedAt) > maxReadGap
+}
+
 // forgets reports whether an entry that has lapsed at a time is dropped.
 func (n *splitNode) forgets(at time.Time) bool {
 	now := n.m.now
@@ -170,7 +176,8 @@
 	m := n.m
 	var list []scheduler.Upstream
 	var names []string
-	partial := n.view.LostUnheard() // upstreams may be missing from the list
+	partial := n.mayLack()
+	n.lacking = partial
 	for _, name := range m.names {
 		at, known := n.lapsed[name]
 		lapsedFor := m.now.Sub(at)
