node: a test updated the term beside the term loop

The test passes the heartbeat and waits until the loop has seen it. Its checks are the same; it still fails if idle upstreams are not polled.

--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -250,12 +250,9 @@
 	c := newCluster(t, 1, 1, time.Second)
 	n := c.dispatcher()
 	rival := fleet.Member{VM: "vm9", DataCentre: "dc", Address: freeAddress(t), Incarnation: uint64(time.Now().UnixNano()) * 2, Weight: 1}
-	for range 5 {
-		now := time.Now()
-		n.fleet.RecordHeartbeat(now, fleet.Heartbeat{Member: rival, Term: 5}, true)
-		n.updateTerm(now)
-	}
-	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+	n.fleet.RecordHeartbeat(time.Now(), fleet.Heartbeat{Member: rival, Term: 5}, true)
+	n.wakeTermLoop()
+	c.wait("the member is lost", func() bool { return n.scheduler.PeerLoss() == scheduler.PeerLost })
 	now := time.Now()
 	_, due, _, _ := n.scheduler.NextPoll(now, "u0")
 	require.True(t, due)
