node: a rival is forgotten when its entry lapses

In a split, two dispatchers take upstreams that both reach from each other less and less often, and what the other one may still renew is waited for 0.9 s longer. Once the store no longer listed the other VM (4 s), this ended, although the split went on: a dispatcher began a new term every 0.5 s, in each of which it drops its jobs and its claims, and counted the leases of runs as over without the margin. In a test with a rival that claims the upstream again, 20 terms began in 10 s.

Cause: only members that the store lists counted as rivals, while a lost member may dispatch until it is proven to be gone. A member that is lost because it is not heard is now a rival too. One that is heard and reports a term is not: it ends it when it hears this member.

TestRivalIsForgottenWhenItsEntryLapses failed before, and passes now. The price: while a killed VM is on the roster, resumed jobs whose upstreams do not all answer wait for 2.56 s instead of 1.66 s.

--- a/node/term.go
+++ b/node/term.go
@@ -78,7 +78,7 @@
 
 	pausedAt time.Time // when a pause of this process last ended; zero if there was none
 
-	rivalSeenAt time.Time // when a present member was last unreachable; used by updateTerm only
+	rivalSeenAt time.Time // when a member that may dispatch was last not reachable; used by updateTerm only
 	// strangerSeenAt is when an upstream was last claimed under a token that no heard member
 	// knows; used by updateTerm only.
 	strangerSeenAt time.Time
@@ -156,7 +156,7 @@
 		n.registry.setScopeSince(now)
 		time.AfterFunc(scopeSettleTime, func() { n.applyUpstreams(time.Now()) })
 	}
-	if len(v.Unreachable) > 0 {
+	if hasRivals(&v) {
 		n.term.rivalSeenAt = now
 	}
 	if slices.ContainsFunc(v.Reachable, func(h fleet.Heartbeat) bool { return h.Term != 0 }) {
@@ -340,7 +340,7 @@
 	case t.fencedSince.IsZero():
 		t.fencedSince = now
 	default:
-		retry = now.Sub(t.fencedSince) > reclaimWait(n.fleet.Token() > t.token, len(v.Unreachable) > 0, t.reclaims)
+		retry = now.Sub(t.fencedSince) > reclaimWait(n.fleet.Token() > t.token, hasRivals(v), t.reclaims)
 		if retry {
 			t.reclaims = min(t.reclaims+1, maxReclaims)
 		}
@@ -354,9 +354,16 @@
 	}
 }
 
+// hasRivals reports whether members are not reachable that may dispatch, listed in the store or not.
+func hasRivals(v *fleet.View) bool {
+	return len(v.Unreachable) > 0 || slices.ContainsFunc(v.Lost, func(m fleet.LostMember) bool {
+		return m.Reason == fleet.LossNotHeard || m.Reason == fleet.LossNeverHeard
+	})
+}
+
 // reclaimWait returns the delay before upstreams claimed by another dispatcher
 // are claimed again. tokenKnown means that a reachable member knows a greater token
-// than this node's, rivals that a present member is unreachable and may dispatch.
+// than this node's, rivals that a member is not reachable and may dispatch.
 // With rivals the delay doubles with each reclaim, so that two dispatchers that
 // cannot reach each other take upstreams from each other less and less often.
 func reclaimWait(tokenKnown, rivals bool, reclaims int) time.Duration {
