--- a/scheduler/split_retention_test.go
+++ b/scheduler/split_retention_test.go
@@ -197,3 +197,21 @@
 	m.at(8000, func() { m.sendLongJob(100*time.Millisecond, 0, 2) })
 	m.process(11 * time.Second)
 }
+
+// A split ends long after the entries of one side have lapsed. The origin of a job there offers it to
+// the dispatcher of the other side, while its run goes on.
+func TestJobHandedOverAtEndOfSplitStartsBesideItsRun(t *testing.T) {
+	for sent := 50; sent <= 400; sent += 50 {
+		t.Run(fmt.Sprintf("sent %d ms before the end", sent), func(t *testing.T) {
+			m := splitCaseOf(t)
+			m.fixedDelay = 2 * time.Millisecond
+			m.start()
+			p := m.newPartition("0001111", 2, 3)
+			p.storeless[1] = true
+			m.at(300, func() { m.startPartition(p) })
+			m.at(20000-sent, func() { m.sendLongJob(time.Minute, 2) })
+			m.at(20000, func() { m.endPartition(p) })
+			m.process(25 * time.Second)
+		})
+	}
+}
