--- a/node/roster.go
+++ b/node/roster.go
@@ -8,14 +8,19 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/store"
 )
 
-// leaveTimeout limits the time to remove the entry in the roster at the end of a graceful stop.
-const leaveTimeout = 200 * time.Millisecond
+const (
+	// leaveTimeout limits the time to remove the entry in the roster at the end of a graceful stop.
+	leaveTimeout = 200 * time.Millisecond
+	// leaveRetryDelay is the delay before another attempt within it.
+	leaveRetryDelay = 50 * time.Millisecond
+)
 
 // roster is what this process knows of the roster in the store: an entry without a lease for
 // each VM that has registered, until it has stopped gracefully or operators have removed it.
@@ -23,7 +28,7 @@
 	mu       sync.Mutex // guards the fields below
 	unused   bool       // there is no roster
 	read     bool       // it has been read
-	revision int64      // of the own entry; 0 if it was not written
+	revision int64      // of the own entry as last written; 0 if it was not
 }
 
 func (r *roster) init(unused bool) { r.unused = unused }
@@ -35,13 +40,6 @@
 	return r.unused || r.read
 }
 
-// shouldEnter reports whether the own entry is to be written.
-func (r *roster) shouldEnter() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !r.unused && r.revision == 0
-}
-
 func (r *roster) noteEntered(revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -61,13 +59,21 @@
 	return r.revision
 }
 
-// rosterLoop reads the roster after the start, and while this node dispatches and a member is
-// lost: its removal proves that it has gone.
+// rosterLoop reads the roster after the start, when a member is lost, and while this node
+// dispatches and a member is lost: its removal proves that it has gone.
 func (n *Node) rosterLoop(ctx context.Context) error {
 	if n.roster.unused {
 		return nil
 	}
-	for ctx.Err() == nil {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-n.rosterSignal:
+		case <-timer.C:
+		}
 		pause := listInterval
 		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence == fleet.SilenceLong {
 			if err := n.readRoster(ctx); err != nil {
@@ -75,9 +81,8 @@
 				pause = storeRetryDelay
 			}
 		}
-		wait.For(ctx, pause)
+		timer.Reset(pause)
 	}
-	return nil
 }
 
 // readRoster reads the roster. A stale copy would not do: it may lack a member that has
@@ -92,9 +97,14 @@
 	members := make([]fleet.Member, 0, len(items))
 	for _, item := range items {
 		var m wire.FleetMember
-		if err := json.Unmarshal(item.Value, &m); err != nil {
+		vm := strings.TrimPrefix(item.Key, n.config.RosterPrefix)
+		err := json.Unmarshal(item.Value, &m)
+		if err == nil && m.VM != vm {
+			err = errors.Newf("it describes VM %q", m.VM)
+		}
+		if err != nil {
 			n.log.Warn("roster entry cannot be read", slog.String("key", item.Key), slog.Any("error", err))
-			m = wire.FleetMember{VM: strings.TrimPrefix(item.Key, n.config.RosterPrefix)}
+			m = wire.FleetMember{VM: vm}
 		}
 		members = append(members, fromWire(m))
 	}
@@ -115,8 +125,18 @@
 	ctx, cancel := context.WithTimeout(n.runCtx, leaveTimeout)
 	defer cancel()
 	key := n.config.RosterPrefix + n.config.VM
-	_, err := n.deps.Store.Commit(ctx, store.Txn{Conditions: []store.Condition{{Key: key, Revision: revision}}, Deletes: []string{key}})
-	if err != nil {
-		n.log.Info("failed to leave the roster", slog.Any("error", err))
+	txn := store.Txn{Conditions: []store.Condition{{Key: key, Revision: revision}}, Deletes: []string{key}}
+	for {
+		_, err := n.deps.Store.Commit(ctx, txn)
+		switch conflict := (*store.ConflictError)(nil); {
+		case err == nil:
+			return
+		case errors.As(err, &conflict):
+			n.log.Info("the roster entry is gone or that of another process", slog.Any("error", err))
+			return
+		case !wait.For(ctx, leaveRetryDelay):
+			n.log.Warn("failed to leave the roster, this VM counts as lost until its next process starts or it is removed", slog.Any("error", err))
+			return
+		}
 	}
 }
