node: an unknown dispatcher is forgotten 3 s after its claim

A VM that has registered since the dispatcher read the roster, is heard by nobody and has lost the store shows itself by its claims only. Such a claim counted as a silent VM for 3 s, and never confirmed a split; after that the dispatcher counted as alone, while the other one went on.

Cause: the roster, which names that VM, was read again only while a known member was lost. It is now read while any member is silent, every 2 s at most, so that the VM is known within the 3 s and counts as lost until it is proven to be gone. What remains open is a VM that is on no roster.

--- a/node/roster.go
+++ b/node/roster.go
@@ -59,15 +59,16 @@
 	return r.revision
 }
 
-// rosterLoop reads the roster after the start, and while this node dispatches and a member is
-// lost: its removal proves that it has gone.
+// rosterLoop reads the roster after the start, and while this node dispatches and members are not
+// heard: the removal of one proves that it has gone, and the entry of one that no heard member
+// knows tells of it.
 func (n *Node) rosterLoop(ctx context.Context) error {
 	if n.roster.unused {
 		return nil
 	}
 	for ctx.Err() == nil {
 		pause := listInterval
-		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence == fleet.SilenceLong {
+		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence != fleet.SilenceNone {
 			if err := n.readRoster(ctx); err != nil {
 				n.log.Debug("failed to read the roster", slog.Any("error", err))
 				pause = storeRetryDelay
