fleet: a member that was removed once is taken for gone in later splits

Operators remove a VM that is cut off and taken for dead. It comes back, is heard, and keeps its lease (the store was never lost, or came back within 4 s), so that it does not register again. In each later split it counts as removed as soon as the roster is read, while it dispatches: the split ends after 2 s.

Cause: the roster proves that a member has gone if it was ever on it and is not now. Hearing the member voids the proof only until the next reading.

TestMemberThatWasRemovedOnceIsTakenForGone fails. A removal that counts only if the entry was read since the member was last heard would end it, at the price that a VM which is removed sooner than the first reading (2 s) stays lost; or a VM checks its own entry while it keeps its lease.

--- /dev/null
+++ b/fleet/gone_test.go
@@ -0,0 +1,24 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Operators have removed a VM that was cut off. It comes back, keeps its lease and is heard. In the
+// next split it is lost again, and its old removal proves nothing.
+func TestMemberThatWasRemovedOnceIsTakenForGone(t *testing.T) {
+	f, members := newFleet(2, "a")
+	recordHeartbeats(f, start, members[1:]...)
+	f.SetRoster(members)
+	f.SetRoster(members[:2])
+	now := start.Add(time.Minute)
+	recordHeartbeats(f, now, members[1:]...)
+	now = now.Add(HeartbeatTimeout(3))
+	recordHeartbeats(f, now, members[1])
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence)
+	f.SetRoster(members[:2])
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "the entry is missing since before vm2 was last heard")
+}
