fleet: a draining dispatcher known from others is taken for gone

A VM that starts in a split learns of a lost, draining dispatcher from another member. Descriptions of members name no term, so that its term counts as 0, and a member that drains, has no term and is not listed counts as stopped. The VM takes it for gone, while it still dispatches.

Only a heartbeat of the member itself tells its term. That alone would make every VM that has stopped gracefully lost for good for processes that start later; members must tell each other who is gone, see TestMemberRemovedBeforeStartIsLostForever.

--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -22,3 +22,14 @@
 	f.SetRoster(members[:2])
 	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "the entry is missing since before vm2 was last heard")
 }
+
+// A member that has just started knows a draining dispatcher only from another one. It does not know
+// its term.
+func TestDrainingDispatcherOfWhichOnlyOthersTellIsTakenForGone(t *testing.T) {
+	f, members := newFleet(1, "a")
+	recordHeartbeats(f, start, members[1])
+	draining := member(2, "a")
+	draining.Draining = true
+	f.AddMembers([]Member{draining})
+	require.Equal(t, SilenceLong, f.View(start, 0).Silence)
+}
