fleet: a member that was removed before a process starts is lost forever

A VM is killed and operators remove it from the roster, as they should. Each process that starts later learns of it from the others, which never forget a member and do not tell that it is gone. It is not on the roster any longer, so that its removal is never seen: it is lost for good, as never heard, and its upstreams count as missing from the list. Nothing but a restart of all VMs ends it.

TestMemberRemovedBeforeStartIsLostForever fails. Members should not tell of those that they know to be gone, and leave them out of the digest; or the proof has to be told with them.

--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -33,3 +33,23 @@
 	f.AddMembers([]Member{draining})
 	require.Equal(t, SilenceLong, f.View(start, 0).Silence)
 }
+
+// A member tells others of the members that it knows to be gone. A process that starts later learns
+// of them without the proof, and none follows: the roster does not name them any longer.
+func TestMemberRemovedBeforeStartIsLostForever(t *testing.T) {
+	first, members := newFleet(2, "a")
+	recordHeartbeats(first, start, members[1:]...)
+	first.SetRoster(members)
+	first.SetRoster(members[:2]) // vm2 was killed, and operators have removed it
+	now := start.Add(time.Hour)
+	recordHeartbeats(first, now, members[1])
+	require.Equal(t, SilenceNone, first.View(now, 0).Silence)
+
+	started := New(member(3, "a"))
+	started.SetListed([]Member{members[0], members[1], member(3, "a")})
+	started.SetRoster([]Member{members[0], members[1], member(3, "a")})
+	started.AddMembers(first.Peers())
+	started.SetRoster([]Member{members[0], members[1], member(3, "a")})
+	recordHeartbeats(started, now, members[0], members[1])
+	require.Equal(t, SilenceNone, started.View(now, 0).Silence)
+}
