fleet: the division of the fleet ends the loss of members that do not know of it

While a VM of another data centre is lost, the fleet outgrows one dispatcher and divides. The lost VM is then not in the scope any longer, and the split ends at once. It has not learnt of the division: it dispatches for the whole fleet, claims upstreams here and takes the jobs of callers that return to it.

Cause: members count by the own scope. Only a member that knows of the division keeps to its data centre, and its heartbeats say so, which is not recorded.

TestDivisionEndsLossOfMemberThatDoesNotKnowOfIt fails. Members that have not reported the division would have to count as lost beyond the own data centre; a VM that starts in a divided fleet hears the other data centres in rotation only, and would count them as lost meanwhile.

--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -53,3 +53,15 @@
 	recordHeartbeats(started, now, members[0], members[1])
 	require.Equal(t, SilenceNone, started.View(now, 0).Silence)
 }
+
+// A member that is not heard does not learn that the fleet is divided. It goes on to dispatch for
+// all data centres.
+func TestDivisionEndsLossOfMemberThatDoesNotKnowOfIt(t *testing.T) {
+	f, members := newFleet(2, "a", "b") // vm1 is in b
+	recordHeartbeats(f, start, members[1:]...)
+	now := start.Add(time.Minute)
+	recordHeartbeats(f, now, members[2])
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "vm1 is lost")
+	f.RecordDivision()
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "vm1 may use the upstreams of all data centres")
+}
