fleet: a process whose clock was set back is taken for gone

The clock of a VM is set back, or ran ahead before, and its next process has a lower incarnation than the former one, which had stopped gracefully. The others ignore its heartbeats, also one that reports a term, and take the VM for gone; once its entry has lapsed, no split is suspected while it dispatches. If the former process was killed, the VM is lost for good instead, since the later process is never heard.

Cause: the incarnation is the time of the start by the wall clock, and nothing keeps it rising.

TestProcessWithLowerIncarnationIsTakenForGone fails. A process could choose an incarnation above that of the roster entry of its VM, which it reads before its first term, or of a member that names it.

--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -65,3 +65,21 @@
 	f.RecordDivision()
 	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "vm1 may use the upstreams of all data centres")
 }
+
+// The clock of a VM has been set back, so that its present process has the lower incarnation. The
+// former one has announced its stop.
+func TestProcessWithLowerIncarnationIsTakenForGone(t *testing.T) {
+	f, members := newFleet(2, "a")
+	former := members[2]
+	former.Draining = true
+	recordHeartbeats(f, start, members[1], former)
+	f.SetListed(members[:2])
+	require.Equal(t, SilenceNone, f.View(start, 0).Silence)
+
+	present := members[2]
+	present.Incarnation--
+	now := start.Add(time.Minute)
+	recordHeartbeats(f, now, members[1], present)
+	f.RecordHeartbeat(now, Heartbeat{Member: present, Term: 7}, false)
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "a process of vm2 dispatches")
+}
