fleet: a list is confirmed once a lost dispatcher is unheard for long

The list of a new term counts as complete if all dispatchers of the last 10 s had listed the same upstreams. A dispatcher that is lost for longer goes on to dispatch, but no longer counts; if no other one was heard, any list is confirmed, also one that is as old as the split.

TestListIsConfirmedOnceLostDispatcherIsUnheardForLong fails. The effect is bounded by rule 3 as long as the VM counts as lost. To count lost members that have ever dispatched would end it; lists are then confirmed by a reading only, while a VM is lost.

--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -83,3 +83,13 @@
 	f.RecordHeartbeat(now, Heartbeat{Member: present, Term: 7}, false)
 	require.Equal(t, SilenceLong, f.View(now, 0).Silence, "a process of vm2 dispatches")
 }
+
+// What the dispatchers of the last 10 s have listed confirms a list. A lost dispatcher goes on.
+func TestListIsConfirmedOnceLostDispatcherIsUnheardForLong(t *testing.T) {
+	f, members := newFleet(2, "a")
+	f.RecordHeartbeat(start, Heartbeat{Member: members[1], Term: 5, UpstreamsDigest: 7}, true)
+	now := start.Add(time.Minute)
+	recordHeartbeats(f, now, members[2])
+	require.Equal(t, SilenceLong, f.View(now, 0).Silence)
+	require.False(t, f.DispatchersListed(now.Add(-10*time.Second), 8), "vm1 may dispatch, and lists other upstreams")
+}
