fleet: former members take heartbeats

VMs that were killed stay on the roster until operators remove them, and each process that starts knows all of them. With equal weights they rank above every live VM, since their processes are older. A VM sends heartbeats to all that rank above the third reachable one: with 200 killed VMs, 201 in each fifth round (400 a second), each of which waits for a connection.

TestFormerMembersTakeHeartbeats fails. Unresponsive members could take turns, a few in a round.

--- a/fleet/gone_test.go
+++ b/fleet/gone_test.go
@@ -93,3 +93,24 @@
 	require.Equal(t, SilenceLong, f.View(now, 0).Silence)
 	require.False(t, f.DispatchersListed(now.Add(-10*time.Second), 8), "vm1 may dispatch, and lists other upstreams")
 }
+
+// Processes that have terminated without a graceful stop stay on the roster. They rank above those
+// that were started later.
+func TestFormerMembersTakeHeartbeats(t *testing.T) {
+	f := New(member(900, "a"))
+	var former []Member
+	for i := range 200 {
+		former = append(former, member(i, "a"))
+	}
+	f.SetRoster(former)
+	now, most := start, 0
+	for range 10 * slowRounds {
+		recordHeartbeats(f, now, member(901, "a"))
+		most = max(most, len(f.HeartbeatTargets(now)))
+		now = now.Add(MinHeartbeatInterval)
+		if now.Sub(start) < HeartbeatTimeout(2) {
+			most = 0 // all are tried at first
+		}
+	}
+	require.LessOrEqual(t, most, 20)
+}
