node: VMs that start together take themselves for alone

All VMs of one side of a split restart while the store serves stale listings and refuses current ones, as it does beyond its limits. None reads the roster. Each hears another one, which counts as proof that the lost members are known, and one begins a term in which nobody is lost.

Cause: the member that is heard may have just started itself. Heartbeats do not tell whether it knows the roster.

TestVMsThatStartTogetherTakeThemselvesForAlone fails. A VM could count one as lost until the roster was read, here or by a member that says so in its heartbeats.

--- a/node/entered_test.go
+++ b/node/entered_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
 	"github.com/stretchr/testify/require"
 )
@@ -23,3 +25,32 @@
 	c.wait("the roster was read", func() bool { return n.roster.known() })
 	require.Never(t, n.scheduler.Dispatching, startupGraceAlone+time.Second, 10*time.Millisecond)
 }
+
+// rosterlessStore is a store that refuses current listings of the roster.
+type rosterlessStore struct{ store.Store }
+
+// Range implements store.Store.
+func (s rosterlessStore) Range(ctx context.Context, prefix, after string, stale bool) (store.Page, error) {
+	if strings.HasPrefix(prefix, "roster/") {
+		return store.Page{}, store.ErrRefused
+	}
+	return s.Store.Range(ctx, prefix, after, stale)
+}
+
+// Two VMs start together while the store refuses current listings. Each takes the other one for a
+// member that has named the lost ones.
+func TestVMsThatStartTogetherTakeThemselvesForAlone(t *testing.T) {
+	c := newCluster(t, 0, 1, time.Millisecond)
+	c.putRoster("vm9")
+	c.startWith("vm0", rosterlessStore{c.store})
+	c.startWith("vm1", rosterlessStore{c.store})
+	deadline := time.Now().Add(5 * time.Second)
+	for time.Now().Before(deadline) {
+		for _, n := range c.nodes {
+			if n.scheduler.Dispatching() {
+				require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss(), "vm9 may dispatch")
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
