node: a VM whose roster entry cannot be read is not lost

An entry of the roster that cannot be read still names its VM by its key. A process that starts in a split does not know that VM otherwise, skips the entry, and takes itself for alone.

TestVMWithOddRosterEntryIsNotLost fails. The VM would have to count as lost in every scope, since its data centre is unknown, without being a target of heartbeats.

--- a/node/entered_test.go
+++ b/node/entered_test.go
@@ -54,3 +54,12 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// The entry of a VM cannot be read by a process that starts during a split.
+func TestVMWithOddRosterEntryIsNotLost(t *testing.T) {
+	c := newCluster(t, 0, 1, time.Millisecond)
+	c.store.Set("roster/vm9", []byte(`{`))
+	n := c.start("vm0")
+	c.dispatcher()
+	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+}
