node: the last VM that stops stays on the roster

All VMs of a fleet are stopped gracefully, and VMs of other names are started later. The last one to stop has nobody to hand dispatching over to. It still dispatches when its drain ends, and therefore does not leave the roster. Each VM that starts later counts it as lost, as never heard, for good: a split is confirmed until operators remove the entry.

TestLastVMThatStopsStaysOnRoster fails.

--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -136,3 +136,16 @@
 	require.NoError(t, err)
 	require.Len(t, items, 1)
 }
+
+// The last VM of a fleet dispatches until its process ends, and leaves no runs. VMs of other names that
+// are started later would count it as lost for good.
+func TestLastVMThatStopsStaysOnRoster(t *testing.T) {
+	c := newCluster(t, 1, 1, time.Millisecond)
+	n := c.dispatcher()
+	c.wait("it is on the roster", func() bool { return n.roster.ownRevision() != 0 })
+	n.stop()
+	<-n.stopped
+	items, _, err := store.List(context.Background(), c.store, "roster/", false)
+	require.NoError(t, err)
+	require.Empty(t, items)
+}
