node: a VM that waits for the roster does not say so

A VM that is alone and cannot read the roster begins no term. Its probe says that no dispatcher is reachable, and each failed reading is a line of level debug only, so that operators do not learn what it waits for. The first failure is now a warning with the error, and tells that the term waits.

TestVMWithoutRosterWaitsInSilence failed before, and passes now.

--- a/node/entered_test.go
+++ b/node/entered_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
@@ -63,3 +65,15 @@
 	c.dispatcher()
 	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
 }
+
+// A VM that is alone begins no term before it has read the roster. Nothing told why.
+func TestVMWithoutRosterWaitsInSilence(t *testing.T) {
+	var log bytes.Buffer
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, RosterPrefix: "roster/"},
+		Dependencies{Store: rosterlessStore{store.NewMemory()}, Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: NewMetrics(), Decoder: testDecoder{}})
+	ctx, cancel := context.WithTimeout(t.Context(), 2*storeRetryDelay+100*time.Millisecond)
+	defer cancel()
+	require.NoError(t, n.rosterLoop(ctx))
+	require.Equal(t, 1, strings.Count(log.String(), "the roster cannot be read"), "one line for all attempts")
+	require.Contains(t, log.String(), store.ErrRefused.Error())
+}
--- a/node/roster.go
+++ b/node/roster.go
@@ -66,11 +66,15 @@
 	if n.roster.unused {
 		return nil
 	}
-	for ctx.Err() == nil {
+	for warned := false; ctx.Err() == nil; {
 		pause := listInterval
 		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence != fleet.SilenceNone {
 			if err := n.readRoster(ctx); err != nil {
-				n.log.Debug("failed to read the roster", slog.Any("error", err))
+				level, waits := slog.LevelDebug, !n.roster.known()
+				if waits && !warned {
+					level, warned = slog.LevelWarn, true
+				}
+				n.log.Log(ctx, level, "the roster cannot be read", slog.Bool("term_waits", waits), slog.Any("error", err))
 				pause = storeRetryDelay
 			}
 		}
