--- a/node/roster.go
+++ b/node/roster.go
@@ -59,14 +59,16 @@
 	return r.revision
 }
 
-// rosterLoop reads the roster after the start, when a member is lost, and while this node
-// dispatches and a member is lost: its removal proves that it has gone.
+// rosterLoop reads the roster after the start, and while this node dispatches and members are not
+// heard: the removal of one proves that it has gone, and the entry of one that no heard member
+// knows tells of it.
 func (n *Node) rosterLoop(ctx context.Context) error {
 	if n.roster.unused {
 		return nil
 	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	warned := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -75,9 +77,13 @@
 		case <-timer.C:
 		}
 		pause := listInterval
-		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence == fleet.SilenceLong {
+		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence != fleet.SilenceNone {
 			if err := n.readRoster(ctx); err != nil {
-				n.log.Debug("failed to read the roster", slog.Any("error", err))
+				level, waits := slog.LevelDebug, !n.roster.known()
+				if waits && !warned {
+					level, warned = slog.LevelWarn, true
+				}
+				n.log.Log(ctx, level, "the roster cannot be read", slog.Bool("term_waits", waits), slog.Any("error", err))
 				pause = storeRetryDelay
 			}
 		}
