--- a/scheduler/split_model_partition_test.go
+++ b/scheduler/split_model_partition_test.go
@@ -89,7 +89,32 @@
 			return false
 		}
 	}
-	return true
+	return m.unregistered[name] == 0
+}
+
+// joinUpstream lets an upstream, which no process lists yet, register for the first time after a while.
+func (m *splitModel) joinUpstream(name string, after time.Duration) {
+	m.unregistered[name]++
+	delete(m.store.upstreams, name)
+	for _, n := range m.nodes {
+		delete(n.lapsed, name)
+	}
+	m.after(after, func() {
+		m.logf("fault: %s joins", name)
+		m.unregistered[name]--
+	})
+}
+
+// loseRegistrations lets upstreams that work on lose the store, at random times.
+func (m *splitModel) loseRegistrations() {
+	name := m.names[m.rand.IntN(len(m.names))]
+	m.logf("fault: %s loses the store", name)
+	m.unregistered[name]++
+	m.after(m.randomMillis(1000, maxPartition), func() {
+		m.logf("fault: %s reaches the store again", name)
+		m.unregistered[name]--
+	})
+	m.after(m.randomMillis(1000, 6000), m.loseRegistrations)
 }
 
 // updateReach tells the processes which upstreams they reach.
--- a/scheduler/split_model_test.go
+++ b/scheduler/split_model_test.go
@@ -36,7 +36,9 @@
 	// blocked counts the faults because of which a VM does not reach an upstream.
 	blocked    map[path]int
 	partitions map[*partition]bool
-	store      *splitStore
+	// unregistered counts the faults because of which an upstream does not reach the store.
+	unregistered map[string]int
+	store        *splitStore
 	// missBreaks means that origins miss most of the connections of callers that break.
 	missBreaks bool
 	// returning means that all callers return, and that most jobs are long.
@@ -59,7 +61,7 @@
 }
 
 func newSplitModel(t *testing.T, seed uint64, missBreaks bool) *splitModel {
-	m := &splitModel{model: newModel(t, seed, splitUpstreams), missBreaks: missBreaks, latePercent: lateResponsePercent, callers: map[string]*splitCaller{}, cut: map[link]bool{}, reported: map[scheduler.Task]time.Time{}, blocked: map[path]int{}, partitions: map[*partition]bool{}, store: newSplitStore()}
+	m := &splitModel{model: newModel(t, seed, splitUpstreams), missBreaks: missBreaks, latePercent: lateResponsePercent, callers: map[string]*splitCaller{}, cut: map[link]bool{}, reported: map[scheduler.Task]time.Time{}, blocked: map[path]int{}, partitions: map[*partition]bool{}, unregistered: map[string]int{}, store: newSplitStore()}
 	vms := 3 + m.rand.IntN(2) // one group may be a minority
 	for i, name := range m.names {
 		u := m.upstreams[name]
@@ -199,6 +201,9 @@
 	}
 	m.hideNewUpstream()
 	m.start()
+	if m.rand.IntN(2) == 0 {
+		m.joinUpstream(m.names[m.rand.IntN(len(m.names))], m.randomMillis(1000, 20000))
+	}
 	m.after(splitStartTime, func() {
 		m.sendJobs(0)
 		if m.rand.IntN(2) == 0 {
@@ -206,6 +211,9 @@
 		} else {
 			m.injectRestarts()
 		}
+		if m.rand.IntN(2) == 0 {
+			m.loseRegistrations()
+		}
 		m.injectPartitions()
 		if m.rand.IntN(3) == 0 {
 			m.after(m.randomMillis(2000, 20000), m.join)
--- a/scheduler/split_retention_test.go
+++ b/scheduler/split_retention_test.go
@@ -180,20 +180,13 @@
 // An upstream joins at the other side of a split. A VM without the store holds all upstreams that it lists.
 func TestUpstreamJoinsAtOtherSideOfSplit(t *testing.T) {
 	m := splitCaseOf(t)
-	joining := m.newPartition("0000001")
-	joining.storeless[1], joining.storeOnly = true, true
-	m.startPartition(joining)
 	m.start()
-	delete(m.store.upstreams, "u6")
-	for _, n := range m.nodes {
-		delete(n.lapsed, "u6")
-	}
+	m.joinUpstream("u6", 2*time.Second)
 	m.at(300, func() {
 		p := m.newPartition("0000001", 2, 3)
 		p.storeless[0] = true
 		m.startPartition(p)
 	})
-	m.at(2000, func() { m.endPartition(joining) })
 	m.at(8000, func() { m.sendLongJob(100*time.Millisecond, 0, 2) })
 	m.process(11 * time.Second)
 }
