scheduler: two more ways in which a dispatcher does not know of a split

Callers of a split fleet may see two runs of a task. TestUpstreamJoinsAsSplitBegins: the list of a VM without the store counts as complete for 2.5 s, in which an upstream may join at the other side and get tasks at once, if the other dispatcher lists it before its first term. TestSplitIsUnknownToVMThatWasNoCandidate: a VM that is no candidate, but first in its data centre, keeps no upstreams for a split, and dispatches once the candidates are killed.

--- a/scheduler/split_model_registry_test.go
+++ b/scheduler/split_model_registry_test.go
@@ -67,6 +67,9 @@
 	switch {
 	case v.Silence == fleet.SilenceLong:
 		n.lostAt = n.m.now
+		if old.Silence != fleet.SilenceLong {
+			n.readRoster()
+		}
 	case old.Silence == fleet.SilenceLong:
 		n.m.after(lapsedRetention, func() { n.do(n.applyUpstreams) })
 	}
--- a/scheduler/split_model_term_test.go
+++ b/scheduler/split_model_term_test.go
@@ -28,8 +28,11 @@
 	old := n.view
 	n.view = n.fleet.View(now, n.termFor(n.name))
 	v := &n.view
+	if !v.Candidate && n.token == 0 {
+		v.Silence, v.Lost = fleet.SilenceNone, nil
+	}
 	v.Silence = max(v.Silence, n.claimSilence())
-	if len(v.Unreachable) > 0 {
+	if hasRivals(v) {
 		n.rivalSeenAt = now
 	}
 	if slices.ContainsFunc(v.Reachable, func(h fleet.Heartbeat) bool { return h.Term != 0 }) {
@@ -68,6 +71,13 @@
 	return fleet.SilenceNone
 }
 
+// hasRivals reports whether members are not reachable that may dispatch, listed in the store or not.
+func hasRivals(v *fleet.View) bool {
+	return len(v.Unreachable) > 0 || slices.ContainsFunc(v.Lost, func(m fleet.LostMember) bool {
+		return m.Reason == fleet.LossNotHeard || m.Reason == fleet.LossNeverHeard
+	})
+}
+
 // notePeerLoss tells the scheduler whether members exist that may dispatch and are not heard.
 func (n *splitNode) notePeerLoss(silence fleet.Silence) {
 	loss := map[fleet.Silence]scheduler.PeerLoss{
@@ -139,7 +149,7 @@
 }
 
 func (n *splitNode) checkClaims() {
-	now, rivals, retry := n.m.now, len(n.view.Unreachable) > 0, false
+	now, rivals, retry := n.m.now, hasRivals(&n.view), false
 	switch {
 	case n.scheduler.FencedUpstreams() == 0:
 		n.fencedSince = time.Time{}
--- a/scheduler/split_retention_test.go
+++ b/scheduler/split_retention_test.go
@@ -190,3 +190,43 @@
 	m.at(8000, func() { m.sendLongJob(100*time.Millisecond, 0, 2) })
 	m.process(11 * time.Second)
 }
+
+// The store goes with the split, in which an upstream joins at once. The other side uses it before a VM
+// without the store takes its list for old.
+func TestUpstreamJoinsAsSplitBegins(t *testing.T) {
+	m := splitCaseOf(t)
+	m.start()
+	m.joinUpstream("u6", 1600*time.Millisecond)
+	m.at(1600, func() {
+		p := m.newPartition("0000001", 2, 3)
+		p.storeless[0] = true
+		m.startPartition(p)
+	})
+	m.at(1800, func() { m.sendLongJob(100*time.Millisecond, 0, 2) })
+	m.process(5 * time.Second)
+}
+
+// A VM that is no candidate, but first in its data centre, forgets the upstreams of a split. The
+// candidates are killed, and it dispatches.
+func TestSplitIsUnknownToVMThatWasNoCandidate(t *testing.T) {
+	m := splitCaseOf(t)
+	m.nodes, m.dispatchers = append(m.nodes, nil), append(m.dispatchers, nil)
+	m.createFirstNode(4)
+	m.start()
+	for _, vm := range []int{2, 3} { // they rank last from then on
+		m.at(500, m.nodes[vm].kill)
+		m.at(1000+100*vm, func() { m.startNode(vm) })
+	}
+	m.at(4000, func() {
+		p := m.newPartition("0001111", 3)
+		p.storeless[1] = true
+		m.startPartition(p)
+	})
+	m.at(20000, func() {
+		for _, vm := range []int{0, 1, 4} {
+			m.nodes[vm].kill()
+		}
+	})
+	m.at(23000, func() { m.sendLongJob(100*time.Millisecond, 2, 3) })
+	m.process(27 * time.Second)
+}
