fleet: a removed member is lost forever, or taken for gone in later splits

Two findings of a review of the roster. Operators remove a VM that is gone for good; a process that starts later learns of it from other members, never sees its removal, and counts it as lost for good, so that jobs of more than 1.24 s are given up once an upstream is gone too. And a VM that was removed while it was cut off is taken for gone in each later split, since it has once been on the roster.

The roster tells of members that were neither heard nor listed: one that it does not name has gone. The removal of one that is heard again counts only after its entry was read once more.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -136,9 +136,11 @@
 	self     Member
 	peers    map[string]*peer // by VM
 	listRead bool             // the list in the store has been read
-	token    int64
-	digest   uint64
-	scope    Scope
+	// rosterRead means that the roster has been read, so that it tells who is gone.
+	rosterRead bool
+	token      int64
+	digest     uint64
+	scope      Scope
 	// scopeSize is the number of known members of the scope, including this one.
 	scopeSize int
 	round     int
@@ -272,6 +274,9 @@
 		p.heard = true
 		f.recount()
 	}
+	if p.removed { // its entry must be read again before its removal proves anything
+		p.rostered = false
+	}
 	p.heartbeat, p.replaced, p.removed = hb, false, false
 	if hb.Term != 0 {
 		p.dispatchedAt, p.dispatchDigest, p.dispatchRevision = now, hb.UpstreamsDigest, hb.UpstreamsRevision
--- a/fleet/roster.go
+++ b/fleet/roster.go
@@ -15,9 +15,12 @@
 		}
 		named[m.VM] = true
 	}
-	f.recount()
+	f.rosterRead = true
 	for vm, p := range f.peers {
-		p.removed = p.rostered && !named[vm]
+		// One of which only other members tell was removed before this process started.
+		known := p.rostered || !p.heard && !p.listed
+		p.removed = known && !named[vm]
 		p.rostered = p.rostered || named[vm]
 	}
+	f.recount()
 }
--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -65,7 +65,7 @@
 func (f *Fleet) recount() {
 	f.scopeSize = 1
 	for _, p := range f.peers {
-		if f.inScope(p.heartbeat.Member) && (p.heard || p.listed || !f.listRead) {
+		if f.inScope(p.heartbeat.Member) && (p.heard || p.listed || !f.listRead && !p.rostered) {
 			f.scopeSize++
 		}
 	}
--- a/fleet/silence.go
+++ b/fleet/silence.go
@@ -37,6 +37,7 @@
 // graceful stop, since requests arrive until its end, if the roster can prove that. A later
 // process of its VM replaces it. The caller holds mu.
 func (f *Fleet) gone(p *peer) bool {
-	stopped := !p.rostered && !p.listed && f.listRead && p.heartbeat.Member.Draining && p.heartbeat.Term == 0
+	m := p.heartbeat.Member
+	stopped := (p.heard || !f.rosterRead) && !p.rostered && !p.listed && f.listRead && m.Draining && p.heartbeat.Term == 0
 	return stopped || p.replaced || p.removed
 }
