fleet: former members take heartbeats

VMs that were killed stay on the roster until operators remove them. Their processes are older and thus rank above the live ones, so that a VM sent heartbeats to all of them: with 200, 201 in each fifth round.

TestFormerMembersTakeHeartbeats failed before. A round has eight heartbeats at most to unresponsive members that rank above those that are heard, in turn.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,6 +67,9 @@
 	// slowRounds is the number of rounds between two heartbeats to an
 	// unresponsive member, and between two heartbeats in rotation.
 	slowRounds = 5
+	// maxUnresponsive is the number of unresponsive members to which one round sends heartbeats,
+	// among those that would dispatch for the same scope. Members of a former fleet may be many.
+	maxUnresponsive = 8
 )
 
 // HeartbeatInterval returns the time between two heartbeats to a member in a
@@ -381,20 +384,30 @@
 	}
 	// walk adds matching members in order of rank until it has added the wanted
 	// number of reachable ones. It adds unresponsive ones only every slowRounds
-	// rounds.
+	// rounds, and maxUnresponsive of them in turn.
 	walk := func(wanted int, match func(*peer) bool) {
+		var unresponsive []*peer
 		for _, p := range ranked {
+			if wanted == 0 {
+				break
+			}
 			switch {
-			case wanted == 0:
-				return
 			case !match(p):
 			case f.reachable(now, p):
 				add(p)
 				wanted--
-			case !f.unresponsive(now, p) || f.round%slowRounds == 0:
+			case !f.unresponsive(now, p):
 				add(p)
+			default:
+				unresponsive = append(unresponsive, p)
 			}
 		}
+		if f.round%slowRounds != 0 {
+			return
+		}
+		for i := range min(len(unresponsive), maxUnresponsive) {
+			add(unresponsive[(f.round/slowRounds*maxUnresponsive+i)%len(unresponsive)])
+		}
 	}
 	walk(candidateCount, func(p *peer) bool { return f.inScope(p.heartbeat.Member) })
 	walk(localCandidateCount, func(p *peer) bool { return p.heartbeat.Member.DataCentre == f.self.DataCentre })
