node: a VM that is not on the roster dispatches

A VM whose writes the store refuses, or that has read no roster but hears another VM which has just started as well, began a term: those that start at the other side of a split do not know of it, or it not of them. And the last VM of a fleet to stop gracefully still dispatches, and stayed on the roster for good.

A first term waits until this process has read the roster and is on it; a VM that stops ends its term first. The price: a VM that the store has not answered since its start does not dispatch, also if all others are killed.

--- a/node/roster.go
+++ b/node/roster.go
@@ -40,6 +40,14 @@
 	return r.unused || r.read
 }
 
+// ready reports whether this process may dispatch: it knows the members that may be lost, and those
+// that start later will know of it.
+func (r *roster) ready() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.unused || r.read && r.revision != 0
+}
+
 func (r *roster) noteEntered(revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -120,14 +128,17 @@
 	return nil
 }
 
-// leaveRoster removes the own entry after a graceful stop, unless this process still
-// dispatches. An entry that is left counts as that of a VM which may dispatch, until its next
+// leaveRoster ends the term, if no other VM has taken over, and removes the own entry after a
+// graceful stop. An entry that is left counts as that of a VM which may dispatch, until its next
 // process replaces it.
 func (n *Node) leaveRoster() {
 	revision := n.roster.ownRevision()
-	if revision == 0 || n.scheduler.Dispatching() {
+	if revision == 0 {
 		return
 	}
+	if n.scheduler.Dispatching() {
+		n.endTerm("this VM stops")
+	}
 	ctx, cancel := context.WithTimeout(n.runCtx, leaveTimeout)
 	defer cancel()
 	key := n.config.RosterPrefix + n.config.VM
--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -46,6 +46,8 @@
 	canStart := func() bool { v := n.fleet.View(now, 0); return n.canStartTerm(now, &v) }
 	require.False(t, canStart())
 	require.NoError(t, n.readRoster(t.Context()))
+	require.False(t, canStart(), "it is not on the roster")
+	n.roster.noteEntered(1)
 	require.True(t, canStart())
 }
 
