node: a VM that was no candidate does not know of a split

A VM that is no candidate hears only some members, and forgets upstreams that lost VMs use. If the candidates are killed during a split, it dispatches, and takes itself to be in no split. TestSplitIsUnknownToVMThatWasNoCandidate failed before, and passes: the list counts as incomplete while a VM is lost that was not heard since this one became a candidate.

--- a/node/registry.go
+++ b/node/registry.go
@@ -51,6 +51,9 @@
 	current       int // number of entries, without those that have lapsed longer than the retention ago
 	configuration store.Item
 	lacking       bool // mayLack, as of the last call of applyUpstreams
+	// candidateAt is when this node became a candidate; zero if it always was. Others do not know
+	// which members are lost, and forget upstreams that these use.
+	candidateAt time.Time
 	// lostAt is when a member that may dispatch was last not heard; zero if it was always heard.
 	lostAt time.Time
 	// scopeSince is the time since which dispatchers have claimed upstreams by the
@@ -82,6 +85,13 @@
 	r.scopeSince = now
 }
 
+// recordCandidate notes that this node has become a candidate.
+func (r *registry) recordCandidate(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.candidateAt = now
+}
+
 // recordLoss notes that a member that may dispatch is not heard.
 func (r *registry) recordLoss(now time.Time) {
 	r.mu.Lock()
@@ -93,7 +103,7 @@
 // entries lapsed before the list was kept without gaps, or appeared since the store last answered.
 // The caller holds mu.
 func (r *registry) mayLack(now time.Time, usesStore bool, v *fleet.View) bool {
-	return v.LostBefore(r.listedAt) || usesStore && len(v.Lost) > 0 && now.Sub(r.updatedAt) > maxReadGap
+	return v.LostBefore(later(r.listedAt, r.candidateAt)) || usesStore && len(v.Lost) > 0 && now.Sub(r.updatedAt) > maxReadGap
 }
 
 // lackChanges reports whether mayLack has changed since the last call of applyUpstreams.
--- a/node/term.go
+++ b/node/term.go
@@ -210,6 +210,9 @@
 // noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not
 // heard, and for LapsedRetention after that.
 func (n *Node) noteLoss(now time.Time, old, v *fleet.View) {
+	if v.Candidate && !old.Candidate {
+		n.registry.recordCandidate(now)
+	}
 	switch {
 	case v.Silence == fleet.SilenceLong:
 		n.registry.recordLoss(now)
@@ -239,8 +242,8 @@
 	if !n.hasConfiguration() || n.deps.Store != nil && !n.registry.listed() {
 		return false
 	}
-	if !n.roster.known() && len(v.Reachable) == 0 {
-		return false // neither the store nor another member has named the lost members
+	if !n.roster.ready() {
+		return false
 	}
 	if v.Dispatcher.VM != "" && !v.Dispatcher.Draining && n.registry.mayMissLapsed(now, n.config.LapsedRetention) {
 		return false // the current dispatcher knows upstreams that lapsed before the first listing here
--- a/scheduler/split_model_registry_test.go
+++ b/scheduler/split_model_registry_test.go
@@ -29,7 +29,9 @@
 	revision  int64     // 0 before the first listing
 	lostAt    time.Time // when a member that may dispatch was last not heard
 	pulling   bool
-	lacking   bool // mayLack, as of the last call of applyUpstreams
+	// candidateAt is when the process became a candidate; zero if it always was.
+	candidateAt time.Time
+	lacking     bool // mayLack, as of the last call of applyUpstreams
 	// lapsed tells by upstream when its entry has lapsed; zero if it has not.
 	lapsed map[string]time.Time
 	// hidden holds the upstreams that the list lacks because it is old.
@@ -64,6 +66,9 @@
 // noteLoss keeps the upstreams whose entries have lapsed while a member that may dispatch is not heard,
 // and for lapsedRetention after that.
 func (n *splitNode) noteLoss(old, v *fleet.View) {
+	if v.Candidate && !old.Candidate {
+		n.candidateAt = n.m.now
+	}
 	switch {
 	case v.Silence == fleet.SilenceLong:
 		n.lostAt = n.m.now
@@ -80,7 +85,7 @@
 
 // mayLack reports whether upstreams that a lost member uses may be missing from the list.
 func (n *splitNode) mayLack() bool {
-	return n.view.LostBefore(n.listedAt) || len(n.view.Lost) > 0 && n.m.now.Sub(n.updatedAt) > maxReadGap
+	return n.view.LostBefore(later(n.listedAt, n.candidateAt)) || len(n.view.Lost) > 0 && n.m.now.Sub(n.updatedAt) > maxReadGap
 }
 
 // forgets reports whether an entry that has lapsed at a time is dropped.
@@ -206,3 +211,10 @@
 	n.scheduler.SetUpstreams(m.now, list, partial)
 	n.pollAll()
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
