soak: VMs that stop gracefully or are suspended in a long split

A VM counts as gone once it has stopped gracefully, so long splits need stops besides kills. The kind "stops" stops VMs of one group and suspends one VM for up to 12 s.

--- a/internal/replay/soak_long_split_draw.go
+++ b/internal/replay/soak_long_split_draw.go
@@ -25,6 +25,9 @@
 	// one exceeds the lease of the VM's entry.
 	soakMinKillTime = 100 * time.Millisecond
 	soakMaxKillTime = 5 * time.Second
+	// soakMaxFreezeTime bounds the time for which a VM is suspended. It exceeds the time for which
+	// the others remember its upstreams.
+	soakMaxFreezeTime = 12 * time.Second
 	// soakMaxReplaceTime bounds the time for which a replaced upstream is down.
 	soakMaxReplaceTime = time.Second
 	// soakLapseSpread is the time within which entries lapse after the loss of the store.
@@ -58,6 +61,7 @@
 	oneWay         bool // one group is heard by no other one but hears them
 	restarts       bool // VMs are killed and start again, or join, during the split
 	changes        bool // upstreams are replaced, removed, or join
+	stops          bool // VMs stop gracefully and start again, or are suspended, during the split
 	lateRequests   bool // requests reach their origins after their callers have left
 }
 
@@ -75,6 +79,7 @@
 	{"lapsing", splitShape{lasting: true, stores: storeLossOne, storeFirst: true, lapses: true}},
 	{"restarts", splitShape{restarts: true}},
 	{"changes", splitShape{changes: true}},
+	{"stops", splitShape{stops: true}},
 	{"overlapping", splitShape{second: true}},
 	{"one-way", splitShape{oneWay: true}},
 	{"brief", splitShape{brief: true}},
@@ -111,7 +116,7 @@
 	}
 	one := func(share int) bool { return s.rng.IntN(share) == 0 }
 	return splitShape{
-		lasting: one(2), storeFirst: one(3), lapses: one(3), second: one(4), oneWay: one(6), restarts: one(2), changes: one(2),
+		lasting: one(2), storeFirst: one(3), lapses: one(3), second: one(4), oneWay: one(6), restarts: one(2), changes: one(2), stops: one(3),
 	}
 }
 
@@ -134,6 +139,9 @@
 	if shape.changes {
 		l.steps = append(l.steps, s.drawChanges(l)...)
 	}
+	if shape.stops {
+		l.steps = append(l.steps, s.drawStops(l)...)
+	}
 	if shape.lateRequests {
 		l.steps = append(l.steps, s.drawHolds(l)...)
 	}
@@ -236,11 +244,8 @@
 // their new processes hear no other group, and lets the absent ones join.
 func (s *soakTest) drawRestarts(l longSplit) []splitStep {
 	begin := l.parts[0].beginAt
-	vms := l.parts[0].groups[s.rng.IntN(len(l.parts[0].groups))].vms
-	killed := s.rng.Perm(len(vms))[:1+s.rng.IntN(len(vms))]
 	var steps []splitStep
-	for _, index := range killed {
-		v := vms[index]
+	for _, v := range s.drawMembers(l.parts[0].groups) {
 		steps = append(steps, splitStep{
 			at: s.drawTime(begin, l.end()), duration: s.drawTime(soakMinKillTime, soakMaxKillTime), begin: func() func() { return s.kill(v) },
 		})
@@ -252,6 +257,32 @@
 	return steps
 }
 
+// drawMembers draws some VMs of one group, at least one.
+func (s *soakTest) drawMembers(groups []vmGroup) []*soakVM {
+	vms := groups[s.rng.IntN(len(groups))].vms
+	drawn := make([]*soakVM, 0, len(vms))
+	for _, index := range s.rng.Perm(len(vms))[:1+s.rng.IntN(len(vms))] {
+		drawn = append(drawn, vms[index])
+	}
+	return drawn
+}
+
+// drawStops draws VMs of one group that stop gracefully and start again during the split, and one
+// VM of any group that is suspended.
+func (s *soakTest) drawStops(l longSplit) []splitStep {
+	begin := l.parts[0].beginAt
+	var steps []splitStep
+	for _, v := range s.drawMembers(l.parts[0].groups) {
+		steps = append(steps, splitStep{
+			at: s.drawTime(begin, l.end()), duration: s.drawTime(soakMinKillTime, soakMaxKillTime), begin: func() func() { return s.stopGracefully(v) },
+		})
+	}
+	v := s.vms[s.rng.IntN(len(s.vms))]
+	return append(steps, splitStep{
+		at: s.drawTime(begin, l.end()), duration: s.drawTime(soakMinKillTime, soakMaxFreezeTime), begin: func() func() { return s.freeze(v) },
+	})
+}
+
 // drawChanges draws upstreams that are replaced or removed during the split, and lets the absent
 // ones join.
 func (s *soakTest) drawChanges(l longSplit) []splitStep {
--- a/internal/replay/soak_long_split_test.go
+++ b/internal/replay/soak_long_split_test.go
@@ -60,6 +60,9 @@
 			require.Empty(t, s.absent.upstreams)
 			require.GreaterOrEqual(t, len(l.steps), 3)
 		},
+		"stops": func(t *testing.T, _ *soakTest, l longSplit) {
+			require.GreaterOrEqual(t, len(l.steps), 2)
+		},
 		"overlapping": func(t *testing.T, _ *soakTest, l longSplit) {
 			require.Len(t, l.parts, 2)
 			require.LessOrEqual(t, l.parts[1].beginAt, l.parts[0].endAt)
@@ -111,7 +114,7 @@
 			"store first":             first.beginAt-first.storeLossAt > 10*time.Second && storeless > 0,
 			"no group with the store": storeless == len(first.groups), "all groups with the store": storeless == 0,
 			"some groups with the store": storeless > 0 && storeless < len(first.groups),
-			"restarts":                   shape.restarts, "changes": shape.changes, "lapses": shape.lapses,
+			"restarts":                   shape.restarts, "changes": shape.changes, "stops": shape.stops, "lapses": shape.lapses,
 		} {
 			seen[name] = seen[name] || found
 		}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -535,7 +535,7 @@
 		flag: "only-splits", env: "MUSTARDSTEP_ONLY_SPLITS", help: "inject only splits of the VMs, one after another", unit: "",
 	})
 	bind(b, &s.OnlyLongSplits, definition[string]{
-		flag: "only-long-splits", env: "MUSTARDSTEP_ONLY_LONG_SPLITS", help: "inject only splits of this kind, one after another; they may outlast every timer of a split", unit: "", defaultText: "none", oneOf: []string{"none", "any", "lasting", "storeless", "store-first", "lapsing", "restarts", "changes", "overlapping", "one-way", "brief", "late-requests"},
+		flag: "only-long-splits", env: "MUSTARDSTEP_ONLY_LONG_SPLITS", help: "inject only splits of this kind, one after another; they may outlast every timer of a split", unit: "", defaultText: "none", oneOf: []string{"none", "any", "lasting", "storeless", "store-first", "lapsing", "restarts", "changes", "stops", "overlapping", "one-way", "brief", "late-requests"},
 	})
 	bind(b, &s.Daemon, definition[string]{
 		flag: "daemon", env: "MUSTARDSTEP_DAEMON", help: "executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program", unit: "",
