--- a/scheduler/split_model_store_test.go
+++ b/scheduler/split_model_store_test.go
@@ -137,11 +137,11 @@
 	})
 }
 
-// watchRoster reads the roster after the start, and while the process dispatches and a member is lost.
+// watchRoster reads the roster after the start, and while the process dispatches and a member is not heard.
 func (n *splitNode) watchRoster() {
 	n.do(func() {
 		pause := listInterval
-		if !n.rosterRead || n.token != 0 && n.view.Silence == fleet.SilenceLong {
+		if !n.rosterRead || n.token != 0 && n.view.Silence != fleet.SilenceNone {
 			if n.m.hasStore(n.vm) {
 				n.readRoster()
 			} else {
