scheduler: the report of a split leaves out draining upstreams

Operators saw a confirmed split without any upstream that is lacking: one that drains counts as held only if it is, since, but the report of the split still left it out. It counts it now. TestSplitTellsNotThatDrainingUpstreamIsLacking failed before.

--- a/scheduler/split_report.go
+++ b/scheduler/split_report.go
@@ -3,7 +3,7 @@
 import "time"
 
 // Lacking counts the listed upstreams that a dispatcher does not hold, each by the first reason
-// that applies. Upstreams that drain are not counted.
+// that applies.
 type Lacking struct {
 	// Fenced upstreams are claimed by another dispatcher. Unclaimed ones have answered no poll of
 	// this term, Failing ones not the last poll, and Silent ones none for heldTimeout.
@@ -16,7 +16,7 @@
 // upstream's shard.
 func (l *Lacking) count(u *upstream, now time.Time, watched bool) {
 	switch {
-	case !u.listed || u.Draining || u.isHeld(now, watched):
+	case !u.listed || u.isHeld(now, watched):
 	case u.fenced:
 		l.Fenced++
 	case !u.claimed:
--- a/scheduler/split_report_test.go
+++ b/scheduler/split_report_test.go
@@ -47,3 +47,15 @@
 	require.Equal(t, scheduler.SplitReport{Token: 300}, after)
 	require.Equal(t, scheduler.SplitEndNewTerm, scheduler.EndOfSplit(before, after))
 }
+
+// An upstream that drains keeps a split confirmed as any other does.
+func TestSplitTellsNotThatDrainingUpstreamIsLacking(t *testing.T) {
+	b := newTestHarness(t, "u1", "u2")
+	all := []string{"u1", "u2"}
+	g := b.newGroup(100, all, []string{"u1"})
+	g.scheduler.SetUpstreams(b.now, b.list(all, "u2"), false)
+	b.workAll(time.Second, scheduler.Task{Job: "a"}, g)
+	report := g.scheduler.SplitReport()
+	require.True(t, report.Confirmed)
+	require.Equal(t, scheduler.Lacking{Unclaimed: 1}, report.Lacking)
+}
