node: the test of an unknown dispatcher claims under a token that may be outdated

The dispatcher may begin a term between the reading of its token and the claim. The claim is repeated until it is noticed; what is required is the same.

--- a/node/unknown_dispatcher_test.go
+++ b/node/unknown_dispatcher_test.go
@@ -14,7 +14,9 @@
 	n := c.dispatcher()
 	c.wait("the roster was read", func() bool { return n.roster.known() })
 	c.putRoster("vm9")
-	c.upstreams.renew(c.upstreams.byName["u0"], n.term.current()+1)
-	c.wait("the claim is noticed", func() bool { return n.scheduler.PeerLoss() != scheduler.PeersHeard })
+	c.wait("the claim is noticed", func() bool {
+		c.upstreams.renew(c.upstreams.byName["u0"], n.term.current()+1) // above that of a term begun meanwhile
+		return n.scheduler.PeerLoss() != scheduler.PeersHeard
+	})
 	c.wait("vm9 is lost", func() bool { return n.scheduler.PeerLoss() == scheduler.PeerLost })
 }
