soak: crashes that three sides of a split count by themselves

A side gives a task up after two crashes, three sides after six.

The check allowed for two sides. It allows two more crashes for a third one, and is the same without a split of three groups; two cases test both bounds.

--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -21,7 +21,8 @@
 	crashes        map[scheduler.Task]int // upstreams that crashed while they ran the task
 	lostEnds       map[scheduler.Task]int // successful runs whose completion was lost in a crash
 	failures       map[scheduler.Task]int // runs that failed or whose lease expired
-	startsBeyond   map[scheduler.Task]int // starts of a deadly task after maxDeadlyCrashes
+	startsBeyond   map[scheduler.Task]int // starts of a deadly task after deadlyCrashes
+	sides          int                    // the greatest number of groups of a split
 	starts         int
 	violations     []string // the first maxSoakViolations, described
 	violationCount int
@@ -82,7 +83,7 @@
 // recordStart records the start of a run and checks that the used resources fit the
 // upstream's capacity, and that no other run of the task is at work on any upstream,
 // whichever submission of the job it belongs to. A deadly task must not be started
-// maxDeadlyStarts times after it has crashed maxDeadlyCrashes upstreams.
+// maxDeadlyStarts times after it has crashed deadlyCrashes upstreams.
 func (c *soakChecker) recordStart(upstream string, capacity scheduler.Size, run scheduler.Run, token int64, used scheduler.Size, deadly bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -100,10 +101,10 @@
 	}
 	c.removeRuns(upstream, run)
 	c.running[run.Task] = append(c.running[run.Task], started)
-	if deadly && c.crashes[run.Task] >= maxDeadlyCrashes {
+	if deadly && c.crashes[run.Task] >= c.deadlyCrashes() {
 		c.startsBeyond[run.Task]++
 		if c.startsBeyond[run.Task] == maxDeadlyStarts {
-			c.violation("%v was started %d times after %d upstreams had crashed under its task", run, maxDeadlyStarts, maxDeadlyCrashes)
+			c.violation("%v was started %d times after %d upstreams had crashed under its task", run, maxDeadlyStarts, c.deadlyCrashes())
 		}
 	}
 	if !used.FitsIn(capacity) {
@@ -115,8 +116,23 @@
 const (
 	maxDeadlyCrashes = 3
 	maxDeadlyStarts  = 3
+	crashesPerSide   = 2 // of the daemons
 )
 
+// deadlyCrashes returns the number of crashes after which a task must hardly be started again. Each side
+// of a split counts the crashes by itself, and gives a task up after crashesPerSide; two sides stay
+// below maxDeadlyCrashes and maxDeadlyStarts. The caller must hold mu.
+func (c *soakChecker) deadlyCrashes() int {
+	return maxDeadlyCrashes + crashesPerSide*max(c.sides-2, 0)
+}
+
+// recordSplit records that VMs are split into a number of groups.
+func (c *soakChecker) recordSplit(groups int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sides = max(c.sides, groups)
+}
+
 // recordCrash records the crash of an upstream.
 func (c *soakChecker) recordCrash(upstream string) {
 	c.mu.Lock()
--- a/internal/replay/soak_split.go
+++ b/internal/replay/soak_split.go
@@ -122,6 +122,7 @@
 // the function that heals the network.
 func (s *soakTest) cutNetwork(c split) func() {
 	s.recordEvent("split the VMs: %v", c)
+	s.checker.recordSplit(len(c.groups))
 	s.eachCutLink(c, (*link).cut)
 	s.eachLostPath(c.groups, func(p *upstreamPath) error { return p.setCut(c.how) })
 	return func() {
--- a/internal/replay/soak_test.go
+++ b/internal/replay/soak_test.go
@@ -68,6 +68,25 @@
 			}
 			checker.recordAnswer("a", platform.JobResponse{Status: 200})
 		}, ""},
+		"starts on three sides": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			checker.recordSplit(3)
+			for range 3 * crashesPerSide {
+				checker.recordStart("u0", large, run, 1, small, true)
+				checker.recordCrash("u0")
+				checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			}
+			checker.recordAnswer("a", platform.JobResponse{Status: 200})
+		}, ""},
+		"too many starts on three sides": {func(checker *soakChecker) {
+			checker.recordAttempt("a", 1)
+			checker.recordSplit(3)
+			for range maxDeadlyCrashes + crashesPerSide + maxDeadlyStarts {
+				checker.recordStart("u0", large, run, 1, small, true)
+				checker.recordCrash("u0")
+				checker.recordCompletion("u0", run, scheduler.CompletionLost)
+			}
+		}, "was started 3 times after 5 upstreams"},
 		"failed without a cause": {func(checker *soakChecker) {
 			checker.recordAttempt("a", 1)
 			checker.recordStart("u0", large, run, 1, small, false)
