Evacuation of a data centre: state, distribution and effect

Operators need to take a data centre out of service without stopping its running tasks.

Package evacuation holds the set with the revision to which it belongs; heartbeats carry both, so that a VM that the store refuses or that starts learns them from any peer. Upstreams of an evacuated data centre are not usable for new runs. One that returns gets one run at a time until a run has succeeded there or its entry's cold_left_ms has passed.

--- a/daemon/dispatch.go
+++ b/daemon/dispatch.go
@@ -78,6 +78,9 @@
 	return nil, errors.New("the configuration is not stored in a single entry")
 }
 
+// Evacuation implements node.Decoder. Operators drain upstreams through the configuration instead.
+func (decoder) Evacuation(string) (string, error) { return "", nil }
+
 // Upstream implements node.Decoder.
 func (decoder) Upstream(item store.Item) (scheduler.Upstream, error) {
 	vm, err := vmlist.Decode(item)
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -308,9 +308,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 14
 	// string "f"
-	o = append(o, 0x8c, 0xa1, 0x66)
+	o = append(o, 0x8e, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -343,16 +343,25 @@
 	// string "g"
 	o = append(o, 0xa1, 0x67)
 	o = msgp.AppendUint64(o, z.Digest)
+	// string "er"
+	o = append(o, 0xa2, 0x65, 0x72)
+	o = msgp.AppendInt64(o, z.EvacuationRevision)
+	// string "ev"
+	o = append(o, 0xa2, 0x65, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0001 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0001])
+	}
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.ClockUS)
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
+	for za0002 := range z.Members {
+		o, err = z.Members[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err, "Members", za0002)
 			return
 		}
 	}
@@ -437,6 +446,31 @@
 				err = msgp.WrapError(err, "Digest")
 				return
 			}
+		case "er":
+			z.EvacuationRevision, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "EvacuationRevision")
+				return
+			}
+		case "ev":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0002) {
+				z.Evacuated = (z.Evacuated)[:zb0002]
+			} else {
+				z.Evacuated = make([]string, zb0002)
+			}
+			for za0001 := range z.Evacuated {
+				z.Evacuated[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0001)
+					return
+				}
+			}
 		case "c":
 			z.ClockUS, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -444,21 +478,21 @@
 				return
 			}
 		case "m":
-			var zb0002 uint32
-			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
+			if cap(z.Members) >= int(zb0003) {
+				z.Members = (z.Members)[:zb0003]
 			} else {
-				z.Members = make([]FleetMember, zb0002)
+				z.Members = make([]FleetMember, zb0003)
 			}
-			for za0001 := range z.Members {
-				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Members {
+				bts, err = z.Members[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
+					err = msgp.WrapError(err, "Members", za0002)
 					return
 				}
 			}
@@ -476,9 +510,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Members {
-		s += z.Members[za0001].Msgsize()
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
+	}
+	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += z.Members[za0002].Msgsize()
 	}
 	return
 }
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -84,6 +84,12 @@
 	ContactAgeUS int64 `msg:"ca"`
 	// Digest is a hash of the members known to the sender.
 	Digest uint64 `msg:"g"`
+	// EvacuationRevision is the store revision to which Evacuated belongs; 0 if
+	// the sender does not know the evacuated data centres.
+	EvacuationRevision int64 `msg:"er"`
+	// Evacuated lists the data centres on whose upstreams no task may start. It
+	// is empty in normal operation.
+	Evacuated []string `msg:"ev"`
 	// ClockUS is the sender's clock, in microseconds since its VM was started; 0
 	// if unknown.
 	ClockUS int64 `msg:"c"`
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -104,6 +104,8 @@
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
 		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
+	evacuated := n.evacuation.table.State()
+	h.EvacuationRevision, h.Evacuated = evacuated.Revision, evacuated.DataCentres
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
@@ -148,6 +150,7 @@
 	if h.Divided {
 		n.fleet.RecordDivision()
 	}
+	n.learnEvacuations(h)
 	var known []fleet.Member
 	for _, m := range h.Members {
 		known = append(known, fromWire(m))
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -103,6 +103,7 @@
 	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
+	set.NewGauge("mustardstep_evacuated_data_centres", func() float64 { return float64(len(n.evacuation.table.State().DataCentres)) })
 	set.NewGauge("mustardstep_members_lost", func() float64 { return float64(len(n.view.Load().WatchedLost())) })
 	set.NewGauge("mustardstep_split_level", func() float64 {
 		report := n.scheduler.SplitReport()
--- a/node/node.go
+++ b/node/node.go
@@ -53,6 +53,9 @@
 	// Upstream decodes an upstream's entry. It returns an error if the entry
 	// describes no usable upstream.
 	Upstream(item store.Item) (scheduler.Upstream, error)
+	// Evacuation returns the data centre that a key under Config.OperatorPrefix evacuates. It is
+	// empty if the key has another purpose; the error tells why a key is malformed.
+	Evacuation(key string) (dataCentre string, err error)
 }
 
 // Config holds the configuration of a node.
@@ -94,6 +97,9 @@
 	// Store keys and prefixes. If ConfigurationKey is empty, the node reads no
 	// configuration and each job carries its queue.
 	ConfigurationKey, UpstreamPrefix, MemberPrefix string
+	// OperatorPrefix is the prefix of ConfigurationKey and of the other keys that operators write.
+	// If empty, ConfigurationKey is used.
+	OperatorPrefix string
 	// RosterPrefix is the prefix of the roster. If empty, a process that starts during a split
 	// does not learn of members whose entries have lapsed.
 	RosterPrefix string
@@ -171,10 +177,11 @@
 	pauses      pauseDetector
 	rtt         rttEstimator // of calls to upstreams
 
-	table    atomic.Pointer[routing.Table] // nil before the first configuration
-	registry registry
-	roster   roster
-	view     atomic.Pointer[fleet.View]
+	table      atomic.Pointer[routing.Table] // nil before the first configuration
+	registry   registry
+	evacuation evacuationState
+	roster     roster
+	view       atomic.Pointer[fleet.View]
 
 	callerReturnShort bool   // as last logged; used by updateTerm only
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -155,6 +156,17 @@
 	Name: "alert", Host: "h", Prefix: "/", Service: "rota", MaxAttempts: 3, Stretch: 10, Slack: time.Second,
 }
 
+func (testDecoder) Evacuation(key string) (string, error) {
+	name, _ := strings.CutPrefix(key, "config-evacuate/")
+	if name == key {
+		return "", nil
+	}
+	if name == "" {
+		return "", errors.New("no name")
+	}
+	return name, nil
+}
+
 func (testDecoder) Upstream(item store.Item) (scheduler.Upstream, error) {
 	var u scheduler.Upstream
 	if err := json.Unmarshal(item.Value, &u); err != nil {
--- a/node/registry.go
+++ b/node/registry.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,12 +64,13 @@
 
 // entry is the store entry of an upstream.
 type entry struct {
-	item     store.Item
-	upstream scheduler.Upstream
-	valid    bool
-	listedAt time.Time // when this node first listed it
-	lapsedAt time.Time // when the entry was removed or became odd; zero before that
-	odd      bool      // the entry cannot be read; upstream is what it said before
+	item      store.Item
+	upstream  scheduler.Upstream
+	valid     bool
+	listedAt  time.Time // when this node first listed it
+	lapsedAt  time.Time // when the entry was removed or became odd; zero before that
+	coldUntil time.Time // when the upstream is no longer slow after its start; zero if unknown
+	odd       bool      // the entry cannot be read; upstream is what it said before
 }
 
 // scopeSettleTime is how long the dispatchers of an earlier scope may still have runs on
@@ -293,7 +295,7 @@
 			}
 		}
 	} else {
-		e.upstream, e.valid = upstream, true
+		e.upstream, e.valid, e.coldUntil = upstream, true, n.coldUntil(time.Now(), &upstream)
 		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
 			n.log.Info("upstream entry changed", slog.String("upstream", upstream.Name), slog.Bool("draining", upstream.Draining),
 				slog.String("address", upstream.Address), slog.Int64("revision", item.Revision))
@@ -348,6 +350,7 @@
 		completeSince = n.registry.listedAt.Add(staleListTime)
 	}
 	digest, current := uint64(0), 0
+	evacuated := n.evacuatedAt(now, v)
 	// Whether upstreams that this node does not claim may have runs of its jobs.
 	partial := n.registry.mayLack(now, n.deps.Store != nil, v)
 	n.registry.lacking = partial
@@ -368,6 +371,7 @@
 		case v.ShouldClaim(self, e.upstream.Name, e.upstream.DataCentre):
 			upstream := e.upstream
 			upstream.ListedAt = e.listedAt
+			upstream.Evacuated, upstream.ColdUntil = slices.Contains(evacuated, upstream.DataCentre), e.coldUntil
 			upstream.Draining = upstream.Draining || n.deps.Drained != nil && n.deps.Drained(upstream.Name)
 			upstream.Missing = !e.lapsedAt.IsZero() && (lapsedFor >= lapseGrace || !e.lapsedAt.After(e.listedAt))
 			list = append(list, upstream)
--- a/node/term.go
+++ b/node/term.go
@@ -170,6 +170,7 @@
 	n.notePeerLoss(v.Silence)
 	n.noteLoss(now, old, &v)
 	n.confirmList(now)
+	n.checkEvacuatedNames(&v)
 	token := n.term.current()
 	self := n.fleet.Self()
 	switch {
--- a/node/watch.go
+++ b/node/watch.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -171,22 +172,25 @@
 	return w.interval, nil
 }
 
-// watchConfiguration keeps the configuration up to date.
+// watchConfiguration keeps the configuration and the set of evacuated data centres up to date.
 func (n *Node) watchConfiguration(ctx context.Context) error {
 	if n.config.ConfigurationKey == "" {
 		return nil
 	}
 	return n.watch(ctx, &watcher{
-		prefix:      n.config.ConfigurationKey,
+		prefix:      cmp.Or(n.config.OperatorPrefix, n.config.ConfigurationKey),
 		maxWait:     watchWait,
 		shouldWatch: func() bool { return n.watchesForPeers() || n.table.Load() == nil },
 		shouldList:  always,
-		onList: func(items []store.Item, _ int64, _ time.Time) {
+		onList: func(items []store.Item, revision int64, currentAt time.Time) {
+			n.listEvacuations(items, revision, currentAt)
 			for _, item := range items {
 				n.applyConfiguration(item, "store")
 			}
 		},
+		onWatched: func(_ time.Time, revision int64) { n.confirmEvacuations(revision) },
 		onEvents: func(events []store.Event) {
+			n.changeEvacuations(events)
 			for _, e := range events {
 				if !e.Deleted {
 					n.applyConfiguration(e.Item, "store")
--- /dev/null
+++ b/scheduler/evacuated.go
@@ -0,0 +1,61 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/mustardstep/mustardstep/verdict"
+)
+
+// minReturnLimit is the least time for which an upstream that has returned to service counts as
+// unproven. It lets a first run complete whose upstream does not report that it is cold.
+const minReturnLimit = 500 * time.Millisecond
+
+// serviceReturn is the return of an upstream from an evacuation. Its speed is unknown until a run
+// has completed, because the upstream may have become cold meanwhile.
+type serviceReturn struct {
+	at       time.Time
+	unproven bool // no run has completed since
+}
+
+// noteEvacuation records that the upstream is evacuated or returns to service with the next entry.
+// The caller holds the lock of the shard.
+func (u *upstream) noteEvacuation(now time.Time, next *Upstream) {
+	switch {
+	case next.Evacuated:
+		u.returned = serviceReturn{}
+	case u.Evacuated:
+		u.returned = serviceReturn{at: now, unproven: true}
+	}
+}
+
+// acceptsAfterReturn reports whether an evacuation or its end allows a further run. An upstream
+// that has returned gets one at a time until a run has completed, or the time for which its entry
+// says that it is cold has passed.
+func (u *upstream) acceptsAfterReturn(now time.Time) bool {
+	if u.Evacuated {
+		return false
+	}
+	limited := u.returned.unproven && now.Before(later(u.returned.at.Add(minReturnLimit), u.ColdUntil))
+	return !limited || len(u.runs) == 0
+}
+
+// canGetRuns reports whether the upstream counts for the bounds of its shard.
+func (u *upstream) canGetRuns() bool { return u.listed && u.claimed && !u.Evacuated }
+
+// noteCompletionAfterReturn records that a run has succeeded. The caller holds the lock of the shard.
+func (u *upstream) noteCompletionAfterReturn(r *run) {
+	if r.orderedAt.After(u.returned.at) {
+		u.returned.unproven = false
+	}
+}
+
+// fitsEvacuated reports whether an upstream that is evacuated is large enough for a task.
+func (s *Scheduler) fitsEvacuated(service string, size Size) bool {
+	return s.anyUpstream(func(u *upstream) bool { return u.Evacuated && u.fits(service, size) })
+}
+
+// evacuatedError is the rejection of a job that no upstream outside of evacuated data centres fits.
+func evacuatedError(service string) *verdict.Error {
+	return verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded,
+		"every upstream of service %s that is large enough is in an evacuated data centre", service).WithRetryAfter(verdict.MinRetryAfter)
+}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -16,6 +16,9 @@
 		return a, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "the queue is full: %d tasks are waiting", waiting).WithRetryAfter(verdict.MinRetryAfter)
 	}
 	if !offered.Resumed && !s.fits(offered.Service, offered.Size) {
+		if s.fitsEvacuated(offered.Service, offered.Size) {
+			return a, evacuatedError(offered.Service)
+		}
 		return a, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
 			"no upstream of service %s has %d milli-CPU, %d MB of memory and %d accelerators",
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(verdict.MinRetryAfter)
@@ -41,12 +44,23 @@
 }
 
 // fits reports whether an upstream of the service is large enough for a task when
-// it is idle.
+// it is idle, and not evacuated.
 func (s *Scheduler) fits(service string, size Size) bool {
+	return s.anyUpstream(func(u *upstream) bool { return !u.Evacuated && u.fits(service, size) })
+}
+
+// fits reports whether the upstream is large enough for a task when it is idle.
+func (u *upstream) fits(service string, size Size) bool {
+	return u.Service == service && u.listed && !u.Missing && size.FitsIn(u.Size)
+}
+
+// anyUpstream reports whether a condition holds for an upstream. It calls the condition with the
+// lock of the shard held.
+func (s *Scheduler) anyUpstream(holds func(*upstream) bool) bool {
 	for _, shard := range s.upstreamShards {
 		shard.mu.Lock()
 		for _, u := range shard.byName {
-			if u.Service == service && u.listed && !u.Missing && size.FitsIn(u.Size) {
+			if holds(u) {
 				shard.mu.Unlock()
 				return true
 			}
@@ -220,7 +234,7 @@
 		shard := s.upstreamShards[at]
 		shard.mu.Lock()
 		for _, u := range shard.all {
-			if u.Service != c.job.Service || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) {
+			if u.Service != c.job.Service || u.Evacuated || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) {
 				continue
 			}
 			scanned++
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -148,6 +148,7 @@
 	u.release(now, r)
 	switch c.Kind {
 	case CompletionDone:
+		u.noteCompletionAfterReturn(r)
 		u.health.RecordSuccess(now)
 		u.learn(now, r)
 	case CompletionFailed:
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -20,6 +20,13 @@
 	// Missing means that the platform no longer lists the upstream. It gets no new
 	// tasks but may still have active runs.
 	Missing bool
+	// Evacuated means that operators have evacuated the data centre. The upstream gets no new tasks
+	// and counts in all other respects.
+	Evacuated bool
+	// ColdLeft is the time for which the upstream remains slow after its start, as of its entry.
+	// ColdUntil is the time at which that ends; zero if the upstream is not cold.
+	ColdLeft  time.Duration
+	ColdUntil time.Time
 	// ListedAt is when this VM first listed the upstream; zero if that was before every term.
 	ListedAt time.Time
 }
@@ -108,7 +115,8 @@
 	// lease is renewed.
 	leaseEnd     time.Time
 	usableFrom   time.Time // no new tasks before
-	pollFailures int       // consecutive failed polls
+	returned     serviceReturn
+	pollFailures int // consecutive failed polls
 	retryAt      time.Time
 	lastPoll     time.Time // sending time of the newest answered poll
 	applying     int       // reports whose runs and completions are being applied to their jobs
@@ -135,7 +143,7 @@
 // because their size is unknown.
 func (u *upstream) usable(now time.Time, rule leaseRule) bool {
 	return u.listed && u.claimed && !now.Before(u.usableFrom) && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
-		!u.fenced && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun() &&
+		!u.fenced && u.acceptsAfterReturn(now) && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun() &&
 		u.leaseLength(now, startWindow, rule) >= minLease
 }
 
@@ -318,6 +326,7 @@
 		if u.Missing && !entry.Missing {
 			u.retryAt = time.Time{}
 		}
+		u.noteEvacuation(now, &entry)
 		u.Upstream, u.listed = entry, true
 		shard.mu.Unlock()
 	}
--- a/scheduler/upstream_shard.go
+++ b/scheduler/upstream_shard.go
@@ -51,7 +51,7 @@
 func (s *upstreamShard) recomputeBounds() {
 	maxFree, minCost := 0, noScore
 	for _, u := range s.all {
-		if u.listed && u.claimed {
+		if u.canGetRuns() {
 			maxFree = max(maxFree, u.freeSize().MilliCPU)
 			minCost = min(minCost, u.cost())
 		}
@@ -69,7 +69,7 @@
 	}
 	maxFree := 0
 	for _, u := range s.all {
-		if u.listed && u.claimed {
+		if u.canGetRuns() {
 			maxFree = max(maxFree, u.freeSize().MilliCPU)
 			if maxFree >= published {
 				break
@@ -83,7 +83,7 @@
 // may have grown or whose cost may have fallen. The next tick makes them exact.
 // The caller holds mu.
 func (s *upstreamShard) noteReleased(u *upstream) {
-	if u.listed && u.claimed {
+	if u.canGetRuns() {
 		s.bounds.maxFreeCPU.Store(max(s.bounds.maxFreeCPU.Load(), int64(u.freeSize().MilliCPU)))
 		s.bounds.minCost.Store(math.Float64bits(min(math.Float64frombits(s.bounds.minCost.Load()), u.cost())))
 	}
