Evacuation in a divided fleet: new jobs go to another data centre

The dispatcher of an evacuated data centre has no upstream left for new work, so that its callers would get no answer but 503 while other data centres have capacity.

A job that was never offered goes to the dispatcher of the data centre that ranks first for its ID by rendezvous hashing, reachable or not: another VM that gets the job again may reach it, and no other dispatcher knows its runs. intake refuses to assign a job that may have started to another data centre. VMs of an evacuated data centre send heartbeats to the two highest-ranked VMs and the dispatcher of each other one. A dispatcher therefore notices the loss of an origin elsewhere, and keeps the jobs of those it hears; an origin uses only a dispatcher that reports that it hears it. 0.6 s after the last dispatcher there has become unreachable, jobs that may run there are answered as such, and new ones as not run with Retry-After.

Tests: jobs before, during and after an evacuation start once and succeed; the dispatcher elsewhere, the origin and the link fail.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -103,6 +103,8 @@
 	ContactAge time.Duration
 	// Clock is the member's clock, which counts from the start of its VM; 0 if unknown.
 	Clock time.Duration
+	// Hears is true if the member reaches this one.
+	Hears bool
 }
 
 // peer is the state of another member.
@@ -147,7 +149,10 @@
 	// scopeSize is the number of known members of the scope, including this one.
 	scopeSize int
 	round     int
-	rotation  int // position in the rotation of heartbeat targets
+	rotation  int  // position in the rotation of heartbeat targets
+	exchange  bool // heartbeats go to other data centres too
+	// sizes holds the number of known members by data centre.
+	sizes map[string]int
 }
 
 // New returns a fleet that knows only its own member.
@@ -411,6 +416,7 @@
 	}
 	walk(candidateCount, func(p *peer) bool { return f.inScope(p.heartbeat.Member) })
 	walk(localCandidateCount, func(p *peer) bool { return p.heartbeat.Member.DataCentre == f.self.DataCentre })
+	f.exchangeTargets(now, ranked, walk, add)
 	if len(ranked) > 0 && f.round%slowRounds == 0 {
 		f.rotation++
 		add(ranked[f.rotation%len(ranked)])
@@ -559,11 +565,11 @@
 
 // reachable reports whether a member is reachable. The caller holds mu.
 func (f *Fleet) reachable(now time.Time, p *peer) bool {
-	return !p.refused && now.Sub(p.lastContact) < f.timeout()
+	return !p.refused && now.Sub(p.lastContact) < f.timeoutOf(p)
 }
 
 // unresponsive reports whether a member refused a connection or has not
 // answered heartbeats for more than half of the timeout. The caller holds mu.
 func (f *Fleet) unresponsive(now time.Time, p *peer) bool {
-	return p.refused || !p.firstAttempt.IsZero() && now.Sub(p.firstAttempt) > f.timeout()/2
+	return p.refused || !p.firstAttempt.IsZero() && now.Sub(p.firstAttempt) > f.timeoutOf(p)/2
 }
--- a/fleet/scope.go
+++ b/fleet/scope.go
@@ -63,9 +63,13 @@
 // count: they may have terminated long ago, and heartbeats must not become rarer with their
 // number. The caller holds mu.
 func (f *Fleet) recount() {
-	f.scopeSize = 1
+	f.scopeSize, f.sizes = 1, map[string]int{}
 	for _, p := range f.peers {
-		if f.inScope(p.heartbeat.Member) && (p.heard || p.listed || !f.listRead && !p.rostered) {
+		if !p.heard && !p.listed && (f.listRead || p.rostered) {
+			continue
+		}
+		f.sizes[p.heartbeat.Member.DataCentre]++
+		if f.inScope(p.heartbeat.Member) {
 			f.scopeSize++
 		}
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -34,6 +34,8 @@
 	// Reachable holds the last heartbeat of each reachable member, highest rank
 	// first. This member is not included.
 	Reachable []Heartbeat
+	// Remote holds the last heartbeat of each reachable member of another scope, highest rank first.
+	Remote []Heartbeat
 	// Unreachable are the members that are present but not reachable.
 	Unreachable []Member
 	// Silence tells whether a member that may dispatch has not been heard.
@@ -71,6 +73,7 @@
 	for _, p := range f.peers {
 		m := p.heartbeat.Member
 		if !f.inScope(m) {
+			v.addRemote(f, now, p)
 			continue
 		}
 		silence := f.silence(now, p)
@@ -108,6 +111,7 @@
 			v.HigherRankPending = true
 		}
 	}
+	slices.SortFunc(v.Remote, func(a, b Heartbeat) int { return compareRank(a.Member, b.Member) })
 	slices.SortFunc(v.Reachable, func(a, b Heartbeat) int { return compareRank(a.Member, b.Member) })
 	v.finishLost(f)
 	return v
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -78,6 +78,9 @@
 	vm             string
 	term           uint64
 	mayHaveStarted bool // a dispatcher may have started tasks
+	// dataCentre is that of the last dispatcher to which the job was assigned; empty if one
+	// dispatcher serves all.
+	dataCentre string
 	// VM and term of the last dispatcher whose offer may have had an effect.
 	lastVM   string
 	lastTerm uint64
@@ -167,17 +170,16 @@
 }
 
 // Assign assigns a job to a dispatcher. It returns false if the job is answered
-// or already assigned to that dispatcher.
+// or already assigned to that dispatcher. One dispatcher serves all data centres.
 func (t *Table[S]) Assign(j *Job[S], vm string, term uint64) (Offer[S], bool) {
-	s := t.shard(j.ID)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if j.finished || j.term == term && j.vm == vm {
-		return Offer[S]{}, false
-	}
+	return t.AssignIn(j, "", vm, term)
+}
+
+// assign assigns the job to a dispatcher. The caller holds mu of the shard.
+func (j *Job[S]) assign(vm string, term uint64) Offer[S] {
 	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.unfinished), Resumed: j.mayHaveStarted, PreviousVM: j.lastVM, PreviousTerm: j.lastTerm, Histories: maps.Clone(j.histories)}
 	j.vm, j.term, j.mayHaveStarted, j.lastVM, j.lastTerm = vm, term, true, vm, term
-	return offer, true
+	return offer
 }
 
 // Unassign undoes an assignment after a failed offer. refused reports that the
--- /dev/null
+++ b/node/elsewhere_test.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/mustardstep/mustardstep/intake"
+	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/stretchr/testify/require"
+)
+
+// dividedCluster is a fleet with a dispatcher in each of two data centres. Upstream u0 is in a,
+// the others are in b.
+type dividedCluster struct {
+	*cluster
+	a, b []*testNode
+}
+
+func newDividedCluster(t *testing.T, runTime time.Duration) *dividedCluster {
+	c := &dividedCluster{cluster: newCluster(t, 0, 3, runTime)}
+	for name, dataCentre := range map[string]string{"u0": "a", "u1": "b", "u2": "b"} {
+		c.moveUpstream(name, dataCentre)
+	}
+	for i := range 6 {
+		c.dataCentre = []string{"a", "b"}[i%2]
+		n := c.start(fmt.Sprintf("%s%d", c.dataCentre, i))
+		n.fleet.RecordDivision()
+		if i%2 == 0 {
+			c.a = append(c.a, n)
+		} else {
+			c.b = append(c.b, n)
+		}
+	}
+	c.dispatcherOf(c.a)
+	c.dispatcherOf(c.b)
+	return c
+}
+
+// dispatcherOf waits until the running nodes of a data centre agree on a dispatcher.
+func (c *dividedCluster) dispatcherOf(nodes []*testNode) *testNode {
+	all := c.nodes
+	defer func() { c.nodes = all }()
+	c.nodes = nodes
+	return c.dispatcher()
+}
+
+// evacuate evacuates data centre a and waits until it has an effect.
+func (c *dividedCluster) evacuate() {
+	c.store.Set("config-evacuate/a", nil)
+	d := c.dispatcherOf(c.a)
+	c.wait("the effect", func() bool { return len(evacuatedUpstreams(d.Node)) == 1 })
+	for _, n := range c.a {
+		c.wait("a dispatcher elsewhere", func() bool { _, found := n.view.Load().RemoteDispatcher("b"); return found })
+	}
+}
+
+// origin returns a node of data centre a that does not dispatch.
+func (c *dividedCluster) origin() *testNode {
+	d := c.dispatcherOf(c.a)
+	for _, n := range c.a {
+		if n != d && n.runCtx.Err() == nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// runningIn returns the number of runs on some upstreams.
+func (c *dividedCluster) runningIn(names ...string) (running int) {
+	c.upstreams.mu.Lock()
+	defer c.upstreams.mu.Unlock()
+	for _, name := range names {
+		c.upstreams.byName[name].Advance(time.Now())
+		running += c.upstreams.byName[name].Running()
+	}
+	return running
+}
+
+// begin submits a job of one task and waits until it runs on one of some upstreams.
+func (c *dividedCluster) begin(n *testNode, id string, upstreams ...string) chan intake.Answer {
+	done := make(chan intake.Answer, 1)
+	go func() { done <- n.submit(context.Background(), id, 1, waitTimeout) }()
+	c.wait(id+" runs", func() bool { return c.runningIn(upstreams...) > 0 })
+	return done
+}
+
+// starts returns the number of starts of the first task of a job.
+func (c *dividedCluster) starts(id string) int {
+	c.upstreams.mu.Lock()
+	defer c.upstreams.mu.Unlock()
+	return c.upstreams.starts[scheduler.Task{Job: id}]
+}
+
+// Evacuation and return: a job stays with the dispatcher that it was offered to, and new jobs go
+// where there is capacity. A job that moved would run twice or be lost.
+func TestJobsOfEvacuatedDataCentre(t *testing.T) {
+	c := newDividedCluster(t, 2*time.Second)
+	origin := c.origin()
+	before := c.begin(origin, "before", "u0")
+	c.evacuate()
+	require.NoError(t, origin.Ready())
+	during := c.begin(origin, "during", "u1", "u2")
+	require.Equal(t, intake.Succeeded, (<-before).Outcome)
+	c.store.Delete("config-evacuate/a")
+	c.wait("the end is known", func() bool { return !origin.evacuation.table.State().Contains("a") })
+	after := c.begin(origin, "after", "u0")
+	for _, done := range []chan intake.Answer{during, after} {
+		answer := <-done
+		require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+	}
+	for _, id := range []string{"before", "during", "after"} {
+		require.Equal(t, 1, c.starts(id), id)
+	}
+	c.wait("the exchange ends", func() bool { return !origin.elsewhere.active() })
+}
+
+// The successor of a dispatcher that is killed must adopt the runs of origins elsewhere.
+func TestDispatcherElsewhereIsKilled(t *testing.T) {
+	c := newDividedCluster(t, 1500*time.Millisecond)
+	c.evacuate()
+	done := c.begin(c.origin(), "x", "u1", "u2")
+	c.dispatcherOf(c.b).kill()
+	answer := <-done
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+	require.Equal(t, 1, c.starts("x"))
+}
+
+// The runs of an origin elsewhere that is killed must be stopped, since its caller sends the job
+// again.
+func TestOriginOfEvacuatedDataCentreIsKilled(t *testing.T) {
+	c := newDividedCluster(t, time.Hour)
+	c.evacuate()
+	origin := c.origin()
+	c.begin(origin, "x", "u1", "u2")
+	origin.kill()
+	c.wait("the run is stopped", func() bool { return c.runningIn("u1", "u2") == 0 })
+}
+
+// Without a link to the other data centre, jobs that may run there must be answered so, and new
+// ones as not run, at once and with the time of a retry.
+func TestLinkToOtherDataCentreFails(t *testing.T) {
+	c := newDividedCluster(t, time.Hour)
+	c.evacuate()
+	origin := c.origin()
+	done := c.begin(origin, "x", "u1", "u2")
+	for _, n := range c.b {
+		n.kill()
+	}
+	require.Equal(t, intake.Abandoned, (<-done).Outcome)
+	began := time.Now()
+	answer := origin.submit(context.Background(), "y", 1, waitTimeout)
+	require.Equal(t, intake.NotRun, answer.Outcome)
+	require.NotZero(t, answer.RetryAfter)
+	require.Less(t, time.Since(began), waitTimeout/2, "not held until the deadline")
+	c.store.Set("config-evacuate/b", nil)
+	c.wait("both are evacuated", func() bool { return origin.evacuation.table.State().Contains("b") })
+	require.Equal(t, intake.NotRun, origin.submit(context.Background(), "z", 1, waitTimeout).Outcome)
+}
--- a/node/explain.go
+++ b/node/explain.go
@@ -28,15 +28,14 @@
 		return e, false, nil
 	}
 	e.Dispatcher, e.Open = n.jobs.Progress(j)
-	v := n.view.Load()
 	switch {
 	case e.Dispatcher == "":
 	case e.Dispatcher == n.config.VM:
 		e.PlacementsResponse = *n.placements(id)
-	case e.Dispatcher != v.Dispatcher.VM:
+	case !n.fleet.Reachable(time.Now(), e.Dispatcher):
 		err = errors.Newf("dispatcher %s is not reachable", e.Dispatcher)
 	default:
-		err = n.peers.Call(ctx, v.Dispatcher.Address, &wire.PlacementsRequest{Job: id}, &e.PlacementsResponse)
+		err = n.peers.Call(ctx, n.fleet.Address(e.Dispatcher), &wire.PlacementsRequest{Job: id}, &e.PlacementsResponse)
 	}
 	return e, true, err
 }
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,7 +36,8 @@
 			n.heartbeatCalls.Wait()
 			return nil
 		case <-n.announceSignal:
-			for _, r := range n.view.Load().Reachable {
+			v := n.view.Load()
+			for _, r := range slices.Concat(v.Reachable, v.Remote) {
 				n.sendHeartbeat(ctx, &pending, r.Member)
 			}
 		case <-timer.C:
@@ -146,6 +148,7 @@
 		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, Digest: h.Digest,
 		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
+		Hears:      h.Answered,
 	}, bidirectional)
 	if h.Divided {
 		n.fleet.RecordDivision()
@@ -161,7 +164,7 @@
 	}
 	v := n.view.Load()
 	isDispatcher := v.Dispatcher.VM == h.From.VM
-	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) {
+	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) || bidirectional && n.isNewElsewhere(v, h) {
 		n.wakeTermLoop()
 	}
 	if n.shouldPull(h) {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -41,6 +41,9 @@
 	for o := range m.answerTimes {
 		m.answerTimes[o] = set.NewHistogram(fmt.Sprintf("mustardstep_answer_seconds{outcome=%q}", intake.Outcome(o)))
 	}
+	for _, reason := range []string{elsewhereSent, elsewhereNoDataCentre, elsewhereNoDispatcher, elsewhereDispatcherLost} {
+		set.NewCounter(fmt.Sprintf("mustardstep_jobs_elsewhere_total{reason=%q}", reason))
+	}
 	for _, end := range scheduler.SplitEnds() {
 		set.NewCounter(fmt.Sprintf("mustardstep_splits_ended_total{reason=%q}", end))
 	}
@@ -60,6 +63,11 @@
 	m.taskWaits.Update(waited.Seconds())
 }
 
+// observeElsewhere counts a job that went to another data centre, or could not.
+func (m *Metrics) observeElsewhere(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_jobs_elsewhere_total{reason=%q}", reason)).Inc()
+}
+
 // observeFoundEnd counts a run of another term that was adopted or is over.
 func (m *Metrics) observeFoundEnd(how string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_found_runs_ended_total{how=%q}", how)).Inc()
--- a/node/node.go
+++ b/node/node.go
@@ -180,6 +180,7 @@
 	table      atomic.Pointer[routing.Table] // nil before the first configuration
 	registry   registry
 	evacuation evacuationState
+	elsewhere  elsewhere
 	roster     roster
 	view       atomic.Pointer[fleet.View]
 
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -187,6 +188,7 @@
 	// lapsedRetention is that of the nodes. For so long after a start, a node knows that its
 	// list may be incomplete.
 	lapsedRetention time.Duration
+	dataCentre      string // of the nodes that are started; "dc" if empty
 }
 
 type testNode struct {
@@ -249,7 +251,7 @@
 // startWith starts a node with a store of its own.
 func (c *cluster) startWith(vm string, s store.Store, seeds ...string) *testNode {
 	config := Config{
-		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: c.lapsedRetention,
+		VM: vm, DataCentre: cmp.Or(c.dataCentre, "dc"), PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: c.lapsedRetention,
 		DrainDelay: 50 * time.Millisecond, DrainTimeout: waitTimeout, Seeds: seeds,
 		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/", RosterPrefix: "roster/",
 	}
--- a/node/submit.go
+++ b/node/submit.go
@@ -124,15 +124,17 @@
 	n.decisions.Answer(id, job.Queue.Name, a.Outcome.String(), a.Reason, took, job.Version)
 }
 
-// offer sends a job to the dispatcher, if there is one.
+// offer sends a job to the dispatcher of the view, or of another data centre, if there is one.
 func (n *Node) offer(j *intake.Job[Job], v *fleet.View) {
-	if v.Dispatcher.VM == "" {
+	v, dataCentre, ok := n.route(j, v)
+	if !ok {
 		return // offered once a dispatcher is reachable
 	}
-	o, ok := n.jobs.Assign(j, v.Dispatcher.VM, v.Term)
+	o, ok := n.jobs.AssignIn(j, dataCentre, v.Dispatcher.VM, v.Term)
 	if !ok {
 		return
 	}
+	n.noteSentElsewhere(&o, v, dataCentre)
 	n.withdrawMoved(o, v.Dispatcher.VM)
 	if job := &j.Spec; job.AtMostOnce && o.Resumed && !n.canResume(o.PreviousVM) {
 		n.abandon(j, "its dispatcher "+o.PreviousVM+" was unreachable for too long to know which tasks have started")
@@ -219,16 +221,19 @@
 	}
 }
 
-// offerUnassigned offers the jobs that the dispatcher of a view does not have.
+// offerUnassigned offers the jobs that their dispatcher does not have.
 func (n *Node) offerUnassigned(v *fleet.View) {
-	if v.Dispatcher.VM == "" {
+	jobs := n.jobs.All
+	if v.Dispatcher.VM != "" {
+		jobs = func() []*intake.Job[Job] { return n.jobs.Unassigned(v.Dispatcher.VM, v.Term) }
+		if v.Term != n.historiesSentTerm {
+			n.historiesSentTerm = v.Term
+			n.sendEndedHistories(v)
+		}
+	} else if !n.elsewhere.active() {
 		return
 	}
-	if v.Term != n.historiesSentTerm {
-		n.historiesSentTerm = v.Term
-		n.sendEndedHistories(v)
-	}
-	for _, j := range n.jobs.Unassigned(v.Dispatcher.VM, v.Term) {
+	for _, j := range jobs() {
 		n.offer(j, v)
 	}
 }
--- a/node/term.go
+++ b/node/term.go
@@ -171,6 +171,7 @@
 	n.noteLoss(now, old, &v)
 	n.confirmList(now)
 	n.checkEvacuatedNames(&v)
+	n.updateElsewhere(now, &v)
 	token := n.term.current()
 	self := n.fleet.Self()
 	switch {
@@ -394,7 +395,7 @@
 		return
 	}
 	reachable := map[string]uint64{n.config.VM: n.fleet.Self().Incarnation}
-	for _, r := range v.Reachable {
+	for _, r := range slices.Concat(v.Reachable, v.Remote) {
 		reachable[r.Member.VM] = r.Member.Incarnation
 	}
 	type abandonedOrigin struct {
