Evacuation: ask former dispatchers for jobs that are sent again

A caller whose connection broke unnoticed before an evacuation, or its end, sends the job to another VM of its data centre afterwards. That VM offered it to the dispatcher that gets new jobs now, which does not know the run: without this change, TestJobSentAgainAfterChangeOfEvacuation finds two runs at once.

A dispatcher without upstreams in service accepts a job that it knows.

--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -1209,9 +1209,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *PlacementsResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 3
+	// map header, size 5
 	// string "w"
-	o = append(o, 0x83, 0xa1, 0x77)
+	o = append(o, 0x85, 0xa1, 0x77)
 	o = msgp.AppendInt(o, z.Waiting)
 	// string "a"
 	o = append(o, 0xa1, 0x61)
@@ -1226,6 +1226,12 @@
 			return
 		}
 	}
+	// string "k"
+	o = append(o, 0xa1, 0x6b)
+	o = msgp.AppendBool(o, z.Known)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unsettled)
 	return
 }
 
@@ -1278,6 +1284,18 @@
 					return
 				}
 			}
+		case "k":
+			z.Known, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Known")
+				return
+			}
+		case "u":
+			z.Unsettled, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unsettled")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1296,6 +1314,7 @@
 	for za0001 := range z.Placed {
 		s += z.Placed[za0001].Msgsize()
 	}
+	s += 2 + msgp.BoolSize + 2 + msgp.BoolSize
 	return
 }
 
--- a/node/elsewhere.go
+++ b/node/elsewhere.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/intake"
-	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/internal/wire"
 	"github.com/mustardstep/mustardstep/verdict"
 )
@@ -40,7 +40,8 @@
 func (n *Node) updateElsewhere(now time.Time, v *fleet.View) {
 	e := &n.elsewhere
 	evacuated := v.Scope == fleet.ScopeDataCentre && n.evacuation.table.State().Contains(n.config.DataCentre)
-	active := evacuated || e.active() && n.jobs.AnyOutside(n.config.DataCentre)
+	asking := n.formerRoutes.update(now, n.newJobDataCentres())
+	active := evacuated || e.active() && (asking || n.jobs.AnyOutside(n.config.DataCentre))
 	n.fleet.SetExchange(active)
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -85,7 +86,9 @@
 	case offered && dataCentre == "":
 		dataCentre = own // it was offered before the division of the fleet
 	case !offered:
-		dataCentre = n.chooseDataCentre(j.ID)
+		if dataCentre, ok = n.routeNewJob(j, v); !ok {
+			return nil, "", false
+		}
 	}
 	switch dataCentre {
 	case own:
@@ -109,27 +112,17 @@
 	return &routed, dataCentre, true
 }
 
-// chooseDataCentre returns the data centre whose dispatcher gets a new job: the own one, or, if that
-// is evacuated, one of the others that depends on the job's ID alone, so that a job that is sent
-// again to another VM of this data centre reaches the dispatcher that knows its runs. It is empty
-// if all are evacuated. Whether a dispatcher there is reachable must not matter, since the others
-// may reach it.
-func (n *Node) chooseDataCentre(job string) string {
+// newJobDataCentres returns the data centres whose dispatchers get new jobs of this one: its own, or,
+// if that is evacuated, the others that are not. Which of them gets a job depends on its ID
+// alone, so that a job that is sent again to another VM of this data centre reaches the dispatcher
+// that knows its runs. Whether a dispatcher is reachable must not matter, since other VMs may
+// reach it.
+func (n *Node) newJobDataCentres() []string {
 	state := n.evacuation.table.State()
 	if !state.Contains(n.config.DataCentre) {
-		return n.config.DataCentre
-	}
-	var names []string
-	var hashes []uint64
-	for _, name := range n.fleet.OtherDataCentres() {
-		if !state.Contains(name) {
-			names, hashes = append(names, name), append(hashes, rendezvous.Hash(name))
-		}
-	}
-	if best := rendezvous.Best(rendezvous.Hash(job), hashes); best >= 0 {
-		return names[best]
+		return []string{n.config.DataCentre}
 	}
-	return ""
+	return slices.DeleteFunc(n.fleet.OtherDataCentres(), state.Contains)
 }
 
 // endElsewhere answers a job that no dispatcher of another data centre can run. The answer is not
--- a/node/elsewhere_test.go
+++ b/node/elsewhere_test.go
@@ -116,6 +116,26 @@
 	c.wait("the exchange ends", func() bool { return !origin.elsewhere.active() })
 }
 
+// A caller whose connection broke before an evacuation, or its end, sends the job to another VM
+// after it. The dispatcher that would then get the job does not know its run.
+func TestJobSentAgainAfterChangeOfEvacuation(t *testing.T) {
+	c := newDividedCluster(t, 2*time.Second)
+	origin, other := c.origin(), c.dispatcherOf(c.a)
+	c.begin(origin, "x", "u0")
+	c.evacuate()
+	again := c.begin(other, "x", "u0")
+	answer := <-again
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+	c.begin(origin, "y", "u1", "u2")
+	c.store.Delete("config-evacuate/a")
+	c.wait("the end is known", func() bool { return !other.evacuation.table.State().Contains("a") })
+	again = c.begin(other, "y", "u1", "u2")
+	answer = <-again
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+	require.Equal(t, 1, c.starts("x"))
+	require.Equal(t, 1, c.starts("y"))
+}
+
 // The successor of a dispatcher that is killed must adopt the runs of origins elsewhere.
 func TestDispatcherElsewhereIsKilled(t *testing.T) {
 	c := newDividedCluster(t, 1500*time.Millisecond)
--- a/node/explain.go
+++ b/node/explain.go
@@ -46,7 +46,8 @@
 
 func (n *Node) placements(id string) *wire.PlacementsResponse {
 	waiting, placed := n.scheduler.Explain(time.Now(), id)
-	response := &wire.PlacementsResponse{Waiting: waiting, TotalWaiting: n.scheduler.Waiting()}
+	known, settled := n.scheduler.Known(id)
+	response := &wire.PlacementsResponse{Waiting: waiting, TotalWaiting: n.scheduler.Waiting(), Known: known, Unsettled: !settled}
 	for _, p := range placed {
 		response.Placed = append(response.Placed, wire.TaskPlacement{
 			Index: p.Index, Attempt: p.Attempt, Upstream: p.Upstream, State: p.State, AgeUS: p.Age.Microseconds(),
--- a/node/node.go
+++ b/node/node.go
@@ -177,12 +177,13 @@
 	pauses      pauseDetector
 	rtt         rttEstimator // of calls to upstreams
 
-	table      atomic.Pointer[routing.Table] // nil before the first configuration
-	registry   registry
-	evacuation evacuationState
-	elsewhere  elsewhere
-	roster     roster
-	view       atomic.Pointer[fleet.View]
+	table        atomic.Pointer[routing.Table] // nil before the first configuration
+	registry     registry
+	evacuation   evacuationState
+	formerRoutes formerRoutes
+	elsewhere    elsewhere
+	roster       roster
+	view         atomic.Pointer[fleet.View]
 
 	callerReturnShort bool   // as last logged; used by updateTerm only
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
--- a/scheduler/evacuated.go
+++ b/scheduler/evacuated.go
@@ -49,13 +49,18 @@
 	}
 }
 
-// fitsEvacuated reports whether an upstream that is evacuated is large enough for a task.
-func (s *Scheduler) fitsEvacuated(service string, size Size) bool {
-	return s.anyUpstream(func(u *upstream) bool { return u.Evacuated && u.fits(service, size) })
-}
-
-// evacuatedError is the rejection of a job that no upstream outside of evacuated data centres fits.
-func evacuatedError(service string) *verdict.Error {
+// refusedByEvacuation returns the rejection of a new job that only upstreams of evacuated data centres
+// are large enough for. A job that is known here may have runs that go on, and is not rejected.
+func (s *Scheduler) refusedByEvacuation(offered *Job) *verdict.Error {
+	fits := func(evacuated bool) bool {
+		return s.anyUpstream(func(u *upstream) bool { return u.Evacuated == evacuated && u.fits(offered.Service, offered.Size) })
+	}
+	if offered.Resumed || fits(false) || !fits(true) {
+		return nil
+	}
+	if known, _ := s.Known(offered.ID); known {
+		return nil
+	}
 	return verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded,
-		"every upstream of service %s that is large enough is in an evacuated data centre", service).WithRetryAfter(verdict.MinRetryAfter)
+		"every upstream of service %s that is large enough is in an evacuated data centre", offered.Service).WithRetryAfter(verdict.MinRetryAfter)
 }
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -15,10 +15,10 @@
 	if waiting := s.waiting.Load(); waiting+int64(len(offered.Tasks)) > int64(s.config.MaxWaiting) && !offered.Resumed {
 		return a, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "the queue is full: %d tasks are waiting", waiting).WithRetryAfter(verdict.MinRetryAfter)
 	}
+	if failure := s.refusedByEvacuation(&offered); failure != nil {
+		return a, failure
+	}
 	if !offered.Resumed && !s.fits(offered.Service, offered.Size) {
-		if s.fitsEvacuated(offered.Service, offered.Size) {
-			return a, evacuatedError(offered.Service)
-		}
 		return a, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
 			"no upstream of service %s has %d milli-CPU, %d MB of memory and %d accelerators",
 			offered.Service, offered.Size.MilliCPU, offered.Size.MemoryMB, offered.Size.Accelerators).WithRetryAfter(verdict.MinRetryAfter)
@@ -44,9 +44,9 @@
 }
 
 // fits reports whether an upstream of the service is large enough for a task when
-// it is idle, and not evacuated.
+// it is idle.
 func (s *Scheduler) fits(service string, size Size) bool {
-	return s.anyUpstream(func(u *upstream) bool { return !u.Evacuated && u.fits(service, size) })
+	return s.anyUpstream(func(u *upstream) bool { return u.fits(service, size) })
 }
 
 // fits reports whether the upstream is large enough for a task when it is idle.
