--- a/daemon/status.go
+++ b/daemon/status.go
@@ -33,7 +33,7 @@
 	s := d.configuration.table.Current()
 	token, claimed, ejected := d.dispatch.DispatchStatus()
 	return &wire.StatusResponse{
-		Ejected: ejected, Token: token, Claimed: claimed,
+		Ejected: ejected, Evacuated: d.dispatch.Evacuated(), Token: token, Claimed: claimed,
 		VM: d.settings.Network.VM, DataCentre: d.settings.Network.DataCentre, Version: Version,
 		Revision: s.Revision(), Fingerprint: s.Fingerprint(),
 		Ready: d.Ready() == nil, Draining: d.operatorDrained.Load(),
@@ -73,7 +73,7 @@
 	return api.VMStatus{
 		VM: m.VM, DataCentre: m.DataCentre, Address: p.Address, Version: m.Version,
 		Revision: m.Revision, Fingerprint: hex(m.Fingerprint), Ready: m.Ready, Draining: m.Draining,
-		Watching: m.Watching, Members: m.Members, Ejected: m.Ejected, Token: m.Token, Claimed: m.Claimed, TookUS: time.Since(began).Microseconds(),
+		Watching: m.Watching, Members: m.Members, Ejected: m.Ejected, Evacuated: m.Evacuated, Token: m.Token, Claimed: m.Claimed, TookUS: time.Since(began).Microseconds(),
 	}
 }
 
--- a/internal/api/operators_gen.go
+++ b/internal/api/operators_gen.go
@@ -158,6 +158,8 @@
 	Members int `json:"members"`
 	// Ejected are the upstreams that the VM does not use because they fail.
 	Ejected []string `json:"ejected,omitempty"`
+	// Evacuated are the data centres whose upstreams the VM gives no new tasks.
+	Evacuated []string `json:"evacuated,omitempty"`
 	// Token is the fencing token under which the VM dispatches, or 0 if it does
 	// not dispatch.
 	Token int64 `json:"token,omitempty"`
--- a/internal/command/ctl_status.go
+++ b/internal/command/ctl_status.go
@@ -84,6 +84,9 @@
 	if vm.Token != 0 {
 		notes = append(notes, fmt.Sprintf("dispatches to %d upstreams under token %d", vm.Claimed, vm.Token))
 	}
+	if len(vm.Evacuated) > 0 {
+		notes = append(notes, "evacuated: "+strings.Join(vm.Evacuated, ","))
+	}
 	if vm.Watching {
 		notes = append(notes, "watches the configuration")
 	}
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -88,6 +88,8 @@
 	events         []string
 	disturbances   int       // active faults that may hide changes of the store
 	disturbedUntil time.Time // end of the last one
+	evacuated      string    // data centre that is evacuated, empty if none
+	evacuatedAt    time.Time
 }
 
 // RunSoak runs a cluster of real daemon processes under random faults. It checks the
@@ -145,6 +147,9 @@
 	load.Go(func() { s.load(loadCtx) })
 	end := time.Now().Add(time.Duration(s.options.Seconds * float64(time.Second)))
 	var pending sync.WaitGroup
+	if !s.options.OnlySplits && s.options.OnlyLongSplits == "" {
+		pending.Go(func() { s.evacuateDataCentres(ctx, end) })
+	}
 	for time.Now().Before(end) && ctx.Err() == nil {
 		if s.options.OnlySplits {
 			s.disturbed(s.drawSplit(ctx))()
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -118,6 +118,7 @@
 	u.mu.Unlock()
 	deadly := s.deadly.has(run)
 	s.checker.recordStart(name, capacity, run, token, used, deadly)
+	s.checkEvacuation(u, fmt.Sprint(run))
 	if deadly {
 		time.AfterFunc(soakCrashTime, func() { s.crash(u, soakDownTime) })
 	}
--- a/internal/wire/configuration_codec_gen.go
+++ b/internal/wire/configuration_codec_gen.go
@@ -323,9 +323,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *StatusResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "v"
-	o = append(o, 0x8c, 0xa1, 0x76)
+	o = append(o, 0x8d, 0xa1, 0x76)
 	o = msgp.AppendString(o, z.VM)
 	// string "d"
 	o = append(o, 0xa1, 0x64)
@@ -357,6 +357,12 @@
 	for za0001 := range z.Ejected {
 		o = msgp.AppendString(o, z.Ejected[za0001])
 	}
+	// string "ev"
+	o = append(o, 0xa2, 0x65, 0x76)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Evacuated)))
+	for za0002 := range z.Evacuated {
+		o = msgp.AppendString(o, z.Evacuated[za0002])
+	}
 	// string "t"
 	o = append(o, 0xa1, 0x74)
 	o = msgp.AppendInt64(o, z.Token)
@@ -457,6 +463,25 @@
 					return
 				}
 			}
+		case "ev":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Evacuated")
+				return
+			}
+			if cap(z.Evacuated) >= int(zb0003) {
+				z.Evacuated = (z.Evacuated)[:zb0003]
+			} else {
+				z.Evacuated = make([]string, zb0003)
+			}
+			for za0002 := range z.Evacuated {
+				z.Evacuated[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Evacuated", za0002)
+					return
+				}
+			}
 		case "t":
 			z.Token, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -487,6 +512,10 @@
 	for za0001 := range z.Ejected {
 		s += msgp.StringPrefixSize + len(z.Ejected[za0001])
 	}
+	s += 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Evacuated {
+		s += msgp.StringPrefixSize + len(z.Evacuated[za0002])
+	}
 	s += 2 + msgp.Int64Size + 2 + msgp.IntSize
 	return
 }
--- a/internal/wire/configuration_gen.go
+++ b/internal/wire/configuration_gen.go
@@ -93,6 +93,8 @@
 	Members int `msg:"m"`
 	// Ejected are the upstreams that it does not use because they fail.
 	Ejected []string `msg:"e"`
+	// Evacuated are the data centres whose upstreams it gives no new tasks.
+	Evacuated []string `msg:"ev"`
 	// Token is the fencing token under which it dispatches; 0 if it does not
 	// dispatch.
 	Token int64 `msg:"t"`
--- a/node/explain.go
+++ b/node/explain.go
@@ -75,3 +75,6 @@
 	slices.Sort(ejected)
 	return token, claimed, ejected
 }
+
+// Evacuated returns the data centres on whose upstreams no new task is to start, for operators.
+func (n *Node) Evacuated() []string { return n.evacuation.table.State().DataCentres }
