fleet: heartbeats to other data centres go to the two highest-ranked members only

A member of an evacuated data centre sent one heartbeat to every member of the others in its first round, since none of them was known to be reachable yet: 40 instead of 3 in TestExchangeBetweenDataCentresOfDifferentSize. A member that has not answered yet now counts as one of the two until it is unresponsive.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -19,18 +19,28 @@
 	f.exchange = on
 }
 
-// exchangeTargets calls walk for the members of each other data centre, and add for the dispatchers
-// there that are reachable and rank lower. The caller holds mu.
-func (f *Fleet) exchangeTargets(now time.Time, ranked []*peer, walk func(wanted int, match func(*peer) bool), add func(*peer)) {
+// exchangeTargets calls add for the highest-ranked members of each other data centre that are not
+// unresponsive, for one unresponsive member there in turn every slowRounds rounds, and for
+// the dispatchers there that are reachable. The caller holds mu.
+func (f *Fleet) exchangeTargets(now time.Time, ranked []*peer, add func(*peer)) {
 	if !f.exchange || f.scope != ScopeDataCentre {
 		return
 	}
 	for _, dataCentre := range f.otherDataCentres() {
-		walk(exchangeCount, func(p *peer) bool { return p.heartbeat.Member.DataCentre == dataCentre })
-	}
-	for _, p := range ranked {
-		if p.heartbeat.Term != 0 && !f.inScope(p.heartbeat.Member) && f.reachable(now, p) {
-			add(p)
+		wanted := exchangeCount
+		var unresponsive []*peer
+		for _, p := range ranked {
+			switch {
+			case p.heartbeat.Member.DataCentre != dataCentre:
+			case f.unresponsive(now, p) && !f.reachable(now, p):
+				unresponsive = append(unresponsive, p)
+			case wanted > 0 || p.heartbeat.Term != 0 && f.reachable(now, p):
+				add(p)
+				wanted--
+			}
+		}
+		if len(unresponsive) > 0 && f.round%slowRounds == 0 {
+			add(unresponsive[f.round/slowRounds%len(unresponsive)])
 		}
 	}
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -416,7 +416,7 @@
 	}
 	walk(candidateCount, func(p *peer) bool { return f.inScope(p.heartbeat.Member) })
 	walk(localCandidateCount, func(p *peer) bool { return p.heartbeat.Member.DataCentre == f.self.DataCentre })
-	f.exchangeTargets(now, ranked, walk, add)
+	f.exchangeTargets(now, ranked, add)
 	if len(ranked) > 0 && f.round%slowRounds == 0 {
 		f.rotation++
 		add(ranked[f.rotation%len(ranked)])
