--- a/node/elsewhere.go
+++ b/node/elsewhere.go
@@ -143,6 +143,10 @@
 		slog.String("dispatcher", v.Dispatcher.VM), slog.Int("tasks", len(o.Tasks)))
 }
 
+// hears reports whether the sender of a heartbeat hears this node and keeps its jobs if it is in
+// another scope. Older releases abandon them; they report no evacuated data centres.
+func hears(h *wire.FleetHeartbeat) bool { return h.Answered && h.EvacuationRevision != 0 }
+
 // isNewElsewhere reports whether a heartbeat of a member of another data centre tells something
 // about its term that the view does not show.
 func (n *Node) isNewElsewhere(v *fleet.View, h *wire.FleetHeartbeat) bool {
@@ -151,7 +155,7 @@
 	}
 	for _, r := range v.Remote {
 		if r.Member.VM == h.From.VM {
-			return r.Term != h.Term || r.Hears != h.Answered
+			return r.Term != h.Term || r.Hears != hears(h)
 		}
 	}
 	return h.Term != 0
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -148,7 +148,7 @@
 		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, Digest: h.Digest,
 		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
-		Hears:      h.Answered,
+		Hears:      hears(h),
 	}, bidirectional)
 	if h.Divided {
 		n.fleet.RecordDivision()
