--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -84,6 +84,12 @@
 	ContactAgeUS int64 `msg:"ca"`
 	// Digest is a hash of the members known to the sender.
 	Digest uint64 `msg:"g"`
+	// EvacuationRevision is the store revision to which Evacuated belongs; 0 if
+	// the sender does not know the evacuated data centres.
+	EvacuationRevision int64 `msg:"er"`
+	// Evacuated lists the data centres on whose upstreams no task may start. It
+	// is empty in normal operation.
+	Evacuated []string `msg:"ev"`
 	// ClockUS is the sender's clock, in microseconds since its VM was started; 0
 	// if unknown.
 	ClockUS int64 `msg:"c"`
@@ -394,6 +400,12 @@
 	TotalWaiting int `msg:"a"`
 	// Placed lists the tasks that were sent to an upstream.
 	Placed []TaskPlacement `msg:"p"`
+	// Known is true if the job is in progress, has completed recently or has an
+	// active run.
+	Known bool `msg:"k"`
+	// Unsettled is true if the receiver does not dispatch, or if runs of
+	// dispatchers before it may be unknown to it.
+	Unsettled bool `msg:"u"`
 }
 
 // Kind returns the frame kind of the message.
--- a/node/explain.go
+++ b/node/explain.go
@@ -28,15 +28,14 @@
 		return e, false, nil
 	}
 	e.Dispatcher, e.Open = n.jobs.Progress(j)
-	v := n.view.Load()
 	switch {
 	case e.Dispatcher == "":
 	case e.Dispatcher == n.config.VM:
 		e.PlacementsResponse = *n.placements(id)
-	case e.Dispatcher != v.Dispatcher.VM:
+	case !n.fleet.Reachable(time.Now(), e.Dispatcher):
 		err = errors.Newf("dispatcher %s is not reachable", e.Dispatcher)
 	default:
-		err = n.peers.Call(ctx, v.Dispatcher.Address, &wire.PlacementsRequest{Job: id}, &e.PlacementsResponse)
+		err = n.peers.Call(ctx, n.fleet.Address(e.Dispatcher), &wire.PlacementsRequest{Job: id}, &e.PlacementsResponse)
 	}
 	return e, true, err
 }
@@ -47,7 +46,8 @@
 
 func (n *Node) placements(id string) *wire.PlacementsResponse {
 	waiting, placed := n.scheduler.Explain(time.Now(), id)
-	response := &wire.PlacementsResponse{Waiting: waiting, TotalWaiting: n.scheduler.Waiting()}
+	known, settled := n.scheduler.Known(id)
+	response := &wire.PlacementsResponse{Waiting: waiting, TotalWaiting: n.scheduler.Waiting(), Known: known, Unsettled: !settled}
 	for _, p := range placed {
 		response.Placed = append(response.Placed, wire.TaskPlacement{
 			Index: p.Index, Attempt: p.Attempt, Upstream: p.Upstream, State: p.State, AgeUS: p.Age.Microseconds(),
@@ -75,3 +75,6 @@
 	slices.Sort(ejected)
 	return token, claimed, ejected
 }
+
+// Evacuated returns the data centres on whose upstreams no new task is to start, for operators.
+func (n *Node) Evacuated() []string { return n.evacuation.table.State().DataCentres }
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,7 +36,8 @@
 			n.heartbeatCalls.Wait()
 			return nil
 		case <-n.announceSignal:
-			for _, r := range n.view.Load().Reachable {
+			v := n.view.Load()
+			for _, r := range slices.Concat(v.Reachable, v.Remote) {
 				n.sendHeartbeat(ctx, &pending, r.Member)
 			}
 		case <-timer.C:
@@ -104,6 +106,8 @@
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
 		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
+	evacuated := n.evacuation.table.State()
+	h.EvacuationRevision, h.Evacuated = evacuated.Revision, evacuated.DataCentres
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
@@ -144,10 +148,12 @@
 		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, Digest: h.Digest,
 		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
+		Hears:      hears(h),
 	}, bidirectional)
 	if h.Divided {
 		n.fleet.RecordDivision()
 	}
+	n.learnEvacuations(h)
 	var known []fleet.Member
 	for _, m := range h.Members {
 		known = append(known, fromWire(m))
@@ -158,7 +164,7 @@
 	}
 	v := n.view.Load()
 	isDispatcher := v.Dispatcher.VM == h.From.VM
-	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) {
+	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) || bidirectional && n.isNewElsewhere(v, h) {
 		n.wakeTermLoop()
 	}
 	if n.shouldPull(h) {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -1,12 +1,14 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -155,6 +157,17 @@
 	Name: "alert", Host: "h", Prefix: "/", Service: "rota", MaxAttempts: 3, Stretch: 10, Slack: time.Second,
 }
 
+func (testDecoder) Evacuation(key string) (string, error) {
+	name, _ := strings.CutPrefix(key, "config-evacuate/")
+	if name == key {
+		return "", nil
+	}
+	if name == "" {
+		return "", errors.New("no name")
+	}
+	return name, nil
+}
+
 func (testDecoder) Upstream(item store.Item) (scheduler.Upstream, error) {
 	var u scheduler.Upstream
 	if err := json.Unmarshal(item.Value, &u); err != nil {
@@ -175,6 +188,7 @@
 	// lapsedRetention is that of the nodes. For so long after a start, a node knows that its
 	// list may be incomplete.
 	lapsedRetention time.Duration
+	dataCentre      string // of the nodes that are started; "dc" if empty
 }
 
 type testNode struct {
@@ -237,7 +251,7 @@
 // startWith starts a node with a store of its own.
 func (c *cluster) startWith(vm string, s store.Store, seeds ...string) *testNode {
 	config := Config{
-		VM: vm, DataCentre: "dc", PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: c.lapsedRetention,
+		VM: vm, DataCentre: cmp.Or(c.dataCentre, "dc"), PeerAddress: freeAddress(c.t), Weight: 400, LeaseMax: testLease, LapsedRetention: c.lapsedRetention,
 		DrainDelay: 50 * time.Millisecond, DrainTimeout: waitTimeout, Seeds: seeds,
 		ConfigurationKey: "config", UpstreamPrefix: "upstreams/", MemberPrefix: "vm/", RosterPrefix: "roster/",
 	}
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -15,6 +15,9 @@
 	if waiting := s.waiting.Load(); waiting+int64(len(offered.Tasks)) > int64(s.config.MaxWaiting) && !offered.Resumed {
 		return a, verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded, "the queue is full: %d tasks are waiting", waiting).WithRetryAfter(verdict.MinRetryAfter)
 	}
+	if failure := s.refusedByEvacuation(&offered); failure != nil {
+		return a, failure
+	}
 	if !offered.Resumed && !s.fits(offered.Service, offered.Size) {
 		return a, verdict.Errorf(verdict.NotRun, verdict.CodeNeverFits,
 			"no upstream of service %s has %d milli-CPU, %d MB of memory and %d accelerators",
@@ -43,10 +46,21 @@
 // fits reports whether an upstream of the service is large enough for a task when
 // it is idle.
 func (s *Scheduler) fits(service string, size Size) bool {
+	return s.anyUpstream(func(u *upstream) bool { return u.fits(service, size) })
+}
+
+// fits reports whether the upstream is large enough for a task when it is idle.
+func (u *upstream) fits(service string, size Size) bool {
+	return u.Service == service && u.listed && !u.Missing && size.FitsIn(u.Size)
+}
+
+// anyUpstream reports whether a condition holds for an upstream. It calls the condition with the
+// lock of the shard held.
+func (s *Scheduler) anyUpstream(holds func(*upstream) bool) bool {
 	for _, shard := range s.upstreamShards {
 		shard.mu.Lock()
 		for _, u := range shard.byName {
-			if u.Service == service && u.listed && !u.Missing && size.FitsIn(u.Size) {
+			if holds(u) {
 				shard.mu.Unlock()
 				return true
 			}
@@ -220,7 +234,7 @@
 		shard := s.upstreamShards[at]
 		shard.mu.Lock()
 		for _, u := range shard.all {
-			if u.Service != c.job.Service || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) {
+			if u.Service != c.job.Service || u.Evacuated || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) {
 				continue
 			}
 			scanned++
