Admission by expected wait and shares of the capacity

Package overload sums the waiting work by the time at which it is due, measures the rate at which work is started, and divides it: priority classes get the same part of their demand, weighted by 0.9 per class, queues within a class and accounts within a queue are max-min fair. Offer rejects a job that cannot be in time or is above its share, and the tick an unstarted job that has become late. Nothing of a job may have run, and no upstream may be free for it. While capacity is short, a job that has begun goes before an equal one, and a task is not placed where alone it would be late. Without a backlog of 25 ms nothing changes.

--- a/scheduler/job.go
+++ b/scheduler/job.go
@@ -17,6 +17,7 @@
 	blocked    []int   // indexes of tasks with other active runs
 	unfinished int     // number of tasks that have not finished
 	running    int
+	preferred  bool             // has begun while capacity was short
 	starts     int              // start orders that may have had an effect
 	ranBefore  bool             // an earlier submission may have started tasks
 	current    map[int]runRef   // active run by task index
@@ -28,6 +29,8 @@
 	basis      StartBasis       // why it may start
 	tier       tier             // as of the last update of the score
 	score      float64
+	counted    int64 // work in the slot countedAt of the backlog
+	countedAt  int
 	index      int // position in the heap; -1 if not in it
 }
 
@@ -82,6 +85,9 @@
 // epoch.
 func (j *job) rescore(epoch time.Time) {
 	j.score = j.Sent.Add(j.targetTime()).Sub(epoch).Seconds() + priorityGap*float64(j.Priority) + tierGap*float64(j.tier)
+	if j.preferred {
+		j.score -= priorityGap
+	}
 }
 
 // jobHeap implements heap.Interface, with the lowest score first.
--- a/scheduler/job_queue.go
+++ b/scheduler/job_queue.go
@@ -42,6 +42,7 @@
 		}
 		j.tier = t
 		j.rescore(s.epoch)
+		s.trackLoad(j)
 		heap.Fix(&s.heap, 0)
 	}
 	s.publish()
@@ -117,6 +118,7 @@
 	}
 	j.starts++
 	j.current[c.index] = runRef{upstream, c.attempt}
+	s.preferBegun(j)
 	return true, 0
 }
 
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/history"
+	"github.com/mustardstep/mustardstep/overload"
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
@@ -33,10 +34,12 @@
 	lastToken   int64      // token of the last term that has ended
 	split       splitState // as of the last tick
 	epoch       time.Time  // zero point of the scores: the first offer
+	load        *overload.Controller
+	start       time.Time // zero point of the times passed to load; immutable, as load is
 }
 
 func newJobShard() *jobShard {
-	s := &jobShard{records: map[string]*jobRecord{}, suspects: map[string]*job{}}
+	s := &jobShard{records: map[string]*jobRecord{}, suspects: map[string]*job{}, load: overload.New()}
 	s.publish()
 	return s
 }
@@ -55,6 +58,7 @@
 // updateHeap adds, moves or removes a job in the heap. The caller holds mu.
 func (s *jobShard) updateHeap(j *job) {
 	s.trackSuspects(j)
+	s.trackLoad(j)
 	wanted := j.heldSince.IsZero() && j.firstOrdinary() >= 0
 	switch {
 	case wanted && j.index < 0:
@@ -79,6 +83,7 @@
 	for id, r := range s.records {
 		if r.job != nil {
 			n += len(r.job.waiting)
+			s.untrackLoad(r.job)
 		}
 		r.endTerm(token)
 		if r.empty() {
--- a/scheduler/lease_of_other_run_test.go
+++ b/scheduler/lease_of_other_run_test.go
@@ -21,6 +21,7 @@
 
 	old := b.job("old", 0)
 	old.Sent = b.now.Add(200*time.Millisecond - callerReturn)
+	old.Slack = 5 * time.Second // not late
 	g.offer(old)
 	b.workAll(20*time.Millisecond, scheduler.Task{}, g)
 	b.advance(180 * time.Millisecond)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -22,7 +22,11 @@
 	}
 	offered.returnAt = s.returnTime(offered.Sent)
 	model := s.models.get(offered.Queue, offered.Estimate)
-	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model, s.termState(s.token.Load()))
+	term := s.termState(s.token.Load())
+	if failure := s.admit(now, &offered, model.expected(offered.Estimate), term); failure != nil {
+		return a, failure
+	}
+	notices, waiting, failure := s.jobShardFor(offered.ID).offer(now, offered, model, term)
 	if failure != nil {
 		return a, failure
 	}
@@ -86,7 +90,7 @@
 }
 
 // maxTried bounds two searches: placeNext tries the first jobs of at most this many
-// shards if their tasks fit nowhere, and bind tries at most this many upstreams for a
+// shards if their tasks fit nowhere and capacity is not short, and bind tries at most this many upstreams for a
 // task if the reservations fail.
 const maxTried = 3
 
@@ -109,7 +113,7 @@
 // placeNext places the first task, in job order, that fits on an upstream.
 func (s *Scheduler) placeNext(now time.Time) (Start, bool) {
 	var tried [jobShardCount]bool
-	for range maxTried {
+	for range s.maxTriedShards(now) {
 		at := s.firstShard(now, &tried)
 		if at < 0 {
 			return Start{}, false
@@ -139,6 +143,9 @@
 		ok, requeued = shard.putBack(c)
 	}
 	s.waiting.Add(int64(requeued - 1))
+	if bound && ok {
+		s.load.Started(workOf(1, c.job.Size, c.expected))
+	}
 	if bound && !ok {
 		s.cancelReservation(now, start)
 	}
@@ -209,7 +216,7 @@
 // cost it takes the first it meets. Each call begins at the next shard, which
 // distributes the load.
 func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
-	best, rule := noScore, s.leaseRule()
+	best, rule, short := noScore, s.leaseRule(), s.load.Short(now.Sub(s.start))
 	scanned := 0
 	from := int(s.nextShard.Add(1))
 	for i := range upstreamShardCount {
@@ -220,7 +227,7 @@
 		shard := s.upstreamShards[at]
 		shard.mu.Lock()
 		for _, u := range shard.all {
-			if u.Service != c.job.Service || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) {
+			if u.Service != c.job.Service || !c.job.Size.FitsIn(u.freeSize()) || !u.accepts(now, c.isolation) || short && c.isLateOnlyThere(now, u) {
 				continue
 			}
 			scanned++
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/overload"
 )
 
 // Config holds the settings of a Scheduler.
@@ -134,6 +135,7 @@
 	bounds         [upstreamShardCount]shardBounds // one for each shard of upstreams
 	nextShard      atomic.Uint32                   // shard of upstreams at which the next placement begins
 	models         queueModels
+	load           *overload.Controller
 	blame          blame
 	serviceSizes   atomic.Pointer[map[string]int] // number of upstreams to claim by service
 
@@ -171,10 +173,11 @@
 
 // New returns a Scheduler that does not dispatch until BeginTerm is called.
 func New(now time.Time, config Config) *Scheduler {
-	s := &Scheduler{config: config, start: now}
+	s := &Scheduler{config: config, start: now, load: overload.New()}
 	s.lastLoss.Store(-int64(lossWindow)) // no response was lost so far
 	for i := range jobShardCount {
 		s.jobShards[i] = newJobShard()
+		s.jobShards[i].load, s.jobShards[i].start = s.load, now
 	}
 	for i := range upstreamShardCount {
 		s.upstreamShards[i] = &upstreamShard{bounds: &s.bounds[i], byName: map[string]*upstream{}}
@@ -302,12 +305,14 @@
 	oldestPoll := now         // every upstream has answered a poll sent at this time or later
 	var latestStart time.Time // of an upstream's process
 	allHeld := true
+	capacity := 0.0
 	listDoubtful := s.listIsDoubtful(token) // read first: SetUpstreams comes before ConfirmList
 	for _, shard := range s.upstreamShards {
 		state := shard.tick(now, s, &a)
 		oldestPoll = earlier(oldestPoll, state.oldestPoll)
 		latestStart = later(latestStart, state.latestStart)
 		allHeld = allHeld && state.allHeld
+		capacity += state.capacity
 	}
 	s.updateSplit(now, allHeld)
 	s.finishLost(now, &a)
@@ -352,6 +357,7 @@
 	for reason, ids := range overdue {
 		s.stopRuns(now, reason, &a, ids...)
 	}
+	s.updateLoad(now, capacity, criteria.term, &a)
 	s.ConfirmDelivery(a.expired)
 	a.expired = nil
 	return a
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -51,6 +51,9 @@
 	Submission uint64
 	// Term identifies the offer at its origin. Notices about the job name it.
 	Term uint64
+	// Account identifies the flow of the job below its queue: the caller's account or the data
+	// centre of the origin. If it is empty, the origin stands for it.
+	Account string
 	// Queue is the key of the run time model. Service is the service whose
 	// upstreams may run the tasks.
 	Queue, Service string
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -193,6 +193,8 @@
 	oldestPoll, latestStart time.Time
 	// allHeld means that no other dispatcher can have started runs on them.
 	allHeld bool
+	// capacity is the work per second of the usable upstreams, as package overload counts it.
+	capacity float64
 }
 
 // tick expires leases and stops stalled runs and orphans that no job has adopted in
@@ -206,7 +208,11 @@
 	if scheduler.HasUnreachablePeers() {
 		margin = peerRenewalTime
 	}
+	rule := scheduler.leaseRule()
 	for _, u := range slices.Clone(s.all) {
+		if u.usable(now, rule) {
+			state.capacity += float64(u.Size.MilliCPU) * u.model.speed() * 1000
+		}
 		a.coverage.count(u)
 		a.lacking.count(u, now, watched)
 		if u.listed {
