Benchmark of the admission with 100,000 waiting tasks

BenchmarkDecision had no tick, so that its term was not settled and no task started: it divided by zero.

--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -27,6 +27,7 @@
 				poll, _, _, _ := s.NextPoll(now, u.Name)
 				s.HandlePollResult(now, poll, scheduler.PollAnswered, scheduler.PollReport{Clock: 1000, ProcessStart: 1})
 			}
+			s.Tick(now) // settles the term
 			n := 0
 			offer := func() {
 				n++
@@ -52,3 +53,45 @@
 		})
 	}
 }
+
+// BenchmarkAdmission measures the decision about an offer that is rejected, with 100,000 tasks
+// waiting at 20,000 upstreams without free capacity.
+func BenchmarkAdmission(b *testing.B) {
+	now := time.Unix(1_700_000_000, 0)
+	s := scheduler.New(now, scheduler.Config{LeaseMax: time.Second, MaxWaiting: 1 << 30})
+	var list []scheduler.Upstream
+	for i := range 20_000 {
+		list = append(list, scheduler.Upstream{Name: fmt.Sprintf("upstream-%d", i), Service: "s", Size: scheduler.Size{MilliCPU: 16000, MemoryMB: 32000}})
+	}
+	s.BeginTerm(now, 10, time.Second)
+	s.SetUpstreams(now, list, false)
+	for _, u := range list {
+		poll, _, _, _ := s.NextPoll(now, u.Name)
+		s.HandlePollResult(now, poll, scheduler.PollAnswered, scheduler.PollReport{Clock: 1000, ProcessStart: 1})
+	}
+	s.Tick(now) // settles the term
+	job := func(n int) scheduler.Job {
+		return scheduler.Job{
+			ID: fmt.Sprintf("%016x", n), Origin: "o", Queue: "q", Service: "s", Size: scheduler.Size{MilliCPU: 16000, MemoryMB: 64},
+			Estimate: 100 * time.Millisecond, Sent: now, Deadline: now.Add(time.Hour), Stretch: 1.6, Slack: 60 * time.Millisecond,
+			MaxAttempts: 3, Tasks: []int{0},
+		}
+	}
+	for n := range 120_000 {
+		if _, failure := s.Offer(now, job(n)); failure != nil {
+			b.Fatal(failure)
+		}
+	}
+	if started := len(s.Place(now)); started != len(list) {
+		b.Fatal(started)
+	}
+	now = now.Add(20 * time.Millisecond)
+	s.Tick(now)
+	rejected := job(1 << 40)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, failure := s.Offer(now, rejected); failure == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
