Load state in heartbeats; origins reject hopeless jobs; log and metrics

A job that the dispatcher would reject costs a call between VMs, which is what is scarce in an overload, and operators could not see why jobs were rejected.

While capacity is short, the dispatcher publishes the queues in which a new job waits for longer than its target time (FleetHeartbeat.Load, otherwise empty). An origin rejects a new job by it if it is at most three heartbeat intervals old and of the present dispatcher and term, and if half of the wait is already too long. Rejections are logged once per second and queue and counted by queue and reason. At-most-once jobs are not rejected for load.

--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -308,9 +308,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 12
+	// map header, size 13
 	// string "f"
-	o = append(o, 0x8c, 0xa1, 0x66)
+	o = append(o, 0x8d, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -346,13 +346,25 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.ClockUS)
+	// string "ql"
+	o = append(o, 0xa2, 0x71, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
+	for za0001 := range z.Load {
+		// map header, size 2
+		// string "q"
+		o = append(o, 0x82, 0xa1, 0x71)
+		o = msgp.AppendString(o, z.Load[za0001].Queue)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.Load[za0001].WaitUS)
+	}
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0001 := range z.Members {
-		o, err = z.Members[za0001].MarshalMsg(o)
+	for za0002 := range z.Members {
+		o, err = z.Members[za0002].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0001)
+			err = msgp.WrapError(err, "Members", za0002)
 			return
 		}
 	}
@@ -443,22 +455,70 @@
 				err = msgp.WrapError(err, "ClockUS")
 				return
 			}
-		case "m":
+		case "ql":
 			var zb0002 uint32
 			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+			if cap(z.Load) >= int(zb0002) {
+				z.Load = (z.Load)[:zb0002]
+			} else {
+				z.Load = make([]QueueLoad, zb0002)
+			}
+			for za0001 := range z.Load {
+				var zb0003 uint32
+				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0001)
+					return
+				}
+				for zb0003 > 0 {
+					zb0003--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Load", za0001)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "q":
+						z.Load[za0001].Queue, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Load", za0001, "Queue")
+							return
+						}
+					case "w":
+						z.Load[za0001].WaitUS, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Load", za0001, "WaitUS")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Load", za0001)
+							return
+						}
+					}
+				}
+			}
+		case "m":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Members) >= int(zb0002) {
-				z.Members = (z.Members)[:zb0002]
+			if cap(z.Members) >= int(zb0004) {
+				z.Members = (z.Members)[:zb0004]
 			} else {
-				z.Members = make([]FleetMember, zb0002)
+				z.Members = make([]FleetMember, zb0004)
 			}
-			for za0001 := range z.Members {
-				bts, err = z.Members[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Members {
+				bts, err = z.Members[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0001)
+					err = msgp.WrapError(err, "Members", za0002)
 					return
 				}
 			}
@@ -476,9 +536,13 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0001 := range z.Members {
-		s += z.Members[za0001].Msgsize()
+	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	for za0001 := range z.Load {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Load[za0001].Queue) + 2 + msgp.Int64Size
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += z.Members[za0002].Msgsize()
 	}
 	return
 }
@@ -1261,6 +1325,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z QueueLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "q"
+	o = append(o, 0x82, 0xa1, 0x71)
+	o = msgp.AppendString(o, z.Queue)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.WaitUS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QueueLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "w":
+			z.WaitUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitUS")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z QueueLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z StateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -57,6 +57,15 @@
 	Weight int `msg:"w"`
 }
 
+// QueueLoad reports a queue in which new jobs wait for longer than their
+// target time.
+type QueueLoad struct {
+	// Queue is the name of the queue.
+	Queue string `msg:"q"`
+	// WaitUS is the expected wait of a new job, in microseconds.
+	WaitUS int64 `msg:"w"`
+}
+
 // FleetHeartbeat reports the state of its sender to a peer. The peer answers
 // with a FleetHeartbeat of its own.
 type FleetHeartbeat struct {
@@ -87,6 +96,9 @@
 	// ClockUS is the sender's clock, in microseconds since its VM was started; 0
 	// if unknown.
 	ClockUS int64 `msg:"c"`
+	// Load lists queues in which new jobs wait for long, while the sender
+	// dispatches and capacity is short.
+	Load []QueueLoad `msg:"ql"`
 	// Members lists the members known to the sender. It is sent only if the
 	// digests of sender and receiver differ.
 	Members []FleetMember `msg:"m"`
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -48,7 +48,7 @@
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS) - late), Deadline: now.Add(microseconds(r.DeadlineUS) - late),
 		Stretch: r.Stretch, Slack: microseconds(r.SlackUS), MaxAttempts: r.MaxAttempts,
-		AtMostOnce: r.AtMostOnce, Resumed: r.Resumed, PreviousToken: int64(r.PreviousTerm >> abandonBits), Histories: historiesFromWire(r.Histories), Tasks: r.Tasks, Items: r.Items,
+		AtMostOnce: r.AtMostOnce, Resumed: r.Resumed, PreviousToken: int64(r.PreviousTerm >> abandonBits), Histories: historiesFromWire(r.Histories), Account: n.account(r), Tasks: r.Tasks, Items: r.Items,
 	})
 	// Recorded last, so that the next check of the origin finds the job.
 	if newest := n.origins.record(r.Origin, r.OriginIncarnation); newest != r.OriginIncarnation {
@@ -147,6 +147,7 @@
 // tickLoop calls the scheduler's Tick.
 func (n *Node) tickLoop(ctx context.Context) error {
 	coverage, splits := logging.NewCoverageLog(n.log), logging.NewSplitLog(n.log)
+	var load loadObserver
 	ticker := time.NewTicker(scheduler.TickInterval)
 	defer ticker.Stop()
 	for {
@@ -161,6 +162,7 @@
 		now := time.Now()
 		n.apply(n.scheduler.Tick(now))
 		n.logSplit(now, splits)
+		load.observe(n, now)
 		c, ok := n.scheduler.Coverage()
 		coverage.Observe(now, c, ok)
 		n.wakePlaceLoop()
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -104,6 +104,7 @@
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
 		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
+	h.Load = n.load(h.Term)
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
@@ -145,6 +146,7 @@
 		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
 	}, bidirectional)
+	n.receiveLoad(time.Now(), h)
 	if h.Divided {
 		n.fleet.RecordDivision()
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/peer"
 	"github.com/mustardstep/mustardstep/internal/wire"
+	"github.com/mustardstep/mustardstep/overload"
 	"github.com/mustardstep/mustardstep/routing"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
@@ -175,6 +176,9 @@
 	registry registry
 	roster   roster
 	view     atomic.Pointer[fleet.View]
+	// publishedLoad is the load of this VM as dispatcher, dispatcherLoad that of its dispatcher.
+	publishedLoad  atomic.Pointer[[]wire.QueueLoad]
+	dispatcherLoad atomic.Pointer[overload.Published]
 
 	callerReturnShort bool   // as last logged; used by updateTerm only
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
--- a/node/submit.go
+++ b/node/submit.go
@@ -62,7 +62,9 @@
 	case n.stopping.Load(): // read after the job was added, so that endJobs does not miss it
 		n.endStopping(j)
 	case request == 1:
-		n.offer(j, n.view.Load())
+		if v := n.view.Load(); !n.rejectHopeless(j, v) {
+			n.offer(j, v)
+		}
 	}
 	timer := time.NewTimer(job.Deadline.Sub(now) - answerMargin)
 	defer timer.Stop()
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -31,8 +31,8 @@
 	flowRetention = 10 * time.Second
 	// maxAccounts and maxQueues bound the state of a shard. Further accounts of a queue share
 	// a flow, and further queues are not limited by shares.
-	maxAccounts = 256
-	maxQueues   = 256
+	maxAccounts = 64
+	maxQueues   = 64
 	shardCount  = 16
 )
 
@@ -205,7 +205,11 @@
 // until the backlog is worked off if that is longer, with a jitter of the same length, so that
 // callers do not return together. seed identifies the job.
 func (c *Controller) RetryAfter(base time.Duration, seed string) time.Duration {
-	delay := max(base, c.Wait(c.Total()))
+	return RetryAfter(max(base, c.Wait(c.Total())), seed)
+}
+
+// RetryAfter returns a delay with a jitter of at least its own length. seed identifies the job.
+func RetryAfter(delay time.Duration, seed string) time.Duration {
 	return delay + time.Duration(float64(delay)*float64(rendezvous.Hash(seed)%1024)/1024)
 }
 
@@ -330,21 +334,29 @@
 // QueueReport describes a queue while capacity is short.
 type QueueReport struct {
 	Queue string
-	// Wait is the expected wait of a new job.
-	Wait time.Duration
+	// Wait is the expected wait of a new job, Target the target time of the last one.
+	Wait, Target time.Duration
 	// Wanted and Rate are the work per second that the queue requests and gets.
 	Wanted, Rate float64
 	// Rejected counts the rejected jobs by Reason.
 	Rejected [reasonCount]uint64
 }
 
+// Share returns the part of the requested work that the queue gets.
+func (q *QueueReport) Share() float64 {
+	if q.Wanted <= 0 {
+		return 1
+	}
+	return q.Rate / q.Wanted
+}
+
 // Report returns the state of all queues by name, and whether capacity is short.
 func (c *Controller) Report(now time.Duration) (queues []QueueReport, short bool) {
 	for _, s := range c.shards {
 		s.mu.Lock()
 		for name, q := range s.queues {
 			wait := c.Wait(c.Ahead(now, now+q.due))
-			queues = append(queues, QueueReport{Queue: name, Wait: wait, Wanted: q.wanted, Rate: q.rate, Rejected: q.rejected})
+			queues = append(queues, QueueReport{Queue: name, Wait: wait, Target: q.target, Wanted: q.wanted, Rate: q.rate, Rejected: q.rejected})
 		}
 		s.mu.Unlock()
 	}
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -28,12 +28,13 @@
 	}
 }
 
-// admit returns a failure if a job is rejected because capacity is short. A job of which
+// admit returns a failure if a job is rejected because capacity is short. At-most-once jobs are
+// admitted: their target times order them by class and do not limit the use of an answer. A job of which
 // anything may have run is always admitted, and so is a job for which an upstream is free. Before
 // the term is settled, the estimate lacks the jobs that other origins still offer; jobs then wait
 // for the next tick after it.
 func (s *Scheduler) admit(now time.Time, offered *Job, expected float64, t termState) *verdict.Error {
-	if offered.Resumed {
+	if offered.Resumed || offered.AtMostOnce {
 		return nil
 	}
 	firstSent, isNew := s.jobShardFor(offered.ID).firstSent(offered.ID)
@@ -103,7 +104,7 @@
 // were one class higher, while capacity is short: its first runs are worth nothing without the
 // others. The caller holds mu.
 func (s *jobShard) preferBegun(j *job) {
-	if j.preferred || !s.load.WasShort() {
+	if j.preferred || j.AtMostOnce || !s.load.WasShort() {
 		return
 	}
 	j.preferred = true
@@ -138,7 +139,7 @@
 // mayReject reports whether a job may be rejected for load: nothing of it has run or may run.
 func (r *jobRecord) mayReject() bool {
 	j := r.job
-	return j != nil && j.unstarted() && !j.ranBefore && j.running == 0 && len(j.blocked) == 0 && !j.hasWaitingSuspect()
+	return j != nil && !j.AtMostOnce && j.unstarted() && !j.ranBefore && j.running == 0 && len(j.blocked) == 0 && !j.hasWaitingSuspect()
 }
 
 // hopeless returns the jobs that may be rejected and would end after their useful time.
@@ -189,5 +190,5 @@
 	end := func(slowdown float64) time.Time {
 		return now.Add(time.Duration(c.expected * slowdown * float64(time.Second)))
 	}
-	return end(u.model.slowdown()).After(c.targetAt) && !end(1).After(c.targetAt)
+	return !c.job.AtMostOnce && end(u.model.slowdown()).After(c.targetAt) && !end(1).After(c.targetAt)
 }
