--- a/overload/controller.go
+++ b/overload/controller.go
@@ -208,8 +208,13 @@
 	return RetryAfter(max(base, c.Wait(c.Total())), seed)
 }
 
-// RetryAfter returns a delay with a jitter of at least its own length. seed identifies the job.
+// maxRetryAfter bounds Retry-After without its jitter: capacity may return at any time.
+const maxRetryAfter = 10 * time.Second
+
+// RetryAfter returns a delay of at most maxRetryAfter with a random jitter of up to the same length.
+// seed identifies the job.
 func RetryAfter(delay time.Duration, seed string) time.Duration {
+	delay = min(delay, maxRetryAfter)
 	return delay + time.Duration(float64(delay)*float64(rendezvous.Hash(seed)%1024)/1024)
 }
 
