--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -308,9 +308,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 14
+	// map header, size 15
 	// string "f"
-	o = append(o, 0x8e, 0xa1, 0x66)
+	o = append(o, 0x8f, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -355,13 +355,25 @@
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.ClockUS)
+	// string "ql"
+	o = append(o, 0xa2, 0x71, 0x6c)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
+	for za0002 := range z.Load {
+		// map header, size 2
+		// string "q"
+		o = append(o, 0x82, 0xa1, 0x71)
+		o = msgp.AppendString(o, z.Load[za0002].Queue)
+		// string "w"
+		o = append(o, 0xa1, 0x77)
+		o = msgp.AppendInt64(o, z.Load[za0002].WaitUS)
+	}
 	// string "m"
 	o = append(o, 0xa1, 0x6d)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-	for za0002 := range z.Members {
-		o, err = z.Members[za0002].MarshalMsg(o)
+	for za0003 := range z.Members {
+		o, err = z.Members[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Members", za0002)
+			err = msgp.WrapError(err, "Members", za0003)
 			return
 		}
 	}
@@ -477,22 +489,70 @@
 				err = msgp.WrapError(err, "ClockUS")
 				return
 			}
-		case "m":
+		case "ql":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Load")
+				return
+			}
+			if cap(z.Load) >= int(zb0003) {
+				z.Load = (z.Load)[:zb0003]
+			} else {
+				z.Load = make([]QueueLoad, zb0003)
+			}
+			for za0002 := range z.Load {
+				var zb0004 uint32
+				zb0004, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Load", za0002)
+					return
+				}
+				for zb0004 > 0 {
+					zb0004--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Load", za0002)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "q":
+						z.Load[za0002].Queue, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Load", za0002, "Queue")
+							return
+						}
+					case "w":
+						z.Load[za0002].WaitUS, bts, err = msgp.ReadInt64Bytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Load", za0002, "WaitUS")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Load", za0002)
+							return
+						}
+					}
+				}
+			}
+		case "m":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Members) >= int(zb0003) {
-				z.Members = (z.Members)[:zb0003]
+			if cap(z.Members) >= int(zb0005) {
+				z.Members = (z.Members)[:zb0005]
 			} else {
-				z.Members = make([]FleetMember, zb0003)
+				z.Members = make([]FleetMember, zb0005)
 			}
-			for za0002 := range z.Members {
-				bts, err = z.Members[za0002].UnmarshalMsg(bts)
+			for za0003 := range z.Members {
+				bts, err = z.Members[za0003].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0002)
+					err = msgp.WrapError(err, "Members", za0003)
 					return
 				}
 			}
@@ -514,9 +574,13 @@
 	for za0001 := range z.Evacuated {
 		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
 	}
-	s += 2 + msgp.Int64Size + 2 + msgp.ArrayHeaderSize
-	for za0002 := range z.Members {
-		s += z.Members[za0002].Msgsize()
+	s += 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	for za0002 := range z.Load {
+		s += 1 + 2 + msgp.StringPrefixSize + len(z.Load[za0002].Queue) + 2 + msgp.Int64Size
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0003 := range z.Members {
+		s += z.Members[za0003].Msgsize()
 	}
 	return
 }
@@ -1318,6 +1382,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z QueueLoad) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "q"
+	o = append(o, 0x82, 0xa1, 0x71)
+	o = msgp.AppendString(o, z.Queue)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt64(o, z.WaitUS)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *QueueLoad) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "q":
+			z.Queue, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Queue")
+				return
+			}
+		case "w":
+			z.WaitUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "WaitUS")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z QueueLoad) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Queue) + 2 + msgp.Int64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z StateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -108,6 +108,7 @@
 	}
 	evacuated := n.evacuation.table.State()
 	h.EvacuationRevision, h.Evacuated = evacuated.Revision, evacuated.DataCentres
+	h.Load = n.load(h.Term)
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
@@ -150,6 +151,7 @@
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
 		Hears:      hears(h),
 	}, bidirectional)
+	n.receiveLoad(time.Now(), h)
 	if h.Divided {
 		n.fleet.RecordDivision()
 	}
