--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -27,6 +27,7 @@
 				poll, _, _, _ := s.NextPoll(now, u.Name)
 				s.HandlePollResult(now, poll, scheduler.PollAnswered, scheduler.PollReport{Clock: 1000, ProcessStart: 1})
 			}
+			s.Tick(now) // every upstream has answered, so that jobs may start
 			n := 0
 			offer := func() {
 				n++
