Departure notices: short tasks start on upstreams that have begun to drain

Need: upstreams that leave announce it 1.8 to 2 s before, in the state and remaining_ms of their entries. A draining upstream got no task at all, although most tasks take 60 to 200 ms and capacity is short when many leave.

Change: the notice is decoded into Upstream.Notice. A task may start within a quarter of drain_ms after this VM has listed the entry as draining, if the 99th percentile of its run time on that upstream ends before the notice. The start order expires with that quarter. Nothing starts if it is not known since when the upstream drains, nor do at-most-once tasks and suspects. A notice that is negative, no number or longer than an hour is logged with key and reason, and the entry is otherwise used. Without drain_ms, nothing changes.

--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -135,6 +135,7 @@
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
 			n.decisions.Placement(&start, n.taskName(start.Run.Task))
+			n.observePlacement(&start)
 			n.pendingOrders.Add(1)
 			go func() {
 				defer n.pendingOrders.Add(-1)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,7 +16,7 @@
 type Metrics struct {
 	set *metrics.Set
 
-	Jobs, Terms, Polls, Stops, SuspectedCrashes *metrics.Counter
+	Jobs, Terms, Polls, Stops, SuspectedCrashes, DrainingStarts *metrics.Counter
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
 	starts      []*metrics.Counter
@@ -34,6 +34,7 @@
 		Polls:            set.NewCounter("mustardstep_looks_total"),
 		Stops:            set.NewCounter("mustardstep_stops_total"),
 		SuspectedCrashes: set.NewCounter("mustardstep_upstream_suspected_crashes_total"),
+		DrainingStarts:   set.NewCounter("mustardstep_starts_on_draining_upstreams_total"),
 		taskWaits:        set.NewHistogram("mustardstep_task_wait_seconds"),
 		startTimes: set.NewHistogram(
 			"mustardstep_start_seconds"),
--- a/node/node.go
+++ b/node/node.go
@@ -91,6 +91,9 @@
 	// the node has become unready. DrainTimeout limits the wait for pending requests;
 	// the graceful stop ends lastAnswersTimeout after it at the latest.
 	DrainDelay, DrainTimeout time.Duration
+	// UpstreamDrain is the time for which an upstream must go on serving after its entry
+	// reports that it drains. If 0, a draining upstream gets no tasks.
+	UpstreamDrain time.Duration
 	// Store keys and prefixes. If ConfigurationKey is empty, the node reads no
 	// configuration and each job carries its queue.
 	ConfigurationKey, UpstreamPrefix, MemberPrefix string
@@ -208,7 +211,7 @@
 		log:            deps.Log.With(slog.String("vm", config.VM)),
 		decisions:      deps.Decisions,
 		fleet:          fleet.New(self),
-		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions, CallerReturn: config.CallerReturn, JoinDelay: joinDelay}),
+		scheduler:      scheduler.New(time.Now(), scheduler.Config{LeaseMax: config.LeaseMax, MaxWaiting: cmp.Or(config.MaxWaiting, maxWaiting), RetainCompletions: config.RetainCompletions, CallerReturn: config.CallerReturn, JoinDelay: joinDelay, DrainTime: config.UpstreamDrain}),
 		jobs:           intake.New[Job](),
 		placeSignal:    make(chan struct{}, 1),
 		relistSignal:   make(chan struct{}, 1),
--- /dev/null
+++ b/node/notices.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"log/slog"
+	"time"
+
+	"github.com/mustardstep/mustardstep/scheduler"
+)
+
+// storeSource is the source of a list that was read from the store, for the log.
+const storeSource = "store"
+
+// recordNotice completes the departure notice of an entry that was decoded, from the one that
+// was known before, and logs the part of the entry that was ignored. It is known since when
+// the upstream drains if this VM has followed its entry: an upstream that was draining when
+// its entry appeared, or after a gap between two readings, may have drained for long. The
+// caller must hold the registry's lock.
+func (n *Node) recordNotice(e *entry, known entry, fromStore bool) {
+	u := &e.upstream
+	if u.Ignored != "" && u.Ignored != known.upstream.Ignored {
+		n.log.Warn("part of an upstream entry ignored", slog.String("key", e.item.Key), slog.String("reason", u.Ignored))
+	}
+	if !u.Draining {
+		u.Notice = scheduler.DepartureNotice{}
+		return
+	}
+	now := time.Now()
+	followed := known.valid && !known.odd && known.lapsedAt.IsZero()
+	recent := fromStore && now.Sub(n.registry.readAt) <= n.config.UpstreamDrain/2
+	switch {
+	case !followed || !recent && !known.upstream.Draining:
+		u.Notice = scheduler.DepartureNotice{}
+	case !recent:
+		u.Notice = known.upstream.Notice // the new one may have been written long ago
+	default:
+		// The entry was written after the last reading, which did not have it.
+		u.Notice.ReadAt, u.Notice.DrainingSince = n.registry.readAt, now
+		if known.upstream.Draining {
+			u.Notice.DrainingSince = known.upstream.Notice.DrainingSince
+		}
+	}
+	if !known.upstream.Draining && u.Notice.Left > 0 {
+		n.log.Info("upstream has announced its departure", slog.String("upstream", u.Name), slog.Int64("left_ms", u.Notice.Left.Milliseconds()),
+			slog.Bool("takes_tasks", n.config.UpstreamDrain > 0 && !u.Notice.DrainingSince.IsZero()))
+	}
+}
+
+// observePlacement counts and logs a task that was placed on a draining upstream.
+func (n *Node) observePlacement(start *scheduler.Start) {
+	if !start.Upstream.Draining {
+		return
+	}
+	n.metrics.DrainingStarts.Inc()
+	notice := &start.Upstream.Notice
+	n.log.Info("task placed on a draining upstream", slog.String("job", start.Run.Job), slog.String("task", n.taskName(start.Run.Task)),
+		slog.String("upstream", start.Upstream.Name), slog.Int64("left_ms", notice.Left.Milliseconds()),
+		slog.Int64("read_ms", time.Since(notice.ReadAt).Milliseconds()), slog.Int64("expected_ms", start.Expected.Milliseconds()))
+}
--- a/node/registry.go
+++ b/node/registry.go
@@ -216,7 +216,7 @@
 				newest = max(newest, item.Revision)
 			}
 			newest = max(1, min(newest, revision)) // an empty list counts as listed; the pages are not one snapshot
-			n.replaceUpstreams(items, newest, "store")
+			n.replaceUpstreams(items, newest, storeSource)
 			n.recordListing(time.Now(), revision)
 			n.registry.recordCurrent(currentAt)
 			n.confirmList(time.Now())
@@ -232,7 +232,7 @@
 						n.markLapsed(now, e.Key)
 					}
 				} else {
-					n.putUpstream(e.Item)
+					n.putUpstream(e.Item, true)
 				}
 			}
 			n.registry.mu.Unlock()
@@ -248,7 +248,7 @@
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
-		n.putUpstream(item)
+		n.putUpstream(item, source == storeSource)
 	}
 	for key := range n.registry.entries {
 		if !listed[key] {
@@ -266,8 +266,9 @@
 	n.wakeTermLoop()
 }
 
-// putUpstream adds or updates an entry. The caller must hold the registry's lock.
-func (n *Node) putUpstream(item store.Item) {
+// putUpstream adds or updates an entry. fromStore means that it was read from the store,
+// not received from a peer. The caller must hold the registry's lock.
+func (n *Node) putUpstream(item store.Item, fromStore bool) {
 	known, present := n.registry.entries[item.Key]
 	if present && known.item.Revision >= item.Revision {
 		if known.item.Revision == item.Revision && !known.lapsedAt.IsZero() && !known.odd {
@@ -286,7 +287,7 @@
 		if present && known.valid {
 			// The upstream gets no tasks, but may still run some.
 			e.upstream, e.valid, e.odd = known.upstream, true, true
-			e.upstream.Draining = true
+			e.upstream.Draining, e.upstream.Notice = true, scheduler.DepartureNotice{}
 			e.lapsedAt = known.lapsedAt
 			if e.lapsedAt.IsZero() {
 				e.lapsedAt = time.Now()
@@ -294,6 +295,7 @@
 		}
 	} else {
 		e.upstream, e.valid = upstream, true
+		n.recordNotice(&e, known, fromStore)
 		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
 			n.log.Info("upstream entry changed", slog.String("upstream", upstream.Name), slog.Bool("draining", upstream.Draining),
 				slog.String("address", upstream.Address), slog.Int64("revision", item.Revision))
@@ -368,7 +370,9 @@
 		case v.ShouldClaim(self, e.upstream.Name, e.upstream.DataCentre):
 			upstream := e.upstream
 			upstream.ListedAt = e.listedAt
-			upstream.Draining = upstream.Draining || n.deps.Drained != nil && n.deps.Drained(upstream.Name)
+			if n.deps.Drained != nil && n.deps.Drained(upstream.Name) {
+				upstream.Draining, upstream.Notice = true, scheduler.DepartureNotice{}
+			}
 			upstream.Missing = !e.lapsedAt.IsZero() && (lapsedFor >= lapseGrace || !e.lapsedAt.After(e.listedAt))
 			list = append(list, upstream)
 		default:
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -244,14 +244,18 @@
 	if rule == leaseEnds && returnsBefore(c.returnAt, u.leaseEnd) {
 		return false // the lease of other runs would outlive the return of the task's caller
 	}
-	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.accepts(now, c.isolation) &&
+	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.endsInTime(now, &c) && u.accepts(now, c.isolation) &&
 		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
 
 // cost is the value by which upstreams are compared: the slowdown, doubled for each
-// consecutive failure.
+// consecutive failure and while the upstream drains.
 func (u *upstream) cost() float64 {
-	return u.model.slowdown() * float64(uint(1)<<min(u.health.ConsecutiveFailures(), maxCostDoublings))
+	cost := u.model.slowdown() * float64(uint(1)<<min(u.health.ConsecutiveFailures(), maxCostDoublings))
+	if u.Draining {
+		cost *= drainingCost
+	}
+	return cost
 }
 
 // maxCostDoublings is the maximum number of doublings in cost.
@@ -267,7 +271,7 @@
 	if u == nil || !suits(now, u, c, rule) {
 		return Start{}, false
 	}
-	window := u.leaseLength(now, startWindow, rule)
+	window := u.startWindow(now, u.leaseLength(now, startWindow, rule))
 	if rule == leaseEnds && !c.returnAt.IsZero() {
 		window = min(window, c.returnAt.Sub(now))
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,6 +52,9 @@
 	// JoinDelay is the time for which an upstream that joins during a term gets no tasks, so that
 	// the VMs that may dispatch next list it before.
 	JoinDelay time.Duration
+	// DrainTime is the time for which an upstream must go on serving after its entry reports
+	// that it drains. 0 means that it is unknown; a draining upstream then gets no tasks.
+	DrainTime time.Duration
 }
 
 // Timing of the upstream protocol.
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -15,8 +15,13 @@
 	Name, Address, Service, DataCentre string
 	Size                               Size
 	Labels                             []string
-	// Draining means that the upstream gets no new tasks.
+	// Draining means that the upstream gets no new tasks, except as Notice allows.
 	Draining bool
+	// Notice is the departure notice of a draining upstream.
+	Notice DepartureNotice
+	// Ignored tells which part of the upstream's entry is invalid and was ignored, for the
+	// log; empty if none.
+	Ignored string
 	// Missing means that the platform no longer lists the upstream. It gets no new
 	// tasks but may still have active runs.
 	Missing bool
@@ -108,6 +113,7 @@
 	// lease is renewed.
 	leaseEnd     time.Time
 	usableFrom   time.Time // no new tasks before
+	startsUntil  time.Time // no new tasks from then on, if it drains
 	pollFailures int       // consecutive failed polls
 	retryAt      time.Time
 	lastPoll     time.Time // sending time of the newest answered poll
@@ -134,7 +140,7 @@
 // usable reports whether new tasks may be placed on the upstream. Orphans prevent it,
 // because their size is unknown.
 func (u *upstream) usable(now time.Time, rule leaseRule) bool {
-	return u.listed && u.claimed && !now.Before(u.usableFrom) && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
+	return u.listed && u.claimed && !now.Before(u.usableFrom) && u.takesTasks(now) && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
 		!u.fenced && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun() &&
 		u.leaseLength(now, startWindow, rule) >= minLease
 }
@@ -318,7 +324,8 @@
 		if u.Missing && !entry.Missing {
 			u.retryAt = time.Time{}
 		}
-		u.Upstream, u.listed = entry, true
+		u.setEntry(entry, s.config.DrainTime)
+		u.listed = true
 		shard.mu.Unlock()
 	}
 	for _, shard := range s.upstreamShards {
