Probation of upstreams that crash or fail repeatedly

Need: upstreams that flap (down and up every 1.4 to 1.8 s) got full work at each return and lost it at the next crash. Upstreams that fail or hang while they answer polls were ejected after three failures, readmitted after one success, and got full work again.

Change: after two crashes within 10 s, or an ejection, an upstream is on probation: it costs four times as much and gets one short run at a time, for 2 s to 30 s or until 4 to 32 runs have completed. While an ejection is remembered, one failed run ejects the upstream again. A fall does not count if another upstream falls within 50 ms, if the upstream was leaving, or if a suspect or a task of a queue known for crashes ran there. Crashes of an upstream on probation accuse no task, and suspects do not run there.

--- a/health/health.go
+++ b/health/health.go
@@ -72,6 +72,13 @@
 	t.ejectedUntil = now.Add(t.ejection)
 }
 
+// Eject ejects the upstream although its failures are below the thresholds.
+func (t *Tracker) Eject(now time.Time) {
+	if !t.ejected {
+		t.eject(now)
+	}
+}
+
 // Ejected reports whether the upstream is ejected.
 func (t *Tracker) Ejected() bool { return t.ejected }
 
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -299,6 +299,7 @@
 			slog.String("upstream", end.Upstream), slog.String("how", end.How), slog.Int64("held_ms", end.Held.Milliseconds()),
 			slog.String("origin", end.Origin), slog.Uint64("submission", end.Submission), slog.Int64("age_ms", end.Age.Milliseconds()))
 	}
+	n.logProbations(a.Probations)
 	for _, r := range a.Resurfaced {
 		n.metrics.observeResurfaced(r.State)
 		n.log.Warn("run that counted as over was listed", slog.String("job", r.Job), slog.String("task", n.taskName(r.Task)), slog.Int("attempt", r.Attempt),
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -71,6 +71,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
 }
 
+// observeProbation counts a probation that has begun.
+func (m *Metrics) observeProbation(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_upstream_probations_total{reason=%q}", reason)).Inc()
+}
+
 // AddLogCounts adds the counts of the lines of a logger.
 func (m *Metrics) AddLogCounts(counts *logging.Counts) {
 	for result, count := range map[string]*atomic.Uint64{"written": &counts.Written, "dropped": &counts.Dropped, "failed": &counts.Failed} {
@@ -102,6 +107,7 @@
 	set.NewGauge("mustardstep_jobs_open", func() float64 { return float64(n.jobs.Len()) })
 	set.NewGauge("mustardstep_tasks_waiting", func() float64 { return float64(n.scheduler.Waiting()) })
 	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
+	set.NewGauge("mustardstep_upstreams_on_probation", func() float64 { return float64(n.scheduler.UpstreamsOnProbation()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
 	set.NewGauge("mustardstep_members_lost", func() float64 { return float64(len(n.view.Load().WatchedLost())) })
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -20,6 +20,8 @@
 	FoundEnds []FoundEnd
 	// Resurfaced lists runs that counted as over and are listed, for the log.
 	Resurfaced []ResurfacedRun
+	// Probations lists upstreams whose probation has begun or ended, for the log.
+	Probations []ProbationChange
 	// unapplied lists lost runs that were not yet applied to their jobs; finishLost
 	// applies them and moves them to Lost.
 	unapplied []finishedRun
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -113,7 +113,7 @@
 func (u *upstream) accuse(now time.Time, evidence string, runs []*run, b *blame) {
 	involved := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.crash != nil })
 	var suspicions []float64
-	if len(involved) > 0 && !u.Draining && !u.Missing {
+	if len(involved) > 0 && !u.Draining && !u.Missing && !u.probation.Active() {
 		crashed := make([]crashedRun, len(involved))
 		for i, r := range involved {
 			crashed[i] = crashedRun{queue: r.queue, age: now.Sub(r.orderedAt), isolated: r.isolation != isolatedNot, confirmed: r.confirmed}
@@ -156,6 +156,7 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	if u := shard.byName[name]; u != nil && u.Address == address {
+		s.noteFall(now, u, now, false)
 		u.suspectCrash(now, "the upstream has closed an idle connection and refuses new ones", &s.blame)
 		a.Polls = append(a.Polls, name)
 		shard.recomputeBounds()
--- a/scheduler/departure.go
+++ b/scheduler/departure.go
@@ -34,6 +34,9 @@
 // setEntry updates the description of an upstream and the time until which tasks may start
 // while it drains. The caller holds mu of the shard.
 func (u *upstream) setEntry(entry Upstream, drainTime time.Duration) {
+	if u.Draining || u.Missing || entry.Draining || entry.Missing || u.Address != entry.Address {
+		u.leaving = true
+	}
 	u.Upstream, u.startsUntil = entry, time.Time{}
 	if n := entry.Notice; entry.Draining && !n.DrainingSince.IsZero() && n.Left > 0 {
 		u.startsUntil = n.DrainingSince.Add(drainTime / drainStartShare)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -244,17 +244,20 @@
 	if rule == leaseEnds && returnsBefore(c.returnAt, u.leaseEnd) {
 		return false // the lease of other runs would outlive the return of the task's caller
 	}
-	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.endsInTime(now, &c) && u.accepts(now, c.isolation) &&
+	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.endsInTime(now, &c) && u.trustedWith(&c) && u.accepts(now, c.isolation) &&
 		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
 
 // cost is the value by which upstreams are compared: the slowdown, doubled for each
-// consecutive failure and while the upstream drains.
+// consecutive failure and while the upstream drains, and greater on probation.
 func (u *upstream) cost() float64 {
 	cost := u.model.slowdown() * float64(uint(1)<<min(u.health.ConsecutiveFailures(), maxCostDoublings))
 	if u.Draining {
 		cost *= drainingCost
 	}
+	if u.probation.Active() {
+		cost *= probationCost
+	}
 	return cost
 }
 
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -237,10 +237,11 @@
 		u.lastContact = now
 		u.fence(now)
 	case PollOtherProcess:
-		u.lastContact = now
 		if poll.Upstream.Address == u.Address {
+			s.noteFall(now, u, u.lastContact, false)
 			u.noteCrash(now, poll.Sent, "another process listens at the address", nil, &s.blame, a)
 		}
+		u.lastContact = now
 		u.notePollFailure(now)
 	default:
 		u.notePollFailure(now)
--- /dev/null
+++ b/scheduler/probation.go
@@ -0,0 +1,214 @@
+package scheduler
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// An upstream falls when it crashes or is ejected. One that falls several times in a short
+// time is on probation after its return (health.Probation). A fall counts only if nothing else
+// explains it: not if several upstreams fall together, if the upstream was leaving, or if a
+// task ran there that is known or suspected to crash upstreams.
+
+const (
+	// probationCost is the factor of the cost of an upstream on probation.
+	probationCost = 4
+	// silentFallTime is the time within which other upstreams that fell together with one
+	// of which only the new process has told return as well. It covers the longest delay
+	// between two polls of an upstream that does not answer.
+	silentFallTime = maxPollBackoff + lease
+	// fallRetention is the time for which falls are compared with later ones, and maxFalls
+	// the greatest number that is compared. Beyond it they have a common cause.
+	fallRetention = 3 * time.Second
+	maxFalls      = 256
+)
+
+// fall is a fall of an upstream, which happened at a time from earliest to latest.
+type fall struct {
+	upstream, service string
+	earliest, latest  time.Time
+	failing           bool          // it was ejected; otherwise it crashed
+	uptime            time.Duration // since its last return; 0 if unknown
+	shared            bool          // another upstream fell with it; guarded by falls.mu
+}
+
+// falls tells falls that have a common cause from others.
+type falls struct {
+	mu     sync.Mutex // guards the fields below
+	recent []*fall    // in the order of detection
+	// returned holds the falls of upstreams that have come back, until it is known whether
+	// others fell with them.
+	returned []*fall
+}
+
+// add records a fall when it is detected.
+func (f *falls) add(now time.Time, one *fall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.recent = slices.DeleteFunc(f.recent, func(old *fall) bool { return now.Sub(old.latest) > fallRetention })
+	for _, other := range f.recent {
+		if other.upstream != one.upstream && other.service == one.service &&
+			!other.earliest.After(one.latest.Add(commonCauseTime)) && !one.earliest.After(other.latest.Add(commonCauseTime)) {
+			one.shared, other.shared = true, true
+		}
+	}
+	if len(f.recent) >= maxFalls {
+		one.shared = true
+		return
+	}
+	f.recent = append(f.recent, one)
+}
+
+// addReturned records that the upstream of a fall has come back.
+func (f *falls) addReturned(one *fall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returned = append(f.returned, one)
+}
+
+// attribute returns the falls of upstreams that have come back, once it is known that no
+// other upstream fell with them.
+func (f *falls) attribute(now time.Time) (own []*fall) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.returned = slices.DeleteFunc(f.returned, func(one *fall) bool {
+		settled := one.latest.Add(commonCauseTime)
+		if one.earliest.Before(one.latest) {
+			settled = one.latest.Add(silentFallTime)
+		}
+		if !one.shared && now.Before(settled) {
+			return false
+		}
+		if !one.shared {
+			own = append(own, one)
+		}
+		return true
+	})
+	return own
+}
+
+// ProbationChange tells that a probation has begun or ended, for the log.
+type ProbationChange struct {
+	Upstream string
+	Began    bool
+	// Failing means that the upstream was ejected because its runs failed or hung;
+	// otherwise it crashed.
+	Failing bool
+	// Falls is the number of recent falls, and Length the longest time of the probation.
+	Falls  int
+	Length time.Duration
+	// Earned means that completed runs have ended the probation, not its time.
+	Earned bool
+}
+
+// noteFall records that an upstream has fallen at a time since earliest, unless something
+// else explains it. The caller holds mu of the shard.
+func (s *Scheduler) noteFall(now time.Time, u *upstream, earliest time.Time, failing bool) {
+	if u.fall != nil || u.leaving {
+		return
+	}
+	for _, r := range u.runs {
+		if !failing && (r.isolation != isolatedNot || s.blame.knows(now, u.Service, r.queue)) {
+			return
+		}
+	}
+	u.fall = &fall{upstream: u.Name, service: u.Service, earliest: earlier(earliest, now), latest: now, failing: failing}
+	if !u.upSince.IsZero() {
+		u.fall.uptime = u.fall.earliest.Sub(u.upSince)
+	}
+	s.falls.add(now, u.fall)
+}
+
+// noteReport records that an upstream has answered a poll: it is back if it had crashed. The
+// caller holds mu of the shard.
+func (s *Scheduler) noteReport(now time.Time, u *upstream) {
+	u.leaving = u.Draining || u.Missing
+	if u.fall != nil && !u.fall.failing {
+		s.noteReturn(now, u)
+	}
+}
+
+// noteReturn records that an upstream has come back after a fall. The caller holds mu of the
+// shard.
+func (s *Scheduler) noteReturn(now time.Time, u *upstream) {
+	s.falls.addReturned(u.fall)
+	u.fall, u.upSince = nil, now
+}
+
+// knows reports whether a queue has tasks that are known to crash upstreams.
+func (b *blame) knows(now time.Time, service, queue string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.service(now, service).confirmed[queue] > 0
+}
+
+// checkProbation notes whether the upstream has been ejected or readmitted, and ends a
+// probation whose time has passed. The caller holds mu of the shard.
+func (u *upstream) checkProbation(now time.Time, s *Scheduler, a *Actions) {
+	switch ejected := u.health.Ejected(); {
+	case ejected && !u.wasEjected:
+		s.noteFall(now, u, now, true)
+	case !ejected && u.wasEjected && u.fall != nil && u.fall.failing:
+		s.noteReturn(now, u)
+	}
+	u.wasEjected = u.health.Ejected()
+	if u.probation.Expire(now) {
+		a.Probations = append(a.Probations, ProbationChange{Upstream: u.Name, Falls: u.probation.Falls()})
+	}
+}
+
+// beginProbations applies falls that have no common cause.
+func (s *Scheduler) beginProbations(now time.Time, a *Actions) {
+	for _, one := range s.falls.attribute(now) {
+		shard := s.upstreamShardFor(one.upstream)
+		shard.mu.Lock()
+		if u := shard.byName[one.upstream]; u != nil && u.probation.RecordFall(now, one.uptime, one.failing) {
+			a.Probations = append(a.Probations, ProbationChange{
+				Upstream: u.Name, Began: true, Failing: one.failing, Falls: u.probation.Falls(), Length: u.probation.Until().Sub(now),
+			})
+		}
+		shard.mu.Unlock()
+	}
+}
+
+// noteCompletedRun counts a completed run for the probation. The caller holds mu of the
+// shard.
+func (u *upstream) noteCompletedRun(now time.Time, a *Actions) {
+	if u.probation.RecordSuccess(now) {
+		a.Probations = append(a.Probations, ProbationChange{Upstream: u.Name, Falls: u.probation.Falls(), Earned: true})
+	}
+}
+
+// noteFailedRun ejects an upstream of which a run has failed or hung if it has been ejected
+// shortly before. The caller holds mu of the shard.
+func (u *upstream) noteFailedRun(now time.Time) {
+	if u.probation.EjectedRecently(now) {
+		u.health.Eject(now)
+	}
+}
+
+// trustedWith reports whether a task may start on the upstream in spite of a probation. A
+// suspect may not, because the upstream may crash by itself.
+func (u *upstream) trustedWith(c *candidate) bool {
+	if !u.probation.Active() {
+		return true
+	}
+	length := time.Duration(c.expected * u.model.slowdown() * float64(time.Second))
+	return c.isolation == isolatedNot && u.probation.Allows(len(u.runs), length)
+}
+
+// UpstreamsOnProbation returns the number of listed upstreams on probation.
+func (s *Scheduler) UpstreamsOnProbation() int {
+	n := 0
+	for _, shard := range s.upstreamShards {
+		shard.mu.Lock()
+		for _, u := range shard.byName {
+			if u.listed && u.probation.Active() {
+				n++
+			}
+		}
+		shard.mu.Unlock()
+	}
+	return n
+}
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -45,6 +45,7 @@
 		u.usableFrom = later(u.usableFrom, now.Add(lateClaimDelay))
 	}
 	u.claimed, u.pollFailures, u.lastContact = true, 0, now
+	s.noteReport(now, u)
 	u.lastAcked = max(u.lastAcked, poll.Acked)
 	for _, c := range report.Completions {
 		if c.Number <= u.lastSeen {
@@ -95,6 +96,7 @@
 // current report comes from the new process: it lists no run of the old one, and it is
 // valid even if the old process answered a poll that was sent later.
 func (u *upstream) handleNewProcess(now, polled time.Time, report *PollReport, s *Scheduler, a *Actions) {
+	s.noteFall(now, u, u.lastContact, false)
 	u.noteCrash(now, polled, "the upstream's process was replaced", report, &s.blame, a)
 	u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
 	u.model, u.lastSeen, u.lastAcked, u.clock = speedModel{}, 0, 0, 0
@@ -149,9 +151,11 @@
 	switch c.Kind {
 	case CompletionDone:
 		u.health.RecordSuccess(now)
+		u.noteCompletedRun(now, a)
 		u.learn(now, r)
 	case CompletionFailed:
 		u.health.RecordFailure(now, rendezvous.Hash(c.Job), true)
+		u.noteFailedRun(now)
 	}
 	return f
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -138,6 +138,7 @@
 	nextShard      atomic.Uint32                   // shard of upstreams at which the next placement begins
 	models         queueModels
 	blame          blame
+	falls          falls
 	serviceSizes   atomic.Pointer[map[string]int] // number of upstreams to claim by service
 
 	token            atomic.Int64  // fencing token of the term; 0 while not dispatching
@@ -312,6 +313,7 @@
 		latestStart = later(latestStart, state.latestStart)
 		allHeld = allHeld && state.allHeld
 	}
+	s.beginProbations(now, &a)
 	s.updateSplit(now, allHeld)
 	s.finishLost(now, &a)
 	s.noteCoverage(token, a.coverage)
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -128,8 +128,13 @@
 	// over holds the runs that have counted as over without a completion, across terms.
 	over map[Run]overRun
 
-	health health.Tracker
-	model  speedModel
+	health     health.Tracker
+	wasEjected bool // as of the last tick
+	probation  health.Probation
+	fall       *fall     // since when it is down or ejected; nil if it is not
+	upSince    time.Time // when it came back after its last fall; zero if it never fell
+	leaving    bool      // its entry has said since its last report that it leaves or moves
+	model      speedModel
 }
 
 // clockNow estimates the current value of the upstream's clock, in ms.
@@ -232,6 +237,7 @@
 		}
 		u.expireOver(now)
 		u.checkStalls(now, scheduler, a)
+		u.checkProbation(now, scheduler, a)
 		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.polling {
 			s.remove(u)
 		}
@@ -274,6 +280,7 @@
 		}
 		r.stallReported = true
 		u.health.RecordFailure(now, rendezvous.Hash(r.Job), true)
+		u.noteFailedRun(now)
 		if r.atMostOnce {
 			continue // may still complete; a stop would abandon its job
 		}
