Prefer upstreams in the data centre of a job's origin

Need: where one dispatcher serves several data centres, tasks started on any of about equally good upstreams, two thirds of them in another data centre with three. That traffic is costly for the operators.

In a divided fleet nothing changes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -448,6 +448,19 @@
 	return ""
 }
 
+// DataCentre returns the data centre of a member, or "" if the member is unknown.
+func (f *Fleet) DataCentre(vm string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if vm == f.self.VM {
+		return f.self.DataCentre
+	}
+	if p := f.peers[vm]; p != nil {
+		return p.heartbeat.Member.DataCentre
+	}
+	return ""
+}
+
 // Term returns the term that another member has last reported, or 0.
 func (f *Fleet) Term(vm string) uint64 {
 	f.mu.Lock()
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/wait"
@@ -43,7 +44,7 @@
 		return &wire.OfferResponse{WrongTerm: true, Reason: "the offer arrived after its origin had given it up"}
 	}
 	actions, failure := n.scheduler.Offer(now, scheduler.Job{
-		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
+		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, DataCentre: n.originDataCentre(r.Origin), Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS) - late), Deadline: now.Add(microseconds(r.DeadlineUS) - late),
@@ -423,3 +424,12 @@
 	}
 	return err
 }
+
+// originDataCentre returns the data centre of an origin, or "" if this VM dispatches for its
+// own data centre only, so that the choice does not matter.
+func (n *Node) originDataCentre(origin string) string {
+	if n.view.Load().Scope == fleet.ScopeDataCentre {
+		return ""
+	}
+	return n.fleet.DataCentre(origin)
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -20,6 +20,7 @@
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
 	starts      []*metrics.Counter
+	near, away  *metrics.Counter
 	taskWaits   *metrics.Histogram
 	startTimes  *metrics.Histogram
 }
@@ -35,6 +36,8 @@
 		Stops:            set.NewCounter("mustardstep_stops_total"),
 		SuspectedCrashes: set.NewCounter("mustardstep_upstream_suspected_crashes_total"),
 		DrainingStarts:   set.NewCounter("mustardstep_starts_on_draining_upstreams_total"),
+		near:             set.NewCounter(`mustardstep_placements_by_data_centre_total{where="origin"}`),
+		away:             set.NewCounter(`mustardstep_placements_by_data_centre_total{where="other"}`),
 		taskWaits:        set.NewHistogram("mustardstep_task_wait_seconds"),
 		startTimes: set.NewHistogram(
 			"mustardstep_start_seconds"),
@@ -71,6 +74,15 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
 }
 
+// observeNearness counts a placement in the data centre of the origin, or in another one.
+func (m *Metrics) observeNearness(near bool) {
+	if near {
+		m.near.Inc()
+	} else {
+		m.away.Inc()
+	}
+}
+
 // observeProbation counts a probation that has begun.
 func (m *Metrics) observeProbation(reason string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_upstream_probations_total{reason=%q}", reason)).Inc()
--- a/node/notices.go
+++ b/node/notices.go
@@ -20,38 +20,48 @@
 	if u.Ignored != "" && u.Ignored != known.upstream.Ignored {
 		n.log.Warn("part of an upstream entry ignored", slog.String("key", e.item.Key), slog.String("reason", u.Ignored))
 	}
+	read := u.Notice
+	u.Notice = nil
 	if !u.Draining {
-		u.Notice = scheduler.DepartureNotice{}
 		return
 	}
 	now := time.Now()
 	followed := known.valid && !known.odd && known.lapsedAt.IsZero()
 	recent := fromStore && now.Sub(n.registry.readAt) <= n.config.UpstreamDrain/2
 	switch {
-	case !followed || !recent && !known.upstream.Draining:
-		u.Notice = scheduler.DepartureNotice{}
-	case !recent:
+	case !followed:
+	case !recent && known.upstream.Draining:
 		u.Notice = known.upstream.Notice // the new one may have been written long ago
-	default:
+	case recent && read != nil:
 		// The entry was written after the last reading, which did not have it.
-		u.Notice.ReadAt, u.Notice.DrainingSince = n.registry.readAt, now
+		u.Notice = &scheduler.DepartureNotice{Left: read.Left, ReadAt: n.registry.readAt, DrainingSince: now}
 		if known.upstream.Draining {
-			u.Notice.DrainingSince = known.upstream.Notice.DrainingSince
+			u.Notice.DrainingSince = known.drainingSince()
 		}
 	}
-	if !known.upstream.Draining && u.Notice.Left > 0 {
-		n.log.Info("upstream has announced its departure", slog.String("upstream", u.Name), slog.Int64("left_ms", u.Notice.Left.Milliseconds()),
-			slog.Bool("takes_tasks", n.config.UpstreamDrain > 0 && !u.Notice.DrainingSince.IsZero()))
+	if !known.upstream.Draining && read != nil && read.Left > 0 {
+		n.log.Info("upstream has announced its departure", slog.String("upstream", u.Name), slog.Int64("left_ms", read.Left.Milliseconds()),
+			slog.Bool("takes_tasks", n.config.UpstreamDrain > 0 && u.Notice != nil))
 	}
 }
 
-// observePlacement counts and logs a task that was placed on a draining upstream.
+// drainingSince returns since when the upstream is known to drain, or zero.
+func (e *entry) drainingSince() time.Time {
+	if e.upstream.Notice == nil {
+		return time.Time{}
+	}
+	return e.upstream.Notice.DrainingSince
+}
+
+// observePlacement counts a placement by the data centre of its upstream, and logs a task that
+// was placed on a draining upstream.
 func (n *Node) observePlacement(start *scheduler.Start) {
-	if !start.Upstream.Draining {
+	n.metrics.observeNearness(start.Near)
+	notice := start.Upstream.Notice
+	if notice == nil {
 		return
 	}
 	n.metrics.DrainingStarts.Inc()
-	notice := &start.Upstream.Notice
 	n.log.Info("task placed on a draining upstream", slog.String("job", start.Run.Job), slog.String("task", n.taskName(start.Run.Task)),
 		slog.String("upstream", start.Upstream.Name), slog.Int64("left_ms", notice.Left.Milliseconds()),
 		slog.Int64("read_ms", time.Since(notice.ReadAt).Milliseconds()), slog.Int64("expected_ms", start.Expected.Milliseconds()))
--- a/node/registry.go
+++ b/node/registry.go
@@ -287,7 +287,7 @@
 		if present && known.valid {
 			// The upstream gets no tasks, but may still run some.
 			e.upstream, e.valid, e.odd = known.upstream, true, true
-			e.upstream.Draining, e.upstream.Notice = true, scheduler.DepartureNotice{}
+			e.upstream.Draining, e.upstream.Notice = true, nil
 			e.lapsedAt = known.lapsedAt
 			if e.lapsedAt.IsZero() {
 				e.lapsedAt = time.Now()
@@ -371,7 +371,7 @@
 			upstream := e.upstream
 			upstream.ListedAt = e.listedAt
 			if n.deps.Drained != nil && n.deps.Drained(upstream.Name) {
-				upstream.Draining, upstream.Notice = true, scheduler.DepartureNotice{}
+				upstream.Draining, upstream.Notice = true, nil
 			}
 			upstream.Missing = !e.lapsedAt.IsZero() && (lapsedFor >= lapseGrace || !e.lapsedAt.After(e.listedAt))
 			list = append(list, upstream)
--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -113,7 +113,7 @@
 func (u *upstream) accuse(now time.Time, evidence string, runs []*run, b *blame) {
 	involved := slices.DeleteFunc(slices.Clone(runs), func(r *run) bool { return r.crash != nil })
 	var suspicions []float64
-	if len(involved) > 0 && !u.Draining && !u.Missing && !u.probation.Active() {
+	if len(involved) > 0 && !u.Draining && !u.Missing && !u.onProbation() {
 		crashed := make([]crashedRun, len(involved))
 		for i, r := range involved {
 			crashed[i] = crashedRun{queue: r.queue, age: now.Sub(r.orderedAt), isolated: r.isolation != isolatedNot, confirmed: r.confirmed}
--- a/scheduler/departure.go
+++ b/scheduler/departure.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// DepartureNotice tells for how long a draining upstream remains. The zero value means that
-// nothing is known; the upstream then gets no new tasks.
+// DepartureNotice tells for how long a draining upstream remains. It is immutable. Without
+// one, or if Left or DrainingSince is zero, the upstream gets no new tasks.
 type DepartureNotice struct {
 	// DrainingSince is when this VM first listed the entry as draining, or zero if the
 	// upstream may have been draining for longer.
@@ -38,7 +38,7 @@
 		u.leaving = true
 	}
 	u.Upstream, u.startsUntil = entry, time.Time{}
-	if n := entry.Notice; entry.Draining && !n.DrainingSince.IsZero() && n.Left > 0 {
+	if n := entry.Notice; entry.Draining && n != nil && !n.DrainingSince.IsZero() && n.Left > 0 {
 		u.startsUntil = n.DrainingSince.Add(drainTime / drainStartShare)
 	}
 }
@@ -56,7 +56,7 @@
 	if !u.Draining {
 		return true
 	}
-	if c.job.AtMostOnce || c.isolation != isolatedNot || c.suspicion > 0 {
+	if u.Notice == nil || c.job.AtMostOnce || c.isolation != isolatedNot || c.suspicion > 0 {
 		return false
 	}
 	left := u.Notice.Left - now.Sub(u.Notice.ReadAt) - noticeMargin
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -83,6 +83,9 @@
 	Origin     string
 	Submission uint64
 	Basis      StartBasis
+	// Near means that the upstream is in the data centre of the origin. It is false if that is
+	// unknown.
+	Near bool
 }
 
 // maxTried bounds two searches: placeNext tries the first jobs of at most this many
@@ -209,7 +212,7 @@
 // cost it takes the first it meets. Each call begins at the next shard, which
 // distributes the load.
 func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
-	best, rule := noScore, s.leaseRule()
+	best, rule, near := noScore, s.leaseRule(), c.nearness(now)
 	scanned := 0
 	from := int(s.nextShard.Add(1))
 	for i := range upstreamShardCount {
@@ -224,7 +227,11 @@
 				continue
 			}
 			scanned++
-			if cost := u.cost(); cost < best && suits(now, u, c, rule) {
+			cost := u.cost()
+			if near.dataCentre != "" {
+				cost *= near.factor(u)
+			}
+			if cost < best && suits(now, u, c, rule) {
 				best, name = cost, u.Name
 			}
 			if scanned >= maxScanned {
@@ -255,7 +262,7 @@
 	if u.Draining {
 		cost *= drainingCost
 	}
-	if u.probation.Active() {
+	if u.onProbation() {
 		cost *= probationCost
 	}
 	return cost
@@ -295,7 +302,7 @@
 		Waited:   now.Sub(c.job.Sent),
 		Expected: time.Duration(c.expected * u.model.slowdown() * float64(time.Second)),
 		Left:     c.targetAt.Sub(now), Free: u.freeSize(), Suspicion: c.suspicion,
-		Origin: c.job.Origin, Submission: c.job.Submission, Basis: c.basis,
+		Origin: c.job.Origin, Submission: c.job.Submission, Basis: c.basis, Near: u.DataCentre == c.job.DataCentre && u.DataCentre != "",
 	}, true
 }
 
--- a/scheduler/probation.go
+++ b/scheduler/probation.go
@@ -4,6 +4,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mustardstep/mustardstep/health"
 )
 
 // An upstream falls when it crashes or is ejected. One that falls several times in a short
@@ -33,6 +35,16 @@
 	shared            bool          // another upstream fell with it; guarded by falls.mu
 }
 
+// fallRecord is what is known about the falls of an upstream. The lock of its shard guards it.
+type fallRecord struct {
+	probation health.Probation
+	current   *fall     // nil while the upstream is up
+	upSince   time.Time // when it came back after its last fall; zero before
+}
+
+// onProbation reports whether the upstream is on probation.
+func (u *upstream) onProbation() bool { return u.falls != nil && u.falls.probation.Active() }
+
 // falls tells falls that have a common cause from others.
 type falls struct {
 	mu     sync.Mutex // guards the fields below
@@ -105,7 +117,7 @@
 // noteFall records that an upstream has fallen at a time since earliest, unless something
 // else explains it. The caller holds mu of the shard.
 func (s *Scheduler) noteFall(now time.Time, u *upstream, earliest time.Time, failing bool) {
-	if u.fall != nil || u.leaving {
+	if u.leaving || u.falls != nil && u.falls.current != nil {
 		return
 	}
 	for _, r := range u.runs {
@@ -113,18 +125,22 @@
 			return
 		}
 	}
-	u.fall = &fall{upstream: u.Name, service: u.Service, earliest: earlier(earliest, now), latest: now, failing: failing}
-	if !u.upSince.IsZero() {
-		u.fall.uptime = u.fall.earliest.Sub(u.upSince)
+	if u.falls == nil {
+		u.falls = &fallRecord{}
+	}
+	one := &fall{upstream: u.Name, service: u.Service, earliest: earlier(earliest, now), latest: now, failing: failing}
+	if !u.falls.upSince.IsZero() {
+		one.uptime = one.earliest.Sub(u.falls.upSince)
 	}
-	s.falls.add(now, u.fall)
+	u.falls.current = one
+	s.falls.add(now, one)
 }
 
 // noteReport records that an upstream has answered a poll: it is back if it had crashed. The
 // caller holds mu of the shard.
 func (s *Scheduler) noteReport(now time.Time, u *upstream) {
 	u.leaving = u.Draining || u.Missing
-	if u.fall != nil && !u.fall.failing {
+	if u.falls != nil && u.falls.current != nil && !u.falls.current.failing {
 		s.noteReturn(now, u)
 	}
 }
@@ -132,8 +148,8 @@
 // noteReturn records that an upstream has come back after a fall. The caller holds mu of the
 // shard.
 func (s *Scheduler) noteReturn(now time.Time, u *upstream) {
-	s.falls.addReturned(u.fall)
-	u.fall, u.upSince = nil, now
+	s.falls.addReturned(u.falls.current)
+	u.falls.current, u.falls.upSince = nil, now
 }
 
 // knows reports whether a queue has tasks that are known to crash upstreams.
@@ -149,12 +165,12 @@
 	switch ejected := u.health.Ejected(); {
 	case ejected && !u.wasEjected:
 		s.noteFall(now, u, now, true)
-	case !ejected && u.wasEjected && u.fall != nil && u.fall.failing:
+	case !ejected && u.wasEjected && u.falls != nil && u.falls.current != nil && u.falls.current.failing:
 		s.noteReturn(now, u)
 	}
 	u.wasEjected = u.health.Ejected()
-	if u.probation.Expire(now) {
-		a.Probations = append(a.Probations, ProbationChange{Upstream: u.Name, Falls: u.probation.Falls()})
+	if u.falls != nil && u.falls.probation.Expire(now) {
+		a.Probations = append(a.Probations, ProbationChange{Upstream: u.Name, Falls: u.falls.probation.Falls()})
 	}
 }
 
@@ -163,9 +179,9 @@
 	for _, one := range s.falls.attribute(now) {
 		shard := s.upstreamShardFor(one.upstream)
 		shard.mu.Lock()
-		if u := shard.byName[one.upstream]; u != nil && u.probation.RecordFall(now, one.uptime, one.failing) {
+		if u := shard.byName[one.upstream]; u != nil && u.falls != nil && u.falls.probation.RecordFall(now, one.uptime, one.failing) {
 			a.Probations = append(a.Probations, ProbationChange{
-				Upstream: u.Name, Began: true, Failing: one.failing, Falls: u.probation.Falls(), Length: u.probation.Until().Sub(now),
+				Upstream: u.Name, Began: true, Failing: one.failing, Falls: u.falls.probation.Falls(), Length: u.falls.probation.Until().Sub(now),
 			})
 		}
 		shard.mu.Unlock()
@@ -175,15 +191,15 @@
 // noteCompletedRun counts a completed run for the probation. The caller holds mu of the
 // shard.
 func (u *upstream) noteCompletedRun(now time.Time, a *Actions) {
-	if u.probation.RecordSuccess(now) {
-		a.Probations = append(a.Probations, ProbationChange{Upstream: u.Name, Falls: u.probation.Falls(), Earned: true})
+	if u.falls != nil && u.falls.probation.RecordSuccess(now) {
+		a.Probations = append(a.Probations, ProbationChange{Upstream: u.Name, Falls: u.falls.probation.Falls(), Earned: true})
 	}
 }
 
 // noteFailedRun ejects an upstream of which a run has failed or hung if it has been ejected
 // shortly before. The caller holds mu of the shard.
 func (u *upstream) noteFailedRun(now time.Time) {
-	if u.probation.EjectedRecently(now) {
+	if u.falls != nil && u.falls.probation.EjectedRecently(now) {
 		u.health.Eject(now)
 	}
 }
@@ -191,11 +207,11 @@
 // trustedWith reports whether a task may start on the upstream in spite of a probation. A
 // suspect may not, because the upstream may crash by itself.
 func (u *upstream) trustedWith(c *candidate) bool {
-	if !u.probation.Active() {
+	if !u.onProbation() {
 		return true
 	}
 	length := time.Duration(c.expected * u.model.slowdown() * float64(time.Second))
-	return c.isolation == isolatedNot && u.probation.Allows(len(u.runs), length)
+	return c.isolation == isolatedNot && u.falls.probation.Allows(len(u.runs), length)
 }
 
 // UpstreamsOnProbation returns the number of listed upstreams on probation.
@@ -204,7 +220,7 @@
 	for _, shard := range s.upstreamShards {
 		shard.mu.Lock()
 		for _, u := range shard.byName {
-			if u.listed && u.probation.Active() {
+			if u.listed && u.onProbation() {
 				n++
 			}
 		}
--- a/scheduler/task.go
+++ b/scheduler/task.go
@@ -47,6 +47,9 @@
 	// Origin is the VM that took the job from its caller, OriginIncarnation its process.
 	Origin            string
 	OriginIncarnation uint64
+	// DataCentre is that of the origin, or empty if it is unknown. Of about equally good
+	// upstreams, those in it are preferred.
+	DataCentre string
 	// Submission distinguishes the submissions of the job to its origin.
 	Submission uint64
 	// Term identifies the offer at its origin. Notices about the job name it.
--- a/scheduler/uneven_replay_test.go
+++ b/scheduler/uneven_replay_test.go
@@ -41,7 +41,8 @@
 	down                                 map[string]bool
 	jobs                                 map[string]*unevenJob
 	list                                 []scheduler.Upstream
-	offered, inTime, ran, local, without int // without: runs that did not succeed
+	near                                 bool // jobs tell the data centre of their origin
+	offered, inTime, ran, local, without int  // without: runs that did not succeed
 	wasted                               time.Duration
 	started                              map[scheduler.Run]time.Time
 	onProbation                          []string
@@ -92,6 +93,9 @@
 				played.work, j.Tasks = append(played.work, work), append(j.Tasks, i)
 			}
 			played.target = time.Duration(1.6*float64(slices.Max(played.work))) + 60*time.Millisecond
+			if r.near {
+				j.DataCentre = played.dataCentre
+			}
 			r.jobs[j.ID] = played
 			r.offered++
 			r.offer(j)
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -17,8 +17,8 @@
 	Labels                             []string
 	// Draining means that the upstream gets no new tasks, except as Notice allows.
 	Draining bool
-	// Notice is the departure notice of a draining upstream.
-	Notice DepartureNotice
+	// Notice is the departure notice of a draining upstream; nil if there is none.
+	Notice *DepartureNotice
 	// Ignored tells which part of the upstream's entry is invalid and was ignored, for the
 	// log; empty if none.
 	Ignored string
@@ -129,11 +129,9 @@
 	over map[Run]overRun
 
 	health     health.Tracker
-	wasEjected bool // as of the last tick
-	probation  health.Probation
-	fall       *fall     // since when it is down or ejected; nil if it is not
-	upSince    time.Time // when it came back after its last fall; zero if it never fell
-	leaving    bool      // its entry has said since its last report that it leaves or moves
+	wasEjected bool        // as of the last tick
+	falls      *fallRecord // nil if it never fell
+	leaving    bool        // its entry has said since its last report that it leaves or moves
 	model      speedModel
 }
 
