Probation: crashes that are noticed late do not count

Cause: a crash of which no closed connection told was dated by the last answer of the upstream and its return, and compared with others for 1.3 s. Idle upstreams are polled only every 5 s, so of a rack that loses its power in silence some came back alone. Two such losses put them on probation.

Evidence: TestUpstreamIsOnProbationForOtherCause, with falls of a rack up to 30 ms apart and the silent loss every 2 s, failed for u1, u2, u4 and u5.

Change: a crash counts if a closed connection has told of it, or if a new process answers within 0.45 s of the last answered poll.

--- a/scheduler/crash.go
+++ b/scheduler/crash.go
@@ -156,7 +156,7 @@
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
 	if u := shard.byName[name]; u != nil && u.Address == address {
-		s.noteFall(now, u, now, false)
+		s.noteFall(now, u, false)
 		u.suspectCrash(now, "the upstream has closed an idle connection and refuses new ones", &s.blame)
 		a.Polls = append(a.Polls, name)
 		shard.recomputeBounds()
--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -238,7 +238,7 @@
 		u.fence(now)
 	case PollOtherProcess:
 		if poll.Upstream.Address == u.Address {
-			s.noteFall(now, u, u.lastContact, false)
+			s.noteNewProcess(now, u)
 			u.noteCrash(now, poll.Sent, "another process listens at the address", nil, &s.blame, a)
 		}
 		u.lastContact = now
--- a/scheduler/probation.go
+++ b/scheduler/probation.go
@@ -16,20 +16,21 @@
 const (
 	// probationCost is the factor of the cost of an upstream on probation.
 	probationCost = 4
-	// silentFallTime is the time within which other upstreams that fell together with one
-	// of which only the new process has told return as well. It covers the longest delay
-	// between two polls of an upstream that does not answer.
-	silentFallTime = maxPollBackoff + lease
+	// quickRestartTime is the time since the last answered poll was sent within which a new
+	// process shows that its upstream has fallen just now: that poll and the one that failed.
+	// After a longer silence the time of the fall is unknown, and so is whether others fell
+	// with it: a rack may have lost its power.
+	quickRestartTime = 2*maxPollWait + 50*time.Millisecond
 	// fallRetention is the time for which falls are compared with later ones, and maxFalls
 	// the greatest number that is compared. Beyond it they have a common cause.
 	fallRetention = 3 * time.Second
 	maxFalls      = 256
 )
 
-// fall is a fall of an upstream, which happened at a time from earliest to latest.
+// fall is a fall of an upstream.
 type fall struct {
 	upstream, service string
-	earliest, latest  time.Time
+	at                time.Time
 	failing           bool          // it was ejected; otherwise it crashed
 	uptime            time.Duration // since its last return; 0 if unknown
 	shared            bool          // another upstream fell with it; guarded by falls.mu
@@ -58,10 +59,9 @@
 func (f *falls) add(now time.Time, one *fall) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.recent = slices.DeleteFunc(f.recent, func(old *fall) bool { return now.Sub(old.latest) > fallRetention })
+	f.recent = slices.DeleteFunc(f.recent, func(old *fall) bool { return now.Sub(old.at) > fallRetention })
 	for _, other := range f.recent {
-		if other.upstream != one.upstream && other.service == one.service &&
-			!other.earliest.After(one.latest.Add(commonCauseTime)) && !one.earliest.After(other.latest.Add(commonCauseTime)) {
+		if other.upstream != one.upstream && other.service == one.service && one.at.Sub(other.at) <= commonCauseTime {
 			one.shared, other.shared = true, true
 		}
 	}
@@ -85,11 +85,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.returned = slices.DeleteFunc(f.returned, func(one *fall) bool {
-		settled := one.latest.Add(commonCauseTime)
-		if one.earliest.Before(one.latest) {
-			settled = one.latest.Add(silentFallTime)
-		}
-		if !one.shared && now.Before(settled) {
+		if !one.shared && now.Sub(one.at) <= commonCauseTime {
 			return false
 		}
 		if !one.shared {
@@ -114,9 +110,9 @@
 	Earned bool
 }
 
-// noteFall records that an upstream has fallen at a time since earliest, unless something
-// else explains it. The caller holds mu of the shard.
-func (s *Scheduler) noteFall(now time.Time, u *upstream, earliest time.Time, failing bool) {
+// noteFall records that an upstream has fallen just now, unless something else explains it. The
+// caller holds mu of the shard.
+func (s *Scheduler) noteFall(now time.Time, u *upstream, failing bool) {
 	if u.leaving || u.falls != nil && u.falls.current != nil {
 		return
 	}
@@ -128,14 +124,22 @@
 	if u.falls == nil {
 		u.falls = &fallRecord{}
 	}
-	one := &fall{upstream: u.Name, service: u.Service, earliest: earlier(earliest, now), latest: now, failing: failing}
+	one := &fall{upstream: u.Name, service: u.Service, at: now, failing: failing}
 	if !u.falls.upSince.IsZero() {
-		one.uptime = one.earliest.Sub(u.falls.upSince)
+		one.uptime = now.Sub(u.falls.upSince)
 	}
 	u.falls.current = one
 	s.falls.add(now, one)
 }
 
+// noteNewProcess records that another process has answered in place of the one known. The
+// caller holds mu of the shard.
+func (s *Scheduler) noteNewProcess(now time.Time, u *upstream) {
+	if now.Sub(u.lastPoll) <= quickRestartTime {
+		s.noteFall(now, u, false)
+	}
+}
+
 // noteReport records that an upstream has answered a poll: it is back if it had crashed. The
 // caller holds mu of the shard.
 func (s *Scheduler) noteReport(now time.Time, u *upstream) {
@@ -164,7 +168,7 @@
 func (u *upstream) checkProbation(now time.Time, s *Scheduler, a *Actions) {
 	switch ejected := u.health.Ejected(); {
 	case ejected && !u.wasEjected:
-		s.noteFall(now, u, now, true)
+		s.noteFall(now, u, true)
 	case !ejected && u.wasEjected && u.falls != nil && u.falls.current != nil && u.falls.current.failing:
 		s.noteReturn(now, u)
 	}
--- a/scheduler/probation_test.go
+++ b/scheduler/probation_test.go
@@ -59,39 +59,25 @@
 // 12 s, on 18 upstreams; each event happens every 2 s.
 func TestUpstreamIsOnProbationForOtherCause(t *testing.T) {
 	rack := []string{"u0", "u1", "u2", "u3", "u4", "u5"}
-	returnAt := func(i int) time.Duration { return time.Second + time.Duration(i)*70*time.Millisecond }
-	for name, event := range map[string]func(r *unevenReplay, round int, at time.Duration){
-		"the loss of a rack": func(r *unevenReplay, _ int, at time.Duration) {
+	group := func(fall, back func(*unevenReplay, string)) func(*unevenReplay, int, time.Duration) {
+		return func(r *unevenReplay, _ int, at time.Duration) {
 			for i, u := range rack {
 				switch at {
 				case time.Duration(i%4) * 10 * time.Millisecond: // detected within commonCauseTime
-					r.crash(u)
-				case returnAt(i):
-					r.restart(u)
-				}
-			}
-		},
-		"a rack that is cut off": func(r *unevenReplay, _ int, at time.Duration) {
-			for i, u := range rack {
-				switch at {
-				case 0:
-					r.down[u] = true
-					r.apply(r.scheduler.HandleSuspectedCrash(r.now, u, ""))
-				case returnAt(i):
-					r.down[u] = false
-				}
-			}
-		},
-		"the silent loss of a rack": func(r *unevenReplay, _ int, at time.Duration) {
-			for i, u := range rack {
-				switch at {
-				case 0:
-					r.down[u] = true
-				case returnAt(i):
-					r.restart(u)
+					fall(r, u)
+				case time.Second + time.Duration(i)*70*time.Millisecond:
+					back(r, u)
 				}
 			}
-		},
+		}
+	}
+	for name, event := range map[string]func(r *unevenReplay, round int, at time.Duration){
+		"the loss of a rack": group((*unevenReplay).crash, (*unevenReplay).restart),
+		"a rack that is cut off": group(func(r *unevenReplay, u string) {
+			r.down[u] = true
+			r.apply(r.scheduler.HandleSuspectedCrash(r.now, u, ""))
+		}, func(r *unevenReplay, u string) { r.down[u] = false }),
+		"the silent loss of a rack": group(func(r *unevenReplay, u string) { r.down[u] = true }, (*unevenReplay).restart),
 		"planned replacements": func(r *unevenReplay, _ int, at time.Duration) {
 			switch at {
 			case 0:
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -96,7 +96,7 @@
 // current report comes from the new process: it lists no run of the old one, and it is
 // valid even if the old process answered a poll that was sent later.
 func (u *upstream) handleNewProcess(now, polled time.Time, report *PollReport, s *Scheduler, a *Actions) {
-	s.noteFall(now, u, u.lastContact, false)
+	s.noteNewProcess(now, u)
 	u.noteCrash(now, polled, "the upstream's process was replaced", report, &s.blame, a)
 	u.leaseEnd = later(u.leaseEnd, s.leaseEnd(now, u, s.config.LeaseMax))
 	u.model, u.lastSeen, u.lastAcked, u.clock = speedModel{}, 0, 0, 0
