Soak test: departure notices and upstreams that flap

Need: the soak test drained upstreams without a notice, and crashed them one at a time.

Change: the entry of a draining upstream holds the time that is left, the settings of the daemons hold drain_ms, and a start on an upstream that has been draining for more than drain_ms and an entry interval is a violation if no disturbance kept the daemons from seeing it. A new fault crashes an upstream three times in a row.

--- a/internal/replay/soak_checker.go
+++ b/internal/replay/soak_checker.go
@@ -112,6 +112,13 @@
 	}
 }
 
+// recordLateStart records a start on an upstream that has been draining for too long.
+func (c *soakChecker) recordLateStart(upstream string, run scheduler.Run) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violation("%v started on %s, which had been draining for more than %v", run, upstream, soakDrainTime)
+}
+
 // Limits of the starts of a task that crashes its upstreams.
 const (
 	maxDeadlyCrashes = 3
--- a/internal/replay/soak_faults.go
+++ b/internal/replay/soak_faults.go
@@ -53,6 +53,7 @@
 		func() func() { return s.cutUpstream(u, s.vms, pathCut(s.rng.IntN(int(pathCuts)))) },
 		func() func() { return s.cutUpstream(u, []*soakVM{v}, pathCut(s.rng.IntN(int(pathCuts)))) },
 		func() func() { return s.resetUpstream(u, s.vms) },
+		func() func() { return s.flap(u) },
 	}
 	for range 1 + s.rng.IntN(2) {
 		endFault := faults[s.rng.IntN(len(faults))]()
@@ -238,7 +239,7 @@
 
 func (s *soakTest) drainUpstream(u *soakUpstream) func() {
 	s.recordEvent("drain upstream %s", u.entry.Name)
-	u.update(func() { u.entry.Draining = true })
+	u.update(func() { u.entry.Draining, u.drainingAt = true, time.Now() })
 	return func() { u.update(func() { u.entry.Draining = false }) }
 }
 
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -22,6 +22,12 @@
 	soakCrashTime = 10 * time.Millisecond
 	// soakDownTime is the time for which such an upstream is down.
 	soakDownTime = 1500 * time.Millisecond
+	// soakDrainTime is the time for which an upstream goes on serving after its entry reports
+	// that it drains.
+	soakDrainTime = 2 * time.Second
+	// An upstream that flaps crashes soakFlaps times, every soakFlapInterval.
+	soakFlaps        = 3
+	soakFlapInterval = 800 * time.Millisecond
 	// soakDeadlyShare is the number of jobs of which one is deadly.
 	soakDeadlyShare = 60
 	// soakShrinkGrace is the time after which dispatchers must respect a capacity that has
@@ -36,7 +42,8 @@
 
 	mu           sync.Mutex // guards the fields below
 	entry        scheduler.Upstream
-	unregistered bool // the entry is absent from the store
+	unregistered bool      // the entry is absent from the store
+	drainingAt   time.Time // when the entry began to report that the upstream drains
 	// largest is the largest capacity that dispatchers may still assume.
 	largest scheduler.Size
 }
@@ -96,7 +103,7 @@
 	for version := 1; ctx.Err() == nil; version++ {
 		var entry scheduler.Upstream
 		var unregistered bool
-		u.update(func() { entry, unregistered = u.entry, u.unregistered })
+		u.update(func() { entry, unregistered = u.entryNow(), u.unregistered })
 		key, value, err := platform.UpstreamEntry(entry, version)
 		if err != nil {
 			return err
@@ -115,7 +122,12 @@
 func (s *soakTest) recordStart(u *soakUpstream, run scheduler.Run, token int64, used scheduler.Size) {
 	u.mu.Lock()
 	name, capacity := u.entry.Name, u.largest
+	drainedLong := u.entry.Draining && time.Since(u.drainingAt) > soakDrainTime+soakEntryInterval
+	drainingAt := u.drainingAt
 	u.mu.Unlock()
+	if drainedLong && !s.disturbedSince(drainingAt) {
+		s.checker.recordLateStart(name, run)
+	}
 	deadly := s.deadly.has(run)
 	s.checker.recordStart(name, capacity, run, token, used, deadly)
 	if deadly {
@@ -123,6 +135,25 @@
 	}
 }
 
+// entryNow returns the entry, with the time that is left if the upstream drains. The caller
+// holds mu.
+func (u *soakUpstream) entryNow() scheduler.Upstream {
+	entry := u.entry
+	if entry.Draining {
+		entry.Notice = &scheduler.DepartureNotice{Left: soakDrainTime - time.Since(u.drainingAt)}
+	}
+	return entry
+}
+
+// flap crashes an upstream repeatedly.
+func (s *soakTest) flap(u *soakUpstream) func() {
+	s.recordEvent("upstream %s flaps", u.entry.Name)
+	for i := range soakFlaps {
+		time.AfterFunc(time.Duration(i)*soakFlapInterval, func() { s.crash(u, soakFlapInterval/2) })
+	}
+	return func() {}
+}
+
 // crash ends the process of an upstream for the given time.
 func (s *soakTest) crash(u *soakUpstream, down time.Duration) {
 	s.checker.recordCrash(u.entry.Name)
--- a/internal/replay/soak_vms.go
+++ b/internal/replay/soak_vms.go
@@ -66,6 +66,7 @@
 	file.Listen.Callers, file.Listen.Readiness = v.callerAddr, v.readinessAddr
 	file.Limits.CPUShare, file.Limits.LinkMbps = 1, 1000
 	file.Bounds.LeaseMaxMS, file.Bounds.GraceS, file.Bounds.CallerReturnMS = soakLease.Milliseconds(), soakGraceSeconds, soakRetryDelay.Milliseconds()
+	file.Bounds.DrainMS = soakDrainTime.Milliseconds()
 	file.Store.Address = addresses[4]
 	text, err := file.Encode()
 	if err != nil {
