--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/wait"
@@ -43,7 +44,7 @@
 		return &wire.OfferResponse{WrongTerm: true, Reason: "the offer arrived after its origin had given it up"}
 	}
 	actions, failure := n.scheduler.Offer(now, scheduler.Job{
-		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
+		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, DataCentre: n.originDataCentre(r.Origin), Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS) - late), Deadline: now.Add(microseconds(r.DeadlineUS) - late),
@@ -135,6 +136,7 @@
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
 			n.decisions.Placement(&start, n.taskName(start.Run.Task))
+			n.observePlacement(&start)
 			n.pendingOrders.Add(1)
 			go func() {
 				defer n.pendingOrders.Add(-1)
@@ -300,6 +302,7 @@
 			slog.String("upstream", end.Upstream), slog.String("how", end.How), slog.Int64("held_ms", end.Held.Milliseconds()),
 			slog.String("origin", end.Origin), slog.Uint64("submission", end.Submission), slog.Int64("age_ms", end.Age.Milliseconds()))
 	}
+	n.logProbations(a.Probations)
 	for _, r := range a.Resurfaced {
 		n.metrics.observeResurfaced(r.State)
 		n.log.Warn("run that counted as over was listed", slog.String("job", r.Job), slog.String("task", n.taskName(r.Task)), slog.Int("attempt", r.Attempt),
@@ -423,3 +426,12 @@
 	}
 	return err
 }
+
+// originDataCentre returns the data centre of an origin, or "" if this VM dispatches for its
+// own data centre only, so that the choice does not matter.
+func (n *Node) originDataCentre(origin string) string {
+	if n.view.Load().Scope == fleet.ScopeDataCentre {
+		return ""
+	}
+	return n.fleet.DataCentre(origin)
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -16,10 +16,11 @@
 type Metrics struct {
 	set *metrics.Set
 
-	Jobs, Terms, Polls, Stops, SuspectedCrashes *metrics.Counter
+	Jobs, Terms, Polls, Stops, SuspectedCrashes, DrainingStarts *metrics.Counter
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
 	starts      []*metrics.Counter
+	near, away  *metrics.Counter
 	taskWaits   *metrics.Histogram
 	startTimes  *metrics.Histogram
 }
@@ -34,6 +35,9 @@
 		Polls:            set.NewCounter("mustardstep_looks_total"),
 		Stops:            set.NewCounter("mustardstep_stops_total"),
 		SuspectedCrashes: set.NewCounter("mustardstep_upstream_suspected_crashes_total"),
+		DrainingStarts:   set.NewCounter("mustardstep_starts_on_draining_upstreams_total"),
+		near:             set.NewCounter(`mustardstep_placements_by_data_centre_total{where="origin"}`),
+		away:             set.NewCounter(`mustardstep_placements_by_data_centre_total{where="other"}`),
 		taskWaits:        set.NewHistogram("mustardstep_task_wait_seconds"),
 		startTimes: set.NewHistogram(
 			"mustardstep_start_seconds"),
@@ -78,6 +82,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_runs_resurfaced_total{how=%q}", state)).Inc()
 }
 
+// observeNearness counts a placement in the data centre of the origin, or in another one.
+func (m *Metrics) observeNearness(near bool) {
+	if near {
+		m.near.Inc()
+	} else {
+		m.away.Inc()
+	}
+}
+
+// observeProbation counts a probation that has begun.
+func (m *Metrics) observeProbation(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_upstream_probations_total{reason=%q}", reason)).Inc()
+}
+
 // AddLogCounts adds the counts of the lines of a logger.
 func (m *Metrics) AddLogCounts(counts *logging.Counts) {
 	for result, count := range map[string]*atomic.Uint64{"written": &counts.Written, "dropped": &counts.Dropped, "failed": &counts.Failed} {
@@ -109,6 +127,7 @@
 	set.NewGauge("mustardstep_jobs_open", func() float64 { return float64(n.jobs.Len()) })
 	set.NewGauge("mustardstep_tasks_waiting", func() float64 { return float64(n.scheduler.Waiting()) })
 	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
+	set.NewGauge("mustardstep_upstreams_on_probation", func() float64 { return float64(n.scheduler.UpstreamsOnProbation()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
 	set.NewGauge("mustardstep_evacuated_data_centres", func() float64 { return float64(len(n.evacuation.table.State().DataCentres)) })
--- a/node/registry.go
+++ b/node/registry.go
@@ -218,7 +218,7 @@
 				newest = max(newest, item.Revision)
 			}
 			newest = max(1, min(newest, revision)) // an empty list counts as listed; the pages are not one snapshot
-			n.replaceUpstreams(items, newest, "store")
+			n.replaceUpstreams(items, newest, storeSource)
 			n.recordListing(time.Now(), revision)
 			n.registry.recordCurrent(currentAt)
 			n.confirmList(time.Now())
@@ -234,7 +234,7 @@
 						n.markLapsed(now, e.Key)
 					}
 				} else {
-					n.putUpstream(e.Item)
+					n.putUpstream(e.Item, true)
 				}
 			}
 			n.registry.mu.Unlock()
@@ -250,7 +250,7 @@
 	listed := map[string]bool{}
 	for _, item := range items {
 		listed[item.Key] = true
-		n.putUpstream(item)
+		n.putUpstream(item, source == storeSource)
 	}
 	for key := range n.registry.entries {
 		if !listed[key] {
@@ -268,8 +268,9 @@
 	n.wakeTermLoop()
 }
 
-// putUpstream adds or updates an entry. The caller must hold the registry's lock.
-func (n *Node) putUpstream(item store.Item) {
+// putUpstream adds or updates an entry. fromStore means that it was read from the store,
+// not received from a peer. The caller must hold the registry's lock.
+func (n *Node) putUpstream(item store.Item, fromStore bool) {
 	known, present := n.registry.entries[item.Key]
 	if present && known.item.Revision >= item.Revision {
 		if known.item.Revision == item.Revision && !known.lapsedAt.IsZero() && !known.odd {
@@ -288,7 +289,7 @@
 		if present && known.valid {
 			// The upstream gets no tasks, but may still run some.
 			e.upstream, e.valid, e.odd = known.upstream, true, true
-			e.upstream.Draining = true
+			e.upstream.Draining, e.upstream.Notice = true, nil
 			e.lapsedAt = known.lapsedAt
 			if e.lapsedAt.IsZero() {
 				e.lapsedAt = time.Now()
@@ -296,6 +297,7 @@
 		}
 	} else {
 		e.upstream, e.valid, e.coldUntil = upstream, true, n.coldUntil(time.Now(), &upstream)
+		n.recordNotice(&e, known, fromStore)
 		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
 			n.log.Info("upstream entry changed", slog.String("upstream", upstream.Name), slog.Bool("draining", upstream.Draining),
 				slog.String("address", upstream.Address), slog.Int64("revision", item.Revision))
@@ -372,7 +374,9 @@
 			upstream := e.upstream
 			upstream.ListedAt = e.listedAt
 			upstream.Evacuated, upstream.ColdUntil = slices.Contains(evacuated, upstream.DataCentre), e.coldUntil
-			upstream.Draining = upstream.Draining || n.deps.Drained != nil && n.deps.Drained(upstream.Name)
+			if n.deps.Drained != nil && n.deps.Drained(upstream.Name) {
+				upstream.Draining, upstream.Notice = true, nil
+			}
 			upstream.Missing = !e.lapsedAt.IsZero() && (lapsedFor >= lapseGrace || !e.lapsedAt.After(e.listedAt))
 			list = append(list, upstream)
 		default:
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -101,6 +101,9 @@
 	Origin     string
 	Submission uint64
 	Basis      StartBasis
+	// Near means that the upstream is in the data centre of the origin. It is false if that is
+	// unknown.
+	Near bool
 }
 
 // maxTried bounds two searches: placeNext tries the first jobs of at most this many
@@ -231,6 +234,7 @@
 // distributes the load.
 func (s *Scheduler) choose(now time.Time, c candidate) (name string, ok bool) {
 	best, rule, short := noScore, s.leaseRule(), s.load.Short(now.Sub(s.start))
+	near := c.nearness(now)
 	scanned := 0
 	from := int(s.nextShard.Add(1))
 	for i := range upstreamShardCount {
@@ -245,7 +249,11 @@
 				continue
 			}
 			scanned++
-			if cost := u.cost(); cost < best && suits(now, u, c, rule) {
+			cost := u.cost()
+			if near.dataCentre != "" {
+				cost *= near.factor(u)
+			}
+			if cost < best && suits(now, u, c, rule) {
 				best, name = cost, u.Name
 			}
 			if scanned >= maxScanned {
@@ -265,14 +273,21 @@
 	if rule == leaseEnds && returnsBefore(c.returnAt, u.leaseEnd) {
 		return false // the lease of other runs would outlive the return of the task's caller
 	}
-	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.accepts(now, c.isolation) &&
+	return u.Service == c.job.Service && c.job.Size.FitsIn(u.freeSize()) && u.usable(now, rule) && u.endsInTime(now, &c) && u.trustedWith(&c) && u.accepts(now, c.isolation) &&
 		!slices.Contains(c.avoid, u.Name) && u.runs[Task{c.job.ID, c.index}] == nil
 }
 
 // cost is the value by which upstreams are compared: the slowdown, doubled for each
-// consecutive failure.
+// consecutive failure and while the upstream drains, and greater on probation.
 func (u *upstream) cost() float64 {
-	return u.model.slowdown() * float64(uint(1)<<min(u.health.ConsecutiveFailures(), maxCostDoublings))
+	cost := u.model.slowdown() * float64(uint(1)<<min(u.health.ConsecutiveFailures(), maxCostDoublings))
+	if u.Draining {
+		cost *= drainingCost
+	}
+	if u.onProbation() {
+		cost *= probationCost
+	}
+	return cost
 }
 
 // maxCostDoublings is the maximum number of doublings in cost.
@@ -288,7 +303,7 @@
 	if u == nil || !suits(now, u, c, rule) {
 		return Start{}, false
 	}
-	window := u.leaseLength(now, startWindow, rule)
+	window := u.startWindow(now, u.leaseLength(now, startWindow, rule))
 	if rule == leaseEnds && !c.returnAt.IsZero() {
 		window = min(window, c.returnAt.Sub(now))
 	}
@@ -309,7 +324,7 @@
 		Waited:   now.Sub(c.job.Sent),
 		Expected: time.Duration(c.expected * u.model.slowdown() * float64(time.Second)),
 		Left:     c.targetAt.Sub(now), Free: u.freeSize(), Suspicion: c.suspicion,
-		Origin: c.job.Origin, Submission: c.job.Submission, Basis: c.basis,
+		Origin: c.job.Origin, Submission: c.job.Submission, Basis: c.basis, Near: u.DataCentre == c.job.DataCentre && u.DataCentre != "",
 	}, true
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -53,6 +53,9 @@
 	// JoinDelay is the time for which an upstream that joins during a term gets no tasks, so that
 	// the VMs that may dispatch next list it before.
 	JoinDelay time.Duration
+	// DrainTime is the time for which an upstream must go on serving after its entry reports
+	// that it drains. 0 means that it is unknown; a draining upstream then gets no tasks.
+	DrainTime time.Duration
 }
 
 // Timing of the upstream protocol.
@@ -137,6 +140,7 @@
 	models         queueModels
 	load           *overload.Controller
 	blame          blame
+	falls          falls
 	serviceSizes   atomic.Pointer[map[string]int] // number of upstreams to claim by service
 
 	token            atomic.Int64  // fencing token of the term; 0 while not dispatching
@@ -314,6 +318,7 @@
 		allHeld = allHeld && state.allHeld
 		capacity += state.capacity
 	}
+	s.beginProbations(now, &a)
 	s.updateSplit(now, allHeld)
 	s.finishLost(now, &a)
 	s.noteCoverage(token, a.coverage)
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -15,8 +15,13 @@
 	Name, Address, Service, DataCentre string
 	Size                               Size
 	Labels                             []string
-	// Draining means that the upstream gets no new tasks.
+	// Draining means that the upstream gets no new tasks, except as Notice allows.
 	Draining bool
+	// Notice is the departure notice of a draining upstream; nil if there is none.
+	Notice *DepartureNotice
+	// Ignored tells which part of the upstream's entry is invalid and was ignored, for the
+	// log; empty if none.
+	Ignored string
 	// Missing means that the platform no longer lists the upstream. It gets no new
 	// tasks but may still have active runs.
 	Missing bool
@@ -116,7 +121,8 @@
 	leaseEnd     time.Time
 	usableFrom   time.Time // no new tasks before
 	returned     serviceReturn
-	pollFailures int // consecutive failed polls
+	startsUntil  time.Time // no new tasks from then on, if it drains
+	pollFailures int       // consecutive failed polls
 	retryAt      time.Time
 	lastPoll     time.Time // sending time of the newest answered poll
 	applying     int       // reports whose runs and completions are being applied to their jobs
@@ -130,8 +136,11 @@
 	// over holds the runs that have counted as over without a completion, across terms.
 	over map[Run]overRun
 
-	health health.Tracker
-	model  speedModel
+	health     health.Tracker
+	wasEjected bool        // as of the last tick
+	falls      *fallRecord // nil if it never fell
+	leaving    bool        // its entry has said since its last report that it leaves or moves
+	model      speedModel
 }
 
 // clockNow estimates the current value of the upstream's clock, in ms.
@@ -142,7 +151,7 @@
 // usable reports whether new tasks may be placed on the upstream. Orphans prevent it,
 // because their size is unknown.
 func (u *upstream) usable(now time.Time, rule leaseRule) bool {
-	return u.listed && u.claimed && !now.Before(u.usableFrom) && !u.Draining && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
+	return u.listed && u.claimed && !now.Before(u.usableFrom) && u.takesTasks(now) && !u.Missing && u.pollFailures < suspectFailures && len(u.orphans) == 0 &&
 		!u.fenced && u.acceptsAfterReturn(now) && u.health.UsableSlots(now, len(u.runs)+1) > len(u.runs) && !u.hasUnwantedRun() &&
 		u.leaseLength(now, startWindow, rule) >= minLease
 }
@@ -240,6 +249,7 @@
 		}
 		u.expireOver(now)
 		u.checkStalls(now, scheduler, a)
+		u.checkProbation(now, scheduler, a)
 		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.polling {
 			s.remove(u)
 		}
@@ -282,6 +292,7 @@
 		}
 		r.stallReported = true
 		u.health.RecordFailure(now, rendezvous.Hash(r.Job), true)
+		u.noteFailedRun(now)
 		if r.atMostOnce {
 			continue // may still complete; a stop would abandon its job
 		}
@@ -333,7 +344,8 @@
 			u.retryAt = time.Time{}
 		}
 		u.noteEvacuation(now, &entry)
-		u.Upstream, u.listed = entry, true
+		u.setEntry(entry, s.config.DrainTime)
+		u.listed = true
 		shard.mu.Unlock()
 	}
 	for _, shard := range s.upstreamShards {
