node: constraints travel with offers; places of completed tasks; counters

Need: a dispatcher must know the constraints of a job, and a new one where tasks have run under earlier dispatchers, or anti_affinity is exceeded after a handover.

Change: OfferRequest has the constraints and the factor. For jobs with anti_affinity, completions name the upstream, the origin keeps it and passes it on with the next offer. An offer with a hard constraint has an empty service, so that dispatchers of earlier releases refuse it instead of ignoring the constraint. The place line has place, reason and parked_us; mustardstep_placements_total{place}, mustardstep_placements_delayed_total and mustardstep_jobs_parked; ignored labels are logged.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -83,6 +83,8 @@
 	lastTerm uint64
 	// histories counts the unsuccessful runs of tasks by their index; nil if there are none.
 	histories map[int]history.Task
+	// completedOn holds the upstreams of completed tasks as far as dispatchers have told them.
+	completedOn map[int]string
 }
 
 // Done returns a channel that is closed once the job is answered.
@@ -164,6 +166,8 @@
 	PreviousTerm uint64
 	// Histories counts the unsuccessful runs of tasks by their index.
 	Histories map[int]history.Task
+	// Completed holds the upstream of each completed task by its index, empty if unknown.
+	Completed map[int]string
 }
 
 // Assign assigns a job to a dispatcher. It returns false if the job is answered
@@ -175,7 +179,7 @@
 	if j.finished || j.term == term && j.vm == vm {
 		return Offer[S]{}, false
 	}
-	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.unfinished), Resumed: j.mayHaveStarted, PreviousVM: j.lastVM, PreviousTerm: j.lastTerm, Histories: maps.Clone(j.histories)}
+	offer := Offer[S]{Job: j, Tasks: slices.Clone(j.unfinished), Resumed: j.mayHaveStarted, PreviousVM: j.lastVM, PreviousTerm: j.lastTerm, Histories: maps.Clone(j.histories), Completed: j.completed()}
 	j.vm, j.term, j.mayHaveStarted, j.lastVM, j.lastTerm = vm, term, true, vm, term
 	return offer, true
 }
@@ -223,6 +227,36 @@
 	return jobs
 }
 
+// completed returns the upstream of each completed task, or nil if there are none. The caller
+// holds mu of the shard.
+func (j *Job[S]) completed() map[int]string {
+	if len(j.unfinished) == len(j.results) {
+		return nil
+	}
+	all := map[int]string{}
+	for index := range j.results {
+		if !slices.Contains(j.unfinished, index) {
+			all[index] = j.completedOn[index]
+		}
+	}
+	return all
+}
+
+// NoteCompletedOn records the upstream of a task. It must be called before CompleteTask.
+func (t *Table[S]) NoteCompletedOn(id string, index int, upstream string) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j := s.jobs[id]
+	if j == nil || !slices.Contains(j.unfinished, index) {
+		return
+	}
+	if j.completedOn == nil {
+		j.completedOn = map[int]string{}
+	}
+	j.completedOn[index] = upstream
+}
+
 // CompleteTask records the result of a task that succeeded. The last one
 // answers the job. CompleteTask returns the dispatcher that the job is assigned to;
 // term is 0 if there is none or the job is already answered.
--- a/internal/logging/decisions.go
+++ b/internal/logging/decisions.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/mustardstep/mustardstep/locality"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -64,7 +65,7 @@
 }
 
 // maxPlacementAttrs is the number of attributes of the longest line of Placement.
-const maxPlacementAttrs = 24
+const maxPlacementAttrs = 27
 
 // Placement logs the upstream on which a task was placed, why the task could start, and the
 // values that determined the choice. task is the name by which the upstream knows the task.
@@ -86,6 +87,9 @@
 			slog.Bool("was_unstarted", basis.WasUnstarted), slog.Bool("earlier_known", basis.EarlierKnown))
 		attrs = appendCoverage(attrs, &basis.Coverage)
 	}
+	if p := start.Placement; p.Kind != locality.Unconstrained || p.Waited > 0 {
+		attrs = append(attrs, slog.String("place", p.Kind.String()), slog.String("reason", p.Reason.String()), slog.Int64("parked_us", p.Waited.Microseconds()))
+	}
 	attrs = append(attrs, slog.String("origin", start.Origin), slog.Uint64("submission", start.Submission),
 		slog.Int64("token", start.Token), slog.Int64("waited_us", start.Waited.Microseconds()),
 		slog.Int64("expected_us", start.Expected.Microseconds()), slog.Int64("left_us", start.Left.Microseconds()),
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -103,6 +103,67 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z CompletedTask) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "i"
+	o = append(o, 0x82, 0xa1, 0x69)
+	o = msgp.AppendInt(o, z.Index)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendString(o, z.Upstream)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *CompletedTask) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "i":
+			z.Index, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Index")
+				return
+			}
+		case "u":
+			z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Upstream")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z CompletedTask) Msgsize() (s int) {
+	s = 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Upstream)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *CompletionsRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -703,9 +764,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *OfferRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 25
+	// map header, size 32
 	// string "j"
-	o = append(o, 0xde, 0x0, 0x19, 0xa1, 0x6a)
+	o = append(o, 0xde, 0x0, 0x20, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "o"
 	o = append(o, 0xa1, 0x6f)
@@ -789,6 +850,36 @@
 			return
 		}
 	}
+	// string "cs"
+	o = append(o, 0xa2, 0x63, 0x73)
+	o = msgp.AppendString(o, z.Constrained)
+	// string "rk"
+	o = append(o, 0xa2, 0x72, 0x6b)
+	o = msgp.AppendString(o, z.Rack)
+	// string "sr"
+	o = append(o, 0xa2, 0x73, 0x72)
+	o = msgp.AppendBool(o, z.SameRack)
+	// string "sf"
+	o = append(o, 0xa2, 0x73, 0x66)
+	o = msgp.AppendFloat64(o, z.SpreadFactor)
+	// string "lb"
+	o = append(o, 0xa2, 0x6c, 0x62)
+	o = msgp.AppendString(o, z.Label)
+	// string "mu"
+	o = append(o, 0xa2, 0x6d, 0x75)
+	o = msgp.AppendInt(o, z.MaxPerUpstream)
+	// string "ct"
+	o = append(o, 0xa2, 0x63, 0x74)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Completed)))
+	for za0004 := range z.Completed {
+		// map header, size 2
+		// string "i"
+		o = append(o, 0x82, 0xa1, 0x69)
+		o = msgp.AppendInt(o, z.Completed[za0004].Index)
+		// string "u"
+		o = append(o, 0xa1, 0x75)
+		o = msgp.AppendString(o, z.Completed[za0004].Upstream)
+	}
 	// string "bt"
 	o = append(o, 0xa2, 0x62, 0x74)
 	o = msgp.AppendUint64(o, z.PreviousTerm)
@@ -996,6 +1087,90 @@
 					return
 				}
 			}
+		case "cs":
+			z.Constrained, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Constrained")
+				return
+			}
+		case "rk":
+			z.Rack, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Rack")
+				return
+			}
+		case "sr":
+			z.SameRack, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SameRack")
+				return
+			}
+		case "sf":
+			z.SpreadFactor, bts, err = msgp.ReadFloat64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "SpreadFactor")
+				return
+			}
+		case "lb":
+			z.Label, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Label")
+				return
+			}
+		case "mu":
+			z.MaxPerUpstream, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "MaxPerUpstream")
+				return
+			}
+		case "ct":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Completed")
+				return
+			}
+			if cap(z.Completed) >= int(zb0005) {
+				z.Completed = (z.Completed)[:zb0005]
+			} else {
+				z.Completed = make([]CompletedTask, zb0005)
+			}
+			for za0004 := range z.Completed {
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Completed", za0004)
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Completed", za0004)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "i":
+						z.Completed[za0004].Index, bts, err = msgp.ReadIntBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Completed", za0004, "Index")
+							return
+						}
+					case "u":
+						z.Completed[za0004].Upstream, bts, err = msgp.ReadStringBytes(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Completed", za0004, "Upstream")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Completed", za0004)
+							return
+						}
+					}
+				}
+			}
 		case "bt":
 			z.PreviousTerm, bts, err = msgp.ReadUint64Bytes(bts)
 			if err != nil {
@@ -1024,6 +1199,10 @@
 	for za0003 := range z.Histories {
 		s += z.Histories[za0003].Msgsize()
 	}
+	s += 3 + msgp.StringPrefixSize + len(z.Constrained) + 3 + msgp.StringPrefixSize + len(z.Rack) + 3 + msgp.BoolSize + 3 + msgp.Float64Size + 3 + msgp.StringPrefixSize + len(z.Label) + 3 + msgp.IntSize + 3 + msgp.ArrayHeaderSize
+	for za0004 := range z.Completed {
+		s += 1 + 2 + msgp.IntSize + 2 + msgp.StringPrefixSize + len(z.Completed[za0004].Upstream)
+	}
 	s += 3 + msgp.Uint64Size
 	return
 }
@@ -1592,9 +1771,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *TaskCompletion) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "j"
-	o = append(o, 0x86, 0xa1, 0x6a)
+	o = append(o, 0x87, 0xa1, 0x6a)
 	o = msgp.AppendString(o, z.Job)
 	// string "su"
 	o = append(o, 0xa2, 0x73, 0x75)
@@ -1611,6 +1790,9 @@
 	// string "r"
 	o = append(o, 0xa1, 0x72)
 	o = msgp.AppendBytes(o, z.Result)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendString(o, z.Upstream)
 	return
 }
 
@@ -1668,6 +1850,12 @@
 				err = msgp.WrapError(err, "Result")
 				return
 			}
+		case "u":
+			z.Upstream, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Upstream")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1682,7 +1870,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *TaskCompletion) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.BytesPrefixSize + len(z.Result)
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.Job) + 3 + msgp.Uint64Size + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.StringPrefixSize + len(z.Reason) + 2 + msgp.BytesPrefixSize + len(z.Result) + 2 + msgp.StringPrefixSize + len(z.Upstream)
 	return
 }
 
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -115,6 +115,14 @@
 	Suspicion float64 `msg:"s"`
 }
 
+// CompletedTask tells where a task has completed.
+type CompletedTask struct {
+	// Index is the index of the task in its job.
+	Index int `msg:"i"`
+	// Upstream is the name of the upstream, or empty if it is unknown.
+	Upstream string `msg:"u"`
+}
+
 // OfferRequest asks a dispatcher to run tasks of a job. The sender stays
 // responsible for the job.
 type OfferRequest struct {
@@ -174,6 +182,25 @@
 	// Histories counts the unsuccessful runs of the tasks, as earlier
 	// dispatchers have reported them.
 	Histories []TaskHistory `msg:"hs"`
+	// Constrained replaces Service, which is then empty, if the job has Label or
+	// MaxPerUpstream. A receiver of an earlier release, which ignores these
+	// fields, has no upstream for an empty service and refuses the offer.
+	Constrained string `msg:"cs"`
+	// Rack is the rack of the job's data, or empty.
+	Rack string `msg:"rk"`
+	// SameRack is true if the tasks are faster in one rack.
+	SameRack bool `msg:"sr"`
+	// SpreadFactor is the run time away from the job's data or group, relative
+	// to that near it; 0 stands for 1.
+	SpreadFactor float64 `msg:"sf"`
+	// Label is the label that upstreams must have, or empty.
+	Label string `msg:"lb"`
+	// MaxPerUpstream is the greatest number of tasks on one upstream; 0 stands
+	// for any number.
+	MaxPerUpstream int `msg:"mu"`
+	// Completed lists the tasks that have completed under earlier dispatchers.
+	// It is empty unless MaxPerUpstream is set.
+	Completed []CompletedTask `msg:"ct"`
 	// PreviousTerm is the term of the previous offer of the job, or 0 for its
 	// first offer.
 	PreviousTerm uint64 `msg:"bt"`
@@ -216,6 +243,9 @@
 	Reason string `msg:"w"`
 	// Result is the output of a task that succeeded.
 	Result []byte `msg:"r"`
+	// Upstream is where a task has succeeded, if its job has MaxPerUpstream;
+	// otherwise empty.
+	Upstream string `msg:"u"`
 }
 
 // AbandonedJob reports that a dispatcher has abandoned a job.
--- a/node/dispatch.go
+++ b/node/dispatch.go
@@ -42,8 +42,9 @@
 		n.log.Info("job offer refused", slog.String("job", r.Job), slog.String("origin", r.Origin), slog.String("reason", "late"), slog.Int64("late_ms", late.Milliseconds()))
 		return &wire.OfferResponse{WrongTerm: true, Reason: "the offer arrived after its origin had given it up"}
 	}
+	service, constraints := constraintsOf(r)
 	actions, failure := n.scheduler.Offer(now, scheduler.Job{
-		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: r.Service, Spec: r.Spec,
+		ID: r.Job, Origin: r.Origin, OriginIncarnation: r.OriginIncarnation, Submission: r.Submission, Term: r.Term, Queue: r.Queue, Service: service, Constraints: constraints, Spec: r.Spec,
 		Size:     scheduler.Size{MilliCPU: r.MilliCPU, MemoryMB: r.MemoryMB, Accelerators: r.Accelerators},
 		Priority: r.Priority, Estimate: microseconds(r.EstimateUS),
 		Sent: now.Add(-microseconds(r.AgeUS) - late), Deadline: now.Add(microseconds(r.DeadlineUS) - late),
@@ -135,6 +136,7 @@
 		starts := n.scheduler.Place(now)
 		for _, start := range starts {
 			n.decisions.Placement(&start, n.taskName(start.Run.Task))
+			n.metrics.observePlacement(start.Placement)
 			n.pendingOrders.Add(1)
 			go func() {
 				defer n.pendingOrders.Add(-1)
@@ -262,7 +264,7 @@
 		}
 		switch notice.Kind {
 		case scheduler.TaskDone, scheduler.TaskFailed:
-			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Submission: notice.Submission, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Reason: notice.Reason, Result: notice.Result})
+			r.Completions = append(r.Completions, wire.TaskCompletion{Job: notice.Task.Job, Submission: notice.Submission, Index: notice.Task.Index, Failed: notice.Kind == scheduler.TaskFailed, Reason: notice.Reason, Result: notice.Result, Upstream: notice.Upstream})
 		default:
 			n.log.Info("job abandoned", slog.String("job", notice.Task.Job), slog.String("origin", notice.Origin),
 				slog.String("reason", notice.Reason), slog.Bool("started", notice.Kind == scheduler.JobAbandoned))
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/internal/logging"
+	"github.com/mustardstep/mustardstep/locality"
 	"github.com/mustardstep/mustardstep/scheduler"
 )
 
@@ -20,6 +21,8 @@
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
 	starts      []*metrics.Counter
+	placements  map[locality.Kind]*metrics.Counter
+	delayed     *metrics.Counter
 	taskWaits   *metrics.Histogram
 	startTimes  *metrics.Histogram
 }
@@ -41,6 +44,11 @@
 	for o := range m.answerTimes {
 		m.answerTimes[o] = set.NewHistogram(fmt.Sprintf("mustardstep_answer_seconds{outcome=%q}", intake.Outcome(o)))
 	}
+	m.placements = map[locality.Kind]*metrics.Counter{}
+	for _, kind := range []locality.Kind{locality.Near, locality.Away} {
+		m.placements[kind] = set.NewCounter(fmt.Sprintf("mustardstep_placements_total{place=%q}", kind))
+	}
+	m.delayed = set.NewCounter("mustardstep_placements_delayed_total")
 	for _, end := range scheduler.SplitEnds() {
 		set.NewCounter(fmt.Sprintf("mustardstep_splits_ended_total{reason=%q}", end))
 	}
@@ -60,6 +68,16 @@
 	m.taskWaits.Update(waited.Seconds())
 }
 
+// observePlacement counts a task for which a near place is preferred, and one that has waited.
+func (m *Metrics) observePlacement(p locality.Placement) {
+	if counter := m.placements[p.Kind]; counter != nil {
+		counter.Inc()
+	}
+	if p.Waited > 0 {
+		m.delayed.Inc()
+	}
+}
+
 // observeFoundEnd counts a run of another term that was adopted or is over.
 func (m *Metrics) observeFoundEnd(how string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("mustardstep_found_runs_ended_total{how=%q}", how)).Inc()
@@ -100,6 +118,7 @@
 	set := n.metrics.set
 	set.NewGauge("mustardstep_jobs_open", func() float64 { return float64(n.jobs.Len()) })
 	set.NewGauge("mustardstep_tasks_waiting", func() float64 { return float64(n.scheduler.Waiting()) })
+	set.NewGauge("mustardstep_jobs_parked", func() float64 { return float64(n.scheduler.Parked()) })
 	set.NewGauge("mustardstep_jobs_with_suspects", func() float64 { return float64(n.scheduler.WaitingSuspects()) })
 	set.NewGauge("mustardstep_term_token", func() float64 { return float64(n.term.current()) })
 	set.NewGauge("mustardstep_members_heard", func() float64 { return float64(len(n.view.Load().Reachable)) })
--- a/node/registry.go
+++ b/node/registry.go
@@ -294,6 +294,9 @@
 		}
 	} else {
 		e.upstream, e.valid = upstream, true
+		if problem := upstream.LabelProblem; problem != "" && problem != known.upstream.LabelProblem {
+			n.log.Warn("labels of upstream ignored", slog.String("upstream", upstream.Name), slog.String("reason", problem))
+		}
 		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
 			n.log.Info("upstream entry changed", slog.String("upstream", upstream.Name), slog.Bool("draining", upstream.Draining),
 				slog.String("address", upstream.Address), slog.Int64("revision", item.Revision))
--- a/node/submit.go
+++ b/node/submit.go
@@ -22,6 +22,8 @@
 	// AtMostOnce forbids starting a task again that may have started; the job
 	// fails instead.
 	AtMostOnce bool
+	// Constraints restrict the upstreams of the tasks; nil if any will do.
+	Constraints *scheduler.Constraints
 	// Items holds the input of each task. It is nil if Spec is the only input.
 	Items [][]byte
 	// Arrived is when the caller's request reached this VM; the zero value stands for the
@@ -206,7 +208,7 @@
 			items = append(items, job.Items[index])
 		}
 	}
-	return &wire.OfferRequest{
+	request := &wire.OfferRequest{
 		Job: o.Job.ID, Origin: n.config.VM, OriginIncarnation: n.fleet.Self().Incarnation, Submission: o.Job.Submission, Term: term,
 		Queue: job.Queue.Name, Service: job.Queue.Service, Spec: job.Spec, Tasks: o.Tasks, Items: items, AtMostOnce: job.AtMostOnce,
 		MilliCPU: job.Size.MilliCPU, MemoryMB: job.Size.MemoryMB, Accelerators: job.Size.Accelerators,
@@ -217,6 +219,8 @@
 		MaxAttempts: job.Queue.MaxAttempts, Resumed: o.Resumed, PreviousTerm: o.PreviousTerm,
 		Histories: historiesToWire(o.Job.ID, o.Histories),
 	}
+	addConstraints(request, job.Constraints, o.Completed)
+	return request
 }
 
 // offerUnassigned offers the jobs that the dispatcher of a view does not have.
@@ -252,6 +256,9 @@
 			n.finishJob(completion.Job, completion.Submission, dispatcher, r.Term, intake.Answer{Outcome: intake.Failed, Code: verdict.CodeUpstreamFailed, Reason: completion.Reason})
 			continue
 		}
+		if completion.Upstream != "" {
+			n.jobs.NoteCompletedOn(completion.Job, completion.Index, completion.Upstream)
+		}
 		vm, term := n.jobs.CompleteTask(completion.Job, completion.Index, completion.Result)
 		if term != 0 && (vm != dispatcher || term != r.Term) {
 			moved[vm] = append(moved[vm], *completion)
@@ -304,7 +311,9 @@
 func (n *Node) recordTasksDone(r *wire.TasksDoneRequest) bool {
 	known := true
 	for _, c := range r.Completions {
-		known = n.scheduler.CompleteElsewhere(time.Now(), scheduler.Task{Job: c.Job, Index: c.Index}, c.Result) && known
+		now, task := time.Now(), scheduler.Task{Job: c.Job, Index: c.Index}
+		n.scheduler.NoteCompletedOn(now, task, c.Upstream)
+		known = n.scheduler.CompleteElsewhere(now, task, c.Result) && known
 	}
 	return known
 }
