--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -67,6 +67,7 @@
 		Log: log, Decisions: decisions, Metrics: metrics, TaskName: platform.TaskName,
 	})
 	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
+	ingress.SpreadFactor = s.Bounds.SpreadFactor
 	callers, err := platform.ListenCallers(ctx, s.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
