scheduler: tasks that an upstream has had outlast its entry

Cause: the tasks of limited jobs that may have run on an upstream were kept with it, and an upstream whose entry was gone was kept for them, so that it got tasks without JoinDelay when it came back.

Change: the shard keeps them while the upstream is gone; only successes stay listed.

Result: TestLimitPerUpstreamForgetsUpstreamThatReturns.

--- a/scheduler/constraints.go
+++ b/scheduler/constraints.go
@@ -89,18 +89,10 @@
 
 // notePlaced records that a task may run on the upstream. It reports whether this was not known.
 func (u *upstream) notePlaced(task Task, until time.Time) (added bool) {
-	p := u.placed[task.Job]
-	if p == nil {
-		if u.placed == nil {
-			u.placed = map[string]*placedTasks{}
-		}
-		p = &placedTasks{indexes: map[int]struct{}{}}
-		u.placed[task.Job] = p
+	if u.placed == nil {
+		u.placed = placedJobs{}
 	}
-	p.until = later(p.until, until)
-	_, known := p.indexes[task.Index]
-	p.indexes[task.Index] = struct{}{}
-	return !known
+	return u.placed.add(task, until)
 }
 
 // forgetPlaced reverts notePlaced for a run that has had no effect.
@@ -114,15 +106,43 @@
 	}
 }
 
-// expirePlaced forgets the tasks of jobs that no caller waits for.
-func (u *upstream) expirePlaced(now time.Time) {
-	for id, p := range u.placed {
-		if now.After(p.until) {
-			delete(u.placed, id)
+// placedJobs holds the tasks that may have run on an upstream, by job.
+type placedJobs map[string]*placedTasks
+
+// expire forgets the tasks of jobs that no caller waits for.
+func (p placedJobs) expire(now time.Time) {
+	for id, tasks := range p {
+		if now.After(tasks.until) {
+			delete(p, id)
 		}
 	}
 }
 
+// add records that a task may run. It reports whether this was not known.
+func (p placedJobs) add(task Task, until time.Time) (added bool) {
+	tasks := p[task.Job]
+	if tasks == nil {
+		tasks = &placedTasks{indexes: map[int]struct{}{}}
+		p[task.Job] = tasks
+	}
+	tasks.until = later(tasks.until, until)
+	_, known := tasks.indexes[task.Index]
+	tasks.indexes[task.Index] = struct{}{}
+	return !known
+}
+
+// keepPlaced keeps what is known of an upstream that is removed, because it may return. The caller
+// holds mu.
+func (s *upstreamShard) keepPlaced(name string, placed placedJobs) {
+	if len(placed) == 0 {
+		return
+	}
+	if s.leftPlaced == nil {
+		s.leftPlaced = map[string]placedJobs{}
+	}
+	s.leftPlaced[name] = placed
+}
+
 // otherTasks returns the number of tasks of a candidate's job, other than its own, that may run
 // or may have run on the upstream: those of this dispatcher and of earlier ones, and those of
 // former submissions, which may have had no limit.
@@ -166,7 +186,15 @@
 	shard := s.upstreamShardFor(upstream)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
+	until := now.Add(foundRetention)
 	if u := shard.byName[upstream]; u != nil {
-		u.notePlaced(task, now.Add(foundRetention))
+		u.notePlaced(task, until)
+		return
+	}
+	left := shard.leftPlaced[upstream]
+	if left == nil {
+		left = placedJobs{}
 	}
+	left.add(task, until)
+	shard.keepPlaced(upstream, left)
 }
--- a/scheduler/constraints_test.go
+++ b/scheduler/constraints_test.go
@@ -209,6 +209,25 @@
 	require.Zero(t, f.s.Waiting())
 }
 
+// An upstream whose entry lapsed and came back had lost the tasks that it has had.
+func TestLimitPerUpstreamForgetsUpstreamThatReturns(t *testing.T) {
+	f := newFleetReplay(t, 1, 2).sameSpeed()
+	j := f.testJob(3, 50*time.Millisecond, &scheduler.Constraints{MaxPerUpstream: 1})
+	f.offer(j)
+	f.run(100*time.Millisecond, nil, 0, nil)
+	require.Equal(t, 1, j.open)
+	names := f.names
+	f.names = nil
+	f.setUpstreams()
+	f.run(100*time.Millisecond, nil, 0, nil)
+	require.Empty(t, f.s.Summaries(), "the upstreams are removed")
+	f.names = names
+	f.setUpstreams()
+	f.pollAll()
+	f.run(500*time.Millisecond, nil, 0, nil) // place checks the limit
+	require.Equal(t, 1, f.s.Waiting())
+}
+
 // Tasks of a job with SameRack were spread although a rack could take them all, or waited for a
 // rack that can never take all of them.
 func TestSameRack(t *testing.T) {
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -143,7 +143,7 @@
 		return f
 	}
 	f.knownRun = true
-	if r.atMostOnce || r.limited {
+	if r.atMostOnce || r.limited && c.Kind == CompletionDone {
 		u.undelivered[c.Number] = struct{}{}
 		f.retained = true
 	}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -131,7 +131,7 @@
 	over map[Run]overRun
 	// placed holds the tasks that may have run here, by job, of jobs whose tasks per upstream are
 	// limited or unknown, across terms.
-	placed map[string]*placedTasks
+	placed placedJobs
 	groups []*locality.Group // of its labels
 
 	health health.Tracker
@@ -246,12 +246,17 @@
 			}
 		}
 		u.expireOver(now)
-		u.expirePlaced(now)
+		u.placed.expire(now)
 		u.checkStalls(now, scheduler, a)
-		if !u.listed && len(u.runs)+len(u.orphans)+len(u.placed) == 0 && !u.polling {
+		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.polling {
 			s.remove(u)
 		}
 	}
+	for name, placed := range s.leftPlaced {
+		if placed.expire(now); len(placed) == 0 {
+			delete(s.leftPlaced, name)
+		}
+	}
 	s.recomputeBounds()
 	return state
 }
--- a/scheduler/upstream_shard.go
+++ b/scheduler/upstream_shard.go
@@ -28,11 +28,15 @@
 	mu     sync.Mutex // guards the fields below
 	byName map[string]*upstream
 	all    []*upstream // sorted by name
+	// leftPlaced holds upstream.placed of upstreams that were removed and may return, by name.
+	leftPlaced map[string]placedJobs
 }
 
 // add inserts a new upstream. The caller holds mu.
 func (s *upstreamShard) add(u *upstream) {
 	s.byName[u.Name] = u
+	u.placed = s.leftPlaced[u.Name]
+	delete(s.leftPlaced, u.Name)
 	at, _ := slices.BinarySearchFunc(s.all, u, compareNames)
 	s.all = slices.Insert(s.all, at, u)
 }
@@ -40,6 +44,7 @@
 // remove deletes an upstream. The caller holds mu.
 func (s *upstreamShard) remove(u *upstream) {
 	delete(s.byName, u.Name)
+	s.keepPlaced(u.Name, u.placed)
 	if at, found := slices.BinarySearchFunc(s.all, u, compareNames); found {
 		s.all = slices.Delete(s.all, at, at+1)
 	}
