--- a/locality/locality_test.go
+++ b/locality/locality_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -100,3 +101,26 @@
 	x.Remove("s", "u1", "r1", []string{"r1"})
 	require.Equal(t, before+401, g.Changes(), "the rack has gone")
 }
+
+// BenchmarkIndex measures the memory of the index, in racks of 20 with two kinds, after a search
+// of each group.
+func BenchmarkIndex(b *testing.B) {
+	const upstreams = 20_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		x := NewIndex()
+		for i := range upstreams {
+			rack := fmt.Sprint("r1-", i/20)
+			x.Add("s", fmt.Sprint("upstream-", i), rack, []string{fmt.Sprint("k", i%2), rack})
+		}
+		for _, label := range append(x.Racks("s"), "k0", "k1") {
+			x.Find("s", label).Members()
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/upstreams, "bytes/upstream")
+		runtime.KeepAlive(x)
+	}
+}
--- a/scheduler/locality_replay_test.go
+++ b/scheduler/locality_replay_test.go
@@ -255,7 +255,6 @@
 }
 
 func all(*replayJob) bool           { return true }
-func isFree(j *replayJob) bool      { return j.Constraints == nil }
 func constrained(j *replayJob) bool { return j.Constraints != nil }
 
 // mixedConstraints gives three of ten jobs a rack, of which the lower ones are more popular, and
