--- a/locality/index.go
+++ b/locality/index.go
@@ -20,8 +20,9 @@
 	key   groupKey
 	// changes counts the events after which a task that found no capacity may find some.
 	changes atomic.Uint64
-	// waiting is the run time of the tasks that wait for capacity of the group, in ns.
-	waiting atomic.Int64
+	// waiting is the run time of the tasks that wait for capacity of the group, in ns; tasks is
+	// their number.
+	waiting, tasks atomic.Int64
 
 	// The lock of shard guards the fields below.
 	members map[string]int // number of additions by name
@@ -34,8 +35,14 @@
 // NoteChange records that tasks waiting for the group may find capacity, or need not wait.
 func (g *Group) NoteChange() { g.changes.Add(1) }
 
-// AddWaiting adds the run time of tasks that begin to wait for the group, or subtracts it.
-func (g *Group) AddWaiting(runTime time.Duration) { g.waiting.Add(int64(runTime)) }
+// AddWaiting adds tasks that begin to wait for the group, and their run time, or subtracts them.
+func (g *Group) AddWaiting(tasks int, runTime time.Duration) {
+	g.tasks.Add(int64(tasks))
+	g.waiting.Add(int64(runTime))
+}
+
+// WaitingTasks returns the number of tasks that wait for the group.
+func (g *Group) WaitingTasks() int { return int(g.tasks.Load()) }
 
 // Waiting returns the run time of the tasks that wait for the group.
 func (g *Group) Waiting() time.Duration { return time.Duration(g.waiting.Load()) }
--- a/locality/locality_test.go
+++ b/locality/locality_test.go
@@ -90,7 +90,7 @@
 		wg.Go(func() {
 			for range 100 {
 				g.NoteChange()
-				g.AddWaiting(ms)
+				g.AddWaiting(1, ms)
 				g.Members()
 			}
 		})
@@ -98,6 +98,7 @@
 	wg.Wait()
 	require.Equal(t, before+400, g.Changes())
 	require.Equal(t, 400*ms, g.Waiting())
+	require.Equal(t, 400, g.WaitingTasks())
 	x.Remove("s", "u1", "r1", []string{"r1"})
 	require.Equal(t, before+401, g.Changes(), "the rack has gone")
 }
--- a/scheduler/faster.go
+++ b/scheduler/faster.go
@@ -11,16 +11,20 @@
 // wait for. The search ends at the first one found.
 const maxFasterVisited = 64
 
+// maxFasterWaiting is the number of tasks above which no more wait for faster upstreams. Each is
+// decided again every 20 ms, and most of a long queue would wait in vain.
+const maxFasterWaiting = 128
+
 // fasterSoon returns the wait of a task that would be late on the best free upstream, and that is
 // expected to be in time on one that is about to be free; nil if the task need not wait. The slow
 // upstream is left to the tasks behind it, of which some are in time there. The wait is decided
 // anew whenever capacity may have become free, and ends as soon as the task cannot be in time.
 func (s *Scheduler) fasterSoon(now time.Time, c *candidate) *parking {
 	left := c.targetAt.Sub(now)
-	if left <= 0 || seconds(c.expected*math.Float64frombits(s.slowest.Load())) <= left {
+	if s.fasterGroup.WaitingTasks() >= maxFasterWaiting || left <= 0 || seconds(c.expected*math.Float64frombits(s.slowest.Load())) <= left {
 		return nil // it is late in any case, or in time on any upstream
 	}
-	seen := s.anyGroup.Changes()
+	seen := s.fasterGroup.Changes()
 	name, ok := s.choose(now, *c)
 	if !ok || seconds(c.expected*s.slowdownOf(name)) <= left {
 		return nil
@@ -37,7 +41,7 @@
 				continue
 			}
 			shard.mu.Unlock()
-			return &parking{group: s.anyGroup, seen: seen, until: now.Add(TickInterval)}
+			return &parking{group: s.fasterGroup, seen: seen, until: now.Add(TickInterval)}
 		}
 		shard.mu.Unlock()
 	}
--- a/scheduler/job_shard.go
+++ b/scheduler/job_shard.go
@@ -32,7 +32,9 @@
 	// suspects holds the jobs with waiting suspects, by id. Suspects do not count for the
 	// heap.
 	suspects map[string]*job
-	// parked holds the jobs that wait for a group of upstreams. They are not in heap.
+	// parked holds the jobs that wait for a group of upstreams. They are not in heap. No wait
+	// ends before parkedUntil.
+	parkedUntil time.Time
 	parked      map[*locality.Group]*parkedJobs
 	historyJobs int        // number of records with histories
 	lastToken   int64      // token of the last term that has ended
--- a/scheduler/parked.go
+++ b/scheduler/parked.go
@@ -69,10 +69,13 @@
 	if j.parkedSince.IsZero() {
 		j.parkedSince = now
 	}
+	if len(s.parked) == 1 && len(p.jobs) == 0 || w.until.Before(s.parkedUntil) {
+		s.parkedUntil = w.until
+	}
 	heap.Push(p, j)
 	s.parkedCount.Add(1)
 	s.parkedTasks.Add(int32(w.tasks))
-	w.group.AddWaiting(w.work)
+	w.group.AddWaiting(w.tasks, w.work)
 	s.updateHeap(j)
 }
 
@@ -87,14 +90,14 @@
 	j.parked = nil
 	s.parkedCount.Add(-1)
 	s.parkedTasks.Add(int32(-w.tasks))
-	w.group.AddWaiting(-w.work)
+	w.group.AddWaiting(-w.tasks, -w.work)
 }
 
 // unparkAll ends all waits without returning the jobs to the heap. The caller holds mu.
 func (s *jobShard) unparkAll() {
 	for _, p := range s.parked {
 		for _, j := range p.jobs {
-			j.parked.group.AddWaiting(-j.parked.work)
+			j.parked.group.AddWaiting(-j.parked.tasks, -j.parked.work)
 			j.parked = nil
 		}
 	}
@@ -113,17 +116,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var ready []*job
+	expired := !now.Before(s.parkedUntil)
+	var next time.Time // the earliest end of the waits that go on
 	for group, p := range s.parked {
 		if changes := group.Changes(); changes != p.seen {
 			p.seen = changes
 			ready = append(ready, p.jobs[0])
 		}
+		if !expired {
+			continue
+		}
 		for _, j := range p.jobs {
-			if !now.Before(j.parked.until) && (len(ready) == 0 || ready[len(ready)-1] != j) {
+			switch until := j.parked.until; {
+			case !now.Before(until):
 				ready = append(ready, j)
+			case next.IsZero() || until.Before(next):
+				next = until
 			}
 		}
 	}
+	if expired {
+		s.parkedUntil = next
+	}
 	for _, j := range ready {
 		if j.parked != nil {
 			s.unpark(j)
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -107,6 +107,7 @@
 		return nil
 	}
 	s.anyGroup.NoteChange() // capacity may have become free
+	s.fasterGroup.NoteChange()
 	s.wakeParked(now)
 	starts := s.placeSuspects(now)
 	for s.Dispatching() && s.waiting.Load() > 0 {
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -140,6 +140,7 @@
 	models         queueModels
 	index          *locality.Index // of the upstreams to claim
 	anyGroup       *locality.Group // stands for all upstreams; it has no members
+	fasterGroup    *locality.Group // stands for the upstreams that tasks without constraints wait for
 	decide         func(locality.Question) locality.Decision
 	blame          blame
 	serviceSizes   atomic.Pointer[map[string]int] // number of upstreams to claim by service
@@ -178,7 +179,7 @@
 
 // New returns a Scheduler that does not dispatch until BeginTerm is called.
 func New(now time.Time, config Config) *Scheduler {
-	s := &Scheduler{config: config, start: now, index: locality.NewIndex(), anyGroup: &locality.Group{}, decide: locality.Decide}
+	s := &Scheduler{config: config, start: now, index: locality.NewIndex(), anyGroup: &locality.Group{}, fasterGroup: &locality.Group{}, decide: locality.Decide}
 	s.lastLoss.Store(-int64(lossWindow)) // no response was lost so far
 	for i := range jobShardCount {
 		s.jobShards[i] = newJobShard()
