scheduler: a free upstream near the data is taken without a search elsewhere

Cause: a placement with affinity searched all other upstreams as well, which took 4 to 6 us more than one without constraints.

Change: if the free near upstream is faster than the fastest of all upstreams would be with the factor, nothing else is searched. The benchmarks and the replays share their set-up.

Result: BenchmarkConstrainedDecision at 350 upstreams, one offer of two tasks with its placement, in turn on a busy machine: 44.7 us with affinity and 36.8 without constraints before, 32.7 and 29.5 after.

--- a/scheduler/near.go
+++ b/scheduler/near.go
@@ -121,9 +121,9 @@
 			return p
 		}
 	}
-	away := s.chooseSuiting(now, c)
 	label := c.nearLabel()
 	if label == "" {
+		away := s.chooseSuiting(now, c)
 		if away.name == "" {
 			return place{wait: s.waitForRequired(now, c, required, seen)}
 		}
@@ -140,6 +140,10 @@
 		nearSeen = group.Changes()
 		near, nearWait = s.searchGroup(now, c, group)
 	}
+	if nearWait == 0 && near.cost <= k.factor()*s.leastCost() {
+		return place{name: near.name, reason: locality.ReasonNearFree} // none elsewhere is faster
+	}
+	away := s.chooseSuiting(now, c)
 	q := locality.Question{
 		Near: seconds(c.expected * near.cost), NearWait: nearWait,
 		Waited: c.parkedFor(now), Left: c.targetAt.Sub(now), Recheck: TickInterval, Contended: s.contended(c),
@@ -160,6 +164,15 @@
 	}
 }
 
+// leastCost returns a lower bound of the cost of all upstreams.
+func (s *Scheduler) leastCost() float64 {
+	least := noScore
+	for i := range s.bounds {
+		least = min(least, math.Float64frombits(s.bounds[i].minCost.Load()))
+	}
+	return least
+}
+
 // requiredGroup returns the group of the upstreams that a task may use: those with the label that
 // it requires, or all.
 func (s *Scheduler) requiredGroup(c *candidate) *locality.Group {
