--- a/node/registry.go
+++ b/node/registry.go
@@ -298,6 +298,9 @@
 	} else {
 		e.upstream, e.valid, e.coldUntil = upstream, true, n.coldUntil(time.Now(), &upstream)
 		n.recordNotice(&e, known, fromStore)
+		if problem := upstream.LabelProblem; problem != "" && problem != known.upstream.LabelProblem {
+			n.log.Warn("labels of upstream ignored", slog.String("upstream", upstream.Name), slog.String("reason", problem))
+		}
 		if !present || known.upstream.Draining != upstream.Draining || known.upstream.Address != upstream.Address {
 			n.log.Info("upstream entry changed", slog.String("upstream", upstream.Name), slog.Bool("draining", upstream.Draining),
 				slog.String("address", upstream.Address), slog.Int64("revision", item.Revision))
--- a/scheduler/evacuated.go
+++ b/scheduler/evacuated.go
@@ -53,7 +53,7 @@
 // are large enough for. A job that is known here may have runs that go on, and is not rejected.
 func (s *Scheduler) refusedByEvacuation(offered *Job) *verdict.Error {
 	fits := func(evacuated bool) bool {
-		return s.anyUpstream(func(u *upstream) bool { return u.Evacuated == evacuated && u.fits(offered.Service, offered.Size) })
+		return s.anyUpstream(func(u *upstream) bool { return u.Evacuated == evacuated && u.fits(offered) })
 	}
 	if offered.Resumed || fits(false) || !fits(true) {
 		return nil
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -6,6 +6,7 @@
 
 	"github.com/mustardstep/mustardstep/health"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/locality"
 )
 
 // Upstream describes a VM that runs tasks of one service.
@@ -14,7 +15,11 @@
 	// its host:port.
 	Name, Address, Service, DataCentre string
 	Size                               Size
-	Labels                             []string
+	// Rack is one of Labels, or empty if the rack is unknown.
+	Rack   string
+	Labels []string
+	// LabelProblem describes labels that were ignored, for the log.
+	LabelProblem string
 	// Draining means that the upstream gets no new tasks, except as Notice allows.
 	Draining bool
 	// Notice is the departure notice of a draining upstream; nil if there is none.
@@ -57,7 +62,10 @@
 	pendingUntil    time.Time // when the run is over if a later process has executed the unanswered start order
 	stopAnswered    bool      // the stop order was answered
 	validUntil      int64     // by the upstream's clock, in ms: the start order has no effect later
-	expected        float64   // run time at speed 1, in seconds
+	expected        float64   // run time at speed 1, in seconds, with factor
+	factor          float64   // by which the run time is longer away from the job's data or group
+	limited         bool      // the number of the job's tasks per upstream is limited
+	firstHere       bool      // no earlier run of the task was known on the upstream
 	estimate        time.Duration
 	model           *queueModel
 	percent         int
@@ -135,6 +143,10 @@
 	idleSince   time.Time
 	// over holds the runs that have counted as over without a completion, across terms.
 	over map[Run]overRun
+	// placed holds the tasks that may have run here, by job, of jobs whose tasks per upstream are
+	// limited or unknown, across terms.
+	placed placedJobs
+	groups []*locality.Group // of its labels
 
 	health     health.Tracker
 	wasEjected bool        // as of the last tick
@@ -192,6 +204,7 @@
 		u.isolation = isolatedNot
 		u.idleSince = now
 	}
+	u.noteGroupChange()
 }
 
 // polledAt returns the sending time of the newest answered poll, or the zero time
@@ -208,6 +221,11 @@
 	// All have answered a poll sent at oldestPoll or later. latestStart is the latest start
 	// time of their processes.
 	oldestPoll, latestStart time.Time
+	// slowest is the greatest slowdown.
+	slowest float64
+	// size and free are the CPU of all upstreams and what is free of it, in thousandths of a
+	// core.
+	size, free int
 	// allHeld means that no other dispatcher can have started runs on them.
 	allHeld bool
 	// capacity is the work per second of the usable upstreams, as package overload counts it.
@@ -235,6 +253,9 @@
 		if u.listed {
 			state.oldestPoll = earlier(state.oldestPoll, u.polledAt())
 			state.latestStart = later(state.latestStart, u.startTime())
+			state.size += u.Size.MilliCPU
+			state.free += max(u.freeSize().MilliCPU, 0)
+			state.slowest = max(state.slowest, u.model.slowdown())
 			state.allHeld = state.allHeld && u.isHeld(now, watched)
 		}
 		if !u.leaseEnd.IsZero() && now.After(u.leaseEnd.Add(margin)) && len(u.runs)+len(u.orphans) > 0 {
@@ -248,12 +269,18 @@
 			}
 		}
 		u.expireOver(now)
+		u.placed.expire(now)
 		u.checkStalls(now, scheduler, a)
 		u.checkProbation(now, scheduler, a)
 		if !u.listed && len(u.runs)+len(u.orphans) == 0 && !u.polling {
 			s.remove(u)
 		}
 	}
+	for name, placed := range s.leftPlaced {
+		if placed.expire(now); len(placed) == 0 {
+			delete(s.leftPlaced, name)
+		}
+	}
 	s.recomputeBounds()
 	return state
 }
@@ -324,9 +351,21 @@
 	listed := map[string]bool{}
 	for _, entry := range list {
 		listed[entry.Name] = true
+		indexed := s.isIndexed(&entry)
+		var groups []*locality.Group
+		if !indexed {
+			groups = s.indexEntry(nil, &entry)
+		}
+		var before *Upstream
 		shard := s.upstreamShardFor(entry.Name)
 		shard.mu.Lock()
 		u := shard.byName[entry.Name]
+		if u != nil && indexed {
+			groups = u.groups
+		} else if u != nil && u.groups != nil {
+			former := u.Upstream
+			before = &former
+		}
 		if u == nil {
 			u = &upstream{Upstream: entry, runs: map[Task]*run{}, orphans: map[Task]orphan{}, undelivered: map[int64]struct{}{}, lastPoll: now, idleSince: now}
 			// While the list is in doubt, the entries from before the term are not new to the others.
@@ -343,19 +382,31 @@
 		if u.Missing && !entry.Missing {
 			u.retryAt = time.Time{}
 		}
+		if u.Draining != entry.Draining || u.Evacuated != entry.Evacuated || u.Missing != entry.Missing || u.Size != entry.Size {
+			u.noteGroupChange()
+		}
 		u.noteEvacuation(now, &entry)
 		u.setEntry(entry, s.config.DrainTime)
-		u.listed = true
+		u.listed, u.groups = true, groups
 		shard.mu.Unlock()
+		s.indexEntry(before, nil)
 	}
 	for _, shard := range s.upstreamShards {
+		var gone []Upstream
 		shard.mu.Lock()
 		for name, u := range shard.byName {
 			if !listed[name] {
 				u.listed = false
+				if u.groups != nil {
+					gone = append(gone, u.Upstream)
+					u.groups = nil
+				}
 			}
 		}
 		shard.mu.Unlock()
+		for i := range gone {
+			s.indexEntry(&gone[i], nil)
+		}
 	}
 	return added
 }
