node: an answer about a former route counts only for the dispatchers that were asked

In one run of all tests with -race, TestJobSentAgainAfterChangeOfEvacuation found two runs at once. The job arrived between the end of the evacuation and the next update of the routes: the dispatchers of the time before the evacuation were asked, and their answer was then taken for that of the ones before its end. A query now names the data centres that it asks, and begins again if they have changed (TestQueryFromBeforeChangeDoesNotCount).

TestJobsOfEvacuatedDataCentre failed in the same run, because it waited for the set instead of the routes, which follow it within 40 ms; it now waits for these.

--- a/node/elsewhere_test.go
+++ b/node/elsewhere_test.go
@@ -104,7 +104,7 @@
 	during := c.begin(origin, "during", "u1", "u2")
 	require.Equal(t, intake.Succeeded, (<-before).Outcome)
 	c.store.Delete("config-evacuate/a")
-	c.wait("the end is known", func() bool { return !origin.evacuation.table.State().Contains("a") })
+	c.wait("the end has an effect", func() bool { name, _ := origin.formerRoutes.choose("after", ""); return name == "a" })
 	after := c.begin(origin, "after", "u0")
 	for _, done := range []chan intake.Answer{during, after} {
 		answer := <-done
@@ -136,6 +136,21 @@
 	require.Equal(t, 1, c.starts("y"))
 }
 
+// While the dispatchers of one data centre are asked for a job, the evacuation ends, and those of
+// another one may know it. The first answer must not count for them: the job would run twice.
+func TestQueryFromBeforeChangeDoesNotCount(t *testing.T) {
+	var f formerRoutes
+	j := &intake.Job[Job]{}
+	_, begun := f.begin(j, []string{"a"})
+	require.True(t, begun)
+	f.end(j, []string{"a"}, "", true)
+	q, begun := f.begin(j, []string{"b"})
+	require.True(t, begun && !q.done)
+	f.end(j, []string{"a"}, "", true) // late
+	q, begun = f.begin(j, []string{"b"})
+	require.False(t, begun || q.done)
+}
+
 // The successor of a dispatcher that is killed must adopt the runs of origins elsewhere.
 func TestDispatcherElsewhereIsKilled(t *testing.T) {
 	c := newDividedCluster(t, 1500*time.Millisecond)
--- a/node/former_route.go
+++ b/node/former_route.go
@@ -36,6 +36,7 @@
 
 // routeQuery is a question to former dispatchers whether they know a job.
 type routeQuery struct {
+	asked      []string // the data centres whose dispatchers are asked
 	done       bool
 	dataCentre string // of the one that knows the job, if any
 }
@@ -86,27 +87,32 @@
 	return ""
 }
 
-// begin returns the query of a job, and whether it has just begun.
-func (f *formerRoutes) begin(j *intake.Job[Job]) (q routeQuery, begun bool) {
+// begin returns the query of a job to some data centres, and whether it has just begun. A query to
+// others, from before a change, does not count.
+func (f *formerRoutes) begin(j *intake.Job[Job], former []string) (q routeQuery, begun bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if known := f.queries[j]; known != nil {
+	if known := f.queries[j]; known != nil && slices.Equal(known.asked, former) {
 		return *known, false
 	}
 	if f.queries == nil {
 		f.queries = map[*intake.Job[Job]]*routeQuery{}
 	}
-	f.queries[j] = &routeQuery{}
-	return routeQuery{}, true
+	f.queries[j] = &routeQuery{asked: former}
+	return *f.queries[j], true
 }
 
-// end records the result of a query. If it failed, the next call of begin begins it again.
-func (f *formerRoutes) end(j *intake.Job[Job], dataCentre string, ok bool) {
+// end records the result of a query, unless another one has begun since. If it failed, the next call
+// of begin begins it again.
+func (f *formerRoutes) end(j *intake.Job[Job], former []string, dataCentre string, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !ok {
+	q := f.queries[j]
+	switch {
+	case q == nil || !slices.Equal(q.asked, former):
+	case !ok:
 		delete(f.queries, j)
-	} else if q := f.queries[j]; q != nil {
+	default:
 		q.done, q.dataCentre = true, dataCentre
 	}
 }
@@ -118,7 +124,7 @@
 	if len(former) == 0 {
 		return dataCentre, true
 	}
-	q, begun := n.formerRoutes.begin(j)
+	q, begun := n.formerRoutes.begin(j, former)
 	if begun {
 		go n.queryFormer(j, v, former)
 	}
@@ -141,7 +147,7 @@
 			break
 		}
 	}
-	n.formerRoutes.end(j, knownIn, ok)
+	n.formerRoutes.end(j, former, knownIn, ok)
 	if ok && !isDone(j) {
 		n.offer(j, n.view.Load())
 	}
