--- a/node/notices.go
+++ b/node/notices.go
@@ -57,6 +57,7 @@
 // was placed on a draining upstream.
 func (n *Node) observePlacement(start *scheduler.Start) {
 	n.metrics.observeNearness(start.Near)
+	n.metrics.observePlacement(start.Placement)
 	notice := start.Upstream.Notice
 	if notice == nil {
 		return
