Tests of placement count rejected jobs as not in time

Cause: with admission by expected wait, jobs of the replays are rejected while capacity is short, which the harnesses took for a failure; the check for free capacity had no model of run times and panicked. Change: a rejected job counts as one without an answer in time; the bounds are unchanged. At most a twentieth of the jobs may be rejected in the replay of the limit per upstream.

--- a/scheduler/constraints_test.go
+++ b/scheduler/constraints_test.go
@@ -138,9 +138,15 @@
 	f.constrain = func(j *replayJob) { j.Constraints = &scheduler.Constraints{MaxPerUpstream: 1 + f.rng.IntN(2)} }
 	f.run(3*time.Second, firstDeployment, 24.0/350, nil)
 	f.run(3*time.Second, nil, 0, nil)
+	rejected := 0
 	for _, j := range f.order {
+		if j.rejected {
+			rejected++
+			continue
+		}
 		require.Zero(t, j.open)
 	}
+	require.Less(t, rejected, len(f.order)/20, "the capacity suffices but for short bursts")
 }
 
 // The next dispatcher did not know of the tasks that earlier ones had started or completed, and
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -63,7 +63,7 @@
 // hasRoom reports whether a task of a job could start now.
 func (s *Scheduler) hasRoom(now time.Time, j *Job) bool {
 	// The zero target time makes every upstream count on which the job could run.
-	_, ok := s.choose(now, candidate{job: j, index: -1, returnAt: j.returnAt})
+	_, ok := s.choose(now, candidate{job: j, index: -1, returnAt: j.returnAt, model: s.models.get(j.Queue, j.Estimate)})
 	return ok
 }
 
