--- a/overload/controller.go
+++ b/overload/controller.go
@@ -18,6 +18,9 @@
 	// shortPeriod is the time for which capacity counts as short afterwards. It bridges
 	// moments in which the admission has just emptied the backlog.
 	shortPeriod = 500 * time.Millisecond
+	// sharePeriod is the time of shortage after which shares apply. A short burst that can be
+	// served in time is not limited by shares, which are not known yet.
+	sharePeriod = 500 * time.Millisecond
 	// rateTime is the time constant of the measured rates. It is below the length of a burst
 	// and above the time between two jobs of a slow queue.
 	rateTime = 500 * time.Millisecond
@@ -60,8 +63,9 @@
 	Priority       int
 	// Work is the work of all its tasks.
 	Work int64
-	// Due is the time by which jobs are ordered, End the end of the useful time.
-	Due, End time.Duration
+	// Due is the time by which jobs are ordered. An answer until End is in time; one until LateEnd
+	// still has some value.
+	Due, End, LateEnd time.Duration
 	// Run is the expected run time of a task, Target the target time.
 	Run, Target time.Duration
 }
@@ -71,6 +75,8 @@
 	Backlog
 	rate       atomic.Uint64 // math.Float64bits of the work per second that upstreams complete
 	shortUntil atomic.Int64
+	shortSince atomic.Int64 // as of the last update; 0 while capacity is not short
+	scarce     atomic.Bool  // as of the last update, see IsScarce
 	started    atomic.Int64 // work started since the last update
 	shards     [shardCount]*shard
 
@@ -135,16 +141,35 @@
 	return int64(now) < c.shortUntil.Load()
 }
 
+// isShortFor reports whether capacity has been short for sharePeriod.
+func (c *Controller) isShortFor(now time.Duration) bool {
+	since := time.Duration(c.shortSince.Load())
+	return since != 0 && now-since >= sharePeriod
+}
+
+// IsScarce reports whether capacity has been short for sharePeriod and flows request more than is
+// completed. A late answer then costs an answer in time. Otherwise the backlog of a burst is about
+// to be worked off, and late answers use capacity that nothing else needs.
+func (c *Controller) IsScarce() bool { return c.scarce.Load() }
+
 // WasShort reports whether capacity was short at the last update.
 func (c *Controller) WasShort() bool { return c.now.Load() < c.shortUntil.Load() }
 
 // Started records that work has been started.
 func (c *Controller) Started(work int64) { c.started.Add(work) }
 
-// IsHopeless reports whether a job would end after its useful time. Its own work counts as
-// waiting, because its last task determines its end.
+// IsHopeless reports whether a job would end after its useful time, which includes late answers
+// unless capacity is scarce. Its own work counts as waiting, because its last task determines its
+// end.
 func (c *Controller) IsHopeless(now time.Duration, j *Job) bool {
-	return now+c.Wait(c.Ahead(now, j.Due)+j.Work)+j.Run > j.End
+	ahead, end := c.Ahead(now, j.Due), j.End
+	if !c.IsScarce() {
+		if now+c.Wait(ahead+j.Work)+j.Run <= end {
+			return false
+		}
+		ahead, end = c.Total(), j.LateEnd // jobs that can be in time go before late ones
+	}
+	return now+c.Wait(ahead+j.Work)+j.Run > end
 }
 
 // Admit decides whether a new job is admitted. known means that the estimate covers the jobs
@@ -173,7 +198,7 @@
 		return Admitted
 	case hopeless:
 		return Hopeless
-	case q.excess > depthShare*j.Target.Seconds()*q.rate && a.excess > 0:
+	case c.isShortFor(now) && q.excess > depthShare*j.Target.Seconds()*q.rate && a.excess > 0:
 		return AboveShare
 	}
 	q.excess, a.excess = q.excess+float64(j.Work), a.excess+float64(j.Work)
@@ -261,6 +286,11 @@
 // regularly.
 func (c *Controller) Update(now time.Duration, capacity float64) {
 	c.now.Store(int64(now))
+	if !c.Short(now) {
+		c.shortSince.Store(0)
+	} else {
+		c.shortSince.CompareAndSwap(0, int64(now))
+	}
 	weight, period := c.updateRate(now, capacity)
 	if period <= 0 {
 		return
@@ -280,6 +310,11 @@
 		}
 		s.mu.Unlock()
 	}
+	wanted := 0.0
+	for _, d := range queues {
+		wanted += d.wanted
+	}
+	c.scarce.Store(c.isShortFor(now) && wanted > c.Rate())
 	divide(queues, c.Rate())
 	for _, s := range c.shards {
 		s.mu.Lock()
