Demo: give the second command an idempotency key

The call shift-swap is not idempotent, so the command that demo -keep printed was answered with 400 key_required.

--- a/internal/replay/demo.go
+++ b/internal/replay/demo.go
@@ -93,6 +93,6 @@
 	url := "http://" + c.httpAddrs[0]
 	fmt.Fprintf(w, "\nThe system runs until Ctrl-C; logs are in %s. Try:\n\n", dir)
 	fmt.Fprintf(w, "curl -i -H 'Mustardstep-Caller: museum-01' -H 'Idempotency-Key: mine-1' -d '%s' %s/v1/services/rota-desk/calls/heat-alert\n\n", body, url)
-	fmt.Fprintf(w, "curl -i -H 'Mustardstep-Caller: museum-01' -d '{\"from\":\"ana\",\"to\":\"rui\",\"shift\":\"mon\"}' %s/v1/services/rota-desk/calls/shift-swap\n\n", url)
+	fmt.Fprintf(w, "curl -i -H 'Mustardstep-Caller: museum-01' -H 'Idempotency-Key: mine-2' -d '{\"from\":\"ana\",\"to\":\"rui\",\"shift\":\"mon\"}' %s/v1/services/rota-desk/calls/shift-swap\n\n", url)
 	fmt.Fprintf(w, "curl %s/readyz; curl %s/debug/vars\n", url, url)
 }
