Decide which connections and requests of clients are accepted

Need: clients that misbehave must not exceed the memory and the descriptors of a machine (docs/design/hard-load.md, part 5). Package ingresslimit holds a budget in bytes that all listeners of a process share, and the connections of each listener in 16 shards, in the order of their progress. It names the connections that are to be closed when either is exhausted; those that wait for the answer to a complete request are never among them. It does no I/O and takes the time as an argument; the layering test checks its imports. Not connected yet.

--- a/internal/layering/layering_test.go
+++ b/internal/layering/layering_test.go
@@ -13,7 +13,7 @@
 // are passed to them, so that daemons, simulations and tests run the same code:
 // they must not import network, file, encoding or daemon packages.
 var logicPackages = []string{"membership", "submission", "ownership", "configuration", "health", "admission",
-	"fleet", "history", "intake", "routing", "scheduler", "scheduler/schedulertest"}
+	"fleet", "history", "internal/ingresslimit", "intake", "routing", "scheduler", "scheduler/schedulertest"}
 
 // forbiddenImports are the import paths that logicPackages must not import. Each
 // includes the packages below it.
