Limit what clients take of memory, connections and descriptors

Cause: the HTTP library allocates the announced length of a body before it arrives, for every path; it decoded bodies of any number of fields; connections had no common limit, and node no time limit for sending an answer. Without a descriptor for a new connection, Accept failed and ended the process.

Package boundedhttp applies the decisions of ingresslimit to the servers of node (callers, readiness, metrics) and serve (callers, operators). Handlers check path, method and announced length and then receive the body with ReadBody, into a buffer that grows under the budget. Fields are counted before decoding. Writes must make progress. Counters, a log line every 10 s at most, and a memory limit for the runtime where the settings give the machine's memory. New settings of serve: memory-mb, max-fds, max-fields, http-progress-timeout; node reads memory_mb and max_fds of the platform's settings file. The listener for other VMs is unchanged.

A refusal by serve for lack of memory is not run, or may have run if the caller sent a key, because an earlier attempt with it may have run.

Changes to tests: internal/crowdtest encodes the settings file with the platform's type, because its names must not occur outside of platform/; its node bodies lack a field that the decoder does not need; the spec of its jobs is one that the stand-in accepts (jobs could not succeed on node before). Crowds and bounds are as they were.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/admission"
 	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/internal/boundedhttp"
 	"github.com/mustardstep/mustardstep/internal/httpfront"
 	"github.com/mustardstep/mustardstep/internal/logging"
 	"github.com/mustardstep/mustardstep/internal/operators"
@@ -29,6 +30,7 @@
 	"github.com/mustardstep/mustardstep/platform"
 	"github.com/mustardstep/mustardstep/store"
 	"github.com/mustardstep/mustardstep/submission"
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -48,6 +50,7 @@
 	dispatch    *node.Node // dispatches tasks to upstreams
 	quotas      *admission.Quotas
 
+	limits      *boundedhttp.Limits
 	front       *httpfront.Server
 	peers       *peer.Transport
 	store       *store.RateLimited // nil if no platform is configured
@@ -112,6 +115,10 @@
 			BackoffMin: s.Platform.BackoffMin, BackoffMax: s.Platform.BackoffMax, Seed: uint64(os.Getpid()),
 		}))
 	}
+	d.limits = boundedhttp.New(boundedhttp.Config{
+		Memory: int64(s.Callers.MemoryMB) << 20, Descriptors: s.Callers.MaxFDs, MaxFields: s.Callers.MaxFields,
+		ProgressTimeout: s.Callers.ProgressTimeout, Log: d.log,
+	})
 	d.front = httpfront.New(d.frontConfig(), d)
 	d.peers = peer.New(peer.Config{
 		Hello:       d.hello(self),
@@ -137,10 +144,15 @@
 		MaxBody: s.Network.MaxBody, MaxHeader: s.Callers.MaxHeader, MaxTasks: func() int { return d.liveSettings.Load().Jobs.MaxTasks },
 		MaxConns: s.Callers.MaxConns, ReadTimeout: s.Callers.ReadTimeout,
 		WriteTimeout: s.Callers.WriteTimeout, IdleTimeout: s.Callers.IdleTimeout, Vars: d.metrics.vars, WriteMetrics: d.metrics.dispatch.Write, Log: d.log,
-		Operators: operators.Handler(d),
+		Operators: operators.LimitedHandler(d, func(c *fasthttp.RequestCtx) ([]byte, error) { return d.limits.ReadBody(c, s.Network.MaxBody) }),
+		Limits:    d.limits,
 	}
 }
 
+// RuntimeMemory returns the memory limit for the Go runtime in bytes, or 0 if the settings do not
+// tell the memory of the machine.
+func (d *Daemon) RuntimeMemory() int64 { return d.limits.RuntimeMemory() }
+
 // Run serves until the context is done and then stops gracefully. It takes no new
 // calls and waits for those in progress, up to the drain timeout.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -87,6 +88,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	limitRuntimeMemory(d.RuntimeMemory())
 	stopProfile, err := startProfile(c.settings.Diagnostics.CPUProfile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -151,6 +153,14 @@
 // would end it at the next write to standard output or standard error.
 func ignoreBrokenPipe() { signal.Ignore(syscall.SIGPIPE) }
 
+// limitRuntimeMemory makes the runtime collect garbage more often near a limit in bytes, unless it
+// is 0.
+func limitRuntimeMemory(limit int64) {
+	if limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
+}
+
 // untilSignal runs a function with a context that SIGTERM and SIGINT cancel, and
 // prints its error.
 func untilSignal(ctx context.Context, run func(context.Context) error) subcommands.ExitStatus {
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -17,7 +17,6 @@
 	"github.com/mustardstep/mustardstep/internal/settings"
 	"github.com/mustardstep/mustardstep/node"
 	"github.com/mustardstep/mustardstep/platform"
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -66,7 +65,10 @@
 		Store: platform.NewStore(s.Store.Address), Upstreams: platform.NewUpstreamClient(), WatchProcess: processwatch.Watch, Decoder: platform.Decoder{},
 		Log: log, Decisions: decisions, Metrics: metrics, TaskName: platform.TaskName,
 	})
-	ingress := platform.NewIngress(n, log.With(slog.String("vm", s.VM)))
+	vmLog := log.With(slog.String("vm", s.VM))
+	limits := s.NewLimits(vmLog)
+	limitRuntimeMemory(limits.RuntimeMemory())
+	ingress := platform.NewLimitedIngress(n, vmLog, limits)
 	callers, err := platform.ListenCallers(ctx, s.Listen.Callers)
 	if err != nil {
 		return errors.Wrap(err, "listen for callers")
@@ -83,9 +85,7 @@
 	g.Go(func() error { return serveUntilClosed(func() error { return ingress.ServeCallers(callers) }) })
 	g.Go(func() error { return serveUntilClosed(func() error { return ingress.ServeReadiness(readiness) }) })
 	g.Go(func() error {
-		return serveUntilClosed(func() error {
-			return fasthttp.Serve(metricsListener, func(ctx *fasthttp.RequestCtx) { metrics.Write(ctx) })
-		})
+		return serveUntilClosed(func() error { return ingress.ServeMetrics(metricsListener, metrics.Write) })
 	})
 	g.Go(func() error {
 		defer readiness.Close()
--- a/internal/crowdtest/crowd_test.go
+++ b/internal/crowdtest/crowd_test.go
@@ -216,9 +216,9 @@
 func TestBodiesOfManyFields(t *testing.T) {
 	forBoth(t, func(t *testing.T, start func(*testing.T) *system) {
 		s := start(t)
-		prefix, suffix := `{"gallery":"east","spec":"x","best_effort":true,"figures":[`, `{}]}`
+		prefix, suffix := `{"gallery":"east","figures":[`, `{}]}`
 		if s.maxBody < 1_000_000 {
-			prefix = `{"spec":"x","best_effort":true,"steps":[`
+			prefix = `{"spec":"x","steps":[`
 		}
 		content := repeat(prefix, "{},", (s.maxBody-len(prefix)-len(suffix))/3, suffix)
 		request := append(s.head(s.route, contentLength(len(content))), content...)
--- a/internal/crowdtest/system_test.go
+++ b/internal/crowdtest/system_test.go
@@ -277,28 +277,16 @@
 	memory.Set(key, value)
 	callers, readiness, metrics, peers := freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
 	path := filepath.Join(t.TempDir(), "settings.toml")
-	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, `
-node_name = "vm0"
-zone = "a"
-ip = "127.0.0.1"
-port_range = [%s, %s]
-seeds = []
-[listen_addrs]
-front = %q
-ready = %q
-[limits]
-cpu_share = 1.0
-link_mbps = 1000.0
-memory_mb = %d
-max_fds = %d
-[bounds]
-hold_max_ms = 1000
-grace_s = 6
-retransmit_ms = 1300
-stop_timeout_ms = 50
-[platform]
-address = %q
-`, port(peers), port(peers), callers, readiness, memoryMB, maxFDs, storeAddress), 0o600))
+	peerPort, err := strconv.Atoi(port(peers))
+	require.NoError(t, err)
+	var file platform.Settings
+	file.VM, file.Zone, file.IP, file.PeerPorts = "vm0", "a", "127.0.0.1", []int{peerPort, peerPort}
+	file.Listen.Callers, file.Listen.Readiness, file.Store.Address = callers, readiness, storeAddress
+	file.Limits.CPUShare, file.Limits.LinkMbps, file.Limits.MemoryMB, file.Limits.MaxFDs = 1, 1000, memoryMB, maxFDs
+	file.Bounds.LeaseMaxMS, file.Bounds.GraceS, file.Bounds.CallerReturnMS, file.Bounds.StopTimeoutMS = 1000, 6, 1300, 50
+	text, err := file.Encode()
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(path, text, 0o600))
 	jobID := func(id int) string { return fmt.Sprintf("%016x", id) }
 	s := &system{t: t, callers: callers, readiness: readiness, metrics: metrics,
 		route: "/q/00000000000000ff", noRoute: "/nothing", readyPath: "/", metricsPath: "/",
@@ -306,7 +294,7 @@
 		starts: func(id int) int { return counter.of(jobID(id)) },
 		submit: func(id int) (succeeded, notRun bool) {
 			answer := platform.SubmitJob(ctx, callers, platform.JobRequest{
-				Host: "desk.example", Path: "/q/" + jobID(id), Spec: "x", Tasks: 1,
+				Host: "desk.example", Path: "/q/" + jobID(id), Spec: "{}", Tasks: 1,
 				Size: scheduler.Size{MilliCPU: 500, MemoryMB: 64}, Estimate: 10 * time.Millisecond, Deadline: 10 * time.Second})
 			return answer.Succeeded, answer.NotRun
 		}}
--- a/internal/httpfront/call.go
+++ b/internal/httpfront/call.go
@@ -43,7 +43,10 @@
 	// down. Requests in progress must complete, so that context is not used.
 	ctx := context.Background()
 	call := s.backend.Catalog().Lookup(service, name)
-	if failure := s.validate(request, call); failure != nil {
+	failure = s.validate(request, call)
+	// The tasks have copies of their parameters.
+	s.config.Limits.Decoded(c, 2*len(request.Parameters))
+	if failure != nil {
 		if request.FreshKey {
 			writeError(c, statusOf(failure), "", failure)
 			return
@@ -69,6 +72,10 @@
 // catalog. A request that fails here cannot have been accepted by any VM. A
 // missing key is generated.
 func (s *Server) parseRequest(c *fasthttp.RequestCtx, service, name string) (*submission.Request, *verdict.Error) {
+	body, err := s.config.Limits.ReadBody(c, s.config.MaxBody)
+	if err != nil {
+		return nil, bodyError(c, err)
+	}
 	id, failure := parseID(c)
 	if failure != nil {
 		return nil, failure
@@ -77,7 +84,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	if !json.Valid(c.PostBody()) {
+	if !json.Valid(body) {
 		return nil, malformed("the body is not valid JSON")
 	}
 	request := &submission.Request{ID: id, Service: service, Call: name}
@@ -87,9 +94,7 @@
 	if timeout > 0 {
 		request.Deadline = c.Time().Add(timeout)
 	}
-	// fasthttp reuses the body after the handler returns; the submission may
-	// outlive the handler.
-	request.Parameters = append([]byte(nil), c.PostBody()...)
+	request.Parameters = body
 	return request, nil
 }
 
--- a/internal/httpfront/respond.go
+++ b/internal/httpfront/respond.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/boundedhttp"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/valyala/fasthttp"
@@ -46,18 +47,42 @@
 	failure := malformed("%v", err)
 	status := fasthttp.StatusBadRequest
 	var small *fasthttp.ErrSmallBuffer
-	var network *net.OpError
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		failure.Code, status = verdict.CodeTooLarge, fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &small):
+	case c.Request.Header.Len() > boundedhttp.MaxHeaderFields, errors.As(err, &small):
 		failure.Code, status = verdict.CodeTooLarge, fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrTimeout) || (errors.As(err, &network) && network.Timeout()):
+	case isTimeout(err):
 		status = fasthttp.StatusRequestTimeout
 	}
 	writeError(c, status, "", failure)
 }
 
+func isTimeout(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, fasthttp.ErrTimeout) || errors.As(err, &network) && network.Timeout()
+}
+
+// bodyError returns the error for a request whose body was not accepted. Nothing has been
+// forwarded. If the budget is exhausted, an earlier attempt with the caller's key may have run.
+func bodyError(c *fasthttp.RequestCtx, err error) *verdict.Error {
+	switch {
+	case errors.Is(err, boundedhttp.ErrBudget):
+		v := verdict.NotRun
+		if keyOf(c) != "" {
+			v = verdict.MayHaveRun
+		}
+		return verdict.Errorf(v, verdict.CodeNotReady, "%v", err).WithRetryAfter(boundedhttp.RetryAfter)
+	case errors.IsAny(err, boundedhttp.ErrTooLarge, boundedhttp.ErrTooManyFields):
+		return verdict.Errorf(verdict.NotRun, verdict.CodeTooLarge, "%v", err)
+	}
+	if isTimeout(err) {
+		return errBodyTimeout
+	}
+	return malformed("%v", err)
+}
+
+// errBodyTimeout is the error for a body that was not received in time. It must not be changed.
+var errBodyTimeout = malformed("the request was not received in time")
+
 func writeResponse(c *fasthttp.RequestCtx, status int, response api.CallResponse) {
 	body, err := json.Marshal(response)
 	if err != nil {
@@ -81,6 +106,9 @@
 
 // statusOf maps a failure to an HTTP status.
 func statusOf(failure *verdict.Error) int {
+	if failure == errBodyTimeout {
+		return fasthttp.StatusRequestTimeout
+	}
 	switch failure.Code {
 	case verdict.CodeMalformed, verdict.CodeKeyRequired:
 		return fasthttp.StatusBadRequest
--- a/internal/httpfront/server.go
+++ b/internal/httpfront/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/catalog"
+	"github.com/mustardstep/mustardstep/internal/boundedhttp"
 	"github.com/mustardstep/mustardstep/internal/panics"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
@@ -62,6 +63,8 @@
 	// Operators handles the paths under /v1/operators. If nil, they are not
 	// served.
 	Operators fasthttp.RequestHandler
+	// Limits are those of the process on its clients; nil sets none but those above.
+	Limits *boundedhttp.Limits
 	// Log receives connection errors, at level debug.
 	Log *slog.Logger
 }
@@ -75,26 +78,35 @@
 
 // New returns a Server that does not listen yet.
 func New(config Config, backend Backend) *Server {
+	if config.Limits == nil {
+		config.Limits = boundedhttp.New(boundedhttp.Config{ProgressTimeout: config.ReadTimeout})
+	}
 	s := &Server{config: config, backend: backend}
 	s.server = &fasthttp.Server{
-		Handler:                      s.handle,
-		ErrorHandler:                 handleReadError,
-		MaxRequestBodySize:           config.MaxBody,
-		ReadBufferSize:               config.MaxHeader,
-		Concurrency:                  config.MaxConns,
-		ReadTimeout:                  config.ReadTimeout,
-		WriteTimeout:                 config.WriteTimeout,
-		IdleTimeout:                  config.IdleTimeout,
-		Logger:                       slog.NewLogLogger(config.Log.Handler(), slog.LevelDebug),
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		CloseOnShutdown:              true,
+		Handler:        s.handle,
+		ErrorHandler:   handleReadError,
+		ReadBufferSize: config.MaxHeader,
+		// The limits close connections whose goroutines may still run for a moment.
+		Concurrency:           2 * config.MaxConns,
+		ReadTimeout:           config.ReadTimeout,
+		WriteTimeout:          config.WriteTimeout,
+		IdleTimeout:           config.IdleTimeout,
+		Logger:                slog.NewLogLogger(config.Log.Handler(), slog.LevelDebug),
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
 	}
+	config.Limits.Configure(s.server, func(c *fasthttp.RequestCtx) {
+		writeError(c, fasthttp.StatusRequestHeaderFieldsTooLarge, "", verdict.Errorf(verdict.NotRun, verdict.CodeTooLarge, "the request has too many headers"))
+	}, func(c *fasthttp.RequestCtx) {
+		writeError(c, fasthttp.StatusServiceUnavailable, keyOf(c), bodyError(c, boundedhttp.ErrBudget))
+	})
 	return s
 }
 
 // Serve accepts connections until Shutdown is called.
-func (s *Server) Serve(listener net.Listener) error { return s.server.Serve(listener) }
+func (s *Server) Serve(listener net.Listener) error {
+	return s.server.Serve(s.config.Limits.Listen(listener, "callers", 1, s.config.MaxConns))
+}
 
 // Shutdown closes the listener and waits for requests in progress until ctx is
 // done.
@@ -137,6 +149,7 @@
 	case len(path) == 1 && path[0] == "metrics" && s.config.WriteMetrics != nil:
 		if allowMethods(c, fasthttp.MethodGet, fasthttp.MethodHead) {
 			s.config.WriteMetrics(c)
+			s.config.Limits.WriteMetrics(c)
 		}
 	default:
 		writeError(c, fasthttp.StatusNotFound, "", verdict.Errorf(verdict.NotRun, verdict.CodeMalformed, "the path does not exist"))
--- a/internal/httpfront/server_test.go
+++ b/internal/httpfront/server_test.go
@@ -17,6 +17,7 @@
 	"github.com/mustardstep/mustardstep/catalog"
 	"github.com/mustardstep/mustardstep/examples"
 	"github.com/mustardstep/mustardstep/internal/api"
+	"github.com/mustardstep/mustardstep/internal/boundedhttp"
 	"github.com/mustardstep/mustardstep/submission"
 	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/stretchr/testify/require"
@@ -217,6 +218,20 @@
 	}
 }
 
+// A refusal for lack of memory must not deny an earlier attempt with the caller's key.
+func TestExhaustedBudgetVerdict(t *testing.T) {
+	for headers, want := range map[string]verdict.Verdict{caller: verdict.NotRun, caller + "\r\n" + key: verdict.MayHaveRun} {
+		config := testConfig
+		config.Limits = boundedhttp.New(boundedhttp.Config{Memory: 64, Descriptors: 100, ProgressTimeout: time.Minute})
+		_, b, listener := serve(t, config)
+		response := exchange(t, listener, request("POST", alertPath, alert, headers))
+		require.Equal(t, 503, response.StatusCode())
+		require.Equal(t, "1", string(response.Header.Peek("Retry-After")))
+		require.Equal(t, want, decode(t, response).Verdict)
+		require.Empty(t, b.submitted)
+	}
+}
+
 func TestCompleteAnswer(t *testing.T) {
 	_, b, listener := serve(t, testConfig)
 	response := exchange(t, listener, request("POST", alertPath, alert, caller, key, "Mustardstep-Timeout-Ms: 60000"))
--- a/internal/operators/handler.go
+++ b/internal/operators/handler.go
@@ -38,6 +38,12 @@
 
 // Handler returns the handler for the paths under /v1/operators.
 func Handler(backend Backend) fasthttp.RequestHandler {
+	return LimitedHandler(backend, func(c *fasthttp.RequestCtx) ([]byte, error) { return c.PostBody(), nil })
+}
+
+// LimitedHandler is Handler with a function that receives the body of a request under the limits
+// of the server.
+func LimitedHandler(backend Backend, readBody func(*fasthttp.RequestCtx) ([]byte, error)) fasthttp.RequestHandler {
 	return func(c *fasthttp.RequestCtx) {
 		// fasthttp reuses a RequestCtx for later requests. Work that outlives this
 		// request must not hold it as its context.
@@ -56,11 +62,11 @@
 			writeError(c, fasthttp.StatusMethodNotAllowed, "the method is not allowed; use "+method)
 			return
 		}
-		serve(ctx, c, backend)
+		serve(ctx, c, backend, readBody)
 	}
 }
 
-func serve(ctx context.Context, c *fasthttp.RequestCtx, backend Backend) {
+func serve(ctx context.Context, c *fasthttp.RequestCtx, backend Backend, readBody func(*fasthttp.RequestCtx) ([]byte, error)) {
 	switch string(c.Path()) {
 	case pathConfiguration:
 		writeJSON(c, fasthttp.StatusOK, backend.Configuration())
@@ -83,7 +89,13 @@
 		writeJSON(c, fasthttp.StatusOK, history)
 	case pathChanges:
 		var request api.ChangeRequest
-		if err := json.Unmarshal(c.PostBody(), &request); err != nil {
+		body, err := readBody(c)
+		if err != nil {
+			// Nothing was applied; another daemon may accept the change.
+			writeJSON(c, fasthttp.StatusServiceUnavailable, &api.ChangeResponse{Outcome: api.ChangeUnavailable, Reason: err.Error()})
+			return
+		}
+		if err := json.Unmarshal(body, &request); err != nil {
 			writeError(c, fasthttp.StatusBadRequest, "the body is not a valid change: "+err.Error())
 			return
 		}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -50,10 +50,18 @@
 	WriteTimeout time.Duration
 	// IdleTimeout: maximum time that a connection stays open without a request.
 	IdleTimeout time.Duration
-	// MaxConns: maximum number of open connections; further ones are answered with status 503 and closed, in connections.
+	// MaxConns: maximum number of open connections; for a further one, the connection without progress for the longest time is closed, or the further one if all wait for answers, in connections.
 	MaxConns int
 	// MaxHeader: maximum size of the headers of a request, in bytes.
 	MaxHeader int
+	// MemoryMB: memory of the machine that the daemon may use; limits requests in progress to a quarter, connections to a quarter, and the heap of the runtime to three quarters; 0 limits requests in progress to 128 MB and the others not, in MB.
+	MemoryMB int
+	// MaxFDs: descriptors that the daemon may open, half of them for callers' connections; 0 takes the limit of the process, in descriptors.
+	MaxFDs int
+	// MaxFields: maximum number of fields and elements of the body of a call, in fields.
+	MaxFields int
+	// ProgressTimeout: maximum time in which a caller sends no byte of a body, or takes no byte of an answer.
+	ProgressTimeout time.Duration
 }
 
 // Bind declares the settings on the binder.
@@ -68,11 +76,23 @@
 		flag: "http-idle-timeout", env: "MUSTARDSTEP_HTTP_IDLE_TIMEOUT", help: "maximum time that a connection stays open without a request", unit: "", defaultText: "1m", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(3600000000000)),
 	})
 	bind(b, &s.MaxConns, definition[int]{
-		flag: "http-max-conns", env: "MUSTARDSTEP_HTTP_MAX_CONNS", help: "maximum number of open connections; further ones are answered with status 503 and closed", unit: "connections", defaultText: "20000", min: bound[int](1), max: bound[int](1000000),
+		flag: "http-max-conns", env: "MUSTARDSTEP_HTTP_MAX_CONNS", help: "maximum number of open connections; for a further one, the connection without progress for the longest time is closed, or the further one if all wait for answers", unit: "connections", defaultText: "20000", min: bound[int](1), max: bound[int](1000000),
 	})
 	bind(b, &s.MaxHeader, definition[int]{
 		flag: "http-max-header", env: "MUSTARDSTEP_HTTP_MAX_HEADER", help: "maximum size of the headers of a request", unit: "bytes", defaultText: "8192", min: bound[int](1024), max: bound[int](1048576),
 	})
+	bind(b, &s.MemoryMB, definition[int]{
+		flag: "memory-mb", env: "MUSTARDSTEP_MEMORY_MB", help: "memory of the machine that the daemon may use; limits requests in progress to a quarter, connections to a quarter, and the heap of the runtime to three quarters; 0 limits requests in progress to 128 MB and the others not", unit: "MB", defaultText: "0", min: bound[int](0), max: bound[int](16777216),
+	})
+	bind(b, &s.MaxFDs, definition[int]{
+		flag: "max-fds", env: "MUSTARDSTEP_MAX_FDS", help: "descriptors that the daemon may open, half of them for callers' connections; 0 takes the limit of the process", unit: "descriptors", defaultText: "0", min: bound[int](0), max: bound[int](16777216),
+	})
+	bind(b, &s.MaxFields, definition[int]{
+		flag: "max-fields", env: "MUSTARDSTEP_MAX_FIELDS", help: "maximum number of fields and elements of the body of a call", unit: "fields", defaultText: "100000", min: bound[int](16), max: bound[int](100000000),
+	})
+	bind(b, &s.ProgressTimeout, definition[time.Duration]{
+		flag: "http-progress-timeout", env: "MUSTARDSTEP_HTTP_PROGRESS_TIMEOUT", help: "maximum time in which a caller sends no byte of a body, or takes no byte of an answer", unit: "", defaultText: "5s", min: bound[time.Duration](time.Duration(10000000)), max: bound[time.Duration](time.Duration(600000000000)),
+	})
 }
 
 // Capacity holds the settings of the capacity measurements.
