--- a/internal/boundedhttp/limits_test.go
+++ b/internal/boundedhttp/limits_test.go
@@ -5,10 +5,13 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/ingresslimit"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 )
@@ -26,6 +29,10 @@
 			c.Error("no route", 404)
 			return
 		}
+		if string(c.Path()) == "/big" { // more than the sockets hold
+			c.SetBody(make([]byte, 16<<20))
+			return
+		}
 		body, err := l.ReadBody(c, maxBody)
 		if err != nil {
 			c.Error(err.Error(), 400)
@@ -118,3 +125,82 @@
 	require.NoError(t, err)
 	require.Contains(t, string(answer), "HTTP/1.1 400")
 }
+
+// A client that takes nothing of its answers kept its connection without end.
+func TestConnectionThatDoesNotReadIsClosed(t *testing.T) {
+	l, address := serve(t, Config{Memory: 128 << 20, ProgressTimeout: 50 * time.Millisecond})
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /big HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return l.limiter.Counts(ingresslimit.NoProgress) == 1 }, 10*time.Second, time.Millisecond)
+}
+
+func TestPipelinedRequestsAreLimited(t *testing.T) {
+	_, address := serve(t, Config{Memory: 64 << 20, ProgressTimeout: time.Minute})
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, strings.Repeat("GET /none HTTP/1.1\r\nHost: x\r\n\r\n", maxPipelined+20))
+	require.NoError(t, err)
+	answers, err := io.ReadAll(conn)
+	require.NoError(t, err)
+	require.Equal(t, maxPipelined, strings.Count(string(answers), "HTTP/1.1 404"))
+}
+
+// fullListener has no descriptor for the first connection.
+type fullListener struct{ errs []error }
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	err := l.errs[0]
+	l.errs = l.errs[1:]
+	return nil, err
+}
+func (*fullListener) Close() error   { return nil }
+func (*fullListener) Addr() net.Addr { return nil }
+
+// The process ended when it had no descriptor for a connection.
+func TestLackOfDescriptorsEndsListener(t *testing.T) {
+	l := New(Config{})
+	lack := &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	_, err := l.Listen(&fullListener{[]error{lack, syscall.ECONNABORTED, net.ErrClosed}}, "test", 1, 0).Accept()
+	require.ErrorIs(t, err, net.ErrClosed)
+	require.EqualValues(t, 1, l.limiter.Counts(ingresslimit.NoDescriptor))
+}
+
+// A connection that waits for its answer must not be closed, whatever else happens.
+func TestWaitingCallerIsKept(t *testing.T) {
+	l := New(Config{Descriptors: 2, Memory: 1 << 20, ProgressTimeout: time.Millisecond})
+	entered, proceed := make(chan struct{}), make(chan struct{})
+	server := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+		_, err := l.ReadBody(c, maxBody)
+		require.NoError(t, err)
+		close(entered)
+		<-proceed
+	}}
+	l.Configure(server, func(*fasthttp.RequestCtx) {}, func(*fasthttp.RequestCtx) {})
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go server.Serve(l.Listen(inner, "test", 1, 0))
+	defer inner.Close()
+	conn, err := net.Dial("tcp", inner.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc")
+	require.NoError(t, err)
+	<-entered
+	for range 3 { // above the limit of one connection
+		other, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			continue // reset already
+		}
+		_, err = io.ReadAll(other)
+		require.Error(t, err, "not reset")
+		other.Close()
+	}
+	close(proceed)
+	var response fasthttp.Response
+	require.NoError(t, response.Read(bufio.NewReader(conn)))
+	require.Equal(t, 200, response.StatusCode())
+}
