--- a/internal/boundedhttp/limits.go
+++ b/internal/boundedhttp/limits.go
@@ -36,7 +36,9 @@
 	// maxPipelined is the limit on requests of a connection that were received together. The
 	// connection is closed after the last.
 	maxPipelined = 64
-	// fieldBytes is what a field of a body takes while it is decoded, at most.
+	// fieldBytes is an estimate of what a field of a body takes while it is decoded. An empty
+	// step of a job counts as two fields and takes 120 bytes, up to three times that while its
+	// slice grows; an object with one field counts as three and takes a map of 400 bytes.
 	fieldBytes = 400
 	// firstRead is the size of the first buffer for a body of unknown length or a long one.
 	firstRead = 4 << 10
@@ -112,9 +114,6 @@
 // RuntimeMemory returns the limit to be set for the runtime, or 0 if the memory is not known.
 func (l *Limits) RuntimeMemory() int64 { return l.config.Memory / 8 * runtimeShare }
 
-// MaxConns returns the limit on the connections of all listeners.
-func (l *Limits) MaxConns() int { return l.maxConns }
-
 // Listen returns a listener whose connections are limited: to the given share of all, and to max
 // unless it is 0. The shares of all listeners of a process must not add up to more than 1.
 func (l *Limits) Listen(inner net.Listener, name string, share float64, max int) net.Listener {
@@ -166,25 +165,20 @@
 	l.config.Log.Warn("clients exceed the limits", append(attributes, slog.Int64("used_bytes", l.limiter.Used()), slog.Int64("budget_bytes", l.limiter.Budget()))...)
 }
 
-// Each calls f with the name and the value of each counter and gauge.
-func (l *Limits) Each(f func(name string, value float64)) {
+// WriteMetrics writes the counters and gauges as text.
+func (l *Limits) WriteMetrics(w io.Writer) {
 	for _, r := range ingresslimit.Reasons() {
-		f("mustardstep_ingress_limited_total{reason=\""+r.String()+"\"}", float64(l.limiter.Counts(r)))
+		fmt.Fprintf(w, "mustardstep_ingress_limited_total{reason=%q} %d\n", r, l.limiter.Counts(r))
 	}
-	f("mustardstep_ingress_budget_bytes", float64(l.limiter.Budget()))
-	f("mustardstep_ingress_used_bytes", float64(l.limiter.Used()))
+	fmt.Fprintf(w, "mustardstep_ingress_budget_bytes %d\n", l.limiter.Budget())
+	fmt.Fprintf(w, "mustardstep_ingress_used_bytes %d\n", l.limiter.Used())
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, g := range l.groups {
-		f("mustardstep_ingress_connections{listener=\""+name+"\"}", float64(g.Open()))
+		fmt.Fprintf(w, "mustardstep_ingress_connections{listener=%q} %d\n", name, g.Open())
 	}
 }
 
-// WriteMetrics writes the counters and gauges as text.
-func (l *Limits) WriteMetrics(w io.Writer) {
-	l.Each(func(name string, value float64) { fmt.Fprintf(w, "%s %.0f\n", name, value) })
-}
-
 // Configure sets what the limits need on a server: handlers are called before a body is
 // received, except for its first byte, and read it with ReadBody.
 func (l *Limits) Configure(server *fasthttp.Server, tooManyFields, exhausted fasthttp.RequestHandler) {
--- a/internal/boundedhttp/limits_test.go
+++ b/internal/boundedhttp/limits_test.go
@@ -97,6 +97,9 @@
 		}
 		require.Equal(t, c.keepAlive, keepAlive, c.name)
 	}
+	var metrics strings.Builder
+	l.WriteMetrics(&metrics)
+	require.Contains(t, metrics.String(), `mustardstep_ingress_limited_total{reason="too_large"} 2`)
 	require.Eventually(t, func() bool { return l.limiter.Used() == 0 }, 10*time.Second, time.Millisecond, "shares of the budget are not returned")
 }
 
