--- a/locality/locality.go
+++ b/locality/locality.go
@@ -59,8 +59,6 @@
 	ReasonTarget
 	// ReasonWorthWaiting means that near capacity is expected in time.
 	ReasonWorthWaiting
-	// ReasonFaster means that the task would have been late on a slower upstream that was free.
-	ReasonFaster
 	// ReasonNothingFree means that no capacity is free.
 	ReasonNothingFree
 
@@ -72,7 +70,7 @@
 	return [reasonCount]string{
 		"no preference", "near capacity is free", "it ends earlier elsewhere", "no near capacity is expected",
 		"the wait would cost more than it saves", "it would be late if it waited", "near capacity is expected in time",
-		"it would have been late on a slower upstream", "no capacity is free",
+		"no capacity is free",
 	}[r]
 }
 
--- a/scheduler/place.go
+++ b/scheduler/place.go
@@ -129,7 +129,6 @@
 		return nil
 	}
 	s.anyGroup.NoteChange() // capacity may have become free
-	s.fasterGroup.NoteChange()
 	s.wakeParked(now)
 	starts := s.placeSuspects(now)
 	for s.Dispatching() && s.waiting.Load() > 0 {
@@ -170,14 +169,7 @@
 			}
 			continue
 		}
-		if w := s.fasterSoon(now, &c); w != nil {
-			s.waiting.Add(int64(shard.parkTask(now, c, w) - 1))
-			tried[at] = false
-			n--
-			continue
-		}
 		start, bound := s.bind(now, c)
-		c.noteWait(now, &start)
 		if s.settle(now, shard, c, start, bound) {
 			return start, true
 		}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,7 +26,6 @@
 package scheduler
 
 import (
-	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,13 +138,11 @@
 	upstreamShards [upstreamShardCount]*upstreamShard
 	bounds         [upstreamShardCount]shardBounds // one for each shard of upstreams
 	scarce         atomic.Bool                     // whether less than scarceShare of the capacity was free at the last tick
-	slowest        atomic.Uint64                   // math.Float64bits of the greatest slowdown, as of the last tick
 	nextShard      atomic.Uint32                   // shard of upstreams at which the next placement begins
 	models         queueModels
 	load           *overload.Controller
 	index          *locality.Index // of the upstreams to claim
 	anyGroup       *locality.Group // stands for all upstreams; it has no members
-	fasterGroup    *locality.Group // stands for the upstreams that tasks without constraints wait for
 	decide         func(locality.Question) locality.Decision
 	blame          blame
 	falls          falls
@@ -185,7 +182,7 @@
 
 // New returns a Scheduler that does not dispatch until BeginTerm is called.
 func New(now time.Time, config Config) *Scheduler {
-	s := &Scheduler{config: config, start: now, load: overload.New(), index: locality.NewIndex(), anyGroup: &locality.Group{}, fasterGroup: &locality.Group{}, decide: locality.Decide}
+	s := &Scheduler{config: config, start: now, load: overload.New(), index: locality.NewIndex(), anyGroup: &locality.Group{}, decide: locality.Decide}
 	s.lastLoss.Store(-int64(lossWindow)) // no response was lost so far
 	for i := range jobShardCount {
 		s.jobShards[i] = newJobShard()
@@ -316,7 +313,7 @@
 	}
 	oldestPoll := now         // every upstream has answered a poll sent at this time or later
 	var latestStart time.Time // of an upstream's process
-	allHeld, slowest, capacity := true, 0.0, 0.0
+	allHeld, capacity := true, 0.0
 	size, free := 0, 0                      // in thousandths of a core
 	listDoubtful := s.listIsDoubtful(token) // read first: SetUpstreams comes before ConfirmList
 	for _, shard := range s.upstreamShards {
@@ -325,11 +322,9 @@
 		latestStart = later(latestStart, state.latestStart)
 		allHeld = allHeld && state.allHeld
 		capacity += state.capacity
-		slowest = max(slowest, state.slowest)
 		size, free = size+state.size, free+state.free
 	}
 	s.scarce.Store(float64(free) < scarceShare*float64(size))
-	s.slowest.Store(math.Float64bits(slowest))
 	s.beginProbations(now, &a)
 	s.updateSplit(now, allHeld)
 	s.finishLost(now, &a)
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -221,8 +221,6 @@
 	// All have answered a poll sent at oldestPoll or later. latestStart is the latest start
 	// time of their processes.
 	oldestPoll, latestStart time.Time
-	// slowest is the greatest slowdown.
-	slowest float64
 	// size and free are the CPU of all upstreams and what is free of it, in thousandths of a
 	// core.
 	size, free int
@@ -255,7 +253,6 @@
 			state.latestStart = later(state.latestStart, u.startTime())
 			state.size += u.Size.MilliCPU
 			state.free += max(u.freeSize().MilliCPU, 0)
-			state.slowest = max(state.slowest, u.model.slowdown())
 			state.allHeld = state.allHeld && u.isHeld(now, watched)
 		}
 		if !u.leaseEnd.IsZero() && now.After(u.leaseEnd.Add(margin)) && len(u.runs)+len(u.orphans) > 0 {
