Shares and target times limit admission only while capacity is scarce

Change: capacity counts as scarce once it has been short for 0.5 s and more is requested than completed. Until then a late answer counts as useful, and only accounts that request twice their share are limited. Result: TestOverload and TestLargestTasksOfKindB pass unchanged.

--- a/overload/controller.go
+++ b/overload/controller.go
@@ -21,6 +21,12 @@
 	// sharePeriod is the time of shortage after which shares apply. A short burst that can be
 	// served in time is not limited by shares, which are not known yet.
 	sharePeriod = 500 * time.Millisecond
+	// scarceFactor is the ratio of requested to completed work above which capacity counts as scarce.
+	// Below it, the jobs that miss their target time are few, and most are served late after it.
+	scarceFactor = 1.05
+	// greedyFactor is the ratio of the work that an account requests to its share above which it is
+	// limited also while capacity is short, but not scarce.
+	greedyFactor = 2
 	// rateTime is the time constant of the measured rates. It is below the length of a burst
 	// and above the time between two jobs of a slow queue.
 	rateTime = 500 * time.Millisecond
@@ -73,12 +79,12 @@
 // Controller holds the state from which jobs are admitted. It must be created by New.
 type Controller struct {
 	Backlog
-	rate       atomic.Uint64 // math.Float64bits of the work per second that upstreams complete
-	shortUntil atomic.Int64
-	shortSince atomic.Int64 // as of the last update; 0 while capacity is not short
-	scarce     atomic.Bool  // as of the last update, see IsScarce
-	started    atomic.Int64 // work started since the last update
-	shards     [shardCount]*shard
+	rate        atomic.Uint64 // math.Float64bits of the work per second that upstreams complete
+	shortUntil  atomic.Int64
+	shortSince  atomic.Int64 // as of the last update; 0 while capacity is not short
+	scarceUntil atomic.Int64
+	started     atomic.Int64 // work started since the last update
+	shards      [shardCount]*shard
 
 	mu          sync.Mutex // guards the fields below
 	updatedAt   time.Duration
@@ -147,10 +153,10 @@
 	return since != 0 && now-since >= sharePeriod
 }
 
-// IsScarce reports whether capacity has been short for sharePeriod and flows request more than is
-// completed. A late answer then costs an answer in time. Otherwise the backlog of a burst is about
-// to be worked off, and late answers use capacity that nothing else needs.
-func (c *Controller) IsScarce() bool { return c.scarce.Load() }
+// IsScarce reports whether capacity has been short for sharePeriod and flows request scarceFactor
+// times what is completed. A late answer then costs an answer in time. Otherwise the backlog of a
+// burst is about to be worked off, and late answers use capacity that nothing else needs.
+func (c *Controller) IsScarce() bool { return c.now.Load() < c.scarceUntil.Load() }
 
 // WasShort reports whether capacity was short at the last update.
 func (c *Controller) WasShort() bool { return c.now.Load() < c.shortUntil.Load() }
@@ -198,7 +204,7 @@
 		return Admitted
 	case hopeless:
 		return Hopeless
-	case c.isShortFor(now) && q.excess > depthShare*j.Target.Seconds()*q.rate && a.excess > 0:
+	case (c.IsScarce() || c.isShortFor(now) && a.wanted > greedyFactor*a.rate) && q.excess > depthShare*j.Target.Seconds()*q.rate && a.excess > 0:
 		return AboveShare
 	}
 	q.excess, a.excess = q.excess+float64(j.Work), a.excess+float64(j.Work)
@@ -314,7 +320,9 @@
 	for _, d := range queues {
 		wanted += d.wanted
 	}
-	c.scarce.Store(c.isShortFor(now) && wanted > c.Rate())
+	if c.isShortFor(now) && wanted > scarceFactor*c.Rate() {
+		c.scarceUntil.Store(int64(now + shortPeriod)) // the measured rates vary
+	}
 	divide(queues, c.Rate())
 	for _, s := range c.shards {
 		s.mu.Lock()
