node: an older list of upstreams does not replace a newer one

Cause: applyUpstreams read the entries and the set of evacuated data centres under the lock of the registry and passed the list to the scheduler after it. Of two calls at the same time, the one that read first could write last, also for some shards only; its upstreams of an evacuated data centre then got tasks until the next change of an entry. A call whose time was from before a pause of the process also ended the effect, since the evacuation then counted as younger than evacuationFinishTime. Change: calls of applyUpstreams run one after the other, and the age of an evacuation is that at the time of the decision.

--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/evacuation"
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
@@ -69,3 +73,39 @@
 	}
 	return names
 }
+
+// Calls of applyUpstreams at the same time must not leave the set of the one that read it first: an
+// upstream would get tasks after the bound, or none after its return, until the next change of an
+// entry.
+func TestOlderSetDoesNotReplaceNewerOne(t *testing.T) {
+	c := newCluster(t, 1, 40, time.Millisecond)
+	for i := range 40 {
+		c.moveUpstream(fmt.Sprintf("u%d", i), "dc2")
+	}
+	n := c.dispatcher()
+	c.wait("the upstreams are known", func() bool { return len(n.scheduler.Summaries()) == 40 && n.registry.hasDataCentre("dc2") })
+	for i := range 3000 {
+		var others sync.WaitGroup
+		for range 3 {
+			others.Go(func() { n.applyUpstreams(time.Now()) })
+		}
+		time.Sleep(rand.N(50 * time.Microsecond)) // varies the order of the calls
+		state, want := evacuation.State{Revision: 1<<40 + int64(i)}, 0
+		if i%2 == 0 {
+			state.DataCentres, want = []string{"dc2"}, 40
+		}
+		n.noteEvacuations(n.evacuation.table.Replace(time.Now(), state), "test")
+		others.Wait()
+		require.Len(t, evacuatedUpstreams(n.Node), want, "change %d", i)
+	}
+}
+
+// A call whose time is from before a pause of the process must not end the effect of an evacuation.
+func TestTimeBeforePauseDoesNotDelayEvacuation(t *testing.T) {
+	c := newDividedCluster(t, time.Millisecond)
+	before := time.Now()
+	c.evacuate()
+	d := c.dispatcherOf(c.a)
+	d.applyUpstreams(before)
+	require.Equal(t, []string{"u0"}, evacuatedUpstreams(d.Node))
+}
--- a/node/registry.go
+++ b/node/registry.go
@@ -38,6 +38,11 @@
 
 // registry holds the store entries of the upstreams and of the configuration.
 type registry struct {
+	// applying is held by applyUpstreams, so that of two calls at the same time the one that read
+	// the entries first does not replace the list of the other. It guards no state, and is locked
+	// before mu and the locks of the scheduler.
+	applying sync.Mutex
+
 	mu            sync.Mutex // guards the fields below
 	newest        int64      // revision of the latest change; 0 before the first listing
 	listedAt      time.Time  // time of the first listing, or of the first one after a maxReadGap
@@ -343,6 +348,8 @@
 
 // applyUpstreams passes to the scheduler the upstreams that this node claims.
 func (n *Node) applyUpstreams(now time.Time) {
+	n.registry.applying.Lock()
+	defer n.registry.applying.Unlock()
 	v := n.view.Load()
 	self := n.fleet.Self()
 	var list []scheduler.Upstream
@@ -355,7 +362,7 @@
 		completeSince = n.registry.listedAt.Add(staleListTime)
 	}
 	digest, current := uint64(0), 0
-	evacuated := n.evacuatedAt(now, v)
+	evacuated := n.evacuatedAt(time.Now(), v) // the process may have been paused since now
 	// Whether upstreams that this node does not claim may have runs of its jobs.
 	partial := n.registry.mayLack(now, n.deps.Store != nil, v)
 	n.registry.lacking = partial
