node: former dispatchers are asked also if no exchange is active yet

Cause: for 10 s after a change of the data centres that get new jobs, an origin asks the dispatchers that would have got a job before. If the evacuation ended before the fleet divided, no heartbeats were exchanged with them, so that they were neither reachable nor counted as lost, and every new job waited for its deadline. Evidence: TestFormerRouteFromBeforeDivisionIsAsked fails in 2 of 2 runs without the change: "no dispatcher was reached before the deadline" after 5 s. Change: the exchange begins in a divided fleet whenever former dispatchers are asked. Result: the test passes in 2 of 2 runs, as do the other tests of evacuations in divided fleets that were run with it (JobsOfEvacuated, AfterChangeOfEvac, LinkToOther).

--- a/node/elsewhere.go
+++ b/node/elsewhere.go
@@ -39,9 +39,10 @@
 // updateElsewhere begins or ends the exchange of heartbeats with other data centres.
 func (n *Node) updateElsewhere(now time.Time, v *fleet.View) {
 	e := &n.elsewhere
-	evacuated := v.Scope == fleet.ScopeDataCentre && n.evacuation.table.State().Contains(n.config.DataCentre)
+	evacuated := n.evacuation.table.State().Contains(n.config.DataCentre)
 	asking := n.formerRoutes.update(now, n.newJobDataCentres())
-	active := evacuated || e.active() && (asking || n.jobs.AnyOutside(n.config.DataCentre))
+	// The evacuation may have ended before the division, so that no exchange is active yet.
+	active := v.Scope == fleet.ScopeDataCentre && (evacuated || asking) || e.active() && n.jobs.AnyOutside(n.config.DataCentre)
 	n.fleet.SetExchange(active)
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/node/elsewhere_test.go
+++ b/node/elsewhere_test.go
@@ -193,3 +193,19 @@
 	c.wait("both are evacuated", func() bool { return origin.evacuation.table.State().Contains("b") })
 	require.Equal(t, intake.NotRun, origin.submit(context.Background(), "z", 1, waitTimeout).Outcome)
 }
+
+// An evacuation ends shortly before the fleet divides. The former dispatchers are asked only if
+// heartbeats are exchanged with them; without, each new job would wait for formerRouteTime.
+func TestFormerRouteFromBeforeDivisionIsAsked(t *testing.T) {
+	c := newDividedCluster(t, time.Millisecond)
+	origin := c.origin()
+	require.False(t, origin.elsewhere.active())
+	for _, n := range c.b { // as in a large fleet, whose members rarely hear one of another data centre
+		n.kill()
+	}
+	c.wait("no heartbeats from there", func() bool { _, found := origin.view.Load().RemoteDispatcher("b"); return !found })
+	origin.formerRoutes.update(time.Now(), []string{"b"}) // as in the undivided fleet
+	origin.formerRoutes.update(time.Now(), []string{"a"})
+	answer := origin.submit(context.Background(), "x", 1, formerRouteTime/2)
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
