scheduler: an abandoned at-most-once job counts as known

Cause: a dispatcher that had abandoned an at-most-once job after a task may have started rejects it until the deadline of its caller, but answered that it does not know the job. Around a change of the evacuation, the job sent again then went to a dispatcher of another data centre, which would start the task a second time. Change: Known is true for such a job.

--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -442,8 +442,8 @@
 	TotalWaiting int `msg:"a"`
 	// Placed lists the tasks that were sent to an upstream.
 	Placed []TaskPlacement `msg:"p"`
-	// Known is true if the job is in progress, has completed recently or has an
-	// active run.
+	// Known is true if the job is in progress, has completed recently, has an
+	// active run or is rejected because it may be started at most once.
 	Known bool `msg:"k"`
 	// Unsettled is true if the receiver does not dispatch, or if runs of
 	// dispatchers before it may be unknown to it.
--- a/scheduler/at_most_once_test.go
+++ b/scheduler/at_most_once_test.go
@@ -155,6 +155,9 @@
 	b.offer(b.atMostOnceJob("a", 0))
 	require.Len(t, b.place(), 1)
 	b.record(b.scheduler.AbandonJobsOf(b.now, "front", 2))
+	b.advanceWithPolls(1500 * time.Millisecond) // the run ends
+	known, _ := b.scheduler.Known("a")
+	require.True(t, known, "otherwise a dispatcher of another data centre gets the job during an evacuation")
 	j := b.atMostOnceJob("a", 0)
 	j.Resumed = true
 	_, failure := b.scheduler.Offer(b.now, j)
