scheduler: a job that may have run is not refused because of an evacuation

Cause: a job that only evacuated upstreams are large enough for was refused as not run at once. While a term is not settled, an earlier dispatcher may have started it; and tasks of it may have run here for an earlier submission. Evidence: both cases of TestJobThatMayHaveRunIsNotRefusedByEvacuation fail without the change (one run). Change: such a job is refused only in a settled term, and if nothing of it may have run, as for the admission under load. Result: the tests TestJobThat* and *Evac* of package scheduler pass (one run).

--- a/scheduler/evacuated.go
+++ b/scheduler/evacuated.go
@@ -50,7 +50,8 @@
 }
 
 // refusedByEvacuation returns the rejection of a new job that only upstreams of evacuated data centres
-// are large enough for. A job that is known here may have runs that go on, and is not rejected.
+// are large enough for. A job of which something may have run is not rejected, since it would be
+// answered as not run: while the term is not settled, an earlier dispatcher may have started it.
 func (s *Scheduler) refusedByEvacuation(offered *Job) *verdict.Error {
 	fits := func(evacuated bool) bool {
 		return s.anyUpstream(func(u *upstream) bool { return u.Evacuated == evacuated && u.fits(offered) })
@@ -58,7 +59,7 @@
 	if offered.Resumed || fits(false) || !fits(true) {
 		return nil
 	}
-	if known, _ := s.Known(offered.ID); known {
+	if known, settled := s.Known(offered.ID); known || !settled || !s.jobShardFor(offered.ID).isNew(offered.ID) {
 		return nil
 	}
 	return verdict.Errorf(verdict.NotRun, verdict.CodeOverloaded,
--- a/scheduler/evacuated_test.go
+++ b/scheduler/evacuated_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/verdict"
 	"github.com/stretchr/testify/require"
 )
 
@@ -91,6 +92,40 @@
 	require.Contains(t, failure.Reason, "evacuated")
 }
 
+// A job of which an earlier dispatcher may have active runs, or of which tasks have run here before,
+// must not be refused as not run, although only an evacuated upstream is large enough for it.
+func TestJobThatMayHaveRunIsNotRefusedByEvacuation(t *testing.T) {
+	job := Job{ID: "x", Origin: "front", Queue: "q", Service: "rota", Size: Size{MilliCPU: 3000}, Estimate: 100 * time.Millisecond, Tasks: []int{0}}
+	for name, prepare := range map[string]func(e *evacuationTest){
+		"the term is not settled": func(e *evacuationTest) { e.s.BeginTerm(e.now, 2, time.Second) },
+		"a task has run": func(e *evacuationTest) {
+			job.Sent, job.Deadline = e.now, e.now.Add(time.Minute)
+			_, failure := e.s.Offer(e.now, job)
+			require.Nil(e.t, failure)
+			starts := e.s.Place(e.now)
+			require.Len(e.t, starts, 1)
+			e.s.HandleStartResult(e.now, starts[0], OrderDone, 1)
+			e.s.AbandonJobsOf(e.now, "front", 1)
+			e.now = e.now.Add(time.Second)
+			poll, _, _, _ := e.s.NextPoll(e.now, "a")
+			e.s.HandlePollResult(e.now, poll, PollAnswered, PollReport{Clock: 1001, ProcessStart: 1, Completions: []Completion{{Run: starts[0].Run, Number: 1, Kind: CompletionStopped}}})
+			known, _ := e.s.Known("x")
+			require.False(e.t, known, "the run has ended")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := newEvacuationTest(t)
+			e.entries[0].Size.MilliCPU = 4000
+			e.evacuate("")
+			prepare(e)
+			e.evacuate("a")
+			job.Sent, job.Deadline = e.now, e.now.Add(time.Minute)
+			_, failure := e.s.Offer(e.now, job)
+			require.True(t, failure == nil || failure.Verdict != verdict.NotRun, failure)
+		})
+	}
+}
+
 // An upstream that returns is perhaps cold: until a run has completed, or its entry's time has
 // passed, a second run would be as late as the first.
 func TestReturnedUpstreamGetsOneRun(t *testing.T) {
