schedulertest: a run that ends within its lease does not lapse

Cause of "a task ran twice" in TestJobsSucceedAtEveryVM: the model of an upstream only advances when it is called. If the test process stands still for longer than the lease (0.5 s there), a run of 30 ms counted as lapsed, although it would have ended long before, and the dispatcher rightly started the task again. Change: a run whose work ends before the lease, by the upstream's clock, has ended as done.

--- a/scheduler/schedulertest/upstream.go
+++ b/scheduler/schedulertest/upstream.go
@@ -96,7 +96,7 @@
 		}
 		r.advancedAt = now
 		switch {
-		case u.Clock(now) > u.leaseEnd:
+		case u.Clock(now) > u.leaseEnd && !u.endedInLease(now, r):
 			u.complete(now, r, scheduler.CompletionLapsed)
 		case !r.stopAt.IsZero() && !now.Before(r.stopAt):
 			u.complete(now, r, scheduler.CompletionStopped)
@@ -108,6 +108,16 @@
 	}
 }
 
+// endedInLease reports whether a run ended before its lease did. Nobody may have called Advance in
+// between: a test process can be paused for longer than a lease.
+func (u *Upstream) endedInLease(now time.Time, r *Run) bool {
+	if u.Stall || r.remaining > 0 || u.Speed <= 0 {
+		return false
+	}
+	end := now.Add(time.Duration(float64(r.remaining) / u.Speed))
+	return u.Clock(end) <= u.leaseEnd && (r.stopAt.IsZero() || end.Before(r.stopAt))
+}
+
 func (u *Upstream) complete(now time.Time, r *Run, kind scheduler.CompletionKind) {
 	delete(u.runs, r.Task)
 	u.Used.MilliCPU -= r.size.MilliCPU
