node: a job that a former dispatcher knows is not answered as not run

Cause: around a change of the evacuation, an origin asks former dispatchers whether they know a job. If the one that does was lost before the job was offered to it, the job was answered as not run, although tasks of an earlier request may have started. Change: such a job is answered as abandoned.

--- a/node/elsewhere_test.go
+++ b/node/elsewhere_test.go
@@ -209,3 +209,22 @@
 	answer := origin.submit(context.Background(), "x", 1, formerRouteTime/2)
 	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
 }
+
+// A former dispatcher knows a job and is lost before it gets the offer. The job must not be answered
+// as not run.
+func TestJobThatFormerDispatcherKnowsIsNotAnsweredAsNotRun(t *testing.T) {
+	c := newDividedCluster(t, time.Millisecond)
+	origin := c.origin()
+	for _, n := range c.b {
+		n.kill()
+	}
+	c.wait("no heartbeats from there", func() bool { _, found := origin.view.Load().RemoteDispatcher("b"); return !found })
+	origin.formerRoutes.update(time.Now(), []string{"b"})
+	origin.formerRoutes.update(time.Now(), []string{"a"})
+	j, _ := origin.jobs.AddOrJoin(time.Now(), "x", Job{Queue: &testQueue, Deadline: time.Now().Add(waitTimeout)}, 1)
+	origin.formerRoutes.begin(j, []string{"b"})
+	origin.formerRoutes.end(j, []string{"b"}, "b", true)
+	<-j.Done()
+	answer, _ := origin.jobs.Answer(j)
+	require.Equal(t, intake.Abandoned, answer.Outcome, answer.Reason)
+}
--- a/node/former_route.go
+++ b/node/former_route.go
@@ -117,6 +117,14 @@
 	}
 }
 
+// knows reports whether a former dispatcher has answered that it knows a job.
+func (f *formerRoutes) knows(j *intake.Job[Job]) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	q := f.queries[j]
+	return q != nil && q.dataCentre != ""
+}
+
 // routeNewJob returns the data centre whose dispatcher gets a job that has not been offered. ok is
 // false while former dispatchers are being asked whether they know the job.
 func (n *Node) routeNewJob(j *intake.Job[Job], v *fleet.View) (dataCentre string, ok bool) {
--- a/node/submit.go
+++ b/node/submit.go
@@ -114,8 +114,12 @@
 	n.end(j, answer)
 }
 
-// end answers a job and stops its tasks. NotRun becomes Abandoned if tasks may have started.
+// end answers a job and stops its tasks. NotRun becomes Abandoned if tasks may have started, also
+// for an earlier request of the caller that a former dispatcher knows.
 func (n *Node) end(j *intake.Job[Job], a intake.Answer) {
+	if a.Outcome == intake.NotRun && n.formerRoutes.knows(j) {
+		a.Outcome = intake.Abandoned
+	}
 	if vm, term, ended := n.jobs.Finish(j.ID, j.Submission, a); ended {
 		n.withdraw(vm, term, j)
 	}
