node: load and accounts of the origins of an evacuated data centre

Cause: an origin refused new jobs because of the wait that the dispatcher of its own data centre had published, also while that one is evacuated, has no upstream left and keeps old jobs until their deadlines, and the jobs would go to another data centre. And the account of an origin was its VM if it was not a reachable member of the scope: the VMs of an evacuated data centre, and the dispatcher itself, each got the share of a whole data centre. Change: origins reject no job on their own while heartbeats are exchanged with other data centres; the account follows from the data centre of each known member.

--- a/node/load.go
+++ b/node/load.go
@@ -101,8 +101,12 @@
 }
 
 // rejectHopeless answers a new job without offering it if the state that the dispatcher has
-// published shows that it is hopeless. It reports whether it did.
+// published shows that it is hopeless. It reports whether it did. Jobs that may go to a dispatcher
+// of another data centre are not rejected, because its load is not known here.
 func (n *Node) rejectHopeless(j *intake.Job[Job], v *fleet.View) bool {
+	if v.Scope == fleet.ScopeDataCentre && (n.evacuation.table.State().Contains(n.config.DataCentre) || n.elsewhere.active()) {
+		return false
+	}
 	job := &j.Spec
 	target := time.Duration(job.Queue.Stretch*float64(job.Estimate)) + job.Queue.Slack
 	now := time.Now()
@@ -121,10 +125,8 @@
 // account returns the flow of an offered job below its queue: the data centre of its origin, or
 // the origin if this VM does not know its data centre. Callers of the platform name no account.
 func (n *Node) account(r *wire.OfferRequest) string {
-	for _, m := range n.view.Load().Reachable {
-		if m.Member.VM == r.Origin && m.Member.DataCentre != "" {
-			return "data centre " + m.Member.DataCentre
-		}
+	if name := n.fleet.DataCentre(r.Origin); name != "" {
+		return "data centre " + name
 	}
 	return r.Origin
 }
--- a/node/load_test.go
+++ b/node/load_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/evacuation"
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/internal/wire"
@@ -31,3 +32,31 @@
 	j, _ := n.jobs.AddOrJoin(time.Now(), "0000000000000002", job, 1)
 	require.False(t, n.rejectHopeless(j, n.view.Load()), "the dispatcher no longer publishes the queue")
 }
+
+// While its data centre is evacuated, the load of its own dispatcher, which has no upstream left,
+// says nothing about the jobs of an origin: they would be refused although others have capacity.
+func TestLoadOfEvacuatedDataCentreRejectsNoJob(t *testing.T) {
+	n := newOrigin(t)
+	n.view.Store(&fleet.View{Scope: fleet.ScopeDataCentre, Dispatcher: fleet.Member{VM: "vm9"}, Term: 7})
+	n.receiveLoad(time.Now(), &wire.FleetHeartbeat{From: wire.FleetMember{VM: "vm9"}, Term: 7, Load: []wire.QueueLoad{{Queue: testQueue.Name, WaitUS: time.Hour.Microseconds()}}})
+	n.evacuation.table.Replace(time.Now(), evacuation.State{Revision: 1, DataCentres: []string{n.config.DataCentre}})
+	job := Job{Queue: &testQueue, Estimate: 100 * time.Millisecond, Deadline: time.Now().Add(time.Minute)}
+	j, _ := n.jobs.AddOrJoin(time.Now(), "0000000000000001", job, 1)
+	require.False(t, n.rejectHopeless(j, n.view.Load()))
+}
+
+// The VMs of a data centre share one account, also those of an evacuated one and the dispatcher
+// itself. With an account each, they would get many times the share of the other data centre.
+func TestAccountIsThatOfDataCentre(t *testing.T) {
+	n := newOrigin(t)
+	n.view.Store(&fleet.View{Scope: fleet.ScopeDataCentre})
+	n.fleet.AddMembers([]fleet.Member{
+		{VM: "b1", DataCentre: "b", Address: "b1:1", Incarnation: 1}, {VM: "b2", DataCentre: "b", Address: "b2:1", Incarnation: 1},
+		{VM: "own", DataCentre: n.config.DataCentre, Address: "own:1", Incarnation: 1},
+	})
+	account := func(origin string) string { return n.account(&wire.OfferRequest{Origin: origin}) }
+	require.Equal(t, account("b1"), account("b2"))
+	require.Equal(t, account("own"), account(n.config.VM))
+	require.NotEqual(t, account("b1"), account("own"))
+	require.Equal(t, "unknown", account("unknown"))
+}
