node: the resume delay covers origins of larger data centres

Cause: while heartbeats are exchanged between data centres of different size, a dispatcher keeps the jobs of an origin elsewhere for the longer timeout of both, but its successor waited for that of its own data centre only before it started tasks of resumed jobs. An upstream that the successor does not reach may go on with the former runs: up to 1.2 s too early (data centres of up to 20 and of 80 VMs or more). Change: a term begins with the longest timeout of any data centre; it is the same as before unless another data centre has more than 20 VMs and more than the own one.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -74,6 +74,20 @@
 	return max(f.timeout(), HeartbeatTimeout(f.sizes[p.heartbeat.Member.DataCentre]))
 }
 
+// LongestTimeout returns the longest time without contact after which a dispatcher of this scope
+// abandons the jobs of an origin, also of one in another data centre.
+func (f *Fleet) LongestTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest := f.timeout()
+	if f.scope == ScopeDataCentre {
+		for _, size := range f.sizes {
+			longest = max(longest, HeartbeatTimeout(size))
+		}
+	}
+	return longest
+}
+
 // addRemote adds a reachable member of another scope. The caller holds mu.
 func (v *View) addRemote(f *Fleet, now time.Time, p *peer) {
 	if f.reachable(now, p) {
--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -37,6 +37,7 @@
 		require.Equal(t, reachable, found)
 		require.Equal(t, reachable, b.Reachable(now, "a0"))
 	}
+	require.Equal(t, timeoutIntervals*interval, a.LongestTimeout(), "otherwise the next dispatcher of a starts tasks of b's origins while the former one keeps their runs")
 	a.RecordHeartbeat(start, Heartbeat{Member: members[30], Term: 7}, true)
 	view := a.View(start, 0)
 	_, found := view.RemoteDispatcher("b")
--- a/node/term.go
+++ b/node/term.go
@@ -291,7 +291,7 @@
 		slog.Int("unheard", len(v.Unreachable)), slog.Bool("minority", v.Minority))
 	n.metrics.Terms.Inc()
 	n.scheduler.DoubtList()
-	n.scheduler.BeginTerm(now, token, resumeDelay(n.peerTimeout(), n.config.LeaseMax))
+	n.scheduler.BeginTerm(now, token, resumeDelay(n.fleet.LongestTimeout(), n.config.LeaseMax))
 	// Offers name the new term only now: BeginTerm removes the jobs that it finds.
 	t.mu.Lock()
 	t.token = token
