--- a/node/elsewhere_test.go
+++ b/node/elsewhere_test.go
@@ -193,3 +193,38 @@
 	c.wait("both are evacuated", func() bool { return origin.evacuation.table.State().Contains("b") })
 	require.Equal(t, intake.NotRun, origin.submit(context.Background(), "z", 1, waitTimeout).Outcome)
 }
+
+// An evacuation ends shortly before the fleet divides. The former dispatchers are asked only if
+// heartbeats are exchanged with them; without, each new job would wait for formerRouteTime.
+func TestFormerRouteFromBeforeDivisionIsAsked(t *testing.T) {
+	c := newDividedCluster(t, time.Millisecond)
+	origin := c.origin()
+	require.False(t, origin.elsewhere.active())
+	for _, n := range c.b { // as in a large fleet, whose members rarely hear one of another data centre
+		n.kill()
+	}
+	c.wait("no heartbeats from there", func() bool { _, found := origin.view.Load().RemoteDispatcher("b"); return !found })
+	origin.formerRoutes.update(time.Now(), []string{"b"}) // as in the undivided fleet
+	origin.formerRoutes.update(time.Now(), []string{"a"})
+	answer := origin.submit(context.Background(), "x", 1, formerRouteTime/2)
+	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
+}
+
+// A former dispatcher knows a job and is lost before it gets the offer. The job must not be answered
+// as not run.
+func TestJobThatFormerDispatcherKnowsIsNotAnsweredAsNotRun(t *testing.T) {
+	c := newDividedCluster(t, time.Millisecond)
+	origin := c.origin()
+	for _, n := range c.b {
+		n.kill()
+	}
+	c.wait("no heartbeats from there", func() bool { _, found := origin.view.Load().RemoteDispatcher("b"); return !found })
+	origin.formerRoutes.update(time.Now(), []string{"b"})
+	origin.formerRoutes.update(time.Now(), []string{"a"})
+	j, _ := origin.jobs.AddOrJoin(time.Now(), "x", Job{Queue: &testQueue, Deadline: time.Now().Add(waitTimeout)}, 1)
+	origin.formerRoutes.begin(j, []string{"b"})
+	origin.formerRoutes.end(j, []string{"b"}, "b", true)
+	<-j.Done()
+	answer, _ := origin.jobs.Answer(j)
+	require.Equal(t, intake.Abandoned, answer.Outcome, answer.Reason)
+}
