A labelled job is not rejected for load while its upstream is free

Cause: before a rejection, the search for a free upstream ended after 32 upstreams with free capacity, which may all lack the label that the job requires. Evidence: TestLabelledJobIsRejectedWhileItsUpstreamIsFree: with 108 free upstreams, of which one has the label, one of 100 offers was rejected before the test ended. Change: jobs with constraints are searched for like at their placement, where only upstreams that suit them count. Result: the test passes.

--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -59,7 +59,12 @@
 // hasRoom reports whether a task of a job could start now.
 func (s *Scheduler) hasRoom(now time.Time, j *Job) bool {
 	// The zero target time makes every upstream count on which the job could run.
-	_, ok := s.choose(now, candidate{job: j, index: -1, returnAt: j.returnAt, model: s.models.get(j.Queue, j.Estimate)})
+	c := candidate{job: j, index: -1, returnAt: j.returnAt, model: s.models.get(j.Queue, j.Estimate)}
+	if j.Constraints != nil { // choose may meet only upstreams that the constraints exclude
+		c.constrainedTask = &constrainedTask{tasks: len(j.Tasks)}
+		return s.chooseSuiting(now, &c).name != ""
+	}
+	_, ok := s.choose(now, c)
 	return ok
 }
 
