Upstreams are held for suspects only where their constraints allow them

Cause: the search for an upstream to hold compared the required label, but not the limit of tasks per upstream. An upstream at its limit was held again and again, and the suspect waited until its deadline. Evidence: TestUpstreamAtItsLimitIsHeldForSuspect fails before the change. Change: the search uses the check of placement, which covers both constraints. Result: the test passes.

--- a/scheduler/constrained_faults_test.go
+++ b/scheduler/constrained_faults_test.go
@@ -30,3 +30,19 @@
 		require.False(t, j.rejected, "an upstream with its label is free")
 	}
 }
+
+// An upstream that has as many tasks of a job as it may was held for a suspect of the job, which
+// then waited until its deadline while the upstream was kept from others.
+func TestUpstreamAtItsLimitIsHeldForSuspect(t *testing.T) {
+	f := newFleetReplay(t, 1, 2).sameSpeed()
+	j := f.testJob(1, 300*time.Millisecond, &scheduler.Constraints{Label: "a", MaxPerUpstream: 1})
+	f.offer(j)
+	f.offer(f.testJob(1, 3*time.Second, &scheduler.Constraints{Label: "b"}))
+	f.run(replayStep, nil, 0, nil)
+	require.Zero(t, f.s.Waiting())
+	suspect := j.Job
+	suspect.Constraints = &scheduler.Constraints{MaxPerUpstream: 1}
+	f.s.HoldForSuspect(f.now, &suspect, 1)
+	require.False(t, f.s.IsHeld(f.now, "u000"), "it has a task of the job")
+	require.True(t, f.s.IsHeld(f.now, "u001"))
+}
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -162,7 +162,8 @@
 		for _, shard := range s.upstreamShards {
 			shard.mu.Lock()
 			for _, u := range shard.all {
-				if taken[u.Name] || u.Draining || u.onProbation() || u.isolation != isolatedNot || u.Service != c.job.Service || !c.job.Size.FitsIn(u.Size) || !u.usable(now, s.leaseRule()) || slices.Contains(c.avoid, u.Name) || !c.job.allows(&u.Upstream) {
+				if taken[u.Name] || u.Draining || u.onProbation() || u.isolation != isolatedNot || u.Service != c.job.Service || !c.job.Size.FitsIn(u.Size) || !u.usable(now, s.leaseRule()) || slices.Contains(c.avoid, u.Name) ||
+					c.job.Constraints != nil && !c.keepsConstraints(u) {
 					continue
 				}
 				at := u.idleAt(now)
