Wake smaller tasks that wait behind a larger one for the same rack

Cause: a change of a rack wakes the first waiting job of each shard. If its task did not fit into the capacity that had become free, or was placed elsewhere, nothing woke the next job until a further change or the end of its wait, which is up to eight times the loss elsewhere. Evidence: TestSmallTaskWaitsBehindLargeOne: a task of 12 cores was not started when 16 cores had become free on each of 12 upstreams. Change: if the woken job waits again, the first job of smaller tasks is woken; if it is placed elsewhere, the rack counts as changed. Jobs that wait for any upstream are left as they are, because they are tried again within 100 ms. Result: the test passes.

--- a/scheduler/constrained_faults_test.go
+++ b/scheduler/constrained_faults_test.go
@@ -1,9 +1,11 @@
 package scheduler_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/stretchr/testify/require"
 )
@@ -31,6 +33,44 @@
 	}
 }
 
+// idsOfOneShard returns the IDs of two jobs that the scheduler keeps in the same shard.
+func idsOfOneShard() [2]string {
+	const first, shards = "00000000000000f0", 16
+	for n := 0xf1; ; n++ {
+		if id := fmt.Sprintf("%016x", n); rendezvous.Hash(id)%shards == rendezvous.Hash(first)%shards {
+			return [2]string{first, id}
+		}
+	}
+}
+
+// Tasks that fit into the capacity that a run had left in their rack waited on, because only the
+// first waiting job of a shard was tried, whose tasks are larger. Load: 12 upstreams of a rack with
+// a short and a long run each, a job of a large task and one of a small task that wait for it.
+func TestSmallTaskWaitsBehindLargeOne(t *testing.T) {
+	f := newFleetReplay(t, 1, 24).sameSpeed()
+	fill := func(runTime time.Duration, queue string) {
+		for range 12 {
+			j := f.testJob(1, runTime, &scheduler.Constraints{Label: "r1-0", MaxPerUpstream: 1})
+			j.Queue = queue
+			f.offer(j)
+		}
+		f.run(replayStep, nil, 0, nil)
+	}
+	fill(2*time.Second, "long")
+	fill(100*time.Millisecond, "short")
+	require.Zero(t, f.s.Waiting())
+	ids := idsOfOneShard()
+	for i, milliCPU := range []int{20_000, 12_000} {
+		j := f.testJob(1, 3*time.Second, &scheduler.Constraints{Rack: "r1-0", SpreadFactor: spreadFactor})
+		j.Queue, j.Size.MilliCPU, j.ID = "waiting", milliCPU, ids[i]
+		f.offer(j)
+		f.run(replayStep, nil, 0, nil)
+	}
+	require.Equal(t, 2, f.s.Parked())
+	f.run(100*time.Millisecond, nil, 0, nil)
+	require.Equal(t, 1, f.s.Parked(), "the capacity that the short runs have left is used")
+}
+
 // An upstream that has as many tasks of a job as it may was held for a suspect of the job, which
 // then waited until its deadline while the upstream was kept from others.
 func TestUpstreamAtItsLimitIsHeldForSuspect(t *testing.T) {
--- a/scheduler/near.go
+++ b/scheduler/near.go
@@ -467,6 +467,12 @@
 	if label := c.job.label(); label != "" {
 		s.requiredGroup(&c).NoteChange()
 	}
+	// A task that was woken and has not used the capacity leaves it to the next one.
+	if label := c.nearLabel(); label != "" && label != start.Upstream.Rack && !c.parkedSince.IsZero() {
+		if g := s.index.Find(c.job.Service, label); g != nil {
+			g.NoteChange()
+		}
+	}
 }
 
 // noteGroup records where a task of a job with constraints has been placed. If the job has been
--- a/scheduler/parked.go
+++ b/scheduler/parked.go
@@ -25,6 +25,20 @@
 type parkedJobs struct {
 	jobs []*job
 	seen uint64 // value of group.Changes at which they have found no capacity
+	// woken is the job that the last change has woken. If it waits again, passed is the CPU of its
+	// tasks, in thousandths of a core, and a job of smaller tasks is woken; 0 otherwise.
+	woken  *job
+	passed int
+}
+
+// nextSmaller returns the first job whose tasks need less CPU than the one passed over, or nil.
+func (p *parkedJobs) nextSmaller() (next *job) {
+	for _, j := range p.jobs {
+		if j.Size.MilliCPU < p.passed && (next == nil || j.score < next.score) {
+			next = j
+		}
+	}
+	return next
 }
 
 func (p *parkedJobs) Len() int           { return len(p.jobs) }
@@ -65,6 +79,12 @@
 		s.parked[w.group] = p
 	}
 	p.seen = min(p.seen, w.seen)
+	if p.woken == j {
+		p.woken = nil
+		if w.group.Label() != "" { // jobs that wait for any upstream are tried again soon
+			p.passed = j.Size.MilliCPU
+		}
+	}
 	j.parked = &w
 	if j.parkedSince.IsZero() {
 		j.parkedSince = now
@@ -107,8 +127,9 @@
 }
 
 // wakeParked returns to the heap the first job of each group that has changed, and all jobs
-// whose wait has expired. It reports whether there were any. One job for each change suffices:
-// its start is a further change, which wakes the next one.
+// whose wait has expired. It reports whether there were any. One job for each change suffices
+// if it starts, because its start is a further change, which wakes the next one. If it waits
+// again, the first job of smaller tasks is woken, which may fit.
 func (s *jobShard) wakeParked(now time.Time) (woken bool) {
 	if s.parkedCount.Load() == 0 {
 		return false
@@ -120,8 +141,13 @@
 	var next time.Time // the earliest end of the waits that go on
 	for group, p := range s.parked {
 		if changes := group.Changes(); changes != p.seen {
-			p.seen = changes
-			ready = append(ready, p.jobs[0])
+			p.seen, p.woken, p.passed = changes, p.jobs[0], 0
+			ready = append(ready, p.woken)
+		} else if p.passed > 0 {
+			p.woken, p.passed = p.nextSmaller(), 0
+			if p.woken != nil {
+				ready = append(ready, p.woken)
+			}
 		}
 		if !expired {
 			continue
