Test of a burst that follows an idle time

A likely cause of the failed TestSoak, of which no log was kept: its final burst follows a time without load, after which the measured rate is the least assumed one, half of the capacity. The estimate of the wait is then up to twice the wait, and jobs that would end in time were rejected while admission compared it with the target time.

--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -127,3 +127,24 @@
 	d.run(24 * time.Second)
 	require.Greater(t, d.counts["B large"].share(), d.counts["B"].share()/2)
 }
+
+// A burst that follows an idle time and that the upstreams can serve in time was rejected, because
+// the rate measured before it is the least assumed one, half of the capacity. Load: 40 jobs of 3
+// tasks of 60 ms at once on 4 upstreams that take two tasks each, with a target time of 1.24 s.
+func TestBurstAfterIdleTimeIsRejected(t *testing.T) {
+	f := newFleetReplay(t, 1, 4).sameSpeed()
+	f.run(2*time.Second, nil, 0, nil)
+	for range 40 {
+		j := f.testJob(3, 60*time.Millisecond, nil)
+		j.Size.MilliCPU, j.Stretch, j.Slack = 13_600, 4, time.Second
+		j.target = time.Duration(j.Stretch*float64(60*time.Millisecond)) + j.Slack
+		f.offer(j)
+		f.place()
+	}
+	f.run(4*time.Second, nil, 0, nil)
+	for i, j := range f.order {
+		require.False(t, j.rejected, "job %d", i)
+		require.False(t, j.finished.IsZero(), "job %d", i)
+		require.Less(t, j.finished.Sub(j.Sent), j.target, "job %d", i)
+	}
+}
