Wake tasks that wait for a rack when one of its upstreams becomes usable

Cause: an upstream that joins, returns from an ejection or is claimed again becomes usable without a change of its groups. Tasks that waited for its rack went on waiting until the next change there or the end of their wait, and also waited for upstreams that had been ejected. Evidence: TestUpstreamThatBecomesUsableWakesNoTask: a task was still waiting 200 ms after an idle upstream had joined its rack. Change: a tick notes a change of the groups if an upstream has become usable or is no longer usable.

--- a/scheduler/constrained_faults_test.go
+++ b/scheduler/constrained_faults_test.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
+	"github.com/mustardstep/mustardstep/locality"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/stretchr/testify/require"
 )
 
@@ -86,3 +88,27 @@
 	require.False(t, f.s.IsHeld(f.now, "u000"), "it has a task of the job")
 	require.True(t, f.s.IsHeld(f.now, "u001"))
 }
+
+// A task went on waiting for its rack after an idle upstream had joined it, because an upstream
+// becomes usable only with its first report, which woke no task. Load: 12 upstreams of a rack with
+// runs of 2 s, and a task that waits for the rack.
+func TestUpstreamThatBecomesUsableWakesNoTask(t *testing.T) {
+	f := newFleetReplay(t, 1, 24).sameSpeed()
+	for range 12 {
+		f.offer(f.testJob(2, 2*time.Second, &scheduler.Constraints{Label: "r1-0"}))
+	}
+	f.run(replayStep, nil, 0, nil)
+	f.offer(f.testJob(1, 3*time.Second, &scheduler.Constraints{Rack: "r1-0", SpreadFactor: spreadFactor}))
+	f.run(replayStep, nil, 0, nil)
+	require.Equal(t, 1, f.s.Parked())
+	f.run(200*time.Millisecond, nil, 0, func(time.Duration) {
+		if info := f.upstreams["u000"].Info; f.upstreams["u900"] == nil {
+			info.Name = "u900"
+			f.upstreams[info.Name] = schedulertest.New(f.now, info, time.Second)
+			f.names = append(f.names, info.Name)
+			f.setUpstreams()
+		}
+	})
+	require.Zero(t, f.s.Waiting())
+	require.Equal(t, 1, f.placements[locality.Near])
+}
--- a/scheduler/upstream.go
+++ b/scheduler/upstream.go
@@ -150,6 +150,7 @@
 
 	health     health.Tracker
 	wasEjected bool        // as of the last tick
+	wasUsable  bool        // as of the last tick
 	falls      *fallRecord // nil if it never fell
 	leaving    bool        // its entry has said since its last report that it leaves or moves
 	model      speedModel
@@ -245,7 +246,12 @@
 	}
 	rule := scheduler.leaseRule()
 	for _, u := range slices.Clone(s.all) {
-		if u.usable(now, rule) {
+		usable := u.usable(now, rule)
+		if usable != u.wasUsable {
+			u.wasUsable = usable
+			u.noteGroupChange()
+		}
+		if usable {
 			state.capacity += float64(u.Size.MilliCPU) * u.model.speed() * 1000
 		}
 		a.coverage.count(u)
