No task waits for an upstream that leaves before the task would end

Cause: the estimate of the wait for a rack counted draining upstreams on which the departure notice does not let the task start. Evidence: TestTaskWaitsForLeavingUpstream: a task of 900 ms waited for the only upstream of a rack, which leaves in 2 s. Change: an upstream that can serve a task later must also let it end in time.

--- a/scheduler/departure_test.go
+++ b/scheduler/departure_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/locality"
 	"github.com/stretchr/testify/require"
 )
 
@@ -79,3 +80,29 @@
 		})
 	}
 }
+
+// TestTaskWaitsForLeavingUpstream guards against a task that waits for capacity of an upstream that
+// leaves before the task would end there. Load: a long task waits for a rack whose only upstream is
+// busy and drains.
+func TestTaskWaitsForLeavingUpstream(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := New(now, Config{LeaseMax: time.Second, MaxWaiting: 10, DrainTime: 2 * time.Second})
+	s.BeginTerm(now, 1, time.Second)
+	entry := Upstream{Name: "u", Service: "rota", Size: Size{MilliCPU: 1000}, Rack: "r1-0", Labels: []string{"r1-0"}}
+	s.SetUpstreams(now, []Upstream{entry}, false)
+	poll, _, _, _ := s.NextPoll(now, "u")
+	s.HandlePollResult(now, poll, PollAnswered, PollReport{Clock: 1000, ProcessStart: 1})
+	short, long := newQueueModel(60*time.Millisecond), newQueueModel(900*time.Millisecond)
+	running := candidate{job: &Job{ID: "a", Service: "rota", Size: Size{MilliCPU: 600}, Estimate: 60 * time.Millisecond}, model: short, deadline: now.Add(time.Hour), expected: 0.06}
+	_, ok := s.bind(now, running)
+	require.True(t, ok)
+	entry.Draining, entry.Notice = true, &DepartureNotice{DrainingSince: now, Left: 2 * time.Second, ReadAt: now}
+	s.SetUpstreams(now, []Upstream{entry}, false)
+	waits := func(model *queueModel, estimate time.Duration) bool {
+		c := candidate{job: &Job{ID: "b", Service: "rota", Size: Size{MilliCPU: 600}, Estimate: estimate}, model: model, deadline: now.Add(time.Hour), expected: estimate.Seconds()}
+		_, wait := s.searchGroup(now, &c, s.index.Find("rota", "r1-0"))
+		return wait < locality.Never
+	}
+	require.True(t, waits(short, 60*time.Millisecond), "a short task ends in time")
+	require.False(t, waits(long, 900*time.Millisecond))
+}
--- a/scheduler/near.go
+++ b/scheduler/near.go
@@ -279,7 +279,7 @@
 
 // canServe reports whether a task may run on the upstream once it has capacity.
 func (u *upstream) canServe(now time.Time, c *candidate, rule leaseRule) bool {
-	return u.Service == c.job.Service && c.job.Size.FitsIn(u.Size) && u.usable(now, rule) && u.isolation == isolatedNot && !now.Before(u.heldUntil) &&
+	return u.Service == c.job.Service && c.job.Size.FitsIn(u.Size) && u.usable(now, rule) && u.isolation == isolatedNot && !now.Before(u.heldUntil) && u.endsInTime(now, c) &&
 		!slices.Contains(c.avoid, u.Name) && (c.job.Constraints == nil || c.keepsConstraints(u))
 }
 
