Origins reject jobs only while capacity is scarce

Cause: a dispatcher admits a job with a late answer unless capacity is scarce, but published the waits by which origins reject jobs whenever capacity was short. In a burst, origins thus rejected jobs that the dispatcher would have admitted. Change: waits are published only while capacity is scarce.

--- a/node/load.go
+++ b/node/load.go
@@ -33,9 +33,9 @@
 		return
 	}
 	o.observedAt = now
-	queues, short := n.scheduler.LoadReport(now)
+	queues, scarce := n.scheduler.LoadReport(now)
 	var published []wire.QueueLoad
-	for name, wait := range overload.LongWaits(queues, short) {
+	for name, wait := range overload.LongWaits(queues, scarce) {
 		published = append(published, wire.QueueLoad{Queue: name, WaitUS: wait.Microseconds()})
 	}
 	n.publishedLoad.Store(&published)
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -390,8 +390,9 @@
 	return q.Rate / q.Wanted
 }
 
-// Report returns the state of all queues by name, and whether capacity is short.
-func (c *Controller) Report(now time.Duration) (queues []QueueReport, short bool) {
+// Report returns the state of all queues by name, and whether capacity is scarce, so that late
+// answers do not count as useful.
+func (c *Controller) Report(now time.Duration) (queues []QueueReport, scarce bool) {
 	for _, s := range c.shards {
 		s.mu.Lock()
 		for name, q := range s.queues {
@@ -401,5 +402,5 @@
 		s.mu.Unlock()
 	}
 	slices.SortFunc(queues, func(a, b QueueReport) int { return cmp.Compare(a.Queue, b.Queue) })
-	return queues, c.Short(now)
+	return queues, c.Short(now) && c.IsScarce()
 }
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -64,3 +64,28 @@
 	require.LessOrEqual(t, queues, shardCount*maxQueues)
 	require.LessOrEqual(t, accounts, maxAccounts+1)
 }
+
+// Origins rejected jobs of a burst that the dispatcher would have admitted: it counts late answers
+// as useful until capacity is scarce. The load pattern is a second of work that arrives at once.
+func TestOriginRejectsWhileCapacityIsNotScarce(t *testing.T) {
+	const capacity, target = 1000.0, 100 * time.Millisecond
+	c := New()
+	admit := func(now time.Duration, work int64) Reason {
+		return c.Admit(now, &Job{Queue: "q", Account: "a", Work: work, Due: now + target, End: now + target, LateEnd: now + 3*target, Target: target}, true)
+	}
+	at := 20 * time.Millisecond
+	c.Update(at, capacity)
+	c.Add(c.Slot(at+target/2, false), capacity)
+	admit(at, 1)
+	c.Update(2*at, capacity)
+	require.True(t, c.Short(2*at))
+	queues, scarce := c.Report(2 * at)
+	require.Greater(t, queues[0].Wait, target)
+	require.Empty(t, LongWaits(queues, scarce))
+	for now := 3 * at; now < time.Second; now += at { // three times the capacity is requested
+		admit(now, 60)
+		c.Add(c.Slot(now+target/2, false), capacity)
+		c.Update(now, capacity)
+	}
+	require.NotEmpty(t, LongWaits(c.Report(time.Second)))
+}
--- a/overload/published.go
+++ b/overload/published.go
@@ -22,11 +22,12 @@
 	certainWait = 0.5
 )
 
-// LongWaits returns the queues to publish, with the expected wait of a new job.
-func LongWaits(queues []QueueReport, short bool) map[string]time.Duration {
+// LongWaits returns the queues to publish, with the expected wait of a new job. None is published
+// unless capacity is scarce, because the dispatcher otherwise admits jobs whose answers are late.
+func LongWaits(queues []QueueReport, scarce bool) map[string]time.Duration {
 	waits := map[string]time.Duration{}
 	for _, q := range queues {
-		if short && q.Wait > q.Target && len(waits) < maxPublishedQueues {
+		if scarce && q.Wait > q.Target && len(waits) < maxPublishedQueues {
 			waits[q.Queue] = q.Wait
 		}
 	}
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -175,8 +175,8 @@
 	return &n, waiting
 }
 
-// LoadReport returns the state of the queues, and whether capacity is short.
-func (s *Scheduler) LoadReport(now time.Time) (queues []overload.QueueReport, short bool) {
+// LoadReport returns the state of the queues, and whether capacity is scarce.
+func (s *Scheduler) LoadReport(now time.Time) (queues []overload.QueueReport, scarce bool) {
 	return s.load.Report(now.Sub(s.start))
 }
 
