An isolated task determines the rack of a job with same_rack

Cause: suspects are placed by their own path, which did not record the rack of the job, nor that its tasks are spread. Evidence: TestIsolatedTaskDoesNotDetermineRack: the second task of a job ran in another rack than the first, which had run isolated, although both racks were idle. Change: the path of suspects records the placement as the other one does. Result: the test passes.

--- a/scheduler/constrained_faults_test.go
+++ b/scheduler/constrained_faults_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/history"
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 	"github.com/mustardstep/mustardstep/locality"
 	"github.com/mustardstep/mustardstep/scheduler"
@@ -112,3 +113,20 @@
 	require.Zero(t, f.s.Waiting())
 	require.Equal(t, 1, f.placements[locality.Near])
 }
+
+// The rack of a job with same_rack was not recorded if its first task ran isolated, so that the
+// others were placed in any rack. Load: 8 jobs of two tasks, of which one is a suspect, on two idle
+// racks.
+func TestIsolatedTaskDoesNotDetermineRack(t *testing.T) {
+	f := newFleetReplay(t, 1, 24).sameSpeed()
+	for range 8 {
+		j := f.testJob(2, 300*time.Millisecond, &scheduler.Constraints{SameRack: true, SpreadFactor: spreadFactor})
+		j.Histories = map[int]history.Task{0: {Suspicion: 0.2}}
+		f.offer(j)
+		f.run(10*time.Millisecond, nil, 0, nil)
+	}
+	require.Zero(t, f.s.Waiting())
+	for i, j := range f.order {
+		require.Len(t, j.racks, 1, "job %d", i)
+	}
+}
--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -133,6 +133,9 @@
 			groupAt[service] = start.Upstream.Name
 		}
 		if s.settle(now, c.shard, c.candidate, start, bound) {
+			if c.job.Constraints != nil {
+				s.settleConstrained(start, c.candidate)
+			}
 			starts = append(starts, start)
 		} else if !bound {
 			unplaced = append(unplaced, c.candidate)
