--- a/scheduler/isolation.go
+++ b/scheduler/isolation.go
@@ -133,6 +133,9 @@
 			groupAt[service] = start.Upstream.Name
 		}
 		if s.settle(now, c.shard, c.candidate, start, bound) {
+			if c.job.Constraints != nil {
+				s.settleConstrained(start, c.candidate)
+			}
 			starts = append(starts, start)
 		} else if !bound {
 			unplaced = append(unplaced, c.candidate)
@@ -162,7 +165,8 @@
 		for _, shard := range s.upstreamShards {
 			shard.mu.Lock()
 			for _, u := range shard.all {
-				if taken[u.Name] || u.Draining || u.onProbation() || u.isolation != isolatedNot || u.Service != c.job.Service || !c.job.Size.FitsIn(u.Size) || !u.usable(now, s.leaseRule()) || slices.Contains(c.avoid, u.Name) || !c.job.allows(&u.Upstream) {
+				if taken[u.Name] || u.Draining || u.onProbation() || u.isolation != isolatedNot || u.Service != c.job.Service || !c.job.Size.FitsIn(u.Size) || !u.usable(now, s.leaseRule()) || slices.Contains(c.avoid, u.Name) ||
+					c.job.Constraints != nil && !c.keepsConstraints(u) {
 					continue
 				}
 				at := u.idleAt(now)
--- a/scheduler/near.go
+++ b/scheduler/near.go
@@ -279,7 +279,7 @@
 
 // canServe reports whether a task may run on the upstream once it has capacity.
 func (u *upstream) canServe(now time.Time, c *candidate, rule leaseRule) bool {
-	return u.Service == c.job.Service && c.job.Size.FitsIn(u.Size) && u.usable(now, rule) && u.isolation == isolatedNot && !now.Before(u.heldUntil) &&
+	return u.Service == c.job.Service && c.job.Size.FitsIn(u.Size) && u.usable(now, rule) && u.isolation == isolatedNot && !now.Before(u.heldUntil) && u.endsInTime(now, c) &&
 		!slices.Contains(c.avoid, u.Name) && (c.job.Constraints == nil || c.keepsConstraints(u))
 }
 
@@ -467,6 +467,12 @@
 	if label := c.job.label(); label != "" {
 		s.requiredGroup(&c).NoteChange()
 	}
+	// A task that was woken and has not used the capacity leaves it to the next one.
+	if label := c.nearLabel(); label != "" && label != start.Upstream.Rack && !c.parkedSince.IsZero() {
+		if g := s.index.Find(c.job.Service, label); g != nil {
+			g.NoteChange()
+		}
+	}
 }
 
 // noteGroup records where a task of a job with constraints has been placed. If the job has been
--- a/scheduler/overload.go
+++ b/scheduler/overload.go
@@ -59,7 +59,12 @@
 // hasRoom reports whether a task of a job could start now.
 func (s *Scheduler) hasRoom(now time.Time, j *Job) bool {
 	// The zero target time makes every upstream count on which the job could run.
-	_, ok := s.choose(now, candidate{job: j, index: -1, returnAt: j.returnAt, model: s.models.get(j.Queue, j.Estimate)})
+	c := candidate{job: j, index: -1, returnAt: j.returnAt, model: s.models.get(j.Queue, j.Estimate)}
+	if j.Constraints != nil { // choose may meet only upstreams that the constraints exclude
+		c.constrainedTask = &constrainedTask{tasks: len(j.Tasks)}
+		return s.chooseSuiting(now, &c).name != ""
+	}
+	_, ok := s.choose(now, c)
 	return ok
 }
 
@@ -170,8 +175,8 @@
 	return &n, waiting
 }
 
-// LoadReport returns the state of the queues, and whether capacity is short.
-func (s *Scheduler) LoadReport(now time.Time) (queues []overload.QueueReport, short bool) {
+// LoadReport returns the state of the queues, and whether capacity is scarce.
+func (s *Scheduler) LoadReport(now time.Time) (queues []overload.QueueReport, scarce bool) {
 	return s.load.Report(now.Sub(s.start))
 }
 
