--- a/overload/controller.go
+++ b/overload/controller.go
@@ -1,9 +1,7 @@
 package overload
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -232,23 +230,6 @@
 	}
 }
 
-// RetryAfter returns the delay for the caller of a rejected job: the base, or the expected time
-// until the backlog is worked off if that is longer, with a jitter of the same length, so that
-// callers do not return together. seed identifies the job.
-func (c *Controller) RetryAfter(base time.Duration, seed string) time.Duration {
-	return RetryAfter(max(base, c.Wait(c.Total())), seed)
-}
-
-// maxRetryAfter bounds Retry-After without its jitter: capacity may return at any time.
-const maxRetryAfter = 10 * time.Second
-
-// RetryAfter returns a delay of at most maxRetryAfter with a random jitter of up to the same length.
-// seed identifies the job.
-func RetryAfter(delay time.Duration, seed string) time.Duration {
-	delay = min(delay, maxRetryAfter)
-	return delay + time.Duration(float64(delay)*float64(rendezvous.Hash(seed)%1024)/1024)
-}
-
 func (c *Controller) shard(queue string) *shard {
 	return c.shards[rendezvous.Hash(queue)%shardCount]
 }
@@ -378,37 +359,3 @@
 		d.rate = level
 	}
 }
-
-// QueueReport describes a queue while capacity is short.
-type QueueReport struct {
-	Queue string
-	// Wait is the expected wait of a new job, Target the target time of the last one.
-	Wait, Target time.Duration
-	// Wanted and Rate are the work per second that the queue requests and gets.
-	Wanted, Rate float64
-	// Rejected counts the rejected jobs by Reason.
-	Rejected [reasonCount]uint64
-}
-
-// Share returns the part of the requested work that the queue gets.
-func (q *QueueReport) Share() float64 {
-	if q.Wanted <= 0 {
-		return 1
-	}
-	return q.Rate / q.Wanted
-}
-
-// Report returns the state of all queues by name, and whether capacity is scarce, so that late
-// answers do not count as useful.
-func (c *Controller) Report(now time.Duration) (queues []QueueReport, scarce bool) {
-	for _, s := range c.shards {
-		s.mu.Lock()
-		for name, q := range s.queues {
-			wait := c.Wait(c.Ahead(now, now+q.due))
-			queues = append(queues, QueueReport{Queue: name, Wait: wait, Target: q.target, Wanted: q.wanted, Rate: q.rate, Rejected: q.rejected})
-		}
-		s.mu.Unlock()
-	}
-	slices.SortFunc(queues, func(a, b QueueReport) int { return cmp.Compare(a.Queue, b.Queue) })
-	return queues, c.Short(now) && c.IsScarce()
-}
