node: heartbeats tell no configuration without the set of evacuated data centres

Cause: a heartbeat read the set before the revision of the configuration. A listing between the two made it tell a configuration, with which the receiver may begin a term, together with an unknown set. Found by reading; no test shows it. Change: the set is read last.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -106,12 +106,14 @@
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
 		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
-	evacuated := n.evacuation.table.State()
-	h.EvacuationRevision, h.Evacuated = evacuated.Revision, evacuated.DataCentres
-	h.Load = n.load(h.Term)
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
+	// Read after the configuration, which a listing applies after the set. A VM that is told of the
+	// configuration, and may begin a term with it, thus has the set.
+	evacuated := n.evacuation.table.State()
+	h.EvacuationRevision, h.Evacuated = evacuated.Revision, evacuated.DataCentres
+	h.Load = n.load(h.Term)
 	if clock, err := bootTime(); err != nil {
 		n.log.Error("clock not announced", slog.Any("error", err))
 	} else {
