--- a/overload/controller.go
+++ b/overload/controller.go
@@ -21,7 +21,7 @@
 	sharePeriod = 500 * time.Millisecond
 	// scarceFactor is the ratio of requested to completed work above which capacity counts as scarce.
 	// Below it, the jobs that miss their target time are few, and most are served late after it.
-	scarceFactor = 1.05
+	scarceFactor = 1.2
 	// greedyFactor is the ratio of the work that an account requests to its share above which it is
 	// limited also while capacity is short, but not scarce.
 	greedyFactor = 2
