--- a/scheduler/constraints_test.go
+++ b/scheduler/constraints_test.go
@@ -44,6 +44,7 @@
 // deployment on 120 upstreams for 5 s, and beside it 25 jobs/s of 4 tasks of 200 ms for one rack,
 // 1.7 times what it can run.
 func TestManyJobsForOneRackDelayOthers(t *testing.T) {
+	t.Parallel()
 	results := map[bool]result{}
 	for _, hot := range []bool{false, true} {
 		f := newFleetReplay(t, 3, 120)
--- a/scheduler/data_centre_test.go
+++ b/scheduler/data_centre_test.go
@@ -12,6 +12,7 @@
 // once and at 1.4 times the rate of the deployment for 10 s, from three data centres with
 // 18 upstreams each under one dispatcher.
 func TestNearUpstreamsMakeAnswersLate(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ load, moreLocal float64 }{{0.5, 0.2}, {1, 0.1}, {1.4, 0}} {
 		local, inTime := [2]float64{}, [2]float64{}
 		for preferred := range 2 {
--- a/scheduler/locality_replay_test.go
+++ b/scheduler/locality_replay_test.go
@@ -301,6 +301,7 @@
 // The rule must not lose against simpler ones. Load: the first deployment on 120 upstreams in
 // racks of 12 for 6 s, 3 of 10 jobs with a rack and 2 of 10 with same_rack.
 func TestRuleLosesAgainstSimplerOnes(t *testing.T) {
+	t.Parallel()
 	const seeds = 3
 	results := map[string]result{}
 	for name, rule := range waitRules {
--- a/scheduler/overload_test.go
+++ b/scheduler/overload_test.go
@@ -17,6 +17,7 @@
 // nor do wide jobs or the largest tasks of a kind, a call that is not served is not held, and none
 // is refused while an upstream is free.
 func TestOverload(t *testing.T) {
+	t.Parallel()
 	for _, p := range []struct {
 		name   string
 		phases []loadPhase
@@ -96,6 +97,7 @@
 		},
 	} {
 		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
 			d := newLoadDriver(t, 117, p.phases...)
 			d.from, d.to = p.from, p.phases[len(p.phases)-2].until
 			if p.setup != nil {
@@ -122,6 +124,7 @@
 // The load pattern is twice the load for 15 s. Guards against tasks of more than 20 cores that
 // starve, because smaller tasks take each piece of capacity that becomes free.
 func TestLargestTasksOfKindB(t *testing.T) {
+	t.Parallel()
 	d := newLoadDriver(t, 117, burst(15*time.Second, 2, 2, 2)...)
 	d.from, d.to = 2*time.Second, 17*time.Second
 	d.run(24 * time.Second)
--- a/scheduler/probation_test.go
+++ b/scheduler/probation_test.go
@@ -18,6 +18,7 @@
 // at each of their crashes. Load: all kinds at the rate of the deployment for 20 s; 3 of 36
 // upstreams crash and return every 1.4 to 1.8 s.
 func TestFlappingUpstreamsKeepGettingTasks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		r := newUnevenReplay(t, 36, 1, seed)
 		names, next := []string{"u1", "u5", "u9"}, [3]time.Duration{0, 300 * time.Millisecond, 700 * time.Millisecond}
@@ -43,6 +44,7 @@
 // or hang half of the time. Load: as above for 24 s; u2 fails, and u7 hangs, for 2 s of every
 // 4 s.
 func TestUpstreamsThatFailRunsKeepGettingTasks(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		r := newUnevenReplay(t, 36, 1, seed)
 		r.run(24*time.Second, func(elapsed time.Duration) {
@@ -58,6 +60,7 @@
 // because of something else. Load: all kinds at a third of the rate of the deployment for
 // 12 s, on 18 upstreams; each event happens every 2 s.
 func TestUpstreamIsOnProbationForOtherCause(t *testing.T) {
+	t.Parallel()
 	rack := []string{"u0", "u1", "u2", "u3", "u4", "u5"}
 	group := func(fall, back func(*unevenReplay, string)) func(*unevenReplay, int, time.Duration) {
 		return func(r *unevenReplay, _ int, at time.Duration) {
