--- a/review/standin2/reborn.go
+++ b/review/standin2/reborn.go
@@ -52,7 +52,7 @@
 			defer callers.Done()
 			j := job{cpu: 6800, memory: 64, count: 2, takes: 500 * time.Millisecond}
 			if i%4 == 0 {
-				j.requires = largeLabel
+				j.cpu, j.requires = 1000, largeLabel
 			}
 			w.submit(w.daemons[i%2], callerHost, "/swap/", j, 1500*time.Millisecond)
 		}()
