review: the stand-in store removes the entries of silent upstreams

Cause: the stand-in kept the entry of an upstream that has no path to the store, while the platform removes it after three heartbeat intervals of silence.

Changed: entries are removed after that time.

--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -38,7 +38,8 @@
 	items    map[string]item
 	history  []change
 	leases   map[int64]*lease
-	changed  chan struct{} // closed and replaced by each change
+	written  map[string]time.Time // when an upstream last wrote its entry, by key
+	changed  chan struct{}        // closed and replaced by each change
 }
 
 type lease struct {
@@ -47,13 +48,17 @@
 }
 
 func newStore(staleBy time.Duration) *store {
-	s := &store{staleBy: staleBy, items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{})}
-	go s.expireLeases()
+	s := &store{staleBy: staleBy, items: map[string]item{}, leases: map[int64]*lease{}, written: map[string]time.Time{}, changed: make(chan struct{})}
+	go s.expire()
 	return s
 }
 
-// expireLeases removes the entries of leases that have ended.
-func (s *store) expireLeases() {
+// silence is the time after its last report for which the entry of an upstream stays: three
+// heartbeat intervals.
+const silence = 3 * beatEvery
+
+// expire removes the entries of leases that have ended and of upstreams that are silent.
+func (s *store) expire() {
 	for range time.Tick(20 * time.Millisecond) {
 		s.mu.Lock()
 		for id, l := range s.leases {
@@ -61,6 +66,12 @@
 				s.endLease(id)
 			}
 		}
+		for key, at := range s.written {
+			if time.Since(at) > silence {
+				delete(s.written, key)
+				s.remove(key)
+			}
+		}
 		s.mu.Unlock()
 	}
 }
@@ -115,6 +126,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.put(key, encoded, 0)
+	if strings.HasPrefix(key, name("upstreams")) {
+		s.written[key] = time.Now()
+	}
 }
 
 // read returns the entries under a prefix and the revision, of the copy for stale reads if stale.
