--- a/review/harness-3/case_foreign.go
+++ b/review/harness-3/case_foreign.go
@@ -39,11 +39,11 @@
 		for i := range 4 {
 			time.Sleep(1900 * time.Millisecond)
 			victim, other := s.runners[i], s.runners[i+4]
-			s.store.put("servers/"+victim.spec.ID, map[string]any{
+			s.store.put(names["runners"]+victim.spec.ID, map[string]any{
 				"service": q.service, "address": other.address, "zone": victim.spec.Zone, "version": 3, "state": "ready",
 				"capacity": map[string]int{"cpu": 16000, "mem_mb": 32768}, "seq": "11",
 			})
-			s.rec.note("another writer overwrites the entry of %s: the address of %s; no slots, no cold_left_ms, no born; version a number, seq a string", victim.spec.ID, other.spec.ID)
+			s.rec.note("another writer overwrites the entry of %s: the address of %s; no slots, no time until it is warm, no born; version a number, seq a string", victim.spec.ID, other.spec.ID)
 		}
 	}
 	clients.Wait()
