--- a/review/harness-3/runner.go
+++ b/review/harness-3/runner.go
@@ -286,7 +286,11 @@
 func (l *life) start(w http.ResponseWriter, instance string, o order) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead || !l.accepts(w, instance, o.Token) {
+	if l.dead {
+		closeUnanswered(w)
+		return
+	}
+	if !l.accepts(w, instance, o.Token) {
 		return
 	}
 	l.advance()
@@ -325,7 +329,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead || !l.accepts(w, r.Header.Get(names["instance"]), o.Token) {
+	if l.dead {
+		closeUnanswered(w)
+		return
+	}
+	if !l.accepts(w, r.Header.Get(names["instance"]), o.Token) {
 		return
 	}
 	l.advance()
@@ -351,7 +359,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead || !l.accepts(w, r.Header.Get(names["instance"]), poll.token) {
+	if l.dead {
+		closeUnanswered(w)
+		return
+	}
+	if !l.accepts(w, r.Header.Get(names["instance"]), poll.token) {
 		return
 	}
 	l.advance()
@@ -373,6 +385,7 @@
 		l.mu.Lock()
 	}
 	if l.dead {
+		closeUnanswered(w)
 		return
 	}
 	running, finished := [][]any{}, [][]any{}
@@ -386,6 +399,15 @@
 	respondJSON(w, http.StatusOK, map[string]any{"clock_ms": l.clock(), "born": l.born, "running": running, "finished": finished})
 }
 
+// closeUnanswered closes the connection of a request that a crash has left without an answer.
+func closeUnanswered(w http.ResponseWriter) {
+	if h, ok := w.(http.Hijacker); ok {
+		if conn, _, err := h.Hijack(); err == nil {
+			_ = conn.Close()
+		}
+	}
+}
+
 // discardResponse is the response to an order whose sender gets none.
 type discardResponse struct{}
 
