A VM that is gone for good is removed from the roster by the others

What callers saw: all processes are killed and one VM never comes back.

Cause: a lost VM counts until it is proven to be gone, and a VM that died gives no proof: its roster entry stays. Processes that are younger than the loss take their list of upstreams for incomplete, and where an upstream has gone as well, older ones lack it; either confirms a split without an end.

Evidence: the dispatcher's line "split: other VMs may dispatch" names the dead VM as the only one lost, with no upstream that is fenced, silent or failing. TestVMThatIsGoneForGoodSplitsFleetForever failed on ("the VM has gone" is never satisfied) and passes.

Change: a VM stops dispatching (it is barred) when it has had no contact to the store for 6 s, does not hear all VMs that its roster entry names, and is not among most of a data centre that is cut off. Another VM removes the entry 7.66 s after it was last heard and listed, by compare-and-swap, so the VM and its leases have ended by then.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,6 +36,8 @@
 	Draining            bool
 	// Weight is the VM's capacity as a dispatcher, in thousandths of a core.
 	Weight int
+	// Barred means that the process may not dispatch, see Registration.
+	Barred bool
 }
 
 // Heartbeat timing.
@@ -105,6 +107,10 @@
 	Clock time.Duration
 	// Hears is true if the member reaches this one.
 	Hears bool
+	// StoreAge is the time since the platform's store last answered the member; 0 if unknown.
+	StoreAge time.Duration
+	// HearsStore is true if the member hears one that the store has answered recently.
+	HearsStore bool
 }
 
 // peer is the state of another member.
@@ -125,6 +131,8 @@
 	replaced         bool  // another process has its address
 	rostered         bool  // has been on the roster
 	removed          bool  // has been on the roster, and no longer is
+	// storeAt is when the store may last have answered the member.
+	storeAt time.Time
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
 	clock   time.Duration
 	clockAt time.Time
@@ -180,6 +188,13 @@
 	f.self.Draining = true
 }
 
+// SetBarred sets whether this process may not dispatch.
+func (f *Fleet) SetBarred(barred bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.self.Barred = barred
+}
+
 // AddMembers adds members that other members know. It returns those that were
 // not known before.
 func (f *Fleet) AddMembers(members []Member) (added []Member) {
@@ -262,6 +277,9 @@
 		f.addMember(m)
 		if p := f.peers[m.VM]; p != nil {
 			p.listed = true
+			if p.removed { // it has registered again
+				p.removed, p.rostered = false, false
+			}
 		}
 	}
 	f.recount()
@@ -282,10 +300,12 @@
 		p.heard = true
 		f.recount()
 	}
-	if p.removed { // its entry must be read again before its removal proves anything
-		p.rostered = false
+	// A barred member dispatches only once it has registered again. The entry of any other one must
+	// be read again before its removal proves anything.
+	if p.removed && !hb.Member.Barred {
+		p.rostered, p.removed = false, false
 	}
-	p.heartbeat, p.replaced, p.removed = hb, false, false
+	p.heartbeat, p.replaced, p.storeAt = hb, false, now.Add(-hb.StoreAge)
 	if hb.Term != 0 {
 		p.dispatchedAt, p.dispatchDigest, p.dispatchRevision = now, hb.UpstreamsDigest, hb.UpstreamsRevision
 	}
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -8,18 +8,29 @@
 	"github.com/mustardstep/mustardstep/internal/rendezvous"
 )
 
-// compareRank orders members by rank, highest first: draining members after all
-// others, then by descending weight, then oldest process first.
+// compareRank orders members by rank, highest first: barred members after all others, draining
+// ones after the rest, then by descending weight, then oldest process first.
 func compareRank(a, b Member) int {
+	if a.Barred != b.Barred {
+		return compareFlags(a.Barred, b.Barred)
+	}
 	if a.Draining != b.Draining {
-		if b.Draining {
-			return -1
-		}
-		return 1
+		return compareFlags(a.Draining, b.Draining)
 	}
 	return cmp.Or(cmp.Compare(b.Weight, a.Weight), cmp.Compare(a.Incarnation, b.Incarnation), cmp.Compare(a.VM, b.VM))
 }
 
+// compareFlags orders false before true.
+func compareFlags(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // View is a member's view of its scope at one time.
 type View struct {
 	// Scope is the set of members to which all other fields refer.
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -369,9 +369,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 15
+	// map header, size 17
 	// string "f"
-	o = append(o, 0x8f, 0xa1, 0x66)
+	o = append(o, 0xde, 0x0, 0x11, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -413,6 +413,12 @@
 	for za0001 := range z.Evacuated {
 		o = msgp.AppendString(o, z.Evacuated[za0001])
 	}
+	// string "sa"
+	o = append(o, 0xa2, 0x73, 0x61)
+	o = msgp.AppendInt64(o, z.StoreAgeUS)
+	// string "hs"
+	o = append(o, 0xa2, 0x68, 0x73)
+	o = msgp.AppendBool(o, z.HearsStore)
 	// string "c"
 	o = append(o, 0xa1, 0x63)
 	o = msgp.AppendInt64(o, z.ClockUS)
@@ -544,6 +550,18 @@
 					return
 				}
 			}
+		case "sa":
+			z.StoreAgeUS, bts, err = msgp.ReadInt64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "StoreAgeUS")
+				return
+			}
+		case "hs":
+			z.HearsStore, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "HearsStore")
+				return
+			}
 		case "c":
 			z.ClockUS, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -631,11 +649,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 1 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	s = 3 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
 	for za0001 := range z.Evacuated {
 		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
 	}
-	s += 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	s += 3 + msgp.Int64Size + 3 + msgp.BoolSize + 2 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
 	for za0002 := range z.Load {
 		s += 1 + 2 + msgp.StringPrefixSize + len(z.Load[za0002].Queue) + 2 + msgp.Int64Size
 	}
@@ -649,9 +667,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetMember) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "v"
-	o = append(o, 0x86, 0xa1, 0x76)
+	o = append(o, 0x87, 0xa1, 0x76)
 	o = msgp.AppendString(o, z.VM)
 	// string "i"
 	o = append(o, 0xa1, 0x69)
@@ -668,6 +686,9 @@
 	// string "w"
 	o = append(o, 0xa1, 0x77)
 	o = msgp.AppendInt(o, z.Weight)
+	// string "b"
+	o = append(o, 0xa1, 0x62)
+	o = msgp.AppendBool(o, z.Barred)
 	return
 }
 
@@ -725,6 +746,12 @@
 				err = msgp.WrapError(err, "Weight")
 				return
 			}
+		case "b":
+			z.Barred, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Barred")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -739,7 +766,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetMember) Msgsize() (s int) {
-	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.BoolSize + 2 + msgp.IntSize
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize
 	return
 }
 
@@ -1622,6 +1649,169 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RosterEntry) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 9
+	// string "v"
+	o = append(o, 0x89, 0xa1, 0x76)
+	o = msgp.AppendString(o, z.VM)
+	// string "i"
+	o = append(o, 0xa1, 0x69)
+	o = msgp.AppendUint64(o, z.Incarnation)
+	// string "d"
+	o = append(o, 0xa1, 0x64)
+	o = msgp.AppendString(o, z.DataCentre)
+	// string "a"
+	o = append(o, 0xa1, 0x61)
+	o = msgp.AppendString(o, z.Address)
+	// string "l"
+	o = append(o, 0xa1, 0x6c)
+	o = msgp.AppendBool(o, z.Draining)
+	// string "w"
+	o = append(o, 0xa1, 0x77)
+	o = msgp.AppendInt(o, z.Weight)
+	// string "r"
+	o = append(o, 0xa1, 0x72)
+	o = msgp.AppendBool(o, z.Removable)
+	// string "s"
+	o = append(o, 0xa1, 0x73)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Scope)))
+	for za0001 := range z.Scope {
+		o = msgp.AppendString(o, z.Scope[za0001])
+	}
+	// string "n"
+	o = append(o, 0xa1, 0x6e)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Neighbours)))
+	for za0002 := range z.Neighbours {
+		o = msgp.AppendString(o, z.Neighbours[za0002])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RosterEntry) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "v":
+			z.VM, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "VM")
+				return
+			}
+		case "i":
+			z.Incarnation, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Incarnation")
+				return
+			}
+		case "d":
+			z.DataCentre, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "DataCentre")
+				return
+			}
+		case "a":
+			z.Address, bts, err = msgp.ReadStringBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Address")
+				return
+			}
+		case "l":
+			z.Draining, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Draining")
+				return
+			}
+		case "w":
+			z.Weight, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Weight")
+				return
+			}
+		case "r":
+			z.Removable, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Removable")
+				return
+			}
+		case "s":
+			var zb0002 uint32
+			zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Scope")
+				return
+			}
+			if cap(z.Scope) >= int(zb0002) {
+				z.Scope = (z.Scope)[:zb0002]
+			} else {
+				z.Scope = make([]string, zb0002)
+			}
+			for za0001 := range z.Scope {
+				z.Scope[za0001], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Scope", za0001)
+					return
+				}
+			}
+		case "n":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Neighbours")
+				return
+			}
+			if cap(z.Neighbours) >= int(zb0003) {
+				z.Neighbours = (z.Neighbours)[:zb0003]
+			} else {
+				z.Neighbours = make([]string, zb0003)
+			}
+			for za0002 := range z.Neighbours {
+				z.Neighbours[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Neighbours", za0002)
+					return
+				}
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RosterEntry) Msgsize() (s int) {
+	s = 1 + 2 + msgp.StringPrefixSize + len(z.VM) + 2 + msgp.Uint64Size + 2 + msgp.StringPrefixSize + len(z.DataCentre) + 2 + msgp.StringPrefixSize + len(z.Address) + 2 + msgp.BoolSize + 2 + msgp.IntSize + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	for za0001 := range z.Scope {
+		s += msgp.StringPrefixSize + len(z.Scope[za0001])
+	}
+	s += 2 + msgp.ArrayHeaderSize
+	for za0002 := range z.Neighbours {
+		s += msgp.StringPrefixSize + len(z.Neighbours[za0002])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z StateRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -55,6 +55,37 @@
 	Draining bool `msg:"l"`
 	// Weight is the VM's capacity as a dispatcher, in thousandths of a core.
 	Weight int `msg:"w"`
+	// Barred is true while the process may not dispatch, because others may have
+	// removed its VM from the roster.
+	Barred bool `msg:"b"`
+}
+
+// RosterEntry is the entry of a VM on the roster. Its JSON form has the
+// fields of FleetMember, under the same names, and those below.
+type RosterEntry struct {
+	// VM is the name of the VM.
+	VM string `msg:"v"`
+	// Incarnation identifies a process at the VM. It increases with every
+	// restart.
+	Incarnation uint64 `msg:"i"`
+	// DataCentre is the data centre of the VM.
+	DataCentre string `msg:"d"`
+	// Address is the host:port at which the process accepts connections of
+	// peers.
+	Address string `msg:"a"`
+	// Draining is true while the process shuts down gracefully.
+	Draining bool `msg:"l"`
+	// Weight is the VM's capacity as a dispatcher, in thousandths of a core.
+	Weight int `msg:"w"`
+	// Removable is true if the process stops dispatching by itself before one of
+	// Scope may remove the entry. Entries of older releases lack it.
+	Removable bool `msg:"r"`
+	// Scope names the other VMs of the scope that the process knows, in
+	// ascending order.
+	Scope []string `msg:"s"`
+	// Neighbours names those VMs of Scope that are in the data centre of the VM,
+	// in ascending order.
+	Neighbours []string `msg:"n"`
 }
 
 // QueueLoad reports a queue in which new jobs wait for longer than their
@@ -99,6 +130,12 @@
 	// Evacuated lists the data centres on whose upstreams no task may start. It
 	// is empty in normal operation.
 	Evacuated []string `msg:"ev"`
+	// StoreAgeUS is the time since the store last answered the sender, in
+	// microseconds; 0 if unknown.
+	StoreAgeUS int64 `msg:"sa"`
+	// HearsStore is true if the sender hears a VM that the store has answered
+	// recently.
+	HearsStore bool `msg:"hs"`
 	// ClockUS is the sender's clock, in microseconds since its VM was started; 0
 	// if unknown.
 	ClockUS int64 `msg:"c"`
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -106,6 +106,10 @@
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
 		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
+	if !n.roster.unused {
+		now := time.Now()
+		h.StoreAgeUS, h.HearsStore = n.roster.storeAge(now).Microseconds(), n.fleet.HearsStore(now)
+	}
 	if table := n.table.Load(); table != nil {
 		h.ConfigurationRevision = table.Revision
 	}
@@ -152,6 +156,8 @@
 		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
 		Hears:      hears(h),
+		StoreAge:   time.Duration(h.StoreAgeUS) * time.Microsecond,
+		HearsStore: h.HearsStore,
 	}, bidirectional)
 	n.receiveLoad(time.Now(), h)
 	if h.Divided {
@@ -206,9 +212,9 @@
 }
 
 func toWire(m fleet.Member) wire.FleetMember {
-	return wire.FleetMember{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining, Weight: m.Weight}
+	return wire.FleetMember{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining, Weight: m.Weight, Barred: m.Barred}
 }
 
 func fromWire(m wire.FleetMember) fleet.Member {
-	return fleet.Member{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining, Weight: m.Weight}
+	return fleet.Member{VM: m.VM, Incarnation: m.Incarnation, DataCentre: m.DataCentre, Address: m.Address, Draining: m.Draining, Weight: m.Weight, Barred: m.Barred}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -17,7 +17,7 @@
 type Metrics struct {
 	set *metrics.Set
 
-	Jobs, Terms, Polls, Stops, SuspectedCrashes, DrainingStarts *metrics.Counter
+	Jobs, Terms, Polls, Stops, SuspectedCrashes, DrainingStarts, Removals *metrics.Counter
 
 	answerTimes [intake.Abandoned + 1]*metrics.Histogram
 	starts      []*metrics.Counter
@@ -35,6 +35,7 @@
 		set:              set,
 		Jobs:             set.NewCounter("mustardstep_jobs_total"),
 		Terms:            set.NewCounter("mustardstep_terms_total"),
+		Removals:         set.NewCounter("mustardstep_roster_removals_total"),
 		Polls:            set.NewCounter("mustardstep_looks_total"),
 		Stops:            set.NewCounter("mustardstep_stops_total"),
 		SuspectedCrashes: set.NewCounter("mustardstep_upstream_suspected_crashes_total"),
@@ -155,6 +156,12 @@
 		report := n.scheduler.SplitReport()
 		return float64(report.Level())
 	})
+	set.NewGauge("mustardstep_barred", func() float64 {
+		if n.fleet.Self().Barred {
+			return 1
+		}
+		return 0
+	})
 	set.NewGauge("mustardstep_caller_return_seconds", func() float64 { return n.config.CallerReturn.Seconds() })
 	set.NewGauge("mustardstep_caller_return_needed_seconds", func() float64 { return minCallerReturn(n.fleet.Timeout()).Seconds() })
 	set.NewGauge("mustardstep_configuration_version", func() float64 {
--- a/node/pause.go
+++ b/node/pause.go
@@ -21,8 +21,9 @@
 // pauseDetector finds pauses of this process. The tick loop checks it every
 // scheduler.TickInterval, so that a longer gap between two checks is a pause.
 type pauseDetector struct {
-	mu   sync.Mutex    // guards the field below; held while a pause is handled
-	last time.Duration // boot time of the last check; 0 before the first one
+	mu     sync.Mutex    // guards the fields below; held while a pause is handled
+	last   time.Duration // boot time of the last check; 0 before the first one
+	lastAt time.Time     // time of the last check, by a clock that stands still while the machine is suspended
 }
 
 // bootTime reads the boot clock, which also advances while the machine is
@@ -43,14 +44,16 @@
 	if err != nil {
 		return err // without the clock, pauses stay undetected and tasks may run twice
 	}
+	at := time.Now()
 	switch last := n.pauses.last; {
 	case last == 0:
 	case now-last > maxPause:
-		n.restartTerm(time.Now(), now-last)
+		n.roster.registration.NoteSuspended(max(now-last-at.Sub(n.pauses.lastAt), 0))
+		n.restartTerm(at, now-last)
 	case now-last > shortPause:
 		n.notePeerLoss(n.fleet.View(time.Now(), 0).Silence)
 	}
-	n.pauses.last = now
+	n.pauses.last, n.pauses.lastAt = now, at
 	return nil
 }
 
@@ -64,7 +67,10 @@
 	n.term.mu.Unlock()
 	dispatching := n.term.current() != 0
 	n.log.Warn("process was paused", slog.Int64("for_ms", pause.Milliseconds()), slog.Bool("dispatching", dispatching))
-	if !dispatching {
+	if n.updateBarred(now) || !dispatching {
+		if dispatching {
+			n.stopTerm("this process was paused, and its VM may have been removed from the roster")
+		}
 		return
 	}
 	v := n.fleet.View(now, n.termFor(n.config.VM))
--- a/node/roster.go
+++ b/node/roster.go
@@ -29,6 +29,12 @@
 	unused   bool       // there is no roster
 	read     bool       // it has been read
 	revision int64      // of the own entry as last written; 0 if it was not
+	// answeredAt is when the store last answered a call on the roster or on the own lease.
+	answeredAt time.Time
+	// registration tells whether the own entry may have been removed by another VM.
+	registration fleet.Registration
+	// removals is used by rosterLoop only.
+	removals fleet.Removals
 }
 
 func (r *roster) init(unused bool) { r.unused = unused }
@@ -60,6 +66,24 @@
 	r.read = true
 }
 
+// noteAnswer notes that the store has answered.
+func (r *roster) noteAnswer(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answeredAt = now
+}
+
+// storeAge returns the time since the store last answered a call on the roster or on the own lease;
+// 0 if it never did.
+func (r *roster) storeAge(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.answeredAt.IsZero() {
+		return 0
+	}
+	return max(now.Sub(r.answeredAt), time.Microsecond)
+}
+
 // ownRevision returns the revision of the own entry, or 0.
 func (r *roster) ownRevision() int64 {
 	r.mu.Lock()
@@ -85,8 +109,13 @@
 		case <-timer.C:
 		}
 		pause := listInterval
-		if !n.roster.known() || n.scheduler.Dispatching() && n.view.Load().Silence != fleet.SilenceNone {
-			if err := n.readRoster(ctx); err != nil {
+		v := n.view.Load()
+		if !n.roster.known() || (n.scheduler.Dispatching() || v.Candidate) && v.Silence != fleet.SilenceNone {
+			next, err := n.readRoster(ctx)
+			if next != 0 {
+				pause = next
+			}
+			if err != nil {
 				level, waits := slog.LevelDebug, !n.roster.known()
 				if waits && !warned {
 					level, warned = slog.LevelWarn, true
@@ -99,33 +128,47 @@
 	}
 }
 
-// readRoster reads the roster. A stale copy would not do: it may lack a member that has
-// registered since.
-func (n *Node) readRoster(ctx context.Context) error {
+// readRoster reads the roster, and removes the VMs that have gone for good. A stale copy would not
+// do: it may lack a member that has registered since. next is the time until
+// the next reading; 0 if none is needed soon.
+func (n *Node) readRoster(ctx context.Context) (next time.Duration, err error) {
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	items, _, err := store.List(callCtx, n.deps.Store, n.config.RosterPrefix, false)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	members := make([]fleet.Member, 0, len(items))
+	n.roster.noteAnswer(time.Now())
+	members, entries := make([]fleet.Member, 0, len(items)), make([]fleet.RosterEntry, 0, len(items))
 	for _, item := range items {
-		var m wire.FleetMember
-		vm := strings.TrimPrefix(item.Key, n.config.RosterPrefix)
-		err := json.Unmarshal(item.Value, &m)
-		if err == nil && m.VM != vm {
-			err = errors.Newf("it describes VM %q", m.VM)
-		}
+		e, err := n.decodeRosterEntry(item)
 		if err != nil {
 			n.log.Warn("roster entry cannot be read", slog.String("key", item.Key), slog.Any("error", err))
-			m = wire.FleetMember{VM: vm}
 		}
-		members = append(members, fromWire(m))
+		members, entries = append(members, e.Member), append(entries, e)
 	}
 	n.fleet.SetRoster(members)
 	n.roster.noteRead()
 	n.wakeTermLoop()
-	return nil
+	return n.removeLost(ctx, entries)
+}
+
+// decodeRosterEntry decodes an entry of the roster. With an error, it returns an entry that only names
+// the VM.
+func (n *Node) decodeRosterEntry(item store.Item) (fleet.RosterEntry, error) {
+	var e wire.RosterEntry
+	vm := strings.TrimPrefix(item.Key, n.config.RosterPrefix)
+	err := json.Unmarshal(item.Value, &e)
+	if err == nil && e.VM != vm {
+		err = errors.Newf("it describes VM %q", e.VM)
+	}
+	if err != nil {
+		return fleet.RosterEntry{Member: fleet.Member{VM: vm}, Revision: item.Revision}, err
+	}
+	return fleet.RosterEntry{
+		Member:   fleet.Member{VM: e.VM, Incarnation: e.Incarnation, DataCentre: e.DataCentre, Address: e.Address, Draining: e.Draining, Weight: e.Weight},
+		Revision: item.Revision, Removable: e.Removable, Record: fleet.Record{Scope: e.Scope, Neighbours: e.Neighbours},
+	}, nil
 }
 
 // leaveRoster ends the term, if no other VM has taken over, and removes the own entry after a
--- a/node/roster_test.go
+++ b/node/roster_test.go
@@ -45,7 +45,8 @@
 	n.replaceUpstreams(nil, 1, "test")
 	canStart := func() bool { v := n.fleet.View(now, 0); return n.canStartTerm(now, &v) }
 	require.False(t, canStart())
-	require.NoError(t, n.readRoster(t.Context()))
+	_, err := n.readRoster(t.Context())
+	require.NoError(t, err)
 	require.False(t, canStart(), "it is not on the roster")
 	n.roster.noteEntered(1)
 	require.True(t, canStart())
@@ -77,9 +78,10 @@
 			c.putRoster("vm9")
 			n := New(Config{VM: "vm0", DataCentre: "dc", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, RosterPrefix: "roster/"},
 				Dependencies{Store: c.store, Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
-			require.NoError(t, n.readRoster(t.Context()))
+			readRoster := func() error { _, err := n.readRoster(t.Context()); return err }
+			require.NoError(t, readRoster())
 			c.store.Set("roster/vm9", []byte(odd))
-			require.NoError(t, n.readRoster(t.Context()))
+			require.NoError(t, readRoster())
 			lost := n.fleet.View(time.Now(), 0).Lost
 			require.Len(t, lost, 1)
 			require.Equal(t, "vm9", lost[0].VM)
@@ -151,3 +153,20 @@
 	require.NoError(t, err)
 	require.Empty(t, items)
 }
+
+// A VM has gone for good, as all processes were killed. The processes that start
+// afterwards took the fleet for split until operators removed the VM from the roster: every job was
+// given up before its caller could return.
+func TestVMThatIsGoneForGoodSplitsFleetForever(t *testing.T) {
+	c := newCluster(t, 0, 2, time.Millisecond)
+	c.store.Set("roster/vm9", []byte(`{"VM":"vm9","Incarnation":1,"DataCentre":"dc","Address":"`+freeAddress(t)+`","Weight":400,"Removable":true,"Scope":["vm0"],"Neighbours":["vm0"]}`))
+	n := c.start("vm0")
+	c.dispatcher()
+	require.Equal(t, scheduler.PeerLost, n.scheduler.PeerLoss())
+	c.wait("upstreams may be missing from the list", func() bool { return n.scheduler.SplitReport().Lacking.Partial })
+	c.wait("the VM has gone", func() bool { return n.scheduler.PeerLoss() == scheduler.PeersHeard })
+	c.wait("no upstream is missing", func() bool { return !n.scheduler.SplitReport().Lacking.Partial })
+	items, _, err := store.List(context.Background(), c.store, "roster/", false)
+	require.NoError(t, err)
+	require.Len(t, items, 1)
+}
--- a/node/submit.go
+++ b/node/submit.go
@@ -64,7 +64,7 @@
 	case n.stopping.Load(): // read after the job was added, so that endJobs does not miss it
 		n.endStopping(j)
 	case request == 1:
-		if v := n.view.Load(); !n.rejectHopeless(j, v) {
+		if v := n.view.Load(); !n.rejectBarred(j, v) && !n.rejectHopeless(j, v) {
 			n.offer(j, v)
 		}
 	}
@@ -240,11 +240,13 @@
 			n.historiesSentTerm = v.Term
 			n.sendEndedHistories(v)
 		}
-	} else if !n.elsewhere.active() {
+	} else if !n.elsewhere.active() && !v.TopRanked.Barred {
 		return
 	}
 	for _, j := range jobs() {
-		n.offer(j, v)
+		if !n.rejectBarred(j, v) {
+			n.offer(j, v)
+		}
 	}
 }
 
--- a/node/term.go
+++ b/node/term.go
@@ -143,6 +143,7 @@
 // accordingly.
 func (n *Node) updateTerm(now time.Time) {
 	old := n.view.Load()
+	barred := n.updateBarred(now)
 	v := n.fleet.View(now, n.termFor(n.config.VM))
 	if !v.Candidate && n.term.current() == 0 {
 		v.Silence, v.Lost = fleet.SilenceNone, nil // most members send heartbeats here in rotation only
@@ -175,6 +176,8 @@
 	token := n.term.current()
 	self := n.fleet.Self()
 	switch {
+	case token != 0 && barred:
+		n.endTerm("this VM may have been removed from the roster")
 	case token != 0 && v.Dispatcher.VM != self.VM:
 		n.endTerm(v.Dispatcher.VM + " dispatches")
 	case token == 0 && v.TopRanked.VM == self.VM && n.canStartTerm(now, &v) && n.fleet.RecordUpstreamCount(n.registry.size()):
@@ -244,7 +247,7 @@
 	if !n.hasConfiguration() || n.deps.Store != nil && !n.registry.listed() {
 		return false
 	}
-	if !n.roster.ready() {
+	if !n.roster.ready() || n.fleet.Self().Barred {
 		return false
 	}
 	if v.Dispatcher.VM != "" && !v.Dispatcher.Draining && n.registry.mayMissLapsed(now, n.config.LapsedRetention) {
@@ -320,9 +323,14 @@
 
 // endTerm stops dispatching. Active runs continue under their leases.
 func (n *Node) endTerm(reason string) {
+	n.term.transition.Lock()
+	defer n.term.transition.Unlock()
+	n.stopTerm(reason)
+}
+
+// stopTerm is endTerm for a caller that holds transition.
+func (n *Node) stopTerm(reason string) {
 	t := &n.term
-	t.transition.Lock()
-	defer t.transition.Unlock()
 	t.mu.Lock()
 	t.token = 0
 	t.mu.Unlock()
--- a/node/watch.go
+++ b/node/watch.go
@@ -318,7 +318,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if *lease != 0 {
-		return n.deps.Store.KeepAlive(callCtx, *lease)
+		return n.keepRegistration(callCtx, *lease)
 	}
 	granted, err := n.deps.Store.Grant(callCtx, memberTTL)
 	if err != nil {
@@ -328,17 +328,15 @@
 	if err != nil {
 		return err
 	}
-	txn := store.Txn{Writes: []store.Write{{Key: n.config.MemberPrefix + n.config.VM, Value: value, Lease: granted}}}
-	if !n.roster.unused { // again with each lease: the entry may have been removed
-		txn.Writes = append(txn.Writes, store.Write{Key: n.config.RosterPrefix + n.config.VM, Value: value})
+	member := store.Write{Key: n.config.MemberPrefix + n.config.VM, Value: value, Lease: granted}
+	if n.roster.unused {
+		_, err = n.deps.Store.Commit(callCtx, store.Txn{Writes: []store.Write{member}})
+	} else {
+		err = n.register(callCtx, member) // again with each lease: the entry may have been removed
 	}
-	revision, err := n.deps.Store.Commit(callCtx, txn)
 	if err != nil {
 		return err
 	}
-	if len(txn.Writes) > 1 {
-		n.roster.noteEntered(revision)
-	}
 	*lease = granted
 	return nil
 }
