A VM whose entry the platform has removed no longer keeps its registration by renewals

What callers could have seen: the platform removes the entry of a VM and goes on renewing its lease ("keys are taken away at once, and no request shows it"). A VM that the others do not hear then took the renewal for a proof that it is on the roster, and dispatched on, while the others removed it and ended the rule for splits: a task could run twice.

Cause: the removal depends on the entry of the member, the confirmation on its lease.

Change: a VM that may dispatch and does not hear all members of its record confirms its registration by a current reading of its entry, and registers again if that is missing. The delay of a removal includes the heartbeat timeout, by which the two sides notice a loss at different times.

--- a/fleet/registration.go
+++ b/fleet/registration.go
@@ -18,13 +18,15 @@
 	registrationTimeout = 6 * time.Second
 	// unheardTimeout is the time since a member has heard all those of its record after which one
 	// of them may be about to remove its registration.
-	unheardTimeout = 5 * time.Second
+	unheardTimeout = 4500 * time.Millisecond
 	// storeContactTimeout is the time since the store has answered a member after which it cannot be
 	// about to remove another one.
 	storeContactTimeout = 3 * time.Second
 	// dataCentreTimeout replaces registrationTimeout for most of the members of a data centre that
 	// is cut off from the store: a data centre goes on serving through a partition of minutes.
 	dataCentreTimeout = 15 * time.Minute
+	// hearsAllAge is the age of a check of the view that found all members of the records to be heard.
+	hearsAllAge = 500 * time.Millisecond
 	// removalMargin covers a pause that is too short to be noticed, the drift of the clocks and a
 	// check of the view.
 	removalMargin = 600 * time.Millisecond
@@ -35,17 +37,18 @@
 	rejoinDelay = time.Second
 )
 
-// RemovalDelay returns the time for which a member must have been neither heard nor listed until
-// another one may remove its registration. It exceeds the time after which the member stops
-// dispatching by the longest lease of its runs, on an upstream whose clock is 2 % slow.
-func RemovalDelay(leaseMax time.Duration) time.Duration {
-	return registrationTimeout + leaseMax*106/100 + removalMargin
+// removalDelay returns the time for which a member must have been neither heard nor listed until
+// this one may remove its registration. It exceeds the time after which the member stops
+// dispatching by the heartbeat timeout, since which the member may have heard nobody, and by the longest
+// lease of its runs, on an upstream whose clock is 2 % slow.
+func (f *Fleet) removalDelay(leaseMax time.Duration) time.Duration {
+	return registrationTimeout + f.Timeout() + leaseMax*106/100 + removalMargin
 }
 
-// dataCentreRemovalDelay replaces RemovalDelay while the member may be heard by most of its data
+// dataCentreRemovalDelay replaces removalDelay while the member may be heard by most of its data
 // centre.
-func dataCentreRemovalDelay(leaseMax time.Duration) time.Duration {
-	return dataCentreTimeout + RemovalDelay(leaseMax) - registrationTimeout
+func (f *Fleet) dataCentreRemovalDelay(leaseMax time.Duration) time.Duration {
+	return dataCentreTimeout + f.removalDelay(leaseMax) - registrationTimeout
 }
 
 // Record names the members that a member knows, as its entry on the roster says. Only they may
@@ -201,7 +204,17 @@
 	r.unansweredAt = now
 }
 
-// Confirm notes that the store has confirmed the registration by a call that was sent at a time.
+// HearsAll reports whether all members of the records are heard, so that none can be about to remove the
+// registration.
+func (r *Registration) HearsAll(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.heardAt) < hearsAllAge
+}
+
+// Confirm notes that the store has confirmed the registration by a call that was sent at a time: it
+// listed the member, or it has renewed the member's lease while all members of the records were heard. The
+// renewal alone is no proof, because the platform may remove an entry and keep its lease.
 func (r *Registration) Confirm(sentAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/fleet/registration_test.go
+++ b/fleet/registration_test.go
@@ -18,7 +18,8 @@
 	now     time.Time
 	vms     []*modelVM
 	roster  map[string]RosterEntry
-	members map[string]time.Time // end of the lease, by VM
+	members map[string]bool      // entries of members, by VM; they end with their leases
+	leases  map[string]time.Time // end, by VM
 	changes int64
 	trace   []string
 }
@@ -41,7 +42,7 @@
 const modelStep = 100 * time.Millisecond
 
 func newRegistrationModel(t *testing.T, dataCentres ...string) *registrationModel {
-	m := &registrationModel{t: t, now: time.Unix(1000, 0), roster: map[string]RosterEntry{}, members: map[string]time.Time{}}
+	m := &registrationModel{t: t, now: time.Unix(1000, 0), roster: map[string]RosterEntry{}, members: map[string]bool{}, leases: map[string]time.Time{}}
 	for _, dc := range dataCentres {
 		m.add(dc)
 	}
@@ -79,18 +80,20 @@
 		return
 	}
 	vm.storeAt = m.now
-	if m.members[vm.member.VM].After(m.now) && vm.records {
-		m.members[vm.member.VM] = m.now.Add(4 * time.Second)
-		vm.registration.Confirm(m.now)
-		if vm.registration.Current(vm.fleet.Record()) {
-			return
+	if m.leases[vm.member.VM].After(m.now) && vm.records {
+		m.leases[vm.member.VM] = m.now.Add(4 * time.Second)
+		if vm.registration.HearsAll(m.now) || m.members[vm.member.VM] {
+			vm.registration.Confirm(m.now)
+			if vm.registration.Current(vm.fleet.Record()) {
+				return
+			}
 		}
 	}
 	m.changes++
 	record := vm.fleet.Record()
 	vm.registration.Send(m.now, record)
 	m.roster[vm.member.VM] = RosterEntry{Member: vm.member, Revision: m.changes, Removable: true, Record: record}
-	m.members[vm.member.VM] = m.now.Add(4 * time.Second)
+	m.members[vm.member.VM], m.leases[vm.member.VM] = true, m.now.Add(4*time.Second)
 	vm.registration.Written(m.now)
 	vm.records = true
 }
@@ -104,7 +107,7 @@
 	var entries []RosterEntry
 	var members, listed []Member
 	for _, e := range m.roster {
-		e.Listed = m.members[e.Member.VM].After(m.now)
+		e.Listed = m.members[e.Member.VM] && m.leases[e.Member.VM].After(m.now)
 		entries, members = append(entries, e), append(members, e.Member)
 		if e.Listed {
 			listed = append(listed, e.Member)
@@ -313,6 +316,16 @@
 	require.Equal(t, 1, m.lost(m.vms[1]), "%v", m.trace)
 }
 
+// The platform removes the entry of a VM that the others do not hear, and goes on renewing its lease.
+func TestVMWithoutEntryRenewsItsRegistration(t *testing.T) {
+	m := newRegistrationModel(t, "a", "b", "c")
+	m.members["vm0"], m.vms[0].group = false, 1
+	m.run(30 * time.Second)
+	require.False(t, m.vms[0].barred)
+	require.Contains(t, m.roster, "vm0", "%v", m.trace)
+	require.Equal(t, 1, m.lost(m.vms[1]))
+}
+
 // A member of an older release does not stop by itself.
 func TestEntryOfOlderReleaseIsRemoved(t *testing.T) {
 	m := newRegistrationModel(t, "a", "b", "c")
@@ -336,7 +349,7 @@
 		m := newRegistrationModel(t, dataCentres...)
 		for range 40 {
 			vm := m.vms[r.IntN(len(m.vms))]
-			switch r.IntN(9) {
+			switch r.IntN(10) {
 			case 0, 1:
 				vm.group = r.IntN(3)
 			case 2:
@@ -355,6 +368,8 @@
 				if len(m.vms) < 9 {
 					m.add(dataCentres[0]).group = r.IntN(3)
 				}
+			case 9: // the platform removes the entry, and keeps the lease
+				m.members[vm.member.VM] = false
 			}
 			before := len(m.roster)
 			m.run(time.Duration(r.IntN(14_000)) * time.Millisecond)
--- a/fleet/removal.go
+++ b/fleet/removal.go
@@ -73,9 +73,9 @@
 		}
 		seen[e.Member.VM] = a
 		unheard := later(a.since, v.Lost[i].HeardAt)
-		left := unheard.Add(dataCentreRemovalDelay(leaseMax)).Sub(now)
+		left := unheard.Add(f.dataCentreRemovalDelay(leaseMax)).Sub(now)
 		if !a.halfSince.IsZero() {
-			left = min(left, later(unheard, a.halfSince).Add(RemovalDelay(leaseMax)).Sub(now))
+			left = min(left, later(unheard, a.halfSince).Add(f.removalDelay(leaseMax)).Sub(now))
 			pending = true
 		}
 		if left <= 0 {
--- a/node/registration.go
+++ b/node/registration.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,21 +39,44 @@
 	return nil
 }
 
-// keepRegistration renews the lease, which shows that the entry on the roster stands, and updates that
-// entry if it names other members than those that are known.
+// keepRegistration renews the lease and confirms the registration, and updates the entry on the roster if
+// it names other members than those that are known. It returns store.ErrLeaseNotFound if the VM must
+// register again.
 func (n *Node) keepRegistration(ctx context.Context, lease int64) error {
 	sentAt := time.Now()
 	if err := n.deps.Store.KeepAlive(ctx, lease); err != nil || n.roster.unused {
 		return err
 	}
-	n.roster.registration.Confirm(sentAt)
 	n.roster.noteAnswer(time.Now())
-	if n.roster.registration.Current(n.fleet.Record()) {
+	registration := &n.roster.registration
+	if v := n.view.Load(); (v.Candidate || n.scheduler.Dispatching()) && !registration.HearsAll(sentAt) {
+		sentAt = time.Now()
+		if err := n.findOwnEntry(ctx); err != nil {
+			return err
+		}
+	}
+	registration.Confirm(sentAt)
+	if registration.Current(n.fleet.Record()) {
 		return nil
 	}
 	return n.register(ctx)
 }
 
+// findOwnEntry returns store.ErrLeaseNotFound if the store does not list this VM although it has renewed
+// the lease.
+func (n *Node) findOwnEntry(ctx context.Context) error {
+	key := n.config.MemberPrefix + n.config.VM
+	items, _, err := store.List(ctx, n.deps.Store, key, false)
+	if err != nil {
+		return err
+	}
+	if !slices.ContainsFunc(items, func(i store.Item) bool { return i.Key == key }) {
+		n.log.Warn("the store has renewed the lease of this VM but does not list it")
+		return store.ErrLeaseNotFound
+	}
+	return nil
+}
+
 // updateBarred determines whether this VM may not dispatch, because another one may have removed it
 // from the roster.
 func (n *Node) updateBarred(now time.Time) bool {
