Every VM watches the configuration, and VMs that the store serves read for a refused dispatcher

What callers saw: the store refuses some VMs and serves the others and the operators.

Cause: only the dispatcher and the first VM of each data centre read the configuration currently. The others relied on them as long as they were heard, whether or not the store answered them, and on stale listings. On related paths: evacuations (the same watch), the upstreams (only the dispatcher read their changes, so that it went on using one that drains), the configuration of serve (the highest-ranked VM that answers watched).

Change: every VM watches the configuration and the evacuations. A dispatcher that the store does not answer says so in its heartbeats; every VM of the scope that the store answers then watches the upstreams, and the dispatcher fetches the list from it.

--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -41,8 +41,8 @@
 
 // configSyncer keeps the configuration of this VM up to date.
 //
-// The VMs of a data centre are ranked. The highest-ranked responsive ones watch
-// the platform's store. Every VM periodically compares revision and fingerprint
+// The VMs of a data centre are ranked. The highest-ranked responsive ones that the platform's
+// store answers watch it. Every VM periodically compares revision and fingerprint
 // with the highest-ranked responsive VM of its data centre. That VM compares
 // with the highest-ranked responsive VM of another data centre. The VM that is
 // behind pulls the difference.
@@ -56,6 +56,7 @@
 	table    *configuration.Table
 	synced   atomic.Bool // a configuration was received since startup, or the wait for one is over
 	watching atomic.Bool
+	unread   atomic.Bool   // this VM watches, and the last call to the store has failed
 	wake     chan struct{} // signals watchLoop that the ranking may have changed
 
 	applyMu sync.Mutex // guards applied; held during apply
@@ -64,6 +65,7 @@
 	mu                sync.Mutex // guards the fields below
 	pulling           map[string]bool
 	unresponsiveUntil map[string]time.Time // VMs that did not answer, and when to contact them again
+	unreadUntil       map[string]time.Time // VMs that the store does not answer, and until when they do not count as watching
 }
 
 func newConfigSyncer(deps configurationDeps, initial *configuration.State) *configSyncer {
@@ -73,6 +75,7 @@
 		wake:              make(chan struct{}, 1),
 		pulling:           map[string]bool{},
 		unresponsiveUntil: map[string]time.Time{},
+		unreadUntil:       map[string]time.Time{},
 	}
 	c.applyCurrent()
 	return c
--- a/daemon/configuration_peers.go
+++ b/daemon/configuration_peers.go
@@ -78,6 +78,25 @@
 	return !time.Now().Before(c.unresponsiveUntil[p.VM])
 }
 
+// reads returns false for a VM that has reported that the store does not answer it. It is asked again
+// every interval.
+func (c *configSyncer) reads(p endpoint) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !time.Now().Before(c.unreadUntil[p.VM])
+}
+
+// noteUnread records whether the store answers a VM that should watch it.
+func (c *configSyncer) noteUnread(p endpoint, unread bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if unread {
+		c.unreadUntil[p.VM] = time.Now().Add(unresponsiveIntervals * c.settings.Configuration.Interval)
+		return
+	}
+	delete(c.unreadUntil, p.VM)
+}
+
 // noteResult records whether a VM answered.
 func (c *configSyncer) noteResult(p endpoint, err error) {
 	c.mu.Lock()
@@ -104,11 +123,11 @@
 	}
 }
 
-// compareRound compares with the highest-ranked VM above this one that answers. If
-// there is none, it compares with the top-ranked VM of a random other data centre.
+// compareRound compares with the highest-ranked VM above this one that answers and that the store
+// answers. If there is none, it compares with the top-ranked VM of a random other data centre.
 func (c *configSyncer) compareRound(ctx context.Context) {
 	for _, p := range c.higherRanked() {
-		if c.responsive(p) && c.compareWithTimeout(ctx, p) == nil {
+		if c.responsive(p) && c.compareWithTimeout(ctx, p) == nil && c.reads(p) {
 			return
 		}
 	}
@@ -143,6 +162,7 @@
 		}
 		merged = c.table.Merge(decodeDifference(response))
 	}
+	c.noteUnread(p, response.Unread)
 	if c.applyMerged(merged, p.VM) && p.DataCentre != c.self.DataCentre {
 		c.notify(c.ranked(c.self.DataCentre))
 	}
@@ -170,7 +190,9 @@
 	if m.Full || diverged {
 		d = s.Full()
 	}
-	return encodeDifference(d, c.synced.Load())
+	response := encodeDifference(d, c.synced.Load())
+	response.Unread = c.unread.Load()
+	return response
 }
 
 // pull compares with a peer in the background, unless such a pull is in progress.
--- a/daemon/configuration_test.go
+++ b/daemon/configuration_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,12 +32,33 @@
 	vms         map[string]*configSyncer
 	stop        map[string]context.CancelFunc
 	partitioned map[string]bool
+	access      map[string]*refusableStore // of each VM to the store
+}
+
+// refusableStore is a VM's access to the store, which may refuse it.
+type refusableStore struct {
+	store.Store
+	refuses atomic.Bool
+}
+
+func (s *refusableStore) Range(ctx context.Context, prefix, after string, stale bool) (store.Page, error) {
+	if s.refuses.Load() {
+		return store.Page{}, store.ErrRefused
+	}
+	return s.Store.Range(ctx, prefix, after, stale)
+}
+
+func (s *refusableStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]store.Event, int64, error) {
+	if s.refuses.Load() {
+		return nil, 0, store.ErrRefused
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
 }
 
 func newFleet(dataCentres, vms int, notify bool) *fleet {
 	f := &fleet{
 		store: standin.NewFaultyStore(store.NewMemory()), notify: notify,
-		vms: map[string]*configSyncer{}, stop: map[string]context.CancelFunc{}, partitioned: map[string]bool{},
+		vms: map[string]*configSyncer{}, stop: map[string]context.CancelFunc{}, partitioned: map[string]bool{}, access: map[string]*refusableStore{},
 	}
 	for dc := range dataCentres {
 		for i := range vms {
@@ -68,10 +90,12 @@
 		Interval: time.Second, Watchers: 1, Notify: f.notify, StartWait: 10 * time.Second, CommitTimeout: 5 * time.Second,
 	}
 	s.Network.PeerTimeout, s.Platform.WatchWait = time.Second, 10*time.Second
+	access := &refusableStore{Store: f.store}
+	f.access[p.VM] = access
 	c := newConfigSyncer(configurationDeps{
 		self: p, settings: s, log: slog.New(slog.NewTextHandler(io.Discard, nil)), call: f.call(p),
 		endpoints: func() []endpoint { return append([]endpoint(nil), f.endpoints...) }, apply: func(*configuration.State) {},
-		store: configstore.New(store.NewRateLimited(f.store, store.NewRateLimiter(store.RateLimiterConfig{
+		store: configstore.New(store.NewRateLimited(access, store.NewRateLimiter(store.RateLimiterConfig{
 			Rate: 20, Burst: 40, BackoffMin: 100 * time.Millisecond, BackoffMax: 5 * time.Second,
 		}))),
 	}, configuration.New(0, []configuration.Entry{{Key: "quotas/file", Value: "1"}}))
@@ -163,6 +187,31 @@
 		f.settle(30 * time.Second)
 		require.Equal(t, 3, f.watching(), "only the highest-ranked VMs watch once they are back")
 	},
+	// The others did not watch in the place of a VM that answers them and that the store refuses.
+	"a change reaches every VM while the store refuses those that watch": func(t *testing.T, f *fleet) {
+		f.startAll()
+		for vm, c := range f.vms {
+			f.access[vm].refuses.Store(c.watching.Load())
+		}
+		f.settle(15 * time.Second) // the watches that wait end
+		require.Equal(t, 6, f.watching(), "the next in rank as well")
+		// The others learn of a change from the store only.
+		f.mu.Lock()
+		f.partitioned["vm2-1"] = true
+		f.mu.Unlock()
+		f.access["vm2-1"].refuses.Store(false)
+		revision := f.setQuota(t, "vm2-1", "5")
+		f.settle(3 * time.Second)
+		f.requireRevision(t, revision)
+		for vm := range f.vms {
+			f.access[vm].refuses.Store(false)
+		}
+		f.mu.Lock()
+		f.partitioned["vm2-1"] = false
+		f.mu.Unlock()
+		f.settle(time.Minute)
+		require.Equal(t, 3, f.watching())
+	},
 	"a VM starts from its peers while the store is down": func(t *testing.T, f *fleet) {
 		f.startAll()
 		revision := f.setQuota(t, "vm0-0", "5")
--- a/daemon/configuration_watch.go
+++ b/daemon/configuration_watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/configuration"
@@ -22,6 +23,7 @@
 		}
 		if !watching {
 			w = watchState{}
+			c.unread.Store(false)
 			select {
 			case <-c.wake:
 			case <-ctx.Done():
@@ -31,20 +33,44 @@
 		if c.store.WaitBackoff(ctx) == nil {
 			c.watchOnce(ctx, &w)
 		}
+		if c.unread.Load() {
+			c.pauseStandIn(ctx)
+		}
 	}
 	return nil
 }
 
-// shouldWatch reports whether fewer than Watchers responsive VMs of this data
-// centre rank above this one.
+// standInPause is the pause of a VM that watches in place of higher-ranked ones, after the store has not
+// answered it either. It keeps the calls to a store that is down few, whatever the number of VMs.
+const standInPause = 30 * time.Second
+
+// pauseStandIn waits for standInPause, as long as this VM watches in place of others.
+func (c *configSyncer) pauseStandIn(ctx context.Context) {
+	for until := time.Now().Add(standInPause); time.Now().Before(until) && c.ahead(c.responsive) >= c.settings.Configuration.Watchers; {
+		select {
+		case <-c.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// shouldWatch reports whether fewer than Watchers responsive VMs of this data centre that the store
+// answers rank above this one.
 func (c *configSyncer) shouldWatch() bool {
+	ahead := c.ahead(func(p endpoint) bool { return c.responsive(p) && c.reads(p) })
+	return ahead < c.settings.Configuration.Watchers
+}
+
+// ahead returns the number of matching VMs of this data centre that rank above this one.
+func (c *configSyncer) ahead(match func(endpoint) bool) int {
 	ahead := 0
 	for _, p := range c.higherRanked() {
-		if c.responsive(p) {
+		if match(p) {
 			ahead++
 		}
 	}
-	return ahead < c.settings.Configuration.Watchers
+	return ahead
 }
 
 // watchState is the position of the watch in the platform's store.
@@ -64,9 +90,11 @@
 		case errors.Is(err, store.ErrCompacted):
 			c.log.Info("configuration watch position compacted, reading the full state", slog.Int64("after", w.revision))
 		case err != nil:
+			c.unread.Store(true)
 			c.logPlatformError(ctx, "watch", err)
 			return
 		case len(events) == 0:
+			c.unread.Store(false)
 			w.revision = at
 			return
 		default:
@@ -78,11 +106,13 @@
 		var err error
 		if state, w.revision, err = c.store.Read(ctx); err != nil {
 			w.initialized = false
+			c.unread.Store(true)
 			c.logPlatformError(ctx, "read", err)
 			return
 		}
 		w.initialized = true
 	}
+	c.unread.Store(false)
 	if c.mergeStored(state) {
 		c.notify(c.ranked(c.self.DataCentre))
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -98,6 +98,9 @@
 	ConfigurationRevision, UpstreamsRevision int64
 	// UpstreamsDigest is a hash of the upstreams that the member lists; 0 if it lists none.
 	UpstreamsDigest uint64
+	// UpstreamsUnread is true if the member dispatches and does not read the upstreams' changes from
+	// the store.
+	UpstreamsUnread bool
 	// Digest is a hash of the members that the member knows.
 	Digest uint64
 	// ContactAge is the time for which the member had not known that messages pass in both
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -42,6 +42,8 @@
 	// dispatches, and Term its term. Its VM is empty if there is none.
 	Dispatcher Member
 	Term       uint64
+	// UpstreamsUnread reports that Dispatcher does not read the upstreams' changes from the store.
+	UpstreamsUnread bool
 	// Reachable holds the last heartbeat of each reachable member, highest rank
 	// first. This member is not included.
 	Reachable []Heartbeat
@@ -104,7 +106,7 @@
 			v.TopRanked = m
 		}
 		if p.heartbeat.Term != 0 && (v.Term == 0 || compareRank(m, v.Dispatcher) < 0) {
-			v.Dispatcher, v.Term = m, p.heartbeat.Term
+			v.Dispatcher, v.Term, v.UpstreamsUnread = m, p.heartbeat.Term, p.heartbeat.UpstreamsUnread
 		}
 	}
 	ahead := 0
--- a/internal/wire/configuration_codec_gen.go
+++ b/internal/wire/configuration_codec_gen.go
@@ -158,10 +158,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ConfigurationResponse) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
+	// map header, size 7
 	// string "s"
-	o = append(o, 0x86, 0xa1, 0x73)
+	o = append(o, 0x87, 0xa1, 0x73)
 	o = msgp.AppendBool(o, z.Synced)
+	// string "u"
+	o = append(o, 0xa1, 0x75)
+	o = msgp.AppendBool(o, z.Unread)
 	// string "b"
 	o = append(o, 0xa1, 0x62)
 	o = msgp.AppendInt64(o, z.After)
@@ -211,6 +214,12 @@
 				err = msgp.WrapError(err, "Synced")
 				return
 			}
+		case "u":
+			z.Unread, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Unread")
+				return
+			}
 		case "b":
 			z.After, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
@@ -268,7 +277,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ConfigurationResponse) Msgsize() (s int) {
-	s = 1 + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
+	s = 1 + 2 + msgp.BoolSize + 2 + msgp.BoolSize + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Uint64Size + 2 + msgp.BoolSize + 2 + msgp.ArrayHeaderSize
 	for za0001 := range z.Entries {
 		s += z.Entries[za0001].Msgsize()
 	}
--- a/internal/wire/configuration_gen.go
+++ b/internal/wire/configuration_gen.go
@@ -37,6 +37,9 @@
 	// Synced is true once the sender has received a configuration since it
 	// started, or no longer waits for one.
 	Synced bool `msg:"s"`
+	// Unread is true if the sender should watch the platform's store, which does
+	// not answer it.
+	Unread bool `msg:"u"`
 	// After is the revision to which Entries apply.
 	After int64 `msg:"b"`
 	// Revision is the revision that the sender holds.
--- a/internal/wire/pool_codec_gen.go
+++ b/internal/wire/pool_codec_gen.go
@@ -369,9 +369,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *FleetHeartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 17
+	// map header, size 18
 	// string "f"
-	o = append(o, 0xde, 0x0, 0x11, 0xa1, 0x66)
+	o = append(o, 0xde, 0x0, 0x12, 0xa1, 0x66)
 	o, err = z.From.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "From")
@@ -392,6 +392,9 @@
 	// string "ud"
 	o = append(o, 0xa2, 0x75, 0x64)
 	o = msgp.AppendUint64(o, z.UpstreamsDigest)
+	// string "uu"
+	o = append(o, 0xa2, 0x75, 0x75)
+	o = msgp.AppendBool(o, z.UpstreamsUnread)
 	// string "dv"
 	o = append(o, 0xa2, 0x64, 0x76)
 	o = msgp.AppendBool(o, z.Divided)
@@ -501,6 +504,12 @@
 				err = msgp.WrapError(err, "UpstreamsDigest")
 				return
 			}
+		case "uu":
+			z.UpstreamsUnread, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "UpstreamsUnread")
+				return
+			}
 		case "dv":
 			z.Divided, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -649,7 +658,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *FleetHeartbeat) Msgsize() (s int) {
-	s = 3 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
+	s = 3 + 2 + z.From.Msgsize() + 2 + msgp.Uint64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 2 + msgp.Int64Size + 3 + msgp.Uint64Size + 3 + msgp.BoolSize + 3 + msgp.BoolSize + 2 + msgp.BoolSize + 3 + msgp.Int64Size + 2 + msgp.Uint64Size + 3 + msgp.Int64Size + 3 + msgp.ArrayHeaderSize
 	for za0001 := range z.Evacuated {
 		s += msgp.StringPrefixSize + len(z.Evacuated[za0001])
 	}
--- a/internal/wire/pool_gen.go
+++ b/internal/wire/pool_gen.go
@@ -113,6 +113,9 @@
 	// UpstreamsDigest is a hash of the names of the upstreams that the sender
 	// lists; 0 if it lists none.
 	UpstreamsDigest uint64 `msg:"ud"`
+	// UpstreamsUnread is true if the sender dispatches and the store does not
+	// tell it of changes of the upstreams.
+	UpstreamsUnread bool `msg:"uu"`
 	// Divided is true if the sender knows that each data centre has a dispatcher
 	// of its own.
 	Divided bool `msg:"dv"`
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -104,7 +104,7 @@
 	h := &wire.FleetHeartbeat{
 		From: toWire(n.fleet.Self()), Term: n.announcedTerm(peer), Token: n.fleet.Token(),
 		ContactAgeUS:      n.fleet.ContactAge(time.Now(), peer).Microseconds(),
-		UpstreamsRevision: revision, UpstreamsDigest: upstreams, Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
+		UpstreamsRevision: revision, UpstreamsDigest: upstreams, UpstreamsUnread: n.upstreamsUnread(), Divided: n.fleet.Divided(), Answered: n.fleet.Reachable(time.Now(), peer), Digest: digest,
 	}
 	if !n.roster.unused {
 		now := time.Now()
@@ -152,7 +152,7 @@
 // heartbeats pass in both directions.
 func (n *Node) receiveHeartbeat(h *wire.FleetHeartbeat, bidirectional bool) {
 	n.fleet.RecordHeartbeat(time.Now(), fleet.Heartbeat{
-		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, Digest: h.Digest,
+		Member: fromWire(h.From), Term: h.Term, Token: h.Token, ConfigurationRevision: h.ConfigurationRevision, UpstreamsRevision: h.UpstreamsRevision, UpstreamsDigest: h.UpstreamsDigest, UpstreamsUnread: h.UpstreamsUnread, Digest: h.Digest,
 		ContactAge: time.Duration(h.ContactAgeUS) * time.Microsecond,
 		Clock:      time.Duration(h.ClockUS) * time.Microsecond,
 		Hears:      hears(h),
@@ -174,7 +174,7 @@
 	}
 	v := n.view.Load()
 	isDispatcher := v.Dispatcher.VM == h.From.VM
-	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && h.Term != v.Term || !isDispatcher && h.Term != 0) || bidirectional && n.isNewElsewhere(v, h) {
+	if bidirectional && v.InScope(n.fleet.Self(), h.From.DataCentre) && (isDispatcher && (h.Term != v.Term || h.UpstreamsUnread != v.UpstreamsUnread) || !isDispatcher && h.Term != 0) || bidirectional && n.isNewElsewhere(v, h) {
 		n.wakeTermLoop()
 	}
 	if n.shouldPull(h) {
--- a/node/node.go
+++ b/node/node.go
@@ -192,6 +192,8 @@
 	publishedLoad  atomic.Pointer[[]wire.QueueLoad]
 	dispatcherLoad atomic.Pointer[overload.Published]
 
+	storeAnswers atomic.Bool // the store answers the watch of the configuration
+
 	callerReturnShort bool   // as last logged; used by updateTerm only
 	historiesSentTerm uint64 // last term whose dispatcher was told of ended jobs; used by updateTerm only
 
--- a/node/registry.go
+++ b/node/registry.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -43,6 +44,8 @@
 	// before mu and the locks of the scheduler.
 	applying sync.Mutex
 
+	storeless atomic.Bool // the store does not answer the watch or the listing of the upstreams
+
 	mu            sync.Mutex // guards the fields below
 	newest        int64      // revision of the latest change; 0 before the first listing
 	listedAt      time.Time  // time of the first listing, or of the first one after a maxReadGap
@@ -206,9 +209,10 @@
 		prefix:      n.config.UpstreamPrefix,
 		maxWait:     watchWait,
 		interval:    upstreamWatchInterval,
-		shouldWatch: n.scheduler.Dispatching,
+		shouldWatch: n.watchesUpstreams,
 		shouldList:  n.mayDispatchSoon,
 		relist:      n.relistSignal,
+		onConnected: func(connected bool) { n.registry.storeless.Store(!connected) },
 		resumeFrom:  func() int64 { return n.registry.resumeFrom(time.Now(), n.config.LapsedRetention) },
 		onCompacted: n.registry.dropReadings,
 		onWatched: func(requestedAt time.Time, revision int64) {
@@ -424,6 +428,19 @@
 	return !n.term.pausedWithin(now, n.config.LapsedRetention) && n.fleet.DispatchersListed(now.Add(-n.config.LapsedRetention), n.registry.listDigest())
 }
 
+// upstreamsUnread reports whether this node dispatches and the store does not tell it of changes of the
+// upstreams.
+func (n *Node) upstreamsUnread() bool {
+	return n.scheduler.Dispatching() && n.registry.storeless.Load()
+}
+
+// watchesUpstreams reports whether this node needs the changes of the upstreams at once: it dispatches, or
+// the store answers it and not the dispatcher, which then learns of them from this node. Every such node
+// watches, whatever its rank: the store may refuse all that rank high.
+func (n *Node) watchesUpstreams() bool {
+	return n.scheduler.Dispatching() || n.view.Load().UpstreamsUnread && n.storeAnswers.Load()
+}
+
 // mayDispatchSoon reports whether this node ranks so high that it needs the list of
 // upstreams before it becomes the dispatcher.
 func (n *Node) mayDispatchSoon() bool {
@@ -441,22 +458,24 @@
 	return h.UpstreamsRevision > n.registry.revision() && n.shouldPullUpstreams(time.Now())
 }
 
-// shouldPullUpstreams reports whether to fetch the list of upstreams from a peer: the
-// store has not answered for registryMaxAge, and this node may need the list soon. The
+// shouldPullUpstreams reports whether to fetch the list of upstreams from a peer: the store does not
+// answer this node, which dispatches, or has not for registryMaxAge, and this node may need the list soon. The
 // others never fetch it: a change of the configuration makes all members fetch state
 // at the same time, and a list to each of them would fill the link of the dispatcher.
 // While another VM dispatches, the interval grows with the length of the list.
 func (n *Node) shouldPullUpstreams(now time.Time) bool {
-	if n.registry.updatedSince(now.Add(-registryMaxAge)) || !n.mayDispatchSoon() {
+	r := &n.registry
+	unread := n.upstreamsUnread()
+	if !unread && r.updatedSince(now.Add(-registryMaxAge)) || !n.mayDispatchSoon() {
 		return false
 	}
-	if n.scheduler.Dispatching() {
-		return true
-	}
-	r := &n.registry
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return now.Sub(r.pulledAt) > max(listInterval, time.Duration(len(r.entries))*pullIntervalPerEntry)
+	interval := max(listInterval, time.Duration(len(r.entries))*pullIntervalPerEntry)
+	if unread || n.scheduler.Dispatching() {
+		interval = time.Duration(len(r.entries)) * dispatcherPullIntervalPerEntry
+	}
+	return now.Sub(r.pulledAt) > interval
 }
 
 const (
@@ -472,6 +491,9 @@
 	// pullIntervalPerEntry is the time that each entry adds to the interval between
 	// two fetches of the list. With 300 bytes per entry, fetching takes 3 KB/s.
 	pullIntervalPerEntry = 100 * time.Millisecond
+	// dispatcherPullIntervalPerEntry is the same for the dispatcher, which may not start tasks on an upstream
+	// that drains: 150 KB/s.
+	dispatcherPullIntervalPerEntry = 2 * time.Millisecond
 	// pullTimeout limits the time to fetch state from a peer.
 	pullTimeout = 500 * time.Millisecond
 	// pullInterval is the delay between two fetches. A VM that the store refuses
@@ -489,7 +511,11 @@
 			return nil
 		case address = <-n.pullFrom:
 		}
-		if !wait.For(ctx, pullDelay+rand.N(time.Duration(n.fleet.ScopeSize())*pullSpread)) {
+		delay := pullDelay
+		if !n.scheduler.Dispatching() {
+			delay += rand.N(time.Duration(n.fleet.ScopeSize()) * pullSpread)
+		}
+		if !wait.For(ctx, delay) {
 			return nil
 		}
 		n.pullState(ctx, address)
--- a/node/term.go
+++ b/node/term.go
@@ -150,6 +150,9 @@
 	}
 	v.Silence = max(v.Silence, n.claimSilence(now))
 	n.view.Store(&v)
+	if v.UpstreamsUnread && !old.UpstreamsUnread {
+		wake(n.relistSignal)
+	}
 	n.logView(old, &v)
 	n.logLosses(now, &v)
 	n.checkCallerReturn()
--- a/node/watch.go
+++ b/node/watch.go
@@ -65,12 +65,23 @@
 	// listing the prefix again, or 0. It may be nil.
 	resumeFrom func() int64
 
+	// onConnected is called when the store begins to answer, or no longer does. It may be nil.
+	onConnected func(bool)
+
 	revision  int64 // the watch continues after it; 0 requests a current reading
 	connected bool
 }
 
-// listInterval is the interval between two listings by a VM that does not watch.
-// Such a VM learns of changes from the heartbeats of others.
+// setConnected notes whether the store answers.
+func (w *watcher) setConnected(connected bool) {
+	w.connected = connected
+	if w.onConnected != nil {
+		w.onConnected(connected)
+	}
+}
+
+// listInterval is the interval between two listings of the members or the upstreams by a VM that does
+// not watch them. Such a VM learns of changes from the heartbeats of others.
 const listInterval = 2 * time.Second
 
 // watch keeps the copy of a watcher up to date until the context is done.
@@ -82,7 +93,7 @@
 			return nil
 		case err == nil:
 			if !w.connected {
-				w.connected = true
+				w.setConnected(true)
 				n.log.Info("store is reachable", slog.String("prefix", w.prefix), slog.Int64("revision", w.revision))
 			}
 		case errors.Is(err, store.ErrCompacted):
@@ -93,9 +104,9 @@
 			}
 		default:
 			if w.connected {
-				w.connected = false
 				n.log.Warn("store is unreachable", slog.String("prefix", w.prefix), slog.Any("error", err))
 			}
+			w.setConnected(false)
 			pause = storeRetryDelay
 		}
 		if !w.sleep(ctx, pause) {
@@ -172,7 +183,9 @@
 	return w.interval, nil
 }
 
-// watchConfiguration keeps the configuration and the set of evacuated data centres up to date.
+// watchConfiguration keeps the configuration and the set of evacuated data centres up to date. Every
+// VM watches them: the store may refuse any others from which this one could learn of changes. An
+// answer without a change has no entries, so that watching takes fewer bytes than listing.
 func (n *Node) watchConfiguration(ctx context.Context) error {
 	if n.config.ConfigurationKey == "" {
 		return nil
@@ -180,7 +193,8 @@
 	return n.watch(ctx, &watcher{
 		prefix:      cmp.Or(n.config.OperatorPrefix, n.config.ConfigurationKey),
 		maxWait:     watchWait,
-		shouldWatch: func() bool { return n.watchesForPeers() || n.table.Load() == nil },
+		onConnected: n.storeAnswers.Store,
+		shouldWatch: always,
 		shouldList:  always,
 		onList: func(items []store.Item, revision int64, currentAt time.Time) {
 			n.listEvacuations(items, revision, currentAt)
@@ -231,8 +245,8 @@
 
 func always() bool { return true }
 
-// watchesForPeers reports whether this node watches the store on behalf of other
-// VMs, because it dispatches or ranks first in its data centre.
+// watchesForPeers reports whether this node watches the members on behalf of other VMs, because it
+// dispatches or ranks first in its data centre.
 func (n *Node) watchesForPeers() bool {
 	return n.view.Load().TopInDataCentre || n.scheduler.Dispatching()
 }
