A process that has never reached the store says so, and updates of the roster are conditional

What callers could have seen: in a data centre that is cut off from the store, a VM that restarted reported an unknown time since its last contact to the store. The others took that for contact, so that none of them counted as most of a data centre that is cut off, and all stopped after 6 s. Found by reading the diff; TestDataCentreThatIsCutOffIsRemoved, which now restarts a VM in the cut, holds.

Besides, an update of a roster entry whose answer was lost could be executed after a later one. It now depends on the revision of the entry.

--- a/fleet/registration_test.go
+++ b/fleet/registration_test.go
@@ -172,7 +172,7 @@
 }
 
 func (m *registrationModel) heartbeat(from, to *modelVM) Heartbeat {
-	age := time.Duration(0)
+	age := time.Hour
 	if !from.storeAt.IsZero() {
 		age = max(m.now.Sub(from.storeAt), time.Microsecond)
 	}
@@ -249,7 +249,9 @@
 	for _, vm := range m.vms[:2] {
 		vm.group, vm.store = 1, false
 	}
-	m.run(5 * time.Minute)
+	m.run(2 * time.Minute)
+	m.start(m.vms[1]) // it has never had the store
+	m.run(3 * time.Minute)
 	require.Contains(t, m.roster, "vm0")
 	require.False(t, m.vms[0].barred)
 	require.Equal(t, 2, m.lost(m.vms[2]))
--- a/node/registration.go
+++ b/node/registration.go
@@ -15,9 +15,9 @@
 	"github.com/mustardstep/mustardstep/verdict"
 )
 
-// register writes this VM's entry on the roster, and other entries with it. A write without an answer
-// may still be executed.
-func (n *Node) register(ctx context.Context, others ...store.Write) error {
+// register writes this VM's entry on the roster, and the entry of the member with it if that is given. A
+// write without an answer may still be executed, but not after a later one if it only updates the entry.
+func (n *Node) register(ctx context.Context, member ...store.Write) error {
 	sentAt, record, self := time.Now(), n.fleet.Record(), n.fleet.Self()
 	value, err := json.Marshal(wire.RosterEntry{
 		VM: self.VM, Incarnation: self.Incarnation, DataCentre: self.DataCentre, Address: self.Address, Draining: self.Draining, Weight: self.Weight,
@@ -28,7 +28,15 @@
 	}
 	registration := &n.roster.registration
 	registration.Send(sentAt, record)
-	revision, err := n.deps.Store.Commit(ctx, store.Txn{Writes: append(others, store.Write{Key: n.config.RosterPrefix + n.config.VM, Value: value})})
+	key := n.config.RosterPrefix + n.config.VM
+	txn := store.Txn{Writes: append(member, store.Write{Key: key, Value: value})}
+	if len(member) == 0 {
+		txn.Conditions = []store.Condition{{Key: key, Revision: n.roster.ownRevision()}}
+	}
+	revision, err := n.deps.Store.Commit(ctx, txn)
+	if conflict := (*store.ConflictError)(nil); errors.As(err, &conflict) {
+		return errors.Wrap(store.ErrLeaseNotFound, "the entry on the roster has changed")
+	}
 	if err != nil {
 		registration.Unanswered(time.Now())
 		return err
--- a/node/roster.go
+++ b/node/roster.go
@@ -88,13 +88,15 @@
 	return r.writtenAt.After(t)
 }
 
-// storeAge returns the time since the store last answered a call on the roster or on the own lease;
-// 0 if it never did.
+// noStoreAge is reported as the time since the store has last answered by a process that it never has.
+const noStoreAge = time.Hour
+
+// storeAge returns the time since the store last answered a call on the roster or on the own lease.
 func (r *roster) storeAge(now time.Time) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.answeredAt.IsZero() {
-		return 0
+		return noStoreAge
 	}
 	return max(now.Sub(r.answeredAt), time.Microsecond)
 }
