A connection is refused at the limit only if there is no room

What callers saw: a client that connected while its listener had as many connections as it may have was reset, although another could have been closed for it or had just gone.

Cause: two orders of events in Group.Accept. Progress of the only other connection after the time of the call kept it from being closed (evict compared it with now without a minimum time to wait); and if the last one went after the count was found above the limit, there was none to close and the new one was refused although it fitted.

Change: without a minimum time the oldest progress decides, even if it is later than now (for a lack of descriptors too), and Accept looks at the count again before it refuses. Two tests, each of which failed before ("Should be true"; "actual ok: false").

TestBudgetIsExhausted is unchanged.

--- a/internal/ingresslimit/limiter.go
+++ b/internal/ingresslimit/limiter.go
@@ -136,12 +136,16 @@
 // returns the connection that must be closed for it, or nil and false if all are serving requests.
 func (g *Group) Accept(now time.Time, closeConn func()) (c, victim *Conn, ok bool) {
 	if g.open.Add(1) > g.max {
-		if victim = g.evict(now, false, 0); victim == nil {
-			g.open.Add(-1)
+		victim = g.evict(now, false, 0)
+		// If there is none to close, one may have gone in between.
+		full := victim == nil && g.open.Load() > g.max
+		if victim != nil || full {
 			g.limiter.Count(TooManyConnections)
+		}
+		if full {
+			g.open.Add(-1)
 			return nil, nil, false
 		}
-		g.limiter.Count(TooManyConnections)
 	}
 	c = &Conn{Close: closeConn, group: g, shard: &g.shards[g.next.Add(1)%shardCount], progress: now}
 	c.shard.mu.Lock()
@@ -156,17 +160,21 @@
 
 // evict removes the connection that has been without progress for the longest time, at least
 // for the given time, and returns it; nil if there is none. With holding, only those
-// with a share of the budget count.
+// with a share of the budget count. Without a minimum time, connections whose progress is later
+// than now count too: now is read before the locks are taken.
 func (g *Group) evict(now time.Time, holding bool, stalled time.Duration) *Conn {
+	mayClose := func(c *Conn) bool {
+		return c != nil && (stalled == 0 || !c.progress.After(now.Add(-stalled)))
+	}
 	// The oldest may make progress or go while no lock is held; then the next one is tried.
 	for range shardCount {
 		var oldest *shard
-		limit := now.Add(-stalled)
+		var progress time.Time
 		for i := range g.shards {
 			s := &g.shards[i]
 			s.mu.Lock()
-			if c := s.first(holding); c != nil && !c.progress.After(limit) {
-				oldest, limit = s, c.progress
+			if c := s.first(holding); mayClose(c) && (oldest == nil || c.progress.Before(progress)) {
+				oldest, progress = s, c.progress
 			}
 			s.mu.Unlock()
 		}
@@ -175,7 +183,7 @@
 		}
 		oldest.mu.Lock()
 		c := oldest.first(holding)
-		if c != nil && !c.progress.After(now.Add(-stalled)) {
+		if mayClose(c) {
 			c.remove()
 			oldest.mu.Unlock()
 			return c
--- a/internal/ingresslimit/limiter_test.go
+++ b/internal/ingresslimit/limiter_test.go
@@ -35,6 +35,42 @@
 }
 
 // A connection whose request was accepted must not be closed for a new one.
+// A new connection was refused although another could be closed for it, whose progress was later than
+// the time of the call.
+func TestConnectionWithProgressDuringTheCallIsClosedForNewOne(t *testing.T) {
+	g := New(1000).NewGroup(1)
+	first := connect(t, g, 1)[0]
+	first.Progress(start.Add(2 * time.Microsecond))
+	second, victim, ok := g.Accept(start.Add(time.Microsecond), func() {})
+	require.True(t, ok)
+	require.Same(t, first, victim)
+	second.Progress(start.Add(4 * time.Microsecond))
+	require.Same(t, second, g.Victim(start.Add(3*time.Microsecond)), "for a lack of descriptors")
+	require.Zero(t, g.Open())
+}
+
+// A new connection was refused if the last one went after the group had been found full.
+func TestConnectionIsAcceptedIfAnotherGoesDuringTheCall(t *testing.T) {
+	g := New(1000).NewGroup(1)
+	first := connect(t, g, 1)[0]
+	first.shard.mu.Lock() // holds Accept back before it looks for a connection to close
+	type result struct {
+		victim *Conn
+		ok     bool
+	}
+	accepted := make(chan result)
+	go func() {
+		_, victim, ok := g.Accept(start, func() {})
+		accepted <- result{victim, ok}
+	}()
+	require.Eventually(t, func() bool { return g.Open() == 2 }, 10*time.Second, time.Millisecond)
+	first.remove()
+	first.shard.mu.Unlock()
+	require.Equal(t, result{ok: true}, <-accepted)
+	require.EqualValues(t, 1, g.Open())
+	require.Zero(t, g.limiter.Counts(TooManyConnections))
+}
+
 func TestConnectionsThatAreServedAreKept(t *testing.T) {
 	g := New(1000).NewGroup(2)
 	for _, c := range connect(t, g, 2) {
