Log what confirms a dispatcher's list of upstreams, and up to which revision it was read

Need: the hypotheses of the incident differ in whether the next dispatcher knows all upstreams of the one before. The log told when a list was read from the store, but neither what ended the doubt in it nor up to which change it was complete. Change: one line a term, with the evidence, the revision up to which no change is missing and the latest one that is known. Result: go test ./node (list, readings) passes; no logic changed.

--- a/node/readings.go
+++ b/node/readings.go
@@ -75,6 +75,17 @@
 	return r.readings[0].revision
 }
 
+// readTo returns the revision up to which no change is missing, 0 if there is none, and the revision of
+// the latest change that is known. A listing may know later changes than it is complete for.
+func (r *registry) readTo() (complete, newest int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.readings) > 0 {
+		complete = r.readings[len(r.readings)-1].revision
+	}
+	return complete, r.newest
+}
+
 // dropReadings notes that changes since the last readings can no longer be read.
 func (r *registry) dropReadings() {
 	r.mu.Lock()
--- a/node/registry.go
+++ b/node/registry.go
@@ -414,9 +414,27 @@
 	if token == 0 {
 		return
 	}
-	if n.deps.Store == nil || n.registry.currentSince(n.term.startTime()) || n.dispatchersListedSame(now) {
-		n.scheduler.ConfirmList(token)
+	evidence := n.listEvidence(now)
+	if evidence == "" || !n.scheduler.ConfirmList(token) {
+		return
+	}
+	readTo, newest := n.registry.readTo()
+	n.log.Info("upstream list confirmed", slog.Int64("token", token), slog.String("evidence", evidence), slog.Int64("read_to", readTo), slog.Int64("newest", newest),
+		slog.Int64("after_us", now.Sub(n.term.startTime()).Microseconds()))
+}
+
+// listEvidence returns what proves that the list has all upstreams of the dispatchers before, empty if
+// nothing does.
+func (n *Node) listEvidence(now time.Time) string {
+	switch {
+	case n.deps.Store == nil:
+		return "no store"
+	case n.registry.currentSince(n.term.startTime()):
+		return "read in this term"
+	case n.dispatchersListedSame(now):
+		return "that of the dispatchers before"
 	}
+	return ""
 }
 
 // dispatchersListedSame reports whether the dispatchers before have listed the same upstreams.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -274,11 +274,9 @@
 func (s *Scheduler) DoubtList() { s.confirmedToken.Store(doubtful) }
 
 // ConfirmList notes that the list last passed to SetUpstreams has all upstreams on which dispatchers
-// before the term with a token may have started tasks.
-func (s *Scheduler) ConfirmList(token int64) {
-	if token == s.token.Load() {
-		s.confirmedToken.Store(token)
-	}
+// before the term with a token may have started tasks. It reports whether this was in doubt.
+func (s *Scheduler) ConfirmList(token int64) (doubted bool) {
+	return token == s.token.Load() && s.confirmedToken.Swap(token) != token
 }
 
 // listIsDoubtful reports whether the list has been doubted and not been confirmed in the term with
