A failing test: the next dispatcher takes the first changes for all

The test: an answer of ten changes, the eleventh of which is an upstream that joins. The in-memory store can limit its answers for it.

--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -18,13 +18,14 @@
 type gatedStore struct {
 	store.Store
 	cut      atomic.Bool
+	unlisted atomic.Bool  // listings fail, other calls do not
 	listings atomic.Int64 // current listings of the upstreams
 	watches  atomic.Int64 // watches of the upstreams
 }
 
 // Range implements store.Store.
 func (s *gatedStore) Range(ctx context.Context, prefix, after string, stale bool) (store.Page, error) {
-	if s.cut.Load() {
+	if s.cut.Load() || prefix == "upstreams/" && s.unlisted.Load() {
 		return store.Page{}, store.ErrRefused
 	}
 	if prefix == "upstreams/" && !stale {
--- a/store/memory.go
+++ b/store/memory.go
@@ -26,6 +26,8 @@
 	compacted int64 // events up to this revision are dropped
 	changed   chan struct{}
 	failure   error
+	// watchLimit is the number of changes after which an answer to a watch ends; 0 if it has all.
+	watchLimit int
 }
 
 type memoryItem struct {
@@ -52,6 +54,14 @@
 	m.failure = err
 }
 
+// SetWatchLimit limits the changes in an answer to a watch, as the platform's store does; 0 means that
+// there is no limit.
+func (m *Memory) SetWatchLimit(changes int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.watchLimit = changes
+}
+
 // Compact drops the event history.
 func (m *Memory) Compact() {
 	m.mu.Lock()
@@ -166,11 +176,9 @@
 		m.expire()
 		failure, changed, at := m.failure, m.changed, m.revision
 		compacted := after < m.compacted
-		var events []Event
-		for _, e := range m.history {
-			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-				events = append(events, e)
-			}
+		events, part := m.changes(prefix, after)
+		if part {
+			at = events[len(events)-1].Revision
 		}
 		m.mu.Unlock()
 		switch {
@@ -191,6 +199,21 @@
 	}
 }
 
+// changes returns the changes of entries under a prefix after a revision, oldest first. part means that
+// the limit has left out later ones. The changes of a transaction are not divided. The caller holds mu.
+func (m *Memory) changes(prefix string, after int64) (events []Event, part bool) {
+	for _, e := range m.history {
+		if e.Revision <= after || !strings.HasPrefix(e.Key, prefix) {
+			continue
+		}
+		if n := len(events); m.watchLimit > 0 && n >= m.watchLimit && events[n-1].Revision < e.Revision {
+			return events, true
+		}
+		events = append(events, e)
+	}
+	return events, false
+}
+
 // Commit implements Store.
 func (m *Memory) Commit(_ context.Context, txn Txn) (int64, error) {
 	m.mu.Lock()
