A dispatcher's list counts as current only up to a revision that the store has told

Cause: a new term reads the changes of the upstreams since an earlier reading with one watch, and took its answer for all changes up to the call. The store's answers end after 500 changes; 350 upstreams change 233 times a second. The list lacked upstreams that had joined since the last stale listing, and counted as proof that no task runs elsewhere. Change: the store is asked for its revision first; the list is current, as of that question, once changes up to it are read, and the watch is repeated at once until then. This holds for every watch of the upstreams and for any limit, also one that a later store has. What had counted as an answer of the store (updatedAt) follows.

--- a/node/readings.go
+++ b/node/readings.go
@@ -53,14 +53,16 @@
 	}
 }
 
-// recordWatched notes that a watch that was requested at a time was answered: no change up to a
-// revision is missing.
-func (r *registry) recordWatched(now, requestedAt time.Time, revision int64) {
+// recordWatched notes that a watch was answered: no change up to a revision is missing. currentAt is the
+// time at which the list was that of the store; zero if later changes may be missing.
+func (r *registry) recordWatched(now, currentAt time.Time, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readAt, r.updatedAt = now, now
+	r.readAt = now
 	r.readings = readings{{now, revision}}
-	r.currentAt = later(r.currentAt, requestedAt)
+	if !currentAt.IsZero() {
+		r.updatedAt, r.currentAt = now, later(r.currentAt, currentAt)
+	}
 }
 
 // resumeFrom returns the revision after which changes may be missing, or 0 if the upstreams have
--- a/node/registry.go
+++ b/node/registry.go
@@ -211,9 +211,10 @@
 		onConnected: func(connected bool) { n.registry.storeless.Store(!connected) },
 		resumeFrom:  func() int64 { return n.registry.resumeFrom(time.Now(), n.config.LapsedRetention) },
 		onCompacted: n.registry.dropReadings,
-		onWatched: func(requestedAt time.Time, revision int64) {
+		head:        n.storeRevision,
+		onWatched: func(currentAt time.Time, revision int64) {
 			now := time.Now()
-			n.registry.recordWatched(now, requestedAt, revision)
+			n.registry.recordWatched(now, currentAt, revision)
 			n.confirmList(now)
 		},
 		onList: func(items []store.Item, revision int64, currentAt time.Time) {
@@ -230,7 +231,6 @@
 		},
 		onEvents: func(events []store.Event) {
 			now := time.Now()
-			n.registry.recordUpdate(now)
 			n.registry.mu.Lock()
 			for _, e := range events {
 				n.registry.newest = max(n.registry.newest, e.Revision)
--- a/node/watch.go
+++ b/node/watch.go
@@ -45,11 +45,15 @@
 	// since.
 	onList   func(items []store.Item, revision int64, currentAt time.Time)
 	onEvents func(events []store.Event)
-	// onWatched is called after each answer to a watch, also without a change, with the time of
-	// the request and the revision up to which no change is missing. onCompacted is called if
-	// changes cannot be read any longer. Both may be nil.
-	onWatched   func(requestedAt time.Time, revision int64)
+	// onWatched is called after each answer to a watch, also without a change, with the time at which
+	// the copy was that of the store, or zero if that is unknown, and the revision up to which no
+	// change is missing. onCompacted is called if changes cannot be read any longer. Both may be nil.
+	onWatched   func(currentAt time.Time, revision int64)
 	onCompacted func()
+	// head returns the present revision of the store. An answer to a watch may leave out later changes,
+	// so the copy is that of the store only once it has been read up to a revision that was asked for
+	// before. If head is nil, it is never known to be.
+	head func(context.Context) (int64, error)
 	// maxWait is the longest time that the store holds a watch open.
 	maxWait time.Duration
 	// interval is the delay between two watches. Events that arrive meanwhile are
@@ -70,6 +74,9 @@
 
 	revision  int64 // the watch continues after it; 0 requests a current reading
 	connected bool
+	// target is the revision that the store had at targetAt, while changes up to it are to be read; 0 otherwise.
+	target   int64
+	targetAt time.Time
 }
 
 // setConnected notes whether the store answers.
@@ -125,7 +132,7 @@
 	case <-ctx.Done():
 		return false
 	case <-w.relist: // nil if nothing requests readings of the prefix
-		w.revision = 0
+		w.revision, w.target = 0, 0
 	case <-timer.C:
 	}
 	return true
@@ -155,14 +162,16 @@
 			return 0, err
 		}
 		w.onList(items, revision, currentAt)
-		w.revision = revision
+		w.revision, w.target = revision, 0
 		if !watching {
 			w.revision = 0
 			return listInterval, nil
 		}
 		return 0, nil
 	}
-	requestedAt := time.Now()
+	if err := w.setTarget(ctx); err != nil {
+		return 0, err
+	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	events, revision, err := n.deps.Store.Watch(callCtx, w.prefix, after, wait)
@@ -171,18 +180,51 @@
 	}
 	if w.revision == 0 {
 		n.log.Info("changes since the last reading", slog.String("prefix", w.prefix), slog.Int("events", len(events)),
-			slog.Int64("after", after), slog.Int64("revision", revision))
+			slog.Int64("after", after), slog.Int64("revision", revision), slog.Int64("head", w.target))
 	}
 	w.revision = max(revision, after)
 	if len(events) > 0 {
 		w.onEvents(events)
 	}
+	currentAt := w.reachTarget()
 	if w.onWatched != nil {
-		w.onWatched(requestedAt, w.revision)
+		w.onWatched(currentAt, w.revision)
+	}
+	if w.target != 0 && len(events) > 0 {
+		return 0, nil // the store has left out changes
 	}
 	return w.interval, nil
 }
 
+// setTarget asks for the revision up to which changes are to be read, unless changes up to an earlier one
+// are still to be read.
+func (w *watcher) setTarget(ctx context.Context) (err error) {
+	if w.head == nil || w.target != 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	w.targetAt = time.Now()
+	w.target, err = w.head(ctx)
+	return err
+}
+
+// reachTarget returns the time at which the copy was that of the store, or zero if changes up to the target
+// are still to be read.
+func (w *watcher) reachTarget() (currentAt time.Time) {
+	if w.target == 0 || w.revision < w.target {
+		return time.Time{}
+	}
+	w.target = 0
+	return w.targetAt
+}
+
+// storeRevision returns the present revision of the store. It reads no entry.
+func (n *Node) storeRevision(ctx context.Context) (int64, error) {
+	page, err := n.deps.Store.Range(ctx, n.config.MemberPrefix+n.config.VM+"/", "", false)
+	return page.Revision, err
+}
+
 // watchConfiguration keeps the configuration and the set of evacuated data centres up to date. Every
 // VM watches them: the store may refuse any others from which this one could learn of changes. An
 // answer without a change has no entries, so that watching takes fewer bytes than listing.
--- a/store/store.go
+++ b/store/store.go
@@ -114,7 +114,8 @@
 	Range(ctx context.Context, prefix, after string, stale bool) (Page, error)
 	// Watch waits until an entry under a prefix changes after a revision, or
 	// until wait has passed. It returns all changes up to the revision after which
-	// to continue, which is that of the store when it answered.
+	// to continue. An answer may leave out later changes, of which it does not tell: the
+	// platform's store ends after some hundreds.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) ([]Event, int64, error)
 	// Commit makes the changes of a transaction and returns its revision. If a
 	// condition does not hold, the error is a *ConflictError.
