Only a dispatcher asks for the store's revision

Need: while the store refuses the dispatcher, every other VM watches the upstreams in its place. Change: head is asked while this VM dispatches. That the store has answered counts as before; placements of a new term wait for the list to be current, 150 ms at most, as they did for the first answer.

--- a/node/readings.go
+++ b/node/readings.go
@@ -58,11 +58,9 @@
 func (r *registry) recordWatched(now, currentAt time.Time, revision int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.readAt = now
+	r.readAt, r.updatedAt = now, now
 	r.readings = readings{{now, revision}}
-	if !currentAt.IsZero() {
-		r.updatedAt, r.currentAt = now, later(r.currentAt, currentAt)
-	}
+	r.currentAt = later(r.currentAt, currentAt)
 }
 
 // resumeFrom returns the revision after which changes may be missing, or 0 if the upstreams have
--- a/node/registry.go
+++ b/node/registry.go
@@ -211,7 +211,12 @@
 		onConnected: func(connected bool) { n.registry.storeless.Store(!connected) },
 		resumeFrom:  func() int64 { return n.registry.resumeFrom(time.Now(), n.config.LapsedRetention) },
 		onCompacted: n.registry.dropReadings,
-		head:        n.storeRevision,
+		head: func(ctx context.Context) (int64, error) {
+			if !n.scheduler.Dispatching() {
+				return 0, nil // its list proves nothing before it has been read again in its own term
+			}
+			return n.storeRevision(ctx)
+		},
 		onWatched: func(currentAt time.Time, revision int64) {
 			now := time.Now()
 			n.registry.recordWatched(now, currentAt, revision)
@@ -231,6 +236,7 @@
 		},
 		onEvents: func(events []store.Event) {
 			now := time.Now()
+			n.registry.recordUpdate(now)
 			n.registry.mu.Lock()
 			for _, e := range events {
 				n.registry.newest = max(n.registry.newest, e.Revision)
--- a/node/term.go
+++ b/node/term.go
@@ -447,7 +447,7 @@
 // the wait for it has timed out.
 func (n *Node) canPlace(now time.Time) bool {
 	start := n.term.startTime()
-	return now.Sub(start) > upstreamListTimeout || n.registry.updatedSince(start)
+	return now.Sub(start) > upstreamListTimeout || n.registry.currentSince(start)
 }
 
 // pausedWithin reports whether this process was paused within a time before now. It then may not
--- a/node/watch.go
+++ b/node/watch.go
@@ -50,9 +50,9 @@
 	// change is missing. onCompacted is called if changes cannot be read any longer. Both may be nil.
 	onWatched   func(currentAt time.Time, revision int64)
 	onCompacted func()
-	// head returns the present revision of the store. An answer to a watch may leave out later changes,
-	// so the copy is that of the store only once it has been read up to a revision that was asked for
-	// before. If head is nil, it is never known to be.
+	// head returns the present revision of the store, or 0 if it is not needed. An answer to a watch may
+	// leave out later changes, so the copy is known to be that of the store only once it has been read up
+	// to a revision that was asked for before. head may be nil.
 	head func(context.Context) (int64, error)
 	// maxWait is the longest time that the store holds a watch open.
 	maxWait time.Duration
