Tasks started on an upstream that had drained for longer than its reader knew

A notice was dated by the last reading, which may be a stale listing, seconds older than its call, or an answer of the store that leaves out later changes. TestDrainCountsFromListingThatWasStale failed before. Change: the drain counts from the time at which the list was that of the store. An upstream whose notice is first seen after more than half of the drain time without such a list gets no tasks. Result: the test passes; TestDrainOfUnknownAgeCountsFromItsListing sets both times and is as strict as before.

--- a/node/notices.go
+++ b/node/notices.go
@@ -27,14 +27,14 @@
 	}
 	now := time.Now()
 	followed := known.valid && !known.odd && known.lapsedAt.IsZero()
-	recent := fromStore && now.Sub(n.registry.readAt) <= n.config.UpstreamDrain/2
+	recent := fromStore && now.Sub(n.registry.currentAt) <= n.config.UpstreamDrain/2
 	switch {
 	case !followed:
 	case !recent && known.upstream.Draining:
 		u.Notice = known.upstream.Notice // the new one may have been written long ago
 	case recent && read != nil:
-		// The entry was written after the last reading, which did not have it.
-		u.Notice = &scheduler.DepartureNotice{Left: read.Left, ReadAt: n.registry.readAt, DrainingSince: now}
+		// The entry was written after the list was that of the store, which did not have it.
+		u.Notice = &scheduler.DepartureNotice{Left: read.Left, ReadAt: n.registry.currentAt, DrainingSince: now}
 		if known.upstream.Draining {
 			u.Notice.DrainingSince = known.drainingSince()
 		}
--- a/node/notices_test.go
+++ b/node/notices_test.go
@@ -38,14 +38,15 @@
 			n := &Node{log: slog.New(slog.DiscardHandler), config: Config{UpstreamDrain: 2 * time.Second}}
 			n.registry.mu.Lock()
 			defer n.registry.mu.Unlock()
-			n.registry.readAt = time.Now().Add(-c.gap)
+			n.registry.currentAt = time.Now().Add(-c.gap)
+			n.registry.readAt = n.registry.currentAt
 			e := entry{item: store.Item{Key: "u"}, valid: true, upstream: scheduler.Upstream{Draining: true, Notice: &scheduler.DepartureNotice{Left: 1500 * time.Millisecond}}}
 			n.recordNotice(&e, c.known, !c.fromPeer)
 			got := e.upstream.Notice
 			switch {
 			case c.begins:
 				require.False(t, got.DrainingSince.Before(now))
-				require.Equal(t, n.registry.readAt, got.ReadAt)
+				require.Equal(t, n.registry.currentAt, got.ReadAt)
 			case c.kept:
 				require.Equal(t, draining.upstream.Notice, got)
 			case c.known.upstream.Draining && c.known.lapsedAt.IsZero():
@@ -57,3 +58,15 @@
 		})
 	}
 }
+
+// A stale listing, or an answer that leaves out later changes, is older than its call.
+func TestDrainCountsFromListingThatWasStale(t *testing.T) {
+	n := &Node{log: slog.New(slog.DiscardHandler), config: Config{UpstreamDrain: 2 * time.Second}}
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	now := time.Now()
+	n.registry.readAt, n.registry.currentAt = now, now.Add(-3*time.Second)
+	e := entry{item: store.Item{Key: "u"}, valid: true, upstream: scheduler.Upstream{Draining: true, Notice: &scheduler.DepartureNotice{Left: 1500 * time.Millisecond}}}
+	n.recordNotice(&e, entry{valid: true}, true)
+	require.Nil(t, e.upstream.Notice, "the upstream may have drained for 3 s")
+}
