--- a/node/watch.go
+++ b/node/watch.go
@@ -219,12 +219,6 @@
 	return w.targetAt
 }
 
-// storeRevision returns the present revision of the store. It reads no entry.
-func (n *Node) storeRevision(ctx context.Context) (int64, error) {
-	page, err := n.deps.Store.Range(ctx, n.config.MemberPrefix+n.config.VM+"/", "", false)
-	return page.Revision, err
-}
-
 // watchConfiguration keeps the configuration and the set of evacuated data centres up to date. Every
 // VM watches them: the store may refuse any others from which this one could learn of changes. An
 // answer without a change has no entries, so that watching takes fewer bytes than listing.
