The watch for changes that are left out is held until an upstream changes

Callers see: after a hand-over, resumed jobs wait up to 1.5 s longer than needed, and a drain is dated late. Cause: a dispatcher reads changes up to the store's revision. If an answer ends with the last change of an upstream, and the changes up to that revision are those of other entries, the next watch is held although nothing is left to come. Evidence: TestListIsNotCurrentUntilAnotherUpstreamChanges failed before, with a stand-in store. Change: a watch for changes up to a revision that was asked for before an earlier one is answered at once.

--- a/node/watch.go
+++ b/node/watch.go
@@ -169,6 +169,9 @@
 		}
 		return 0, nil
 	}
+	if w.target != 0 {
+		wait, timeout = 0, storeTimeout // the changes up to it may be those of other prefixes
+	}
 	if err := w.setTarget(ctx); err != nil {
 		return 0, err
 	}
