--- a/node/watch.go
+++ b/node/watch.go
@@ -193,7 +193,7 @@
 	if w.onWatched != nil {
 		w.onWatched(currentAt, w.revision)
 	}
-	if w.target != 0 && len(events) > 0 {
+	if w.target != 0 && w.revision > after {
 		return 0, nil // the store has left out changes
 	}
 	return w.interval, nil
--- a/node/watch_target_test.go
+++ b/node/watch_target_test.go
@@ -51,3 +51,23 @@
 	require.Equal(t, []time.Duration{watchWait, 0}, waits)
 	require.Zero(t, w.target)
 }
+
+// A store may answer from which to continue without getting further.
+func TestWatchWithoutProgressIsRepeatedAtOnce(t *testing.T) {
+	n := &Node{log: slog.New(slog.DiscardHandler)}
+	n.deps.Store = answeringStore{answer: func(after int64, _ time.Duration) ([]store.Event, int64) {
+		return []store.Event{{Item: store.Item{Key: "upstreams/u", Revision: 101}}}, after
+	}}
+	pause, err := n.watchOnce(context.Background(), watchTo(115))
+	require.NoError(t, err)
+	require.Equal(t, upstreamWatchInterval, pause)
+}
+
+// An answer may have read the changes of other entries only.
+func TestRestOfChangesIsReadLaterIfAnswerHasNone(t *testing.T) {
+	n := &Node{log: slog.New(slog.DiscardHandler)}
+	n.deps.Store = answeringStore{answer: func(int64, time.Duration) ([]store.Event, int64) { return nil, 110 }}
+	pause, err := n.watchOnce(context.Background(), watchTo(115))
+	require.NoError(t, err)
+	require.Zero(t, pause)
+}
