A notice that arrives after a calm is taken for one of unknown age

In a small data centre, upstreams that announce their departure get no tasks, although they serve for seconds. Cause: dates a notice by the last time at which the list was that of the store. While a watch is held, that is the question before the watch before: up to 3.4 s earlier, and a drain counts only from half of drain_ms (1 to 1.5 s). Change: if all changes of an answer are later than the revision that was asked for before it, the list was that of the store at that time, and the changes are dated by it.

--- a/node/watch.go
+++ b/node/watch.go
@@ -52,7 +52,7 @@
 	onCompacted func()
 	// head returns the present revision of the store, or 0 if it is not needed. An answer to a watch may
 	// leave out later changes, so the copy is known to be that of the store only once it has been read up
-	// to a revision that was asked for before. head may be nil.
+	// to a revision that was asked for before. head may be nil; otherwise onWatched may not.
 	head func(context.Context) (int64, error)
 	// maxWait is the longest time that the store holds a watch open.
 	maxWait time.Duration
@@ -187,6 +187,10 @@
 	}
 	w.revision = max(revision, after)
 	if len(events) > 0 {
+		if w.target != 0 && events[0].Revision > w.target {
+			w.onWatched(w.targetAt, w.target) // before the changes, which may be dated by it
+			w.target = 0
+		}
 		w.onEvents(events)
 	}
 	currentAt := w.reachTarget()
--- a/node/watch_target_test.go
+++ b/node/watch_target_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/mustardstep/mustardstep/scheduler"
 	"github.com/mustardstep/mustardstep/store"
 	"github.com/stretchr/testify/require"
 )
@@ -71,3 +73,45 @@
 	require.NoError(t, err)
 	require.Zero(t, pause)
 }
+
+// In a small data centre a watch may be held until it times out. The notice of an upstream then
+// arrives longer than half of the drain time after the revision before it was asked for.
+func TestNoticeAfterCalmIsTakenForOneOfUnknownAge(t *testing.T) {
+	s := store.NewMemory()
+	put := func(draining bool) {
+		u := scheduler.Upstream{Name: "u", Service: "rota", Draining: draining}
+		if draining {
+			u.Notice = &scheduler.DepartureNotice{Left: 10 * time.Second}
+		}
+		value, err := json.Marshal(u)
+		require.NoError(t, err)
+		s.Set("upstreams/u", value)
+	}
+	put(false)
+	n := New(Config{VM: "vm0", DataCentre: "a", PeerAddress: "127.0.0.1:1", LeaseMax: testLease, LapsedRetention: 10 * time.Second, ConfigurationKey: "config",
+		UpstreamPrefix: "upstreams/", MemberPrefix: "vm/", UpstreamDrain: 3 * time.Second},
+		Dependencies{Store: s, Upstreams: newModelUpstreams([]string{"u"}, time.Second), Log: slog.New(slog.DiscardHandler), Metrics: NewMetrics(), Decoder: testDecoder{}})
+	n.scheduler.BeginTerm(time.Now(), 1, 0)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- n.watchUpstreams(ctx) }()
+	t.Cleanup(func() { cancel(); require.NoError(t, <-done) })
+	currentAt := func() time.Time {
+		n.registry.mu.Lock()
+		defer n.registry.mu.Unlock()
+		return n.registry.currentAt
+	}
+	require.Eventually(t, func() bool { return n.registry.listed() }, waitTimeout, time.Millisecond)
+	listedAt := currentAt()
+	require.Eventually(t, func() bool { return currentAt().After(listedAt) }, waitTimeout, time.Millisecond)
+	time.Sleep(upstreamWatchInterval + 200*time.Millisecond) // the next watch is held
+	put(true)
+	require.Eventually(t, func() bool {
+		n.registry.mu.Lock()
+		defer n.registry.mu.Unlock()
+		return n.registry.entries["upstreams/u"].upstream.Draining
+	}, waitTimeout, time.Millisecond)
+	n.registry.mu.Lock()
+	defer n.registry.mu.Unlock()
+	require.NotNil(t, n.registry.entries["upstreams/u"].upstream.Notice)
+}
