scheduler: a run whose end is not listed yet counts as lost

Callers: a task that has completed is started again, and its job fails if it has no further attempt.

Cause: a run that a poll lists neither as active nor as completed is lost. An upstream returns 500 ends at a time. Ends that wait for delivery to an origin (3 s at most) hold back the acknowledgement; later ones are not listed, and their runs are not active either.

--- a/scheduler/poll.go
+++ b/scheduler/poll.go
@@ -67,6 +67,8 @@
 	ProcessStart int64
 	Running      []Running
 	Completions  []Completion
+	// CompletionsTruncated means that the upstream may have more completions than it lists.
+	CompletionsTruncated bool
 }
 
 // PollResult is the result of a Poll.
--- a/scheduler/report.go
+++ b/scheduler/report.go
@@ -87,7 +87,9 @@
 		}
 	}
 	u.orphanSince = nil
-	u.releaseAbsent(now, poll, report, listed, a)
+	if !report.CompletionsTruncated {
+		u.releaseAbsent(now, poll, report, listed, a)
+	}
 	return completions, found
 }
 
@@ -178,7 +180,7 @@
 const absentReason = "the upstream does not list the run"
 
 // releaseAbsent removes runs that the upstream reports neither as active nor as
-// completed.
+// completed. The report must list all completions.
 func (u *upstream) releaseAbsent(now time.Time, poll Poll, report PollReport, listed map[Run]int, a *Actions) {
 	var absent []*run
 	for _, r := range u.runs {
