--- a/scheduler/split_model_term_test.go
+++ b/scheduler/split_model_term_test.go
@@ -102,7 +102,7 @@
 
 func (n *splitNode) canStartTerm() bool {
 	v := &n.view
-	if n.revision == 0 || !n.rosterRead && len(v.Reachable) == 0 || v.Dispatcher.VM != "" && n.mayMissLapsed() {
+	if n.revision == 0 || !n.rosterRead && len(v.Reachable) == 0 || v.Dispatcher.VM != "" && !v.Dispatcher.Draining && n.mayMissLapsed() {
 		return false
 	}
 	grace := startupGrace
