The list of a dispatcher is forgotten when its next process dispatches

Callers may see: a task that runs twice, if a dispatcher restarts and dispatches again with a stale listing, and a third VM takes over within the lease of the runs of the first process. Cause: a next dispatcher takes its list for that of the dispatchers before if they have all reported the same one. Of each VM only the last report counted, although a new process knows fewer upstreams than the one before it: those that have joined and gone, or that its stale listing lacks. So such a list was confirmed, and readings were dropped that would have shown the upstream. Evidence: TestListOfDispatcherIsForgottenWhenItsNextProcessDispatches failed before.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -124,16 +124,14 @@
 	firstAttempt time.Time // first heartbeat sent since lastContact; zero if none
 	refused      bool      // refused a connection since lastContact
 	deaf         bool      // has reported, since lastContact, that it does not hear this member
-	// dispatchedAt is when the member last reported a term, dispatchDigest the digest of its
-	// upstreams in that report.
-	dispatchedAt     time.Time
-	dispatchDigest   uint64
-	dispatchRevision int64 // of its upstreams in that report
-	heard            bool  // has sent a heartbeat or answered one
-	listed           bool  // present in the platform's store
-	replaced         bool  // another process has its address
-	rostered         bool  // has been on the roster
-	removed          bool  // has been on the roster, and no longer is
+	// dispatched are the last reports of a term by this process, if there is one, and by those
+	// that it has replaced.
+	dispatched []dispatchReport
+	heard      bool // has sent a heartbeat or answered one
+	listed     bool // present in the platform's store
+	replaced   bool // another process has its address
+	rostered   bool // has been on the roster
+	removed    bool // has been on the roster, and no longer is
 	// storeAt is when the store may last have answered the member.
 	storeAt time.Time
 	// clock is the greatest lower bound of the member's clock, as of clockAt; 0 if unknown.
@@ -232,8 +230,7 @@
 	f.digest ^= memberHash(m)
 	f.replaceAt(m)
 	f.peers[m.VM] = &peer{
-		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatchedAt: former.dispatchedAt, dispatchDigest: former.dispatchDigest, dispatchRevision: former.dispatchRevision,
-		replaced: f.hasSuccessor(m),
+		heartbeat: Heartbeat{Member: m}, listed: former.listed, dispatched: former.dispatched, replaced: f.hasSuccessor(m),
 	}
 	return true
 }
@@ -310,7 +307,7 @@
 	}
 	p.heartbeat, p.replaced, p.storeAt = hb, false, now.Add(-hb.StoreAge)
 	if hb.Term != 0 {
-		p.dispatchedAt, p.dispatchDigest, p.dispatchRevision = now, hb.UpstreamsDigest, hb.UpstreamsRevision
+		p.recordDispatch(dispatchReport{hb.Member.Incarnation, now, hb.UpstreamsDigest, hb.UpstreamsRevision})
 	}
 	delay := time.Duration(0)
 	if hb.Clock != 0 {
@@ -545,33 +542,6 @@
 	return 0
 }
 
-// DispatchersListed reports whether all members that have dispatched since a time have last
-// listed the upstreams with the given digest.
-func (f *Fleet) DispatchersListed(since time.Time, digest uint64) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, p := range f.peers {
-		if f.inScope(p.heartbeat.Member) && p.dispatchedAt.After(since) && (digest == 0 || p.dispatchDigest != digest) {
-			return false
-		}
-	}
-	return true
-}
-
-// DispatchersRevision returns the revision up to which all members that have dispatched since a
-// time had read the upstreams when they last reported a term; 0 if none has dispatched.
-func (f *Fleet) DispatchersRevision(since time.Time) int64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	lowest := int64(0)
-	for _, p := range f.peers {
-		if f.inScope(p.heartbeat.Member) && p.dispatchedAt.After(since) && (lowest == 0 || p.dispatchRevision < lowest) {
-			lowest = p.dispatchRevision
-		}
-	}
-	return lowest
-}
-
 // Peers returns the other known members.
 func (f *Fleet) Peers() []Member {
 	f.mu.Lock()
--- a/fleet/silence_test.go
+++ b/fleet/silence_test.go
@@ -119,3 +119,18 @@
 	require.EqualValues(t, 4, f.DispatchersRevision(before), "the lowest in a term")
 	require.Zero(t, f.DispatchersRevision(start.Add(time.Second)), "the terms are long over")
 }
+
+// A dispatcher is replaced by its next process, which dispatches before it lists an upstream of the
+// former one.
+func TestListOfDispatcherIsForgottenWhenItsNextProcessDispatches(t *testing.T) {
+	f, members := newFleet(2, "a")
+	before := start.Add(-time.Second)
+	f.RecordHeartbeat(start, Heartbeat{Member: members[1], Term: 5, UpstreamsDigest: 7, UpstreamsRevision: 3}, true)
+	next := members[1]
+	next.Incarnation++
+	f.RecordHeartbeat(start.Add(time.Second), Heartbeat{Member: next, Term: 6, UpstreamsDigest: 8, UpstreamsRevision: 4}, true)
+	require.False(t, f.DispatchersListed(before, 8), "the former process has listed another upstream")
+	require.EqualValues(t, 3, f.DispatchersRevision(before))
+	require.True(t, f.DispatchersListed(start.Add(time.Millisecond), 8), "the term of the former process is long over")
+	require.EqualValues(t, 4, f.DispatchersRevision(start.Add(time.Millisecond)))
+}
