A stand-in process listens again although a fork holds its listener

Need: a process that has crashed listens on its address again. A child process of the soak has its descriptors from its fork until it executes its own program, so that the closed listener still exists. Change: the stand-in repeats the attempt for up to 5 s.

--- a/internal/standin/platform_faults.go
+++ b/internal/standin/platform_faults.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,16 +19,11 @@
 
 	mu            sync.Mutex // guards the fields below
 	faults        api.PlatformFaults
-	staleSnapshot *snapshot     // read instead of the store while reads are stale; else nil
+	staleSnapshot *snapshot     // read instead of the store while all reads are stale; else nil
+	history       []*snapshot   // oldest first, for reads that may be stale
 	changed       chan struct{} // closed and replaced by SetFaults
 }
 
-// snapshot is a copy of all entries.
-type snapshot struct {
-	items    []store.Item
-	revision int64
-}
-
 // NewFaultyStore returns a FaultyStore over memory with no faults set.
 func NewFaultyStore(memory *store.Memory) *FaultyStore {
 	return &FaultyStore{Memory: memory, changed: make(chan struct{})}
@@ -40,7 +34,7 @@
 
 // SetFaults replaces all faults.
 func (f *FaultyStore) SetFaults(faults api.PlatformFaults) error {
-	items, revision, err := store.List(context.Background(), f.Memory, "", false)
+	current, err := f.takeSnapshot(context.Background())
 	if err != nil {
 		return err
 	}
@@ -50,7 +44,7 @@
 	case !faults.Stale:
 		f.staleSnapshot = nil
 	case f.staleSnapshot == nil:
-		f.staleSnapshot = &snapshot{items, revision}
+		f.staleSnapshot = current
 	}
 	f.faults = faults
 	close(f.changed)
@@ -83,19 +77,10 @@
 	if err := f.beginCall(ctx); err != nil {
 		return store.Page{}, err
 	}
-	f.mu.Lock()
-	staleSnapshot := f.staleSnapshot
-	f.mu.Unlock()
-	if staleSnapshot == nil {
-		return f.Memory.Range(ctx, prefix, after, stale)
-	}
-	page := store.Page{Revision: staleSnapshot.revision}
-	for _, item := range staleSnapshot.items {
-		if strings.HasPrefix(item.Key, prefix) && item.Key > after {
-			page.Items = append(page.Items, item)
-		}
+	if old := f.readable(stale); old != nil {
+		return old.page(prefix, after), nil
 	}
-	return page, nil
+	return f.Memory.Range(ctx, prefix, after, stale)
 }
 
 // Commit implements store.Store. A lost response is an error after the commit was
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -6,12 +6,21 @@
 	"log"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/mustardstep/mustardstep/internal/wait"
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	// relistenTimeout bounds the attempts to listen on an address again.
+	relistenTimeout = 5 * time.Second
+	// relistenDelay is the delay between two of them.
+	relistenDelay = 10 * time.Millisecond
+)
+
 // Process serves a stand-in on one address and can end like a process that crashes: all
 // its connections are closed and new ones are refused until it starts again.
 type Process struct {
@@ -77,7 +86,7 @@
 		if !wait.For(ctx, down) {
 			return nil
 		}
-		next, err := net.Listen("tcp", p.address)
+		next, err := p.listen(ctx)
 		if err != nil {
 			return err
 		}
@@ -87,6 +96,17 @@
 	}
 }
 
+// listen listens on the address again. A child process of this program holds the listener that was
+// closed from its fork until it executes its own program.
+func (p *Process) listen(ctx context.Context) (net.Listener, error) {
+	for end := time.Now().Add(relistenTimeout); ; {
+		listener, err := net.Listen("tcp", p.address)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) || !wait.For(ctx, relistenDelay) {
+			return listener, err
+		}
+	}
+}
+
 // Crash ends the process for the given time. It has no effect while the process is down.
 func (p *Process) Crash(down time.Duration) {
 	p.mu.Lock()
