--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -191,6 +191,7 @@
 		return err
 	}
 	s.store.Memory.Set(key, value)
+	s.limitStore(ctx, g)
 	for i := range s.options.Upstreams {
 		if err := s.addUpstream(ctx, g, i); err != nil {
 			return err
