Soak: upstreams are replaced while dispatchers are stopped, killed or frozen

No series of the soak lets upstreams join for the first time beside a hand-over. Change: a quarter more upstreams are spare. In the new series each spare one joins, then an old one drains, leaves and becomes spare, while one to four dispatchers in turn are stopped, killed or frozen. It is a part of the ordinary soak; -only-replacements injects nothing else, with a rest of 10.5 s to 12 s before each series, without tasks that crash upstreams (a dispatcher that misses an upstream waits for the leases and hides the fault), and with more long jobs, so that new upstreams get tasks at once. An upstream's entry is written under its lock, so that a join is seen at once.

--- a/cmd/mustardstep-replay/main_test.go
+++ b/cmd/mustardstep-replay/main_test.go
@@ -42,6 +42,14 @@
 	})
 }
 
+// TestTakeoverBesideReplacementsOfUpstreams halts dispatchers while upstreams join that the next
+// one has not listed, and the store returns few changes at a time.
+func TestTakeoverBesideReplacementsOfUpstreams(t *testing.T) {
+	runSoak(t, replay.SoakOptions{
+		Seed: 54, Seconds: 1, VMs: 6, Upstreams: 24, OnlyReplacements: true, RetryTimeout: 10 * time.Minute,
+	})
+}
+
 // runSoak runs a soak test and logs its faults.
 func runSoak(t *testing.T, options replay.SoakOptions) {
 	report, err := replay.RunSoak(t.Context(), options)
--- a/internal/command/soak.go
+++ b/internal/command/soak.go
@@ -29,7 +29,10 @@
 	s := c.settings.Soak
 	status := subcommands.ExitSuccess
 	for i := range s.Seeds {
-		options := replay.SoakOptions{Seed: int64(s.Seed + i), Seconds: s.Seconds, VMs: s.VMs, Upstreams: s.Upstreams, Daemon: s.Daemon, OnlySplits: s.OnlySplits}
+		options := replay.SoakOptions{
+			Seed: int64(s.Seed + i), Seconds: s.Seconds, VMs: s.VMs, Upstreams: s.Upstreams, Daemon: s.Daemon,
+			OnlySplits: s.OnlySplits, OnlyReplacements: s.OnlyReplacements,
+		}
 		if s.OnlyLongSplits != "none" {
 			options.OnlyLongSplits = s.OnlyLongSplits
 		}
--- a/internal/replay/soak.go
+++ b/internal/replay/soak.go
@@ -63,6 +63,8 @@
 	// upstreams.
 	LongInterval time.Duration
 	OnlySplits   bool // inject only splits of the VMs, one after another
+	// OnlyReplacements injects only replacements of upstreams while dispatchers are halted.
+	OnlyReplacements bool
 	// OnlyLongSplits is the kind of long splits that are injected, one after another, instead
 	// of all faults; empty for all faults.
 	OnlyLongSplits string
@@ -90,6 +92,7 @@
 	disturbedUntil time.Time // end of the last one
 	evacuated      string    // data centre that is evacuated, empty if none
 	evacuatedAt    time.Time
+	spares         []*soakUpstream // that have not joined, or have left for longest, first
 }
 
 // RunSoak runs a cluster of real daemon processes under random faults. It checks the
@@ -97,7 +100,11 @@
 // ErrInvariantViolated with the report if one was violated.
 func RunSoak(ctx context.Context, o SoakOptions) (*SoakReport, error) {
 	o.RetryTimeout = cmp.Or(o.RetryTimeout, 2*soakCallerDeadline)
-	o.LongInterval = cmp.Or(o.LongInterval, soakLongInterval/time.Duration(o.Upstreams))
+	longInterval := soakLongInterval
+	if o.OnlyReplacements {
+		longInterval = soakBusyInterval
+	}
+	o.LongInterval = cmp.Or(o.LongInterval, longInterval/time.Duration(o.Upstreams))
 	s := &soakTest{
 		options: o, rng: rand.New(rand.NewPCG(uint64(o.Seed), 1)), dir: o.LogDir, links: newLinks(),
 		store: standin.NewFaultyStore(store.NewMemory()), startedAt: time.Now(), deadly: deadlyJobs{ids: map[string]bool{}},
@@ -147,17 +154,13 @@
 	load.Go(func() { s.load(loadCtx) })
 	end := time.Now().Add(time.Duration(s.options.Seconds * float64(time.Second)))
 	var pending sync.WaitGroup
-	if !s.options.OnlySplits && s.options.OnlyLongSplits == "" {
+	only := s.onlySeries()
+	if only == nil {
 		pending.Go(func() { s.evacuateDataCentres(ctx, end) })
 	}
 	for time.Now().Before(end) && ctx.Err() == nil {
-		if s.options.OnlySplits {
-			s.disturbed(s.drawSplit(ctx))()
-			wait.For(ctx, s.randomMillis(500, 2500))
-			continue
-		}
-		if s.options.OnlyLongSplits != "" {
-			s.disturbed(s.longSplitOf(ctx, s.options.OnlyLongSplits))()
+		if only != nil {
+			s.disturbed(only(ctx))()
 			wait.For(ctx, s.randomMillis(500, 2500))
 			continue
 		}
@@ -192,7 +195,7 @@
 	}
 	s.store.Memory.Set(key, value)
 	s.limitStore(ctx, g)
-	for i := range s.options.Upstreams {
+	for i := range s.options.Upstreams + s.options.spareCount() {
 		if err := s.addUpstream(ctx, g, i); err != nil {
 			return err
 		}
@@ -202,6 +205,9 @@
 			return err
 		}
 	}
+	for _, u := range s.spares {
+		s.setDown(u, true)
+	}
 	present := s.vms[:len(s.vms)-s.absentOf(len(s.vms))]
 	s.absent.vms = s.vms[len(present):]
 	for _, v := range present {
--- a/internal/replay/soak_load.go
+++ b/internal/replay/soak_load.go
@@ -33,6 +33,8 @@
 const (
 	// soakLongInterval is the mean time between long jobs if there is one upstream.
 	soakLongInterval = 5 * time.Second
+	// soakBusyInterval is the same if upstreams are replaced, so that new ones are needed at once.
+	soakBusyInterval = 3 * time.Second
 	soakLongMilliCPU = 3_400
 	soakLongDeadline = 1500 * time.Millisecond
 	// soakPatientDeadline lets the tasks of a long job end if nothing disturbs them.
@@ -60,7 +62,8 @@
 		if j.abandons = rng.IntN(20) == 0; j.abandons {
 			j.patience = j.runTime / 2
 		}
-		if rng.IntN(soakDeadlyShare) == 0 {
+		// A dispatcher takes its list for incomplete while an upstream is down.
+		if rng.IntN(soakDeadlyShare) == 0 && !s.options.OnlyReplacements {
 			s.deadly.add(j.id)
 		}
 		jobs.Go(func() { s.submit(j) })
--- a/internal/replay/soak_series.go
+++ b/internal/replay/soak_series.go
@@ -22,6 +22,20 @@
 	soakResetDelay = 50 * time.Millisecond
 )
 
+// onlySeries returns the function that draws the only series that is injected, or nil if all faults
+// are.
+func (s *soakTest) onlySeries() func(context.Context) func() {
+	switch {
+	case s.options.OnlySplits:
+		return s.drawSplit
+	case s.options.OnlyReplacements:
+		return s.drawRestAndReplacements
+	case s.options.OnlyLongSplits != "":
+		return func(ctx context.Context) func() { return s.longSplitOf(ctx, s.options.OnlyLongSplits) }
+	}
+	return nil
+}
+
 // injectSeries injects a series of faults that aim at the dispatcher or at the upstreams
 // that run tasks. It runs on its own goroutine, so that the next faults may overlap it.
 func (s *soakTest) injectSeries(ctx context.Context, pending *sync.WaitGroup) {
@@ -29,6 +43,7 @@
 	series := []func(context.Context) func(){
 		s.freezeDispatchers, s.freezeDispatchers, s.cutUpstreams, s.cutUpstreams,
 		s.refuseAndReset, s.isolateDispatcher, s.restartBehindCut, s.drawSplit, s.drawSplit, s.drawSplit, s.drawLongSplit,
+		s.drawReplacements, s.drawReplacements,
 	}
 	run := s.disturbed(series[s.rng.IntN(len(series))](ctx))
 	pending.Go(run)
--- a/internal/replay/soak_upstreams.go
+++ b/internal/replay/soak_upstreams.go
@@ -43,6 +43,8 @@
 	mu           sync.Mutex // guards the fields below
 	entry        scheduler.Upstream
 	unregistered bool      // the entry is absent from the store
+	spare        bool      // it has not joined, or has left
+	version      int       // of the entry
 	drainingAt   time.Time // when the entry began to report that the upstream drains
 	// largest is the largest capacity that dispatchers may still assume.
 	largest scheduler.Size
@@ -68,7 +70,11 @@
 }
 
 func (s *soakTest) addUpstream(ctx context.Context, g *errgroup.Group, i int) error {
-	listener, err := net.Listen("tcp", net.JoinHostPort(loopbackHost(sharedHost), "0"))
+	addresses, err := freeAddresses(1) // it listens there again after each crash
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", addresses[0])
 	if err != nil {
 		return err
 	}
@@ -86,7 +92,11 @@
 		s.checker.recordCompletion(u.entry.Name, run, kind)
 	}
 	s.upstreams = append(s.upstreams, u)
-	if i >= s.options.Upstreams-s.absentOf(s.options.Upstreams) {
+	switch {
+	case i >= s.options.Upstreams:
+		u.spare = true
+		s.spares = append(s.spares, u)
+	case i >= s.options.Upstreams-s.absentOf(s.options.Upstreams):
 		u.unregistered = true
 		s.absent.upstreams = append(s.absent.upstreams, u)
 	}
@@ -100,24 +110,32 @@
 
 // publishEntry rewrites the entry of an upstream periodically, as real upstreams do.
 func (s *soakTest) publishEntry(ctx context.Context, u *soakUpstream) error {
-	for version := 1; ctx.Err() == nil; version++ {
-		var entry scheduler.Upstream
-		var unregistered bool
-		u.update(func() { entry, unregistered = u.entryNow(), u.unregistered })
-		key, value, err := platform.UpstreamEntry(entry, version)
-		if err != nil {
+	for ctx.Err() == nil {
+		if err := s.writeEntry(u); err != nil {
 			return err
 		}
-		if unregistered {
-			s.store.Memory.Delete(key)
-		} else {
-			s.store.Memory.Set(key, value)
-		}
 		wait.For(ctx, soakEntryInterval)
 	}
 	return nil
 }
 
+// writeEntry writes the entry of an upstream, or deletes it if it is absent.
+func (s *soakTest) writeEntry(u *soakUpstream) error {
+	u.mu.Lock()
+	defer u.mu.Unlock() // held while the entry is written, so that an older one does not follow
+	u.version++
+	key, value, err := platform.UpstreamEntry(u.entryNow(), u.version)
+	switch {
+	case err != nil:
+		return err
+	case u.unregistered || u.spare:
+		s.store.Memory.Delete(key)
+	default:
+		s.store.Memory.Set(key, value)
+	}
+	return nil
+}
+
 // recordStart checks a start, and crashes the upstream if the task is deadly.
 func (s *soakTest) recordStart(u *soakUpstream, run scheduler.Run, token int64, used scheduler.Size) {
 	u.mu.Lock()
@@ -165,7 +183,7 @@
 	s.checker.recordLostCompletions(lost)
 	s.setDown(u, true)
 	u.process.Crash(down)
-	time.AfterFunc(down, func() { s.setDown(u, false) })
+	time.AfterFunc(down, func() { s.setDown(u, u.isSpare()) })
 }
 
 func (s *soakTest) crashUpstream(u *soakUpstream) func() {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -523,6 +523,8 @@
 	Upstreams int
 	// OnlySplits: inject only splits of the VMs, one after another.
 	OnlySplits bool
+	// OnlyReplacements: inject only replacements of upstreams, one after another, while dispatchers are stopped, killed or frozen.
+	OnlyReplacements bool
 	// OnlyLongSplits: inject only splits of this kind, one after another; they may outlast every timer of a split.
 	OnlyLongSplits string
 	// Daemon: executable of the daemons, such as an earlier release of mustardstepd; empty for the daemon of this program.
@@ -554,6 +556,9 @@
 	bind(b, &s.OnlySplits, definition[bool]{
 		flag: "only-splits", env: "MUSTARDSTEP_ONLY_SPLITS", help: "inject only splits of the VMs, one after another", unit: "",
 	})
+	bind(b, &s.OnlyReplacements, definition[bool]{
+		flag: "only-replacements", env: "MUSTARDSTEP_ONLY_REPLACEMENTS", help: "inject only replacements of upstreams, one after another, while dispatchers are stopped, killed or frozen", unit: "",
+	})
 	bind(b, &s.OnlyLongSplits, definition[string]{
 		flag: "only-long-splits", env: "MUSTARDSTEP_ONLY_LONG_SPLITS", help: "inject only splits of this kind, one after another; they may outlast every timer of a split", unit: "", defaultText: "none", oneOf: []string{"none", "any", "lasting", "storeless", "store-first", "lapsing", "restarts", "changes", "stops", "overlapping", "one-way", "brief", "late-requests"},
 	})
