node: tests of an upstream that joins before a hand-over share their set-up

Need: two tests had the same twenty lines. Change: joinTest starts two nodes whose upstreams are full, and lets the upstream join beside the hand-over. The checks are the same.

--- a/node/upstream_list_test.go
+++ b/node/upstream_list_test.go
@@ -10,6 +10,7 @@
 	"github.com/mustardstep/mustardstep/fleet"
 	"github.com/mustardstep/mustardstep/intake"
 	"github.com/mustardstep/mustardstep/scheduler"
+	"github.com/mustardstep/mustardstep/scheduler/schedulertest"
 	"github.com/mustardstep/mustardstep/store"
 	"github.com/stretchr/testify/require"
 )
@@ -72,34 +73,58 @@
 	c.store.Set("upstreams/"+name, value)
 }
 
+// joinTest is a cluster of two nodes whose upstreams are full, and an upstream that has not joined.
+type joinTest struct {
+	*cluster
+	joining     *schedulertest.Upstream
+	stores      map[string]*gatedStore
+	first, next *testNode // the dispatcher and its successor
+	filler      chan intake.Answer
+}
+
+func newJoinTest(t *testing.T) *joinTest {
+	j := &joinTest{
+		cluster: newClusterWith(t, 0, 2, 2*time.Second, shortRetention), joining: newModelUpstreams([]string{"joined"}, 0).byName["joined"],
+		stores: map[string]*gatedStore{}, filler: make(chan intake.Answer, 1),
+	}
+	j.joining.Speed = 0.5 // its runs last longer than those of the others
+	for _, vm := range []string{"vm0", "vm1"} {
+		j.stores[vm] = &gatedStore{Store: j.store}
+		j.startWith(vm, j.stores[vm])
+	}
+	j.first = j.dispatcher()
+	j.next = j.otherThan(j.first)
+	j.wait("both have listed the upstreams", func() bool { return j.first.upstreamCount() == 2 && j.next.upstreamCount() == 2 })
+	j.awaitCompleteLists()
+	go func() { j.filler <- j.next.submit(context.Background(), "filler", 4, waitTimeout) }()
+	j.wait("the other upstreams are full", func() bool { return j.upstreams.running() == 4 })
+	return j
+}
+
+// nextStore is the store of the next dispatcher.
+func (j *joinTest) nextStore() *gatedStore { return j.stores[j.next.config.VM] }
+
+// killBesideRuns lets the upstream join and tasks run there, kills the dispatcher, and returns the channel
+// of their job's answer.
+func (j *joinTest) killBesideRuns() <-chan intake.Answer {
+	j.upstreams.add(j.joining)
+	j.putUpstream("joined", func(*scheduler.Upstream) {})
+	j.wait("the dispatcher has listed the upstream that joins", func() bool { return j.first.upstreamCount() == 3 })
+	done := make(chan intake.Answer, 1)
+	go func() { done <- j.next.submit(context.Background(), "a", 2, waitTimeout) }()
+	j.wait("tasks run on the upstream that has joined", func() bool { return j.upstreams.running() == 6 })
+	require.Equal(j.t, intake.Succeeded, (<-j.filler).Outcome)
+	j.upstreams.renew(j.joining, j.first.term.current())
+	j.first.kill()
+	return done
+}
+
 // An upstream joins after the next dispatcher has lost the store. The tasks that the dispatcher
 // starts there run while the next one takes over with the list from before.
 func TestNextDispatcherStartsTasksThatRunOnUpstreamItHasNotListed(t *testing.T) {
-	c := newClusterWith(t, 0, 2, 2*time.Second, shortRetention)
-	joined := newModelUpstreams([]string{"joined"}, 0).byName["joined"]
-	joined.Speed = 0.5 // its runs last longer than those of the others
-	stores := map[string]*gatedStore{}
-	for _, vm := range []string{"vm0", "vm1"} {
-		stores[vm] = &gatedStore{Store: c.store}
-		c.startWith(vm, stores[vm])
-	}
-	first := c.dispatcher()
-	next := c.otherThan(first)
-	c.wait("both have listed the upstreams", func() bool { return first.upstreamCount() == 2 && next.upstreamCount() == 2 })
-	c.awaitCompleteLists()
-	full, done := make(chan intake.Answer, 1), make(chan intake.Answer, 1)
-	go func() { full <- next.submit(context.Background(), "filler", 4, waitTimeout) }()
-	c.wait("the other upstreams are full", func() bool { return c.upstreams.running() == 4 })
-	stores[next.config.VM].cut.Store(true)
-	c.upstreams.add(joined)
-	c.putUpstream("joined", func(*scheduler.Upstream) {})
-	c.wait("the dispatcher has listed the upstream that joins", func() bool { return first.upstreamCount() == 3 })
-	go func() { done <- next.submit(context.Background(), "a", 2, waitTimeout) }()
-	c.wait("tasks run on the upstream that has joined", func() bool { return c.upstreams.running() == 6 })
-	require.Equal(t, intake.Succeeded, (<-full).Outcome)
-	c.upstreams.renew(joined, first.term.current())
-	first.kill()
-	answer := <-done
+	j := newJoinTest(t)
+	j.nextStore().cut.Store(true)
+	answer := <-j.killBesideRuns()
 	require.Equal(t, intake.Succeeded, answer.Outcome, answer.Reason)
 }
 
